--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the demo and the stand-ins they need."""
--- /dev/null
+++ b/src/sassafrashall/__init__.py
@@ -0,0 +1,1 @@
+"""An overload control layer for service call graphs."""
--- /dev/null
+++ b/src/sassafrashall/clock.py
@@ -0,0 +1,55 @@
+"""Clocks: monotonic seconds, and hybrid logical time for events."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+
+def monotonic() -> float:
+    """Returns monotonic seconds of this process."""
+    return time.monotonic()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class HybridTime:
+    """A hybrid logical time stamp (Kulkarni et al., 2014).
+
+    Attributes:
+      physical_ms: Wall-clock milliseconds, never behind an observed stamp.
+      logical: Orders stamps with equal milliseconds.
+    """
+
+    physical_ms: int = 0
+    logical: int = 0
+
+
+class HybridClock:
+    """Issues stamps that respect the order in which messages flow."""
+
+    def __init__(self) -> None:
+        self._last = HybridTime()
+
+    @property
+    def last(self) -> HybridTime:
+        """The last stamp issued or observed."""
+        return self._last
+
+    def now(self) -> HybridTime:
+        """Returns a stamp after every stamp issued or observed so far."""
+        return self._advance(HybridTime())
+
+    def observe(self, remote: HybridTime) -> None:
+        """Moves past a stamp that came with a message."""
+        self._advance(remote)
+
+    def _advance(self, remote: HybridTime) -> HybridTime:
+        wall = time.time_ns() // 1_000_000
+        latest = max(self._last, remote)
+        if wall > latest.physical_ms:
+            self._last = HybridTime(physical_ms=wall)
+        else:
+            self._last = HybridTime(
+                physical_ms=latest.physical_ms, logical=latest.logical + 1
+            )
+        return self._last
--- /dev/null
+++ b/src/sassafrashall/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: one task each, owning its state and its sockets."""
--- /dev/null
+++ b/src/sassafrashall/events.py
@@ -0,0 +1,66 @@
+"""The events of one process for the time line over all processes."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from sassafrashall import clock
+
+EVENTS_KEPT = 20_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Event:
+    """One change of state, or one irreversible step of a request.
+
+    Attributes:
+      kind: Dotted name such as `claim.granted`.
+      request: Root id of the call tree, if the event belongs to one.
+    """
+
+    time: clock.HybridTime
+    process: str
+    kind: str
+    request: str = ""
+    detail: str = ""
+
+
+class EventLog:
+    """Keeps the latest events of this process in memory."""
+
+    def __init__(self, *, process: str, clock: clock.HybridClock) -> None:
+        self._process = process
+        self._clock = clock
+        self._events: collections.deque[Event] = collections.deque(
+            maxlen=EVENTS_KEPT
+        )
+
+    @property
+    def clock(self) -> clock.HybridClock:
+        """The clock that stamps the events."""
+        return self._clock
+
+    def record(self, kind: str, request: str = "", detail: str = "") -> None:
+        """Adds an event stamped now."""
+        self._events.append(
+            Event(
+                time=self._clock.now(),
+                process=self._process,
+                kind=kind,
+                request=request,
+                detail=detail,
+            )
+        )
+
+    def read(
+        self, kind: str = "", request: str = "", since_ms: int = 0
+    ) -> tuple[Event, ...]:
+        """Returns the events that match every filter given."""
+        return tuple(
+            event
+            for event in self._events
+            if event.kind.startswith(kind)
+            and (not request or event.request == request)
+            and event.time.physical_ms >= since_ms
+        )
--- /dev/null
+++ b/src/sassafrashall/exceptions.py
@@ -0,0 +1,132 @@
+"""Errors with codes, and the status that each code has towards callers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+BAD_REQUEST = "bad_request"
+UNKNOWN_KEY = "unknown_key"
+INVALID_TICKET = "invalid_ticket"
+UNKNOWN_ROUTE = "unknown_route"
+DUPLICATE = "duplicate"
+KEY_REUSED = "idempotency_key_reused"
+BODY_TOO_LARGE = "body_too_large"
+HEAD_TOO_LARGE = "head_too_large"
+OVER_RATE = "over_rate"
+SHED = "shed"
+NO_UPSTREAM = "no_upstream"
+NO_MAJORITY = "no_majority"
+NO_QUOTA_OWNER = "no_quota_owner"
+RETRIES_EXHAUSTED = "retries_exhausted"
+STALE_CONFIGURATION = "stale_configuration"
+STOPPING = "stopping"
+DEADLINE = "deadline_exceeded"
+UPSTREAM_FAILED = "upstream_failed"
+UPSTREAM_SILENT = "upstream_silent"
+ANSWER_TOO_LARGE = "answer_too_large"
+INTERNAL = "internal_error"
+
+STATUS_BY_CODE = {
+    BAD_REQUEST: 400,
+    UNKNOWN_KEY: 401,
+    INVALID_TICKET: 401,
+    UNKNOWN_ROUTE: 404,
+    DUPLICATE: 409,
+    KEY_REUSED: 422,
+    BODY_TOO_LARGE: 413,
+    HEAD_TOO_LARGE: 431,
+    OVER_RATE: 429,
+    SHED: 503,
+    NO_UPSTREAM: 503,
+    NO_MAJORITY: 503,
+    NO_QUOTA_OWNER: 503,
+    RETRIES_EXHAUSTED: 503,
+    STALE_CONFIGURATION: 503,
+    STOPPING: 503,
+    DEADLINE: 504,
+    UPSTREAM_FAILED: 502,
+    UPSTREAM_SILENT: 504,
+    ANSWER_TOO_LARGE: 502,
+    INTERNAL: 500,
+}
+
+
+class SassafrashallError(Exception):
+    """Base class of the errors of this system.
+
+    Attributes:
+      code: Identifies the kind of error for programs.
+    """
+
+    code = INTERNAL
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Finding:
+    """One fault of some input, with its place.
+
+    Attributes:
+      source: File name or command that the input came from.
+      line: Counted from 1; 0 if the input has no lines.
+      key: Dotted path of the value.
+    """
+
+    source: str
+    line: int = 0
+    key: str = ""
+    text: str
+
+    def __str__(self) -> str:
+        place = f"{self.source}:{self.line}" if self.line else self.source
+        key = f" {self.key}:" if self.key else ""
+        return f"{place}:{key} {self.text}"
+
+
+class FindingsError(SassafrashallError):
+    """Some input has faults; all of them are reported together."""
+
+    code = "invalid_input"
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+class ProtocolError(SassafrashallError):
+    """A peer sent something that is not valid in the protocol."""
+
+    code = BAD_REQUEST
+
+    def __init__(self, code: str, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+
+
+class ConnectionFailedError(SassafrashallError):
+    """An exchange with a peer failed.
+
+    Attributes:
+      committed: Whether the peer may have received the whole request.
+      silent: Whether the peer did not react in time.
+    """
+
+    code = UPSTREAM_FAILED
+
+    def __init__(
+        self, detail: str, *, committed: bool, silent: bool = False
+    ) -> None:
+        super().__init__(detail)
+        self.committed = committed
+        self.silent = silent
+
+
+class RpcError(SassafrashallError):
+    """A remote procedure call failed or timed out."""
+
+    code = "rpc_failed"
+
+
+class MailboxClosedError(SassafrashallError):
+    """The task behind a mailbox has ended."""
+
+    code = STOPPING
--- /dev/null
+++ b/src/sassafrashall/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Request filters: one module each, run in order by the chain."""
--- /dev/null
+++ b/src/sassafrashall/messages.py
@@ -0,0 +1,347 @@
+"""Messages between the tasks of one process."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from sassafrashall import model
+from sassafrashall.decisions import consensus
+from sassafrashall.decisions import fleet_state
+
+# --- control link ------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallControl:
+    """Calls a control VM; answered with its reply, or fails with RpcError.
+
+    Attributes:
+      message: A message of `protocol`.
+      timeout: Seconds.
+    """
+
+    message: Any
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlIsStale:
+    """The control in use has no majority; a fresher one is looked for.
+
+    Attributes:
+      majority_age: Seconds since it was in touch with a majority.
+    """
+
+    majority_age: float
+
+
+# --- membership --------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announce:
+    """The local upstream says what it is; None once it has lapsed."""
+
+    upstream: model.Upstream | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Leave:
+    """This node is about to stop; answered once the fleet has been told."""
+
+
+# --- quota -------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TakeToken:
+    """Asks for one token; answered with TokenGranted or TokenRefused."""
+
+    organisation: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TokenGranted:
+    """The request is within its organisation's quota."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TokenRefused:
+    """There is no token.
+
+    Attributes:
+      wait: Seconds until there may be one.
+      unreachable: Whether no quota owner could be asked.
+    """
+
+    wait: float
+    unreachable: bool = False
+
+
+# --- admission ---------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admit:
+    """Asks for a slot; answered with Admitted or Shed."""
+
+    call_id: str
+    organisation: str
+    priority: model.Priority
+    root_id: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admitted:
+    """The request may be dispatched to this upstream."""
+
+    upstream: model.Upstream
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shed:
+    """The request is refused; `level` is the admission level now."""
+
+    code: str
+    detail: str
+    level: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Finished:
+    """A slot is free again.
+
+    Attributes:
+      latency: Seconds; negative if the request got no answer.
+      shed: Whether the upstream refused the request itself.
+    """
+
+    latency: float
+    shed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadLevel:
+    """Asks for the admission level."""
+
+
+# --- running calls -----------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BeginCall:
+    """A call is about to be dispatched to the local upstream."""
+
+    ticket: model.Ticket
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndCall:
+    """The call has ended; answered with its unused retry tokens."""
+
+    call_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BeginNested:
+    """The local upstream makes a call; answered with NestedBegun or Refuse.
+
+    Attributes:
+      fingerprint: Equal for repeats of the same nested call.
+    """
+
+    parent_id: str
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NestedBegun:
+    """The parent call runs here.
+
+    Attributes:
+      ticket: The parent's ticket.
+      deadline: The parent's deadline.
+      retries: Retry tokens for the nested call.
+    """
+
+    ticket: model.Ticket
+    deadline: float
+    retries: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndNested:
+    """The nested call has ended; its unused retry tokens come back."""
+
+    parent_id: str
+    fingerprint: str
+    retries: int
+    succeeded: bool
+
+
+# --- routing -----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choose:
+    """Asks for an upstream; answered with Choice, or None if there is none.
+
+    Attributes:
+      avoid: VMs tried before for this call.
+    """
+
+    service: str
+    avoid: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """Where to send an attempt."""
+
+    vm: str
+    address: model.Address
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AttemptEnded:
+    """An attempt has ended.
+
+    Attributes:
+      failed: Whether the upstream should count as failing; None if the
+        attempt says nothing about it.
+      level: Admission level of the service there, or -1.
+    """
+
+    vm: str
+    service: str
+    failed: bool | None
+    level: int = -1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadServiceLevel:
+    """Asks for the admission level last seen for a service."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Retry:
+    """Asks whether an attempt may be repeated; answered with a bool."""
+
+    call: model.Call
+    refusal: model.Refuse
+    attempts: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FirstTry:
+    """A call makes its first attempt."""
+
+
+# --- connections -------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Exchange:
+    """Sends a call to a peer or upstream; answered with an Outcome.
+
+    Attributes:
+      ticket: Signed and sent along.
+      to_upstream: Whether the other end is an upstream, not a node.
+      confirm: Whether the other end must prove that it is there before the
+        request may reach it.
+    """
+
+    address: model.Address
+    request: model.Request
+    ticket: model.Ticket
+    deadline: float
+    to_upstream: bool
+    confirm: bool
+
+
+# --- replica -----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Submit:
+    """Commits a command; answered with its Result.
+
+    Attributes:
+      command: A command of `fleet_state`.
+      forwarded: Whether another control sent it on.
+    """
+
+    command: Any
+    forwarded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FromReplica:
+    """A message of another replica; answered with the reply to send back."""
+
+    message: Any
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Replace:
+    """Puts a learner in a voter's place; answered with Accepted or Rejected."""
+
+    old_id: str
+    new_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadReplica:
+    """Asks for the replica's own view; answered with ReplicaStatus."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplicaStatus:
+    """What a replica says of itself.
+
+    Attributes:
+      member: Its identity.
+      majority_age: Seconds since it was in touch with a majority.
+      leader: Replica id of the leader it follows, or empty.
+    """
+
+    member: consensus.Member
+    founded: bool
+    membership: consensus.Membership
+    role: str
+    term: int
+    commit: int
+    leader: str
+    majority_age: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetView:
+    """What a control has applied, as one snapshot.
+
+    Attributes:
+      owners: Replica ids of the quota owners, by seat.
+      replayed_revision: Revision up to which this process may have applied
+        changes before its start.
+    """
+
+    state: fleet_state.FleetState = fleet_state.FleetState()
+    owners: tuple[str, ...] = ()
+    members: tuple[consensus.Member, ...] = ()
+    replayed_revision: int = 0
+
+
+# --- quota owner -------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FromNode:
+    """A message of a node or control for the quota owner."""
+
+    message: Any
--- /dev/null
+++ b/src/sassafrashall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Storage: files that last once they are synced."""
--- /dev/null
+++ b/src/sassafrashall/task.py
@@ -0,0 +1,75 @@
+"""The base of every task that owns state and answers messages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+
+from sassafrashall import mailbox as mailbox_module
+
+
+class Controller:
+    """A task with a mailbox; one message is handled at a time.
+
+    A subclass implements `_handle`, which must not block. Work that waits
+    goes to a child task by `_spawn`, which tells its result as a message.
+    """
+
+    def __init__(self) -> None:
+        self._mailbox = mailbox_module.Mailbox()
+        self._scope = trio.CancelScope()
+        self._children: trio.Nursery | None = None
+        self._ended = trio.Event()
+        self._ended.set()
+
+    @property
+    def mailbox(self) -> mailbox_module.Mailbox:
+        """Where to send messages for this task."""
+        return self._mailbox
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts the task in `nursery`."""
+        self._ended = trio.Event()
+        await nursery.start(self._run)
+
+    async def close(self) -> None:
+        """Ends the task and its children, then waits for their end."""
+        self._scope.cancel()
+        await self._ended.wait()
+
+    async def _run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        try:
+            with self._scope:
+                async with trio.open_nursery() as self._children:
+                    await self._setup()
+                    task_status.started()
+                    await self._receive_messages()
+        finally:
+            self._mailbox.close()
+            with trio.CancelScope(shield=True):
+                await self._teardown()
+            self._ended.set()
+
+    async def _receive_messages(self) -> None:
+        while True:
+            envelope = await self._mailbox.receive()
+            reply = envelope.reply or mailbox_module.Reply()
+            if not reply.abandoned:
+                self._handle(envelope.message, reply)
+
+    def _spawn(self, function: Any, *args: Any) -> None:
+        """Runs an asynchronous function in a child task."""
+        assert self._children is not None
+        self._children.start_soon(function, *args)
+
+    async def _setup(self) -> None:
+        """Opens what the task owns."""
+
+    async def _teardown(self) -> None:
+        """Closes what the task owns."""
+
+    def _handle(self, message: Any, reply: mailbox_module.Reply) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/src/sassafrashall/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport: the only place that knows bytes on the wire."""
