Add the decisions: pure functions over frozen state

No I/O, clock or random source of their own; laws that vary are data classes to match, each with a plain baseline beside it.

--- /dev/null
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -0,0 +1,439 @@
+"""The replicated state machine: organisations, keys, claims and change ids.
+
+`apply` is deterministic: every replica that applies the same commands in the
+same order holds the same state and gives the same results.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+from typing import TypeAlias
+
+import immutables
+
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.decisions import templates
+
+CHANGES_KEPT = 10_000  # change ids in one generation
+
+# --- commands ----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CreateOrganisation:
+    """Creates an organisation from a template."""
+
+    change_id: str
+    name: str
+    template: str
+    assignments: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SetParameters:
+    """Changes parameters; `expect_version` 0 accepts any version."""
+
+    change_id: str
+    name: str
+    assignments: tuple[tuple[str, str], ...]
+    expect_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class IssueKey:
+    """Adds a key, known to the fleet only by its digest."""
+
+    change_id: str
+    organisation: str
+    key_id: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WithdrawKey:
+    """Withdraws a key for good."""
+
+    change_id: str
+    organisation: str
+    key_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClaimRequest:
+    """Claims the only execution of a non-idempotent request.
+
+    Attributes:
+      claim_id: Names the claimant; a resend carries the same one.
+      fingerprint: Digest of method, target and body.
+    """
+
+    claim_id: str
+    organisation: str
+    idempotency_key: str
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReleaseClaim:
+    """Gives a claim up; only valid if the request was not dispatched."""
+
+    claim_id: str
+    organisation: str
+    idempotency_key: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RotateClaims:
+    """Drops the claims that are older than one retention period."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoOp:
+    """Commits the entries of earlier terms when a leader takes over."""
+
+
+Command: TypeAlias = (
+    CreateOrganisation
+    | SetParameters
+    | IssueKey
+    | WithdrawKey
+    | ClaimRequest
+    | ReleaseClaim
+    | RotateClaims
+    | NoOp
+)
+
+# --- results -----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Accepted:
+    """The change is committed.
+
+    Attributes:
+      revision: Fleet revision of the change.
+      version: Version of the organisation after the change.
+    """
+
+    revision: int = 0
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Conflict:
+    """Another change came first; nothing was changed."""
+
+    version: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rejected:
+    """The change is not valid; nothing was changed."""
+
+    findings: tuple[exceptions.Finding, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Granted:
+    """The claimant may dispatch the request."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Taken:
+    """The claim belongs to another submission.
+
+    Attributes:
+      same_request: Whether the fingerprints are equal.
+    """
+
+    same_request: bool
+
+
+Result: TypeAlias = Accepted | Conflict | Rejected | Granted | Taken
+
+# --- state -------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Claim:
+    """An execution that was granted."""
+
+    claim_id: str
+    fingerprint: str
+
+
+_Map: TypeAlias = Any  # immutables.Map
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetState:
+    """All that must survive, as of one log index.
+
+    Claims and change ids are held in two generations, so that old ones can be
+    dropped without a search.
+    """
+
+    revision: int = 0
+    organisations: _Map = immutables.Map()
+    claims: _Map = immutables.Map()
+    old_claims: _Map = immutables.Map()
+    changes: _Map = immutables.Map()
+    old_changes: _Map = immutables.Map()
+
+
+def apply(state: FleetState, command: Command) -> tuple[FleetState, Result]:
+    """Applies one committed command."""
+    match command:
+        case NoOp():
+            return state, Accepted(revision=state.revision)
+        case ClaimRequest():
+            return _claim(state, command)
+        case ReleaseClaim():
+            return _release(state, command)
+        case RotateClaims():
+            return (
+                dataclasses.replace(
+                    state, claims=immutables.Map(), old_claims=state.claims
+                ),
+                Accepted(revision=state.revision),
+            )
+        case _:
+            return _change(state, command)
+
+
+def _change(state: FleetState, command: Any) -> tuple[FleetState, Result]:
+    """Applies a change of configuration once for its change id."""
+    earlier = state.changes.get(command.change_id) or state.old_changes.get(
+        command.change_id
+    )
+    if earlier is not None:
+        return state, earlier
+    match command:
+        case CreateOrganisation():
+            outcome = _create(state, command)
+        case SetParameters():
+            outcome = _set(state, command)
+        case IssueKey():
+            outcome = _issue(state, command)
+        case WithdrawKey():
+            outcome = _withdraw(state, command)
+        case _:
+            raise TypeError(f"unknown command {command!r}")
+    result: Result
+    if isinstance(outcome, model.Organisation):
+        revision = state.revision + 1
+        organisation = dataclasses.replace(
+            outcome, revision=revision, created=outcome.created or revision
+        )
+        state = dataclasses.replace(
+            state,
+            revision=revision,
+            organisations=state.organisations.set(
+                organisation.name, organisation
+            ),
+        )
+        result = Accepted(revision=revision, version=organisation.version)
+    else:
+        result = outcome
+    return _remember(state, command.change_id, result), result
+
+
+def _remember(state: FleetState, change_id: str, result: Result) -> FleetState:
+    changes, old = state.changes, state.old_changes
+    if len(changes) >= CHANGES_KEPT:
+        changes, old = immutables.Map(), changes
+    return dataclasses.replace(
+        state, changes=changes.set(change_id, result), old_changes=old
+    )
+
+
+def _create(
+    state: FleetState, command: CreateOrganisation
+) -> model.Organisation | Conflict | Rejected:
+    findings: list[exceptions.Finding] = []
+    if not templates.valid_name(command.name):
+        findings.append(
+            _finding("name", f"{command.name!r} is not a valid name")
+        )
+    template = templates.TEMPLATES.get(command.template)
+    if template is None:
+        known = ", ".join(templates.TEMPLATES)
+        findings.append(
+            _finding(
+                "template", f"{command.template!r} is unknown; known: {known}"
+            )
+        )
+    defaults = (
+        template.defaults if template else model.Parameters(rate=1.0, burst=1)
+    )
+    parameters, faults = templates.assign(
+        defaults, command.assignments, "parameters"
+    )
+    findings.extend(faults)
+    if findings:
+        return Rejected(findings=tuple(findings))
+    existing = state.organisations.get(command.name)
+    if existing is not None:
+        return Conflict(
+            version=existing.version,
+            detail=f"organisation {command.name} exists",
+        )
+    return model.Organisation(
+        name=command.name, template=command.template, parameters=parameters
+    )
+
+
+def _set(
+    state: FleetState, command: SetParameters
+) -> model.Organisation | Conflict | Rejected:
+    organisation = state.organisations.get(command.name)
+    if organisation is None:
+        return _unknown(command.name)
+    parameters, findings = templates.assign(
+        organisation.parameters, command.assignments, "parameters"
+    )
+    if findings:
+        return Rejected(findings=findings)
+    if command.expect_version not in (0, organisation.version):
+        return Conflict(
+            version=organisation.version,
+            detail=f"expected version {command.expect_version}",
+        )
+    return dataclasses.replace(
+        organisation,
+        parameters=parameters,
+        version=organisation.version + 1,
+    )
+
+
+def _issue(
+    state: FleetState, command: IssueKey
+) -> model.Organisation | Conflict | Rejected:
+    organisation = state.organisations.get(command.organisation)
+    if organisation is None:
+        return _unknown(command.organisation)
+    if any(key.key_id == command.key_id for key in organisation.keys):
+        return Conflict(
+            version=organisation.version,
+            detail=f"key {command.key_id} exists",
+        )
+    for other in state.organisations.values():
+        if any(key.digest == command.digest for key in other.keys):
+            return Rejected(
+                findings=(_finding("key", "this key was issued before"),)
+            )
+    key = model.Key(key_id=command.key_id, digest=command.digest)
+    return dataclasses.replace(
+        organisation,
+        keys=(*organisation.keys, key),
+        version=organisation.version + 1,
+    )
+
+
+def _withdraw(
+    state: FleetState, command: WithdrawKey
+) -> model.Organisation | Conflict | Rejected:
+    organisation = state.organisations.get(command.organisation)
+    if organisation is None:
+        return _unknown(command.organisation)
+    if all(key.key_id != command.key_id for key in organisation.keys):
+        return Rejected(
+            findings=(_finding("key", f"unknown key {command.key_id!r}"),)
+        )
+    keys = tuple(
+        dataclasses.replace(key, withdrawn=True)
+        if key.key_id == command.key_id
+        else key
+        for key in organisation.keys
+    )
+    return dataclasses.replace(
+        organisation, keys=keys, version=organisation.version + 1
+    )
+
+
+def _claim(
+    state: FleetState, command: ClaimRequest
+) -> tuple[FleetState, Result]:
+    key = (command.organisation, command.idempotency_key)
+    earlier = state.claims.get(key) or state.old_claims.get(key)
+    if earlier is not None:
+        if earlier.claim_id == command.claim_id:
+            return state, Granted()
+        same = earlier.fingerprint == command.fingerprint
+        return state, Taken(same_request=same)
+    claim = Claim(claim_id=command.claim_id, fingerprint=command.fingerprint)
+    claims = state.claims.set(key, claim)
+    return dataclasses.replace(state, claims=claims), Granted()
+
+
+def _release(
+    state: FleetState, command: ReleaseClaim
+) -> tuple[FleetState, Result]:
+    key = (command.organisation, command.idempotency_key)
+    result = Accepted(revision=state.revision)
+    for name in ("claims", "old_claims"):
+        claims = getattr(state, name)
+        held = claims.get(key)
+        if held is not None and held.claim_id == command.claim_id:
+            released = {name: claims.delete(key)}
+            return dataclasses.replace(state, **released), result
+    return state, result
+
+
+def _unknown(name: str) -> Rejected:
+    return Rejected(
+        findings=(_finding("name", f"unknown organisation {name!r}"),)
+    )
+
+
+def _finding(key: str, text: str) -> exceptions.Finding:
+    return exceptions.Finding(source="command", key=key, text=text)
+
+
+# --- views -------------------------------------------------------------------
+
+
+def changed_since(
+    state: FleetState, revision: int
+) -> tuple[model.Organisation, ...]:
+    """Returns the organisations that changed after `revision`."""
+    return tuple(
+        organisation
+        for organisation in state.organisations.values()
+        if organisation.revision > revision
+    )
+
+
+def merge_configuration(
+    held: model.Configuration,
+    revision: int,
+    changed: tuple[model.Organisation, ...],
+    withdrawn: frozenset[str],
+) -> model.Configuration:
+    """Merges changes into a node's configuration.
+
+    Revisions never go back, and a withdrawn key never comes back.
+    """
+    if revision < held.revision:
+        changed = ()
+    organisations = dict(held.organisations)
+    for organisation in changed:
+        organisations[organisation.name] = organisation
+    withdrawn = held.withdrawn | withdrawn
+    for organisation in organisations.values():
+        withdrawn |= {k.digest for k in organisation.keys if k.withdrawn}
+    keys = {
+        key.digest: organisation.name
+        for organisation in organisations.values()
+        for key in organisation.keys
+        if key.digest not in withdrawn
+    }
+    return model.Configuration(
+        revision=max(revision, held.revision),
+        organisations=organisations,
+        keys=keys,
+        withdrawn=withdrawn,
+    )
--- /dev/null
+++ b/src/sassafrashall/decisions/queues.py
@@ -0,0 +1,160 @@
+"""Laws for the short queue in front of an upstream: order and overflow."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TypeAlias
+
+from sassafrashall import model
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FirstInFirstOut:
+    """Serves in order of arrival and sheds what arrives when full.
+
+    Attributes:
+      length: Most requests that wait; 0 means no bound.
+    """
+
+    length: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PriorityFair:
+    """Serves by class, and by max-min fair shares inside a class.
+
+    A full queue sheds the newest request of the organisation that waits most
+    in the lowest class.
+    """
+
+    length: int = 64
+
+
+Law: TypeAlias = FirstInFirstOut | PriorityFair
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Item:
+    """A waiting request."""
+
+    item_id: str
+    organisation: str
+    priority: model.Priority
+    arrived_at: float
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Queue:
+    """The waiting requests in order of arrival.
+
+    Attributes:
+      served: Virtual finish time by class and organisation (start-time fair
+        queueing, Goyal et al., 1996).
+      virtual_time: By class.
+    """
+
+    items: tuple[Item, ...] = ()
+    served: tuple[tuple[tuple[int, str], float], ...] = ()
+    virtual_time: tuple[tuple[int, float], ...] = ()
+
+
+def push(law: Law, queue: Queue, item: Item) -> tuple[Queue, tuple[Item, ...]]:
+    """Adds an item and returns those that are shed for it."""
+    items = (*queue.items, item)
+    match law:
+        case FirstInFirstOut(length=length):
+            if length and len(items) > length:
+                return queue, (item,)
+            return dataclasses.replace(queue, items=items), ()
+        case PriorityFair(length=length):
+            if len(items) <= length:
+                return dataclasses.replace(queue, items=items), ()
+            victim = _victim(items)
+            return remove(dataclasses.replace(queue, items=items), victim), (
+                victim,
+            )
+
+
+def pop(law: Law, queue: Queue) -> tuple[Queue, Item | None]:
+    """Takes the item to serve next."""
+    if not queue.items:
+        return queue, None
+    match law:
+        case FirstInFirstOut():
+            return dataclasses.replace(queue, items=queue.items[1:]), (
+                queue.items[0]
+            )
+        case PriorityFair():
+            return _pop_fair(queue)
+
+
+def expired(
+    queue: Queue, now: float, service_time: float
+) -> tuple[Queue, tuple[Item, ...]]:
+    """Takes out what could not be answered before its deadline."""
+    hopeless = tuple(
+        item for item in queue.items if item.deadline < now + service_time
+    )
+    if not hopeless:
+        return queue, ()
+    kept = tuple(item for item in queue.items if item not in hopeless)
+    return dataclasses.replace(queue, items=kept), hopeless
+
+
+def remove(queue: Queue, item: Item) -> Queue:
+    """Takes out one item."""
+    return dataclasses.replace(
+        queue, items=tuple(other for other in queue.items if other != item)
+    )
+
+
+def served_directly(law: Law, queue: Queue, item: Item) -> Queue:
+    """Counts a request that was served without waiting."""
+    match law:
+        case FirstInFirstOut():
+            return queue
+        case PriorityFair():
+            return _charge(queue, item)
+
+
+def _victim(items: tuple[Item, ...]) -> Item:
+    lowest = max(item.priority for item in items)
+    inside = [item for item in items if item.priority == lowest]
+    waiting: dict[str, int] = {}
+    for item in inside:
+        waiting[item.organisation] = waiting.get(item.organisation, 0) + 1
+    most = max(waiting.values())
+    return next(
+        item for item in reversed(inside) if waiting[item.organisation] == most
+    )
+
+
+def _pop_fair(queue: Queue) -> tuple[Queue, Item]:
+    highest = min(item.priority for item in queue.items)
+    served = dict(queue.served)
+    heads: dict[str, Item] = {}
+    for item in queue.items:
+        if item.priority == highest:
+            heads.setdefault(item.organisation, item)
+    item = min(
+        heads.values(),
+        key=lambda head: served.get((highest, head.organisation), 0.0),
+    )
+    return _charge(remove(queue, item), item), item
+
+
+def _charge(queue: Queue, item: Item) -> Queue:
+    key = (int(item.priority), item.organisation)
+    served = dict(queue.served)
+    times = dict(queue.virtual_time)
+    begin = max(served.get(key, 0.0), times.get(key[0], 0.0))
+    served[key] = begin + 1.0
+    times[key[0]] = begin
+    # What lies behind the virtual time says no more than the time itself.
+    kept = {k: v for k, v in served.items() if v > times.get(k[0], 0.0)}
+    return dataclasses.replace(
+        queue,
+        served=tuple(kept.items()),
+        virtual_time=tuple(times.items()),
+    )
--- /dev/null
+++ b/src/sassafrashall/decisions/quota.py
@@ -0,0 +1,334 @@
+"""Fleet-wide quota: escrowed token buckets and leases on their tokens.
+
+Every control VM owns a whole-token part of an organisation's burst and the
+same part of its rate. A node borrows tokens from owners on short leases.
+While tokens are out, the owner's bucket holds that many fewer, so that for
+every owner `level + outstanding <= capacity` at all times. Summed over the
+owners this gives, for every window T: admitted <= burst + rate * T.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import xxhash
+
+LEASE_TTL = 2.0  # seconds, counted by the node from before it asked
+LEASE_GRACE = 1.0  # seconds that the owner adds
+OWNER_LEASE_TTL = LEASE_TTL + LEASE_GRACE
+DEMAND_WINDOW = 0.05  # seconds of its own demand that a node holds
+DEMAND_SMOOTHING = 0.2  # weight of the latest interval in the estimate
+HOT_DEMAND = 20.0  # requests a second from which a node borrows ahead
+IDLE_RETURN = 0.25  # seconds without use after which tokens go back
+EPSILON = 1e-9
+
+
+# --- the owner's side --------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lease:
+    """Whole tokens that one node may use until the lease lapses.
+
+    Attributes:
+      expires_at: Monotonic seconds of the owner.
+      sequence: Number of the last report taken.
+    """
+
+    lease_id: str
+    tokens: int
+    expires_at: float
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """Use and return of a lease, for its owner.
+
+    Attributes:
+      sequence: Counts the reports on this lease from 1.
+    """
+
+    owner: str
+    organisation: str
+    lease_id: str
+    sequence: int
+    used: int
+    returned: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bucket:
+    """The part of one organisation's quota that one owner holds.
+
+    Attributes:
+      rate: Tokens minted a second.
+      capacity: Most tokens in the bucket and out on leases together.
+      level: Tokens in the bucket.
+      mint_from: Nothing is minted before this time.
+    """
+
+    rate: float
+    capacity: int
+    level: float
+    updated_at: float
+    mint_from: float
+    leases: tuple[Lease, ...] = ()
+
+    @property
+    def outstanding(self) -> int:
+        """Tokens out on leases."""
+        return sum(lease.tokens for lease in self.leases)
+
+
+def share(
+    organisation: str,
+    rate: float,
+    burst: int,
+    owner: str,
+    owners: tuple[str, ...],
+) -> tuple[float, int]:
+    """Returns an owner's part of rate and burst.
+
+    Whole tokens are dealt in turn, beginning at a place that depends on the
+    organisation, and the rate follows the tokens. The parts of all owners add
+    up to the whole. A replacement takes the seat of the replica that it
+    replaces, so that the other owners' parts stay as they are.
+    """
+    if owner not in owners:
+        return 0.0, 0
+    offset = xxhash.xxh32_intdigest(organisation) % len(owners)
+    place = (owners.index(owner) - offset) % len(owners)
+    base, extra = divmod(burst, len(owners))
+    tokens = base + (1 if place < extra else 0)
+    return rate * tokens / burst, tokens
+
+
+def open_bucket(
+    rate: float, capacity: int, now: float, *, is_new: bool
+) -> Bucket:
+    """Returns a bucket; full only if the organisation was just created.
+
+    A restarted owner does not know which leases are out, so it mints nothing
+    until all of them have lapsed.
+    """
+    return Bucket(
+        rate=rate,
+        capacity=capacity,
+        level=float(capacity) if is_new else 0.0,
+        updated_at=now,
+        mint_from=now if is_new else now + OWNER_LEASE_TTL,
+    )
+
+
+def refill(bucket: Bucket, now: float) -> Bucket:
+    """Mints up to the capacity that is not out, and drops lapsed leases."""
+    ordered = sorted(bucket.leases, key=lambda lease: lease.expires_at)
+    lapsed = [lease for lease in ordered if lease.expires_at <= now]
+    level, outstanding = bucket.level, bucket.outstanding
+    start = max(bucket.updated_at, bucket.mint_from)
+    for end, freed in [(e.expires_at, e.tokens) for e in lapsed] + [(now, 0)]:
+        room = bucket.capacity - outstanding
+        minted = max(0.0, end - start) * bucket.rate
+        level = max(level, min(room, level + minted))
+        start = max(start, end)
+        outstanding -= freed
+    return dataclasses.replace(
+        bucket,
+        level=level,
+        updated_at=max(now, bucket.updated_at),
+        leases=tuple(ordered[len(lapsed) :]),
+    )
+
+
+def resize(bucket: Bucket, rate: float, capacity: int, now: float) -> Bucket:
+    """Changes the part; a larger one starts empty, a smaller one is cut."""
+    bucket = refill(bucket, now)
+    level = min(bucket.level, max(0.0, capacity - bucket.outstanding))
+    return dataclasses.replace(
+        bucket, rate=rate, capacity=capacity, level=level
+    )
+
+
+def lend(
+    bucket: Bucket, lease_id: str, wanted: int, now: float
+) -> tuple[Bucket, int]:
+    """Lends up to `wanted` whole tokens and returns how many."""
+    bucket = refill(bucket, now)
+    tokens = max(0, min(wanted, math.floor(bucket.level + EPSILON)))
+    if tokens == 0:
+        return bucket, 0
+    lease = Lease(
+        lease_id=lease_id, tokens=tokens, expires_at=now + OWNER_LEASE_TTL
+    )
+    return (
+        dataclasses.replace(
+            bucket,
+            level=max(0.0, bucket.level - tokens),
+            leases=(*bucket.leases, lease),
+        ),
+        tokens,
+    )
+
+
+def settle(bucket: Bucket, report: Report, now: float) -> Bucket:
+    """Takes a node's report.
+
+    A report on a lapsed lease, an older one or a second copy changes nothing:
+    it would free tokens that are still out.
+    """
+    bucket = refill(bucket, now)
+    leases: list[Lease] = []
+    level = bucket.level
+    for lease in bucket.leases:
+        if (
+            lease.lease_id == report.lease_id
+            and report.sequence > lease.sequence
+        ):
+            back = min(report.returned, lease.tokens)
+            spent = min(report.used, lease.tokens - back)
+            level += back
+            lease = dataclasses.replace(
+                lease,
+                tokens=lease.tokens - back - spent,
+                sequence=report.sequence,
+            )
+        if lease.tokens:
+            leases.append(lease)
+    level = min(level, float(bucket.capacity))
+    return dataclasses.replace(bucket, level=level, leases=tuple(leases))
+
+
+def wait_for_token(bucket: Bucket, now: float) -> float:
+    """Returns seconds until the bucket may have a whole token."""
+    if bucket.rate <= 0 or bucket.capacity < 1:
+        return math.inf
+    start = max(now, bucket.mint_from)
+    return start - now + max(0.0, 1.0 - bucket.level) / bucket.rate
+
+
+# --- the node's side ---------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeldLease:
+    """A lease as the node holds it.
+
+    Attributes:
+      owner: Replica id of the owner, for the report.
+      tokens: Tokens left.
+      used: Tokens used and not reported yet.
+      sequence: Number of the last report.
+    """
+
+    owner: str
+    lease_id: str
+    tokens: int
+    expires_at: float
+    used: int = 0
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Wallet:
+    """The tokens of one organisation at one node.
+
+    Attributes:
+      demand: Smoothed requests a second.
+      arrivals: Requests since the last estimate.
+    """
+
+    leases: tuple[HeldLease, ...] = ()
+    demand: float = 0.0
+    arrivals: int = 0
+    estimated_at: float = 0.0
+    last_use: float = 0.0
+
+    def available(self, now: float) -> int:
+        """Returns the tokens that may be used now."""
+        return sum(
+            lease.tokens for lease in self.leases if lease.expires_at > now
+        )
+
+
+def arrive(wallet: Wallet, now: float) -> Wallet:
+    """Counts an arrival."""
+    return dataclasses.replace(
+        wallet, arrivals=wallet.arrivals + 1, last_use=now
+    )
+
+
+def spend(wallet: Wallet, now: float) -> tuple[Wallet, bool]:
+    """Uses one token if there is one, of the lease that lapses first."""
+    leases = list(wallet.leases)
+    for place, lease in enumerate(leases):
+        if lease.tokens > 0 and lease.expires_at > now:
+            leases[place] = dataclasses.replace(
+                lease, tokens=lease.tokens - 1, used=lease.used + 1
+            )
+            return dataclasses.replace(wallet, leases=tuple(leases)), True
+    return wallet, False
+
+
+def deposit(wallet: Wallet, leases: tuple[HeldLease, ...]) -> Wallet:
+    """Adds borrowed leases."""
+    ordered = sorted(
+        (*wallet.leases, *leases), key=lambda lease: lease.expires_at
+    )
+    return dataclasses.replace(wallet, leases=tuple(ordered))
+
+
+def estimate(wallet: Wallet, now: float) -> Wallet:
+    """Updates the smoothed demand from the arrivals since the last time."""
+    elapsed = now - wallet.estimated_at
+    if elapsed <= 0:
+        return wallet
+    latest = wallet.arrivals / elapsed
+    demand = wallet.demand + DEMAND_SMOOTHING * (latest - wallet.demand)
+    return dataclasses.replace(
+        wallet, demand=demand, arrivals=0, estimated_at=now
+    )
+
+
+def wanted_ahead(wallet: Wallet, now: float) -> int:
+    """Returns how many tokens to borrow ahead of need; 0 for a cold one."""
+    if wallet.demand < HOT_DEMAND:
+        return 0
+    target = math.ceil(wallet.demand * DEMAND_WINDOW) + 1
+    return max(0, target - wallet.available(now))
+
+
+def report(
+    wallet: Wallet, organisation: str, now: float
+) -> tuple[Wallet, tuple[Report, ...]]:
+    """Returns what to tell the owners: uses, and tokens that lie idle."""
+    idle = now - wallet.last_use >= IDLE_RETURN
+    kept: list[HeldLease] = []
+    reports: list[Report] = []
+    spare = 0
+    if not idle:
+        spare = math.ceil(wallet.demand * DEMAND_WINDOW * 2) + 1
+    for lease in wallet.leases:
+        if lease.expires_at <= now and not lease.used:
+            continue
+        held = min(lease.tokens, spare) if lease.expires_at > now else 0
+        spare -= held
+        returned = lease.tokens - held
+        if lease.used or returned:
+            reports.append(
+                Report(
+                    owner=lease.owner,
+                    organisation=organisation,
+                    lease_id=lease.lease_id,
+                    sequence=lease.sequence + 1,
+                    used=lease.used,
+                    returned=returned,
+                )
+            )
+            lease = dataclasses.replace(
+                lease, tokens=held, used=0, sequence=lease.sequence + 1
+            )
+        if held:
+            kept.append(lease)
+    return dataclasses.replace(wallet, leases=tuple(kept)), tuple(reports)
--- /dev/null
+++ b/src/sassafrashall/decisions/retries.py
@@ -0,0 +1,126 @@
+"""Retries: one budget for a whole call tree, and a ratio for each node."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TypeAlias
+
+from sassafrashall import exceptions
+from sassafrashall import model
+
+RATIO = 0.1  # retries per first try at one node
+RATIO_BURST = 10.0  # retries that a quiet node may make at once
+SHORTEST_USEFUL_TIME = 0.005  # seconds left below which no retry is made
+
+# Refusals that another attempt elsewhere may well avoid.
+_WORTH_RETRYING = frozenset(
+    {
+        exceptions.SHED,
+        exceptions.STOPPING,
+        exceptions.NO_UPSTREAM,
+        exceptions.UPSTREAM_FAILED,
+        exceptions.UPSTREAM_SILENT,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoRetries:
+    """Never repeats."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FixedRetries:
+    """Repeats up to `count` times at each hop; the usual baseline."""
+
+    count: int = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BudgetRetries:
+    """Draws every repeat from the budget of the call tree and the ratio."""
+
+
+Law: TypeAlias = NoRetries | FixedRetries | BudgetRetries
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RatioState:
+    """Retries that this node may still make."""
+
+    tokens: float = RATIO_BURST
+
+
+def on_first_try(state: RatioState) -> RatioState:
+    """Earns a part of a retry."""
+    return RatioState(tokens=min(RATIO_BURST, state.tokens + RATIO))
+
+
+def on_retry(state: RatioState) -> RatioState:
+    """Spends a retry."""
+    return RatioState(tokens=state.tokens - 1.0)
+
+
+def handed_on(retries: int, *, is_root: bool) -> int:
+    """Returns the part of a budget that goes along with an attempt.
+
+    The root keeps one token back, since tokens that went along with an
+    attempt are lost if it gets no answer. Below it all tokens go along: a
+    retry next to the failure repeats the least work.
+    """
+    return max(0, retries - 1) if is_root else retries
+
+
+def failure_of(outcome: model.Outcome) -> model.Refuse | None:
+    """Returns the failure in an outcome that a retry might avoid, or None.
+
+    An upstream's own refusal is no proof that it did not run the request.
+    """
+    match outcome:
+        case model.Refuse():
+            return outcome
+        case model.Answer(response=model.Response(status=502 | 503 | 504)):
+            return model.Refuse(
+                code=exceptions.UPSTREAM_FAILED,
+                detail="the upstream failed or refused the request",
+                run=model.RunState.UNKNOWN,
+            )
+        case _:
+            return None
+
+
+def may_repeat(call: model.Call, refusal: model.Refuse) -> bool:
+    """Returns whether repeating the call could not run it twice."""
+    safe = call.idempotent or refusal.run is model.RunState.NOT_RUN
+    return safe and refusal.code in _WORTH_RETRYING
+
+
+def should_retry(
+    law: Law,
+    call: model.Call,
+    refusal: model.Refuse,
+    attempts: int,
+    ratio: RatioState,
+    now: float,
+) -> bool:
+    """Returns whether to try again.
+
+    Args:
+      law: The law in force.
+      call: With the retry tokens that it has left.
+      refusal: How the last attempt ended.
+      attempts: Attempts made so far at this hop.
+      ratio: The node's own bound.
+      now: Monotonic seconds.
+    """
+    if not may_repeat(call, refusal):
+        return False
+    if call.deadline - now < SHORTEST_USEFUL_TIME:
+        return False
+    match law:
+        case NoRetries():
+            return False
+        case FixedRetries(count=count):
+            return attempts <= count
+        case BudgetRetries():
+            return call.retries > 0 and ratio.tokens >= 1.0
--- /dev/null
+++ b/src/sassafrashall/decisions/routing.py
@@ -0,0 +1,128 @@
+"""The choice of an upstream, and its ejection on observed outcomes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TypeAlias
+
+FAILURES_TO_EJECT = 3
+EJECTION_TIME = 1.0  # seconds; doubled with each ejection in a row
+EJECTION_LIMIT = 16.0  # seconds
+RAMP_TIME = 3.0  # seconds until a new upstream gets its full part
+RAMP_START = 0.25
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RandomChoice:
+    """Picks any upstream; the baseline."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TwoChoices:
+    """Picks two at random and takes the one with less of our own work."""
+
+
+Law: TypeAlias = RandomChoice | TwoChoices
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """An upstream that may be chosen.
+
+    Attributes:
+      vm: Its node's VM, which identifies it.
+      in_flight: Requests that this process has there.
+      known_since: When this process first saw it ready.
+    """
+
+    vm: str
+    data_centre: str
+    slots: int
+    in_flight: int = 0
+    known_since: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Health:
+    """What this process has observed of one upstream.
+
+    Attributes:
+      ejections: Ejections in a row.
+      probing: Whether a request that may re-admit it is on its way.
+    """
+
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    probing: bool = False
+
+
+def usable(health: Health, now: float) -> bool:
+    """Returns whether requests may go there; one at a time after ejection."""
+    if health.ejected_until > now:
+        return False
+    return not (health.ejections and health.probing)
+
+
+def on_success(health: Health) -> Health:
+    """Takes a whole answer."""
+    return Health()
+
+
+def probe(health: Health) -> Health:
+    """Marks that a request which may re-admit the upstream is on its way."""
+    return dataclasses.replace(health, probing=True)
+
+
+def on_no_verdict(health: Health) -> Health:
+    """Takes an exchange that says nothing about the upstream."""
+    return dataclasses.replace(health, probing=False)
+
+
+def on_failure(health: Health, now: float) -> Health:
+    """Takes a failed, refused or timed-out exchange."""
+    failures = health.failures + 1
+    if failures < FAILURES_TO_EJECT and not health.ejections:
+        return dataclasses.replace(health, failures=failures, probing=False)
+    pause = min(EJECTION_LIMIT, EJECTION_TIME * 2**health.ejections)
+    return Health(
+        failures=failures,
+        ejections=health.ejections + 1,
+        ejected_until=now + pause,
+    )
+
+
+def choose(
+    law: Law,
+    candidates: tuple[Candidate, ...],
+    data_centre: str,
+    draws: tuple[float, float],
+    now: float,
+) -> Candidate | None:
+    """Returns the upstream for one attempt.
+
+    Args:
+      law: How to choose inside a data centre.
+      candidates: Usable upstreams of the service in any data centre.
+      data_centre: Our own; others are taken only if it has none.
+      draws: Two independent uniform numbers in 0 to 1.
+      now: Monotonic seconds.
+    """
+    own = tuple(c for c in candidates if c.data_centre == data_centre)
+    pool = own or candidates
+    if not pool:
+        return None
+    first = pool[int(draws[0] * len(pool))]
+    match law:
+        case RandomChoice():
+            return first
+        case TwoChoices():
+            rest = tuple(c for c in pool if c is not first) or (first,)
+            second = rest[int(draws[1] * len(rest))]
+            return min(first, second, key=lambda c: _load(c, now))
+
+
+def _load(candidate: Candidate, now: float) -> float:
+    grown = (now - candidate.known_since) / RAMP_TIME
+    part = min(1.0, RAMP_START + (1.0 - RAMP_START) * max(0.0, grown))
+    return (candidate.in_flight + 1) / (max(1, candidate.slots) * part)
--- /dev/null
+++ b/src/sassafrashall/decisions/templates.py
@@ -0,0 +1,187 @@
+"""Shipped templates, and the checks of the parameters that operators set."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import math
+import re
+
+from sassafrashall import exceptions
+from sassafrashall import model
+
+RATE_LIMIT = 1_000_000.0  # requests a second
+BURST_LIMIT = 1_000_000  # requests
+RETRY_LIMIT = 10
+FRESHNESS_LIMIT_S = 86_400.0
+ROUTES_LIMIT = 64
+
+_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+_ROUTE_PARAMETERS = (
+    "critical_routes",
+    "bulk_routes",
+    "never_repeated_routes",
+    "open_routes",
+)
+
+
+def _rules(*texts: str) -> tuple[model.RouteRule, ...]:
+    rules = []
+    for text in texts:
+        method, _, prefix = text.rpartition(" ")
+        rules.append(model.RouteRule(method=method, prefix=prefix))
+    return tuple(rules)
+
+
+TEMPLATES = {
+    template.name: template
+    for template in (
+        model.Template(
+            name="research-allocation",
+            summary="Hours split across grants; balances are shed last.",
+            defaults=model.Parameters(
+                rate=50.0,
+                burst=50,
+                critical_routes=_rules("/balance", "POST /grant/commit"),
+                bulk_routes=_rules("/summary", "/calendar"),
+                never_repeated_routes=_rules("POST /grant/commit"),
+                retry_bound=2,
+            ),
+        ),
+        model.Template(
+            name="made-to-measure",
+            summary="Workshop orders; cut releases are shed last.",
+            defaults=model.Parameters(
+                rate=20.0,
+                burst=40,
+                critical_routes=_rules(
+                    "POST /cut/release", "/price", "/measurement"
+                ),
+                bulk_routes=_rules("/report"),
+                never_repeated_routes=_rules("POST /cut/release"),
+                retry_bound=2,
+            ),
+        ),
+        model.Template(
+            name="web-api",
+            summary="A plain web API with no special routes.",
+            defaults=model.Parameters(rate=100.0, burst=100),
+        ),
+    )
+}
+
+
+def valid_name(name: str) -> bool:
+    """Returns whether `name` may name an organisation or a service."""
+    return _NAME.fullmatch(name) is not None
+
+
+def assign(
+    parameters: model.Parameters,
+    assignments: tuple[tuple[str, str], ...],
+    source: str,
+) -> tuple[model.Parameters, tuple[exceptions.Finding, ...]]:
+    """Applies `name=value` assignments to parameters.
+
+    Args:
+      parameters: The values before.
+      assignments: Pairs of parameter name and value as JSON or plain text.
+      source: Where the assignments came from, for the findings.
+
+    Returns:
+      The new parameters and the faults found. With any fault the parameters
+      are returned unchanged.
+    """
+    findings: list[exceptions.Finding] = []
+    values: dict[str, object] = {}
+    for name, text in assignments:
+        value, fault = _parse(name, text)
+        if fault:
+            findings.append(
+                exceptions.Finding(source=source, key=name, text=fault)
+            )
+        else:
+            values[name] = value
+    if findings:
+        return parameters, tuple(findings)
+    changed = dataclasses.replace(parameters, **values)  # type: ignore[arg-type]
+    return changed, ()
+
+
+def _parse(name: str, text: str) -> tuple[object, str]:
+    match name:
+        case "rate":
+            return _number(text, 0.0, RATE_LIMIT, "requests a second")
+        case "burst":
+            return _whole(text, 1, BURST_LIMIT, "requests")
+        case "retry_bound":
+            return _whole(text, 0, RETRY_LIMIT, "retries")
+        case "freshness_bound_s":
+            return _number(text, 0.0, FRESHNESS_LIMIT_S, "seconds")
+        case _ if name in _ROUTE_PARAMETERS:
+            return _routes(text)
+        case _:
+            known = ", ".join(
+                field.name for field in dataclasses.fields(model.Parameters)
+            )
+            return None, f"unknown parameter; known are {known}"
+
+
+def _number(
+    text: str, low: float, high: float, unit: str
+) -> tuple[object, str]:
+    try:
+        value = float(text)
+    except ValueError:
+        return None, f"{text!r} is not a number"
+    if not (math.isfinite(value) and low <= value <= high):
+        return None, f"{text} is not within {low:g} to {high:g} {unit}"
+    return value, ""
+
+
+def _whole(text: str, low: int, high: int, unit: str) -> tuple[object, str]:
+    try:
+        value = int(text)
+    except ValueError:
+        return None, f"{text!r} is not a whole number"
+    if not low <= value <= high:
+        return None, f"{text} is not within {low} to {high} {unit}"
+    return value, ""
+
+
+def _routes(text: str) -> tuple[object, str]:
+    """Parses a JSON list, or a comma-separated list, of route rules."""
+    try:
+        items = json.loads(text) if text.startswith("[") else None
+    except ValueError:
+        return None, f"{text!r} is not a list of routes"
+    if items is None:
+        items = [item.strip() for item in text.split(",") if item.strip()]
+    if len(items) > ROUTES_LIMIT:
+        return None, f"more than {ROUTES_LIMIT} routes"
+    rules = []
+    for item in items:
+        method, _, prefix = str(item).rpartition(" ")
+        if method and method not in _METHODS:
+            return None, f"{item!r}: unknown method {method!r}"
+        if not prefix.startswith("/") or not valid_name(
+            prefix.split("/")[1] if "/" in prefix else ""
+        ):
+            return None, f"{item!r}: a route is [METHOD] /service[/path]"
+        rules.append(model.RouteRule(method=method, prefix=prefix))
+    return tuple(rules), ""
+
+
+def describe(
+    parameters: model.Parameters,
+) -> tuple[tuple[str, str], ...]:
+    """Returns the parameters as pairs of name and text."""
+    pairs = []
+    for field in dataclasses.fields(parameters):
+        value = getattr(parameters, field.name)
+        if isinstance(value, tuple):
+            pairs.append((field.name, ", ".join(str(rule) for rule in value)))
+        else:
+            pairs.append((field.name, f"{value:g}"))
+    return tuple(pairs)
