--- /dev/null
+++ b/src/sassafrashall/protocol.py
@@ -0,0 +1,317 @@
+"""Messages between the processes of the system."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.decisions import consensus
+from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import quota
+from sassafrashall.transport import codec
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ack:
+    """Says that a message was taken."""
+
+
+# --- node to control ---------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DirectoryEntry:
+    """One node as the directory sees it.
+
+    Attributes:
+      age: Seconds since its last sign of life.
+    """
+
+    record: model.NodeRecord
+    age: float = 0.0
+    lapsed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Heartbeat:
+    """A node's sign of life.
+
+    Attributes:
+      directory_source: The control process whose directory the node follows.
+      directory_version: What it holds of it.
+    """
+
+    record: model.NodeRecord
+    directory_source: str
+    directory_version: int
+    withdrawn_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeartbeatReply:
+    """What has changed since the node's last heartbeat.
+
+    Attributes:
+      complete: Whether `entries` is the whole directory.
+      majority_age: Seconds since this control was in touch with a majority.
+      withdrawn: Digests of all withdrawn keys, if the node holds fewer.
+    """
+
+    directory_source: str
+    directory_version: int
+    complete: bool
+    entries: tuple[DirectoryEntry, ...]
+    revision: int
+    organisations: tuple[model.Organisation, ...]
+    withdrawn: tuple[str, ...]
+    majority_age: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Borrow:
+    """Asks for tokens and reports the use of earlier ones.
+
+    Attributes:
+      forwarded: Whether another owner, out of tokens, sent it on.
+    """
+
+    organisation: str
+    wanted: int
+    reports: tuple[quota.Report, ...] = ()
+    forwarded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Loan:
+    """A lease as the owner grants it; the node counts the time to live."""
+
+    owner: str
+    lease_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BorrowReply:
+    """Answers Borrow; `wait` is seconds until a token may be there."""
+
+    loans: tuple[Loan, ...]
+    wait: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settle:
+    """Reports use and return of tokens."""
+
+    reports: tuple[quota.Report, ...]
+    forwarded: bool = False
+
+
+# --- commands ----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SubmitCommand:
+    """Commits a command, encoded by the codec."""
+
+    command: bytes
+    forwarded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CommandResult:
+    """The result of a committed command, encoded by the codec."""
+
+    result: bytes
+
+
+# --- control to control ------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlRecord:
+    """What a control says of itself.
+
+    Attributes:
+      majority_age: Seconds since it was in touch with a majority.
+    """
+
+    vm: str
+    data_centre: str
+    replica_id: str
+    rpc_address: str
+    ops_address: str
+    role: str
+    term: int
+    applied: int
+    revision: int
+    majority_age: float
+    voter: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Alive:
+    """A sign of life of a node whose record has not changed."""
+
+    vm: str
+    incarnation: int
+    counter: int
+    age: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Gossip:
+    """Spreads the directory and withdrawn keys without the log.
+
+    Attributes:
+      entries: Changed records of the nodes that the sender hears itself.
+      alive: Signs of life of all nodes that the sender hears itself.
+      withdrawn: Digests of all withdrawn keys, if their number has changed.
+    """
+
+    control: ControlRecord
+    entries: tuple[DirectoryEntry, ...]
+    alive: tuple[Alive, ...]
+    withdrawn: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GossipReply:
+    """Answers Gossip.
+
+    Attributes:
+      source: Names the process, so that a restarted one is sent everything.
+    """
+
+    source: str
+    control: ControlRecord
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ping:
+    """Asks a control how fresh it is."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pong:
+    """Answers Ping."""
+
+    majority_age: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FoundingQuery:
+    """Asks a founder whether its data folder is empty."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FoundingReply:
+    """Answers FoundingQuery.
+
+    Attributes:
+      membership: The membership it knows; empty if it was never founded.
+    """
+
+    member: consensus.Member
+    founded: bool
+    membership: consensus.Membership
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class JoinRequest:
+    """A replica with a new data folder asks to be a learner."""
+
+    member: consensus.Member
+
+
+# --- operators ---------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StatusQuery:
+    """Asks a control for the view that `status` and `--wait` need."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OrganisationQuota:
+    """What one owner sees of an organisation's quota, since it started."""
+
+    organisation: str
+    lent: int
+    dry: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StatusReply:
+    """The fleet as one control sees it."""
+
+    answered_by: str
+    revision: int
+    majority_age: float
+    leader: str
+    controls: tuple[ControlRecord, ...]
+    membership: consensus.Membership
+    nodes: tuple[DirectoryEntry, ...]
+    organisations: tuple[model.Organisation, ...]
+    quotas: tuple[OrganisationQuota, ...]
+    claims: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplaceReplica:
+    """Puts a learner in a voter's place."""
+
+    old_id: str
+    new_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EventsReply:
+    """The events of one process."""
+
+    events: tuple[events.Event, ...]
+
+
+OPERATOR_MESSAGES = (StatusQuery, SubmitCommand, ReplaceReplica)
+
+codec.register(
+    Ack,
+    Heartbeat,
+    HeartbeatReply,
+    Borrow,
+    BorrowReply,
+    Settle,
+    SubmitCommand,
+    CommandResult,
+    Gossip,
+    GossipReply,
+    Ping,
+    Pong,
+    FoundingQuery,
+    FoundingReply,
+    JoinRequest,
+    StatusQuery,
+    StatusReply,
+    ReplaceReplica,
+    EventsReply,
+    exceptions.Finding,
+    consensus.AppendEntries,
+    consensus.AppendReply,
+    consensus.InstallSnapshot,
+    consensus.RequestVote,
+    consensus.VoteReply,
+    fleet_state.CreateOrganisation,
+    fleet_state.SetParameters,
+    fleet_state.IssueKey,
+    fleet_state.WithdrawKey,
+    fleet_state.ClaimRequest,
+    fleet_state.ReleaseClaim,
+    fleet_state.RotateClaims,
+    fleet_state.NoOp,
+    fleet_state.Accepted,
+    fleet_state.Conflict,
+    fleet_state.Rejected,
+    fleet_state.Granted,
+    fleet_state.Taken,
+)
--- /dev/null
+++ b/src/sassafrashall/settings.py
@@ -0,0 +1,380 @@
+"""Settings of the daemon and the tool, read from YAML and checked whole."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import ipaddress
+import pathlib
+import re
+from typing import Any
+from typing import TypeVar
+
+import cattrs
+from cattrs import errors as cattrs_errors
+from ruamel import yaml
+from ruamel.yaml import comments as yaml_comments
+from ruamel.yaml import error as yaml_error
+
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.decisions import limits
+from sassafrashall.decisions import queues
+from sassafrashall.decisions import retries as retry_laws
+from sassafrashall.decisions import routing as routing_laws
+from sassafrashall.decisions import shedding
+
+SECRET_LENGTH = 16  # characters at least
+
+_T = TypeVar("_T")
+
+
+class Role(enum.StrEnum):
+    """What a daemon is."""
+
+    NODE = "node"
+    CONTROL = "control"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Control:
+    """Where a control is reached."""
+
+    vm: str
+    data_centre: str
+    address: model.Address
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listen:
+    """Where the daemon listens; a control has only `rpc` and `ops`.
+
+    Attributes:
+      callers: Requests with a key.
+      local: The upstream on this VM; a loopback address.
+      peers: Requests from other nodes.
+      rpc: Remote procedure calls.
+      ops: Metrics, events and status.
+    """
+
+    ops: model.Address
+    callers: model.Address | None = None
+    local: model.Address | None = None
+    peers: model.Address | None = None
+    rpc: model.Address | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Policy:
+    """Which law decides; `baseline` values are there to compare with."""
+
+    limit: str = "shed"
+    queue: str = "priority-fair"
+    queue_length: int = 64
+    early_shed: str = "level"
+    routing: str = "two-choices"
+    retries: str = "budget"
+
+    def limit_law(self) -> limits.Law:
+        """Returns the concurrency limit law."""
+        return LIMIT_LAWS[self.limit]
+
+    def queue_law(self) -> queues.Law:
+        """Returns the queue law with its length."""
+        if self.queue == "fifo":
+            return queues.FirstInFirstOut(length=self.queue_length)
+        return queues.PriorityFair(length=self.queue_length)
+
+    def shed_law(self) -> shedding.Law:
+        """Returns the early shedding law."""
+        return SHED_LAWS[self.early_shed]
+
+    def routing_law(self) -> routing_laws.Law:
+        """Returns the routing law."""
+        return ROUTING_LAWS[self.routing]
+
+    def retry_law(self) -> retry_laws.Law:
+        """Returns the retry law."""
+        return RETRY_LAWS[self.retries]
+
+
+LIMIT_LAWS: dict[str, limits.Law] = {
+    "none": limits.NoLimit(),
+    "fixed": limits.FixedLimit(),
+    "shed": limits.ShedLimit(),
+    "latency": limits.LatencyLimit(),
+}
+SHED_LAWS: dict[str, shedding.Law] = {
+    "none": shedding.NoEarlyShed(),
+    "level": shedding.LevelShed(),
+}
+ROUTING_LAWS: dict[str, routing_laws.Law] = {
+    "random": routing_laws.RandomChoice(),
+    "two-choices": routing_laws.TwoChoices(),
+}
+RETRY_LAWS: dict[str, retry_laws.Law] = {
+    "none": retry_laws.NoRetries(),
+    "fixed": retry_laws.FixedRetries(),
+    "budget": retry_laws.BudgetRetries(),
+}
+_LAW_NAMES = {
+    "limit": tuple(LIMIT_LAWS),
+    "queue": ("fifo", "priority-fair"),
+    "early_shed": tuple(SHED_LAWS),
+    "routing": tuple(ROUTING_LAWS),
+    "retries": tuple(RETRY_LAWS),
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Daemon:
+    """Settings of `sassafrashalld`.
+
+    Attributes:
+      fleet_secret: Shared by all processes of the system.
+      operator_secret: What operators' tools present to a control.
+      data_folder: Needed by a control; its state lives there.
+      default_timeout_ms: For callers that give no deadline.
+    """
+
+    role: Role
+    vm: str
+    data_centre: str
+    listen: Listen
+    controls: tuple[Control, ...]
+    fleet_secret: str
+    operator_secret: str = ""
+    data_folder: str = ""
+    default_timeout_ms: int = 10_000
+    claim_retention_s: int = 86_400
+    log_level: str = "INFO"
+    policy: Policy = Policy()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Tool:
+    """Settings of `sassafrashallctl`."""
+
+    controls: tuple[Control, ...]
+    operator_secret: str
+    timeout_s: float = 5.0
+
+
+def parse_address(text: str) -> model.Address:
+    """Parses `IP:PORT`; raises `ValueError` with what is wrong."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"port {port} is not within 1 to 65535")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP number") from None
+    return model.Address(host=host.strip("[]"), port=int(port))
+
+
+def read(path: str, settings_type: type[_T]) -> _T:
+    """Reads and checks a settings file.
+
+    Raises:
+      FindingsError: With every fault, its line and its key.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.FindingsError(
+            (exceptions.Finding(source=path, text=str(error)),)
+        ) from error
+    return parse(text, path, settings_type)
+
+
+def parse(text: str, source: str, settings_type: type[_T]) -> _T:
+    """Parses and checks settings; see `read`."""
+    document = _load(text, source)
+    try:
+        settings = _converter().structure(document, settings_type)
+    except (cattrs_errors.BaseValidationError, ValueError, TypeError) as error:
+        raise exceptions.FindingsError(
+            _findings_of(error, document, source)
+        ) from error
+    faults = _check(settings)
+    if faults:
+        raise exceptions.FindingsError(
+            tuple(
+                exceptions.Finding(
+                    source=source, line=_line(document, key), key=key, text=text
+                )
+                for key, text in faults
+            )
+        )
+    return settings
+
+
+def _load(text: str, source: str) -> Any:
+    try:
+        document = yaml.YAML(typ="rt").load(text)
+    except yaml_error.MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 0
+        finding = exceptions.Finding(
+            source=source, line=line, text=str(error.problem)
+        )
+        raise exceptions.FindingsError((finding,)) from error
+    except yaml_error.YAMLError as error:
+        raise exceptions.FindingsError(
+            (exceptions.Finding(source=source, text=str(error)),)
+        ) from error
+    if not isinstance(document, dict):
+        raise exceptions.FindingsError(
+            (exceptions.Finding(source=source, text="not a mapping"),)
+        )
+    return document
+
+
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    converter.register_structure_hook(
+        model.Address, lambda value, _: parse_address(str(value))
+    )
+    # By identity, since the enumerations are subclasses of str.
+    converter.register_structure_hook_func(lambda t: t is str, _structure_text)
+    converter.register_structure_hook_func(lambda t: t is int, _structure_whole)
+    return converter
+
+
+def _structure_text(value: Any, _: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not text")
+    return str(value)
+
+
+def _structure_whole(value: Any, _: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{value!r} is not a whole number")
+    return int(value)
+
+
+def _findings_of(
+    error: BaseException, document: Any, source: str
+) -> tuple[exceptions.Finding, ...]:
+    findings = []
+    for text in cattrs.transform_error(error, format_exception=_describe):
+        message, _, path = text.rpartition(" @ $")
+        key = _dotted(path)
+        if match := re.search(r"extra fields found \((.*)\)", message):
+            for extra in match[1].split(", "):
+                place = f"{key}.{extra}".strip(".")
+                findings.append((place, "unknown key"))
+        else:
+            findings.append((key, message or text))
+    return tuple(
+        exceptions.Finding(
+            source=source, line=_line(document, key), key=key, text=message
+        )
+        for key, message in findings
+    )
+
+
+def _describe(error: BaseException, _: type | None) -> str:
+    match error:
+        case KeyError():
+            return f"required key {error.args[0]!r} is missing"
+        case cattrs_errors.ForbiddenExtraKeysError():
+            extra = ", ".join(sorted(error.extra_fields))
+            return f"extra fields found ({extra})"
+        case _:
+            return str(error)
+
+
+def _dotted(path: str) -> str:
+    return re.sub(r"\[(\d+)\]", r".\1", path).strip(".")
+
+
+def _line(document: Any, key: str) -> int:
+    """Returns the line of a dotted key, or of its nearest parent."""
+    line = 1
+    place = document
+    for part in key.split(".") if key else ():
+        if isinstance(place, yaml_comments.CommentedMap) and part in place:
+            line = place.lc.data[part][0] + 1
+            place = place[part]
+        elif isinstance(place, yaml_comments.CommentedSeq) and part.isdigit():
+            line = place.lc.data[int(part)][0] + 1
+            place = place[int(part)]
+        else:
+            break
+    return line
+
+
+def _check(settings: Any) -> list[tuple[str, str]]:
+    match settings:
+        case Daemon():
+            return _check_daemon(settings)
+        case Tool():
+            return _check_tool(settings)
+        case _:
+            return []
+
+
+def _check_daemon(settings: Daemon) -> list[tuple[str, str]]:
+    faults: list[tuple[str, str]] = []
+    listen = settings.listen
+    needed: tuple[str, ...]
+    if settings.role is Role.NODE:
+        needed = ("callers", "local", "peers")
+    else:
+        needed = ("rpc",)
+        if not settings.data_folder:
+            faults.append(("data_folder", "a control needs a data folder"))
+        if not settings.operator_secret:
+            faults.append(("operator_secret", "a control needs it"))
+        if settings.vm not in {control.vm for control in settings.controls}:
+            faults.append(("controls", f"{settings.vm!r} is not among them"))
+    for name in needed:
+        if getattr(listen, name) is None:
+            faults.append(("listen", f"a {settings.role} needs {name!r}"))
+    if listen.local and not ipaddress.ip_address(listen.local.host).is_loopback:
+        faults.append(("listen.local", "must be a loopback address"))
+    if len(settings.fleet_secret) < SECRET_LENGTH:
+        faults.append(
+            ("fleet_secret", f"must have {SECRET_LENGTH} characters at least")
+        )
+    if settings.default_timeout_ms < 1:
+        faults.append(("default_timeout_ms", "must be positive"))
+    faults.extend(_check_policy(settings.policy))
+    faults.extend(_check_controls(settings.controls))
+    return faults
+
+
+def _check_policy(policy: Policy) -> list[tuple[str, str]]:
+    faults = []
+    for name, known in _LAW_NAMES.items():
+        value = getattr(policy, name)
+        if value not in known:
+            faults.append(
+                (
+                    f"policy.{name}",
+                    f"unknown law {value!r}; known: {', '.join(known)}",
+                )
+            )
+    if policy.queue_length < 0:
+        faults.append(("policy.queue_length", "must not be negative"))
+    return faults
+
+
+def _check_controls(controls: tuple[Control, ...]) -> list[tuple[str, str]]:
+    if not controls:
+        return [("controls", "at least one control is needed")]
+    names = [control.vm for control in controls]
+    return [
+        (f"controls.{place}.vm", f"{name!r} stands twice")
+        for place, name in enumerate(names)
+        if name in names[:place]
+    ]
+
+
+def _check_tool(settings: Tool) -> list[tuple[str, str]]:
+    faults = _check_controls(settings.controls)
+    if settings.timeout_s <= 0:
+        faults.append(("timeout_s", "must be positive"))
+    return faults
--- /dev/null
+++ b/src/sassafrashall/transport/front_end.py
@@ -0,0 +1,142 @@
+"""The HTTP front end: decodes what arrives, encodes what the chain returns.
+
+What the system adds to a request stays here: keys, tickets and the headers
+that carry deadlines and levels. The chain sees only typed requests.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import urllib.parse
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+
+KEY_LENGTH_LIMIT = 256  # characters
+_OWN_HEADERS = frozenset({"authorization", codec.DEADLINE_HEADER})
+
+Handler = Callable[[model.Request], Awaitable[model.Outcome]]
+
+
+class FrontEnd:
+    """Turns HTTP requests of one listener into typed requests."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        secret: bytes,
+        hybrid_clock: clock.HybridClock,
+    ) -> None:
+        self._handler = handler
+        self._secret = secret
+        self._clock = hybrid_clock
+
+    async def handle(self, raw: http.RawRequest) -> model.Response:
+        """Serves one request as it arrived."""
+        stamp = model.find_header(raw.headers, codec.TIME_HEADER)
+        if stamp and raw.source is model.Source.PEER:
+            self._clock.observe(codec.parse_time(stamp))
+        try:
+            request = self.decode(raw)
+        except exceptions.ProtocolError as error:
+            return codec.problem(
+                model.Refuse(code=error.code, detail=str(error))
+            )
+        outcome = await self._handler(request)
+        return self.encode(outcome, raw.source)
+
+    def decode(self, raw: http.RawRequest) -> model.Request:
+        """Returns the typed request; raises `ProtocolError` for bad input."""
+        request = model.Request(
+            method=raw.method,
+            target=raw.target,
+            headers=(),
+            body=raw.body,
+            source=raw.source,
+            received_at=raw.received_at,
+            timeout_ms=_timeout(raw.headers),
+            idempotency_key=model.find_header(raw.headers, "idempotency-key")
+            or "",
+        )
+        key = ""
+        if raw.source is not model.Source.PEER:
+            key = _key(raw.headers)
+            if key and _holds(key, raw):
+                raise exceptions.ProtocolError(
+                    exceptions.BAD_REQUEST,
+                    "the key stands outside of the Authorization header",
+                )
+        headers = tuple(
+            (name, value)
+            for name, value in http.end_to_end(raw.headers)
+            if name not in _OWN_HEADERS
+            and not name.startswith(codec.INTERNAL_PREFIX)
+            and not (key and key in value)
+        )
+        return self._with_ticket(
+            dataclasses.replace(request, headers=headers, key=key), raw
+        )
+
+    def _with_ticket(
+        self, request: model.Request, raw: http.RawRequest
+    ) -> model.Request:
+        """A caller's own copy of an internal header counts for nothing."""
+        value = model.find_header(raw.headers, codec.TICKET_HEADER)
+        if raw.source is model.Source.CALLER or value is None:
+            return request
+        ticket = codec.verify_ticket(value, self._secret)
+        return dataclasses.replace(
+            request, ticket=ticket, bad_ticket=ticket is None
+        )
+
+    def encode(
+        self, outcome: model.Outcome, source: model.Source
+    ) -> model.Response:
+        """Returns the response for what the chain returned."""
+        match outcome:
+            case model.Refuse() as refusal:
+                response = codec.problem(refusal)
+            case model.Answer(response=response):
+                pass
+        if source is not model.Source.PEER:
+            return response
+        extra = (
+            (codec.RETRIES_HEADER, str(outcome.retries_left)),
+            (codec.LEVEL_HEADER, str(outcome.level)),
+            (codec.TIME_HEADER, codec.format_time(self._clock.now())),
+        )
+        return dataclasses.replace(
+            response, headers=(*response.headers, *extra)
+        )
+
+
+def _timeout(headers: model.Headers) -> int | None:
+    value = model.find_header(headers, codec.DEADLINE_HEADER)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 9:
+        raise exceptions.ProtocolError(
+            exceptions.BAD_REQUEST, "X-Deadline-Ms is not a number"
+        )
+    return int(value)
+
+
+def _key(headers: model.Headers) -> str:
+    value = model.find_header(headers, "authorization") or ""
+    scheme, _, key = value.partition(" ")
+    key = key.strip()
+    if scheme.lower() != "bearer" or len(key) > KEY_LENGTH_LIMIT:
+        return ""
+    return key
+
+
+def _holds(key: str, raw: http.RawRequest) -> bool:
+    """Returns whether the target or the body would show the key upstream."""
+    plain = urllib.parse.unquote(raw.target)
+    return key in raw.target or key in plain or key.encode() in raw.body
--- /dev/null
+++ b/src/sassafrashall/transport/ops_api.py
@@ -0,0 +1,59 @@
+"""The pages of a process for monitoring: metrics, events and health."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import urllib.parse
+
+from sassafrashall import events
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+
+
+class OpsApi:
+    """Serves `/metrics`, `/v1/events` and `/v1/health`."""
+
+    def __init__(
+        self,
+        *,
+        counters: metrics.Metrics,
+        event_log: events.EventLog,
+        refresh: Callable[[], None],
+    ) -> None:
+        self._metrics = counters
+        self._events = event_log
+        self._refresh = refresh
+
+    async def handle(self, raw: http.RawRequest) -> model.Response:
+        """Serves one request."""
+        path, _, query = raw.target.partition("?")
+        match path:
+            case "/metrics":
+                self._refresh()
+                content_type, body = self._metrics.render()
+                return _page(content_type, body)
+            case "/v1/events":
+                return _page("application/json", self._read_events(query))
+            case "/v1/health":
+                return _page("application/json", b'{"alive":true}')
+            case _:
+                return model.Response(status=404, headers=(), body=b"")
+
+    def _read_events(self, query: str) -> bytes:
+        given = dict(urllib.parse.parse_qsl(query))
+        since = given.get("since_ms", "0")
+        found = self._events.read(
+            kind=given.get("kind", ""),
+            request=given.get("request", ""),
+            since_ms=int(since) if since.isdigit() else 0,
+        )
+        return codec.to_json(protocol.EventsReply(events=found))
+
+
+def _page(content_type: str, body: bytes) -> model.Response:
+    return model.Response(
+        status=200, headers=(("content-type", content_type),), body=body
+    )
