--- /dev/null
+++ b/src/sassafrashall/api.py
@@ -0,0 +1,232 @@
+"""What operators can do, as a library; the command line is a thin cover."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+import dataclasses
+import hmac
+from typing import Any
+import urllib.parse
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall import settings as settings_module
+from sassafrashall.decisions import fleet_state
+from sassafrashall.filters import identity
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+from sassafrashall.transport import rpc
+
+WAIT_POLL = 0.2  # seconds between looks at who has a revision
+EVENTS_TIMEOUT = 3.0  # seconds for one process
+_KEY_LABEL = b"sassafrashall key "
+
+
+class UnreachableError(exceptions.SassafrashallError):
+    """No control answered; a change may or may not have been made."""
+
+    code = "unreachable"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rollout:
+    """Where a revision is in force.
+
+    Attributes:
+      missing: VMs of live nodes that do not have it yet.
+      silent: VMs of nodes that are not heard, whose state is unknown.
+    """
+
+    revision: int
+    missing: tuple[str, ...]
+    silent: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timeline:
+    """The merged events, and the processes that did not answer."""
+
+    events: tuple[events.Event, ...]
+    unreachable: tuple[str, ...]
+
+
+class FleetClient:
+    """Talks to the controls on behalf of an operator."""
+
+    def __init__(self, *, settings: settings_module.Tool) -> None:
+        self._settings = settings
+        self._clients = tuple(
+            rpc.RpcClient(
+                address=control.address,
+                secret=settings.operator_secret,
+                hybrid_clock=clock.HybridClock(),
+            )
+            for control in settings.controls
+        )
+
+    def close(self) -> None:
+        """Closes the connections."""
+        for client in self._clients:
+            client.close()
+
+    async def _call(self, message: Any) -> Any:
+        """Asks the controls in turn, all within the time-out together."""
+        deadline = trio.current_time() + self._settings.timeout_s
+        failures = []
+        for place, client in enumerate(self._clients):
+            left = deadline - trio.current_time()
+            share = left / (len(self._clients) - place)
+            try:
+                return await client.call(message, max(0.05, share))
+            except exceptions.RpcError as error:
+                failures.append(str(error))
+        raise UnreachableError("; ".join(failures))
+
+    async def submit(self, command: fleet_state.Command) -> fleet_state.Result:
+        """Commits a command; a resend with its change id is safe.
+
+        Raises:
+          UnreachableError: Whether the change was made is not known.
+        """
+        message = protocol.SubmitCommand(command=codec.encode(command))
+        answer = await self._call(message)
+        return codec.decode(answer.result)
+
+    async def status(self) -> protocol.StatusReply:
+        """Returns the fleet as the first control that answers sees it."""
+        return await self._call(protocol.StatusQuery())
+
+    async def replace_replica(
+        self, old_id: str, new_id: str
+    ) -> fleet_state.Result:
+        """Puts a learner in the place of a lost voter."""
+        message = protocol.ReplaceReplica(old_id=old_id, new_id=new_id)
+        result: fleet_state.Result | None = None
+        for client in self._clients:
+            try:
+                answer = await client.call(message, self._settings.timeout_s)
+            except exceptions.RpcError:
+                continue
+            result = codec.decode(answer.result)
+            if isinstance(result, fleet_state.Accepted):
+                return result
+        if result is None:
+            raise UnreachableError("no control answered")
+        return result
+
+    def new_key(self, change_id: str) -> str:
+        """Returns the key that belongs to a change id.
+
+        It is derived, so that a resend after a lost answer shows the key that
+        was issued the first time.
+        """
+        secret = self._settings.operator_secret.encode()
+        tag = hmac.digest(secret, _KEY_LABEL + change_id.encode(), "sha256")
+        return base64.urlsafe_b64encode(tag[:24]).decode()
+
+    async def issue_key(
+        self, organisation: str, key_id: str, change_id: str
+    ) -> tuple[fleet_state.Result, str]:
+        """Issues a key and returns it; only its digest leaves this process."""
+        key = self.new_key(change_id)
+        result = await self.submit(
+            fleet_state.IssueKey(
+                change_id=change_id,
+                organisation=organisation,
+                key_id=key_id,
+                digest=identity.digest(key),
+            )
+        )
+        return result, key
+
+    async def wait_in_force(
+        self,
+        revision: int,
+        timeout: float,
+        on_progress: Callable[[Rollout], None] | None = None,
+    ) -> Rollout:
+        """Waits until every live node has a revision, or time is up."""
+        deadline = trio.current_time() + timeout
+        while True:
+            rollout = rollout_of(await self.status(), revision)
+            if on_progress:
+                on_progress(rollout)
+            done = not rollout.missing and not rollout.silent
+            if done or trio.current_time() >= deadline:
+                return rollout
+            await trio.sleep(WAIT_POLL)
+
+    async def timeline(
+        self,
+        *,
+        kind: str = "",
+        request: str = "",
+        process: str = "",
+        since_ms: int = 0,
+    ) -> Timeline:
+        """Collects the events of all processes in one order."""
+        status = await self.status()
+        found: list[events.Event] = []
+        unreachable: list[str] = []
+        query = urllib.parse.urlencode(
+            {"kind": kind, "request": request, "since_ms": since_ms}
+        )
+
+        async def collect(vm: str, address: model.Address) -> None:
+            try:
+                with trio.fail_after(EVENTS_TIMEOUT):
+                    found.extend(await _read_events(address, query))
+            except (exceptions.SassafrashallError, trio.TooSlowError):
+                unreachable.append(vm)
+
+        async with trio.open_nursery() as nursery:
+            for vm, address in _ops_addresses(status):
+                if process in ("", vm):
+                    nursery.start_soon(collect, vm, address)
+        found.sort(key=lambda event: (event.time, event.process))
+        return Timeline(
+            events=tuple(found), unreachable=tuple(sorted(unreachable))
+        )
+
+
+def rollout_of(status: protocol.StatusReply, revision: int) -> Rollout:
+    """Returns where a revision is in force, by one control's view."""
+    missing = []
+    silent = []
+    for entry in status.nodes:
+        if entry.lapsed:
+            silent.append(entry.record.vm)
+        elif entry.record.configuration_revision < revision:
+            missing.append(entry.record.vm)
+    return Rollout(
+        revision=revision, missing=tuple(missing), silent=tuple(silent)
+    )
+
+
+def _ops_addresses(
+    status: protocol.StatusReply,
+) -> list[tuple[str, model.Address]]:
+    controls = [
+        (record.vm, settings_module.parse_address(record.ops_address))
+        for record in status.controls
+    ]
+    nodes = [
+        (entry.record.vm, entry.record.ops_address)
+        for entry in status.nodes
+        if not entry.lapsed
+    ]
+    return controls + nodes
+
+
+async def _read_events(
+    address: model.Address, query: str
+) -> tuple[events.Event, ...]:
+    response = await http.get(address, f"/v1/events?{query}")
+    reply = codec.from_json(response.body, protocol.EventsReply)
+    return reply.events
--- /dev/null
+++ b/src/sassafrashall/control.py
@@ -0,0 +1,177 @@
+"""The control: the process on a VM with a disk, wired together."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall import settings as settings_module
+from sassafrashall import task
+from sassafrashall.controllers import fleet_directory
+from sassafrashall.controllers import quota_owner
+from sassafrashall.controllers import replica
+from sassafrashall.decisions import consensus
+from sassafrashall.decisions import fleet_state
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+from sassafrashall.transport import ops_api
+from sassafrashall.transport import rpc
+
+
+class Control:
+    """Owns the controllers and the listeners of a control."""
+
+    def __init__(self, *, settings: settings_module.Daemon) -> None:
+        self._settings = settings
+        self._clock = clock.HybridClock()
+        self._events = events.EventLog(process=settings.vm, clock=self._clock)
+        self._metrics = metrics.Metrics(
+            process=settings.vm, data_centre=settings.data_centre
+        )
+        assert settings.listen.rpc is not None
+        self._replica = replica.Replica(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            address=str(settings.listen.rpc),
+            folder=settings.data_folder,
+            founders=settings.controls,
+            secret=settings.fleet_secret,
+            claim_retention=settings.claim_retention_s,
+            event_log=self._events,
+            counters=self._metrics,
+        )
+        self._directory = fleet_directory.FleetDirectory(
+            settings=settings,
+            replica=self._replica.mailbox,
+            view=self._replica.view,
+            event_log=self._events,
+            counters=self._metrics,
+        )
+        self._quota = quota_owner.QuotaOwner(
+            settings=settings,
+            replica=self._replica.mailbox,
+            view=self._replica.view,
+            event_log=self._events,
+            counters=self._metrics,
+        )
+        self._controllers: tuple[task.Controller, ...] = (
+            self._replica,
+            self._directory,
+            self._quota,
+        )
+        self._rpc = rpc.RpcServer(
+            address=settings.listen.rpc,
+            handler=self._handle,
+            secrets={
+                settings.fleet_secret: rpc.Caller.PROCESS,
+                settings.operator_secret: rpc.Caller.OPERATOR,
+            },
+            hybrid_clock=self._clock,
+        )
+        ops = ops_api.OpsApi(
+            counters=self._metrics,
+            event_log=self._events,
+            refresh=self._refresh_metrics,
+        )
+        self._ops = http.Server(
+            address=settings.listen.ops,
+            handler=ops.handle,
+            source=model.Source.CALLER,
+        )
+
+    async def _handle(self, message: Any, caller: rpc.Caller) -> Any:
+        """Hands a remote message to the controller that answers it."""
+        if caller is rpc.Caller.OPERATOR and not isinstance(
+            message, protocol.OPERATOR_MESSAGES
+        ):
+            raise exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "not a message for operators"
+            )
+        match message:
+            case protocol.Heartbeat() | protocol.Gossip() | protocol.Ping():
+                return await self._directory.mailbox.ask(message)
+            case protocol.Borrow() | protocol.Settle():
+                return await self._quota.mailbox.ask(message)
+            case protocol.SubmitCommand():
+                return await self._submit(message)
+            case protocol.StatusQuery():
+                return await self._status(message)
+            case protocol.ReplaceReplica(old_id=old_id, new_id=new_id):
+                replace = messages.Replace(old_id=old_id, new_id=new_id)
+                result = await self._replica.mailbox.ask(replace)
+                return protocol.CommandResult(result=codec.encode(result))
+            case protocol.FoundingQuery():
+                return await self._founding()
+            case protocol.JoinRequest():
+                return await self._replica.mailbox.ask(message)
+            case (
+                consensus.AppendEntries()
+                | consensus.InstallSnapshot()
+                | consensus.RequestVote()
+            ):
+                inner = messages.FromReplica(message=message)
+                return await self._replica.mailbox.ask(inner)
+            case _:
+                raise exceptions.ProtocolError(
+                    exceptions.BAD_REQUEST, "not a message for a control"
+                )
+
+    async def _submit(
+        self, message: protocol.SubmitCommand
+    ) -> protocol.CommandResult:
+        command = codec.decode(message.command)
+        if isinstance(command, fleet_state.WithdrawKey):
+            # Takes effect here and spreads while it is being committed.
+            await self._directory.mailbox.ask(command)
+        submit = messages.Submit(command=command, forwarded=message.forwarded)
+        result = await self._replica.mailbox.ask(submit)
+        return protocol.CommandResult(result=codec.encode(result))
+
+    async def _status(
+        self, message: protocol.StatusQuery
+    ) -> protocol.StatusReply:
+        reply = await self._directory.mailbox.ask(message)
+        quotas = await self._quota.mailbox.ask(message)
+        return dataclasses.replace(reply, quotas=quotas)
+
+    async def _founding(self) -> protocol.FoundingReply:
+        status = await self._replica.mailbox.ask(messages.ReadReplica())
+        return protocol.FoundingReply(
+            member=status.member,
+            founded=status.founded,
+            membership=status.membership,
+        )
+
+    def _refresh_metrics(self) -> None:
+        view = self._replica.view.value
+        self._metrics.gauge("fleet_revision", view.state.revision)
+        self._metrics.gauge("claims", len(view.state.claims))
+        self._metrics.gauge("organisations", len(view.state.organisations))
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts the controllers, then the listeners."""
+        for controller in self._controllers:
+            await controller.start(nursery)
+        await self._rpc.start()
+        await self._ops.start(nursery)
+        self._events.record("process.started")
+        logs.get().info("control started")
+
+    async def close(self) -> None:
+        """Answers the calls in progress, then stops."""
+        logs.get().info("control stopping")
+        await self._rpc.close()
+        await self._ops.close()
+        for controller in reversed(self._controllers):
+            await controller.close()
+        logs.get().info("control stopped")
--- /dev/null
+++ b/src/sassafrashall/controllers/admission.py
@@ -0,0 +1,248 @@
+"""Admission to the local upstream: its limit, queue and admission level."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import settings as settings_module
+from sassafrashall import task
+from sassafrashall.decisions import limits
+from sassafrashall.decisions import queues
+from sassafrashall.decisions import shedding
+
+LOOK_INTERVAL = 0.02  # seconds between looks at the queue while it is used
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Look:
+    """It is time to drop what waited too long and to move the level."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _UpstreamChanged:
+    """The local upstream announced something else."""
+
+    upstream: model.Upstream | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Abandoned:
+    """A waiting caller has left."""
+
+    call_id: str
+
+
+class Admission(task.Controller):
+    """Owns the slots of the upstream on this VM."""
+
+    def __init__(
+        self,
+        *,
+        local: mailbox.Published[model.Upstream | None],
+        policy: settings_module.Policy,
+        event_log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        super().__init__()
+        self._local = local
+        self._upstream: model.Upstream | None = None
+        self._limit_law = policy.limit_law()
+        self._queue_law = policy.queue_law()
+        self._shed_law = policy.shed_law()
+        self._events = event_log
+        self._metrics = counters
+        self._limit: limits.LimitState | None = None
+        self._queue = queues.Queue()
+        self._level = shedding.LevelState()
+        self._waiting: dict[str, mailbox.Reply] = {}
+        self._in_flight = 0
+        self._active = trio.Event()
+
+    async def _setup(self) -> None:
+        self._spawn(self._follow_upstream)
+        self._spawn(self._look_regularly)
+
+    async def _follow_upstream(self) -> None:
+        while True:
+            upstream = await self._local.wait_changed()
+            self.mailbox.tell(_UpstreamChanged(upstream=upstream))
+
+    async def _look_regularly(self) -> None:
+        while True:
+            settled = self._level.level >= shedding.OPEN_LEVEL
+            if not self._queue.items and settled and not self._level.shed:
+                self._active = trio.Event()
+                await self._active.wait()
+            await trio.sleep(LOOK_INTERVAL)
+            self.mailbox.tell(_Look())
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        now = clock.monotonic()
+        match message:
+            case messages.Admit():
+                self._admit(message, reply, now)
+            case messages.Finished():
+                self._finish(message, now)
+            case messages.ReadLevel():
+                reply.put(self._public_level())
+            case _Abandoned(call_id=call_id):
+                self._drop(call_id)
+            case _UpstreamChanged(upstream=upstream):
+                self._change_upstream(upstream, now)
+            case _Look():
+                self._look(now)
+
+    def _change_upstream(
+        self, upstream: model.Upstream | None, now: float
+    ) -> None:
+        before = self._upstream
+        self._upstream = upstream
+        if upstream is None or upstream.state is not model.UpstreamState.READY:
+            self._shed_all(exceptions.STOPPING, "the upstream is leaving")
+            return
+        was_ready = (
+            before is not None
+            and before.state is model.UpstreamState.READY
+            and before.address == upstream.address
+        )
+        if not was_ready or self._limit is None:
+            self._limit = limits.start(upstream.slots, now)
+        else:
+            self._limit = dataclasses.replace(
+                self._limit,
+                slots=upstream.slots,
+                limit=min(self._limit.limit, float(upstream.slots)),
+            )
+        self._dispatch(now)
+
+    def _admit(
+        self, message: messages.Admit, reply: mailbox.Reply, now: float
+    ) -> None:
+        ready = (
+            self._upstream is not None
+            and self._upstream.state is model.UpstreamState.READY
+        )
+        if not ready or self._limit is None:
+            reply.put(
+                self._refusal(
+                    exceptions.NO_UPSTREAM, "the upstream is not ready"
+                )
+            )
+            return
+        item = queues.Item(
+            item_id=message.call_id,
+            organisation=message.organisation,
+            priority=message.priority,
+            arrived_at=now,
+            deadline=message.deadline,
+        )
+        limit = limits.current(self._limit_law, self._limit, now)
+        if self._in_flight < limit and not self._queue.items:
+            self._queue = queues.served_directly(
+                self._queue_law, self._queue, item
+            )
+            self._grant(item, reply, now)
+            return
+        self._active.set()
+        self._waiting[item.item_id] = reply
+        reply.on_abandon(
+            lambda: self.mailbox.tell(_Abandoned(call_id=item.item_id))
+        )
+        self._queue, shed = queues.push(self._queue_law, self._queue, item)
+        for victim in shed:
+            self._shed(victim, exceptions.SHED, "the queue is full")
+
+    def _grant(
+        self, item: queues.Item, reply: mailbox.Reply, now: float
+    ) -> None:
+        assert self._upstream is not None
+        self._in_flight += 1
+        self._level = shedding.on_dispatch(self._level, now - item.arrived_at)
+        reply.on_abandon(None)
+        reply.put(messages.Admitted(upstream=self._upstream))
+
+    def _finish(self, message: messages.Finished, now: float) -> None:
+        if self._limit is not None:
+            if message.shed:
+                self._limit = limits.on_shed(self._limit_law, self._limit, now)
+            elif message.latency >= 0:
+                self._limit = limits.on_answer(
+                    self._limit_law,
+                    self._limit,
+                    message.latency,
+                    self._in_flight,
+                    now,
+                )
+        self._in_flight -= 1
+        self._dispatch(now)
+
+    def _dispatch(self, now: float) -> None:
+        if self._limit is None:
+            return
+        self._drop_hopeless(now)
+        limit = limits.current(self._limit_law, self._limit, now)
+        while self._in_flight < limit:
+            self._queue, item = queues.pop(self._queue_law, self._queue)
+            if item is None:
+                return
+            reply = self._waiting.pop(item.item_id)
+            if not reply.abandoned:
+                self._grant(item, reply, now)
+
+    def _drop_hopeless(self, now: float) -> None:
+        if isinstance(self._queue_law, queues.FirstInFirstOut):
+            return
+        service_time = self._limit.base_latency if self._limit else 0.0
+        self._queue, hopeless = queues.expired(self._queue, now, service_time)
+        for item in hopeless:
+            self._shed(
+                item, exceptions.DEADLINE, "no time is left to run the request"
+            )
+
+    def _look(self, now: float) -> None:
+        self._dispatch(now)
+        before = self._level.level
+        self._level = shedding.update(self._level, now)
+        was_open = before >= shedding.OPEN_LEVEL
+        if was_open != (self._level.level >= shedding.OPEN_LEVEL):
+            kind = "admission.closing" if was_open else "admission.open"
+            self._events.record(kind, detail=f"{self._level.level:.2f}")
+        self._metrics.gauge("admission_level", self._level.level)
+
+    def _drop(self, call_id: str) -> None:
+        if self._waiting.pop(call_id, None) is not None:
+            kept = tuple(i for i in self._queue.items if i.item_id != call_id)
+            self._queue = dataclasses.replace(self._queue, items=kept)
+
+    def _shed(self, item: queues.Item, code: str, detail: str) -> None:
+        self._level = shedding.on_shed(self._level)
+        self._metrics.count("shed", code=code, priority=item.priority.name)
+        reply = self._waiting.pop(item.item_id, None)
+        if reply is not None:
+            reply.on_abandon(None)
+            reply.put(self._refusal(code, detail))
+
+    def _shed_all(self, code: str, detail: str) -> None:
+        items, self._queue = self._queue.items, queues.Queue()
+        for item in items:
+            self._shed(item, code, detail)
+
+    def _refusal(self, code: str, detail: str) -> messages.Shed:
+        return messages.Shed(
+            code=code, detail=detail, level=self._public_level()
+        )
+
+    def _public_level(self) -> int:
+        if isinstance(self._shed_law, shedding.NoEarlyShed):
+            return -1
+        return int(self._level.level * shedding.LEVEL_SCALE)
--- /dev/null
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -0,0 +1,193 @@
+"""The node's part in membership: heartbeats, directory and configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall import task
+from sassafrashall.decisions import fleet_state
+
+HEARTBEAT_INTERVAL = 1.0  # seconds
+HEARTBEAT_TIMEOUT = 2.0  # seconds
+ANNOUNCEMENT_TTL = 3.0  # seconds until a silent upstream counts as gone
+STALE_AGE = 2.0  # seconds of majority age from which another control is sought
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _HeartbeatAnswered:
+    """A control answered; `sent_at` bounds the age of its proof."""
+
+    reply: protocol.HeartbeatReply
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Due:
+    """It is time to look at the local upstream and send a heartbeat."""
+
+
+class NodeMembership(task.Controller):
+    """Owns what the node knows of the fleet and publishes it as snapshots."""
+
+    def __init__(
+        self,
+        *,
+        record: model.NodeRecord,
+        link: mailbox.Mailbox,
+        event_log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        super().__init__()
+        self._record = record
+        self._link = link
+        self._events = event_log
+        self._metrics = counters
+        self._source = ""
+        self._version = 0
+        self._announced_at = 0.0
+        self._kick = trio.Event()
+        self._told: list[mailbox.Reply] = []
+        self._view = mailbox.Published[model.NodeView](initial=model.NodeView())
+        self._local = mailbox.Published[model.Upstream | None](initial=None)
+
+    @property
+    def view(self) -> mailbox.Published[model.NodeView]:
+        """The fleet as this node sees it."""
+        return self._view
+
+    @property
+    def local(self) -> mailbox.Published[model.Upstream | None]:
+        """The upstream on this VM."""
+        return self._local
+
+    async def _setup(self) -> None:
+        self._spawn(self._send_heartbeats)
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        match message:
+            case messages.Announce(upstream=upstream):
+                self._announced_at = clock.monotonic()
+                self._set_upstream(upstream)
+                reply.put(None)
+            case messages.Leave():
+                self._change(leaving=True)
+                self._told.append(reply)
+            case _Due():
+                self._check_announcement()
+                reply.put(self._heartbeat())
+            case _HeartbeatAnswered():
+                self._on_answer(message)
+
+    def _set_upstream(self, upstream: model.Upstream | None) -> None:
+        if upstream == self._record.upstream:
+            return
+        before = self._record.upstream
+        self._change(upstream=upstream)
+        self._local.publish(upstream)
+        state = upstream.state if upstream else "gone"
+        if (before.state if before else "gone") != state:
+            self._events.record("upstream.state", detail=state)
+            logs.get().info("upstream changed", extra={"state": state})
+
+    def _change(self, **changes: Any) -> None:
+        self._record = dataclasses.replace(
+            self._record, counter=self._record.counter + 1, **changes
+        )
+        self._kick.set()
+
+    def _check_announcement(self) -> None:
+        silent = clock.monotonic() - self._announced_at
+        if self._record.upstream and silent > ANNOUNCEMENT_TTL:
+            self._set_upstream(None)
+
+    def _heartbeat(self) -> protocol.Heartbeat:
+        return protocol.Heartbeat(
+            record=self._record,
+            directory_source=self._source,
+            directory_version=self._version,
+            withdrawn_count=len(self._view.value.configuration.withdrawn),
+        )
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            self._kick = trio.Event()
+            sent_at = clock.monotonic()
+            heartbeat = await self.mailbox.ask(_Due())
+            call = messages.CallControl(
+                message=heartbeat, timeout=HEARTBEAT_TIMEOUT
+            )
+            try:
+                answer = await self._link.ask(call)
+                self.mailbox.tell(
+                    _HeartbeatAnswered(reply=answer, sent_at=sent_at)
+                )
+            except exceptions.SassafrashallError:
+                self._metrics.count("heartbeats_failed")
+            with trio.move_on_after(HEARTBEAT_INTERVAL):
+                await self._kick.wait()
+
+    def _on_answer(self, message: _HeartbeatAnswered) -> None:
+        answer = message.reply
+        view = self._view.value
+        # Only a proof as of before the question counts.
+        fresh_at = message.sent_at - answer.majority_age
+        configuration = fleet_state.merge_configuration(
+            view.configuration,
+            answer.revision,
+            answer.organisations,
+            frozenset(answer.withdrawn),
+        )
+        if answer.revision < view.configuration.revision:
+            fresh_at = view.fresh_at
+        records = self._merge_records(view.records, answer)
+        seen = {r.upstream.service for r in records.values() if r.upstream}
+        self._view.publish(
+            model.NodeView(
+                configuration=configuration,
+                records=records,
+                services=view.services | seen,
+                fresh_at=max(fresh_at, view.fresh_at),
+            )
+        )
+        self._take_revision(configuration.revision)
+        if answer.majority_age > STALE_AGE:
+            self._link.tell(
+                messages.ControlIsStale(majority_age=answer.majority_age)
+            )
+        for reply in self._told:
+            reply.put(None)
+        self._told.clear()
+
+    def _take_revision(self, revision: int) -> None:
+        if revision == self._record.configuration_revision:
+            return
+        self._events.record("configuration.applied", detail=str(revision))
+        # The control learns at once what is in force here.
+        self._change(configuration_revision=revision)
+
+    def _merge_records(
+        self,
+        held: dict[str, model.NodeRecord],
+        answer: protocol.HeartbeatReply,
+    ) -> dict[str, model.NodeRecord]:
+        records = {} if answer.complete else dict(held)
+        for entry in answer.entries:
+            if entry.lapsed:
+                records.pop(entry.record.vm, None)
+            else:
+                records[entry.record.vm] = entry.record
+        self._source = answer.directory_source
+        self._version = answer.directory_version
+        return records
--- /dev/null
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -0,0 +1,218 @@
+"""The node's wallets: borrows tokens ahead of need and gives them back."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Any
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import protocol
+from sassafrashall import task
+from sassafrashall.decisions import quota
+
+REPORT_INTERVAL = 0.05  # seconds between looks at active wallets
+BORROW_TIMEOUT = 1.0  # seconds
+TOKEN_WAIT = 0.06  # seconds that a request waits for a token
+DRY_PAUSE = 0.01  # seconds at least between two questions to dry owners
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Borrowed:
+    """A control answered, or failed to (`answer` is None)."""
+
+    organisation: str
+    answer: protocol.BorrowReply | None
+    asked_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Look:
+    """It is time to look at the wallets."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Waiter:
+    """A request that waits for a token."""
+
+    until: float
+    reply: mailbox.Reply
+
+
+class _Account:
+    """The wallet of one organisation with the requests that wait on it."""
+
+    def __init__(self, *, now: float) -> None:
+        self.wallet = quota.Wallet(estimated_at=now)
+        self.waiting: collections.deque[_Waiter] = collections.deque()
+        self.borrowing = False
+        self.ask_again_at = 0.0
+        self.wait = 0.0
+        self.unreachable = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is left to do for this organisation."""
+        return not (self.wallet.leases or self.waiting or self.borrowing)
+
+
+class NodeQuota(task.Controller):
+    """Owns the tokens that this node has borrowed."""
+
+    def __init__(
+        self, *, link: mailbox.Mailbox, counters: metrics.Metrics
+    ) -> None:
+        super().__init__()
+        self._link = link
+        self._metrics = counters
+        self._accounts: dict[str, _Account] = {}
+        self._active = trio.Event()
+
+    async def _setup(self) -> None:
+        self._spawn(self._look_regularly)
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        now = clock.monotonic()
+        match message:
+            case messages.TakeToken():
+                self._take(message, reply, now)
+            case _Borrowed():
+                self._on_borrowed(message, now)
+            case _Look():
+                self._look(now)
+
+    def _take(
+        self, message: messages.TakeToken, reply: mailbox.Reply, now: float
+    ) -> None:
+        account = self._accounts.get(message.organisation)
+        if account is None:
+            account = _Account(now=now)
+            self._accounts[message.organisation] = account
+        self._active.set()
+        account.wallet = quota.arrive(account.wallet, now)
+        if not account.waiting:
+            account.wallet, granted = quota.spend(account.wallet, now)
+            if granted:
+                reply.put(messages.TokenGranted())
+                return
+        until = min(message.deadline, now + TOKEN_WAIT)
+        account.waiting.append(_Waiter(until=until, reply=reply))
+        self._borrow(message.organisation, account, now)
+
+    def _borrow(self, name: str, account: _Account, now: float) -> None:
+        if account.borrowing or now < account.ask_again_at:
+            return
+        waiting = len(account.waiting)
+        wanted = waiting + quota.wanted_ahead(account.wallet, now)
+        if wanted == 0:
+            return
+        account.wallet, reports = quota.report(account.wallet, name, now)
+        account.borrowing = True
+        question = protocol.Borrow(
+            organisation=name, wanted=wanted, reports=reports
+        )
+        self._metrics.count("quota_borrows")
+        self._spawn(self._ask, question)
+
+    async def _ask(self, question: protocol.Borrow) -> None:
+        asked_at = clock.monotonic()
+        call = messages.CallControl(message=question, timeout=BORROW_TIMEOUT)
+        answer = None
+        try:
+            answer = await self._link.ask(call)
+        except exceptions.SassafrashallError:
+            self._metrics.count("quota_borrows_failed")
+        self.mailbox.tell(
+            _Borrowed(
+                organisation=question.organisation,
+                answer=answer,
+                asked_at=asked_at,
+            )
+        )
+
+    def _on_borrowed(self, message: _Borrowed, now: float) -> None:
+        account = self._accounts[message.organisation]
+        account.borrowing = False
+        account.unreachable = message.answer is None
+        if message.answer is None:
+            account.ask_again_at = now + DRY_PAUSE
+        else:
+            account.wait = message.answer.wait
+            loans = message.answer.loans
+            if not loans:
+                pause = min(max(account.wait, DRY_PAUSE), TOKEN_WAIT)
+                account.ask_again_at = now + pause
+            account.wallet = quota.deposit(
+                account.wallet,
+                tuple(
+                    quota.HeldLease(
+                        owner=loan.owner,
+                        lease_id=loan.lease_id,
+                        tokens=loan.tokens,
+                        # Counted from before the question, so that it lapses
+                        # here before it does at the owner.
+                        expires_at=message.asked_at + quota.LEASE_TTL,
+                    )
+                    for loan in loans
+                ),
+            )
+        self._serve_waiting(message.organisation, account, now)
+
+    def _serve_waiting(self, name: str, account: _Account, now: float) -> None:
+        while account.waiting:
+            waiter = account.waiting[0]
+            if waiter.reply.abandoned:
+                account.waiting.popleft()
+                continue
+            account.wallet, granted = quota.spend(account.wallet, now)
+            if granted:
+                account.waiting.popleft().reply.put(messages.TokenGranted())
+                continue
+            if waiter.until > now and not account.unreachable:
+                break
+            account.waiting.popleft().reply.put(
+                messages.TokenRefused(
+                    wait=account.wait, unreachable=account.unreachable
+                )
+            )
+        if account.waiting:
+            self._borrow(name, account, now)
+
+    def _look(self, now: float) -> None:
+        reports: list[quota.Report] = []
+        for name, account in list(self._accounts.items()):
+            if now - account.wallet.estimated_at >= quota.DEMAND_WINDOW:
+                account.wallet = quota.estimate(account.wallet, now)
+            self._serve_waiting(name, account, now)
+            self._borrow(name, account, now)
+            if not account.borrowing:
+                account.wallet, more = quota.report(account.wallet, name, now)
+                reports.extend(more)
+            if account.idle and account.wallet.demand < 0.01:
+                del self._accounts[name]
+        if reports:
+            self._metrics.count("quota_reports")
+            self._spawn(self._settle, tuple(reports))
+
+    async def _settle(self, reports: tuple[quota.Report, ...]) -> None:
+        call = messages.CallControl(
+            message=protocol.Settle(reports=reports), timeout=0.5
+        )
+        try:
+            await self._link.ask(call)
+        except exceptions.SassafrashallError:
+            self._metrics.count("quota_reports_lost")
+
+    async def _look_regularly(self) -> None:
+        while True:
+            if not self._accounts:
+                self._active = trio.Event()
+                await self._active.wait()
+            await trio.sleep(REPORT_INTERVAL)
+            self.mailbox.tell(_Look())
--- /dev/null
+++ b/src/sassafrashall/controllers/replica.py
@@ -0,0 +1,539 @@
+"""A replica of the log: performs the decisions of `consensus` on disk and net."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import Any
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import protocol
+from sassafrashall import settings as settings_module
+from sassafrashall import task
+from sassafrashall.decisions import consensus
+from sassafrashall.decisions import fleet_state
+from sassafrashall.storage import log_store
+from sassafrashall.transport import codec
+from sassafrashall.transport import rpc
+from sassafrashall.transport import snapshots
+
+SUBMIT_TIMEOUT = 3.0  # seconds
+LEADER_WAIT = 0.1  # seconds between looks for a leader
+COMPACT_AFTER = 2000  # applied entries
+BATCH_LIMIT = 256  # messages handled with one sync
+FOUNDING_INTERVAL = 0.3  # seconds
+FOUNDING_TIMEOUT = 0.5  # seconds
+JOIN_INTERVAL = 1.0  # seconds
+
+_SAVING = (consensus.SaveVote, consensus.Append, consensus.SaveSnapshot)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _FromPeer:
+    """The reply of another replica to a message of ours."""
+
+    message: consensus.Message
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Found:
+    """The founding membership is known."""
+
+    membership: consensus.Membership
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Snapshotted:
+    """A snapshot of the applied state has been encoded."""
+
+    snapshot: consensus.Snapshot
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Pending:
+    """A proposal that waits for its entry to be applied."""
+
+    term: int
+    reply: mailbox.Reply
+
+
+class Replica(task.Controller):
+    """Owns the log store, the consensus state and the applied state."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        data_centre: str,
+        address: str,
+        folder: str,
+        founders: tuple[settings_module.Control, ...],
+        secret: str,
+        claim_retention: float,
+        event_log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        super().__init__()
+        self._vm = vm
+        self._data_centre = data_centre
+        self._address = address
+        self._founders = founders
+        self._secret = secret
+        self._claim_retention = claim_retention
+        self._events = event_log
+        self._metrics = counters
+        self._store = log_store.LogStore(folder=folder)
+        self._random = random.SystemRandom()
+        self._clients: dict[str, rpc.RpcClient] = {}
+        self._pending: dict[int, _Pending] = {}
+        self._state = consensus.State(replica_id="")
+        self._fleet = fleet_state.FleetState()
+        self._founded = False
+        self._replay_index = 0
+        self._replayed_revision = 0
+        self._snapshotting = False
+        self._view = mailbox.Published[messages.FleetView](
+            initial=messages.FleetView()
+        )
+
+    @property
+    def view(self) -> mailbox.Published[messages.FleetView]:
+        """The applied state."""
+        return self._view
+
+    @property
+    def replica_id(self) -> str:
+        """The identity of the data folder."""
+        return self._state.replica_id
+
+    async def _setup(self) -> None:
+        contents = await trio.to_thread.run_sync(self._store.open)
+        self._founded = contents.founded
+        self._state = consensus.start(
+            contents.replica_id,
+            contents.term,
+            contents.voted_for,
+            contents.snapshot,
+            contents.entries,
+            clock.monotonic(),
+        )
+        self._replay_index = self._state.last_index
+        self._load(contents.snapshot)
+        self._publish()
+        self._spawn(self._join)
+        self._spawn(self._rotate_claims)
+
+    async def _rotate_claims(self) -> None:
+        """Lets the leader drop old claims, one generation a period."""
+        while True:
+            await trio.sleep(self._claim_retention)
+            if self._state.role is consensus.Role.LEADER:
+                self.mailbox.tell(
+                    messages.Submit(command=fleet_state.RotateClaims())
+                )
+
+    async def _teardown(self) -> None:
+        for client in self._clients.values():
+            client.close()
+        for pending in self._pending.values():
+            pending.reply.fail(exceptions.RpcError("the control is stopping"))
+        await trio.to_thread.run_sync(self._store.close)
+
+    # --- messages ------------------------------------------------------------
+
+    async def _receive_messages(self) -> None:
+        """Handles what waits in one batch, so that it shares one sync."""
+        while True:
+            batch: list[mailbox.Envelope] = []
+            wait = max(0.0, self._state.deadline - clock.monotonic())
+            with trio.move_on_after(wait):
+                batch.append(await self._mailbox.receive())
+            while len(batch) < BATCH_LIMIT:
+                envelope = self._mailbox.receive_nowait()
+                if envelope is None:
+                    break
+                batch.append(envelope)
+            await self._handle_batch(batch)
+
+    async def _handle_batch(self, batch: list[mailbox.Envelope]) -> None:
+        actions: list[consensus.Action] = []
+        replies: dict[str, mailbox.Reply] = {}
+        proposals: list[tuple[bytes, mailbox.Reply]] = []
+        for envelope in batch:
+            reply = envelope.reply or mailbox.Reply()
+            event = self._event_of(envelope.message, reply, proposals, replies)
+            if event is not None:
+                actions.extend(self._step(event))
+                if replies:
+                    # One reply is on its way; it must not be overwritten.
+                    await self._perform(actions, replies)
+                    actions, replies = [], {}
+        actions.extend(self._propose(proposals))
+        actions.extend(self._step(consensus.Tick(jitter=self._random.random())))
+        await self._perform(actions, replies)
+
+    def _event_of(
+        self,
+        message: Any,
+        reply: mailbox.Reply,
+        proposals: list[tuple[bytes, mailbox.Reply]],
+        replies: dict[str, mailbox.Reply],
+    ) -> consensus.Event | None:
+        jitter = self._random.random()
+        match message:
+            case messages.Submit(command=command):
+                if self._state.role is consensus.Role.LEADER:
+                    proposals.append((codec.encode(command), reply))
+                else:
+                    self._spawn(self._forward, message, reply)
+                return None
+            case messages.FromReplica(message=inner):
+                if not self._founded:
+                    reply.fail(exceptions.RpcError("not founded"))
+                    return None
+                replies[inner.sender] = reply
+                return consensus.Received(message=inner, jitter=jitter)
+            case _FromPeer(message=inner):
+                return consensus.Received(message=inner, jitter=jitter)
+            case messages.Replace():
+                return self._replace(message, reply)
+            case protocol.JoinRequest(member=member):
+                reply.put(protocol.Ack())
+                return self._add_learner(member)
+            case messages.ReadReplica():
+                reply.put(self._status())
+                return None
+            case _Found(membership=membership):
+                self._adopt(membership)
+                return None
+            case _Snapshotted(snapshot=snapshot):
+                self._snapshotting = False
+                return consensus.Compact(snapshot=snapshot)
+        return None
+
+    def _step(self, event: consensus.Event) -> tuple[consensus.Action, ...]:
+        self._state, actions = consensus.step(
+            self._state, event, clock.monotonic()
+        )
+        return actions
+
+    def _propose(
+        self, proposals: list[tuple[bytes, mailbox.Reply]]
+    ) -> tuple[consensus.Action, ...]:
+        if not proposals:
+            return ()
+        if self._state.role is not consensus.Role.LEADER:
+            for _, reply in proposals:
+                reply.fail(exceptions.RpcError("the leader has changed"))
+            return ()
+        first = self._state.last_index + 1
+        for index, (_, reply) in enumerate(proposals, first):
+            self._pending[index] = _Pending(term=self._state.term, reply=reply)
+        commands = tuple(command for command, _ in proposals)
+        return self._step(consensus.Propose(commands=commands))
+
+    async def _perform(
+        self,
+        actions: list[consensus.Action],
+        replies: dict[str, mailbox.Reply],
+    ) -> None:
+        saving = tuple(a for a in actions if isinstance(a, _SAVING))
+        if saving:
+            await trio.to_thread.run_sync(self._store.perform, saving)
+        for action in actions:
+            match action:
+                case consensus.Send(message=message):
+                    reply = replies.pop(message.receiver, None)
+                    if reply is not None and _is_reply(message):
+                        reply.put(message)
+                    else:
+                        self._send(message)
+                case consensus.Apply(entries=entries):
+                    self._apply(entries)
+                case consensus.SaveSnapshot(snapshot=snapshot, reset=True):
+                    self._load(snapshot)
+                    self._replayed_revision = self._fleet.revision
+                    self._publish()
+                case consensus.RoleChanged(role=role, term=term):
+                    self._on_role(role, term)
+        for reply in replies.values():
+            reply.fail(exceptions.RpcError("nothing to answer"))
+
+    # --- sending -------------------------------------------------------------
+
+    def _send(self, message: consensus.Message) -> None:
+        for member in self._state.membership.everyone():
+            if member.replica_id == message.receiver:
+                self._spawn(self._exchange, member, message)
+
+    async def _exchange(
+        self, member: consensus.Member, message: consensus.Message
+    ) -> None:
+        try:
+            reply = await self._client(member.address).call(
+                message, consensus.timeout_of(message)
+            )
+        except exceptions.RpcError:
+            self._metrics.count("replica_messages_failed")
+            return
+        self.mailbox.tell(_FromPeer(message=reply))
+
+    def _client(self, address: str) -> rpc.RpcClient:
+        if address not in self._clients:
+            self._clients[address] = rpc.RpcClient(
+                address=settings_module.parse_address(address),
+                secret=self._secret,
+                hybrid_clock=self._events.clock,
+            )
+        return self._clients[address]
+
+    async def _forward(
+        self, message: messages.Submit, reply: mailbox.Reply
+    ) -> None:
+        """Hands a command to the leader; waits a while for there to be one."""
+        deadline = clock.monotonic() + SUBMIT_TIMEOUT
+        if message.forwarded:
+            reply.fail(exceptions.RpcError("not the leader"))
+            return
+        sent = protocol.SubmitCommand(
+            command=codec.encode(message.command), forwarded=True
+        )
+        detail = "there is no leader"
+        while (left := deadline - clock.monotonic()) > 0:
+            if self._state.role is consensus.Role.LEADER:
+                self.mailbox.forward(message, reply)
+                return
+            leader = self._leader()
+            if leader is not None:
+                try:
+                    result = await self._client(leader.address).call(sent, left)
+                    reply.put(codec.decode(result.result))
+                    return
+                except exceptions.RpcError as error:
+                    detail = str(error)
+            await trio.sleep(LEADER_WAIT)
+        reply.fail(exceptions.RpcError(detail))
+
+    def _leader(self) -> consensus.Member | None:
+        for member in self._state.membership.everyone():
+            if member.replica_id == self._state.leader:
+                return member
+        return None
+
+    # --- applying ------------------------------------------------------------
+
+    def _apply(self, entries: tuple[consensus.Entry, ...]) -> None:
+        for entry in entries:
+            result: Any = fleet_state.Accepted(revision=self._fleet.revision)
+            if entry.command:
+                self._fleet, result = fleet_state.apply(
+                    self._fleet, codec.decode(entry.command)
+                )
+            pending = self._pending.pop(entry.index, None)
+            if pending is not None:
+                if pending.term == entry.term:
+                    pending.reply.put(result)
+                else:
+                    pending.reply.fail(exceptions.RpcError("superseded"))
+            if entry.index <= self._replay_index:
+                self._replayed_revision = self._fleet.revision
+        self._publish()
+        behind = self._state.commit - self._state.snapshot.index
+        if behind >= COMPACT_AFTER and not self._snapshotting:
+            self._snapshotting = True
+            index = self._state.commit
+            header = consensus.Snapshot(
+                index=index,
+                term=self._state.term_at(index),
+                membership=consensus.membership_at(self._state, index),
+            )
+            self._spawn(self._snapshot, header, self._fleet)
+
+    async def _snapshot(
+        self, header: consensus.Snapshot, fleet: fleet_state.FleetState
+    ) -> None:
+        body = await trio.to_thread.run_sync(snapshots.encode, fleet)
+        snapshot = dataclasses.replace(header, state=body)
+        self.mailbox.tell(_Snapshotted(snapshot=snapshot))
+
+    def _load(self, snapshot: consensus.Snapshot) -> None:
+        if snapshot.state:
+            self._fleet = snapshots.decode(snapshot.state)
+            self._replayed_revision = self._fleet.revision
+
+    def _publish(self) -> None:
+        membership = self._state.membership
+        owners = membership.outgoing or membership.voters
+        self._view.publish(
+            messages.FleetView(
+                state=self._fleet,
+                owners=tuple(member.replica_id for member in owners),
+                members=membership.everyone(),
+                replayed_revision=self._replayed_revision,
+            )
+        )
+
+    def _on_role(self, role: consensus.Role, term: int) -> None:
+        self._events.record(f"replica.{role}", detail=f"term {term}")
+        logs.get().info("replica role", extra={"role": role, "term": term})
+        if role is not consensus.Role.LEADER:
+            for pending in self._pending.values():
+                pending.reply.fail(
+                    exceptions.RpcError("lost the lead; send it again")
+                )
+            self._pending.clear()
+
+    # --- membership ----------------------------------------------------------
+
+    def _replace(
+        self, message: messages.Replace, reply: mailbox.Reply
+    ) -> consensus.Event | None:
+        membership = self._state.membership
+        fault = ""
+        if self._state.role is not consensus.Role.LEADER:
+            leader = self._leader()
+            fault = f"ask the leader, {leader.vm if leader else 'none now'}"
+        elif not consensus.can_change_membership(self._state):
+            fault = "another membership change is in progress"
+        elif not consensus.is_caught_up(self._state, message.new_id):
+            fault = f"{message.new_id!r} is not a learner that has caught up"
+        changed = consensus.replacement(
+            membership, message.old_id, message.new_id
+        )
+        if not fault and changed is None:
+            fault = f"{message.old_id!r} is not a voter"
+        if fault or changed is None:
+            finding = exceptions.Finding(
+                source="command", key="replica", text=fault
+            )
+            reply.put(fleet_state.Rejected(findings=(finding,)))
+            return None
+        self._events.record(
+            "replica.replaced", detail=f"{message.old_id} {message.new_id}"
+        )
+        index = self._state.last_index + 1
+        self._pending[index] = _Pending(term=self._state.term, reply=reply)
+        return consensus.ProposeMembership(membership=changed)
+
+    def _add_learner(self, member: consensus.Member) -> consensus.Event | None:
+        membership = self._state.membership
+        known = {m.replica_id for m in membership.everyone()}
+        if member.replica_id in known:
+            return None
+        changed = consensus.with_learner(membership, member)
+        return consensus.ProposeMembership(membership=changed)
+
+    def _member(self) -> consensus.Member:
+        return consensus.Member(
+            replica_id=self._state.replica_id,
+            vm=self._vm,
+            data_centre=self._data_centre,
+            address=self._address,
+        )
+
+    def _status(self) -> messages.ReplicaStatus:
+        state = self._state
+        return messages.ReplicaStatus(
+            member=self._member(),
+            founded=self._founded,
+            membership=state.membership,
+            role=state.role if self._founded else "joining",
+            term=state.term,
+            commit=state.commit,
+            leader=state.leader,
+            majority_age=min(
+                1e6, consensus.majority_age(state, clock.monotonic())
+            ),
+        )
+
+    # --- founding and joining ------------------------------------------------
+
+    async def _join(self) -> None:
+        """Founds the fleet, or asks to be a learner, until it is a member."""
+        while not self._founded:
+            membership = await self._founding_membership()
+            if membership is not None:
+                self.mailbox.tell(_Found(membership=membership))
+                return
+            await trio.sleep(FOUNDING_INTERVAL)
+        while True:
+            known = {m.replica_id for m in self._state.membership.everyone()}
+            if self._state.replica_id in known:
+                return
+            await self._ask_to_join()
+            await trio.sleep(JOIN_INTERVAL)
+
+    async def _founding_membership(self) -> consensus.Membership | None:
+        """Returns the membership to begin with, once it is certain.
+
+        Only the founder that comes first by name founds, and only when every
+        founder says that it is empty. The others take its membership over if
+        they are part of it, or become learners.
+        """
+        answers: dict[str, protocol.FoundingReply] = {}
+
+        async def ask(founder: settings_module.Control) -> None:
+            try:
+                answers[founder.vm] = await self._client(
+                    str(founder.address)
+                ).call(protocol.FoundingQuery(), FOUNDING_TIMEOUT)
+            except exceptions.RpcError:
+                pass
+
+        others = [f for f in self._founders if f.vm != self._vm]
+        async with trio.open_nursery() as nursery:
+            for founder in others:
+                nursery.start_soon(ask, founder)
+        for answer in answers.values():
+            if answer.founded:
+                known = {m.replica_id for m in answer.membership.everyone()}
+                if self._state.replica_id in known:
+                    return answer.membership
+                # The leader will send a snapshot once it knows this learner.
+                return consensus.Membership()
+        first = min(founder.vm for founder in self._founders)
+        if self._vm != first or len(answers) < len(others):
+            return None
+        members = [self._member(), *(a.member for a in answers.values())]
+        return consensus.Membership(
+            voters=tuple(sorted(members, key=lambda m: m.vm))
+        )
+
+    def _adopt(self, membership: consensus.Membership) -> None:
+        if self._founded:
+            return
+        snapshot = consensus.Snapshot(membership=membership)
+        self._store.perform(
+            (consensus.SaveSnapshot(snapshot=snapshot, reset=True),)
+        )
+        self._founded = True
+        self._state = consensus.start(
+            self._state.replica_id, 0, "", snapshot, (), clock.monotonic()
+        )
+        self._events.record("replica.founded", detail=self._state.replica_id)
+        self._publish()
+        self._spawn(self._join)
+
+    async def _ask_to_join(self) -> None:
+        for founder in self._founders:
+            if founder.vm == self._vm:
+                continue
+            try:
+                await self._client(str(founder.address)).call(
+                    protocol.JoinRequest(member=self._member()),
+                    FOUNDING_TIMEOUT,
+                )
+            except exceptions.RpcError:
+                pass
+
+
+def _is_reply(message: consensus.Message) -> bool:
+    return isinstance(message, (consensus.AppendReply, consensus.VoteReply))
--- /dev/null
+++ b/src/sassafrashall/controllers/routing.py
@@ -0,0 +1,180 @@
+"""The choice of upstreams for this node's attempts, and its retry ratio."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import Any
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import settings as settings_module
+from sassafrashall import task
+from sassafrashall.decisions import retries
+from sassafrashall.decisions import routing
+from sassafrashall.decisions import shedding
+
+
+class Routing(task.Controller):
+    """Owns what this node has seen of the upstreams that it calls."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        data_centre: str,
+        view: mailbox.Published[model.NodeView],
+        policy: settings_module.Policy,
+        event_log: events.EventLog,
+        counters: metrics.Metrics,
+        seed: int,
+    ) -> None:
+        super().__init__()
+        self._vm = vm
+        self._data_centre = data_centre
+        self._view = view
+        self._routing_law = policy.routing_law()
+        self._retry_law = policy.retry_law()
+        self._events = event_log
+        self._metrics = counters
+        self._random = random.Random(seed)
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._health: dict[str, routing.Health] = {}
+        self._known_since: dict[tuple[str, int], float] = {}
+        self._levels: dict[tuple[str, str], tuple[int, float]] = {}
+        self._ratio = retries.RatioState()
+        self._indexed: model.NodeView | None = None
+        self._by_service: dict[str, list[model.NodeRecord]] = {}
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        now = clock.monotonic()
+        match message:
+            case messages.Choose():
+                reply.put(self._choose(message, now))
+            case messages.AttemptEnded():
+                self._on_ended(message, now)
+            case messages.ReadServiceLevel(service=service):
+                reply.put(self._service_level(service, now))
+            case messages.FirstTry():
+                self._ratio = retries.on_first_try(self._ratio)
+            case messages.Retry():
+                reply.put(self._may_retry(message, now))
+
+    def _choose(
+        self, message: messages.Choose, now: float
+    ) -> messages.Choice | None:
+        self._index(now)
+        records = self._by_service.get(message.service, [])
+        usable = tuple(
+            self._candidate(record)
+            for record in records
+            if routing.usable(self._health_of(record.vm), now)
+        )
+        fresh = tuple(c for c in usable if c.vm not in message.avoid)
+        chosen = routing.choose(
+            self._routing_law,
+            fresh or usable,
+            self._data_centre,
+            (self._random.random(), self._random.random()),
+            now,
+        )
+        if chosen is None:
+            return None
+        self._in_flight[chosen.vm] += 1
+        health = self._health_of(chosen.vm)
+        if health.ejections:
+            self._health[chosen.vm] = routing.probe(health)
+        address = self._view.value.records[chosen.vm].peer_address
+        return messages.Choice(vm=chosen.vm, address=address)
+
+    def _index(self, now: float) -> None:
+        """Sorts the records by service once for each new view."""
+        view = self._view.value
+        if view is self._indexed:
+            return
+        self._indexed = view
+        self._by_service = {}
+        known: dict[tuple[str, int], float] = {}
+        for record in view.records.values():
+            upstream = record.upstream
+            if record.leaving or upstream is None:
+                continue
+            if upstream.state is not model.UpstreamState.READY:
+                continue
+            self._by_service.setdefault(upstream.service, []).append(record)
+            key = (record.vm, record.incarnation)
+            known[key] = self._known_since.get(key, now)
+        self._known_since = known
+        self._health = {
+            vm: health
+            for vm, health in self._health.items()
+            if vm in view.records
+        }
+
+    def _candidate(self, record: model.NodeRecord) -> routing.Candidate:
+        assert record.upstream is not None
+        return routing.Candidate(
+            vm=record.vm,
+            data_centre=record.data_centre,
+            slots=record.upstream.slots,
+            in_flight=self._in_flight[record.vm],
+            known_since=self._known_since[(record.vm, record.incarnation)],
+        )
+
+    def _health_of(self, vm: str) -> routing.Health:
+        return self._health.get(vm, routing.Health())
+
+    def _on_ended(self, message: messages.AttemptEnded, now: float) -> None:
+        self._in_flight[message.vm] -= 1
+        if self._in_flight[message.vm] <= 0:
+            del self._in_flight[message.vm]
+        if message.level >= 0:
+            self._levels[(message.service, message.vm)] = (message.level, now)
+        before = self._health_of(message.vm)
+        match message.failed:
+            case None:
+                after = routing.on_no_verdict(before)
+            case True:
+                after = routing.on_failure(before, now)
+            case False:
+                after = routing.on_success(before)
+        if after.ejections > before.ejections:
+            self._metrics.count("ejections")
+            self._events.record("upstream.ejected", detail=message.vm)
+        elif before.ejections and not after.ejections:
+            self._events.record("upstream.readmitted", detail=message.vm)
+        self._health[message.vm] = after
+
+    def _service_level(self, service: str, now: float) -> float:
+        """Returns the mean of the levels seen lately for a service."""
+        self._index(now)
+        levels = []
+        for record in self._by_service.get(service, []):
+            if record.data_centre != self._data_centre:
+                continue
+            level, seen_at = self._levels.get((service, record.vm), (-1, 0.0))
+            if level >= 0 and now - seen_at < shedding.LEVEL_TTL:
+                levels.append(level / shedding.LEVEL_SCALE)
+            else:
+                levels.append(shedding.OPEN_LEVEL)
+        if not levels:
+            return shedding.OPEN_LEVEL
+        return sum(levels) / len(levels)
+
+    def _may_retry(self, message: messages.Retry, now: float) -> bool:
+        allowed = retries.should_retry(
+            self._retry_law,
+            message.call,
+            message.refusal,
+            message.attempts,
+            self._ratio,
+            now,
+        )
+        if allowed:
+            self._ratio = retries.on_retry(self._ratio)
+            self._metrics.count("retries", service=message.call.service)
+        return allowed
--- /dev/null
+++ b/src/sassafrashall/daemon.py
@@ -0,0 +1,76 @@
+"""The daemon: reads its settings, runs one role, stops on a signal."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Sequence
+import signal
+import sys
+
+import trio
+
+from sassafrashall import control
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import node
+from sassafrashall import settings as settings_module
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs `sassafrashalld` and returns its exit status."""
+    parser = argparse.ArgumentParser(
+        prog="sassafrashalld",
+        description="Runs one process of the overload control layer.",
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    options = parser.parse_args(arguments)
+    try:
+        settings = settings_module.read(
+            options.settings, settings_module.Daemon
+        )
+    except exceptions.FindingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.configure(settings.vm, settings.log_level)
+    status = EXIT_OK
+    try:
+        trio.run(_run, settings)
+    except* (exceptions.SassafrashallError, OSError) as group:
+        for failure in _leaves(group):
+            logs.get().error("cannot run", extra={"reason": str(failure)})
+        status = EXIT_FAILED
+    return status
+
+
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found.extend(_leaves(error))
+        else:
+            found.append(error)
+    return found
+
+
+async def _run(settings: settings_module.Daemon) -> None:
+    match settings.role:
+        case settings_module.Role.NODE:
+            process: node.Node | control.Control = node.Node(settings=settings)
+        case settings_module.Role.CONTROL:
+            process = control.Control(settings=settings)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await process.start(nursery)
+            async for _ in signals:
+                break
+            await process.close()
+            nursery.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/sassafrashall/filters/dispatch.py
@@ -0,0 +1,155 @@
+"""Sends a call to an upstream's node, and again where that is allowed."""
+
+from __future__ import annotations
+
+import dataclasses
+import uuid
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.decisions import retries
+from sassafrashall.filters import chain
+
+
+class DispatchFilter:
+    """Ends the chain of the node where a call enters the system."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        routing: mailbox.Mailbox,
+        connections: mailbox.Mailbox,
+        local: chain.Chain,
+        event_log: events.EventLog,
+    ) -> None:
+        self._node = node
+        self._routing = routing
+        self._connections = connections
+        self._local = local
+        self._events = event_log
+
+    async def handle(self, call: model.Call) -> model.Outcome:
+        """Makes attempts until one ends the call."""
+        self._routing.tell(messages.FirstTry())
+        attempts = 0
+        avoid: frozenset[str] = frozenset()
+        may_have_run = False
+        while True:
+            attempts += 1
+            choice = await self._routing.ask(
+                messages.Choose(service=call.service, avoid=avoid)
+            )
+            if choice is None:
+                return _truthful(_no_upstream(call), may_have_run)
+            outcome, kept = await self._attempt(call, choice)
+            avoid |= {choice.vm}
+            # Tokens that went along come back with the answer or are lost.
+            call = dataclasses.replace(
+                call, retries=kept + outcome.retries_left
+            )
+            refusal = retries.failure_of(outcome)
+            if refusal is not None:
+                may_have_run |= refusal.run is not model.RunState.NOT_RUN
+                outcome = _truthful(outcome, may_have_run)
+            if refusal is None or not await self._routing.ask(
+                messages.Retry(call=call, refusal=refusal, attempts=attempts)
+            ):
+                return dataclasses.replace(outcome, retries_left=call.retries)
+            call = dataclasses.replace(call, retries=max(0, call.retries - 1))
+            self._events.record("call.retried", call.root_id, refusal.code)
+
+    async def _attempt(
+        self, call: model.Call, choice: messages.Choice
+    ) -> tuple[model.Outcome, int]:
+        """Makes one attempt and returns the tokens that stayed here."""
+        handed = retries.handed_on(call.retries, is_root=not call.parent_id)
+        failed: bool | None = None
+        level = -1
+        try:
+            outcome = await self._send(call, choice, handed)
+            failed = _says_of_upstream(outcome)
+            level = outcome.level
+        finally:
+            self._routing.tell(
+                messages.AttemptEnded(
+                    vm=choice.vm,
+                    service=call.service,
+                    failed=failed,
+                    level=level,
+                )
+            )
+        return outcome, call.retries - handed
+
+    async def _send(
+        self, call: model.Call, choice: messages.Choice, handed: int
+    ) -> model.Outcome:
+        remaining = call.deadline - clock.monotonic()
+        ticket = model.Ticket(
+            organisation=call.organisation,
+            root_id=call.root_id,
+            call_id=uuid.uuid4().hex[:16],
+            node=choice.vm,
+            service=call.service,
+            priority=call.priority,
+            remaining_ms=max(0, int(remaining * 1000)),
+            retries=handed,
+            depth=call.depth,
+            idempotent=call.idempotent,
+        )
+        if choice.vm == self._node:
+            request = dataclasses.replace(
+                call.request,
+                source=model.Source.PEER,
+                received_at=clock.monotonic(),
+                timeout_ms=ticket.remaining_ms,
+                ticket=ticket,
+            )
+            return await self._local.run(
+                model.Call(request=request, root_id=call.root_id)
+            )
+        return await self._connections.ask(
+            messages.Exchange(
+                address=choice.address,
+                request=call.request,
+                ticket=ticket,
+                deadline=call.deadline,
+                to_upstream=False,
+                confirm=not call.idempotent,
+            )
+        )
+
+
+def _truthful(outcome: model.Outcome, may_have_run: bool) -> model.Outcome:
+    """Says `unknown` where an earlier attempt may have run the request."""
+    if may_have_run and isinstance(outcome, model.Refuse):
+        return dataclasses.replace(outcome, run=model.RunState.UNKNOWN)
+    return outcome
+
+
+def _no_upstream(call: model.Call) -> model.Refuse:
+    return model.Refuse(
+        code=exceptions.NO_UPSTREAM,
+        detail=f"no upstream of {call.service} can be reached now",
+        retry_after_s=1.0,
+        retries_left=call.retries,
+    )
+
+
+def _says_of_upstream(outcome: model.Outcome) -> bool | None:
+    """Returns whether the outcome counts against the upstream."""
+    match outcome:
+        case model.Answer(response=response):
+            return response.status in (502, 503, 504)
+        case model.Refuse(
+            code=exceptions.UPSTREAM_FAILED | exceptions.UPSTREAM_SILENT
+        ):
+            return True
+        case model.Refuse(code=exceptions.NO_UPSTREAM | exceptions.STOPPING):
+            return True
+        case _:
+            return None
--- /dev/null
+++ b/src/sassafrashall/filters/identity.py
@@ -0,0 +1,174 @@
+"""Finds out for whom a request runs: by key, by ticket, or by an open route."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+
+import xxhash
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+
+
+def digest(key: str) -> str:
+    """Returns the digest by which the fleet knows a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class IdentityFilter:
+    """Sets the organisation, or refuses the request."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        view: mailbox.Published[model.NodeView],
+        running: mailbox.Mailbox,
+    ) -> None:
+        self._node = node
+        self._view = view
+        self._running = running
+
+    async def handle(self, call: model.Call) -> model.Result:
+        """Identifies the caller anew for each request of a connection."""
+        request = call.request
+        if request.bad_ticket:
+            return model.Refuse(
+                code=exceptions.INVALID_TICKET,
+                detail="the ticket is not signed by this fleet",
+            )
+        if request.ticket is not None:
+            return await self._nested(call, request.ticket)
+        if request.key:
+            return self._by_key(call)
+        return self._by_open_route(call)
+
+    async def finish(self, call: model.Call, outcome: model.Outcome) -> None:
+        """Brings the unused retry tokens back to the parent call."""
+        if not call.parent_id:
+            return
+        succeeded = (
+            isinstance(outcome, model.Answer) and outcome.response.status < 500
+        )
+        self._running.tell(
+            messages.EndNested(
+                parent_id=call.parent_id,
+                fingerprint=_fingerprint(call.request),
+                retries=outcome.retries_left,
+                succeeded=succeeded,
+            )
+        )
+
+    def _by_key(self, call: model.Call) -> model.Result:
+        view = self._view.value
+        name = view.configuration.keys.get(digest(call.request.key))
+        if name is None:
+            return model.Refuse(
+                code=exceptions.UNKNOWN_KEY,
+                detail="the key is unknown or withdrawn",
+            )
+        organisation = view.configuration.organisations[name]
+        bound = organisation.parameters.freshness_bound_s
+        if bound and clock.monotonic() - view.fresh_at > bound:
+            return model.Refuse(
+                code=exceptions.STALE_CONFIGURATION,
+                detail=(
+                    "whether the key is still valid can't be confirmed: "
+                    f"no news of the majority for {bound:g} s"
+                ),
+            )
+        return model.Forward(call=_for_organisation(call, organisation))
+
+    def _by_open_route(self, call: model.Call) -> model.Result:
+        request = call.request
+        organisations = self._view.value.configuration.organisations
+        # The first by name wins, so that every node decides alike.
+        for name in sorted(organisations):
+            parameters = organisations[name].parameters
+            for rule in parameters.open_routes:
+                if rule.matches(request.method, request.path):
+                    return model.Forward(
+                        call=_for_organisation(call, organisations[name])
+                    )
+        return model.Refuse(
+            code=exceptions.UNKNOWN_KEY,
+            detail="a key is needed: Authorization: Bearer KEY",
+        )
+
+    async def _nested(
+        self, call: model.Call, ticket: model.Ticket
+    ) -> model.Result:
+        if ticket.node != self._node:
+            return model.Refuse(
+                code=exceptions.INVALID_TICKET,
+                detail="the ticket was issued by another node",
+            )
+        organisation = self._view.value.configuration.organisations.get(
+            ticket.organisation
+        )
+        if organisation is None:
+            return model.Refuse(
+                code=exceptions.INVALID_TICKET,
+                detail="the ticket's organisation is unknown",
+            )
+        begun = await self._running.ask(
+            messages.BeginNested(
+                parent_id=ticket.call_id,
+                fingerprint=_fingerprint(call.request),
+            )
+        )
+        if isinstance(begun, model.Refuse):
+            return begun
+        call = _with_rules(call, organisation.parameters)
+        return model.Forward(
+            call=dataclasses.replace(
+                call,
+                organisation=ticket.organisation,
+                root_id=ticket.root_id,
+                parent_id=ticket.call_id,
+                # Work for an important request is as important as itself.
+                priority=ticket.priority,
+                depth=ticket.depth + 1,
+                retries=begun.retries,
+                deadline=begun.deadline,
+            )
+        )
+
+
+def _for_organisation(
+    call: model.Call, organisation: model.Organisation
+) -> model.Call:
+    call = _with_rules(call, organisation.parameters)
+    return dataclasses.replace(
+        call,
+        organisation=organisation.name,
+        retries=organisation.parameters.retry_bound,
+    )
+
+
+def _with_rules(call: model.Call, parameters: model.Parameters) -> model.Call:
+    """Sets what the organisation's route rules say of the request."""
+    method, path = call.request.method, call.request.path
+
+    def matched(rules: tuple[model.RouteRule, ...]) -> bool:
+        return any(rule.matches(method, path) for rule in rules)
+
+    priority = model.Priority.NORMAL
+    if matched(parameters.critical_routes):
+        priority = model.Priority.CRITICAL
+    elif matched(parameters.bulk_routes):
+        priority = model.Priority.BULK
+    idempotent = method in model.IDEMPOTENT_METHODS and not matched(
+        parameters.never_repeated_routes
+    )
+    return dataclasses.replace(call, priority=priority, idempotent=idempotent)
+
+
+def _fingerprint(request: model.Request) -> str:
+    parts = xxhash.xxh64(f"{request.method} {request.target}\n".encode())
+    parts.update(request.body)
+    return parts.hexdigest()
--- /dev/null
+++ b/src/sassafrashall/filters/route.py
@@ -0,0 +1,27 @@
+"""Finds the service of a request by the first segment of its path."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import model
+
+
+class RouteFilter:
+    """Refuses requests for a service that was never seen."""
+
+    def __init__(self, *, view: mailbox.Published[model.NodeView]) -> None:
+        self._view = view
+
+    async def handle(self, call: model.Call) -> model.Result:
+        """Sets the service."""
+        path = call.request.path
+        service = path.split("/", 2)[1] if path.startswith("/") else ""
+        if service not in self._view.value.services:
+            return model.Refuse(
+                code=exceptions.UNKNOWN_ROUTE,
+                detail=f"no service {service!r} is known",
+            )
+        return model.Forward(call=dataclasses.replace(call, service=service))
--- /dev/null
+++ b/src/sassafrashall/filters/upstream.py
@@ -0,0 +1,154 @@
+"""The filters beside a worker: check the ticket, get a slot, run the call."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+
+
+class TicketFilter:
+    """Takes the context of a call that another node sent."""
+
+    async def handle(self, call: model.Call) -> model.Result:
+        """Fills the call in from the ticket, which is the peer's proof."""
+        ticket = call.request.ticket
+        if ticket is None:
+            return model.Refuse(
+                code=exceptions.INVALID_TICKET,
+                detail="a request from a peer needs a valid ticket",
+            )
+        return model.Forward(
+            call=dataclasses.replace(
+                call,
+                root_id=ticket.root_id,
+                call_id=ticket.call_id,
+                service=ticket.service,
+                organisation=ticket.organisation,
+                priority=ticket.priority,
+                idempotent=ticket.idempotent,
+                retries=ticket.retries,
+                depth=ticket.depth,
+            )
+        )
+
+
+class UpstreamFilter:
+    """Ends the chain of the node beside the worker."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        admission: mailbox.Mailbox,
+        running: mailbox.Mailbox,
+        connections: mailbox.Mailbox,
+        event_log: events.EventLog,
+    ) -> None:
+        self._node = node
+        self._admission = admission
+        self._running = running
+        self._connections = connections
+        self._events = event_log
+
+    async def handle(self, call: model.Call) -> model.Outcome:
+        """Waits for a slot and dispatches to the local upstream."""
+        admitted = await self._admission.ask(
+            messages.Admit(
+                call_id=call.call_id,
+                organisation=call.organisation,
+                priority=call.priority,
+                root_id=call.root_id,
+                deadline=call.deadline,
+            )
+        )
+        match admitted:
+            case messages.Admitted(upstream=upstream):
+                return await self._run(call, upstream)
+            case messages.Shed(code=code, detail=detail, level=level):
+                return model.Refuse(
+                    code=code,
+                    detail=detail,
+                    level=level,
+                    retries_left=call.retries,
+                    retry_after_s=1.0,
+                )
+            case _:
+                raise TypeError(f"unknown answer {admitted!r}")
+
+    async def _run(
+        self, call: model.Call, upstream: model.Upstream
+    ) -> model.Outcome:
+        began = clock.monotonic()
+        latency, shed = -1.0, False
+        try:
+            if upstream.service != call.service:
+                return model.Refuse(
+                    code=exceptions.NO_UPSTREAM,
+                    detail=f"{call.service} does not run here any more",
+                    retries_left=call.retries,
+                )
+            outcome = await self._exchange(call, upstream)
+            shed = _is_shed(outcome)
+            if isinstance(outcome, model.Answer) and not shed:
+                latency = clock.monotonic() - began
+        finally:
+            self._admission.tell(messages.Finished(latency=latency, shed=shed))
+        level = await self._admission.ask(messages.ReadLevel())
+        return dataclasses.replace(outcome, level=level)
+
+    async def _exchange(
+        self, call: model.Call, upstream: model.Upstream
+    ) -> model.Outcome:
+        ticket = self._ticket(call)
+        await self._running.ask(
+            messages.BeginCall(ticket=ticket, deadline=call.deadline)
+        )
+        if not call.idempotent:
+            self._events.record("call.dispatched", call.root_id, call.call_id)
+        retries_left = 0
+        try:
+            outcome = await self._connections.ask(
+                messages.Exchange(
+                    address=upstream.address,
+                    request=call.request,
+                    ticket=ticket,
+                    deadline=call.deadline,
+                    to_upstream=True,
+                    confirm=not call.idempotent,
+                )
+            )
+            retries_left = await self._running.ask(
+                messages.EndCall(call_id=call.call_id)
+            )
+        finally:
+            self._running.tell(messages.EndCall(call_id=call.call_id))
+        return dataclasses.replace(outcome, retries_left=retries_left)
+
+    def _ticket(self, call: model.Call) -> model.Ticket:
+        remaining = call.deadline - clock.monotonic()
+        return model.Ticket(
+            organisation=call.organisation,
+            root_id=call.root_id,
+            call_id=call.call_id,
+            node=self._node,
+            service=call.service,
+            priority=call.priority,
+            remaining_ms=max(0, int(remaining * 1000)),
+            retries=call.retries,
+            depth=call.depth,
+            idempotent=call.idempotent,
+        )
+
+
+def _is_shed(outcome: model.Outcome) -> bool:
+    match outcome:
+        case model.Answer(response=response):
+            return response.status in (429, 503)
+        case _:
+            return False
--- /dev/null
+++ b/src/sassafrashall/node.py
@@ -0,0 +1,260 @@
+"""The node: the process beside one upstream VM, wired together."""
+
+from __future__ import annotations
+
+import secrets
+import time
+import uuid
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import settings as settings_module
+from sassafrashall import task
+from sassafrashall.controllers import admission
+from sassafrashall.controllers import connections
+from sassafrashall.controllers import control_link
+from sassafrashall.controllers import node_membership
+from sassafrashall.controllers import node_quota
+from sassafrashall.controllers import routing
+from sassafrashall.controllers import running_calls
+from sassafrashall.filters import chain
+from sassafrashall.filters import claim
+from sassafrashall.filters import deadline
+from sassafrashall.filters import dispatch
+from sassafrashall.filters import early_shed
+from sassafrashall.filters import identity
+from sassafrashall.filters import quota
+from sassafrashall.filters import route
+from sassafrashall.filters import upstream
+from sassafrashall.transport import front_end
+from sassafrashall.transport import http
+from sassafrashall.transport import local_api
+from sassafrashall.transport import ops_api
+
+# Seconds between telling the fleet that this node leaves and closing the
+# listeners; it covers two heartbeats of the other nodes.
+LEAVE_NOTICE = 2.5
+LEAVE_TIMEOUT = 1.0  # seconds to tell a control
+
+
+class Node:
+    """Owns the controllers, the filter chains and the listeners of a node."""
+
+    def __init__(self, *, settings: settings_module.Daemon) -> None:
+        self._settings = settings
+        self._clock = clock.HybridClock()
+        self._events = events.EventLog(process=settings.vm, clock=self._clock)
+        self._metrics = metrics.Metrics(
+            process=settings.vm, data_centre=settings.data_centre
+        )
+        self._secret = settings.fleet_secret.encode()
+        self._build_controllers()
+        self._worker_chain = self._build_worker_chain()
+        self._entry_chain = self._build_entry_chain()
+        self._servers = self._build_servers()
+        self._controllers: tuple[task.Controller, ...] = (
+            self._link,
+            self._membership,
+            self._quota,
+            self._admission,
+            self._running,
+            self._routing,
+            self._connections,
+        )
+
+    def _build_controllers(self) -> None:
+        settings = self._settings
+        self._link = control_link.ControlLink(
+            controls=settings.controls,
+            data_centre=settings.data_centre,
+            secret=settings.fleet_secret,
+            event_log=self._events,
+        )
+        self._membership = node_membership.NodeMembership(
+            record=self._record(),
+            link=self._link.mailbox,
+            event_log=self._events,
+            counters=self._metrics,
+        )
+        self._quota = node_quota.NodeQuota(
+            link=self._link.mailbox, counters=self._metrics
+        )
+        self._admission = admission.Admission(
+            local=self._membership.local,
+            policy=settings.policy,
+            event_log=self._events,
+            counters=self._metrics,
+        )
+        self._running = running_calls.RunningCalls()
+        self._routing = routing.Routing(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            view=self._membership.view,
+            policy=settings.policy,
+            event_log=self._events,
+            counters=self._metrics,
+            seed=secrets.randbits(64),
+        )
+        self._connections = connections.Connections(
+            secret=self._secret,
+            hybrid_clock=self._clock,
+            counters=self._metrics,
+        )
+
+    def _record(self) -> model.NodeRecord:
+        listen = self._settings.listen
+        assert listen.peers is not None
+        return model.NodeRecord(
+            vm=self._settings.vm,
+            data_centre=self._settings.data_centre,
+            incarnation=time.time_ns(),
+            counter=1,
+            peer_address=listen.peers,
+            ops_address=listen.ops,
+        )
+
+    def _build_worker_chain(self) -> chain.Chain:
+        return chain.Chain(
+            name="worker",
+            counters=self._metrics,
+            filters=(
+                upstream.TicketFilter(),
+                deadline.DeadlineFilter(
+                    default_timeout_ms=self._settings.default_timeout_ms
+                ),
+                upstream.UpstreamFilter(
+                    node=self._settings.vm,
+                    admission=self._admission.mailbox,
+                    running=self._running.mailbox,
+                    connections=self._connections.mailbox,
+                    event_log=self._events,
+                ),
+            ),
+        )
+
+    def _build_entry_chain(self) -> chain.Chain:
+        settings = self._settings
+        view = self._membership.view
+        return chain.Chain(
+            name="entry",
+            counters=self._metrics,
+            filters=(
+                route.RouteFilter(view=view),
+                identity.IdentityFilter(
+                    node=settings.vm, view=view, running=self._running.mailbox
+                ),
+                deadline.DeadlineFilter(
+                    default_timeout_ms=settings.default_timeout_ms
+                ),
+                early_shed.EarlyShedFilter(
+                    law=settings.policy.shed_law(),
+                    routing=self._routing.mailbox,
+                    counters=self._metrics,
+                ),
+                quota.QuotaFilter(quota=self._quota.mailbox),
+                claim.ClaimFilter(
+                    link=self._link.mailbox, event_log=self._events
+                ),
+                dispatch.DispatchFilter(
+                    node=settings.vm,
+                    routing=self._routing.mailbox,
+                    connections=self._connections.mailbox,
+                    local=self._worker_chain,
+                    event_log=self._events,
+                ),
+            ),
+        )
+
+    def _build_servers(self) -> tuple[http.Server, ...]:
+        listen = self._settings.listen
+        assert listen.callers and listen.local and listen.peers
+        callers = front_end.FrontEnd(
+            handler=self._enter, secret=self._secret, hybrid_clock=self._clock
+        )
+        local = local_api.LocalApi(
+            membership=self._membership.mailbox,
+            calls=callers,
+            announcement_ttl=node_membership.ANNOUNCEMENT_TTL,
+        )
+        peers = front_end.FrontEnd(
+            handler=self._serve_peer,
+            secret=self._secret,
+            hybrid_clock=self._clock,
+        )
+        ops = ops_api.OpsApi(
+            counters=self._metrics,
+            event_log=self._events,
+            refresh=self._refresh_metrics,
+        )
+        return tuple(
+            http.Server(address=address, handler=handler, source=source)
+            for address, handler, source in (
+                (listen.callers, callers.handle, model.Source.CALLER),
+                (listen.peers, peers.handle, model.Source.PEER),
+                (listen.local, local.handle, model.Source.LOCAL),
+                (listen.ops, ops.handle, model.Source.CALLER),
+            )
+        )
+
+    async def _enter(self, request: model.Request) -> model.Outcome:
+        root_id = uuid.uuid4().hex[:16]
+        return await self._entry_chain.run(
+            model.Call(request=request, root_id=root_id)
+        )
+
+    async def _serve_peer(self, request: model.Request) -> model.Outcome:
+        return await self._worker_chain.run(
+            model.Call(request=request, root_id="")
+        )
+
+    def _refresh_metrics(self) -> None:
+        view = self._membership.view.value
+        self._metrics.gauge(
+            "configuration_revision", view.configuration.revision
+        )
+        self._metrics.gauge("nodes_known", len(view.records))
+        for server, name in zip(
+            self._servers, ("callers", "peers", "local", "ops"), strict=True
+        ):
+            self._metrics.gauge(
+                "connections", server.connections, listener=name
+            )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts the controllers, then the listeners."""
+        for controller in self._controllers:
+            await controller.start(nursery)
+        for server in self._servers:
+            await server.start(nursery)
+        self._events.record("process.started")
+        logs.get().info("node started")
+
+    async def close(self) -> None:
+        """Leaves the fleet, finishes every request, then stops."""
+        logs.get().info("node leaving")
+        self._events.record("process.leaving")
+        with trio.move_on_after(LEAVE_TIMEOUT):
+            try:
+                await self._membership.mailbox.ask(messages.Leave())
+            except exceptions.SassafrashallError:
+                pass
+        callers, peers, local, ops = self._servers
+        callers.drain()
+        peers.drain()
+        await trio.sleep(LEAVE_NOTICE)
+        # The local listener goes last: calls in progress make nested ones.
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.close)
+            nursery.start_soon(peers.close)
+        await local.close()
+        await ops.close()
+        for controller in reversed(self._controllers):
+            await controller.close()
+        logs.get().info("node stopped")
