--- /dev/null
+++ b/bench/caller.py
@@ -0,0 +1,159 @@
+"""Stand-in callers over HTTP, and what each of their requests came to."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import time
+import uuid
+
+import trio
+
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sent:
+    """One request and its end, as the caller saw it.
+
+    Attributes:
+      status: 0 if the connection broke.
+      whole: Whether a whole answer to this very request came.
+      run: What a refusal said: `not-run`, `unknown` or empty.
+    """
+
+    request_id: str
+    sent_at: float
+    ended_at: float
+    status: int
+    code: str
+    run: str
+    whole: bool
+    organisation: str = ""
+    target: str = ""
+    latency: float = 0.0
+
+
+class Caller:
+    """Keeps connections to one node and sends requests on them."""
+
+    def __init__(self, *, address: model.Address, key: str) -> None:
+        self._address = address
+        self._key = key
+        self._idle: list[http.ClientConnection] = []
+
+    async def send(
+        self,
+        target: str,
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        idempotency_key: str = "",
+        timeout: float = 10.0,
+        organisation: str = "",
+        intended_at: float | None = None,
+    ) -> Sent:
+        """Sends one request and returns how it ended.
+
+        Args:
+          target: Path with query.
+          method: HTTP method.
+          body: Request body.
+          idempotency_key: Sent if not empty.
+          timeout: Seconds that the caller waits.
+          organisation: For the record only.
+          intended_at: When it should have been sent; the latency counts from
+            there.
+        """
+        request_id = uuid.uuid4().hex
+        headers = [
+            ("host", str(self._address)),
+            ("x-request-id", request_id),
+            (codec.DEADLINE_HEADER, str(int(timeout * 1000))),
+        ]
+        if self._key:
+            headers.append(("authorization", f"Bearer {self._key}"))
+        if idempotency_key:
+            headers.append(("idempotency-key", idempotency_key))
+        request = http.RawRequest(
+            method=method,
+            target=target,
+            headers=tuple(headers),
+            body=body,
+            source=model.Source.CALLER,
+            received_at=0.0,
+        )
+        began = time.time()
+        started = time.perf_counter()
+        first = intended_at if intended_at is not None else started
+        response: model.Response | None = None
+        code = ""
+        try:
+            with trio.fail_after(timeout + 1.0):
+                response = await self._exchange(request)
+        except exceptions.ConnectionFailedError as error:
+            code = f"connection: {error}"
+        except trio.TooSlowError:
+            code = "connection: no answer in time"
+        return Sent(
+            request_id=request_id,
+            sent_at=began,
+            ended_at=time.time(),
+            status=response.status if response else 0,
+            code=_header(response, codec.CODE_HEADER) or code,
+            run=_header(response, codec.RUN_HEADER),
+            whole=_is_whole(response, request_id, target),
+            organisation=organisation,
+            target=target,
+            latency=time.perf_counter() - first,
+        )
+
+    async def _exchange(self, request: http.RawRequest) -> model.Response:
+        connection = None
+        while self._idle and connection is None:
+            candidate = self._idle.pop()
+            if candidate.reusable:
+                connection = candidate
+            else:
+                await candidate.close()
+        if connection is None:
+            connection = await http.ClientConnection.open(self._address)
+        try:
+            response = await connection.exchange(request)
+        except BaseException:
+            await connection.close()
+            raise
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        return response
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+
+def _header(response: model.Response | None, name: str) -> str:
+    if response is None:
+        return ""
+    return model.find_header(response.headers, name) or ""
+
+
+def _is_whole(
+    response: model.Response | None, request_id: str, target: str
+) -> bool:
+    if response is None or response.status != 200:
+        return False
+    try:
+        document = json.loads(response.body)
+    except ValueError:
+        return False
+    return (
+        document.get("request_id") == request_id
+        and document.get("target") == target
+    )
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,326 @@
+"""Starts and ends the processes of a small fleet on loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+from ruamel import yaml
+import trio
+
+from sassafrashall import api
+from sassafrashall import model
+from sassafrashall import settings as settings_module
+from sassafrashall.transport import http
+
+FLEET_SECRET = "fleet-secret-for-loopback"
+OPERATOR_SECRET = "operator-secret-for-loopback"
+READY_TIMEOUT = 30.0  # seconds
+STOP_TIMEOUT = 15.0  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkerPlan:
+    """One upstream VM: a node with its stand-in upstream.
+
+    Attributes:
+      nested: Targets that the upstream calls for each request.
+      behaviour: Overrides of `bench.upstream.Behaviour`.
+    """
+
+    vm: str
+    data_centre: str
+    service: str
+    nested: tuple[str, ...] = ()
+    behaviour: dict[str, Any] = dataclasses.field(default_factory=dict)
+    warm_up: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ports:
+    """The addresses of one worker's VM."""
+
+    callers: model.Address
+    local: model.Address
+    peers: model.Address
+    ops: model.Address
+    upstream: model.Address
+
+
+def free_addresses(count: int) -> list[model.Address]:
+    """Returns loopback addresses with ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [
+            model.Address(host="127.0.0.1", port=each.getsockname()[1])
+            for each in sockets
+        ]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+class Fleet:
+    """The processes of a fleet; each is started and ended by name."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        data_centres: tuple[str, ...],
+        workers: tuple[WorkerPlan, ...],
+        policy: dict[str, Any] | None = None,
+        keep_headers: bool = False,
+        default_timeout_ms: int = 10_000,
+    ) -> None:
+        self._folder = folder
+        self._workers = workers
+        self._policy = policy or {}
+        self._keep_headers = keep_headers
+        self._timeout_ms = default_timeout_ms
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._commands: dict[str, list[str]] = {}
+        addresses = iter(
+            free_addresses(2 * len(data_centres) + 5 * len(workers))
+        )
+        self.controls = {
+            f"control-{name}": (name, next(addresses), next(addresses))
+            for name in data_centres
+        }
+        self.ports = {
+            worker.vm: Ports(
+                callers=next(addresses),
+                local=next(addresses),
+                peers=next(addresses),
+                ops=next(addresses),
+                upstream=next(addresses),
+            )
+            for worker in workers
+        }
+        self._write_settings()
+
+    @property
+    def tool_settings(self) -> settings_module.Tool:
+        """Settings for operators' calls."""
+        return settings_module.Tool(
+            controls=tuple(
+                settings_module.Control(vm=vm, data_centre=dc, address=rpc)
+                for vm, (dc, rpc, _) in self.controls.items()
+            ),
+            operator_secret=OPERATOR_SECRET,
+        )
+
+    @property
+    def tool_file(self) -> pathlib.Path:
+        """Settings file of the operators' tool."""
+        return self._folder / "ctl.yaml"
+
+    def _write_settings(self) -> None:
+        controls = [
+            {"vm": vm, "data_centre": dc, "address": str(rpc)}
+            for vm, (dc, rpc, _) in self.controls.items()
+        ]
+        self._dump(
+            self.tool_file,
+            {"controls": controls, "operator_secret": OPERATOR_SECRET},
+        )
+        for vm, (dc, rpc, ops) in self.controls.items():
+            self._add_daemon(
+                vm,
+                {
+                    "role": "control",
+                    "vm": vm,
+                    "data_centre": dc,
+                    "listen": {"rpc": str(rpc), "ops": str(ops)},
+                    "controls": controls,
+                    "fleet_secret": FLEET_SECRET,
+                    "operator_secret": OPERATOR_SECRET,
+                    "data_folder": str(self._folder / vm),
+                },
+            )
+        for worker in self._workers:
+            self._add_worker(worker, controls)
+
+    def _add_worker(
+        self, worker: WorkerPlan, controls: list[dict[str, str]]
+    ) -> None:
+        ports = self.ports[worker.vm]
+        self._add_daemon(
+            worker.vm,
+            {
+                "role": "node",
+                "vm": worker.vm,
+                "data_centre": worker.data_centre,
+                "listen": {
+                    "callers": str(ports.callers),
+                    "local": str(ports.local),
+                    "peers": str(ports.peers),
+                    "ops": str(ports.ops),
+                },
+                "controls": controls,
+                "fleet_secret": FLEET_SECRET,
+                "default_timeout_ms": self._timeout_ms,
+                "policy": self._policy,
+            },
+        )
+        command = [
+            sys.executable,
+            "-m",
+            "bench.upstream",
+            "--service",
+            worker.service,
+            "--address",
+            str(ports.upstream),
+            "--node",
+            str(ports.local),
+            "--behaviour",
+            json.dumps(worker.behaviour),
+            "--warm-up",
+            str(worker.warm_up),
+        ]
+        for target in worker.nested:
+            command += ["--nested", target]
+        if self._keep_headers:
+            command.append("--keep-headers")
+        self._commands[f"{worker.vm}/upstream"] = command
+
+    def _add_daemon(self, vm: str, document: dict[str, Any]) -> None:
+        path = self._folder / f"{vm}.yaml"
+        self._dump(path, document)
+        self._commands[vm] = [
+            sys.executable,
+            "-m",
+            "sassafrashall.daemon",
+            "--settings",
+            str(path),
+        ]
+
+    def _dump(self, path: pathlib.Path, document: dict[str, Any]) -> None:
+        with path.open("w", encoding="utf-8") as file:
+            yaml.YAML().dump(document, file)
+
+    # --- processes -----------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        """Starts one process."""
+        log = (self._folder / f"{name.replace('/', '-')}.log").open("ab")
+        with log:
+            self._processes[name] = subprocess.Popen(
+                self._commands[name],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=pathlib.Path(__file__).parent.parent,
+                env=dict(os.environ),
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process that this fleet started."""
+        process = self._processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Ends one process at once."""
+        self.signal(name, signal.SIGKILL)
+        self._processes[name].wait()
+
+    def pid(self, name: str) -> int:
+        """Returns the process id."""
+        return self._processes[name].pid
+
+    def alive(self, name: str) -> bool:
+        """Returns whether a process runs."""
+        return self._processes[name].poll() is None
+
+    def wait(self, name: str, timeout: float) -> int:
+        """Waits for the end of a process and returns its exit status."""
+        return self._processes[name].wait(timeout)
+
+    def log_text(self, name: str) -> str:
+        """Returns what a process has logged."""
+        path = self._folder / f"{name.replace('/', '-')}.log"
+        return path.read_text(encoding="utf-8", errors="replace")
+
+    def start_all(self) -> None:
+        """Starts every process."""
+        for name in self._commands:
+            self.start(name)
+
+    def close(self) -> None:
+        """Ends every process, gracefully while there is time."""
+        running = [p for p in self._processes.values() if p.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT
+        for process in running:
+            try:
+                process.wait(max(0.0, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    # --- questions -----------------------------------------------------------
+
+    @contextlib.contextmanager
+    def client(self) -> Any:
+        """A client for operators' calls."""
+        client = api.FleetClient(settings=self.tool_settings)
+        try:
+            yield client
+        finally:
+            client.close()
+
+    async def wait_ready(self, client: api.FleetClient) -> None:
+        """Waits until there is a leader and every upstream is ready."""
+        with trio.fail_after(READY_TIMEOUT):
+            while True:
+                try:
+                    status = await client.status()
+                except api.UnreachableError:
+                    await trio.sleep(0.2)
+                    continue
+                ready = sum(
+                    entry.record.upstream is not None
+                    and entry.record.upstream.state is model.UpstreamState.READY
+                    and not entry.lapsed
+                    for entry in status.nodes
+                )
+                if ready == len(self._workers) and status.majority_age < 1.0:
+                    break
+                await trio.sleep(0.2)
+        # The nodes learn of each other with their next heartbeat.
+        await trio.sleep(1.5)
+
+    async def history(self, vm: str) -> list[dict[str, Any]]:
+        """Returns what the stand-in upstream of a VM ran."""
+        response = await http.get(self.ports[vm].upstream, "/_history")
+        return json.loads(response.body)
+
+    async def set_behaviour(self, vm: str, **changes: Any) -> None:
+        """Changes how the stand-in upstream of a VM works."""
+        connection = await http.ClientConnection.open(self.ports[vm].upstream)
+        request = http.RawRequest(
+            method="POST",
+            target="/_behaviour",
+            headers=(("host", "upstream"),),
+            body=json.dumps(changes).encode(),
+            source=model.Source.CALLER,
+            received_at=0.0,
+        )
+        try:
+            await connection.exchange(request)
+        finally:
+            await connection.close()
