--- a/bench/caller.py
+++ b/bench/caller.py
@@ -13,6 +13,7 @@
 from sassafrashall import model
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
+from sassafrashall.transport import http_client
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,7 +44,7 @@
     def __init__(self, *, address: model.Address, key: str) -> None:
         self._address = address
         self._key = key
-        self._idle: list[http.ClientConnection] = []
+        self._idle: list[http_client.ClientConnection] = []
 
     async def send(
         self,
@@ -120,7 +121,7 @@
             else:
                 await candidate.close()
         if connection is None:
-            connection = await http.ClientConnection.open(self._address)
+            connection = await http_client.ClientConnection.open(self._address)
         try:
             response = await connection.exchange(request)
         except BaseException:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -21,6 +21,7 @@
 from sassafrashall import model
 from sassafrashall import settings as settings_module
 from sassafrashall.transport import http
+from sassafrashall.transport import http_client
 
 FLEET_SECRET = "fleet-secret-for-loopback"
 OPERATOR_SECRET = "operator-secret-for-loopback"
@@ -306,12 +307,14 @@
 
     async def history(self, vm: str) -> list[dict[str, Any]]:
         """Returns what the stand-in upstream of a VM ran."""
-        response = await http.get(self.ports[vm].upstream, "/_history")
+        response = await http_client.get(self.ports[vm].upstream, "/_history")
         return json.loads(response.body)
 
     async def set_behaviour(self, vm: str, **changes: Any) -> None:
         """Changes how the stand-in upstream of a VM works."""
-        connection = await http.ClientConnection.open(self.ports[vm].upstream)
+        connection = await http_client.ClientConnection.open(
+            self.ports[vm].upstream
+        )
         request = http.RawRequest(
             method="POST",
             target="/_behaviour",
--- a/bench/upstream.py
+++ b/bench/upstream.py
@@ -22,6 +22,8 @@
 from sassafrashall import settings
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
+from sassafrashall.transport import http_client
+from sassafrashall.transport import http_server
 
 ANNOUNCE_INTERVAL = 1.0  # seconds
 HISTORY_PATH = "/_history"
@@ -88,11 +90,11 @@
         self._shed = 0
         self._slots = trio.Semaphore(behaviour.slots)
         self._random = random.Random(address.port)
-        self._pool: list[http.ClientConnection] = []
+        self._pool: list[http_client.ClientConnection] = []
 
     async def run(self) -> None:
         """Serves until a signal, then drains."""
-        server = http.Server(
+        server = http_server.Server(
             address=self._address,
             handler=self._handle,
             source=model.Source.LOCAL,
@@ -136,7 +138,7 @@
         )
         try:
             with trio.fail_after(1.0):
-                connection = await http.ClientConnection.open(self._node)
+                connection = await http_client.ClientConnection.open(self._node)
                 try:
                     await connection.exchange(request)
                 finally:
@@ -235,7 +237,7 @@
             else:
                 await candidate.close()
         if connection is None:
-            connection = await http.ClientConnection.open(self._node)
+            connection = await http_client.ClientConnection.open(self._node)
         try:
             response = await connection.exchange(request)
         except BaseException:
--- a/src/sassafrashall/api.py
+++ b/src/sassafrashall/api.py
@@ -20,7 +20,7 @@
 from sassafrashall.decisions import fleet_state
 from sassafrashall.filters import identity
 from sassafrashall.transport import codec
-from sassafrashall.transport import http
+from sassafrashall.transport import http_client
 from sassafrashall.transport import rpc
 
 WAIT_POLL = 0.2  # seconds between looks at who has a revision
@@ -227,6 +227,6 @@
 async def _read_events(
     address: model.Address, query: str
 ) -> tuple[events.Event, ...]:
-    response = await http.get(address, f"/v1/events?{query}")
+    response = await http_client.get(address, f"/v1/events?{query}")
     reply = codec.from_json(response.body, protocol.EventsReply)
     return reply.events
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -18,12 +18,13 @@
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.controllers import fleet_directory
+from sassafrashall.controllers import founding
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
-from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import replication
 from sassafrashall.transport import codec
-from sassafrashall.transport import http
+from sassafrashall.transport import http_server
 from sassafrashall.transport import ops_api
 from sassafrashall.transport import rpc
 
@@ -38,18 +39,28 @@
         self._metrics = metrics.Metrics(
             process=settings.vm, data_centre=settings.data_centre
         )
-        assert settings.listen.rpc is not None
+        self._build_controllers()
+        self._build_listeners()
+
+    def _build_controllers(self) -> None:
+        settings = self._settings
         self._replica = replica.Replica(
             vm=settings.vm,
             data_centre=settings.data_centre,
             address=str(settings.listen.rpc),
             folder=settings.data_folder,
-            founders=settings.controls,
             secret=settings.fleet_secret,
             claim_retention=settings.claim_retention_s,
             event_log=self._events,
             counters=self._metrics,
         )
+        self._founding = founding.Founding(
+            vm=settings.vm,
+            founders=settings.controls,
+            secret=settings.fleet_secret,
+            replica=self._replica.mailbox,
+            event_log=self._events,
+        )
         self._directory = fleet_directory.FleetDirectory(
             settings=settings,
             replica=self._replica.mailbox,
@@ -66,9 +77,14 @@
         )
         self._controllers: tuple[task.Controller, ...] = (
             self._replica,
+            self._founding,
             self._directory,
             self._quota,
         )
+
+    def _build_listeners(self) -> None:
+        settings = self._settings
+        assert settings.listen.rpc is not None
         self._rpc = rpc.RpcServer(
             address=settings.listen.rpc,
             handler=self._handle,
@@ -83,7 +99,7 @@
             event_log=self._events,
             refresh=self._refresh_metrics,
         )
-        self._ops = http.Server(
+        self._ops = http_server.Server(
             address=settings.listen.ops,
             handler=ops.handle,
             source=model.Source.CALLER,
@@ -111,13 +127,13 @@
                 result = await self._replica.mailbox.ask(replace)
                 return protocol.CommandResult(result=codec.encode(result))
             case protocol.FoundingQuery():
-                return await self._founding()
+                return await self._founding_reply()
             case protocol.JoinRequest():
                 return await self._replica.mailbox.ask(message)
             case (
-                consensus.AppendEntries()
-                | consensus.InstallSnapshot()
-                | consensus.RequestVote()
+                replication.AppendEntries()
+                | replication.InstallSnapshot()
+                | replication.RequestVote()
             ):
                 inner = messages.FromReplica(message=message)
                 return await self._replica.mailbox.ask(inner)
@@ -144,7 +160,7 @@
         quotas = await self._quota.mailbox.ask(message)
         return dataclasses.replace(reply, quotas=quotas)
 
-    async def _founding(self) -> protocol.FoundingReply:
+    async def _founding_reply(self) -> protocol.FoundingReply:
         status = await self._replica.mailbox.ask(messages.ReadReplica())
         return protocol.FoundingReply(
             member=status.member,
--- a/src/sassafrashall/controllers/connections.py
+++ b/src/sassafrashall/controllers/connections.py
@@ -15,7 +15,7 @@
 from sassafrashall import model
 from sassafrashall import task
 from sassafrashall.transport import exchange
-from sassafrashall.transport import http
+from sassafrashall.transport import http_client
 
 IDLE_LIMIT = 64  # idle connections kept for each address
 IDLE_TIMEOUT = 30.0  # seconds; below the idle timeout of the servers
@@ -45,7 +45,7 @@
     ) -> None:
         self._pool = pool
         self._address = address
-        self._connection: http.ClientConnection | None = None
+        self._connection: http_client.ClientConnection | None = None
         self._give, self._take = trio.open_memory_channel[_Work](1)
 
     @property
@@ -123,7 +123,9 @@
 
     async def _exchange(self, message: messages.Exchange) -> model.Outcome:
         if self._connection is None:
-            self._connection = await http.ClientConnection.open(self._address)
+            self._connection = await http_client.ClientConnection.open(
+                self._address
+            )
         raw = exchange.encode(
             message, self._pool.secret, self._pool.hybrid_clock.now()
         )
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -18,9 +18,9 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
-from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import membership
+from sassafrashall.decisions import replication
 from sassafrashall.transport import rpc
 
 GOSSIP_INTERVAL = 0.5  # seconds
@@ -335,7 +335,7 @@
             if age > CONTROL_TTL:
                 record = dataclasses.replace(record, role="silent")
             controls.append(record)
-        known = status.membership if status else consensus.Membership()
+        known = status.membership if status else replication.Membership()
         return protocol.StatusReply(
             answered_by=self._settings.vm,
             revision=state.revision,
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -1,4 +1,4 @@
-"""A replica of the log: performs the decisions of `consensus` on disk and net."""
+"""A replica of the log: carries out what `consensus` decides."""
 
 from __future__ import annotations
 
@@ -20,6 +20,8 @@
 from sassafrashall import task
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import leadership
+from sassafrashall.decisions import replication
 from sassafrashall.storage import log_store
 from sassafrashall.transport import codec
 from sassafrashall.transport import rpc
@@ -29,32 +31,22 @@
 LEADER_WAIT = 0.1  # seconds between looks for a leader
 COMPACT_AFTER = 2000  # applied entries
 BATCH_LIMIT = 256  # messages handled with one sync
-FOUNDING_INTERVAL = 0.3  # seconds
-FOUNDING_TIMEOUT = 0.5  # seconds
-JOIN_INTERVAL = 1.0  # seconds
 
-_SAVING = (consensus.SaveVote, consensus.Append, consensus.SaveSnapshot)
+_SAVING = (replication.SaveVote, replication.Append, replication.SaveSnapshot)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _FromPeer:
     """The reply of another replica to a message of ours."""
 
-    message: consensus.Message
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Found:
-    """The founding membership is known."""
-
-    membership: consensus.Membership
+    message: replication.Message
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Snapshotted:
     """A snapshot of the applied state has been encoded."""
 
-    snapshot: consensus.Snapshot
+    snapshot: replication.Snapshot
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,7 +67,6 @@
         data_centre: str,
         address: str,
         folder: str,
-        founders: tuple[settings_module.Control, ...],
         secret: str,
         claim_retention: float,
         event_log: events.EventLog,
@@ -85,7 +76,6 @@
         self._vm = vm
         self._data_centre = data_centre
         self._address = address
-        self._founders = founders
         self._secret = secret
         self._claim_retention = claim_retention
         self._events = event_log
@@ -94,7 +84,7 @@
         self._random = random.SystemRandom()
         self._clients: dict[str, rpc.RpcClient] = {}
         self._pending: dict[int, _Pending] = {}
-        self._state = consensus.State(replica_id="")
+        self._state = replication.State(replica_id="")
         self._fleet = fleet_state.FleetState()
         self._founded = False
         self._replay_index = 0
@@ -128,14 +118,13 @@
         self._replay_index = self._state.last_index
         self._load(contents.snapshot)
         self._publish()
-        self._spawn(self._join)
         self._spawn(self._rotate_claims)
 
     async def _rotate_claims(self) -> None:
         """Lets the leader drop old claims, one generation a period."""
         while True:
             await trio.sleep(self._claim_retention)
-            if self._state.role is consensus.Role.LEADER:
+            if self._state.role is replication.Role.LEADER:
                 self.mailbox.tell(
                     messages.Submit(command=fleet_state.RotateClaims())
                 )
@@ -164,7 +153,7 @@
             await self._handle_batch(batch)
 
     async def _handle_batch(self, batch: list[mailbox.Envelope]) -> None:
-        actions: list[consensus.Action] = []
+        actions: list[replication.Action] = []
         replies: dict[str, mailbox.Reply] = {}
         proposals: list[tuple[bytes, mailbox.Reply]] = []
         for envelope in batch:
@@ -177,7 +166,9 @@
                     await self._perform(actions, replies)
                     actions, replies = [], {}
         actions.extend(self._propose(proposals))
-        actions.extend(self._step(consensus.Tick(jitter=self._random.random())))
+        actions.extend(
+            self._step(replication.Tick(jitter=self._random.random()))
+        )
         await self._perform(actions, replies)
 
     def _event_of(
@@ -186,11 +177,11 @@
         reply: mailbox.Reply,
         proposals: list[tuple[bytes, mailbox.Reply]],
         replies: dict[str, mailbox.Reply],
-    ) -> consensus.Event | None:
+    ) -> replication.Event | None:
         jitter = self._random.random()
         match message:
             case messages.Submit(command=command):
-                if self._state.role is consensus.Role.LEADER:
+                if self._state.role is replication.Role.LEADER:
                     proposals.append((codec.encode(command), reply))
                 else:
                     self._spawn(self._forward, message, reply)
@@ -200,9 +191,9 @@
                     reply.fail(exceptions.RpcError("not founded"))
                     return None
                 replies[inner.sender] = reply
-                return consensus.Received(message=inner, jitter=jitter)
+                return replication.Received(message=inner, jitter=jitter)
             case _FromPeer(message=inner):
-                return consensus.Received(message=inner, jitter=jitter)
+                return replication.Received(message=inner, jitter=jitter)
             case messages.Replace():
                 return self._replace(message, reply)
             case protocol.JoinRequest(member=member):
@@ -211,15 +202,15 @@
             case messages.ReadReplica():
                 reply.put(self._status())
                 return None
-            case _Found(membership=membership):
+            case messages.Found(membership=membership):
                 self._adopt(membership)
                 return None
             case _Snapshotted(snapshot=snapshot):
                 self._snapshotting = False
-                return consensus.Compact(snapshot=snapshot)
+                return replication.Compact(snapshot=snapshot)
         return None
 
-    def _step(self, event: consensus.Event) -> tuple[consensus.Action, ...]:
+    def _step(self, event: replication.Event) -> tuple[replication.Action, ...]:
         self._state, actions = consensus.step(
             self._state, event, clock.monotonic()
         )
@@ -227,10 +218,10 @@
 
     def _propose(
         self, proposals: list[tuple[bytes, mailbox.Reply]]
-    ) -> tuple[consensus.Action, ...]:
+    ) -> tuple[replication.Action, ...]:
         if not proposals:
             return ()
-        if self._state.role is not consensus.Role.LEADER:
+        if self._state.role is not replication.Role.LEADER:
             for _, reply in proposals:
                 reply.fail(exceptions.RpcError("the leader has changed"))
             return ()
@@ -238,11 +229,11 @@
         for index, (_, reply) in enumerate(proposals, first):
             self._pending[index] = _Pending(term=self._state.term, reply=reply)
         commands = tuple(command for command, _ in proposals)
-        return self._step(consensus.Propose(commands=commands))
+        return self._step(replication.Propose(commands=commands))
 
     async def _perform(
         self,
-        actions: list[consensus.Action],
+        actions: list[replication.Action],
         replies: dict[str, mailbox.Reply],
     ) -> None:
         saving = tuple(a for a in actions if isinstance(a, _SAVING))
@@ -250,36 +241,36 @@
             await trio.to_thread.run_sync(self._store.perform, saving)
         for action in actions:
             match action:
-                case consensus.Send(message=message):
+                case replication.Send(message=message):
                     reply = replies.pop(message.receiver, None)
                     if reply is not None and _is_reply(message):
                         reply.put(message)
                     else:
                         self._send(message)
-                case consensus.Apply(entries=entries):
+                case replication.Apply(entries=entries):
                     self._apply(entries)
-                case consensus.SaveSnapshot(snapshot=snapshot, reset=True):
+                case replication.SaveSnapshot(snapshot=snapshot, reset=True):
                     self._load(snapshot)
                     self._replayed_revision = self._fleet.revision
                     self._publish()
-                case consensus.RoleChanged(role=role, term=term):
+                case replication.RoleChanged(role=role, term=term):
                     self._on_role(role, term)
         for reply in replies.values():
             reply.fail(exceptions.RpcError("nothing to answer"))
 
     # --- sending -------------------------------------------------------------
 
-    def _send(self, message: consensus.Message) -> None:
+    def _send(self, message: replication.Message) -> None:
         for member in self._state.membership.everyone():
             if member.replica_id == message.receiver:
                 self._spawn(self._exchange, member, message)
 
     async def _exchange(
-        self, member: consensus.Member, message: consensus.Message
+        self, member: replication.Member, message: replication.Message
     ) -> None:
         try:
             reply = await self._client(member.address).call(
-                message, consensus.timeout_of(message)
+                message, leadership.timeout_of(message)
             )
         except exceptions.RpcError:
             self._metrics.count("replica_messages_failed")
@@ -308,7 +299,7 @@
         )
         detail = "there is no leader"
         while (left := deadline - clock.monotonic()) > 0:
-            if self._state.role is consensus.Role.LEADER:
+            if self._state.role is replication.Role.LEADER:
                 self.mailbox.forward(message, reply)
                 return
             leader = self._leader()
@@ -322,7 +313,7 @@
             await trio.sleep(LEADER_WAIT)
         reply.fail(exceptions.RpcError(detail))
 
-    def _leader(self) -> consensus.Member | None:
+    def _leader(self) -> replication.Member | None:
         for member in self._state.membership.everyone():
             if member.replica_id == self._state.leader:
                 return member
@@ -330,7 +321,7 @@
 
     # --- applying ------------------------------------------------------------
 
-    def _apply(self, entries: tuple[consensus.Entry, ...]) -> None:
+    def _apply(self, entries: tuple[replication.Entry, ...]) -> None:
         for entry in entries:
             result: Any = fleet_state.Accepted(revision=self._fleet.revision)
             if entry.command:
@@ -350,21 +341,21 @@
         if behind >= COMPACT_AFTER and not self._snapshotting:
             self._snapshotting = True
             index = self._state.commit
-            header = consensus.Snapshot(
+            header = replication.Snapshot(
                 index=index,
                 term=self._state.term_at(index),
-                membership=consensus.membership_at(self._state, index),
+                membership=replication.membership_at(self._state, index),
             )
             self._spawn(self._snapshot, header, self._fleet)
 
     async def _snapshot(
-        self, header: consensus.Snapshot, fleet: fleet_state.FleetState
+        self, header: replication.Snapshot, fleet: fleet_state.FleetState
     ) -> None:
         body = await trio.to_thread.run_sync(snapshots.encode, fleet)
         snapshot = dataclasses.replace(header, state=body)
         self.mailbox.tell(_Snapshotted(snapshot=snapshot))
 
-    def _load(self, snapshot: consensus.Snapshot) -> None:
+    def _load(self, snapshot: replication.Snapshot) -> None:
         if snapshot.state:
             self._fleet = snapshots.decode(snapshot.state)
             self._replayed_revision = self._fleet.revision
@@ -381,10 +372,10 @@
             )
         )
 
-    def _on_role(self, role: consensus.Role, term: int) -> None:
+    def _on_role(self, role: replication.Role, term: int) -> None:
         self._events.record(f"replica.{role}", detail=f"term {term}")
         logs.get().info("replica role", extra={"role": role, "term": term})
-        if role is not consensus.Role.LEADER:
+        if role is not replication.Role.LEADER:
             for pending in self._pending.values():
                 pending.reply.fail(
                     exceptions.RpcError("lost the lead; send it again")
@@ -395,17 +386,17 @@
 
     def _replace(
         self, message: messages.Replace, reply: mailbox.Reply
-    ) -> consensus.Event | None:
+    ) -> replication.Event | None:
         membership = self._state.membership
         fault = ""
-        if self._state.role is not consensus.Role.LEADER:
+        if self._state.role is not replication.Role.LEADER:
             leader = self._leader()
             fault = f"ask the leader, {leader.vm if leader else 'none now'}"
-        elif not consensus.can_change_membership(self._state):
+        elif not leadership.can_change_membership(self._state):
             fault = "another membership change is in progress"
-        elif not consensus.is_caught_up(self._state, message.new_id):
+        elif not leadership.is_caught_up(self._state, message.new_id):
             fault = f"{message.new_id!r} is not a learner that has caught up"
-        changed = consensus.replacement(
+        changed = replication.replacement(
             membership, message.old_id, message.new_id
         )
         if not fault and changed is None:
@@ -421,18 +412,34 @@
         )
         index = self._state.last_index + 1
         self._pending[index] = _Pending(term=self._state.term, reply=reply)
-        return consensus.ProposeMembership(membership=changed)
+        return replication.ProposeMembership(membership=changed)
 
-    def _add_learner(self, member: consensus.Member) -> consensus.Event | None:
+    def _add_learner(
+        self, member: replication.Member
+    ) -> replication.Event | None:
         membership = self._state.membership
         known = {m.replica_id for m in membership.everyone()}
         if member.replica_id in known:
             return None
-        changed = consensus.with_learner(membership, member)
-        return consensus.ProposeMembership(membership=changed)
+        changed = replication.with_learner(membership, member)
+        return replication.ProposeMembership(membership=changed)
+
+    def _adopt(self, membership: replication.Membership) -> None:
+        if self._founded:
+            return
+        snapshot = replication.Snapshot(membership=membership)
+        self._store.perform(
+            (replication.SaveSnapshot(snapshot=snapshot, reset=True),)
+        )
+        self._founded = True
+        self._state = consensus.start(
+            self._state.replica_id, 0, "", snapshot, (), clock.monotonic()
+        )
+        self._events.record("replica.founded", detail=self._state.replica_id)
+        self._publish()
 
-    def _member(self) -> consensus.Member:
-        return consensus.Member(
+    def _member(self) -> replication.Member:
+        return replication.Member(
             replica_id=self._state.replica_id,
             vm=self._vm,
             data_centre=self._data_centre,
@@ -454,86 +461,6 @@
             ),
         )
 
-    # --- founding and joining ------------------------------------------------
-
-    async def _join(self) -> None:
-        """Founds the fleet, or asks to be a learner, until it is a member."""
-        while not self._founded:
-            membership = await self._founding_membership()
-            if membership is not None:
-                self.mailbox.tell(_Found(membership=membership))
-                return
-            await trio.sleep(FOUNDING_INTERVAL)
-        while True:
-            known = {m.replica_id for m in self._state.membership.everyone()}
-            if self._state.replica_id in known:
-                return
-            await self._ask_to_join()
-            await trio.sleep(JOIN_INTERVAL)
-
-    async def _founding_membership(self) -> consensus.Membership | None:
-        """Returns the membership to begin with, once it is certain.
-
-        Only the founder that comes first by name founds, and only when every
-        founder says that it is empty. The others take its membership over if
-        they are part of it, or become learners.
-        """
-        answers: dict[str, protocol.FoundingReply] = {}
-
-        async def ask(founder: settings_module.Control) -> None:
-            try:
-                answers[founder.vm] = await self._client(
-                    str(founder.address)
-                ).call(protocol.FoundingQuery(), FOUNDING_TIMEOUT)
-            except exceptions.RpcError:
-                pass
-
-        others = [f for f in self._founders if f.vm != self._vm]
-        async with trio.open_nursery() as nursery:
-            for founder in others:
-                nursery.start_soon(ask, founder)
-        for answer in answers.values():
-            if answer.founded:
-                known = {m.replica_id for m in answer.membership.everyone()}
-                if self._state.replica_id in known:
-                    return answer.membership
-                # The leader will send a snapshot once it knows this learner.
-                return consensus.Membership()
-        first = min(founder.vm for founder in self._founders)
-        if self._vm != first or len(answers) < len(others):
-            return None
-        members = [self._member(), *(a.member for a in answers.values())]
-        return consensus.Membership(
-            voters=tuple(sorted(members, key=lambda m: m.vm))
-        )
-
-    def _adopt(self, membership: consensus.Membership) -> None:
-        if self._founded:
-            return
-        snapshot = consensus.Snapshot(membership=membership)
-        self._store.perform(
-            (consensus.SaveSnapshot(snapshot=snapshot, reset=True),)
-        )
-        self._founded = True
-        self._state = consensus.start(
-            self._state.replica_id, 0, "", snapshot, (), clock.monotonic()
-        )
-        self._events.record("replica.founded", detail=self._state.replica_id)
-        self._publish()
-        self._spawn(self._join)
-
-    async def _ask_to_join(self) -> None:
-        for founder in self._founders:
-            if founder.vm == self._vm:
-                continue
-            try:
-                await self._client(str(founder.address)).call(
-                    protocol.JoinRequest(member=self._member()),
-                    FOUNDING_TIMEOUT,
-                )
-            except exceptions.RpcError:
-                pass
-
 
-def _is_reply(message: consensus.Message) -> bool:
-    return isinstance(message, (consensus.AppendReply, consensus.VoteReply))
+def _is_reply(message: replication.Message) -> bool:
+    return isinstance(message, (replication.AppendReply, replication.VoteReply))
--- /dev/null
+++ b/src/sassafrashall/decisions/leadership.py
@@ -0,0 +1,303 @@
+"""The leader of the replicated log: its entries, peers and commit index."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sassafrashall.decisions import replication
+
+HEARTBEAT_INTERVAL = 0.15  # seconds
+ELECTION_TIMEOUT = 0.8  # seconds; doubled at most by the jitter
+IN_FLIGHT_TIMEOUT = 0.4  # seconds until unanswered entries are sent again
+SNAPSHOT_TIMEOUT = 5.0  # seconds until an unanswered snapshot is sent again
+ENTRIES_PER_MESSAGE = 512
+
+
+def rearm(
+    state: replication.State, jitter: float, now: float
+) -> replication.State:
+    """Sets the next election time-out."""
+    return dataclasses.replace(
+        state, deadline=now + ELECTION_TIMEOUT * (1.0 + jitter)
+    )
+
+
+def become_leader(state: replication.State, now: float) -> replication.Step:
+    """Takes the lead and appends an entry of the new term."""
+    state = dataclasses.replace(
+        state,
+        role=replication.Role.LEADER,
+        leader=state.replica_id,
+        votes=frozenset(),
+        peers=(),
+        contact_at=now,
+        deadline=now,
+    )
+    state = _track_members(state)
+    # An entry of its own term lets the leader commit those before it.
+    entry = replication.Entry(index=state.last_index + 1, term=state.term)
+    state, actions = _append(state, (entry,), now)
+    changed = replication.RoleChanged(
+        role=replication.Role.LEADER, term=state.term
+    )
+    return state, (changed, *actions)
+
+
+def become_follower(
+    state: replication.State, term: int, leader: str, jitter: float, now: float
+) -> replication.Step:
+    """Gives up any other role, in this term or a later one."""
+    actions: list[replication.Action] = []
+    if term > state.term:
+        state = dataclasses.replace(state, term=term, voted_for="")
+        actions.append(replication.SaveVote(term=term, voted_for=""))
+    if state.role is replication.Role.LEADER:
+        actions.append(
+            replication.RoleChanged(role=replication.Role.FOLLOWER, term=term)
+        )
+    state = dataclasses.replace(
+        state,
+        role=replication.Role.FOLLOWER,
+        leader=leader,
+        votes=frozenset(),
+        peers=(),
+    )
+    return rearm(state, jitter, now), tuple(actions)
+
+
+def propose(
+    state: replication.State, commands: tuple[bytes, ...], now: float
+) -> replication.Step:
+    """Appends commands, if this replica leads."""
+    if state.role is not replication.Role.LEADER or not commands:
+        return state, ()
+    entries = tuple(
+        replication.Entry(index=index, term=state.term, command=command)
+        for index, command in enumerate(commands, state.last_index + 1)
+    )
+    return _append(state, entries, now)
+
+
+def propose_membership(
+    state: replication.State, membership: replication.Membership, now: float
+) -> replication.Step:
+    """Appends a membership, if none is pending."""
+    if not can_change_membership(state):
+        return state, ()
+    entry = replication.Entry(
+        index=state.last_index + 1, term=state.term, membership=membership
+    )
+    return _append(state, (entry,), now)
+
+
+def _append(
+    state: replication.State, entries: tuple[replication.Entry, ...], now: float
+) -> replication.Step:
+    state = dataclasses.replace(state, entries=(*state.entries, *entries))
+    if any(entry.membership for entry in entries):
+        state = dataclasses.replace(
+            state, membership=replication.latest_membership(state)
+        )
+        state = _track_members(state)
+    state, sent = _replicate(state, now, heartbeat=False)
+    # Sends come after the entries are synced, so the leader's own copy counts.
+    state, applied = _advance_leader_commit(state, now)
+    return state, (replication.Append(entries=entries), *sent, *applied)
+
+
+def _replicate(
+    state: replication.State, now: float, heartbeat: bool
+) -> replication.Step:
+    actions: list[replication.Action] = []
+    for replica_id, peer in state.peers:
+        behind = peer.next_index <= state.last_index
+        if now < peer.busy_until or not (heartbeat or behind):
+            continue
+        message = _entries_for(state, replica_id, peer)
+        actions.append(replication.Send(message=message))
+        peer = dataclasses.replace(peer, busy_until=now + timeout_of(message))
+        state = _with_peer(state, replica_id, peer)
+    return state, tuple(actions)
+
+
+def timeout_of(message: replication.Message) -> float:
+    """Returns the seconds after which a message counts as lost."""
+    if isinstance(message, replication.InstallSnapshot):
+        return SNAPSHOT_TIMEOUT
+    return IN_FLIGHT_TIMEOUT
+
+
+def _entries_for(
+    state: replication.State, replica_id: str, peer: replication.Peer
+) -> replication.AppendEntries | replication.InstallSnapshot:
+    previous = peer.next_index - 1
+    previous_term = state.term_at(previous)
+    if previous_term < 0:
+        return replication.InstallSnapshot(
+            sender=state.replica_id,
+            receiver=replica_id,
+            term=state.term,
+            snapshot=state.snapshot,
+        )
+    return replication.AppendEntries(
+        sender=state.replica_id,
+        receiver=replica_id,
+        term=state.term,
+        previous_index=previous,
+        previous_term=previous_term,
+        entries=state.slice(peer.next_index, ENTRIES_PER_MESSAGE),
+        commit=state.commit,
+    )
+
+
+def _advance_leader_commit(
+    state: replication.State, now: float
+) -> replication.Step:
+    matches = {state.replica_id: state.last_index}
+    matches.update({name: peer.match for name, peer in state.peers})
+    for index in sorted(set(matches.values()), reverse=True):
+        if index <= state.commit:
+            break
+        holders = frozenset(n for n, match in matches.items() if match >= index)
+        if not state.membership.has_quorum(holders):
+            continue
+        if state.term_at(index) != state.term:
+            break
+        state, applied = advance_commit(state, index)
+        state, finished = _finish_joint_change(state, now)
+        return state, (*applied, *finished)
+    return state, ()
+
+
+def advance_commit(state: replication.State, commit: int) -> replication.Step:
+    """Commits up to an index and returns what to apply."""
+    if commit <= state.commit:
+        return state, ()
+    entries = state.slice(state.commit + 1, commit - state.commit)
+    state = dataclasses.replace(state, commit=commit)
+    return state, (replication.Apply(entries=entries),)
+
+
+def _finish_joint_change(
+    state: replication.State, now: float
+) -> replication.Step:
+    """Leaves the joint membership once it is committed."""
+    pending = any(
+        entry.membership
+        for entry in state.slice(state.commit + 1, len(state.entries))
+    )
+    if pending or not state.membership.outgoing:
+        if not pending and not state.membership.votes(state.replica_id):
+            return become_follower(state, state.term, "", 0.5, now)
+        return state, ()
+    final = dataclasses.replace(state.membership, outgoing=())
+    entry = replication.Entry(
+        index=state.last_index + 1, term=state.term, membership=final
+    )
+    return _append(state, (entry,), now)
+
+
+def _with_peer(
+    state: replication.State, replica_id: str, peer: replication.Peer
+) -> replication.State:
+    peers = tuple(
+        (name, peer if name == replica_id else old) for name, old in state.peers
+    )
+    return dataclasses.replace(state, peers=peers)
+
+
+def _track_members(state: replication.State) -> replication.State:
+    known = dict(state.peers)
+    peers = tuple(
+        (
+            member.replica_id,
+            known.get(
+                member.replica_id,
+                replication.Peer(next_index=state.last_index + 1),
+            ),
+        )
+        for member in state.membership.everyone()
+        if member.replica_id != state.replica_id
+    )
+    return dataclasses.replace(state, peers=peers)
+
+
+def on_append_reply(
+    state: replication.State,
+    message: replication.AppendReply,
+    jitter: float,
+    now: float,
+) -> replication.Step:
+    """Moves a peer forward or back, and the commit index with it."""
+    if message.term > state.term:
+        return become_follower(state, message.term, "", jitter, now)
+    peer = state.peer(message.sender)
+    if (
+        state.role is not replication.Role.LEADER
+        or message.term != state.term
+        or peer is None
+    ):
+        return state, ()
+    if message.success:
+        match = max(peer.match, message.match)
+        peer = dataclasses.replace(peer, match=match, next_index=match + 1)
+    else:
+        back = min(peer.next_index - 1, message.match + 1)
+        peer = dataclasses.replace(
+            peer, next_index=max(peer.match + 1, back, 1)
+        )
+    peer = dataclasses.replace(peer, busy_until=-1.0, heard_at=now)
+    state = _with_peer(state, message.sender, peer)
+    state, applied = _advance_leader_commit(state, now)
+    state, sent = _replicate(state, now, heartbeat=False)
+    return state, (*applied, *sent)
+
+
+def _quorum_contact(state: replication.State, now: float) -> float:
+    """Returns the latest time at which a majority had been heard."""
+    heard = {state.replica_id: now}
+    heard.update({name: peer.heard_at for name, peer in state.peers})
+    for moment in sorted(heard.values(), reverse=True):
+        since = frozenset(n for n, at in heard.items() if at >= moment)
+        if state.membership.has_quorum(since):
+            return max(state.contact_at, moment)
+    return state.contact_at
+
+
+def tick_leader(
+    state: replication.State, event: replication.Tick, now: float
+) -> replication.Step:
+    """Steps down without a majority; else sends what is due."""
+    fresh = {state.replica_id} | {
+        replica_id
+        for replica_id, peer in state.peers
+        if now - peer.heard_at < ELECTION_TIMEOUT
+    }
+    if state.membership.has_quorum(frozenset(fresh)):
+        state = dataclasses.replace(
+            state, contact_at=_quorum_contact(state, now)
+        )
+    elif now - state.contact_at >= ELECTION_TIMEOUT:
+        return become_follower(state, state.term, "", event.jitter, now)
+    if now < state.deadline:
+        return state, ()
+    state = dataclasses.replace(state, deadline=now + HEARTBEAT_INTERVAL)
+    return _replicate(state, now, heartbeat=True)
+
+
+def is_caught_up(state: replication.State, replica_id: str) -> bool:
+    """Returns whether a replica has synced all that is committed."""
+    peer = state.peer(replica_id)
+    return peer is not None and peer.match >= state.commit
+
+
+def can_change_membership(state: replication.State) -> bool:
+    """Returns whether a leader may append another membership."""
+    if state.role is not replication.Role.LEADER or state.membership.outgoing:
+        return False
+    if state.term_at(state.commit) != state.term:
+        return False
+    return all(
+        entry.membership is None
+        for entry in state.slice(state.commit + 1, len(state.entries))
+    )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from sassafrashall import model
-from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import replication
 
 # --- control link ------------------------------------------------------------
 
@@ -296,6 +296,13 @@
     new_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Found:
+    """Tells a replica with an empty folder which membership to begin with."""
+
+    membership: replication.Membership
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReadReplica:
     """Asks for the replica's own view; answered with ReplicaStatus."""
@@ -311,9 +318,9 @@
       leader: Replica id of the leader it follows, or empty.
     """
 
-    member: consensus.Member
+    member: replication.Member
     founded: bool
-    membership: consensus.Membership
+    membership: replication.Membership
     role: str
     term: int
     commit: int
@@ -333,7 +340,7 @@
 
     state: fleet_state.FleetState = fleet_state.FleetState()
     owners: tuple[str, ...] = ()
-    members: tuple[consensus.Member, ...] = ()
+    members: tuple[replication.Member, ...] = ()
     replayed_revision: int = 0
 
 
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -34,7 +34,7 @@
 from sassafrashall.filters import route
 from sassafrashall.filters import upstream
 from sassafrashall.transport import front_end
-from sassafrashall.transport import http
+from sassafrashall.transport import http_server
 from sassafrashall.transport import local_api
 from sassafrashall.transport import ops_api
 
@@ -172,7 +172,7 @@
             ),
         )
 
-    def _build_servers(self) -> tuple[http.Server, ...]:
+    def _build_servers(self) -> tuple[http_server.Server, ...]:
         listen = self._settings.listen
         assert listen.callers and listen.local and listen.peers
         callers = front_end.FrontEnd(
@@ -194,7 +194,7 @@
             refresh=self._refresh_metrics,
         )
         return tuple(
-            http.Server(address=address, handler=handler, source=source)
+            http_server.Server(address=address, handler=handler, source=source)
             for address, handler, source in (
                 (listen.callers, callers.handle, model.Source.CALLER),
                 (listen.peers, peers.handle, model.Source.PEER),
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -7,9 +7,9 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import model
-from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import quota
+from sassafrashall.decisions import replication
 from sassafrashall.transport import codec
 
 
@@ -213,16 +213,16 @@
       membership: The membership it knows; empty if it was never founded.
     """
 
-    member: consensus.Member
+    member: replication.Member
     founded: bool
-    membership: consensus.Membership
+    membership: replication.Membership
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class JoinRequest:
     """A replica with a new data folder asks to be a learner."""
 
-    member: consensus.Member
+    member: replication.Member
 
 
 # --- operators ---------------------------------------------------------------
@@ -251,7 +251,7 @@
     majority_age: float
     leader: str
     controls: tuple[ControlRecord, ...]
-    membership: consensus.Membership
+    membership: replication.Membership
     nodes: tuple[DirectoryEntry, ...]
     organisations: tuple[model.Organisation, ...]
     quotas: tuple[OrganisationQuota, ...]
@@ -296,11 +296,11 @@
     ReplaceReplica,
     EventsReply,
     exceptions.Finding,
-    consensus.AppendEntries,
-    consensus.AppendReply,
-    consensus.InstallSnapshot,
-    consensus.RequestVote,
-    consensus.VoteReply,
+    replication.AppendEntries,
+    replication.AppendReply,
+    replication.InstallSnapshot,
+    replication.RequestVote,
+    replication.VoteReply,
     fleet_state.CreateOrganisation,
     fleet_state.SetParameters,
     fleet_state.IssueKey,
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -197,7 +197,7 @@
             "claims too. Bring the other controls or the link back."
         )
     known = {c.replica_id: c for c in status.controls}
-    learners = [m for m in status.membership.learners]
+    learners = list(status.membership.learners)
     for member in status.membership.voters:
         control = known.get(member.replica_id)
         if control is not None and control.role != "silent":
--- a/src/sassafrashall/storage/log_store.py
+++ b/src/sassafrashall/storage/log_store.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from sassafrashall import exceptions
-from sassafrashall.decisions import consensus
+from sassafrashall.decisions import replication
 
 FILE_NAME = "replica.sqlite"
 FORMAT = 1
@@ -42,8 +42,8 @@
     founded: bool
     term: int
     voted_for: str
-    snapshot: consensus.Snapshot
-    entries: tuple[consensus.Entry, ...]
+    snapshot: replication.Snapshot
+    entries: tuple[replication.Entry, ...]
 
 
 class LogStore:
@@ -99,16 +99,17 @@
         )
         body = self._fact("snapshot")
         snapshot = (
-            msgspec.msgpack.decode(body, type=consensus.Snapshot)
+            msgspec.msgpack.decode(body, type=replication.Snapshot)
             if body
-            else consensus.Snapshot()
+            else replication.Snapshot()
         )
         rows = self._connection.execute(
             "SELECT body FROM entries WHERE idx > ? ORDER BY idx",
             (snapshot.index,),
         )
         entries = tuple(
-            msgspec.msgpack.decode(row[0], type=consensus.Entry) for row in rows
+            msgspec.msgpack.decode(row[0], type=replication.Entry)
+            for row in rows
         )
         for place, entry in enumerate(entries, snapshot.index + 1):
             if entry.index != place:
@@ -124,7 +125,7 @@
             entries=entries,
         )
 
-    def perform(self, actions: tuple[consensus.Action, ...]) -> None:
+    def perform(self, actions: tuple[replication.Action, ...]) -> None:
         """Syncs what the actions ask to save, in one transaction."""
         assert self._connection is not None
         try:
@@ -135,12 +136,12 @@
         except sqlite3.Error as error:
             raise StorageError(f"{self._folder}: {error}") from error
 
-    def _save(self, action: consensus.Action) -> None:
+    def _save(self, action: replication.Action) -> None:
         assert self._connection is not None
         match action:
-            case consensus.SaveVote(term=term, voted_for=voted_for):
+            case replication.SaveVote(term=term, voted_for=voted_for):
                 self._put("vote", msgspec.msgpack.encode((term, voted_for)))
-            case consensus.Append(entries=entries):
+            case replication.Append(entries=entries):
                 self._connection.execute(
                     "DELETE FROM entries WHERE idx >= ?", (entries[0].index,)
                 )
@@ -148,7 +149,7 @@
                     "INSERT INTO entries VALUES (?, ?)",
                     [(e.index, msgspec.msgpack.encode(e)) for e in entries],
                 )
-            case consensus.SaveSnapshot(snapshot=snapshot, reset=reset):
+            case replication.SaveSnapshot(snapshot=snapshot, reset=reset):
                 self._put("snapshot", msgspec.msgpack.encode(snapshot))
                 self._connection.execute(
                     "DELETE FROM entries WHERE idx <= ? OR ?",
--- /dev/null
+++ b/src/sassafrashall/transport/http_client.py
@@ -0,0 +1,219 @@
+"""The client side of HTTP/1.1 over trio sockets, by h11."""
+
+from __future__ import annotations
+
+import math
+import select
+
+import h11
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.transport import http
+
+ANSWER_LIMIT = 8 * 1024 * 1024  # bytes
+CONNECT_TIMEOUT = 1.0  # seconds
+CONTINUE_TIMEOUT = 0.5  # seconds until a silent peer is given up
+PROGRESS_TIMEOUT = 1.0  # seconds without one until a peer counts as silent
+
+
+class ClientConnection:
+    """One connection to a peer, for one exchange at a time."""
+
+    def __init__(self, *, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._committed = False
+        self._patience = math.inf
+        self._used_at = clock.monotonic()
+
+    @classmethod
+    async def open(cls, address: model.Address) -> ClientConnection:
+        """Connects; raises `ConnectionFailedError` if that fails."""
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise exceptions.ConnectionFailedError(
+                f"cannot connect to {address}: {error}",
+                committed=False,
+                silent=isinstance(error, trio.TooSlowError),
+            ) from error
+        return cls(stream=stream)
+
+    @property
+    def committed(self) -> bool:
+        """Whether the peer may have received the whole request."""
+        return self._committed
+
+    @property
+    def idle_time(self) -> float:
+        """Seconds since the last exchange ended."""
+        return clock.monotonic() - self._used_at
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another exchange may start on this connection."""
+        if self._protocol.our_state is not h11.IDLE:
+            return False
+        # An idle connection that is readable was closed by the peer.
+        descriptor = self._stream.socket.fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return not poll.poll(0)
+
+    async def exchange(
+        self,
+        request: http.RawRequest,
+        *,
+        confirm: bool = False,
+        expect_progress: bool = False,
+    ) -> model.Response:
+        """Sends a request and returns the whole response.
+
+        Args:
+          request: What to send.
+          confirm: Whether to hold the body back until the peer has shown that
+            it is there (`Expect: 100-continue`).
+          expect_progress: Whether the peer shows signs of life while it works
+            on a slow request, so that its silence is a failure.
+
+        Raises:
+          ConnectionFailedError: `committed` tells whether the peer may have
+            received the whole request.
+        """
+        self._committed = False
+        self._patience = PROGRESS_TIMEOUT if expect_progress else math.inf
+        try:
+            if confirm:
+                early = await self._send_confirmed(request)
+                if early is not None:
+                    return early
+            else:
+                await self._send_whole(request)
+            return await self._receive_response()
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+            raise exceptions.ConnectionFailedError(
+                str(error) or type(error).__name__, committed=self._committed
+            ) from error
+
+    async def _send_whole(self, request: http.RawRequest) -> None:
+        headers = list(http.end_to_end(request.headers))
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers.append(("content-length", str(len(request.body))))
+        data = self._protocol.send(self._head(request, headers)) or b""
+        if request.body:
+            data += self._protocol.send(h11.Data(data=request.body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self._committed = True
+        await self._stream.send_all(data)
+
+    async def _send_confirmed(
+        self, request: http.RawRequest
+    ) -> model.Response | None:
+        headers = list(http.end_to_end(request.headers))
+        headers.append(("transfer-encoding", "chunked"))
+        headers.append(("expect", "100-continue"))
+        data = self._protocol.send(self._head(request, headers)) or b""
+        await self._stream.send_all(data)
+        with trio.move_on_after(CONTINUE_TIMEOUT) as scope:
+            event = await self._next_event()
+        if scope.cancelled_caught:
+            raise exceptions.ConnectionFailedError(
+                "peer is silent", committed=False, silent=True
+            )
+        if isinstance(event, h11.Response):
+            # A final response in place of 100: the body is not sent, and the
+            # connection is not used again.
+            return await self._receive_body(event)
+        data = b""
+        if request.body:
+            data = self._protocol.send(h11.Data(data=request.body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self._committed = True
+        await self._stream.send_all(data)
+        return None
+
+    def _head(
+        self, request: http.RawRequest, headers: list[tuple[str, str]]
+    ) -> h11.Request:
+        return h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            with trio.move_on_after(self._patience) as silence:
+                data = await self._stream.receive_some(http.RECEIVE_SIZE)
+            if silence.cancelled_caught:
+                raise exceptions.ConnectionFailedError(
+                    "peer is silent", committed=self._committed, silent=True
+                )
+            self._protocol.receive_data(data)
+
+    async def _receive_response(self) -> model.Response:
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Response():
+                    return await self._receive_body(event)
+                case h11.InformationalResponse():
+                    continue
+                case _:
+                    raise h11.RemoteProtocolError("no response")
+
+    async def _receive_body(self, head: h11.Response) -> model.Response:
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Data():
+                    body += event.data
+                    if len(body) > ANSWER_LIMIT:
+                        raise exceptions.ProtocolError(
+                            exceptions.ANSWER_TOO_LARGE,
+                            f"answer exceeds {ANSWER_LIMIT} bytes",
+                        )
+                case h11.EndOfMessage():
+                    break
+                case _:
+                    raise h11.RemoteProtocolError("truncated response")
+        self._used_at = clock.monotonic()
+        if self._protocol.our_state is h11.DONE:
+            try:
+                self._protocol.start_next_cycle()
+            except h11.LocalProtocolError:
+                pass
+        return model.Response(
+            status=head.status_code,
+            headers=http.text_headers(head.headers),
+            body=bytes(body),
+        )
+
+    async def close(self) -> None:
+        """Closes the socket, which cancels the exchange at the peer."""
+        await trio.aclose_forcefully(self._stream)
+
+
+async def get(address: model.Address, target: str) -> model.Response:
+    """Fetches a page on a connection of its own."""
+    connection = await ClientConnection.open(address)
+    request = http.RawRequest(
+        method="GET",
+        target=target,
+        headers=(("host", str(address)),),
+        body=b"",
+        source=model.Source.CALLER,
+        received_at=0.0,
+    )
+    try:
+        return await connection.exchange(request)
+    finally:
+        await connection.close()
--- /dev/null
+++ b/src/sassafrashall/transport/http_server.py
@@ -0,0 +1,308 @@
+"""The server side of HTTP/1.1 over trio sockets, by h11."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+import h11
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+
+HEAD_LIMIT = 16 * 1024  # bytes
+BODY_LIMIT = 1024 * 1024  # bytes
+IDLE_TIMEOUT = 75.0  # seconds
+REQUEST_TIMEOUT = 10.0  # seconds to receive a whole request
+LISTEN_BACKLOG = 1024
+
+Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
+
+
+class ServerConnection:
+    """Serves the requests of one accepted connection, one at a time."""
+
+    def __init__(
+        self,
+        *,
+        stream: trio.SocketStream,
+        handler: Handler,
+        source: model.Source,
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._source = source
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEAD_LIMIT
+        )
+        self._send_chunk, self._chunks = trio.open_memory_channel[bytes](4)
+        self._handling = trio.CancelScope()
+        self._busy = False
+        self._stopping = False
+        self._last_response = False
+        self._sending = trio.Lock()
+
+    async def serve(self) -> None:
+        """Runs until the peer leaves or the connection is stopped."""
+        async with self._stream, trio.open_nursery() as nursery:
+            nursery.start_soon(self._read)
+            try:
+                await self._serve_requests()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            nursery.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Ends the connection after the request in progress, if any."""
+        self._stopping = True
+        if not self._busy:
+            self._handling.cancel()
+
+    def expire(self) -> None:
+        """Lets the connection end with its next response."""
+        self._last_response = True
+
+    async def _read(self) -> None:
+        """Reads all along, so that a caller that leaves is noticed at once."""
+        async with self._send_chunk:
+            while True:
+                data = b""
+                try:
+                    with trio.move_on_after(http.PROGRESS_INTERVAL) as slow:
+                        data = await self._stream.receive_some(
+                            http.RECEIVE_SIZE
+                        )
+                    if slow.cancelled_caught:
+                        await self._show_progress()
+                        continue
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+                if not data:
+                    self._handling.cancel()
+                    return
+                await self._send_chunk.send(data)
+
+    async def _show_progress(self) -> None:
+        """Tells a peer that its slow request is still being worked on.
+
+        Without this sign, a peer can't tell a slow request from a connection
+        that something in between has lost track of.
+        """
+        if self._source is not model.Source.PEER or not self._busy:
+            return
+        async with self._sending:
+            if self._protocol.our_state is h11.SEND_RESPONSE:
+                await self._stream.send_all(self._informational(102))
+
+    def _informational(self, status: int) -> bytes:
+        event = h11.InformationalResponse(status_code=status, headers=[])
+        return self._protocol.send(event) or b""
+
+    async def _serve_requests(self) -> None:
+        while not self._stopping:
+            with trio.CancelScope() as self._handling:
+                if not await self._serve_one():
+                    return
+            if self._handling.cancelled_caught:
+                return
+
+    async def _serve_one(self) -> bool:
+        """Serves one request and returns whether the connection goes on."""
+        try:
+            request = await self._receive_request()
+        except h11.RemoteProtocolError as error:
+            too_large = error.error_status_hint == 431
+            code = (
+                exceptions.HEAD_TOO_LARGE
+                if too_large
+                else exceptions.BAD_REQUEST
+            )
+            await self._refuse(code, str(error))
+            return False
+        except exceptions.ProtocolError as error:
+            await self._refuse(error.code, str(error))
+            return False
+        if request is None:
+            return False
+        response = await self._handler(request)
+        await self._send_response(response)
+        self._busy = False
+        if self._protocol.our_state is h11.MUST_CLOSE:
+            return False
+        try:
+            self._protocol.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def _receive_request(self) -> http.RawRequest | None:
+        head: h11.Request | None = None
+        received_at = 0.0
+        body = bytearray()
+        with trio.move_on_after(IDLE_TIMEOUT) as timeout:
+            while True:
+                event = self._protocol.next_event()
+                match event:
+                    case h11.Request():
+                        self._busy = True
+                        head = event
+                        received_at = clock.monotonic()
+                        timeout.deadline = trio.current_time() + REQUEST_TIMEOUT
+                    case h11.Data():
+                        body += event.data
+                        if len(body) > BODY_LIMIT:
+                            raise exceptions.ProtocolError(
+                                exceptions.BODY_TOO_LARGE,
+                                f"body exceeds {BODY_LIMIT} bytes",
+                            )
+                    case h11.EndOfMessage():
+                        assert head is not None
+                        return self._request(head, bytes(body), received_at)
+                    case h11.ConnectionClosed():
+                        return None
+                    case _:
+                        await self._feed()
+        return None
+
+    async def _feed(self) -> None:
+        if self._protocol.they_are_waiting_for_100_continue:
+            async with self._sending:
+                await self._stream.send_all(self._informational(100))
+        try:
+            self._protocol.receive_data(await self._chunks.receive())
+        except trio.EndOfChannel:
+            self._protocol.receive_data(b"")
+
+    def _request(
+        self, head: h11.Request, body: bytes, received_at: float
+    ) -> http.RawRequest:
+        return http.RawRequest(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("ascii"),
+            headers=http.text_headers(head.headers),
+            body=body,
+            source=self._source,
+            received_at=received_at,
+        )
+
+    async def _refuse(self, code: str, detail: str) -> None:
+        """Answers input that could not be read; the connection ends."""
+        refusal = model.Refuse(code=code, detail=detail)
+        response = codec.problem(refusal)
+        closing = (*response.headers, ("connection", "close"))
+        if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._send_response(
+                dataclasses.replace(response, headers=closing)
+            )
+
+    async def _send_response(self, response: model.Response) -> None:
+        headers = list(http.end_to_end(response.headers))
+        headers.append(("content-length", str(len(response.body))))
+        closes = (
+            self._stopping
+            or self._last_response
+            or model.find_header(response.headers, "connection") == "close"
+        )
+        if closes:
+            headers.append(("connection", "close"))
+        async with self._sending:
+            await self._stream.send_all(self._encode(response, headers))
+
+    def _encode(
+        self, response: model.Response, headers: list[tuple[str, str]]
+    ) -> bytes:
+        send = self._protocol.send
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = send(head) or b""
+        if response.body:
+            data += send(h11.Data(data=response.body)) or b""
+        return data + (send(h11.EndOfMessage()) or b"")
+
+
+class Server:
+    """Listens on one address and serves each connection in a task."""
+
+    def __init__(
+        self,
+        *,
+        address: model.Address,
+        handler: Handler,
+        source: model.Source,
+        connection_limit: int = 4096,
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._source = source
+        self._connection_limit = connection_limit
+        self._connections: set[ServerConnection] = set()
+        self._listeners: list[trio.SocketListener] = []
+        self._empty = trio.Event()
+        self._draining = False
+
+    @property
+    def connections(self) -> int:
+        """Connections open now."""
+        return len(self._connections)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Binds the address and serves in `nursery`."""
+        self._listeners = await trio.open_tcp_listeners(
+            self._address.port,
+            host=self._address.host,
+            backlog=LISTEN_BACKLOG,
+        )
+        for listener in self._listeners:
+            nursery.start_soon(self._accept, listener, nursery)
+
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return
+            except OSError:
+                await trio.sleep(0.05)
+                continue
+            if len(self._connections) >= self._connection_limit:
+                await stream.aclose()
+                continue
+            nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = ServerConnection(
+            stream=stream, handler=self._handler, source=self._source
+        )
+        self._connections.add(connection)
+        if self._draining:
+            connection.expire()
+        try:
+            await connection.serve()
+        except (OSError, h11.ProtocolError):
+            pass
+        finally:
+            self._connections.discard(connection)
+            if not self._connections:
+                self._empty.set()
+
+    def drain(self) -> None:
+        """Ends every connection with its next response."""
+        self._draining = True
+        for connection in self._connections:
+            connection.expire()
+
+    async def close(self) -> None:
+        """Stops accepting, then waits for the requests in progress."""
+        for listener in self._listeners:
+            await listener.aclose()
+        for connection in list(self._connections):
+            connection.stop()
+        while self._connections:
+            self._empty = trio.Event()
+            await self._empty.wait()
