--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -111,6 +111,11 @@
         }
         self._write_settings()
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Where settings, logs and data folders are."""
+        return self._folder
+
     @property
     def tool_settings(self) -> settings_module.Tool:
         """Settings for operators' calls."""
--- a/src/sassafrashall/transport/front_end.py
+++ b/src/sassafrashall/transport/front_end.py
@@ -13,6 +13,7 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
@@ -56,6 +57,14 @@
                 detail="the node is stopping",
                 run=model.RunState.UNKNOWN,
             )
+        except Exception:
+            # A fault must not take the requests of other callers with it.
+            logs.get().exception("fault in the filter chain")
+            outcome = model.Refuse(
+                code=exceptions.INTERNAL,
+                detail="a fault inside the system; its log says more",
+                run=model.RunState.UNKNOWN,
+            )
         return self.encode(outcome, raw.source)
 
     def decode(self, raw: http.RawRequest) -> model.Request:
--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -151,6 +151,7 @@
                 match event:
                     case h11.Request():
                         self._busy = True
+                        _check_head(event)
                         head = event
                         received_at = clock.monotonic()
                         timeout.deadline = trio.current_time() + REQUEST_TIMEOUT
@@ -225,6 +226,17 @@
         return data + (send(h11.EndOfMessage()) or b"")
 
 
+def _check_head(head: h11.Request) -> None:
+    """Bounds a head that arrived in one piece, which the library takes."""
+    size = len(head.target) + sum(
+        len(name) + len(value) for name, value in head.headers
+    )
+    if size > HEAD_LIMIT:
+        raise exceptions.ProtocolError(
+            exceptions.HEAD_TOO_LARGE, f"head exceeds {HEAD_LIMIT} bytes"
+        )
+
+
 class Server:
     """Listens on one address and serves each connection in a task."""
 
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -11,6 +11,8 @@
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import codec
 
+codec.register(fleet_state.Accepted, fleet_state.Conflict, fleet_state.Rejected)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Body:
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,103 @@
+"""Small helpers for tests over real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+
+from bench import fleet
+import trio
+
+from sassafrashall import clock
+from sassafrashall import model
+from sassafrashall.transport import front_end
+from sassafrashall.transport import http_client
+from sassafrashall.transport import http_server
+
+SECRET = b"a-secret-for-the-tests"
+
+
+def free_address() -> model.Address:
+    return fleet.free_addresses(1)[0]
+
+
+@contextlib.asynccontextmanager
+async def serve(handler, source=model.Source.CALLER):
+    """Serves raw requests; yields the address and the server."""
+    address = free_address()
+    server = http_server.Server(address=address, handler=handler, source=source)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        yield address, server
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def serve_typed(handler, source=model.Source.CALLER):
+    """Serves typed requests behind a front end."""
+    front = front_end.FrontEnd(
+        handler=handler, secret=SECRET, hybrid_clock=clock.HybridClock()
+    )
+    async with serve(front.handle, source) as (address, _):
+        yield address
+
+
+async def talk(address: model.Address, data: bytes) -> bytes:
+    """Sends bytes and returns all that comes until the end or a pause."""
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    received = b""
+    async with stream:
+        await stream.send_all(data)
+        with trio.move_on_after(0.5):
+            while chunk := await stream.receive_some(65536):
+                received += chunk
+    return received
+
+
+async def connect(address: model.Address) -> http_client.ClientConnection:
+    return await http_client.ClientConnection.open(address)
+
+
+class SilentRelay:
+    """A TCP relay that can stop forwarding without closing anything."""
+
+    def __init__(self, target: model.Address):
+        self.target = target
+        self.address = free_address()
+        self.connections = 0
+        self._open = trio.Event()
+        self._open.set()
+        self._silenced: set[int] = set()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        listeners = await trio.open_tcp_listeners(
+            self.address.port, host=self.address.host
+        )
+        for listener in listeners:
+            nursery.start_soon(trio.serve_listeners, self._relay, [listener])
+
+    def silence(self) -> None:
+        """Lets every connection that is open now go silent for good."""
+        self._silenced = set(range(self.connections))
+
+    async def _relay(self, near: trio.SocketStream) -> None:
+        number = self.connections
+        self.connections += 1
+        try:
+            far = await trio.open_tcp_stream(self.target.host, self.target.port)
+        except OSError:
+            return
+        async with near, far, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pump, near, far, number)
+            await self._pump(far, near, number)
+            nursery.cancel_scope.cancel()
+
+    async def _pump(self, source, sink, number: int) -> None:
+        try:
+            while data := await source.receive_some(65536):
+                if number in self._silenced:
+                    await trio.sleep_forever()
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        if number in self._silenced:
+            await trio.sleep_forever()
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,79 @@
+"""A small fleet of real processes for the tests of failures."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import tempfile
+
+import trio
+
+from bench import caller
+from bench import fleet as fleet_module
+from sassafrashall.decisions import fleet_state
+
+DATA_CENTRES = ("a", "b", "c")
+
+
+def workers(**behaviour):
+    """One worker a data centre, all of service `grant`."""
+    return tuple(
+        fleet_module.WorkerPlan(
+            vm=f"node-{name}",
+            data_centre=name,
+            service="grant",
+            behaviour={"service_time": 0.002, **behaviour},
+        )
+        for name in DATA_CENTRES
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(plan=None, **options):
+    """Starts a fleet with one organisation; yields it, a client and a key."""
+    with tempfile.TemporaryDirectory(prefix="sassafrashall-") as folder:
+        fleet = fleet_module.Fleet(
+            folder=pathlib.Path(folder),
+            data_centres=DATA_CENTRES,
+            workers=plan or workers(),
+            **options,
+        )
+        try:
+            fleet.start_all()
+            with fleet.client() as client:
+                await fleet.wait_ready(client)
+                key = await create(client, "org")
+                yield fleet, client, key
+        finally:
+            await trio.to_thread.run_sync(fleet.close)
+
+
+async def create(client, name, *, rate="5000", burst="1000") -> str:
+    """Creates an organisation and returns a key that works everywhere."""
+    created = await client.submit(
+        fleet_state.CreateOrganisation(
+            change_id=f"create-{name}",
+            name=name,
+            template="web-api",
+            assignments=(("rate", rate), ("burst", burst)),
+        )
+    )
+    assert isinstance(created, fleet_state.Accepted), created
+    issued, key = await client.issue_key(name, "k1", f"issue-{name}")
+    rollout = await client.wait_in_force(issued.revision, 10.0)
+    assert not rollout.missing, rollout
+    return key
+
+
+def caller_of(fleet, vm, key) -> caller.Caller:
+    """Returns a caller that talks to one node."""
+    return caller.Caller(address=fleet.ports[vm].callers, key=key)
+
+
+async def runs_by_request(fleet, vms=None) -> dict[str, int]:
+    """Counts the executions of each request over all upstreams."""
+    counts: dict[str, int] = {}
+    for vm in vms or fleet.ports:
+        for run in await fleet.history(vm):
+            counts[run["request_id"]] = counts.get(run["request_id"], 0) + 1
+    return counts
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,282 @@
+"""A scripted network with disks for replicas, in one process and one thread."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from sassafrashall.decisions import consensus
+from sassafrashall.decisions import leadership
+from sassafrashall.decisions import replication
+
+STEP = 0.05  # seconds of scripted time between two ticks
+
+
+@dataclasses.dataclass
+class Disk:
+    """What a replica has synced."""
+
+    term: int = 0
+    voted_for: str = ""
+    snapshot: replication.Snapshot = dataclasses.field(
+        default_factory=replication.Snapshot
+    )
+    entries: tuple[replication.Entry, ...] = ()
+
+
+class Replica:
+    """One replica: its disk, its running state, and what it applied."""
+
+    def __init__(self, name: str, disk: Disk, now: float):
+        self.name = name
+        self.disk = disk
+        self.state: replication.State | None = None
+        self.applied: list[replication.Entry] = []
+        self.start(now)
+
+    def start(self, now: float) -> None:
+        self.state = consensus.start(
+            self.name,
+            self.disk.term,
+            self.disk.voted_for,
+            self.disk.snapshot,
+            self.disk.entries,
+            now,
+        )
+        self.applied = list(decode(self.disk.snapshot.state))
+
+    def crash(self) -> None:
+        self.state = None
+
+
+def encode(entries: list[replication.Entry]) -> bytes:
+    return b"|".join(
+        b"%d:%d:%s" % (e.index, e.term, e.command) for e in entries
+    )
+
+
+def decode(state: bytes) -> list[replication.Entry]:
+    entries = []
+    for part in state.split(b"|") if state else ():
+        index, term, command = part.split(b":", 2)
+        entries.append(
+            replication.Entry(index=int(index), term=int(term), command=command)
+        )
+    return entries
+
+
+def member(name: str) -> replication.Member:
+    return replication.Member(
+        replica_id=name, vm=f"vm-{name}", data_centre="x", address="x"
+    )
+
+
+class Cluster:
+    """Replicas with a network that loses, delays, doubles and reorders."""
+
+    def __init__(self, seed: int, names: str = "abc", *, loss: float = 0.0):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.loss = loss
+        membership = replication.Membership(
+            voters=tuple(member(name) for name in names)
+        )
+        self.founding = replication.Snapshot(membership=membership)
+        self.replicas = {
+            name: Replica(name, Disk(snapshot=self.founding), self.now)
+            for name in names
+        }
+        self.network: list[tuple[float, replication.Message]] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.frozen: set[str] = set()
+        self.crash_before_sync = 0.0
+        # Every entry that some replica has applied, by index.
+        self.committed: dict[int, replication.Entry] = {}
+        self.acknowledged: set[bytes] = set()
+        self.leaders: dict[int, str] = {}
+
+    def add(self, name: str) -> None:
+        """Starts a replica with an empty data folder."""
+        self.replicas[name] = Replica(name, Disk(), self.now)
+
+    def isolate(self, name: str) -> None:
+        for other in self.replicas:
+            self.cut |= {(name, other), (other, name)}
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.step()
+
+    def step(self) -> None:
+        self.now += STEP
+        for name, replica in self.replicas.items():
+            if replica.state is not None and name not in self.frozen:
+                self.event(name, replication.Tick(jitter=self.random.random()))
+        due = [item for item in self.network if item[0] <= self.now]
+        self.network = [item for item in self.network if item[0] > self.now]
+        self.random.shuffle(due)
+        for _, message in due:
+            if message.receiver in self.frozen:
+                self.network.append((self.now + STEP, message))
+                continue
+            target = self.replicas.get(message.receiver)
+            if target is not None and target.state is not None:
+                self.event(
+                    message.receiver,
+                    replication.Received(
+                        message=message, jitter=self.random.random()
+                    ),
+                )
+
+    def event(self, name: str, event: replication.Event) -> None:
+        replica = self.replicas[name]
+        assert replica.state is not None
+        if self.random.random() < self.crash_before_sync:
+            replica.crash()
+            return
+        state, actions = consensus.step(replica.state, event, self.now)
+        replica.state = state
+        for action in actions:
+            # A crash may come between any two actions.
+            if self.random.random() < self.crash_before_sync:
+                replica.crash()
+                return
+            self.perform(replica, action)
+
+    def perform(self, replica: Replica, action: replication.Action) -> None:
+        disk = replica.disk
+        match action:
+            case replication.SaveVote(term=term, voted_for=voted_for):
+                disk.term, disk.voted_for = term, voted_for
+            case replication.Append(entries=entries):
+                first = entries[0].index
+                kept = tuple(e for e in disk.entries if e.index < first)
+                disk.entries = (*kept, *entries)
+            case replication.SaveSnapshot(snapshot=snapshot, reset=reset):
+                disk.snapshot = snapshot
+                disk.entries = tuple(
+                    e
+                    for e in disk.entries
+                    if e.index > snapshot.index and not reset
+                )
+                if reset:
+                    replica.applied = list(decode(snapshot.state))
+            case replication.Send(message=message):
+                self.send(message)
+            case replication.Apply(entries=entries):
+                self.apply(replica, entries)
+            case replication.RoleChanged(role=role, term=term):
+                if role is replication.Role.LEADER:
+                    known = self.leaders.setdefault(term, replica.name)
+                    assert known == replica.name, f"two leaders in term {term}"
+
+    def send(self, message: replication.Message) -> None:
+        if (message.sender, message.receiver) in self.cut:
+            return
+        if self.random.random() < self.loss:
+            return
+        delay = self.random.random() * 0.2 if self.loss else 0.0
+        self.network.append((self.now + delay, message))
+        if self.loss and self.random.random() < 0.1:
+            self.network.append((self.now + 2 * delay, message))
+
+    def apply(
+        self, replica: Replica, entries: tuple[replication.Entry, ...]
+    ) -> None:
+        for entry in entries:
+            last = replica.applied[-1].index if replica.applied else 0
+            assert entry.index == last + 1, "entries applied out of order"
+            replica.applied.append(entry)
+            known = self.committed.setdefault(entry.index, entry)
+            assert (known.term, known.command) == (
+                entry.term,
+                entry.command,
+            ), f"two entries committed at {entry.index}"
+
+    # --- what an operator does -----------------------------------------------
+
+    def leader(self) -> Replica | None:
+        found = [
+            r
+            for name, r in self.replicas.items()
+            if r.state is not None
+            and name not in self.frozen
+            and r.state.role is replication.Role.LEADER
+        ]
+        return max(found, key=lambda r: r.state.term, default=None)
+
+    def propose(self, command: bytes) -> bool:
+        leader = self.leader()
+        if leader is None:
+            return False
+        self.event(leader.name, replication.Propose(commands=(command,)))
+        return True
+
+    def commit(self, command: bytes, seconds: float = 5.0) -> bool:
+        """Proposes until it is applied at a leader, as a caller would."""
+        end = self.now + seconds
+        while self.now < end:
+            if any(e.command == command for e in self.committed.values()):
+                self.acknowledged.add(command)
+                return True
+            if self.random.random() < 0.2:
+                self.propose(command)
+            self.step()
+        return False
+
+    def compact(self, name: str) -> None:
+        replica = self.replicas[name]
+        if replica.state is None or not replica.applied:
+            return
+        index = replica.state.commit
+        snapshot = replication.Snapshot(
+            index=index,
+            term=replica.state.term_at(index),
+            membership=replication.membership_at(replica.state, index),
+            state=encode(replica.applied),
+        )
+        self.event(name, replication.Compact(snapshot=snapshot))
+
+    def replace(self, old: str, new: str, seconds: float = 10.0) -> bool:
+        """Adds a learner and puts it in a voter's place."""
+        end = self.now + seconds
+        while self.now < end:
+            leader = self.leader()
+            if leader is not None and leader.state is not None:
+                membership = leader.state.membership
+                voters = {m.replica_id for m in membership.voters}
+                if new in voters and not membership.outgoing:
+                    committed = leadership.can_change_membership(leader.state)
+                    if committed:
+                        return True
+                self.event_for_replacement(leader, membership, old, new)
+            self.step()
+        return False
+
+    def event_for_replacement(self, leader, membership, old, new) -> None:
+        learners = {m.replica_id for m in membership.learners}
+        voters = {m.replica_id for m in membership.voters}
+        if new not in learners | voters:
+            changed = replication.with_learner(membership, member(new))
+        elif leadership.is_caught_up(leader.state, new):
+            changed = replication.replacement(membership, old, new)
+        else:
+            return
+        if changed is not None:
+            self.event(
+                leader.name, replication.ProposeMembership(membership=changed)
+            )
+
+    def check_nothing_lost(self) -> None:
+        """Every acknowledged command is in the log of a current leader."""
+        commands = [e.command for e in self.committed.values()]
+        for command in self.acknowledged:
+            assert command in commands
+        leader = self.leader()
+        assert leader is not None, "nobody leads"
+        applied = {e.command for e in leader.applied}
+        assert applied >= self.acknowledged, "an accepted change was lost"
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,199 @@
+import pytest
+
+from sassafrashall.decisions import leadership
+from sassafrashall.decisions import replication
+from tests import scripted
+
+
+def test_elects_one_leader_and_commits():
+    cluster = scripted.Cluster(seed=1)
+    cluster.run(3.0)
+    assert cluster.leader() is not None
+    assert cluster.commit(b"one")
+    cluster.run(1.0)
+    for replica in cluster.replicas.values():
+        assert b"one" in [entry.command for entry in replica.applied]
+
+
+def test_leader_without_majority_steps_down_and_accepts_nothing():
+    cluster = scripted.Cluster(seed=2)
+    cluster.run(3.0)
+    old = cluster.leader()
+    cluster.isolate(old.name)
+    cluster.event(old.name, replication.Propose(commands=(b"lost",)))
+    cluster.run(3.0)
+    assert old.state.role is not replication.Role.LEADER
+    assert cluster.commit(b"kept")
+    cluster.heal()
+    cluster.run(3.0)
+    commands = [entry.command for entry in old.applied]
+    assert b"kept" in commands and b"lost" not in commands
+
+
+def test_returning_replica_disturbs_nobody():
+    cluster = scripted.Cluster(seed=3)
+    cluster.run(3.0)
+    leader = cluster.leader()
+    other = next(n for n in cluster.replicas if n != leader.name)
+    cluster.isolate(other)
+    cluster.run(30.0)
+    term = leader.state.term
+    cluster.heal()
+    cluster.run(3.0)
+    assert cluster.leader() is leader
+    assert leader.state.term == term
+
+
+def test_lose_one_replace_it_lose_a_second_at_once():
+    cluster = scripted.Cluster(seed=4)
+    cluster.run(3.0)
+    for number in range(20):
+        assert cluster.commit(b"before-%d" % number)
+    lost = next(n for n in cluster.replicas if n != cluster.leader().name)
+    cluster.replicas[lost].crash()
+    cluster.add("d")
+    assert cluster.replace(lost, "d")
+    second = next(
+        n
+        for n, r in cluster.replicas.items()
+        if r.state and n not in (lost, "d")
+    )
+    cluster.replicas[second].crash()
+    assert cluster.commit(b"after", seconds=10.0)
+    cluster.check_nothing_lost()
+
+
+def test_an_emptied_disk_does_not_vote_as_before():
+    """An emptied one must not make a majority with a stale one."""
+    cluster = scripted.Cluster(seed=5)
+    cluster.run(3.0)
+    stale = next(n for n in cluster.replicas if n != cluster.leader().name)
+    cluster.replicas[stale].crash()
+    assert cluster.commit(b"accepted")
+    holders = [n for n in cluster.replicas if n != stale]
+    for name in holders:
+        cluster.replicas[name].crash()
+    # One of the two that hold the change comes back with an empty folder and
+    # so with a new identity; the stale one comes back with its disk.
+    cluster.add("new")
+    cluster.replicas[stale].start(cluster.now)
+    cluster.run(10.0)
+    assert cluster.leader() is None
+    cluster.replicas[holders[0]].start(cluster.now)
+    cluster.run(5.0)
+    cluster.check_nothing_lost()
+
+
+def test_snapshot_brings_a_replica_that_is_far_behind_up_to_date():
+    cluster = scripted.Cluster(seed=6)
+    cluster.run(3.0)
+    away = next(n for n in cluster.replicas if n != cluster.leader().name)
+    cluster.isolate(away)
+    for number in range(30):
+        assert cluster.commit(b"c-%d" % number)
+    for name in cluster.replicas:
+        if name != away:
+            cluster.compact(name)
+    cluster.heal()
+    cluster.run(5.0)
+    leader = cluster.leader()
+    assert cluster.replicas[away].applied == leader.applied
+
+
+def test_leader_that_is_replaced_hands_over():
+    cluster = scripted.Cluster(seed=7)
+    cluster.run(3.0)
+    old = cluster.leader().name
+    cluster.add("d")
+    assert cluster.replace(old, "d")
+    cluster.run(3.0)
+    assert cluster.commit(b"x")
+    assert cluster.leader().name != old
+
+
+def test_restart_of_all_keeps_what_was_accepted():
+    cluster = scripted.Cluster(seed=8)
+    cluster.run(3.0)
+    for number in range(10):
+        assert cluster.commit(b"c-%d" % number)
+    for replica in cluster.replicas.values():
+        replica.crash()
+    for replica in cluster.replicas.values():
+        replica.start(cluster.now)
+    cluster.run(5.0)
+    cluster.check_nothing_lost()
+
+
+def _disturb(cluster: scripted.Cluster, spare: list[str]) -> None:
+    names = list(cluster.replicas)
+    name = cluster.random.choice(names)
+    replica = cluster.replicas[name]
+    match cluster.random.randrange(8):
+        case 0 | 1:
+            replica.crash()
+        case 2 | 3:
+            for other in cluster.replicas.values():
+                if other.state is None:
+                    other.start(cluster.now)
+        case 4:
+            cluster.isolate(name)
+        case 5:
+            other = cluster.random.choice(names)
+            cluster.cut.add((name, other))
+        case 6:
+            cluster.frozen = {name} if not cluster.frozen else set()
+        case 7:
+            cluster.heal()
+            cluster.compact(name)
+    if spare and cluster.random.random() < 0.03:
+        leader = cluster.leader()
+        if leader is not None:
+            new = spare.pop()
+            cluster.add(new)
+            cluster.replace(cluster.random.choice(names), new, seconds=4.0)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_history_under_random_faults(seed):
+    """No two entries at one index, nothing accepted is lost, it recovers."""
+    cluster = scripted.Cluster(
+        seed, "abcde" if seed % 3 == 0 else "abc", loss=0.05
+    )
+    spare = ["x", "y", "z"]
+    for number in range(40):
+        cluster.crash_before_sync = 0.002 if seed % 2 else 0.0
+        _disturb(cluster, spare)
+        cluster.commit(b"c-%d" % number, seconds=1.0)
+    cluster.crash_before_sync = 0.0
+    cluster.frozen = set()
+    cluster.heal()
+    for replica in cluster.replicas.values():
+        if replica.state is None:
+            replica.start(cluster.now)
+    cluster.loss = 0.0
+    cluster.run(15.0)
+    assert cluster.commit(b"end", seconds=10.0)
+    cluster.check_nothing_lost()
+
+
+def test_quorum_of_a_joint_membership_needs_both_sides():
+    membership = replication.Membership(
+        voters=tuple(scripted.member(n) for n in "abd"),
+        outgoing=tuple(scripted.member(n) for n in "abc"),
+    )
+    assert membership.has_quorum(frozenset("ab"))
+    assert not membership.has_quorum(frozenset("ad"))
+    assert not membership.has_quorum(frozenset("ac"))
+
+
+def test_a_second_membership_change_waits_for_the_first():
+    cluster = scripted.Cluster(seed=9)
+    cluster.run(3.0)
+    leader = cluster.leader()
+    changed = replication.with_learner(
+        leader.state.membership, scripted.member("d")
+    )
+    cluster.event(
+        leader.name, replication.ProposeMembership(membership=changed)
+    )
+    assert not leadership.can_change_membership(leader.state)
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,111 @@
+import pytest
+import trio
+
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.transport import http
+from sassafrashall.transport import http_client
+from tests import loopback
+
+
+def _request(method="GET", body=b""):
+    return http.RawRequest(
+        method=method,
+        target="/x",
+        headers=(("host", "a"),),
+        body=body,
+        source=model.Source.CALLER,
+        received_at=0.0,
+    )
+
+
+async def _raw_server(nursery, reply, *, read=True):
+    """A peer that answers every connection with fixed bytes."""
+    address = loopback.free_address()
+    seen = []
+
+    async def handle(stream):
+        if read:
+            seen.append(await stream.receive_some(65536))
+        await stream.send_all(reply)
+        if reply.endswith(b"..."):
+            return
+        seen.append(await stream.receive_some(65536))
+        await trio.sleep(30)
+
+    listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+    nursery.start_soon(trio.serve_listeners, handle, listeners)
+    return address, seen
+
+
+async def test_a_truncated_answer_is_no_answer(nursery):
+    reply = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart..."
+    address, _ = await _raw_server(nursery, reply)
+    connection = await loopback.connect(address)
+    with pytest.raises(exceptions.ConnectionFailedError) as caught:
+        await connection.exchange(_request())
+    assert caught.value.committed
+
+
+async def test_nothing_is_sent_to_a_silent_peer_that_must_confirm(nursery):
+    address, seen = await _raw_server(nursery, b"")
+    connection = await loopback.connect(address)
+    with pytest.raises(exceptions.ConnectionFailedError) as caught:
+        await connection.exchange(_request("POST", b"body"), confirm=True)
+    assert caught.value.silent and not caught.value.committed
+    await connection.close()
+    await trio.sleep(0.05)
+    assert b"body" not in b"".join(seen) and b"0\r\n\r\n" not in seen[0]
+
+
+async def test_a_peer_that_confirms_gets_the_body():
+    async def echo(raw):
+        return model.Response(status=200, headers=(), body=raw.body)
+
+    async with loopback.serve(echo, model.Source.PEER) as (address, _):
+        connection = await loopback.connect(address)
+        response = await connection.exchange(
+            _request("POST", b"body"), confirm=True, expect_progress=True
+        )
+        assert response.body == b"body"
+        assert connection.reusable
+
+
+async def test_a_slow_peer_shows_progress_and_is_waited_for():
+    async def slow(raw):
+        await trio.sleep(http_client.PROGRESS_TIMEOUT * 1.6)
+        return model.Response(status=200, headers=(), body=b"late")
+
+    async with loopback.serve(slow, model.Source.PEER) as (address, _):
+        connection = await loopback.connect(address)
+        response = await connection.exchange(_request(), expect_progress=True)
+    assert response.body == b"late"
+
+
+async def test_a_silent_connection_is_found(nursery):
+    async def slow(raw):
+        await trio.sleep(30)
+
+    async with loopback.serve(slow, model.Source.PEER) as (address, _):
+        relay = loopback.SilentRelay(address)
+        await relay.start(nursery)
+        connection = await loopback.connect(relay.address)
+        await trio.sleep(0.05)
+        relay.silence()
+        with trio.fail_after(2 * http_client.PROGRESS_TIMEOUT):
+            with pytest.raises(exceptions.ConnectionFailedError) as caught:
+                await connection.exchange(_request(), expect_progress=True)
+    assert caught.value.silent and caught.value.committed
+
+
+async def test_a_connection_closed_by_the_peer_is_not_reused():
+    async def echo(raw):
+        return model.Response(status=200, headers=(), body=b"")
+
+    async with loopback.serve(echo) as (address, server):
+        connection = await loopback.connect(address)
+        await connection.exchange(_request())
+        assert connection.reusable
+        await server.close()
+        await trio.sleep(0.05)
+        assert not connection.reusable
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,95 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from sassafrashall import model
+from sassafrashall.decisions import queues
+
+FAIR = queues.PriorityFair(length=8)
+
+
+def _item(name, organisation="a", priority=model.Priority.NORMAL, deadline=9.0):
+    return queues.Item(
+        item_id=name,
+        organisation=organisation,
+        priority=priority,
+        arrived_at=0.0,
+        deadline=deadline,
+    )
+
+
+def _fill(law, items):
+    queue, shed = queues.Queue(), []
+    for item in items:
+        queue, victims = queues.push(law, queue, item)
+        shed.extend(victims)
+    return queue, shed
+
+
+def _drain(law, queue):
+    order = []
+    while True:
+        queue, item = queues.pop(law, queue)
+        if item is None:
+            return order
+        order.append(item)
+
+
+def test_important_work_goes_first_and_is_shed_last():
+    items = [_item(f"n{i}") for i in range(8)]
+    items += [
+        _item(f"c{i}", priority=model.Priority.CRITICAL) for i in range(3)
+    ]
+    queue, shed = _fill(FAIR, items)
+    assert [item.item_id for item in shed] == ["n7", "n6", "n5"]
+    assert [i.item_id for i in _drain(FAIR, queue)][:3] == ["c0", "c1", "c2"]
+
+
+def test_the_one_that_waits_most_is_shed():
+    items = [_item(f"a{i}", "a") for i in range(7)]
+    items += [_item("b0", "b"), _item("c0", "c")]
+    _, shed = _fill(FAIR, items)
+    assert [item.item_id for item in shed] == ["a6"]
+
+
+def test_organisations_take_turns():
+    items = [_item(f"a{i}", "a") for i in range(4)]
+    items += [_item(f"b{i}", "b") for i in range(2)]
+    queue, _ = _fill(FAIR, items)
+    order = [item.item_id for item in _drain(FAIR, queue)]
+    assert order == ["a0", "b0", "a1", "b1", "a2", "a3"]
+
+
+def test_baseline_serves_in_order_and_sheds_the_newest():
+    law = queues.FirstInFirstOut(length=2)
+    queue, shed = _fill(law, [_item(f"a{i}") for i in range(3)])
+    assert [item.item_id for item in shed] == ["a2"]
+    assert [i.item_id for i in _drain(law, queue)] == ["a0", "a1"]
+
+
+def test_hopeless_work_is_taken_out():
+    queue, _ = _fill(FAIR, [_item("a", deadline=1.0), _item("b", deadline=5.0)])
+    queue, hopeless = queues.expired(queue, 0.9, 0.2)
+    assert [item.item_id for item in hopeless] == ["a"]
+    assert [item.item_id for item in queue.items] == ["b"]
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), st.sampled_from(model.Priority)),
+        max_size=40,
+    )
+)
+def test_nothing_is_lost_or_served_twice(arrivals):
+    items = [
+        _item(f"i{n}", organisation, priority)
+        for n, (organisation, priority) in enumerate(arrivals)
+    ]
+    queue, shed = _fill(FAIR, items)
+    served = _drain(FAIR, queue)
+    assert sorted(i.item_id for i in [*served, *shed]) == sorted(
+        i.item_id for i in items
+    )
+    assert len(queue.items) <= FAIR.length
+    priorities = [i.priority for i in served]
+    assert priorities == sorted(priorities)
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,154 @@
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sassafrashall.decisions import quota
+from tests import quota_model
+
+
+@hypothesis.given(
+    burst=st.integers(1, 50),
+    rate=st.floats(0.1, 1000),
+    owners=st.integers(1, 11),
+)
+def test_shares_add_up_to_the_whole(burst, rate, owners):
+    names = tuple(f"o{i}" for i in range(owners))
+    parts = [quota.share("x", rate, burst, name, names) for name in names]
+    assert sum(tokens for _, tokens in parts) == burst
+    assert sum(part for part, _ in parts) == pytest.approx(rate)
+
+
+def test_a_replacement_leaves_the_other_shares_alone():
+    before = [quota.share("x", 10, 7, n, ("a", "b", "c")) for n in "ab"]
+    after = [quota.share("x", 10, 7, n, ("a", "b", "d")) for n in "ab"]
+    assert before == after
+
+
+def test_a_restarted_owner_lends_nothing_until_old_leases_have_lapsed():
+    bucket = quota.open_bucket(100.0, 10, 0.0, is_new=False)
+    _, early = quota.lend(bucket, "l", 5, quota.OWNER_LEASE_TTL)
+    _, later = quota.lend(bucket, "l", 5, quota.OWNER_LEASE_TTL + 1.0)
+    assert (early, later) == (0, 5)
+
+
+def test_a_raised_burst_starts_empty():
+    bucket = quota.open_bucket(0.0, 10, 0.0, is_new=True)
+    bucket = quota.resize(bucket, 0.0, 100, 1.0)
+    assert bucket.level == 10
+
+
+def test_a_lost_answer_loses_tokens_until_the_lease_lapses():
+    bucket = quota.open_bucket(0.0, 10, 0.0, is_new=True)
+    bucket, _ = quota.lend(bucket, "lost", 10, 0.0)
+    assert quota.lend(bucket, "x", 1, 1.0)[1] == 0
+    bucket = quota.refill(bucket, quota.OWNER_LEASE_TTL + 0.1)
+    assert bucket.outstanding == 0 and bucket.level == 0
+
+
+def test_a_lease_lapses_at_the_node_before_it_does_at_the_owner():
+    model = quota_model.Model(1, rate=400, burst=30, nodes=2)
+    model.borrow(0, extra=20)
+    model.now += quota.LEASE_TTL - 0.1
+    for node in (0, 1):
+        for _ in range(60):
+            model.request(node)
+    quota_model.check_bound(model.admitted, 400, 30)
+
+
+def test_a_second_copy_of_a_report_changes_nothing():
+    bucket = quota.open_bucket(0.0, 10, 0.0, is_new=True)
+    bucket, _ = quota.lend(bucket, "l", 10, 0.0)
+    report = quota.Report(
+        owner="o",
+        organisation="x",
+        lease_id="l",
+        sequence=1,
+        used=0,
+        returned=3,
+    )
+    once = quota.settle(bucket, report, 0.1)
+    assert quota.settle(once, report, 0.2).outstanding == once.outstanding == 7
+
+
+def test_idle_tokens_go_back():
+    model = quota_model.Model(1, rate=10, burst=10, nodes=2)
+    model.wallets[0] = quota.deposit(
+        model.wallets[0],
+        (quota.HeldLease(owner="o0", lease_id="l", tokens=3, expires_at=9.0),),
+    )
+    model.now = 1.0
+    wallet, reports = quota.report(model.wallets[0], "org", 1.0)
+    assert reports[0].returned == 3 and not wallet.leases
+
+
+class QuotaMachine(stateful.RuleBasedStateMachine):
+    """The bound against one perfect bucket, whatever is lost or restarted."""
+
+    @stateful.initialize(
+        seed=st.integers(0, 2**16),
+        burst=st.integers(1, 40),
+        rate=st.sampled_from([1.0, 7.0, 50.0, 400.0]),
+        loss=st.sampled_from([0.0, 0.1, 0.5]),
+    )
+    def begin(self, seed, burst, rate, loss):
+        self.model = quota_model.Model(seed, rate=rate, burst=burst, loss=loss)
+
+    @stateful.rule(node=st.integers(0, 5), count=st.integers(1, 60))
+    def burst_of_requests(self, node, count):
+        for _ in range(count):
+            self.model.request(node)
+
+    @stateful.rule(seconds=st.sampled_from([0.001, 0.02, 0.3, 1.1, 2.1, 3.5]))
+    def wait(self, seconds):
+        self.model.now += seconds
+        self.model.look()
+
+    @stateful.rule(node=st.integers(0, 5), count=st.integers(1, 40))
+    def hoard(self, node, count):
+        """A node that borrows much and then stands still for a while."""
+        self.model.borrow(node, extra=count)
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 1.2, 1.9, 2.4, 3.2]))
+    def freeze(self, seconds):
+        self.model.now += seconds
+
+    @stateful.rule(owner=st.integers(0, 2))
+    def restart_owner(self, owner):
+        self.model.restart(self.model.names[owner])
+
+    @stateful.rule(node=st.integers(0, 5))
+    def cut_or_heal(self, node):
+        self.model.cut ^= {node}
+
+    @stateful.invariant()
+    def within_burst_and_rate(self):
+        if hasattr(self, "model"):
+            quota_model.check_bound(
+                self.model.admitted, self.model.rate, self.model.burst
+            )
+            assert self.model.escrowed() <= self.model.burst + 1e-6
+
+
+QuotaMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    phases=(hypothesis.Phase.generate,),
+)
+TestQuotaMachine = QuotaMachine.TestCase
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_rate_changes_under_load_mint_no_second_burst(seed):
+    model = quota_model.Model(seed, rate=100, burst=20, loss=0.05)
+    for turn in range(2000):
+        model.now += 0.002
+        model.request(model.random.randrange(6))
+        if turn % 25 == 0:
+            model.look()
+        if turn % 100 == 50:
+            rate, burst = model.random.choice([(100, 20), (10, 5), (50, 12)])
+            model.change_rate(rate, burst)
+    quota_model.check_bound(model.admitted, 100, 20)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,78 @@
+import pytest
+
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.decisions import retries
+
+LAW = retries.BudgetRetries()
+
+
+def _call(idempotent=True, tokens=2, deadline=10.0):
+    request = model.Request(
+        method="GET",
+        target="/a",
+        headers=(),
+        body=b"",
+        source=model.Source.CALLER,
+        received_at=0.0,
+    )
+    return model.Call(
+        request=request,
+        root_id="r",
+        idempotent=idempotent,
+        retries=tokens,
+        deadline=deadline,
+    )
+
+
+def _refuse(code=exceptions.SHED, run=model.RunState.NOT_RUN):
+    return model.Refuse(code=code, detail="", run=run)
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "run", "allowed"),
+    [
+        (True, model.RunState.UNKNOWN, True),
+        (True, model.RunState.NOT_RUN, True),
+        (False, model.RunState.NOT_RUN, True),
+        (False, model.RunState.UNKNOWN, False),
+    ],
+)
+def test_only_what_cannot_run_twice_is_repeated(idempotent, run, allowed):
+    call = _call(idempotent=idempotent)
+    assert retries.may_repeat(call, _refuse(run=run)) is allowed
+
+
+def test_a_retry_needs_a_token_time_and_the_ratio():
+    fresh = retries.RatioState()
+    spent = retries.RatioState(tokens=0.5)
+
+    def asked(call, ratio=fresh, now=0.0):
+        return retries.should_retry(LAW, call, _refuse(), 1, ratio, now)
+
+    assert asked(_call())
+    assert not asked(_call(tokens=0))
+    assert not asked(_call(), ratio=spent)
+    assert not asked(_call(), now=9.999)
+
+
+def test_the_ratio_bounds_retries_to_a_tenth():
+    state, made = retries.RatioState(), 0
+    for _ in range(1000):
+        state = retries.on_first_try(state)
+        if state.tokens >= 1.0:
+            state, made = retries.on_retry(state), made + 1
+    assert made <= 1000 * retries.RATIO + retries.RATIO_BURST
+
+
+def test_the_root_keeps_one_token_back():
+    assert retries.handed_on(2, is_root=True) == 1
+    assert retries.handed_on(0, is_root=True) == 0
+    assert retries.handed_on(2, is_root=False) == 2
+
+
+def test_an_upstreams_own_refusal_is_no_proof_that_it_did_not_run():
+    answer = model.Answer(
+        response=model.Response(status=503, headers=(), body=b"")
+    )
+    assert retries.failure_of(answer).run is model.RunState.UNKNOWN
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,71 @@
+import random
+
+from sassafrashall.decisions import routing
+
+
+def _candidates(*loads, data_centre="x"):
+    return tuple(
+        routing.Candidate(
+            vm=f"{data_centre}{n}",
+            data_centre=data_centre,
+            slots=10,
+            in_flight=load,
+            known_since=-100.0,
+        )
+        for n, load in enumerate(loads)
+    )
+
+
+def test_the_own_data_centre_goes_first():
+    both = _candidates(9) + _candidates(0, data_centre="y")
+    law = routing.TwoChoices()
+    assert routing.choose(law, both, "x", (0.9, 0.9), 0.0).vm == "x0"
+    assert routing.choose(law, both, "z", (0.9, 0.9), 0.0).vm == "y0"
+    assert routing.choose(law, (), "x", (0.5, 0.5), 0.0) is None
+
+
+def test_two_choices_avoid_the_busier():
+    chosen = routing.choose(
+        routing.TwoChoices(), _candidates(5, 1), "x", (0.0, 0.0), 0.0
+    )
+    assert chosen.vm == "x1"
+
+
+def test_a_new_upstream_gets_less():
+    old, new = _candidates(2, 1)
+    new = routing.Candidate(
+        vm="new", data_centre="x", slots=10, in_flight=1, known_since=0.0
+    )
+    law = routing.TwoChoices()
+    assert routing.choose(law, (old, new), "x", (0.0, 0.0), 0.0) is old
+    assert routing.choose(law, (old, new), "x", (0.0, 0.0), 50.0) is new
+
+
+def test_ejection_and_probing_back():
+    health = routing.Health()
+    for _ in range(routing.FAILURES_TO_EJECT):
+        health = routing.on_failure(health, 0.0)
+    assert not routing.usable(health, 0.5)
+    assert routing.usable(health, 1.5)
+    assert not routing.usable(routing.probe(health), 1.5)
+    longer = routing.on_failure(routing.probe(health), 1.5)
+    assert longer.ejected_until == 3.5
+    assert routing.on_success(longer) == routing.Health()
+
+
+def test_two_choices_spread_better_than_one():
+    def spread(law):
+        draws = random.Random(1)
+        loads = [0] * 10
+        for _ in range(1000):
+            chosen = routing.choose(
+                law,
+                _candidates(*loads),
+                "x",
+                (draws.random(), draws.random()),
+                0.0,
+            )
+            loads[int(chosen.vm[1:])] += 1
+        return max(loads) - min(loads)
+
+    assert spread(routing.TwoChoices()) < spread(routing.RandomChoice())
