--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -87,7 +87,7 @@
     async def _look_regularly(self) -> None:
         while True:
             settled = self._level.level >= shedding.OPEN_LEVEL
-            if not self._queue.items and settled and not self._level.shed:
+            if not self._queue.items and settled and not any(self._level.shed):
                 self._active = trio.Event()
                 await self._active.wait()
             await trio.sleep(LOOK_INTERVAL)
@@ -163,7 +163,8 @@
         reply.on_abandon(
             lambda: self.mailbox.tell(_Abandoned(call_id=item.item_id))
         )
-        self._queue, shed = queues.push(self._queue_law, self._queue, item)
+        law = queues.fitted(self._queue_law, limit, self._limit.latency)
+        self._queue, shed = queues.push(law, self._queue, item)
         for victim in shed:
             self._shed(victim, exceptions.SHED, "the queue is full")
 
@@ -172,7 +173,9 @@
     ) -> None:
         assert self._upstream is not None
         self._in_flight += 1
-        self._level = shedding.on_dispatch(self._level, now - item.arrived_at)
+        self._level = shedding.on_dispatch(
+            self._level, item.priority, now - item.arrived_at
+        )
         reply.on_abandon(None)
         reply.put(messages.Admitted(upstream=self._upstream))
 
@@ -205,13 +208,18 @@
                 self._grant(item, reply, now)
 
     def _drop_hopeless(self, now: float) -> None:
-        if isinstance(self._queue_law, queues.FirstInFirstOut):
-            return
         service_time = self._limit.base_latency if self._limit else 0.0
-        self._queue, hopeless = queues.expired(self._queue, now, service_time)
+        self._queue, hopeless = queues.expired(
+            self._queue_law, self._queue, now, service_time
+        )
         for item in hopeless:
+            late = item.deadline < now + service_time
             self._shed(
-                item, exceptions.DEADLINE, "no time is left to run the request"
+                item,
+                exceptions.DEADLINE if late else exceptions.SHED,
+                "no time is left to run the request"
+                if late
+                else "it waited too long for a slot",
             )
 
     def _look(self, now: float) -> None:
@@ -231,7 +239,7 @@
             self._queue = dataclasses.replace(self._queue, items=kept)
 
     def _shed(self, item: queues.Item, code: str, detail: str) -> None:
-        self._level = shedding.on_shed(self._level)
+        self._level = shedding.on_shed(self._level, item.priority)
         self._metrics.count("shed", code=code, priority=item.priority.name)
         reply = self._waiting.pop(item.item_id, None)
         if reply is not None:
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -18,6 +18,8 @@
 from sassafrashall.decisions import routing
 from sassafrashall.decisions import shedding
 
+LEVEL_REFRESH = 0.1  # seconds after which an unchanged level is made anew
+
 
 class Routing(task.Controller):
     """Owns what this node has seen of the upstreams that it calls."""
@@ -49,6 +51,12 @@
         self._service_levels = mailbox.Published[dict[str, shedding.SeenLevel]](
             initial={}
         )
+        self._nested_services: frozenset[str] = frozenset()
+        self._nested_level = mailbox.Published[shedding.SeenLevel](
+            initial=shedding.SeenLevel(level=shedding.OPEN_LEVEL, at=0.0)
+        )
+        self._shed_law = policy.shed_law()
+        self._demand = shedding.Demand()
         self._ratio = retries.RatioState()
         self._indexed: model.NodeView | None = None
         self._by_service: dict[str, list[model.NodeRecord]] = {}
@@ -60,6 +68,11 @@
         """The admission level last seen of each service."""
         return self._service_levels
 
+    @property
+    def nested_level(self) -> mailbox.Published[shedding.SeenLevel]:
+        """The lowest level of the services that the local upstream calls."""
+        return self._nested_level
+
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         now = clock.monotonic()
         match message:
@@ -67,6 +80,16 @@
                 reply.put(self._choose(message, now))
             case messages.AttemptEnded():
                 self._on_ended(message, now)
+            case messages.Arrived():
+                if message.nested:
+                    self._nested_services |= {message.service}
+                self._demand = shedding.arrive(
+                    self._demand,
+                    message.service,
+                    message.priority,
+                    message.organisation,
+                    now,
+                )
             case messages.FirstTry():
                 self._ratio = retries.on_first_try(self._ratio)
             case messages.Retry():
@@ -82,6 +105,9 @@
             for record in records
             if routing.usable(self._health_of(record.vm), now)
         )
+        if not usable:
+            # Better an upstream that failed lately than none at all.
+            usable = tuple(self._candidate(record) for record in records)
         fresh = tuple(c for c in usable if c.vm not in message.avoid)
         chosen = routing.choose(
             self._routing_law,
@@ -143,13 +169,18 @@
         if message.level >= 0:
             self._note_level(message, now)
         before = self._health_of(message.vm)
-        match message.failed:
-            case None:
+        match message.verdict:
+            case messages.Verdict.NONE:
                 after = routing.on_no_verdict(before)
-            case True:
+            case messages.Verdict.BROKEN:
                 after = routing.on_failure(before, now)
-            case False:
-                after = routing.on_success(before)
+            case messages.Verdict.ANSWERED | messages.Verdict.ERROR:
+                after = routing.on_answer(
+                    before,
+                    message.verdict is messages.Verdict.ERROR,
+                    self._peers(message),
+                    now,
+                )
         if after.ejections > before.ejections:
             self._metrics.count("ejections")
             self._events.record("upstream.ejected", detail=message.vm)
@@ -157,6 +188,16 @@
             self._events.record("upstream.readmitted", detail=message.vm)
         self._health[message.vm] = after
 
+    def _peers(
+        self, message: messages.AttemptEnded
+    ) -> tuple[routing.Health, ...]:
+        """Returns the health of the other upstreams of the service."""
+        return tuple(
+            self._health_of(record.vm)
+            for record in self._by_service.get(message.service, [])
+            if record.vm != message.vm
+        )
+
     def _note_level(self, message: messages.AttemptEnded, now: float) -> None:
         """Publishes the mean level of a service's own-data-centre upstreams."""
         self._levels[(message.service, message.vm)] = (message.level, now)
@@ -174,13 +215,26 @@
             )
         mean = sum(levels) / len(levels) if levels else shedding.OPEN_LEVEL
         held = self._service_levels.value.get(message.service)
-        if held is None or held.level != mean or mean < shedding.OPEN_LEVEL:
-            self._service_levels.publish(
-                {
-                    **self._service_levels.value,
-                    message.service: shedding.SeenLevel(level=mean, at=now),
-                }
+        if held is None or held.level != mean or now - held.at > LEVEL_REFRESH:
+            seen = shedding.seen_level(
+                self._shed_law, mean, message.service, self._demand, now
             )
+            levels_by_service = {
+                **self._service_levels.value,
+                message.service: seen,
+            }
+            self._service_levels.publish(levels_by_service)
+            self._publish_nested_level(levels_by_service)
+
+    def _publish_nested_level(
+        self, levels: dict[str, shedding.SeenLevel]
+    ) -> None:
+        """Publishes what the local upstream's answers should carry along."""
+        nested = [
+            levels[name] for name in self._nested_services if name in levels
+        ]
+        if nested:
+            self._nested_level.publish(min(nested, key=lambda seen: seen.level))
 
     def _may_retry(self, message: messages.Retry, now: float) -> bool:
         allowed = retries.should_retry(
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TypeAlias
 
 from sassafrashall import model
 
+SHORTEST_QUEUE = 2  # requests
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FirstInFirstOut:
@@ -25,9 +28,15 @@
 
     A full queue sheds the newest request of the organisation that waits most
     in the lowest class.
+
+    Attributes:
+      length: Most requests that wait.
+      longest_wait: Seconds of work that may wait; it makes the queue shorter
+        where requests take long. 0 means no such bound.
     """
 
     length: int = 64
+    longest_wait: float = 0.0
 
 
 Law: TypeAlias = FirstInFirstOut | PriorityFair
@@ -59,6 +68,23 @@
     virtual_time: tuple[tuple[int, float], ...] = ()
 
 
+def fitted(law: Law, limit: int, latency: float) -> Law:
+    """Returns the law with the length that its longest wait allows.
+
+    Args:
+      law: As configured.
+      limit: Requests that the upstream works on at once.
+      latency: Seconds that one takes; 0 if not known yet.
+    """
+    match law:
+        case PriorityFair(longest_wait=wait) if wait and latency:
+            fitting = math.ceil(limit * wait / latency)
+            length = max(SHORTEST_QUEUE, min(law.length, fitting))
+            return dataclasses.replace(law, length=length)
+        case _:
+            return law
+
+
 def push(law: Law, queue: Queue, item: Item) -> tuple[Queue, tuple[Item, ...]]:
     """Adds an item and returns those that are shed for it."""
     items = (*queue.items, item)
@@ -90,11 +116,23 @@
 
 
 def expired(
-    queue: Queue, now: float, service_time: float
+    law: Law, queue: Queue, now: float, service_time: float
 ) -> tuple[Queue, tuple[Item, ...]]:
-    """Takes out what could not be answered before its deadline."""
+    """Takes out what waited too long or has no time left to be run.
+
+    An early end of the wait is what tells the door soon that it lets too much
+    pass: a class that gets no turn would else say so only at its deadlines.
+    """
+    match law:
+        case FirstInFirstOut():
+            return queue, ()
+        case PriorityFair(longest_wait=wait):
+            pass
     hopeless = tuple(
-        item for item in queue.items if item.deadline < now + service_time
+        item
+        for item in queue.items
+        if item.deadline < now + service_time
+        or (wait and now - item.arrived_at > wait)
     )
     if not hopeless:
         return queue, ()
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -6,6 +6,9 @@
 from typing import TypeAlias
 
 FAILURES_TO_EJECT = 3
+ERROR_WEIGHT = 0.1  # weight of the latest answer in the rate of errors
+ERRORS_TO_EJECT = 0.5  # rate of error answers
+ERRORS_ABOVE_PEERS = 0.3  # by how much it must exceed the mean of the others
 EJECTION_TIME = 1.0  # seconds; doubled with each ejection in a row
 EJECTION_LIMIT = 16.0  # seconds
 RAMP_TIME = 3.0  # seconds until a new upstream gets its full part
@@ -47,11 +50,14 @@
     """What this process has observed of one upstream.
 
     Attributes:
+      failures: Exchanges in a row that broke.
+      error_rate: Smoothed part of answers that say 502, 503 or 504.
       ejections: Ejections in a row.
       probing: Whether a request that may re-admit it is on its way.
     """
 
     failures: int = 0
+    error_rate: float = 0.0
     ejections: int = 0
     ejected_until: float = 0.0
     probing: bool = False
@@ -64,9 +70,24 @@
     return not (health.ejections and health.probing)
 
 
-def on_success(health: Health) -> Health:
-    """Takes a whole answer."""
-    return Health()
+def on_answer(
+    health: Health, is_error: bool, peers: tuple[Health, ...], now: float
+) -> Health:
+    """Takes a whole answer.
+
+    An error may come from a service further down, so it counts against an
+    upstream only as far as the others of its service give fewer of them.
+    """
+    rate = health.error_rate + ERROR_WEIGHT * (is_error - health.error_rate)
+    if not is_error:
+        return Health(error_rate=rate)
+    health = dataclasses.replace(health, error_rate=rate, probing=False)
+    if not peers or rate < ERRORS_TO_EJECT:
+        return health
+    mean = sum(peer.error_rate for peer in peers) / len(peers)
+    if rate - mean < ERRORS_ABOVE_PEERS:
+        return health
+    return _eject(dataclasses.replace(health, error_rate=0.0), now)
 
 
 def probe(health: Health) -> Health:
@@ -80,15 +101,20 @@
 
 
 def on_failure(health: Health, now: float) -> Health:
-    """Takes a failed, refused or timed-out exchange."""
-    failures = health.failures + 1
-    if failures < FAILURES_TO_EJECT and not health.ejections:
-        return dataclasses.replace(health, failures=failures, probing=False)
+    """Takes an exchange that broke or got no answer."""
+    health = dataclasses.replace(health, failures=health.failures + 1)
+    if health.failures < FAILURES_TO_EJECT and not health.ejections:
+        return dataclasses.replace(health, probing=False)
+    return _eject(health, now)
+
+
+def _eject(health: Health, now: float) -> Health:
     pause = min(EJECTION_LIMIT, EJECTION_TIME * 2**health.ejections)
-    return Health(
-        failures=failures,
+    return dataclasses.replace(
+        health,
         ejections=health.ejections + 1,
         ejected_until=now + pause,
+        probing=False,
     )
 
 
--- a/src/sassafrashall/decisions/shedding.py
+++ b/src/sassafrashall/decisions/shedding.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TypeAlias
 
 import xxhash
@@ -17,10 +18,13 @@
 OPEN_LEVEL = float(len(model.Priority))
 LEVEL_SCALE = 1000  # levels travel as whole numbers
 UPDATE_INTERVAL = 0.1  # seconds
-RECOVERY_STEP = 0.04  # classes per interval without shedding
+SMALLEST_FRACTION = 0.02  # of a class, below which it is closed
+FIRST_STEP = 0.02  # classes; doubled with every quiet interval in a row
+LARGEST_STEP = 0.25  # classes per interval
 LOWEST_LEVEL = 0.05
 LEVEL_TTL = 1.0  # seconds that a level seen on an answer counts
-QUEUE_DELAY_TARGET = 0.02  # seconds
+QUEUE_DELAY_TARGET = 0.1  # seconds
+DEMAND_WINDOW = 0.5  # seconds over which the demand of organisations is counted
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -33,7 +37,15 @@
     """Refuses at the door by the level that came back on answers."""
 
 
-Law: TypeAlias = NoEarlyShed | LevelShed
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FairLevelShed:
+    """Like LevelShed, with max-min fair parts for organisations of a class."""
+
+
+Law: TypeAlias = NoEarlyShed | LevelShed | FairLevelShed
+
+
+_NONE = (0,) * len(model.Priority)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,63 +53,164 @@
     """The admission level of one upstream.
 
     Attributes:
-      admitted: Requests dispatched since the last update.
-      shed: Requests shed since the last update.
+      admitted: Requests dispatched since the last update, by class.
+      shed: Requests shed since the last update, by class.
       delay: Longest time in the queue since the last update.
+      step: By how much the level rises after the next quiet interval.
     """
 
     level: float = OPEN_LEVEL
-    admitted: int = 0
-    shed: int = 0
+    admitted: tuple[int, ...] = _NONE
+    shed: tuple[int, ...] = _NONE
     delay: float = 0.0
+    step: float = FIRST_STEP
     updated_at: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SeenLevel:
-    """The level of a service, and when it was seen."""
-
-    level: float
-    at: float
-
-
-def admits(law: Law, level: float, priority: int, root_id: str) -> bool:
-    """Returns whether a request passes at this level."""
-    match law:
-        case NoEarlyShed():
-            return True
-        case LevelShed():
-            if priority < int(level):
-                return True
-            if priority > int(level):
-                return False
-            draw = xxhash.xxh32_intdigest(root_id) / 2**32
-            return draw < level - int(level)
-
-
-def on_dispatch(state: LevelState, delay: float) -> LevelState:
+def on_dispatch(state: LevelState, priority: int, delay: float) -> LevelState:
     """Counts a request that left the queue after `delay` seconds."""
     return dataclasses.replace(
         state,
-        admitted=state.admitted + 1,
+        admitted=_raised(state.admitted, priority),
         delay=max(state.delay, delay),
     )
 
 
-def on_shed(state: LevelState) -> LevelState:
+def on_shed(state: LevelState, priority: int) -> LevelState:
     """Counts a request that the queue shed."""
-    return dataclasses.replace(state, shed=state.shed + 1)
+    return dataclasses.replace(state, shed=_raised(state.shed, priority))
+
+
+def _raised(counts: tuple[int, ...], place: int) -> tuple[int, ...]:
+    return (*counts[:place], counts[place] + 1, *counts[place + 1 :])
 
 
 def update(state: LevelState, now: float) -> LevelState:
     """Moves the level once an interval has passed."""
     if now - state.updated_at < UPDATE_INTERVAL:
         return state
-    total = state.admitted + state.shed
-    level = state.level
-    if state.shed:
-        # The level comes down by the part that had to be shed.
-        level = max(LOWEST_LEVEL, level - min(0.5, state.shed / total))
+    level, step = state.level, FIRST_STEP
+    if any(state.shed):
+        level = _lowered(state)
     elif state.delay < QUEUE_DELAY_TARGET:
-        level = min(OPEN_LEVEL, level + RECOVERY_STEP)
-    return LevelState(level=level, updated_at=now)
+        level = min(OPEN_LEVEL, level + state.step)
+        step = min(LARGEST_STEP, 2 * state.step)
+    return LevelState(level=level, step=step, updated_at=now)
+
+
+def _lowered(state: LevelState) -> float:
+    """Returns a level at which as much passes as was admitted.
+
+    The class that passes in part is thinned by what was shed of it; where a
+    more important one was shed, it is closed first.
+    """
+    place = max(0, math.ceil(state.level) - 1)
+    if any(state.shed[:place]):
+        return float(place)
+    arrived = state.admitted[place] + state.shed[place]
+    if not state.shed[place]:
+        return state.level
+    fraction = (state.level - place) * state.admitted[place] / arrived
+    if place == 0:
+        return max(LOWEST_LEVEL, fraction)
+    return place + fraction if fraction >= SMALLEST_FRACTION else float(place)
+
+
+# --- at the door -------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SeenLevel:
+    """The level of a service as the door applies it.
+
+    Attributes:
+      parts: Which part of the class in between passes, by organisation;
+        others pass by the level's own fraction.
+    """
+
+    level: float
+    at: float
+    parts: tuple[tuple[str, float], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Demand:
+    """Arrivals at the door by service, class and organisation.
+
+    Attributes:
+      counts: Since `since`.
+      before: In the window before.
+    """
+
+    since: float = 0.0
+    counts: tuple[tuple[tuple[str, int, str], int], ...] = ()
+    before: tuple[tuple[tuple[str, int, str], int], ...] = ()
+
+
+def arrive(
+    demand: Demand, service: str, priority: int, organisation: str, now: float
+) -> Demand:
+    """Counts an arrival; windows follow each other."""
+    if now - demand.since >= DEMAND_WINDOW:
+        demand = Demand(since=now, before=demand.counts)
+    counts = dict(demand.counts)
+    key = (service, priority, organisation)
+    counts[key] = counts.get(key, 0) + 1
+    return dataclasses.replace(demand, counts=tuple(counts.items()))
+
+
+def seen_level(
+    law: Law, level: float, service: str, demand: Demand, now: float
+) -> SeenLevel:
+    """Returns what the door applies for a service at this level."""
+    match law:
+        case FairLevelShed():
+            wanted: dict[str, int] = {}
+            for window in (demand.before, demand.counts):
+                for (name, priority, organisation), count in window:
+                    if name == service and priority == int(level):
+                        wanted[organisation] = (
+                            wanted.get(organisation, 0) + count
+                        )
+            parts = fair_parts(level - int(level), wanted)
+            return SeenLevel(level=level, at=now, parts=tuple(parts.items()))
+        case NoEarlyShed() | LevelShed():
+            return SeenLevel(level=level, at=now)
+
+
+def fair_parts(fraction: float, wanted: dict[str, int]) -> dict[str, float]:
+    """Returns which part of each organisation's demand passes.
+
+    The parts let `fraction` of the whole demand pass, shared max-min fairly.
+    """
+    left = fraction * sum(wanted.values())
+    parts: dict[str, float] = {}
+    names = sorted(wanted, key=lambda name: wanted[name])
+    for place, name in enumerate(names):
+        given = min(wanted[name], left / (len(names) - place))
+        parts[name] = given / wanted[name]
+        left -= given
+    return parts
+
+
+def carried(own: int, nested: SeenLevel, now: float) -> int:
+    """Returns the level that answers carry, as it travels.
+
+    What the services below would throw away should not get as far as this
+    one, so the lowest level on the way counts.
+    """
+    if own < 0 or now - nested.at > LEVEL_TTL:
+        return own
+    return min(own, int(nested.level * LEVEL_SCALE))
+
+
+def admits(
+    law: Law, seen: SeenLevel, priority: int, organisation: str, root_id: str
+) -> bool:
+    """Returns whether a request passes at this level."""
+    if isinstance(law, NoEarlyShed) or priority < int(seen.level):
+        return True
+    if priority > int(seen.level):
+        return False
+    part = dict(seen.parts).get(organisation, seen.level - int(seen.level))
+    return xxhash.xxh32_intdigest(root_id) / 2**32 < part
--- a/src/sassafrashall/filters/dispatch.py
+++ b/src/sassafrashall/filters/dispatch.py
@@ -68,18 +68,18 @@
     ) -> tuple[model.Outcome, int]:
         """Makes one attempt and returns the tokens that stayed here."""
         handed = retries.handed_on(call.retries, is_root=not call.parent_id)
-        failed: bool | None = None
+        verdict = messages.Verdict.NONE
         level = -1
         try:
             outcome = await self._send(call, choice, handed)
-            failed = _says_of_upstream(outcome)
+            verdict = _verdict(outcome)
             level = outcome.level
         finally:
             self._routing.tell(
                 messages.AttemptEnded(
                     vm=choice.vm,
                     service=call.service,
-                    failed=failed,
+                    verdict=verdict,
                     level=level,
                 )
             )
@@ -140,16 +140,19 @@
     )
 
 
-def _says_of_upstream(outcome: model.Outcome) -> bool | None:
-    """Returns whether the outcome counts against the upstream."""
+def _verdict(outcome: model.Outcome) -> messages.Verdict:
+    """Returns what the outcome says of the upstream."""
     match outcome:
-        case model.Answer(response=response):
-            return response.status in (502, 503, 504)
+        case model.Answer(response=model.Response(status=502 | 503 | 504)):
+            return messages.Verdict.ERROR
+        case model.Answer():
+            return messages.Verdict.ANSWERED
         case model.Refuse(
-            code=exceptions.UPSTREAM_FAILED | exceptions.UPSTREAM_SILENT
+            code=exceptions.UPSTREAM_FAILED
+            | exceptions.UPSTREAM_SILENT
+            | exceptions.NO_UPSTREAM
+            | exceptions.STOPPING
         ):
-            return True
-        case model.Refuse(code=exceptions.NO_UPSTREAM | exceptions.STOPPING):
-            return True
+            return messages.Verdict.BROKEN
         case _:
-            return None
+            return messages.Verdict.NONE
--- a/src/sassafrashall/filters/early_shed.py
+++ b/src/sassafrashall/filters/early_shed.py
@@ -5,6 +5,7 @@
 from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import mailbox
+from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall.decisions import shedding
@@ -19,21 +20,32 @@
         self,
         *,
         law: shedding.Law,
+        routing: mailbox.Mailbox,
         levels: mailbox.Published[dict[str, shedding.SeenLevel]],
         counters: metrics.Metrics,
     ) -> None:
         self._law = law
+        self._routing = routing
         self._levels = levels
         self._metrics = counters
 
     async def handle(self, call: model.Call) -> model.Result:
         """Refuses by class and root id."""
+        if not isinstance(self._law, shedding.NoEarlyShed):
+            self._routing.tell(
+                messages.Arrived(
+                    service=call.service,
+                    nested=bool(call.parent_id),
+                    organisation=call.organisation,
+                    priority=call.priority,
+                )
+            )
         seen = self._levels.value.get(call.service)
         if (
             seen is None
             or clock.monotonic() - seen.at > shedding.LEVEL_TTL
             or shedding.admits(
-                self._law, seen.level, call.priority, call.root_id
+                self._law, seen, call.priority, call.organisation, call.root_id
             )
         ):
             return model.Forward(call=call)
--- a/src/sassafrashall/filters/quota.py
+++ b/src/sassafrashall/filters/quota.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -26,6 +27,11 @@
         match answer:
             case messages.TokenGranted():
                 return model.Forward(call=call)
+            case _ if clock.monotonic() >= call.deadline:
+                return model.Refuse(
+                    code=exceptions.DEADLINE,
+                    detail="the deadline passed before there was a token",
+                )
             case messages.TokenRefused(unreachable=True):
                 return model.Refuse(
                     code=exceptions.NO_QUOTA_OWNER,
--- a/src/sassafrashall/filters/upstream.py
+++ b/src/sassafrashall/filters/upstream.py
@@ -10,6 +10,7 @@
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall.decisions import shedding
 
 
 class TicketFilter:
@@ -47,6 +48,7 @@
         node: str,
         admission: mailbox.Mailbox,
         level: mailbox.Published[int],
+        nested_level: mailbox.Published[shedding.SeenLevel],
         running: mailbox.Mailbox,
         connections: mailbox.Mailbox,
         event_log: events.EventLog,
@@ -54,6 +56,7 @@
         self._node = node
         self._admission = admission
         self._level = level
+        self._nested_level = nested_level
         self._running = running
         self._connections = connections
         self._events = event_log
@@ -101,7 +104,10 @@
                 latency = clock.monotonic() - began
         finally:
             self._admission.tell(messages.Finished(latency=latency, shed=shed))
-        return dataclasses.replace(outcome, level=self._level.value)
+        level = shedding.carried(
+            self._level.value, self._nested_level.value, clock.monotonic()
+        )
+        return dataclasses.replace(outcome, level=level)
 
     async def _exchange(
         self, call: model.Call, upstream: model.Upstream
--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -68,10 +68,13 @@
             try:
                 await self._event.wait()
             except trio.Cancelled:
-                self.abandoned = True
-                if self._on_abandon:
-                    self._on_abandon()
-                raise
+                # An answer that is there already may hold a slot or a token,
+                # so it is taken; the cancellation comes with the next wait.
+                if not self._done:
+                    self.abandoned = True
+                    if self._on_abandon:
+                        self._on_abandon()
+                    raise
         if self._error is not None:
             raise self._error
         return self._value
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import Any
 
 from sassafrashall import model
@@ -201,19 +202,27 @@
     address: model.Address
 
 
+class Verdict(enum.Enum):
+    """What an attempt says of the upstream that it went to."""
+
+    ANSWERED = "answered"
+    ERROR = "error"
+    BROKEN = "broken"
+    NONE = "none"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AttemptEnded:
     """An attempt has ended.
 
     Attributes:
-      failed: Whether the upstream should count as failing; None if the
-        attempt says nothing about it.
+      verdict: What it says of the upstream.
       level: Admission level of the service there, or -1.
     """
 
     vm: str
     service: str
-    failed: bool | None
+    verdict: Verdict
     level: int = -1
 
 
@@ -226,6 +235,20 @@
     attempts: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrived:
+    """A call for a service came to the door, whether it passes or not.
+
+    Attributes:
+      nested: Whether the local upstream made it.
+    """
+
+    service: str
+    nested: bool
+    organisation: str
+    priority: model.Priority
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FirstTry:
     """A call makes its first attempt."""
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -133,6 +133,7 @@
                     node=self._settings.vm,
                     admission=self._admission.mailbox,
                     level=self._admission.level,
+                    nested_level=self._routing.nested_level,
                     running=self._running.mailbox,
                     connections=self._connections.mailbox,
                     event_log=self._events,
@@ -156,6 +157,7 @@
                 ),
                 early_shed.EarlyShedFilter(
                     law=settings.policy.shed_law(),
+                    routing=self._routing.mailbox,
                     levels=self._routing.service_levels,
                     counters=self._metrics,
                 ),
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -72,7 +72,8 @@
     limit: str = "shed"
     queue: str = "priority-fair"
     queue_length: int = 64
-    early_shed: str = "level"
+    longest_wait_ms: int = 250
+    early_shed: str = "fair-level"
     routing: str = "two-choices"
     retries: str = "budget"
 
@@ -84,7 +85,9 @@
         """Returns the queue law with its length."""
         if self.queue == "fifo":
             return queues.FirstInFirstOut(length=self.queue_length)
-        return queues.PriorityFair(length=self.queue_length)
+        return queues.PriorityFair(
+            length=self.queue_length, longest_wait=self.longest_wait_ms / 1000
+        )
 
     def shed_law(self) -> shedding.Law:
         """Returns the early shedding law."""
@@ -108,6 +111,7 @@
 SHED_LAWS: dict[str, shedding.Law] = {
     "none": shedding.NoEarlyShed(),
     "level": shedding.LevelShed(),
+    "fair-level": shedding.FairLevelShed(),
 }
 ROUTING_LAWS: dict[str, routing_laws.Law] = {
     "random": routing_laws.RandomChoice(),
@@ -362,8 +366,9 @@
                     f"unknown law {value!r}; known: {', '.join(known)}",
                 )
             )
-    if policy.queue_length < 0:
-        faults.append(("policy.queue_length", "must not be negative"))
+    for name in ("queue_length", "longest_wait_ms"):
+        if getattr(policy, name) < 0:
+            faults.append((f"policy.{name}", "must not be negative"))
     return faults
 
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -66,13 +66,30 @@
     assert [i.item_id for i in _drain(law, queue)] == ["a0", "a1"]
 
 
+def test_the_queue_is_as_long_as_its_longest_wait():
+    law = queues.PriorityFair(length=64, longest_wait=0.15)
+    assert queues.fitted(law, 4, 0.08).length == 8
+    assert queues.fitted(law, 4, 5.0).length == queues.SHORTEST_QUEUE
+    assert queues.fitted(law, 400, 0.01).length == 64
+    assert queues.fitted(law, 4, 0.0) == law
+
+
 def test_hopeless_work_is_taken_out():
     queue, _ = _fill(FAIR, [_item("a", deadline=1.0), _item("b", deadline=5.0)])
-    queue, hopeless = queues.expired(queue, 0.9, 0.2)
+    queue, hopeless = queues.expired(FAIR, queue, 0.9, 0.2)
     assert [item.item_id for item in hopeless] == ["a"]
     assert [item.item_id for item in queue.items] == ["b"]
 
 
+def test_work_that_waited_too_long_is_taken_out():
+    law = queues.PriorityFair(length=8, longest_wait=0.25)
+    queue, _ = _fill(law, [_item("a")])
+    assert queues.expired(law, queue, 0.2, 0.0) == (queue, ())
+    assert queues.expired(law, queue, 0.3, 0.0)[1][0].item_id == "a"
+    baseline = queues.FirstInFirstOut()
+    assert queues.expired(baseline, queue, 99.0, 0.0) == (queue, ())
+
+
 @hypothesis.settings(derandomize=True)
 @hypothesis.given(
     st.lists(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -50,7 +50,23 @@
     assert not routing.usable(routing.probe(health), 1.5)
     longer = routing.on_failure(routing.probe(health), 1.5)
     assert longer.ejected_until == 3.5
-    assert routing.on_success(longer) == routing.Health()
+    assert routing.on_answer(longer, False, (), 2.0) == routing.Health()
+
+
+def _answers(errors, peers):
+    health = routing.Health()
+    for _ in range(errors):
+        health = routing.on_answer(health, True, peers, 0.0)
+    return health
+
+
+def test_errors_that_all_give_come_from_further_down():
+    same = _answers(20, ())
+    assert routing.usable(_answers(20, (same, same)), 0.0)
+
+
+def test_errors_that_only_one_gives_eject_it():
+    assert not routing.usable(_answers(8, (routing.Health(),)), 0.0)
 
 
 def test_two_choices_spread_better_than_one():
