--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -152,6 +152,7 @@
             account.ask_again_at = now + DRY_PAUSE
         else:
             account.wait = message.answer.wait
+            account.unreachable = message.answer.unreachable
             loans = message.answer.loans
             if not loans:
                 pause = min(max(account.wait, DRY_PAUSE), TOKEN_WAIT)
--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import math
 from typing import Any
 import uuid
 
@@ -101,14 +100,18 @@
             if (rate, capacity) != (bucket.rate, bucket.capacity):
                 self._buckets[name] = quota.resize(bucket, rate, capacity, now)
 
-    def _share(self, name: str, view: messages.FleetView) -> tuple[float, int]:
+    def _share(
+        self, name: str, view: messages.FleetView, owner: str = ""
+    ) -> tuple[float, int]:
+        """Returns our part of an organisation's quota, or another owner's."""
         parameters = view.state.organisations[name].parameters
         return quota.share(
             name,
             parameters.rate,
             parameters.burst,
-            self._replica_id,
+            owner or self._replica_id,
             view.owners,
+            parameters.quota_seats,
         )
 
     def _bucket(self, name: str, now: float) -> quota.Bucket | None:
@@ -167,6 +170,8 @@
             wanted=message.wanted,
             forwarded=True,
         )
+        # Nobody who has a part of this quota has answered yet, unless we do.
+        unreachable = wait >= LONGEST_WAIT
         for replica_id, address in self._others(message.organisation):
             try:
                 answer = await self._client(address).call(
@@ -178,21 +183,25 @@
             if answer.loans:
                 reply.put(answer)
                 return
+            unreachable = False
             wait = min(wait, answer.wait)
-        if math.isinf(wait):
-            wait = LONGEST_WAIT
-        reply.put(protocol.BorrowReply(loans=(), wait=wait))
+        reply.put(
+            protocol.BorrowReply(loans=(), wait=wait, unreachable=unreachable)
+        )
 
     def _others(self, name: str) -> list[tuple[str, str]]:
+        """Returns the other owners that have a part of a quota."""
         now = clock.monotonic()
         view = self._view.value
-        others = []
-        for member in view.members:
-            replica_id = member.replica_id
-            if replica_id == self._replica_id or replica_id not in view.owners:
-                continue
-            if self._avoid.get(replica_id, 0.0) <= now:
-                others.append((replica_id, member.address))
+        if name not in view.state.organisations:
+            return []
+        others = [
+            (member.replica_id, member.address)
+            for member in view.members
+            if member.replica_id != self._replica_id
+            and self._share(name, view, member.replica_id)[1]
+            and self._avoid.get(member.replica_id, 0.0) <= now
+        ]
         if others:
             # Owners take turns in being asked first.
             start = self._dry[name] % len(others)
--- a/src/sassafrashall/decisions/quota.py
+++ b/src/sassafrashall/decisions/quota.py
@@ -88,6 +88,7 @@
     burst: int,
     owner: str,
     owners: tuple[str, ...],
+    seats: int = 0,
 ) -> tuple[float, int]:
     """Returns an owner's part of rate and burst.
 
@@ -95,12 +96,23 @@
     organisation, and the rate follows the tokens. The parts of all owners add
     up to the whole. A replacement takes the seat of the replica that it
     replaces, so that the other owners' parts stay as they are.
+
+    Args:
+      organisation: Its name decides who is dealt to first.
+      rate: Tokens a second of the whole fleet.
+      burst: Whole tokens of the whole fleet.
+      owner: Whose part is asked for.
+      owners: All owners by seat.
+      seats: How many owners get a part; 0 means all.
     """
     if owner not in owners:
         return 0.0, 0
+    sharing = min(seats, len(owners)) or len(owners)
     offset = xxhash.xxh32_intdigest(organisation) % len(owners)
     place = (owners.index(owner) - offset) % len(owners)
-    base, extra = divmod(burst, len(owners))
+    if place >= sharing:
+        return 0.0, 0
+    base, extra = divmod(burst, sharing)
     tokens = base + (1 if place < extra else 0)
     return rate * tokens / burst, tokens
 
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -82,6 +82,9 @@
         method.
       open_routes: Routes served without a key, on this organisation's quota.
       retry_bound: Retries allowed for a whole call tree.
+      quota_seats: How many controls share the quota, 0 for all. One share
+        refuses least within the rate; a share at each control also serves
+        data centres that are cut off.
       freshness_bound_s: How old a node's proof of fresh configuration may be
         before keyed requests are refused; 0 means any age.
     """
@@ -93,6 +96,7 @@
     never_repeated_routes: tuple[RouteRule, ...] = ()
     open_routes: tuple[RouteRule, ...] = ()
     retry_bound: int = 2
+    quota_seats: int = 0
     freshness_bound_s: float = 0.0
 
 
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -94,10 +94,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BorrowReply:
-    """Answers Borrow; `wait` is seconds until a token may be there."""
+    """Answers Borrow.
+
+    Attributes:
+      wait: Seconds until a token may be there.
+      unreachable: Whether no owner with a part of this quota could be asked.
+    """
 
     loans: tuple[Loan, ...]
     wait: float
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -11,10 +11,13 @@
     burst=st.integers(1, 50),
     rate=st.floats(0.1, 1000),
     owners=st.integers(1, 11),
+    seats=st.integers(0, 11),
 )
-def test_shares_add_up_to_the_whole(burst, rate, owners):
+def test_shares_add_up_to_the_whole(burst, rate, owners, seats):
     names = tuple(f"o{i}" for i in range(owners))
-    parts = [quota.share("x", rate, burst, name, names) for name in names]
+    parts = [
+        quota.share("x", rate, burst, name, names, seats) for name in names
+    ]
     assert sum(tokens for _, tokens in parts) == burst
     assert sum(part for part, _ in parts) == pytest.approx(rate)
 
