--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -5,6 +5,9 @@
 
 import dataclasses
 
+import trio
+
+from sassafrashall import mailbox
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import quota
@@ -46,9 +49,11 @@
 
 def _new_identity(patch):
     def same_place(self, name):
-        lost = next(
-            n for n, r in self.replicas.items() if r.state is None and n != name
-        )
+        # The replica that held most takes its old name on an empty disk.
+        lost = max(
+            (r for r in self.replicas.values() if r.state is None),
+            key=lambda r: (len(r.disk.entries), r.name),
+        ).name
         disk = scripted.Disk(snapshot=self.founding)
         self.replicas[lost] = scripted.Replica(lost, disk, self.now)
 
@@ -144,7 +149,18 @@
     patch.setattr(codec, "verify_ticket", unsigned)
 
 
+def _taken_answers(patch):
+    async def wait(self):
+        if not self._done:
+            self._event = trio.Event()
+            await self._event.wait()
+        return self._value
+
+    patch.setattr(mailbox.Reply, "wait", wait)
+
+
 OFF = {
+    "taken-answers": _taken_answers,
     "vote-sync": _vote_sync,
     "joint-quorum": _joint_quorum,
     "majority-commit": _majority_commit,
--- /dev/null
+++ b/tests/test_quota_owner.py
@@ -0,0 +1,109 @@
+import dataclasses
+
+import immutables
+
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall import settings
+from sassafrashall.controllers import quota_owner
+from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import quota
+from sassafrashall.decisions import replication
+from tests import fakes
+from tests import loopback
+
+
+def _settings(tmp_path):
+    address = loopback.free_address()
+    return settings.Daemon(
+        role=settings.Role.CONTROL,
+        vm="c",
+        data_centre="x",
+        listen=settings.Listen(ops=address, rpc=address),
+        controls=(),
+        fleet_secret="a-secret-of-some-length",
+        data_folder=str(tmp_path),
+    )
+
+
+def _member(name, address="127.0.0.1:1"):
+    return replication.Member(
+        replica_id=name, vm=name, data_centre="x", address=address
+    )
+
+
+def _view(*, created=1, replayed=0, seats=0, burst=9):
+    organisation = model.Organisation(
+        name="org",
+        template="web-api",
+        parameters=model.Parameters(rate=10, burst=burst, quota_seats=seats),
+        created=created,
+        revision=created,
+    )
+    state = fleet_state.FleetState(
+        revision=created, organisations=immutables.Map({"org": organisation})
+    )
+    return messages.FleetView(
+        state=state,
+        owners=("me", "other", "third"),
+        members=(_member("me"), _member("other"), _member("third")),
+        replayed_revision=replayed,
+    )
+
+
+async def _borrow(tmp_path, view, wanted=99, forwarded=True):
+    status = messages.ReplicaStatus(
+        member=_member("me"),
+        founded=True,
+        membership=replication.Membership(),
+        role="leader",
+        term=1,
+        commit=1,
+        leader="me",
+        majority_age=0.0,
+    )
+    replica = fakes.Scripted(lambda message: status)
+    # The seat was taken before the organisation was created.
+    published = mailbox.Published(
+        initial=dataclasses.replace(view, state=fleet_state.FleetState())
+    )
+    owner = quota_owner.QuotaOwner(
+        settings=_settings(tmp_path),
+        replica=replica.mailbox,
+        view=published,
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+    )
+    async with fakes.started(replica, owner):
+        published.publish(view)
+        return await owner.mailbox.ask(
+            protocol.Borrow(
+                organisation="org", wanted=wanted, forwarded=forwarded
+            )
+        )
+
+
+async def test_a_new_organisation_has_its_share_at_once(tmp_path):
+    reply = await _borrow(tmp_path, _view())
+    assert [loan.tokens for loan in reply.loans] == [3]
+
+
+async def test_one_known_before_the_start_has_none_at_first(tmp_path):
+    reply = await _borrow(tmp_path, _view(created=5, replayed=5))
+    assert reply.loans == () and reply.wait >= quota.LEASE_TTL
+
+
+async def test_owners_out_of_reach_are_told_apart_from_dry_ones(tmp_path):
+    owners = ("other", "me", "third")
+    view = dataclasses.replace(_view(burst=1, seats=1), owners=owners)
+    assert quota.share("org", 10, 1, "me", owners, 1)[1] == 0
+    reply = await _borrow(tmp_path, view, forwarded=False)
+    assert reply.unreachable and reply.loans == ()
+
+
+async def test_an_unknown_organisation_gets_nothing(tmp_path):
+    view = dataclasses.replace(_view(), state=fleet_state.FleetState())
+    reply = await _borrow(tmp_path, view, forwarded=False)
+    assert reply.loans == ()
