--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -49,6 +49,7 @@
         self,
         *,
         local: mailbox.Published[model.Upstream | None],
+        level: mailbox.Published[int],
         policy: settings_module.Policy,
         event_log: events.EventLog,
         counters: metrics.Metrics,
@@ -67,12 +68,7 @@
         self._waiting: dict[str, mailbox.Reply] = {}
         self._in_flight = 0
         self._active = trio.Event()
-        self._published_level = mailbox.Published[int](initial=-1)
-
-    @property
-    def level(self) -> mailbox.Published[int]:
-        """The admission level as it travels, or -1."""
-        return self._published_level
+        self._published_level = level
 
     async def _setup(self) -> None:
         self._published_level.publish(self._public_level())
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -81,6 +81,7 @@
         self._peers: dict[str, _Peer] = {}
         # Nodes that send their heartbeats here, with the time of the last.
         self._heard: dict[str, float] = {}
+        self._loads: dict[str, model.NodeLoad | None] = {}
         self._status: messages.ReplicaStatus | None = None
         self._seen_state: fleet_state.FleetState | None = None
 
@@ -159,6 +160,7 @@
         self._metrics.count("heartbeats")
         record = message.record
         self._heard[record.vm] = now
+        self._loads[record.vm] = message.load
         self._merge(record, 0.0, now)
         complete = message.directory_source != self._source
         since = 0 if complete else message.directory_version
@@ -187,6 +189,7 @@
                 record=entry.record,
                 age=now - entry.heard_at,
                 lapsed=entry.lapsed,
+                load=None if entry.lapsed else self._loads.get(entry.record.vm),
             )
             for entry in membership.changed_since(self._directory, since)
         )
@@ -252,6 +255,7 @@
                 incarnation=entry.record.incarnation,
                 counter=entry.record.counter,
                 age=now - entry.heard_at,
+                load=self._loads.get(vm),
             )
             for vm, entry in self._directory.entries.items()
             if vm in ours
@@ -285,6 +289,7 @@
         for entry in message.entries:
             self._merge(entry.record, entry.age, now)
         for alive in message.alive:
+            self._loads[alive.vm] = alive.load
             held = self._directory.entries.get(alive.vm)
             if held is None:
                 continue
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -18,6 +18,7 @@
 from sassafrashall import protocol
 from sassafrashall import task
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import shedding
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
@@ -46,17 +47,21 @@
         *,
         record: model.NodeRecord,
         link: mailbox.Mailbox,
+        level: mailbox.Published[int],
         event_log: events.EventLog,
         counters: metrics.Metrics,
     ) -> None:
         super().__init__()
         self._record = record
+        self._level = level
         self._link = link
         self._events = event_log
         self._metrics = counters
         self._source = ""
         self._version = 0
         self._announced_at = 0.0
+        self._shed_before = 0.0
+        self._load_at = clock.monotonic()
         self._kick = trio.Event()
         self._told: list[mailbox.Reply] = []
         self._view = mailbox.Published[model.NodeView](initial=model.NodeView())
@@ -118,6 +123,21 @@
             directory_source=self._source,
             directory_version=self._version,
             withdrawn_count=len(self._view.value.configuration.withdrawn),
+            load=self._load(),
+        )
+
+    def _load(self) -> model.NodeLoad:
+        """Returns what was shed since the last heartbeat."""
+        now = clock.monotonic()
+        shed = self._metrics.total("shed") + self._metrics.total("shed_early")
+        rate = (shed - self._shed_before) / max(0.1, now - self._load_at)
+        self._shed_before, self._load_at = shed, now
+        level = self._level.value
+        return model.NodeLoad(
+            level=shedding.OPEN_LEVEL
+            if level < 0
+            else level / shedding.LEVEL_SCALE,
+            shed_per_second=round(rate, 1),
         )
 
     async def _send_heartbeats(self) -> None:
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -197,6 +197,20 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeLoad:
+    """What a node sheds, for operators; it is not part of its record.
+
+    Attributes:
+      level: Admission level of its upstream.
+      shed_per_second: Requests that it refused for load, at the door and in
+        front of its upstream.
+    """
+
+    level: float
+    shed_per_second: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeView:
     """What a node holds of the fleet, as one snapshot.
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -12,6 +12,7 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
+from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
@@ -77,9 +78,11 @@
             secret=settings.fleet_secret,
             event_log=self._events,
         )
+        self._level = mailbox.Published[int](initial=-1)
         self._membership = node_membership.NodeMembership(
             record=self._record(),
             link=self._link.mailbox,
+            level=self._level,
             event_log=self._events,
             counters=self._metrics,
         )
@@ -88,6 +91,7 @@
         )
         self._admission = admission.Admission(
             local=self._membership.local,
+            level=self._level,
             policy=settings.policy,
             event_log=self._events,
             counters=self._metrics,
@@ -132,7 +136,7 @@
                 upstream.UpstreamFilter(
                     node=self._settings.vm,
                     admission=self._admission.mailbox,
-                    level=self._admission.level,
+                    level=self._level,
                     nested_level=self._routing.nested_level,
                     running=self._running.mailbox,
                     connections=self._connections.mailbox,
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -32,6 +32,7 @@
     record: model.NodeRecord
     age: float = 0.0
     lapsed: bool = False
+    load: model.NodeLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -47,6 +48,7 @@
     directory_source: str
     directory_version: int
     withdrawn_count: int
+    load: model.NodeLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -164,6 +166,7 @@
     incarnation: int
     counter: int
     age: float
+    load: model.NodeLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -9,6 +9,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import shedding
 from sassafrashall.decisions import templates
 
 STALE_AGE = 2.0  # seconds without a majority from which a control is stale
@@ -158,11 +159,36 @@
                 upstream.service if upstream else "-",
                 upstream.state if upstream else "-",
                 upstream.slots if upstream else "-",
+                shedding_text(entry.load),
                 record.configuration_revision,
             )
         )
-    header = ("NODE", "DATA CENTRE", "STATE", "SERVICE", "UPSTREAM", "SLOTS")
-    return table((*header, "REVISION"), rows)
+    header = (
+        "NODE",
+        "DATA CENTRE",
+        "STATE",
+        "SERVICE",
+        "UPSTREAM",
+        "SLOTS",
+        "SHEDDING",
+        "REVISION",
+    )
+    return table(header, rows)
+
+
+def shedding_text(load: model.NodeLoad | None) -> str:
+    """Returns which classes a node sheds, and how many requests."""
+    if load is None or (
+        load.level >= shedding.OPEN_LEVEL and not load.shed_per_second
+    ):
+        return "-"
+    parts = []
+    for priority in model.Priority:
+        passing = min(1.0, max(0.0, load.level - priority))
+        if passing < 1.0:
+            parts.append(f"{priority.name.lower()} {1 - passing:.0%}")
+    classes = ", ".join(parts) or "queue"
+    return f"{classes}; {load.shed_per_second:g}/s"
 
 
 def quota_table(status: protocol.StatusReply) -> str:
@@ -221,6 +247,21 @@
             f"{', '.join(behind.missing)}. It takes 2 s; after that look at "
             "their logs."
         )
+    shed = sorted(
+        {
+            entry.record.upstream.service
+            for entry in status.nodes
+            if entry.load
+            and entry.load.level < shedding.OPEN_LEVEL
+            and entry.record.upstream
+        }
+    )
+    if shed:
+        advice.append(
+            f"Overloaded: {', '.join(shed)}. The least important work is shed "
+            "first. If it lasts, add upstreams there or lower the rate of the "
+            "organisation that sends most."
+        )
     for vm in behind.silent:
         advice.append(f"Node {vm} is silent. Is its VM up?")
     services = {
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 from sassafrashall import api
 from sassafrashall import clock
 from sassafrashall import events
@@ -108,7 +110,10 @@
         nodes=(
             _node("a", revision=6, state="warming"),
             _node("b", lapsed=True),
-            _node("c", leaving=True),
+            dataclasses.replace(
+                _node("c", leaving=True),
+                load=model.NodeLoad(level=1.25, shed_per_second=12.5),
+            ),
         ),
     )
     assert reports.status_screen(status) == snapshot
