Merge what stood twice, and answer HEAD without a body

One pool of RPC clients for the three tasks that had their own, one way to make a ticket from a call, one cache of kept connections in bench/, one ticket for the tests. Found while reading: an answer to HEAD with a body broke the connection (the test failed first); 204 and 304 no longer carry a length.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -38,13 +38,48 @@
     latency: float = 0.0
 
 
+class Connections:
+    """Kept connections to one address."""
+
+    def __init__(self, *, address: model.Address) -> None:
+        self._address = address
+        self._idle: list[http_client.ClientConnection] = []
+
+    async def exchange(self, request: http.RawRequest) -> model.Response:
+        """Sends a request on an idle connection, or on a new one."""
+        connection = await self._take()
+        try:
+            response = await connection.exchange(request)
+        except BaseException:
+            await connection.close()
+            raise
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        return response
+
+    async def _take(self) -> http_client.ClientConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            await connection.close()
+        return await http_client.ClientConnection.open(self._address)
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+
 class Caller:
     """Keeps connections to one node and sends requests on them."""
 
     def __init__(self, *, address: model.Address, key: str) -> None:
         self._address = address
         self._key = key
-        self._idle: list[http_client.ClientConnection] = []
+        self._connections = Connections(address=address)
 
     async def send(
         self,
@@ -94,7 +129,7 @@
         code = ""
         try:
             with trio.fail_after(timeout + 1.0):
-                response = await self._exchange(request)
+                response = await self._connections.exchange(request)
         except exceptions.ConnectionFailedError as error:
             code = f"connection: {error}"
         except trio.TooSlowError:
@@ -112,31 +147,9 @@
             latency=time.perf_counter() - first,
         )
 
-    async def _exchange(self, request: http.RawRequest) -> model.Response:
-        connection = None
-        while self._idle and connection is None:
-            candidate = self._idle.pop()
-            if candidate.reusable:
-                connection = candidate
-            else:
-                await candidate.close()
-        if connection is None:
-            connection = await http_client.ClientConnection.open(self._address)
-        try:
-            response = await connection.exchange(request)
-        except BaseException:
-            await connection.close()
-            raise
-        if connection.reusable:
-            self._idle.append(connection)
-        else:
-            await connection.close()
-        return response
-
     async def close(self) -> None:
         """Closes the idle connections."""
-        while self._idle:
-            await self._idle.pop().close()
+        await self._connections.close()
 
 
 def _header(response: model.Response | None, name: str) -> str:
--- a/bench/upstream.py
+++ b/bench/upstream.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from bench import caller
 from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import model
@@ -90,7 +91,7 @@
         self._shed = 0
         self._slots = trio.Semaphore(behaviour.slots)
         self._random = random.Random(address.port)
-        self._pool: list[http_client.ClientConnection] = []
+        self._connections = caller.Connections(address=node)
 
     async def run(self) -> None:
         """Serves until a signal, then drains."""
@@ -223,29 +224,11 @@
         )
         try:
             with trio.fail_after(max(0.01, left / 1000)):
-                response = await self._exchange(request)
+                response = await self._connections.exchange(request)
         except (exceptions.SassafrashallError, trio.TooSlowError):
             return 0
         return response.status
 
-    async def _exchange(self, request: http.RawRequest) -> model.Response:
-        connection = None
-        while self._pool and connection is None:
-            candidate = self._pool.pop()
-            if candidate.reusable:
-                connection = candidate
-            else:
-                await candidate.close()
-        if connection is None:
-            connection = await http_client.ClientConnection.open(self._node)
-        try:
-            response = await connection.exchange(request)
-        except BaseException:
-            await connection.close()
-            raise
-        self._pool.append(connection)
-        return response
-
 
 def _json(status: int, document: object) -> model.Response:
     return model.Response(
--- a/src/sassafrashall/controllers/founding.py
+++ b/src/sassafrashall/controllers/founding.py
@@ -37,22 +37,16 @@
         self._vm = vm
         self._founders = tuple(f.vm for f in founders)
         self._replica = replica
-        self._clients = {
-            founder.vm: rpc.RpcClient(
-                address=founder.address,
-                secret=secret,
-                hybrid_clock=event_log.clock,
-            )
-            for founder in founders
-            if founder.vm != vm
-        }
+        self._others = tuple(str(f.address) for f in founders if f.vm != vm)
+        self._clients = rpc.ClientPool(
+            secret=secret, hybrid_clock=event_log.clock
+        )
 
     async def _setup(self) -> None:
         self._spawn(self._work)
 
     async def _teardown(self) -> None:
-        for client in self._clients.values():
-            client.close()
+        self._clients.close()
 
     async def _work(self) -> None:
         while True:
@@ -91,6 +85,6 @@
                 pass
 
         async with trio.open_nursery() as nursery:
-            for client in self._clients.values():
-                nursery.start_soon(ask, client)
+            for address in self._others:
+                nursery.start_soon(ask, self._clients.get(address))
         return answers
--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -51,7 +51,9 @@
         # then; what was created before may have tokens out from its seat.
         self._seated_at = 0.0
         self._seat_revision: int | None = None
-        self._clients: dict[str, rpc.RpcClient] = {}
+        self._clients = rpc.ClientPool(
+            secret=settings.fleet_secret, hybrid_clock=event_log.clock
+        )
         self._avoid: dict[str, float] = {}
         self._lent: collections.Counter[str] = collections.Counter()
         self._dry: collections.Counter[str] = collections.Counter()
@@ -63,8 +65,7 @@
         self._spawn(self._follow_view)
 
     async def _teardown(self) -> None:
-        for client in self._clients.values():
-            client.close()
+        self._clients.close()
 
     async def _follow_view(self) -> None:
         while True:
@@ -174,7 +175,7 @@
         unreachable = wait >= LONGEST_WAIT
         for replica_id, address in self._others(message.organisation):
             try:
-                answer = await self._client(address).call(
+                answer = await self._clients.get(address).call(
                     question, FORWARD_TIMEOUT
                 )
             except exceptions.RpcError:
@@ -208,15 +209,6 @@
             others = others[start:] + others[:start]
         return others
 
-    def _client(self, address: str) -> rpc.RpcClient:
-        if address not in self._clients:
-            self._clients[address] = rpc.RpcClient(
-                address=settings_module.parse_address(address),
-                secret=self._settings.fleet_secret,
-                hybrid_clock=self._events.clock,
-            )
-        return self._clients[address]
-
     def _on_settle(self, message: protocol.Settle, now: float) -> None:
         foreign = self._take_reports(message.reports, now)
         if not message.forwarded:
@@ -249,7 +241,7 @@
             if member.replica_id == owner:
                 settle = protocol.Settle(reports=reports, forwarded=True)
                 try:
-                    await self._client(member.address).call(
+                    await self._clients.get(member.address).call(
                         settle, FORWARD_TIMEOUT
                     )
                 except exceptions.RpcError:
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -16,7 +16,6 @@
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import protocol
-from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
@@ -76,13 +75,14 @@
         self._vm = vm
         self._data_centre = data_centre
         self._address = address
-        self._secret = secret
         self._claim_retention = claim_retention
         self._events = event_log
         self._metrics = counters
         self._store = log_store.LogStore(folder=folder)
         self._random = random.SystemRandom()
-        self._clients: dict[str, rpc.RpcClient] = {}
+        self._clients = rpc.ClientPool(
+            secret=secret, hybrid_clock=event_log.clock
+        )
         self._pending: dict[int, _Pending] = {}
         self._state = replication.State(replica_id="")
         self._fleet = fleet_state.FleetState()
@@ -130,8 +130,7 @@
                 )
 
     async def _teardown(self) -> None:
-        for client in self._clients.values():
-            client.close()
+        self._clients.close()
         for pending in self._pending.values():
             pending.reply.fail(exceptions.RpcError("the control is stopping"))
         await trio.to_thread.run_sync(self._store.close)
@@ -269,7 +268,7 @@
         self, member: replication.Member, message: replication.Message
     ) -> None:
         try:
-            reply = await self._client(member.address).call(
+            reply = await self._clients.get(member.address).call(
                 message, leadership.timeout_of(message)
             )
         except exceptions.RpcError:
@@ -277,15 +276,6 @@
             return
         self.mailbox.tell(_FromPeer(message=reply))
 
-    def _client(self, address: str) -> rpc.RpcClient:
-        if address not in self._clients:
-            self._clients[address] = rpc.RpcClient(
-                address=settings_module.parse_address(address),
-                secret=self._secret,
-                hybrid_clock=self._events.clock,
-            )
-        return self._clients[address]
-
     async def _forward(
         self, message: messages.Submit, reply: mailbox.Reply
     ) -> None:
@@ -305,7 +295,9 @@
             leader = self._leader()
             if leader is not None:
                 try:
-                    result = await self._client(leader.address).call(sent, left)
+                    result = await self._clients.get(leader.address).call(
+                        sent, left
+                    )
                     reply.put(codec.decode(result.result))
                     return
                 except exceptions.RpcError as error:
--- a/src/sassafrashall/filters/dispatch.py
+++ b/src/sassafrashall/filters/dispatch.py
@@ -88,18 +88,11 @@
     async def _send(
         self, call: model.Call, choice: messages.Choice, handed: int
     ) -> model.Outcome:
-        remaining = call.deadline - clock.monotonic()
-        ticket = model.Ticket(
-            organisation=call.organisation,
-            root_id=call.root_id,
-            call_id=uuid.uuid4().hex[:16],
+        ticket = call.ticket(
             node=choice.vm,
-            service=call.service,
-            priority=call.priority,
-            remaining_ms=max(0, int(remaining * 1000)),
+            call_id=uuid.uuid4().hex[:16],
             retries=handed,
-            depth=call.depth,
-            idempotent=call.idempotent,
+            now=clock.monotonic(),
         )
         if choice.vm == self._node:
             request = dataclasses.replace(
--- a/src/sassafrashall/filters/upstream.py
+++ b/src/sassafrashall/filters/upstream.py
@@ -112,7 +112,12 @@
     async def _exchange(
         self, call: model.Call, upstream: model.Upstream
     ) -> model.Outcome:
-        ticket = self._ticket(call)
+        ticket = call.ticket(
+            node=self._node,
+            call_id=call.call_id,
+            retries=call.retries,
+            now=clock.monotonic(),
+        )
         await self._running.ask(
             messages.BeginCall(ticket=ticket, deadline=call.deadline)
         )
@@ -137,21 +142,6 @@
             self._running.tell(messages.EndCall(call_id=call.call_id))
         return dataclasses.replace(outcome, retries_left=retries_left)
 
-    def _ticket(self, call: model.Call) -> model.Ticket:
-        remaining = call.deadline - clock.monotonic()
-        return model.Ticket(
-            organisation=call.organisation,
-            root_id=call.root_id,
-            call_id=call.call_id,
-            node=self._node,
-            service=call.service,
-            priority=call.priority,
-            remaining_ms=max(0, int(remaining * 1000)),
-            retries=call.retries,
-            depth=call.depth,
-            idempotent=call.idempotent,
-        )
-
 
 def _is_shed(outcome: model.Outcome) -> bool:
     match outcome:
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -339,6 +339,30 @@
     parent_id: str = ""
     claim_id: str = ""
 
+    def ticket(
+        self, *, node: str, call_id: str, retries: int, now: float
+    ) -> Ticket:
+        """Returns the context that goes along with an attempt of this call.
+
+        Args:
+          node: Which node issues it, or is to take it.
+          call_id: Of the attempt.
+          retries: Tokens that are handed over.
+          now: Monotonic seconds.
+        """
+        return Ticket(
+            organisation=self.organisation,
+            root_id=self.root_id,
+            call_id=call_id,
+            node=node,
+            service=self.service,
+            priority=self.priority,
+            remaining_ms=max(0, int((self.deadline - now) * 1000)),
+            retries=retries,
+            depth=self.depth,
+            idempotent=self.idempotent,
+        )
+
 
 # --- results of filters ------------------------------------------------------
 
--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -45,6 +45,7 @@
         self._busy = False
         self._stopping = False
         self._last_response = False
+        self._head_only = False
         self._sending = trio.Lock()
 
     async def serve(self) -> None:
@@ -151,6 +152,7 @@
                 match event:
                     case h11.Request():
                         self._busy = True
+                        self._head_only = event.method == b"HEAD"
                         _check_head(event)
                         head = event
                         received_at = clock.monotonic()
@@ -204,7 +206,7 @@
 
     async def _send_response(self, response: model.Response) -> None:
         headers = list(http.end_to_end(response.headers))
-        headers.append(("content-length", str(len(response.body))))
+        headers.extend(self._length(response))
         closes = (
             self._stopping
             or self._last_response
@@ -215,13 +217,25 @@
         async with self._sending:
             await self._stream.send_all(self._encode(response, headers))
 
+    def _length(self, response: model.Response) -> model.Headers:
+        """Returns the header that tells the length of the body."""
+        if response.status in (204, 304):
+            return ()
+        length = str(len(response.body))
+        if self._head_only:
+            # The upstream knows how long the body would have been.
+            length = (
+                model.find_header(response.headers, "content-length") or length
+            )
+        return (("content-length", length),)
+
     def _encode(
         self, response: model.Response, headers: list[tuple[str, str]]
     ) -> bytes:
         send = self._protocol.send
         head = h11.Response(status_code=response.status, headers=headers)
         data = send(head) or b""
-        if response.body:
+        if response.body and not self._head_only:
             data += send(h11.Data(data=response.body)) or b""
         return data + (send(h11.EndOfMessage()) or b"")
 
--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -250,6 +250,31 @@
             used.close_if_unused()
 
 
+class ClientPool:
+    """The clients of one task, by the address that they call."""
+
+    def __init__(self, *, secret: str, hybrid_clock: clock.HybridClock) -> None:
+        self._secret = secret
+        self._clock = hybrid_clock
+        self._clients: dict[str, RpcClient] = {}
+
+    def get(self, address: str) -> RpcClient:
+        """Returns the client for an address written `IP:PORT`."""
+        if address not in self._clients:
+            host, _, port = address.rpartition(":")
+            self._clients[address] = RpcClient(
+                address=model.Address(host=host, port=int(port)),
+                secret=self._secret,
+                hybrid_clock=self._clock,
+            )
+        return self._clients[address]
+
+    def close(self) -> None:
+        """Closes every client."""
+        for client in self._clients.values():
+            client.close()
+
+
 def _wake(token: trio.lowlevel.TrioToken, done: trio.Event) -> None:
     try:
         token.run_sync_soon(done.set)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -48,6 +48,22 @@
     return model.Call(**{**values, **fields})
 
 
+def ticket(**fields) -> model.Ticket:
+    values = {
+        "organisation": "org",
+        "root_id": "r",
+        "call_id": "c",
+        "node": "n",
+        "service": "s",
+        "priority": model.Priority.NORMAL,
+        "remaining_ms": 100,
+        "retries": 1,
+        "depth": 0,
+        "idempotent": True,
+    }
+    return model.Ticket(**{**values, **fields})
+
+
 def answer(status=200, **fields) -> model.Answer:
     response = model.Response(status=status, headers=(), body=b"")
     return model.Answer(response=response, **fields)
--- a/tests/test_front_end.py
+++ b/tests/test_front_end.py
@@ -8,20 +8,10 @@
 from sassafrashall.transport import codec
 from sassafrashall.transport import front_end
 from sassafrashall.transport import http
+from tests import fakes
 from tests import loopback
 
-TICKET = model.Ticket(
-    organisation="a",
-    root_id="r",
-    call_id="c",
-    node="n",
-    service="s",
-    priority=model.Priority.NORMAL,
-    remaining_ms=100,
-    retries=1,
-    depth=0,
-    idempotent=True,
-)
+TICKET = fakes.ticket()
 
 
 def _front():
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -96,3 +96,19 @@
             address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
         )
     assert b"connection: close" in answer.lower()
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "body"),
+    [("HEAD", 200, b"abc"), ("GET", 204, b""), ("GET", 304, b"")],
+)
+async def test_answers_that_have_no_body(method, status, body):
+    async def bare(raw):
+        headers = (("x-kept", "1"), ("content-length", "3"))
+        return model.Response(status=status, headers=headers, body=body)
+
+    data = f"{method} / HTTP/1.1\r\nHost: a\r\n\r\n".encode() * 2
+    async with loopback.serve(bare) as (address, _):
+        answer = await loopback.talk(address, data)
+    assert answer.count(b"x-kept: 1") == 2
+    assert answer.endswith(b"\r\n\r\n")
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -86,18 +86,7 @@
 
 
 async def test_a_ticket_of_another_node_is_refused():
-    ticket = model.Ticket(
-        organisation="org",
-        root_id="r",
-        call_id="c",
-        node="other",
-        service="s",
-        priority=model.Priority.NORMAL,
-        remaining_ms=1,
-        retries=0,
-        depth=0,
-        idempotent=True,
-    )
+    ticket = fakes.ticket(node="other")
     refused = await _identify(fakes.request(ticket=ticket))
     assert refused.code == exceptions.INVALID_TICKET
     refused = await _identify(fakes.request(bad_ticket=True))
--- a/tests/test_running_calls.py
+++ b/tests/test_running_calls.py
@@ -1,22 +1,10 @@
 from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import messages
-from sassafrashall import model
 from sassafrashall.controllers import running_calls
 from tests import fakes
 
-TICKET = model.Ticket(
-    organisation="org",
-    root_id="r",
-    call_id="c",
-    node="n",
-    service="s",
-    priority=model.Priority.NORMAL,
-    remaining_ms=100,
-    retries=1,
-    depth=0,
-    idempotent=True,
-)
+TICKET = fakes.ticket()
 
 
 async def _begin(running, fingerprint="f"):
