Name each request to its caller, so that it can be found on the time line

Answers and refusals carry Sassafrashall-Request, the id that the events of the call tree have; an answer to HEAD keeps the length its upstream gave.

--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -291,6 +291,8 @@
       headers: Lower-case names with their values, in order, without anything
         that concerns this system or holds the caller's key.
       received_at: Monotonic seconds.
+      request_id: Names the request in answers and events; the root id of its
+        call tree if it comes from a caller.
       key: The caller's key, or empty.
       ticket: The verified ticket, if one came along.
       bad_ticket: Whether a ticket came along that is not valid.
@@ -303,6 +305,7 @@
     body: bytes
     source: Source
     received_at: float
+    request_id: str = ""
     key: str = ""
     ticket: Ticket | None = None
     bad_ticket: bool = False
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -4,7 +4,6 @@
 
 import secrets
 import time
-import uuid
 
 import trio
 
@@ -211,9 +210,8 @@
         )
 
     async def _enter(self, request: model.Request) -> model.Outcome:
-        root_id = uuid.uuid4().hex[:16]
         return await self._entry_chain.run(
-            model.Call(request=request, root_id=root_id)
+            model.Call(request=request, root_id=request.request_id)
         )
 
     async def _serve_peer(self, request: model.Request) -> model.Outcome:
--- a/src/sassafrashall/transport/exchange.py
+++ b/src/sassafrashall/transport/exchange.py
@@ -83,11 +83,17 @@
 
 
 def _without_internal(headers: model.Headers) -> model.Headers:
-    return tuple(
+    """Returns what is meant for the caller.
+
+    The length stays, since an answer to HEAD tells it without a body.
+    """
+    length = model.find_header(headers, "content-length")
+    kept = tuple(
         (name, value)
         for name, value in http.end_to_end(headers)
         if not name.startswith(codec.INTERNAL_PREFIX)
     )
+    return kept if length is None else (*kept, ("content-length", length))
 
 
 def _number(response: model.Response, name: str, default: int) -> int:
--- a/src/sassafrashall/transport/front_end.py
+++ b/src/sassafrashall/transport/front_end.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 import urllib.parse
+import uuid
 
 from sassafrashall import clock
 from sassafrashall import exceptions
@@ -65,7 +66,7 @@
                 detail="a fault inside the system; its log says more",
                 run=model.RunState.UNKNOWN,
             )
-        return self.encode(outcome, raw.source)
+        return self.encode(outcome, raw.source, request.request_id)
 
     def decode(self, raw: http.RawRequest) -> model.Request:
         """Returns the typed request; raises `ProtocolError` for bad input."""
@@ -76,6 +77,7 @@
             body=raw.body,
             source=raw.source,
             received_at=raw.received_at,
+            request_id=uuid.uuid4().hex[:16],
             timeout_ms=_timeout(raw.headers),
             idempotency_key=model.find_header(raw.headers, "idempotency-key")
             or "",
@@ -112,7 +114,7 @@
         )
 
     def encode(
-        self, outcome: model.Outcome, source: model.Source
+        self, outcome: model.Outcome, source: model.Source, request_id: str
     ) -> model.Response:
         """Returns the response for what the chain returned."""
         match outcome:
@@ -121,7 +123,8 @@
             case model.Answer(response=response):
                 pass
         if source is not model.Source.PEER:
-            return response
+            named = (*response.headers, (codec.REQUEST_HEADER, request_id))
+            return dataclasses.replace(response, headers=named)
         extra = (
             (codec.RETRIES_HEADER, str(outcome.retries_left)),
             (codec.LEVEL_HEADER, str(outcome.level)),
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,67 @@
+import dataclasses
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.transport import codec
+from sassafrashall.transport import exchange
+from tests import fakes
+from tests import loopback
+
+
+def _response(*headers, status=200):
+    return model.Response(status=status, headers=headers, body=b"")
+
+
+def test_an_upstream_cannot_speak_for_the_system():
+    forged = _response(
+        (codec.RUN_HEADER, "not-run"), (codec.CODE_HEADER, "shed"), status=503
+    )
+    outcome = exchange.decode_upstream(forged)
+    assert isinstance(outcome, model.Answer)
+    assert outcome.response.headers == ()
+
+
+def test_the_length_of_an_answer_to_head_is_kept():
+    outcome = exchange.decode_upstream(
+        _response(("content-length", "5"), ("connection", "close"))
+    )
+    assert outcome.response.headers == (("content-length", "5"),)
+
+
+def test_a_peers_refusal_comes_with_its_tokens_and_level():
+    refusal = model.Refuse(
+        code=exceptions.SHED, detail="full", retries_left=2, level=1250
+    )
+    problem = codec.problem(refusal)
+    headers = (
+        *problem.headers,
+        (codec.RETRIES_HEADER, "2"),
+        (codec.LEVEL_HEADER, "1250"),
+    )
+    encoded = dataclasses.replace(problem, headers=headers)
+    assert exchange.decode_peer(encoded, clock.HybridClock()) == refusal
+
+
+def test_what_goes_to_an_upstream_has_a_ticket_and_no_time_stamp():
+    message = messages.Exchange(
+        address=model.Address(host="127.0.0.1", port=9),
+        request=fakes.request(headers=(("x-a", "1"),)),
+        ticket=fakes.ticket(),
+        deadline=1.0,
+        to_upstream=True,
+        confirm=False,
+    )
+    raw = exchange.encode(message, loopback.SECRET, clock.HybridTime())
+    names = [name for name, _ in raw.headers]
+    assert names == ["x-a", codec.TICKET_HEADER, codec.DEADLINE_HEADER, "host"]
+
+
+def test_a_failure_says_not_run_only_before_the_request_was_sent():
+    for committed, run in (
+        (True, model.RunState.UNKNOWN),
+        (False, model.RunState.NOT_RUN),
+    ):
+        error = exceptions.ConnectionFailedError("x", committed=committed)
+        assert exchange.failure(error, to_upstream=True).run is run
--- a/tests/test_front_end.py
+++ b/tests/test_front_end.py
@@ -86,9 +86,10 @@
     refusal = model.Refuse(
         code=exceptions.OVER_RATE, detail="d", retry_after_s=0.2
     )
-    response = _front().encode(refusal, model.Source.CALLER)
+    response = _front().encode(refusal, model.Source.CALLER, "r1")
     assert response.status == 429
     assert dict(response.headers)["retry-after"] == "1"
+    assert dict(response.headers)["sassafrashall-request"] == "r1"
     assert dict(response.headers)["sassafrashall-run"] == "not-run"
     assert codec.refusal_of(response) == dataclasses.replace(
         refusal, retry_after_s=0.0
