Wait for the effect of a step down before the next one

Cause: with few requests in 100 ms, one bad interval closed a class, and work that was queued before a step down was counted against it again. Now a step waits 0.3 s for the last one's effect and at most halves the class; the longest wait grows with the upstream's own latency.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -159,11 +159,16 @@
         reply.on_abandon(
             lambda: self.mailbox.tell(_Abandoned(call_id=item.item_id))
         )
-        law = queues.fitted(self._queue_law, limit, self._limit.latency)
-        self._queue, shed = queues.push(law, self._queue, item)
+        self._queue, shed = queues.push(
+            self._fitted_law(limit), self._queue, item
+        )
         for victim in shed:
             self._shed(victim, exceptions.SHED, "the queue is full")
 
+    def _fitted_law(self, limit: int) -> queues.Law:
+        assert self._limit is not None
+        return queues.fitted(self._queue_law, limit, self._limit.latency)
+
     def _grant(
         self, item: queues.Item, reply: mailbox.Reply, now: float
     ) -> None:
@@ -204,9 +209,11 @@
                 self._grant(item, reply, now)
 
     def _drop_hopeless(self, now: float) -> None:
-        service_time = self._limit.base_latency if self._limit else 0.0
+        assert self._limit is not None
+        service_time = self._limit.base_latency
+        limit = limits.current(self._limit_law, self._limit, now)
         self._queue, hopeless = queues.expired(
-            self._queue_law, self._queue, now, service_time
+            self._fitted_law(limit), self._queue, now, service_time
         )
         for item in hopeless:
             late = item.deadline < now + service_time
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -9,6 +9,7 @@
 from sassafrashall import model
 
 SHORTEST_QUEUE = 2  # requests
+WAIT_FACTOR = 2.0  # times the latency of the upstream
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,7 +70,7 @@
 
 
 def fitted(law: Law, limit: int, latency: float) -> Law:
-    """Returns the law with the length that its longest wait allows.
+    """Returns the law with a wait and a length that fit the upstream.
 
     Args:
       law: As configured.
@@ -78,9 +79,11 @@
     """
     match law:
         case PriorityFair(longest_wait=wait) if wait and latency:
+            # Where requests take long anyway, a longer wait costs little.
+            wait = max(wait, WAIT_FACTOR * latency)
             fitting = math.ceil(limit * wait / latency)
             length = max(SHORTEST_QUEUE, min(law.length, fitting))
-            return dataclasses.replace(law, length=length)
+            return dataclasses.replace(law, length=length, longest_wait=wait)
         case _:
             return law
 
--- a/src/sassafrashall/decisions/shedding.py
+++ b/src/sassafrashall/decisions/shedding.py
@@ -19,6 +19,8 @@
 LEVEL_SCALE = 1000  # levels travel as whole numbers
 UPDATE_INTERVAL = 0.1  # seconds
 SMALLEST_FRACTION = 0.02  # of a class, below which it is closed
+LOWER_INTERVAL = 0.3  # seconds from one step down to the next
+SMALLEST_FACTOR = 0.5  # by which the class in between is thinned in one step
 FIRST_STEP = 0.02  # classes; doubled with every quiet interval in a row
 LARGEST_STEP = 0.25  # classes per interval
 LOWEST_LEVEL = 0.05
@@ -57,6 +59,8 @@
       shed: Requests shed since the last update, by class.
       delay: Longest time in the queue since the last update.
       step: By how much the level rises after the next quiet interval.
+      lowered_at: When it last came down. What waits in the queue by then is
+        still shed for a while, and says nothing of the new level.
     """
 
     level: float = OPEN_LEVEL
@@ -65,6 +69,7 @@
     delay: float = 0.0
     step: float = FIRST_STEP
     updated_at: float = 0.0
+    lowered_at: float = float("-inf")
 
 
 def on_dispatch(state: LevelState, priority: int, delay: float) -> LevelState:
@@ -90,12 +95,16 @@
     if now - state.updated_at < UPDATE_INTERVAL:
         return state
     level, step = state.level, FIRST_STEP
+    lowered_at = state.lowered_at
     if any(state.shed):
-        level = _lowered(state)
+        if now - lowered_at >= LOWER_INTERVAL:
+            level, lowered_at = _lowered(state), now
     elif state.delay < QUEUE_DELAY_TARGET:
         level = min(OPEN_LEVEL, level + state.step)
         step = min(LARGEST_STEP, 2 * state.step)
-    return LevelState(level=level, step=step, updated_at=now)
+    return LevelState(
+        level=level, step=step, updated_at=now, lowered_at=lowered_at
+    )
 
 
 def _lowered(state: LevelState) -> float:
@@ -110,7 +119,8 @@
     arrived = state.admitted[place] + state.shed[place]
     if not state.shed[place]:
         return state.level
-    fraction = (state.level - place) * state.admitted[place] / arrived
+    part = max(SMALLEST_FACTOR, state.admitted[place] / arrived)
+    fraction = (state.level - place) * part
     if place == 0:
         return max(LOWEST_LEVEL, fraction)
     return place + fraction if fraction >= SMALLEST_FRACTION else float(place)
