--- /dev/null
+++ b/tests/test_control_link.py
@@ -0,0 +1,100 @@
+import contextlib
+
+import pytest
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import messages
+from sassafrashall import protocol
+from sassafrashall import settings
+from sassafrashall.controllers import control_link
+from sassafrashall.transport import rpc
+from tests import fakes
+from tests import loopback
+
+
+class _Control:
+    """A fake control that answers with its name's freshness."""
+
+    def __init__(self, age):
+        self.age = age
+        self.calls = 0
+        self.address = loopback.free_address()
+
+    async def handle(self, message, caller):
+        if not isinstance(message, protocol.Ping):
+            self.calls += 1
+        return protocol.Pong(majority_age=self.age)
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        server = rpc.RpcServer(
+            address=self.address,
+            handler=self.handle,
+            secrets={"s": rpc.Caller.PROCESS},
+            hybrid_clock=clock.HybridClock(),
+        )
+        await server.start()
+        yield self
+        await server.close()
+
+
+def _link(*addresses):
+    return control_link.ControlLink(
+        controls=tuple(
+            settings.Control(vm=f"c{n}", data_centre=f"d{n}", address=address)
+            for n, address in enumerate(addresses)
+        ),
+        data_centre="d0",
+        secret="s",
+        event_log=fakes.event_log(),
+    )
+
+
+async def _call(link):
+    message = protocol.SubmitCommand(command=b"")
+    return await link.mailbox.ask(
+        messages.CallControl(message=message, timeout=3.0)
+    )
+
+
+async def test_a_silent_control_is_left_within_the_same_call(nursery):
+    async with _Control(0.1).running() as near, _Control(0.2).running() as far:
+        relay = loopback.SilentRelay(near.address)
+        await relay.start(nursery)
+        link = _link(relay.address, far.address)
+        async with fakes.started(link):
+            assert (await _call(link)).majority_age == 0.1
+            relay.silence()
+            with trio.fail_after(2.0):
+                assert (await _call(link)).majority_age == 0.2
+
+
+async def test_a_stale_control_is_left_for_a_fresher_one():
+    async with _Control(30.0).running() as near, _Control(0.2).running() as far:
+        link = _link(near.address, far.address)
+        async with fakes.started(link):
+            await _call(link)
+            link.mailbox.tell(messages.ControlIsStale(majority_age=30.0))
+            with trio.fail_after(2.0):
+                while (await _call(link)).majority_age != 0.2:
+                    await trio.sleep(0.02)
+
+
+async def test_in_a_cut_the_own_stale_control_is_kept():
+    async with _Control(30.0).running() as near:
+        link = _link(near.address, loopback.free_address())
+        async with fakes.started(link):
+            await _call(link)
+            link.mailbox.tell(messages.ControlIsStale(majority_age=30.0))
+            await trio.sleep(1.0)
+            assert (await _call(link)).majority_age == 30.0
+            assert near.calls == 2
+
+
+async def test_nobody_there_is_said_so_in_time():
+    link = _link(loopback.free_address())
+    async with fakes.started(link):
+        with trio.fail_after(3.5), pytest.raises(exceptions.RpcError):
+            await _call(link)
