--- a/src/sassafrashall/decisions/shedding.py
+++ b/src/sassafrashall/decisions/shedding.py
@@ -134,8 +134,8 @@
     """The level of a service as the door applies it.
 
     Attributes:
-      parts: Which part of the class in between passes, by organisation;
-        others pass by the level's own fraction.
+      parts: Which part of the class in between passes, by organisation. If
+        empty, all pass by the level's own fraction.
     """
 
     level: float
@@ -222,5 +222,7 @@
         return True
     if priority > int(seen.level):
         return False
-    part = dict(seen.parts).get(organisation, seen.level - int(seen.level))
+    # An organisation that was not seen lately wants less than its fair part.
+    unseen = 1.0 if seen.parts else seen.level - int(seen.level)
+    part = dict(seen.parts).get(organisation, unseen)
     return xxhash.xxh32_intdigest(root_id) / 2**32 < part
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -88,3 +88,14 @@
     parts = dict(seen.parts)
     assert parts["tiny"] == 1.0 and parts["large"] < 0.5
     assert _admits(1.5, 1, "any", "tiny", seen.parts)
+
+
+def test_an_organisation_not_seen_lately_is_within_its_fair_part():
+    parts = (("large", 0.2),)
+    assert _admits(1.2, model.Priority.NORMAL, "r1", "rare", parts)
+    assert _admits(1.2, model.Priority.NORMAL, "r2", "rare", parts)
+    refused = sum(
+        not _admits(1.2, model.Priority.NORMAL, f"r{n}", "large", parts)
+        for n in range(100)
+    )
+    assert refused > 50
