--- a/bench/quota.py
+++ b/bench/quota.py
@@ -15,7 +15,7 @@
 from sassafrashall.decisions import quota
 
 SECONDS = 60.0
-LOOK = 0.05  # seconds between a node's looks at its wallets
+LOOK = 0.05  # seconds between a node's looks at its caches
 BORROW_TIME = 0.004  # seconds for a question to an owner and back
 WAIT = 0.06  # seconds that a request waits for a token
 SEEDS = (1, 2, 3)
@@ -29,20 +29,20 @@
 
     Attributes:
       hot: Part of the requests that come to one node.
-      seats: Owners that share the quota.
+      shares: Owners that share the quota.
     """
 
     rate: float
     burst: int
     hot: float
-    seats: int
+    shares: int
 
 
 CASES = tuple(
-    Case(rate=rate, burst=burst, hot=hot, seats=seats)
+    Case(rate=rate, burst=burst, hot=hot, shares=shares)
     for rate, burst in ((500.0, 200), (50.0, 20), (5.0, 5))
     for hot in (0.0, 0.7)
-    for seats in (3, 1)
+    for shares in (3, 1)
 )
 
 
@@ -54,39 +54,39 @@
         self._buckets = {}
         for owner in OWNERS:
             rate, capacity = quota.share(
-                "x", case.rate, case.burst, owner, OWNERS, case.seats
+                "x", case.rate, case.burst, owner, OWNERS, case.shares
             )
             self._buckets[owner] = quota.open_bucket(
                 rate, capacity, 0.0, is_new=True
             )
-        self._wallets = [quota.Wallet() for _ in range(NODES)]
+        self._caches = [quota.TokenCache() for _ in range(NODES)]
         self._leases = 0
         self.borrows = 0
 
     def admit(self, node: int, now: float) -> bool:
         """Returns whether a request is admitted, perhaps after a wait."""
-        wallet = quota.arrive(self._wallets[node], now)
-        self._wallets[node], granted = quota.spend(wallet, now)
+        cache = quota.arrive(self._caches[node], now)
+        self._caches[node], granted = quota.spend(cache, now)
         until = now + (WAIT if self._waits else BORROW_TIME)
         while not granted and now < until:
             now += BORROW_TIME
             self._borrow(node, now)
-            self._wallets[node], granted = quota.spend(self._wallets[node], now)
+            self._caches[node], granted = quota.spend(self._caches[node], now)
             now += 0.01
         return granted
 
     def look(self, now: float) -> None:
         """What every node does at intervals."""
         for node in range(NODES):
-            self._wallets[node] = quota.estimate(self._wallets[node], now)
-            if quota.wanted_ahead(self._wallets[node], now):
+            self._caches[node] = quota.estimate(self._caches[node], now)
+            if quota.wanted_ahead(self._caches[node], now):
                 self._borrow(node, now)
             self._report(node, now)
 
     def _borrow(self, node: int, now: float) -> None:
         self.borrows += 1
         self._report(node, now)
-        wanted = 1 + quota.wanted_ahead(self._wallets[node], now)
+        wanted = 1 + quota.wanted_ahead(self._caches[node], now)
         home = node % len(OWNERS)
         for owner in (*OWNERS[home:], *OWNERS[:home]):
             self._leases += 1
@@ -101,13 +101,11 @@
                     tokens=tokens,
                     expires_at=now + quota.LEASE_TTL,
                 )
-                self._wallets[node] = quota.deposit(
-                    self._wallets[node], (held,)
-                )
+                self._caches[node] = quota.deposit(self._caches[node], (held,))
                 return
 
     def _report(self, node: int, now: float) -> None:
-        self._wallets[node], found = quota.report(self._wallets[node], "x", now)
+        self._caches[node], found = quota.report(self._caches[node], "x", now)
         for report in found:
             self._buckets[report.owner] = quota.settle(
                 self._buckets[report.owner], report, now
@@ -151,7 +149,7 @@
     for case in CASES:
         runs = [run(case, seed) for seed in SEEDS]
         spread = "70% at one" if case.hot else "spread"
-        row = [f"{case.rate:g}", case.burst, spread, case.seats]
+        row = [f"{case.rate:g}", case.burst, spread, case.shares]
         for name in runs[0]:
             middle = sorted(r[name] for r in runs)[len(runs) // 2]
             share = name == "borrows a request"
@@ -161,7 +159,7 @@
         "RATE",
         "BURST",
         "ARRIVALS",
-        "SEATS",
+        "SHARES",
         *(n.upper() for n in runs[0]),
     )
     print(reports.table(header, rows))
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -20,11 +20,11 @@
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import shedding
 
-LOOK_INTERVAL = 0.02  # seconds between looks at the queue while it is used
+TICK_INTERVAL = 0.02  # seconds between looks at the queue while it is used
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Look:
+class _Tick:
     """It is time to drop what waited too long and to move the level."""
 
 
@@ -73,21 +73,21 @@
     async def _setup(self) -> None:
         self._published_level.publish(self._public_level())
         self._spawn(self._follow_upstream)
-        self._spawn(self._look_regularly)
+        self._spawn(self._tick_regularly)
 
     async def _follow_upstream(self) -> None:
         while True:
             upstream = await self._local.wait_changed()
             self.mailbox.tell(_UpstreamChanged(upstream=upstream))
 
-    async def _look_regularly(self) -> None:
+    async def _tick_regularly(self) -> None:
         while True:
             settled = self._level.level >= shedding.OPEN_LEVEL
             if not self._queue.items and settled and not any(self._level.shed):
                 self._active = trio.Event()
                 await self._active.wait()
-            await trio.sleep(LOOK_INTERVAL)
-            self.mailbox.tell(_Look())
+            await trio.sleep(TICK_INTERVAL)
+            self.mailbox.tell(_Tick())
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         now = clock.monotonic()
@@ -100,7 +100,7 @@
                 self._drop(call_id)
             case _UpstreamChanged(upstream=upstream):
                 self._change_upstream(upstream, now)
-            case _Look():
+            case _Tick():
                 self._look(now)
 
     def _change_upstream(
@@ -198,7 +198,7 @@
     def _dispatch(self, now: float) -> None:
         if self._limit is None:
             return
-        self._drop_hopeless(now)
+        self._drop_expired(now)
         limit = limits.current(self._limit_law, self._limit, now)
         while self._in_flight < limit:
             self._queue, item = queues.pop(self._queue_law, self._queue)
@@ -208,14 +208,14 @@
             if not reply.abandoned:
                 self._grant(item, reply, now)
 
-    def _drop_hopeless(self, now: float) -> None:
+    def _drop_expired(self, now: float) -> None:
         assert self._limit is not None
         service_time = self._limit.base_latency
         limit = limits.current(self._limit_law, self._limit, now)
-        self._queue, hopeless = queues.expired(
+        self._queue, expired_items = queues.expired(
             self._fitted_law(limit), self._queue, now, service_time
         )
-        for item in hopeless:
+        for item in expired_items:
             late = item.deadline < now + service_time
             self._shed(
                 item,
--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -1,4 +1,4 @@
-"""The node's wallets: borrows tokens ahead of need and gives them back."""
+"""The node's caches: borrows tokens ahead of need and gives them back."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from sassafrashall import task
 from sassafrashall.decisions import quota
 
-REPORT_INTERVAL = 0.05  # seconds between looks at active wallets
+REPORT_INTERVAL = 0.05  # seconds between looks at active caches
 BORROW_TIMEOUT = 1.0  # seconds
 TOKEN_WAIT = 0.06  # seconds that a request waits for a token
 DRY_PAUSE = 0.01  # seconds at least between two questions to dry owners
@@ -33,8 +33,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Look:
-    """It is time to look at the wallets."""
+class _Tick:
+    """It is time to look at the caches."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -52,10 +52,10 @@
 
 
 class _Account:
-    """The wallet of one organisation with the requests that wait on it."""
+    """The cache of one organisation with the requests that wait on it."""
 
     def __init__(self, *, now: float) -> None:
-        self.wallet = quota.Wallet(estimated_at=now)
+        self.cache = quota.TokenCache(estimated_at=now)
         self.waiting: collections.deque[_Waiter] = collections.deque()
         self.borrowing = False
         self.ask_again_at = 0.0
@@ -65,7 +65,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing is left to do for this organisation."""
-        return not (self.wallet.leases or self.waiting or self.borrowing)
+        return not (self.cache.leases or self.waiting or self.borrowing)
 
 
 class NodeQuota(task.Controller):
@@ -81,7 +81,7 @@
         self._active = trio.Event()
 
     async def _setup(self) -> None:
-        self._spawn(self._look_regularly)
+        self._spawn(self._tick_regularly)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         now = clock.monotonic()
@@ -90,7 +90,7 @@
                 self._take(message, reply, now)
             case _Borrowed():
                 self._on_borrowed(message, now)
-            case _Look():
+            case _Tick():
                 self._look(now)
 
     def _take(
@@ -101,9 +101,9 @@
             account = _Account(now=now)
             self._accounts[message.organisation] = account
         self._active.set()
-        account.wallet = quota.arrive(account.wallet, now)
+        account.cache = quota.arrive(account.cache, now)
         if not account.waiting:
-            account.wallet, granted = quota.spend(account.wallet, now)
+            account.cache, granted = quota.spend(account.cache, now)
             if granted:
                 reply.put(messages.TokenGranted())
                 return
@@ -117,10 +117,10 @@
         if account.borrowing or now < account.ask_again_at:
             return
         waiting = len(account.waiting)
-        wanted = waiting + quota.wanted_ahead(account.wallet, now)
+        wanted = waiting + quota.wanted_ahead(account.cache, now)
         if wanted == 0:
             return
-        account.wallet, reports = quota.report(account.wallet, name, now)
+        account.cache, reports = quota.report(account.cache, name, now)
         account.borrowing = True
         question = protocol.Borrow(
             organisation=name, wanted=wanted, reports=reports
@@ -153,22 +153,22 @@
         else:
             account.wait = message.answer.wait
             account.unreachable = message.answer.unreachable
-            loans = message.answer.loans
-            if not loans:
+            grants = message.answer.grants
+            if not grants:
                 pause = min(max(account.wait, DRY_PAUSE), TOKEN_WAIT)
                 account.ask_again_at = now + pause
-            account.wallet = quota.deposit(
-                account.wallet,
+            account.cache = quota.deposit(
+                account.cache,
                 tuple(
                     quota.HeldLease(
-                        owner=loan.owner,
-                        lease_id=loan.lease_id,
-                        tokens=loan.tokens,
+                        owner=grant.owner,
+                        lease_id=grant.lease_id,
+                        tokens=grant.tokens,
                         # Counted from before the question, so that it lapses
                         # here before it does at the owner.
                         expires_at=message.asked_at + quota.LEASE_TTL,
                     )
-                    for loan in loans
+                    for grant in grants
                 ),
             )
         self._serve_waiting(message.organisation, account, now)
@@ -179,7 +179,7 @@
             if waiter.reply.abandoned:
                 account.waiting.popleft()
                 continue
-            account.wallet, granted = quota.spend(account.wallet, now)
+            account.cache, granted = quota.spend(account.cache, now)
             if granted:
                 account.waiting.popleft().reply.put(messages.TokenGranted())
                 continue
@@ -198,14 +198,14 @@
     def _look(self, now: float) -> None:
         reports: list[quota.Report] = []
         for name, account in list(self._accounts.items()):
-            if now - account.wallet.estimated_at >= quota.DEMAND_WINDOW:
-                account.wallet = quota.estimate(account.wallet, now)
+            if now - account.cache.estimated_at >= quota.DEMAND_WINDOW:
+                account.cache = quota.estimate(account.cache, now)
             self._serve_waiting(name, account, now)
             self._borrow(name, account, now)
             if not account.borrowing:
-                account.wallet, more = quota.report(account.wallet, name, now)
+                account.cache, more = quota.report(account.cache, name, now)
                 reports.extend(more)
-            if account.idle and account.wallet.demand < 0.01:
+            if account.idle and account.cache.demand < 0.01:
                 del self._accounts[name]
         if reports:
             self._metrics.count("quota_reports")
@@ -220,10 +220,10 @@
         except exceptions.SassafrashallError:
             self._metrics.count("quota_reports_lost")
 
-    async def _look_regularly(self) -> None:
+    async def _tick_regularly(self) -> None:
         while True:
             if not self._accounts:
                 self._active = trio.Event()
                 await self._active.wait()
             await trio.sleep(REPORT_INTERVAL)
-            self.mailbox.tell(_Look())
+            self.mailbox.tell(_Tick())
--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -47,10 +47,10 @@
         self._metrics = counters
         self._replica_id = ""
         self._buckets: dict[str, quota.Bucket] = {}
-        # When this replica took its seat among the owners, and the revision
-        # then; what was created before may have tokens out from its seat.
-        self._seated_at = 0.0
-        self._seat_revision: int | None = None
+        # When this replica took its share among the owners, and the revision
+        # then; what was created before may have tokens out from its share.
+        self._share_since = 0.0
+        self._share_revision: int | None = None
         self._clients = rpc.ClientPool(
             secret=settings.fleet_secret, hybrid_clock=event_log.clock
         )
@@ -61,7 +61,7 @@
     async def _setup(self) -> None:
         status = await self._replica.ask(messages.ReadReplica())
         self._replica_id = status.member.replica_id
-        self._take_seat(self._view.value, clock.monotonic())
+        self._note_share(self._view.value, clock.monotonic())
         self._spawn(self._follow_view)
 
     async def _teardown(self) -> None:
@@ -75,7 +75,7 @@
         now = clock.monotonic()
         match message:
             case messages.FleetView():
-                self._take_seat(message, now)
+                self._note_share(message, now)
                 self._resize(message, now)
             case protocol.Borrow():
                 self._on_borrow(message, reply, now)
@@ -85,12 +85,12 @@
             case protocol.StatusQuery():
                 reply.put(self._quotas())
 
-    def _take_seat(self, view: messages.FleetView, now: float) -> None:
+    def _note_share(self, view: messages.FleetView, now: float) -> None:
         if self._replica_id not in view.owners:
-            self._seat_revision = None
-        elif self._seat_revision is None:
-            self._seat_revision = view.state.revision
-            self._seated_at = now
+            self._share_revision = None
+        elif self._share_revision is None:
+            self._share_revision = view.state.revision
+            self._share_since = now
 
     def _resize(self, view: messages.FleetView, now: float) -> None:
         for name, bucket in list(self._buckets.items()):
@@ -112,7 +112,7 @@
             parameters.burst,
             owner or self._replica_id,
             view.owners,
-            parameters.quota_seats,
+            parameters.quota_shares,
         )
 
     def _bucket(self, name: str, now: float) -> quota.Bucket | None:
@@ -121,31 +121,33 @@
             return bucket
         view = self._view.value
         organisation = view.state.organisations.get(name)
-        if organisation is None or self._seat_revision is None:
+        if organisation is None or self._share_revision is None:
             return None
         rate, capacity = self._share(name, view)
         # Nobody can hold a token of an organisation that was created while
-        # this process ran and had its seat.
-        known_before = max(view.replayed_revision, self._seat_revision)
+        # this process ran and had its share.
+        known_before = max(view.replayed_revision, self._share_revision)
         if organisation.created > known_before:
             return quota.open_bucket(rate, capacity, now, is_new=True)
-        return quota.open_bucket(rate, capacity, self._seated_at, is_new=False)
+        return quota.open_bucket(
+            rate, capacity, self._share_since, is_new=False
+        )
 
     def _on_borrow(
         self, message: protocol.Borrow, reply: mailbox.Reply, now: float
     ) -> None:
         foreign = self._take_reports(message.reports, now)
         self._pass_on_all(foreign)
-        loans, wait = self._lend(message.organisation, message.wanted, now)
-        lent = sum(loan.tokens for loan in loans)
+        grants, wait = self._lend(message.organisation, message.wanted, now)
+        lent = sum(grant.tokens for grant in grants)
         if lent or message.forwarded:
-            reply.put(protocol.BorrowReply(loans=loans, wait=wait))
+            reply.put(protocol.BorrowReply(grants=grants, wait=wait))
             return
         self._spawn(self._ask_others, message, wait, reply)
 
     def _lend(
         self, name: str, wanted: int, now: float
-    ) -> tuple[tuple[protocol.Loan, ...], float]:
+    ) -> tuple[tuple[protocol.LeaseGrant, ...], float]:
         bucket = self._bucket(name, now)
         if bucket is None:
             return (), LONGEST_WAIT
@@ -157,10 +159,10 @@
             wait = quota.wait_for_token(bucket, now)
             return (), min(wait, LONGEST_WAIT)
         self._lent[name] += tokens
-        loan = protocol.Loan(
+        grant = protocol.LeaseGrant(
             owner=self._replica_id, lease_id=lease_id, tokens=tokens
         )
-        return (loan,), 0.0
+        return (grant,), 0.0
 
     async def _ask_others(
         self, message: protocol.Borrow, wait: float, reply: mailbox.Reply
@@ -181,13 +183,13 @@
             except exceptions.RpcError:
                 self._avoid[replica_id] = clock.monotonic() + AVOID_TIME
                 continue
-            if answer.loans:
+            if answer.grants:
                 reply.put(answer)
                 return
             unreachable = False
             wait = min(wait, answer.wait)
         reply.put(
-            protocol.BorrowReply(loans=(), wait=wait, unreachable=unreachable)
+            protocol.BorrowReply(grants=(), wait=wait, unreachable=unreachable)
         )
 
     def _others(self, name: str) -> list[tuple[str, str]]:
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -123,7 +123,7 @@
 ) -> tuple[Queue, tuple[Item, ...]]:
     """Takes out what waited too long or has no time left to be run.
 
-    An early end of the wait is what tells the door soon that it lets too much
+    An early end of the wait is what tells the entry soon that it lets too much
     pass: a class that gets no turn would else say so only at its deadlines.
     """
     match law:
@@ -131,16 +131,16 @@
             return queue, ()
         case PriorityFair(longest_wait=wait):
             pass
-    hopeless = tuple(
+    expired_items = tuple(
         item
         for item in queue.items
         if item.deadline < now + service_time
         or (wait and now - item.arrived_at > wait)
     )
-    if not hopeless:
+    if not expired_items:
         return queue, ()
-    kept = tuple(item for item in queue.items if item not in hopeless)
-    return dataclasses.replace(queue, items=kept), hopeless
+    kept = tuple(item for item in queue.items if item not in expired_items)
+    return dataclasses.replace(queue, items=kept), expired_items
 
 
 def remove(queue: Queue, item: Item) -> Queue:
--- a/src/sassafrashall/decisions/quota.py
+++ b/src/sassafrashall/decisions/quota.py
@@ -88,13 +88,13 @@
     burst: int,
     owner: str,
     owners: tuple[str, ...],
-    seats: int = 0,
+    shares: int = 0,
 ) -> tuple[float, int]:
     """Returns an owner's part of rate and burst.
 
     Whole tokens are dealt in turn, beginning at a place that depends on the
     organisation, and the rate follows the tokens. The parts of all owners add
-    up to the whole. A replacement takes the seat of the replica that it
+    up to the whole. A replacement takes the share of the replica that it
     replaces, so that the other owners' parts stay as they are.
 
     Args:
@@ -102,12 +102,12 @@
       rate: Tokens a second of the whole fleet.
       burst: Whole tokens of the whole fleet.
       owner: Whose part is asked for.
-      owners: All owners by seat.
-      seats: How many owners get a part; 0 means all.
+      owners: All owners by share.
+      shares: How many owners get a part; 0 means all.
     """
     if owner not in owners:
         return 0.0, 0
-    sharing = min(seats, len(owners)) or len(owners)
+    sharing = min(shares, len(owners)) or len(owners)
     offset = xxhash.xxh32_intdigest(organisation) % len(owners)
     place = (owners.index(owner) - offset) % len(owners)
     if place >= sharing:
@@ -243,7 +243,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Wallet:
+class TokenCache:
     """The tokens of one organisation at one node.
 
     Attributes:
@@ -264,64 +264,62 @@
         )
 
 
-def arrive(wallet: Wallet, now: float) -> Wallet:
+def arrive(cache: TokenCache, now: float) -> TokenCache:
     """Counts an arrival."""
-    return dataclasses.replace(
-        wallet, arrivals=wallet.arrivals + 1, last_use=now
-    )
+    return dataclasses.replace(cache, arrivals=cache.arrivals + 1, last_use=now)
 
 
-def spend(wallet: Wallet, now: float) -> tuple[Wallet, bool]:
+def spend(cache: TokenCache, now: float) -> tuple[TokenCache, bool]:
     """Uses one token if there is one, of the lease that lapses first."""
-    leases = list(wallet.leases)
+    leases = list(cache.leases)
     for place, lease in enumerate(leases):
         if lease.tokens > 0 and lease.expires_at > now:
             leases[place] = dataclasses.replace(
                 lease, tokens=lease.tokens - 1, used=lease.used + 1
             )
-            return dataclasses.replace(wallet, leases=tuple(leases)), True
-    return wallet, False
+            return dataclasses.replace(cache, leases=tuple(leases)), True
+    return cache, False
 
 
-def deposit(wallet: Wallet, leases: tuple[HeldLease, ...]) -> Wallet:
+def deposit(cache: TokenCache, leases: tuple[HeldLease, ...]) -> TokenCache:
     """Adds borrowed leases."""
     ordered = sorted(
-        (*wallet.leases, *leases), key=lambda lease: lease.expires_at
+        (*cache.leases, *leases), key=lambda lease: lease.expires_at
     )
-    return dataclasses.replace(wallet, leases=tuple(ordered))
+    return dataclasses.replace(cache, leases=tuple(ordered))
 
 
-def estimate(wallet: Wallet, now: float) -> Wallet:
+def estimate(cache: TokenCache, now: float) -> TokenCache:
     """Updates the smoothed demand from the arrivals since the last time."""
-    elapsed = now - wallet.estimated_at
+    elapsed = now - cache.estimated_at
     if elapsed <= 0:
-        return wallet
-    latest = wallet.arrivals / elapsed
-    demand = wallet.demand + DEMAND_SMOOTHING * (latest - wallet.demand)
+        return cache
+    latest = cache.arrivals / elapsed
+    demand = cache.demand + DEMAND_SMOOTHING * (latest - cache.demand)
     return dataclasses.replace(
-        wallet, demand=demand, arrivals=0, estimated_at=now
+        cache, demand=demand, arrivals=0, estimated_at=now
     )
 
 
-def wanted_ahead(wallet: Wallet, now: float) -> int:
+def wanted_ahead(cache: TokenCache, now: float) -> int:
     """Returns how many tokens to borrow ahead of need; 0 for a cold one."""
-    if wallet.demand < HOT_DEMAND:
+    if cache.demand < HOT_DEMAND:
         return 0
-    target = math.ceil(wallet.demand * DEMAND_WINDOW) + 1
-    return max(0, target - wallet.available(now))
+    target = math.ceil(cache.demand * DEMAND_WINDOW) + 1
+    return max(0, target - cache.available(now))
 
 
 def report(
-    wallet: Wallet, organisation: str, now: float
-) -> tuple[Wallet, tuple[Report, ...]]:
+    cache: TokenCache, organisation: str, now: float
+) -> tuple[TokenCache, tuple[Report, ...]]:
     """Returns what to tell the owners: uses, and tokens that lie idle."""
-    idle = now - wallet.last_use >= IDLE_RETURN
+    idle = now - cache.last_use >= IDLE_RETURN
     kept: list[HeldLease] = []
     reports: list[Report] = []
     spare = 0
     if not idle:
-        spare = math.ceil(wallet.demand * DEMAND_WINDOW * 2) + 1
-    for lease in wallet.leases:
+        spare = math.ceil(cache.demand * DEMAND_WINDOW * 2) + 1
+    for lease in cache.leases:
         if lease.expires_at <= now and not lease.used:
             continue
         held = min(lease.tokens, spare) if lease.expires_at > now else 0
@@ -343,4 +341,4 @@
             )
         if held:
             kept.append(lease)
-    return dataclasses.replace(wallet, leases=tuple(kept)), tuple(reports)
+    return dataclasses.replace(cache, leases=tuple(kept)), tuple(reports)
--- a/src/sassafrashall/decisions/shedding.py
+++ b/src/sassafrashall/decisions/shedding.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LevelShed:
-    """Refuses at the door by the level that came back on answers."""
+    """Refuses at the entry by the level that came back on answers."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -126,12 +126,12 @@
     return place + fraction if fraction >= SMALLEST_FRACTION else float(place)
 
 
-# --- at the door -------------------------------------------------------------
+# --- at the entry -------------------------------------------------------------
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeenLevel:
-    """The level of a service as the door applies it.
+    """The level of a service as the entry applies it.
 
     Attributes:
       parts: Which part of the class in between passes, by organisation. If
@@ -145,7 +145,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Demand:
-    """Arrivals at the door by service, class and organisation.
+    """Arrivals at the entry by service, class and organisation.
 
     Attributes:
       counts: Since `since`.
@@ -172,7 +172,7 @@
 def seen_level(
     law: Law, level: float, service: str, demand: Demand, now: float
 ) -> SeenLevel:
-    """Returns what the door applies for a service at this level."""
+    """Returns what the entry applies for a service at this level."""
     match law:
         case FairLevelShed():
             wanted: dict[str, int] = {}
--- a/src/sassafrashall/decisions/templates.py
+++ b/src/sassafrashall/decisions/templates.py
@@ -13,7 +13,7 @@
 RATE_LIMIT = 1_000_000.0  # requests a second
 BURST_LIMIT = 1_000_000  # requests
 RETRY_LIMIT = 10
-SEATS_LIMIT = 11
+SHARES_LIMIT = 11
 FRESHNESS_LIMIT_S = 86_400.0
 ROUTES_LIMIT = 64
 
@@ -48,7 +48,7 @@
                 bulk_routes=_rules("/summary", "/calendar"),
                 never_repeated_routes=_rules("POST /grant/commit"),
                 retry_bound=2,
-                quota_seats=1,
+                quota_shares=1,
             ),
         ),
         model.Template(
@@ -119,8 +119,8 @@
             return _whole(text, 1, BURST_LIMIT, "requests")
         case "retry_bound":
             return _whole(text, 0, RETRY_LIMIT, "retries")
-        case "quota_seats":
-            return _whole(text, 0, SEATS_LIMIT, "seats")
+        case "quota_shares":
+            return _whole(text, 0, SHARES_LIMIT, "shares")
         case "freshness_bound_s":
             return _number(text, 0.0, FRESHNESS_LIMIT_S, "seconds")
         case _ if name in _ROUTE_PARAMETERS:
--- a/src/sassafrashall/filters/early_shed.py
+++ b/src/sassafrashall/filters/early_shed.py
@@ -1,4 +1,4 @@
-"""Refuses at the door what the service would shed anyway."""
+"""Refuses at the entry what the service would shed anyway."""
 
 from __future__ import annotations
 
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -237,7 +237,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Arrived:
-    """A call for a service came to the door, whether it passes or not.
+    """A call for a service came to the entry, whether it passes or not.
 
     Attributes:
       nested: Whether the local upstream made it.
@@ -344,7 +344,7 @@
     """What a control has applied, as one snapshot.
 
     Attributes:
-      owners: Replica ids of the quota owners, by seat.
+      owners: Replica ids of the quota owners, by share.
       replayed_revision: Revision up to which this process may have applied
         changes before its start.
     """
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -82,7 +82,7 @@
         method.
       open_routes: Routes served without a key, on this organisation's quota.
       retry_bound: Retries allowed for a whole call tree.
-      quota_seats: How many controls share the quota, 0 for all. One share
+      quota_shares: How many controls share the quota, 0 for all. One share
         refuses least within the rate; a share at each control also serves
         data centres that are cut off.
       freshness_bound_s: How old a node's proof of fresh configuration may be
@@ -96,7 +96,7 @@
     never_repeated_routes: tuple[RouteRule, ...] = ()
     open_routes: tuple[RouteRule, ...] = ()
     retry_bound: int = 2
-    quota_seats: int = 0
+    quota_shares: int = 0
     freshness_bound_s: float = 0.0
 
 
@@ -203,7 +203,7 @@
 
     Attributes:
       level: Admission level of its upstream.
-      shed_per_second: Requests that it refused for load, at the door and in
+      shed_per_second: Requests that it refused for load, at the entry and in
         front of its upstream.
     """
 
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -86,7 +86,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Loan:
+class LeaseGrant:
     """A lease as the owner grants it; the node counts the time to live."""
 
     owner: str
@@ -103,7 +103,7 @@
       unreachable: Whether no owner with a part of this quota could be asked.
     """
 
-    loans: tuple[Loan, ...]
+    grants: tuple[LeaseGrant, ...]
     wait: float
     unreachable: bool = False
 
--- a/src/sassafrashall/transport/http_client.py
+++ b/src/sassafrashall/transport/http_client.py
@@ -26,7 +26,7 @@
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT)
         self._committed = False
-        self._patience = math.inf
+        self._silence_limit = math.inf
         self._used_at = clock.monotonic()
 
     @classmethod
@@ -92,7 +92,7 @@
             received the whole request.
         """
         self._committed = False
-        self._patience = PROGRESS_TIMEOUT if expect_progress else math.inf
+        self._silence_limit = PROGRESS_TIMEOUT if expect_progress else math.inf
         try:
             if confirm:
                 early = await self._send_confirmed(request)
@@ -159,9 +159,9 @@
             self._protocol.receive_data(data)
 
     async def _receive(self) -> bytes:
-        if math.isinf(self._patience):
+        if math.isinf(self._silence_limit):
             return await self._stream.receive_some(http.RECEIVE_SIZE)
-        with trio.move_on_after(self._patience):
+        with trio.move_on_after(self._silence_limit):
             return await self._stream.receive_some(http.RECEIVE_SIZE)
         raise exceptions.ConnectionFailedError(
             "peer is silent", committed=self._committed, silent=True
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -115,11 +115,11 @@
             case protocol.Borrow(wanted=wanted):
                 lent = min(wanted, self.tokens)
                 self.tokens -= lent
-                loan = protocol.Loan(
+                grant = protocol.LeaseGrant(
                     owner="o", lease_id=f"l{self.tokens}", tokens=lent
                 )
                 return protocol.BorrowReply(
-                    loans=(loan,) if lent else (), wait=0.5
+                    grants=(grant,) if lent else (), wait=0.5
                 )
             case _:
                 return protocol.Ack()
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -59,7 +59,7 @@
         self.buckets: dict[str, quota.Bucket] = {}
         for name in self.names:
             self.open(name, is_new=True)
-        self.wallets = [quota.Wallet() for _ in range(nodes)]
+        self.caches = [quota.TokenCache() for _ in range(nodes)]
         self.cut: set[int] = set()
         self.admitted: list[float] = []
         self.refused = 0
@@ -91,13 +91,13 @@
 
     def request(self, node: int) -> bool:
         """One request at a node; borrows if it has no token."""
-        wallet = quota.arrive(self.wallets[node], self.now)
-        wallet, granted = quota.spend(wallet, self.now)
-        self.wallets[node] = wallet
+        cache = quota.arrive(self.caches[node], self.now)
+        cache, granted = quota.spend(cache, self.now)
+        self.caches[node] = cache
         if not granted:
             self.borrow(node)
-            self.wallets[node], granted = quota.spend(
-                self.wallets[node], self.now
+            self.caches[node], granted = quota.spend(
+                self.caches[node], self.now
             )
         if granted:
             self.admitted.append(self.now)
@@ -108,7 +108,7 @@
     def borrow(self, node: int, extra: int = 0) -> None:
         asked_at = self.now
         self.report(node)
-        wanted = 1 + quota.wanted_ahead(self.wallets[node], self.now) + extra
+        wanted = 1 + quota.wanted_ahead(self.caches[node], self.now) + extra
         order = [self.home(node)]
         if node not in self.cut:
             order += [n for n in self.names if n != order[0]]
@@ -127,12 +127,12 @@
                     tokens=tokens,
                     expires_at=asked_at + quota.LEASE_TTL,
                 )
-                self.wallets[node] = quota.deposit(self.wallets[node], (held,))
+                self.caches[node] = quota.deposit(self.caches[node], (held,))
                 return
 
     def report(self, node: int) -> None:
-        self.wallets[node], reports = quota.report(
-            self.wallets[node], NAME, self.now
+        self.caches[node], reports = quota.report(
+            self.caches[node], NAME, self.now
         )
         for report in reports:
             if self.random.random() < self.loss:
@@ -159,10 +159,10 @@
         self.late = [item for item in self.late if item[0] > self.now]
         for report in due:
             self.settle(report)
-        for node in range(len(self.wallets)):
-            wallet = quota.estimate(self.wallets[node], self.now)
-            self.wallets[node] = wallet
-            if quota.wanted_ahead(wallet, self.now):
+        for node in range(len(self.caches)):
+            cache = quota.estimate(self.caches[node], self.now)
+            self.caches[node] = cache
+            if quota.wanted_ahead(cache, self.now):
                 self.borrow(node)
             self.report(node)
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -77,8 +77,8 @@
 
 def test_hopeless_work_is_taken_out():
     queue, _ = _fill(FAIR, [_item("a", deadline=1.0), _item("b", deadline=5.0)])
-    queue, hopeless = queues.expired(FAIR, queue, 0.9, 0.2)
-    assert [item.item_id for item in hopeless] == ["a"]
+    queue, expired_items = queues.expired(FAIR, queue, 0.9, 0.2)
+    assert [item.item_id for item in expired_items] == ["a"]
     assert [item.item_id for item in queue.items] == ["b"]
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -11,12 +11,12 @@
     burst=st.integers(1, 50),
     rate=st.floats(0.1, 1000),
     owners=st.integers(1, 11),
-    seats=st.integers(0, 11),
+    shares=st.integers(0, 11),
 )
-def test_shares_add_up_to_the_whole(burst, rate, owners, seats):
+def test_shares_add_up_to_the_whole(burst, rate, owners, shares):
     names = tuple(f"o{i}" for i in range(owners))
     parts = [
-        quota.share("x", rate, burst, name, names, seats) for name in names
+        quota.share("x", rate, burst, name, names, shares) for name in names
     ]
     assert sum(tokens for _, tokens in parts) == burst
     assert sum(part for part, _ in parts) == pytest.approx(rate)
@@ -76,13 +76,13 @@
 
 def test_idle_tokens_go_back():
     model = quota_model.Model(1, rate=10, burst=10, nodes=2)
-    model.wallets[0] = quota.deposit(
-        model.wallets[0],
+    model.caches[0] = quota.deposit(
+        model.caches[0],
         (quota.HeldLease(owner="o0", lease_id="l", tokens=3, expires_at=9.0),),
     )
     model.now = 1.0
-    wallet, reports = quota.report(model.wallets[0], "org", 1.0)
-    assert reports[0].returned == 3 and not wallet.leases
+    cache, reports = quota.report(model.caches[0], "org", 1.0)
+    assert reports[0].returned == 3 and not cache.leases
 
 
 class QuotaMachine(stateful.RuleBasedStateMachine):
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -34,11 +34,11 @@
     )
 
 
-def _view(*, created=1, replayed=0, seats=0, burst=9):
+def _view(*, created=1, replayed=0, shares=0, burst=9):
     organisation = model.Organisation(
         name="org",
         template="web-api",
-        parameters=model.Parameters(rate=10, burst=burst, quota_seats=seats),
+        parameters=model.Parameters(rate=10, burst=burst, quota_shares=shares),
         created=created,
         revision=created,
     )
@@ -65,7 +65,7 @@
         majority_age=0.0,
     )
     replica = fakes.Scripted(lambda message: status)
-    # The seat was taken before the organisation was created.
+    # The share was taken before the organisation was created.
     published = mailbox.Published(
         initial=dataclasses.replace(view, state=fleet_state.FleetState())
     )
@@ -87,23 +87,23 @@
 
 async def test_a_new_organisation_has_its_share_at_once(tmp_path):
     reply = await _borrow(tmp_path, _view())
-    assert [loan.tokens for loan in reply.loans] == [3]
+    assert [grant.tokens for grant in reply.grants] == [3]
 
 
 async def test_one_known_before_the_start_has_none_at_first(tmp_path):
     reply = await _borrow(tmp_path, _view(created=5, replayed=5))
-    assert reply.loans == () and reply.wait >= quota.LEASE_TTL
+    assert reply.grants == () and reply.wait >= quota.LEASE_TTL
 
 
 async def test_owners_out_of_reach_are_told_apart_from_dry_ones(tmp_path):
     owners = ("other", "me", "third")
-    view = dataclasses.replace(_view(burst=1, seats=1), owners=owners)
+    view = dataclasses.replace(_view(burst=1, shares=1), owners=owners)
     assert quota.share("org", 10, 1, "me", owners, 1)[1] == 0
     reply = await _borrow(tmp_path, view, forwarded=False)
-    assert reply.unreachable and reply.loans == ()
+    assert reply.unreachable and reply.grants == ()
 
 
 async def test_an_unknown_organisation_gets_nothing(tmp_path):
     view = dataclasses.replace(_view(), state=fleet_state.FleetState())
     reply = await _borrow(tmp_path, view, forwarded=False)
-    assert reply.loans == ()
+    assert reply.grants == ()
