Do not call a route unknown before the node knows the fleet

Found in a run of the failure tests: a restarted node answered 404 for a service that exists until its first heartbeat was answered; it is 503 now.

--- a/src/sassafrashall/filters/route.py
+++ b/src/sassafrashall/filters/route.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from sassafrashall import exceptions
 from sassafrashall import mailbox
@@ -17,9 +18,16 @@
 
     async def handle(self, call: model.Call) -> model.Result:
         """Sets the service."""
+        view = self._view.value
+        if math.isinf(view.fresh_at):
+            return model.Refuse(
+                code=exceptions.NO_UPSTREAM,
+                detail="the node has just started and knows no service yet",
+                retry_after_s=1.0,
+            )
         path = call.request.path
         service = path.split("/", 2)[1] if path.startswith("/") else ""
-        if service not in self._view.value.services:
+        if service not in view.services:
             return model.Refuse(
                 code=exceptions.UNKNOWN_ROUTE,
                 detail=f"no service {service!r} is known",
