--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -99,11 +99,6 @@
         """The applied state."""
         return self._view
 
-    @property
-    def replica_id(self) -> str:
-        """The identity of the data folder."""
-        return self._state.replica_id
-
     async def _setup(self) -> None:
         contents = await trio.to_thread.run_sync(self._store.open)
         self._founded = contents.founded
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -353,13 +353,3 @@
     owners: tuple[str, ...] = ()
     members: tuple[replication.Member, ...] = ()
     replayed_revision: int = 0
-
-
-# --- quota owner -------------------------------------------------------------
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class FromNode:
-    """A message of a node or control for the quota owner."""
-
-    message: Any
