--- a/src/sassafrashall/clock.py
+++ b/src/sassafrashall/clock.py
@@ -7,8 +7,11 @@
 
 
 def monotonic() -> float:
-    """Returns monotonic seconds of this process."""
-    return time.monotonic()
+    """Returns monotonic seconds that go on while the VM is suspended.
+
+    Leases and deadlines must lapse during a suspension too.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -23,6 +23,7 @@
 from sassafrashall.controllers import replica
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import replication
+from sassafrashall.platform import operator_api
 from sassafrashall.transport import codec
 from sassafrashall.transport import http_server
 from sassafrashall.transport import ops_api
@@ -55,8 +56,8 @@
             counters=self._metrics,
         )
         self._founding = founding.Founding(
-            vm=settings.vm,
-            founders=settings.controls,
+            address=str(settings.listen.rpc),
+            founders=tuple(str(c.address) for c in settings.controls),
             secret=settings.fleet_secret,
             replica=self._replica.mailbox,
             event_log=self._events,
@@ -104,6 +105,14 @@
             handler=ops.handle,
             source=model.Source.CALLER,
         )
+        self._operators: http_server.Server | None = None
+        if settings.listen.operators is not None:
+            api = operator_api.OperatorApi(replica=self._replica.mailbox)
+            self._operators = http_server.Server(
+                address=settings.listen.operators,
+                handler=api.handle,
+                source=model.Source.CALLER,
+            )
 
     async def _handle(self, message: Any, caller: rpc.Caller) -> Any:
         """Hands a remote message to the controller that answers it."""
@@ -180,12 +189,16 @@
             await controller.start(nursery)
         await self._rpc.start()
         await self._ops.start(nursery)
+        if self._operators is not None:
+            await self._operators.start(nursery)
         self._events.record("process.started")
         logs.get().info("control started")
 
     async def close(self) -> None:
         """Answers the calls in progress, then stops."""
         logs.get().info("control stopping")
+        if self._operators is not None:
+            await self._operators.close()
         await self._rpc.close()
         await self._ops.close()
         for controller in reversed(self._controllers):
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -18,6 +18,7 @@
 from sassafrashall import task
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
+from sassafrashall.decisions import routing
 from sassafrashall.decisions import shedding
 
 TICK_INTERVAL = 0.02  # seconds between looks at the queue while it is used
@@ -53,8 +54,10 @@
         policy: settings_module.Policy,
         event_log: events.EventLog,
         counters: metrics.Metrics,
+        load: mailbox.Published[int] | None = None,
     ) -> None:
         super().__init__()
+        self._published_load = load
         self._local = local
         self._upstream: model.Upstream | None = None
         self._limit_law = policy.limit_law()
@@ -102,6 +105,15 @@
                 self._change_upstream(upstream, now)
             case _Tick():
                 self._look(now)
+        if self._published_load is not None:
+            self._published_load.publish(self._load())
+
+    def _load(self) -> int:
+        """Returns the part of the slots that is used or waited for."""
+        if self._limit is None:
+            return routing.LOAD_SCALE
+        wanted = self._in_flight + len(self._queue.items)
+        return routing.LOAD_SCALE * wanted // max(1, int(self._limit.limit))
 
     def _change_upstream(
         self, upstream: model.Upstream | None, now: float
--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -16,6 +16,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import replication
 from sassafrashall.transport import rpc
 
 ATTEMPT_TIMEOUT = 0.6  # seconds for one control
@@ -26,9 +27,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Probed:
-    """How fresh the other controls are."""
+    """How fresh the other controls are, by their addresses."""
 
-    ages: tuple[tuple[int, float], ...]
+    ages: tuple[tuple[str, float], ...]
     current_age: float
 
 
@@ -44,26 +45,30 @@
         event_log: events.EventLog,
     ) -> None:
         super().__init__()
-        ordered = sorted(controls, key=lambda c: c.data_centre != data_centre)
-        self._controls = tuple(ordered)
-        self._clients = tuple(
-            rpc.RpcClient(
-                address=control.address,
-                secret=secret,
-                hybrid_clock=event_log.clock,
-            )
-            for control in ordered
+        self._data_centre = data_centre
+        self._clients = rpc.ClientPool(
+            secret=secret, hybrid_clock=event_log.clock
         )
         self._events = event_log
-        self._current = 0
+        self._addresses: tuple[str, ...] = self._ordered(
+            [
+                (str(control.address), control.data_centre)
+                for control in controls
+            ]
+        )
+        self._current = self._addresses[0]
         self._probing = False
 
+    def _ordered(self, places: list[tuple[str, str]]) -> tuple[str, ...]:
+        """Returns addresses, those of the own data centre first."""
+        places = sorted(places, key=lambda p: p[1] != self._data_centre)
+        return tuple(address for address, _ in places)
+
     async def _setup(self) -> None:
         self._spawn(self._look_home)
 
     async def _teardown(self) -> None:
-        for client in self._clients:
-            client.close()
+        self._clients.close()
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
@@ -72,79 +77,94 @@
             case messages.ControlIsStale(majority_age=age):
                 if not self._probing:
                     self._probing = True
-                    others = [
-                        place
-                        for place in range(len(self._clients))
-                        if place != self._current
-                    ]
+                    others = [a for a in self._addresses if a != self._current]
                     self._spawn(self._probe, others, age)
+            case messages.ControlsKnown(members=members):
+                self._take_members(members)
             case _Probed():
                 self._on_probed(message)
 
+    def _take_members(self, members: tuple[replication.Member, ...]) -> None:
+        """Follows changes of the membership; seeds may be long out of date."""
+        named = [(member.address, member.data_centre) for member in members]
+        known = {address for address, _ in named}
+        # A control that has left may still lead to those that replaced it.
+        left = [(a, "") for a in self._addresses if a not in known]
+        self._addresses = self._ordered(named) + tuple(
+            address for address, _ in left
+        )
+        near = self._addresses[0]
+        if self._current != near and not self._probing:
+            self._probing = True
+            self._spawn(self._probe, [near], float("-inf"))
+
     async def _call(
         self, message: messages.CallControl, reply: mailbox.Reply
     ) -> None:
         """Tries the controls in turn until one answers or time is up."""
         deadline = clock.monotonic() + message.timeout
         error: exceptions.SassafrashallError | None = None
-        for _ in self._clients:
+        for _ in self._addresses:
             remaining = deadline - clock.monotonic()
             if remaining <= 0 or reply.abandoned:
                 break
             used = self._current
             try:
-                answer = await self._clients[used].call(
+                answer = await self._clients.get(used).call(
                     message.message, min(remaining, ATTEMPT_TIMEOUT)
                 )
             except exceptions.RpcError as failure:
                 error = failure
                 if used == self._current:
-                    self._use((used + 1) % len(self._clients))
+                    self._use(self._next(used))
                 continue
             reply.put(answer)
             return
         reply.fail(error or exceptions.RpcError("no control answered in time"))
 
-    def _use(self, place: int) -> None:
-        if place == self._current:
+    def _next(self, address: str) -> str:
+        place = self._addresses.index(address)
+        return self._addresses[(place + 1) % len(self._addresses)]
+
+    def _use(self, address: str) -> None:
+        if address == self._current:
             return
-        self._current = place
-        self._events.record("control.switched", detail=self._controls[place].vm)
-        logs.get().info(
-            "follows another control",
-            extra={"control": self._controls[place].vm},
-        )
+        self._current = address
+        self._events.record("control.switched", detail=address)
+        logs.get().info("follows another control", extra={"control": address})
 
-    async def _probe(self, places: list[int], current_age: float) -> None:
-        ages: list[tuple[int, float]] = []
+    async def _probe(self, addresses: list[str], current_age: float) -> None:
+        ages: list[tuple[str, float]] = []
 
-        async def ask(place: int) -> None:
+        async def ask(address: str) -> None:
             try:
-                pong = await self._clients[place].call(
+                pong = await self._clients.get(address).call(
                     protocol.Ping(), PROBE_TIMEOUT
                 )
-                ages.append((place, pong.majority_age))
+                ages.append((address, pong.majority_age))
             except exceptions.RpcError:
                 pass
 
         async with trio.open_nursery() as nursery:
-            for place in places:
-                nursery.start_soon(ask, place)
+            for address in addresses:
+                nursery.start_soon(ask, address)
         self.mailbox.tell(_Probed(ages=tuple(ages), current_age=current_age))
 
     def _on_probed(self, probed: _Probed) -> None:
         self._probing = False
-        fresh = sorted((place for place, age in probed.ages if age < FRESH))
-        if fresh:
-            self._use(fresh[0])
+        fresh = {address for address, age in probed.ages if age < FRESH}
+        nearest = [a for a in self._addresses if a in fresh]
+        if nearest:
+            self._use(nearest[0])
         elif probed.ages:
-            place, age = min(probed.ages, key=lambda pair: pair[1])
+            address, age = min(probed.ages, key=lambda pair: pair[1])
             if age < probed.current_age:
-                self._use(place)
+                self._use(address)
 
     async def _look_home(self) -> None:
         while True:
             await trio.sleep(HOME_INTERVAL)
-            if self._current != 0 and not self._probing:
+            near = self._addresses[0]
+            if self._current != near and not self._probing:
                 self._probing = True
-                await self._probe([0], float("-inf"))
+                await self._probe([near], float("-inf"))
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import configuration
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import mailbox
@@ -32,7 +33,7 @@
 class _GossipDue:
     """Asks for the gossip to send to one control."""
 
-    vm: str
+    address: str
     status: messages.ReplicaStatus
 
 
@@ -40,21 +41,29 @@
 class _GossipAnswered:
     """A control took our gossip up to a directory version."""
 
-    vm: str
+    address: str
     reply: protocol.GossipReply
     version: int
     withdrawn: int
+    sent_at: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Peer:
-    """What another control has from us, and when we last heard of it."""
+    """What another control has from us, and when we last heard of it.
+
+    Attributes:
+      proved_at: Until when the control, as a leader, knew that
+        `proved_revision` was the newest.
+    """
 
     source: str = ""
     version: int = 0
     withdrawn: int = 0
     record: protocol.ControlRecord | None = None
     heard_at: float = float("-inf")
+    proved_at: float = float("-inf")
+    proved_revision: int = 0
 
 
 class FleetDirectory(task.Controller):
@@ -88,7 +97,7 @@
     async def _setup(self) -> None:
         self._spawn(self._follow_replica)
         for control in self._settings.controls:
-            if control.vm != self._settings.vm:
+            if control.address != self._settings.listen.rpc:
                 self._spawn(self._gossip_with, control)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
@@ -179,8 +188,35 @@
             ),
             withdrawn=tuple(withdrawn),
             majority_age=self._majority_age(),
+            proof_age=now - self._proof_at(now),
+            document=self._document_after(message.document_version),
+            controls=self._view.value.members,
         )
 
+    def _document_after(
+        self, version: int
+    ) -> configuration.Configuration | None:
+        accepted = self._view.value.state.accepted
+        if accepted is None or accepted.configuration.version <= version:
+            return None
+        return accepted.configuration
+
+    def _proof_at(self, now: float) -> float:
+        """Returns for when our state is certain to have been the newest.
+
+        A leader knows it of itself. Another control knows it from the answer
+        of a leader that had applied no more than we have: the time counts
+        from before the question, since the answer may have waited.
+        """
+        own = self._status.proved_at if self._status else float("-inf")
+        revision = self._view.value.state.revision
+        proofs = [
+            peer.proved_at
+            for peer in self._peers.values()
+            if peer.record is not None and peer.proved_revision <= revision
+        ]
+        return max([own, now - 1e6, *proofs])
+
     def _entries(
         self, since: int, now: float
     ) -> tuple[protocol.DirectoryEntry, ...]:
@@ -210,34 +246,36 @@
         )
         try:
             while True:
-                await self._gossip_once(control.vm, client)
+                await self._gossip_once(str(control.address), client)
                 await trio.sleep(GOSSIP_INTERVAL)
         finally:
             client.close()
 
-    async def _gossip_once(self, vm: str, client: rpc.RpcClient) -> None:
+    async def _gossip_once(self, address: str, client: rpc.RpcClient) -> None:
         if self._status is None:
             return
-        due = _GossipDue(vm=vm, status=self._status)
+        due = _GossipDue(address=address, status=self._status)
         gossip, version = await self.mailbox.ask(due)
+        sent_at = clock.monotonic()
         try:
             reply = await client.call(gossip, GOSSIP_TIMEOUT)
         except exceptions.RpcError:
-            self._metrics.count("gossip_failed", control=vm)
+            self._metrics.count("gossip_failed", control=address)
             return
         self.mailbox.tell(
             _GossipAnswered(
-                vm=vm,
+                address=address,
                 reply=reply,
                 version=version,
                 withdrawn=len(gossip.withdrawn),
+                sent_at=sent_at,
             )
         )
 
     def _gossip_for(
         self, due: _GossipDue, now: float
     ) -> tuple[protocol.Gossip, int]:
-        peer = self._peers.get(due.vm, _Peer())
+        peer = self._peers.get(due.address, _Peer())
         ours = {
             vm
             for vm, at in self._heard.items()
@@ -271,9 +309,9 @@
         return gossip, self._directory.version
 
     def _on_gossip_answer(self, message: _GossipAnswered, now: float) -> None:
-        peer = self._peers.get(message.vm, _Peer())
+        peer = self._peers.get(message.address, _Peer())
         restarted = peer.source not in ("", message.reply.source)
-        self._peers[message.vm] = _Peer(
+        self._peers[message.address] = _Peer(
             source=message.reply.source,
             version=0 if restarted else message.version,
             withdrawn=0
@@ -281,6 +319,8 @@
             else max(peer.withdrawn, message.withdrawn),
             record=message.reply.control,
             heard_at=now,
+            proved_at=message.sent_at - message.reply.control.proof_age,
+            proved_revision=message.reply.control.revision,
         )
 
     def _on_gossip(
@@ -297,9 +337,9 @@
             if mark == (alive.incarnation, alive.counter):
                 self._merge(held.record, alive.age, now)
         self._withdrawn |= frozenset(message.withdrawn)
-        vm = message.control.vm
-        peer = self._peers.get(vm, _Peer())
-        self._peers[vm] = dataclasses.replace(
+        address = message.control.rpc_address
+        peer = self._peers.get(address, _Peer())
+        self._peers[address] = dataclasses.replace(
             peer, record=message.control, heard_at=now
         )
         return protocol.GossipReply(
@@ -322,6 +362,9 @@
             applied=status.commit if status else 0,
             revision=state.revision,
             majority_age=self._majority_age(),
+            proof_age=min(1e6, clock.monotonic() - status.proved_at)
+            if status
+            else 1e6,
             voter=status is not None
             and status.membership.votes(status.member.replica_id),
         )
--- a/src/sassafrashall/controllers/founding.py
+++ b/src/sassafrashall/controllers/founding.py
@@ -11,7 +11,6 @@
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import protocol
-from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.decisions import founding
 from sassafrashall.transport import rpc
@@ -27,17 +26,16 @@
     def __init__(
         self,
         *,
-        vm: str,
-        founders: tuple[settings_module.Control, ...],
+        address: str,
+        founders: tuple[str, ...],
         secret: str,
         replica: mailbox.Mailbox,
         event_log: events.EventLog,
     ) -> None:
         super().__init__()
-        self._vm = vm
-        self._founders = tuple(f.vm for f in founders)
+        self._founders = founders
         self._replica = replica
-        self._others = tuple(str(f.address) for f in founders if f.vm != vm)
+        self._others = tuple(f for f in founders if f != address)
         self._clients = rpc.ClientPool(
             secret=secret, hybrid_clock=event_log.clock
         )
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import configuration
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -18,6 +19,8 @@
 from sassafrashall import protocol
 from sassafrashall import task
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import replication
+from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
@@ -50,8 +53,18 @@
         level: mailbox.Published[int],
         event_log: events.EventLog,
         counters: metrics.Metrics,
+        announcement_ttl: float = ANNOUNCEMENT_TTL,
+        heartbeat_interval: float = HEARTBEAT_INTERVAL,
     ) -> None:
         super().__init__()
+        self._announcement_ttl = announcement_ttl
+        self._heartbeat_interval = heartbeat_interval
+        self._spoken = (0, -1)
+        self._ended_incarnation = ""
+        self._controls: tuple[replication.Member, ...] = ()
+        self._table = mailbox.Published[route_table.RouteTable | None](
+            initial=None
+        )
         self._record = record
         self._level = level
         self._link = link
@@ -77,14 +90,18 @@
         """The upstream on this VM."""
         return self._local
 
+    @property
+    def table(self) -> mailbox.Published[route_table.RouteTable | None]:
+        """The routes of the fleet configuration; None before the first."""
+        return self._table
+
     async def _setup(self) -> None:
         self._spawn(self._send_heartbeats)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
-            case messages.Announce(upstream=upstream):
-                self._announced_at = clock.monotonic()
-                self._set_upstream(upstream)
+            case messages.Announce():
+                self._on_announcement(message)
                 reply.put(None)
             case messages.Leave():
                 self._change(leaving=True)
@@ -95,6 +112,28 @@
             case _HeartbeatAnswered():
                 self._on_answer(message)
 
+    def _on_announcement(self, message: messages.Announce) -> None:
+        """Takes what the upstream says, unless it said something later."""
+        spoken = (message.born, message.sequence)
+        if message.upstream is None:
+            held = self._record.upstream
+            if message.incarnation and held is not None:
+                if held.incarnation != message.incarnation:
+                    return
+            self._ended_incarnation = message.incarnation
+            self._set_upstream(None)
+            return
+        if message.sequence >= 0:
+            if spoken <= self._spoken:
+                return
+            if message.incarnation == self._ended_incarnation and (
+                message.born == self._spoken[0]
+            ):
+                return
+            self._spoken = spoken
+        self._announced_at = clock.monotonic()
+        self._set_upstream(message.upstream)
+
     def _set_upstream(self, upstream: model.Upstream | None) -> None:
         if upstream == self._record.upstream:
             return
@@ -114,7 +153,7 @@
 
     def _check_announcement(self) -> None:
         silent = clock.monotonic() - self._announced_at
-        if self._record.upstream and silent > ANNOUNCEMENT_TTL:
+        if self._record.upstream and silent > self._announcement_ttl:
             self._set_upstream(None)
 
     def _heartbeat(self) -> protocol.Heartbeat:
@@ -124,8 +163,13 @@
             directory_version=self._version,
             withdrawn_count=len(self._view.value.configuration.withdrawn),
             load=self._load(),
+            document_version=self._document_version(),
         )
 
+    def _document_version(self) -> int:
+        table = self._table.value
+        return table.document.version if table else 0
+
     def _load(self) -> model.NodeLoad:
         """Returns what was shed since the last heartbeat."""
         now = clock.monotonic()
@@ -155,14 +199,14 @@
                 )
             except exceptions.SassafrashallError:
                 self._metrics.count("heartbeats_failed")
-            with trio.move_on_after(HEARTBEAT_INTERVAL):
+            with trio.move_on_after(self._heartbeat_interval):
                 await self._kick.wait()
 
     def _on_answer(self, message: _HeartbeatAnswered) -> None:
         answer = message.reply
         view = self._view.value
         # Only a proof as of before the question counts.
-        fresh_at = message.sent_at - answer.majority_age
+        fresh_at = message.sent_at - answer.proof_age
         configuration = fleet_state.merge_configuration(
             view.configuration,
             answer.revision,
@@ -171,6 +215,7 @@
         )
         if answer.revision < view.configuration.revision:
             fresh_at = view.fresh_at
+        self._take_document(answer.document)
         records = self._merge_records(view.records, answer)
         seen = {r.upstream.service for r in records.values() if r.upstream}
         self._view.publish(
@@ -182,6 +227,9 @@
             )
         )
         self._take_revision(configuration.revision)
+        if answer.controls and answer.controls != self._controls:
+            self._controls = answer.controls
+            self._link.tell(messages.ControlsKnown(members=answer.controls))
         if answer.majority_age > STALE_AGE:
             self._link.tell(
                 messages.ControlIsStale(majority_age=answer.majority_age)
@@ -190,6 +238,19 @@
             reply.put(None)
         self._told.clear()
 
+    def _take_document(
+        self, document: configuration.Configuration | None
+    ) -> None:
+        if document is None or document.version <= self._document_version():
+            return
+        self._table.publish(route_table.compile_table(document))
+        self._events.record(
+            "configuration.document", detail=str(document.version)
+        )
+        logs.get().info(
+            "configuration in force", extra={"version": document.version}
+        )
+
     def _take_revision(self, revision: int) -> None:
         if revision == self._record.configuration_revision:
             return
--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -17,7 +17,7 @@
 from sassafrashall import task
 from sassafrashall.decisions import quota
 
-REPORT_INTERVAL = 0.05  # seconds between looks at active caches
+TICK_INTERVAL = 0.05  # seconds between looks at active caches
 BORROW_TIMEOUT = 1.0  # seconds
 TOKEN_WAIT = 0.06  # seconds that a request waits for a token
 DRY_PAUSE = 0.01  # seconds at least between two questions to dry owners
@@ -61,6 +61,7 @@
         self.ask_again_at = 0.0
         self.wait = 0.0
         self.unreachable = False
+        self.reported_at = now
 
     @property
     def idle(self) -> bool:
@@ -72,9 +73,14 @@
     """Owns the tokens that this node has borrowed."""
 
     def __init__(
-        self, *, link: mailbox.Mailbox, counters: metrics.Metrics
+        self,
+        *,
+        link: mailbox.Mailbox,
+        counters: metrics.Metrics,
+        borrowing: quota.Borrowing = quota.Borrowing(),
     ) -> None:
         super().__init__()
+        self._borrowing = borrowing
         self._link = link
         self._metrics = counters
         self._accounts: dict[str, _Account] = {}
@@ -117,10 +123,15 @@
         if account.borrowing or now < account.ask_again_at:
             return
         waiting = len(account.waiting)
-        wanted = waiting + quota.wanted_ahead(account.cache, now)
+        wanted = waiting + quota.wanted_ahead(
+            account.cache, now, self._borrowing
+        )
         if wanted == 0:
             return
-        account.cache, reports = quota.report(account.cache, name, now)
+        account.cache, reports = quota.report(
+            account.cache, name, now, self._borrowing
+        )
+        account.reported_at = now
         account.borrowing = True
         question = protocol.Borrow(
             organisation=name, wanted=wanted, reports=reports
@@ -198,12 +209,16 @@
     def _look(self, now: float) -> None:
         reports: list[quota.Report] = []
         for name, account in list(self._accounts.items()):
-            if now - account.cache.estimated_at >= quota.DEMAND_WINDOW:
+            if now - account.cache.estimated_at >= self._borrowing.window:
                 account.cache = quota.estimate(account.cache, now)
             self._serve_waiting(name, account, now)
             self._borrow(name, account, now)
-            if not account.borrowing:
-                account.cache, more = quota.report(account.cache, name, now)
+            due = account.reported_at + self._borrowing.report_interval
+            if not account.borrowing and now >= due:
+                account.reported_at = now
+                account.cache, more = quota.report(
+                    account.cache, name, now, self._borrowing
+                )
                 reports.extend(more)
             if account.idle and account.cache.demand < 0.01:
                 del self._accounts[name]
@@ -225,5 +240,5 @@
             if not self._accounts:
                 self._active = trio.Event()
                 await self._active.wait()
-            await trio.sleep(REPORT_INTERVAL)
+            await trio.sleep(TICK_INTERVAL)
             self.mailbox.tell(_Tick())
--- /dev/null
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -0,0 +1,269 @@
+"""Calls to other nodes: one connection to each, many calls on it."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import task
+from sassafrashall.transport import frames
+from sassafrashall.transport import peer_connection
+
+
+def proof(vm: str, secret: bytes) -> bytes:
+    """Returns what shows another node that `vm` knows the fleet's secret."""
+    return hashlib.blake2b(vm.encode(), key=secret, digest_size=16).digest()
+
+
+class _PendingCall:
+    """A call whose outcome is not there yet."""
+
+    def __init__(
+        self, *, message: messages.Exchange, reply: mailbox.Reply
+    ) -> None:
+        self.message = message
+        self.reply = reply
+        self.committed = not message.confirm
+        self.timer = 0.0
+        self.upload: peer_connection.OutgoingBody | None = None
+        self.upload_scope: trio.CancelScope | None = None
+        self.answer: peer_connection.IncomingBody | None = None
+
+
+class _Link:
+    """The connection to one node; a task owns it."""
+
+    def __init__(
+        self, *, links: PeerLinks, address: model.Address, vm: str
+    ) -> None:
+        self._links = links
+        self._address = address
+        self._vm = vm
+        self._connection: peer_connection.PeerConnection | None = None
+        self._calls: dict[int, _PendingCall] = {}
+        self._unsent: list[_PendingCall] = []
+        self._number = 0
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Connects, carries calls until the connection ends."""
+        try:
+            self._connection = await peer_connection.PeerConnection.open(
+                self._address
+            )
+        except exceptions.ConnectionFailedError as error:
+            self._links.on_ended(self._address, self)
+            for call in self._unsent:
+                call.reply.put(
+                    _failure(exceptions.PEER_UNREACHABLE, str(error), False)
+                )
+            return
+        self._connection.send(
+            frames.Hello(vm=self._vm, proof=proof(self._vm, self._links.secret))
+        )
+        try:
+            async with trio.open_nursery() as self._nursery:
+                for call in self._unsent:
+                    self._open(call)
+                self._unsent.clear()
+                await self._connection.run(self._on_frame)
+                self._nursery.cancel_scope.cancel()
+        finally:
+            self._links.on_ended(self._address, self)
+            self._fail_all()
+
+    def begin(self, call: _PendingCall) -> None:
+        """Begins a call, at once or when the connection is there."""
+        if self._connection is None:
+            self._unsent.append(call)
+        else:
+            self._open(call)
+
+    def _open(self, call: _PendingCall) -> None:
+        if call.reply.abandoned:
+            return
+        assert self._connection is not None
+        self._number += 1
+        number = self._number
+        message = call.message
+        request = message.request
+        ticket = message.ticket
+        left = message.deadline - clock.monotonic()
+        self._calls[number] = call
+        call.reply.on_abandon(lambda: self._cancel(number))
+        self._connection.send(
+            frames.OpenCall(
+                call=number,
+                call_id=ticket.call_id,
+                service=ticket.service,
+                organisation=ticket.organisation,
+                caller=request.caller,
+                priority=int(ticket.priority),
+                remaining_ms=max(0, int(left * 1000)),
+                idempotent=ticket.idempotent,
+                confirm=message.confirm,
+                method=request.method,
+                target=request.target,
+                headers=request.headers,
+                body=request.body,
+                more=request.rest is not None,
+            )
+        )
+
+    async def _upload(
+        self, number: int, call: _PendingCall, rest: model.BodyReader
+    ) -> None:
+        assert call.upload is not None
+        with trio.CancelScope() as call.upload_scope:
+            try:
+                await call.upload.send(rest)
+            except exceptions.SassafrashallError as error:
+                self._cancel(number)
+                call.reply.put(
+                    _failure(exceptions.BAD_REQUEST, str(error), True)
+                )
+
+    def _cancel(self, number: int) -> None:
+        call = self._calls.pop(number, None)
+        if call is None:
+            return
+        if call.upload_scope is not None:
+            call.upload_scope.cancel()
+        if self._connection is not None and not self._connection.ended:
+            self._connection.send(frames.CancelCall(call=number))
+
+    def _on_frame(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Hello):
+            return
+        call = self._calls.get(frame.call)
+        if call is None:
+            return
+        match frame:
+            case frames.AnswerCall():
+                self._on_answer(frame, call)
+            case frames.RefuseCall():
+                self._end(frame.call, call)
+                call.reply.put(frames.refusal_of(frame))
+            case frames.Offer():
+                self._proceed(frame.call, call)
+            case frames.BodyPart(data=data):
+                if call.answer is not None:
+                    call.answer.put(data)
+                    if not data:
+                        self._end(frame.call, call)
+            case frames.Credit(count=count):
+                if call.upload is not None:
+                    call.upload.credit(count)
+            case frames.CancelCall():
+                self._end(frame.call, call)
+                if call.answer is not None:
+                    call.answer.fail("the upstream broke its answer off")
+
+    def _proceed(self, number: int, call: _PendingCall) -> None:
+        """Lets the call be dispatched; from now on it may run."""
+        assert self._connection is not None and self._nursery is not None
+        call.committed = True
+        self._connection.send(frames.Proceed(call=number))
+        rest = call.message.request.rest
+        if rest is not None:
+            call.upload = peer_connection.OutgoingBody(
+                connection=self._connection, call=number
+            )
+            self._nursery.start_soon(self._upload, number, call, rest)
+
+    def _on_answer(self, frame: frames.AnswerCall, call: _PendingCall) -> None:
+        rest = None
+        if frame.more:
+            assert self._connection is not None
+            rest = call.answer = peer_connection.IncomingBody(
+                connection=self._connection, call=frame.call
+            )
+        else:
+            self._end(frame.call, call)
+        call.reply.on_abandon(None)
+        call.reply.put(
+            model.Answer(
+                response=model.Response(
+                    status=frame.status,
+                    headers=frame.headers,
+                    body=frame.body,
+                    rest=rest,
+                ),
+                level=frame.level,
+                load=frame.load,
+            )
+        )
+
+    def _end(self, number: int, call: _PendingCall) -> None:
+        self._calls.pop(number, None)
+        call.reply.on_abandon(None)
+        if call.upload_scope is not None:
+            call.upload_scope.cancel()
+
+    def _fail_all(self) -> None:
+        calls, self._calls = self._calls, {}
+        for call in calls.values():
+            call.reply.on_abandon(None)
+            if call.answer is not None:
+                call.answer.fail("the connection to the node broke")
+                continue
+            code = (
+                exceptions.UPSTREAM_FAILED
+                if call.committed
+                else exceptions.PEER_UNREACHABLE
+            )
+            call.reply.put(
+                _failure(
+                    code, "the connection to the node broke", call.committed
+                )
+            )
+
+
+def _failure(code: str, detail: str, committed: bool) -> model.Refuse:
+    return model.Refuse(
+        code=code,
+        detail=detail,
+        run=model.RunState.UNKNOWN if committed else model.RunState.NOT_RUN,
+    )
+
+
+class PeerLinks(task.Controller):
+    """Owns the links and hands calls to them."""
+
+    def __init__(
+        self, *, vm: str, secret: bytes, counters: metrics.Metrics
+    ) -> None:
+        super().__init__()
+        self._vm = vm
+        self._secret = secret
+        self._metrics = counters
+        self._links: dict[model.Address, _Link] = {}
+
+    @property
+    def secret(self) -> bytes:
+        """The fleet's secret."""
+        return self._secret
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        match message:
+            case messages.Exchange(address=address):
+                link = self._links.get(address)
+                if link is None:
+                    link = _Link(links=self, address=address, vm=self._vm)
+                    self._links[address] = link
+                    self._metrics.count("peer_connections_opened")
+                    self._spawn(link.run)
+                link.begin(_PendingCall(message=message, reply=reply))
+
+    def on_ended(self, address: model.Address, link: _Link) -> None:
+        """Forgets a link whose connection has ended."""
+        if self._links.get(address) is link:
+            del self._links[address]
--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -94,8 +94,7 @@
 
     def _resize(self, view: messages.FleetView, now: float) -> None:
         for name, bucket in list(self._buckets.items()):
-            organisation = view.state.organisations.get(name)
-            if organisation is None:
+            if view.state.quota(name) is None:
                 continue
             rate, capacity = self._share(name, view)
             if (rate, capacity) != (bucket.rate, bucket.capacity):
@@ -105,14 +104,16 @@
         self, name: str, view: messages.FleetView, owner: str = ""
     ) -> tuple[float, int]:
         """Returns our part of an organisation's quota, or another owner's."""
-        parameters = view.state.organisations[name].parameters
+        held = view.state.quota(name)
+        if held is None:
+            return 0.0, 0
         return quota.share(
             name,
-            parameters.rate,
-            parameters.burst,
+            held.rate,
+            held.burst,
             owner or self._replica_id,
             view.owners,
-            parameters.quota_shares,
+            held.shares,
         )
 
     def _bucket(self, name: str, now: float) -> quota.Bucket | None:
@@ -120,14 +121,14 @@
         if bucket is not None:
             return bucket
         view = self._view.value
-        organisation = view.state.organisations.get(name)
-        if organisation is None or self._share_revision is None:
+        held = view.state.quota(name)
+        if held is None or self._share_revision is None:
             return None
         rate, capacity = self._share(name, view)
         # Nobody can hold a token of an organisation that was created while
         # this process ran and had its share.
         known_before = max(view.replayed_revision, self._share_revision)
-        if organisation.created > known_before:
+        if held.created > known_before:
             return quota.open_bucket(rate, capacity, now, is_new=True)
         return quota.open_bucket(
             rate, capacity, self._share_since, is_new=False
@@ -196,7 +197,7 @@
         """Returns the other owners that have a part of a quota."""
         now = clock.monotonic()
         view = self._view.value
-        if name not in view.state.organisations:
+        if view.state.quota(name) is None:
             return []
         others = [
             (member.replica_id, member.address)
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -36,9 +36,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _FromPeer:
-    """The reply of another replica to a message of ours."""
+    """The reply of another replica to a message sent at `sent_at`."""
 
     message: replication.Message
+    sent_at: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -187,8 +188,10 @@
                     return None
                 replies[inner.sender] = reply
                 return replication.Received(message=inner, jitter=jitter)
-            case _FromPeer(message=inner):
-                return replication.Received(message=inner, jitter=jitter)
+            case _FromPeer(message=inner, sent_at=sent_at):
+                return replication.Received(
+                    message=inner, jitter=jitter, sent_at=sent_at
+                )
             case messages.Replace():
                 return self._replace(message, reply)
             case protocol.JoinRequest(member=member):
@@ -263,6 +266,7 @@
     async def _exchange(
         self, member: replication.Member, message: replication.Message
     ) -> None:
+        sent_at = clock.monotonic()
         try:
             reply = await self._clients.get(member.address).call(
                 message, leadership.timeout_of(message)
@@ -270,7 +274,7 @@
         except exceptions.RpcError:
             self._metrics.count("replica_messages_failed")
             return
-        self.mailbox.tell(_FromPeer(message=reply))
+        self.mailbox.tell(_FromPeer(message=reply, sent_at=sent_at))
 
     async def _forward(
         self, message: messages.Submit, reply: mailbox.Reply
@@ -453,6 +457,7 @@
             majority_age=min(
                 1e6, consensus.majority_age(state, clock.monotonic())
             ),
+            proved_at=consensus.proved_at(state, clock.monotonic()),
         )
 
 
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -57,7 +57,8 @@
         )
         self._shed_law = policy.shed_law()
         self._demand = shedding.Demand()
-        self._ratio = retries.RatioState()
+        self._ratios: dict[str, retries.RatioState] = {}
+        self._loads: dict[str, tuple[int, float]] = {}
         self._indexed: model.NodeView | None = None
         self._by_service: dict[str, list[model.NodeRecord]] = {}
 
@@ -90,8 +91,12 @@
                     message.organisation,
                     now,
                 )
-            case messages.FirstTry():
-                self._ratio = retries.on_first_try(self._ratio)
+            case messages.FirstTry(service=service):
+                key = retries.ratio_key(self._retry_law, service)
+                self._ratios[key] = retries.on_first_try(
+                    self._ratios.get(key, retries.RatioState()),
+                    self._retry_law,
+                )
             case messages.Retry():
                 reply.put(self._may_retry(message, now))
 
@@ -156,9 +161,18 @@
             data_centre=record.data_centre,
             slots=record.upstream.slots,
             in_flight=self._in_flight[record.vm],
+            load=self._load_of(record.vm),
+            is_own=record.vm == self._vm,
             known_since=self._known_since[(record.vm, record.incarnation)],
         )
 
+    def _load_of(self, vm: str) -> float:
+        """Returns the load that the last answers told, while it is fresh."""
+        load, seen_at = self._loads.get(vm, (0, 0.0))
+        if clock.monotonic() - seen_at > routing.LOAD_TTL:
+            return 0.0
+        return load / routing.LOAD_SCALE
+
     def _health_of(self, vm: str) -> routing.Health:
         return self._health.get(vm, routing.Health())
 
@@ -166,6 +180,8 @@
         self._in_flight[message.vm] -= 1
         if self._in_flight[message.vm] <= 0:
             del self._in_flight[message.vm]
+        if message.load >= 0:
+            self._loads[message.vm] = (message.load, now)
         if message.level >= 0:
             self._note_level(message, now)
         before = self._health_of(message.vm)
@@ -237,15 +253,18 @@
             self._nested_level.publish(min(nested, key=lambda seen: seen.level))
 
     def _may_retry(self, message: messages.Retry, now: float) -> bool:
+        key = retries.ratio_key(self._retry_law, message.call.service)
+        ratio = self._ratios.get(key, retries.RatioState())
         allowed = retries.should_retry(
             self._retry_law,
             message.call,
             message.refusal,
             message.attempts,
-            self._ratio,
+            ratio,
             now,
         )
         if allowed:
-            self._ratio = retries.on_retry(self._ratio)
+            if not retries.is_free(self._retry_law, message.refusal):
+                self._ratios[key] = retries.on_retry(ratio)
             self._metrics.count("retries", service=message.call.service)
         return allowed
--- /dev/null
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -0,0 +1,87 @@
+"""The idle connections to the upstream on this VM."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+import trio
+
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import task
+from sassafrashall.transport import upstream_connection
+
+SWEEP_INTERVAL = 1.0  # seconds between looks for connections that expired
+ANY_IDLE_TIME = 1e6  # seconds; the connection's own expiry counts
+
+
+class UpstreamPool(task.Controller):
+    """Owns connections while no exchange runs on them.
+
+    A message hands a connection over to the task that makes the exchange, and
+    another one hands it back.
+    """
+
+    def __init__(self, *, counters: metrics.Metrics) -> None:
+        super().__init__()
+        self._metrics = counters
+        self._idle: dict[
+            model.Address,
+            collections.deque[upstream_connection.UpstreamConnection],
+        ] = {}
+
+    async def _setup(self) -> None:
+        self._spawn(self._sweep)
+
+    async def _teardown(self) -> None:
+        for idle in self._idle.values():
+            for connection in idle:
+                await connection.close()
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        match message:
+            case messages.CheckOut():
+                reply.put(self._check_out(message))
+            case messages.CheckIn(connection=connection):
+                self._check_in(connection)
+
+    def _check_out(
+        self, message: messages.CheckOut
+    ) -> upstream_connection.UpstreamConnection | None:
+        idle = self._idle.get(message.address)
+        while idle:
+            # The one used last is the one most likely to be alive.
+            connection = idle.pop()
+            if connection.usable(message.longest_idle):
+                return connection
+            if connection.usable(ANY_IDLE_TIME):
+                # Too old for this exchange, and so are those before it.
+                idle.append(connection)
+                return None
+            self._spawn(connection.close)
+        return None
+
+    def _check_in(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
+        if not connection.usable(ANY_IDLE_TIME):
+            self._spawn(connection.close)
+            return
+        self._idle.setdefault(connection.address, collections.deque()).append(
+            connection
+        )
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_INTERVAL)
+            for address, idle in list(self._idle.items()):
+                kept = collections.deque(
+                    c for c in idle if c.usable(ANY_IDLE_TIME)
+                )
+                for connection in idle:
+                    if connection not in kept:
+                        self._spawn(connection.close)
+                self._idle[address] = kept
--- a/src/sassafrashall/daemon.py
+++ b/src/sassafrashall/daemon.py
@@ -7,6 +7,7 @@
 import gc
 import signal
 import sys
+from typing import TypeAlias
 
 import trio
 
@@ -14,6 +15,7 @@
 from sassafrashall import exceptions
 from sassafrashall import logs
 from sassafrashall import node
+from sassafrashall import routed_node
 from sassafrashall import settings as settings_module
 
 # Long pauses of the garbage collector are what a caller would notice most;
@@ -62,19 +64,30 @@
     return found
 
 
+Process: TypeAlias = node.Node | routed_node.RoutedNode | control.Control
+
+
 async def _run(settings: settings_module.Daemon) -> None:
     match settings.role:
+        case settings_module.Role.NODE if settings.routed is not None:
+            process: Process = routed_node.RoutedNode(settings=settings)
         case settings_module.Role.NODE:
-            process: node.Node | control.Control = node.Node(settings=settings)
+            process = node.Node(settings=settings)
         case settings_module.Role.CONTROL:
             process = control.Control(settings=settings)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
         async with trio.open_nursery() as nursery:
             await process.start(nursery)
             gc.freeze()
             gc.set_threshold(*GC_THRESHOLDS)
-            async for _ in signals:
-                break
+            async for received in signals:
+                if received != signal.SIGHUP:
+                    break
+                # Addresses and secrets hold for the life of a process; what
+                # else changes reaches it from the controls.
+                logs.get().info("settings unchanged by SIGHUP")
             await process.close()
             nursery.cancel_scope.cancel()
 
--- a/src/sassafrashall/decisions/consensus.py
+++ b/src/sassafrashall/decisions/consensus.py
@@ -53,7 +53,8 @@
         case replication.Tick():
             return _tick(state, event, now)
         case replication.Received(message=message):
-            return _receive(state, message, event.jitter, now)
+            heard_at = now if event.sent_at is None else event.sent_at
+            return _receive(state, message, event.jitter, now, heard_at)
         case replication.Propose(commands=commands):
             return leadership.propose(state, commands, now)
         case replication.ProposeMembership(membership=membership):
@@ -71,6 +72,22 @@
     return now - state.contact_at
 
 
+def proved_at(state: replication.State, now: float) -> float:
+    """Returns when this replica was last certain to lead with all applied.
+
+    Until an entry of its own term is committed, a leader may not have applied
+    all that was committed before.
+    """
+    if (
+        state.role is not replication.Role.LEADER
+        or state.term_at(state.commit) != state.term
+    ):
+        return float("-inf")
+    if state.membership.has_quorum(frozenset({state.replica_id})):
+        return now
+    return state.contact_at
+
+
 def _tick(
     state: replication.State, event: replication.Tick, now: float
 ) -> replication.Step:
@@ -89,6 +106,7 @@
     message: replication.Message,
     jitter: float,
     now: float,
+    heard_at: float,
 ) -> replication.Step:
     if message.receiver != state.replica_id:
         return state, ()
@@ -100,7 +118,9 @@
         case replication.AppendEntries() | replication.InstallSnapshot():
             return _on_leader_message(state, message, jitter, now)
         case replication.AppendReply():
-            return leadership.on_append_reply(state, message, jitter, now)
+            return leadership.on_append_reply(
+                state, message, jitter, now, heard_at
+            )
 
 
 def _on_leader_message(
--- a/src/sassafrashall/decisions/fleet_state.py
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -12,8 +12,10 @@
 
 import immutables
 
+from sassafrashall import configuration
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall.decisions import document_checks
 from sassafrashall.decisions import templates
 
 CHANGES_KEPT = 10_000  # change ids in one generation
@@ -89,6 +91,27 @@
     """Drops the claims that are older than one retention period."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplaceConfiguration:
+    """Replaces the fleet configuration if its version is the expected one.
+
+    Attributes:
+      expect_version: The version that this one builds on; 0 for the first.
+      digest: Identifies the text, so that a resend is recognised.
+      text: As the operator sent it; reads return it.
+    """
+
+    expect_version: int
+    document: configuration.Configuration
+    digest: str
+    text: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadConfiguration:
+    """Reads the fleet configuration at its place in the log."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NoOp:
     """Commits the entries of earlier terms when a leader takes over."""
@@ -102,6 +125,8 @@
     | ClaimRequest
     | ReleaseClaim
     | RotateClaims
+    | ReplaceConfiguration
+    | ReadConfiguration
     | NoOp
 )
 
@@ -152,7 +177,16 @@
     same_request: bool
 
 
-Result: TypeAlias = Accepted | Conflict | Rejected | Granted | Taken
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CurrentConfiguration:
+    """The text of the newest configuration; empty before the first."""
+
+    text: bytes
+
+
+Result: TypeAlias = (
+    Accepted | Conflict | Rejected | Granted | Taken | CurrentConfiguration
+)
 
 # --- state -------------------------------------------------------------------
 
@@ -168,12 +202,27 @@
 _Map: TypeAlias = Any  # immutables.Map
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Quota:
+    """What quota owners need of an organisation.
+
+    Attributes:
+      shares: How many owners have a part of it; 0 for all.
+      created: The fleet revision at which the organisation came to be.
+    """
+
+    rate: float
+    burst: int
+    shares: int
+    created: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FleetState:
     """All that must survive, as of one log index.
 
-    Claims and change ids are held in two generations, so that old ones can be
-    dropped without a search.
+    Claims, change ids and the digests of accepted documents are held in two
+    generations, so that old ones can be dropped without a search.
     """
 
     revision: int = 0
@@ -182,6 +231,25 @@
     old_claims: _Map = immutables.Map()
     changes: _Map = immutables.Map()
     old_changes: _Map = immutables.Map()
+    accepted: configuration.Accepted | None = None
+    documents: _Map = immutables.Map()
+    old_documents: _Map = immutables.Map()
+    quotas: _Map = immutables.Map()
+
+    def quota(self, name: str) -> Quota | None:
+        """Returns the quota of an organisation, however it was set up."""
+        held = self.quotas.get(name)
+        if held is not None:
+            return held
+        organisation = self.organisations.get(name)
+        if organisation is None:
+            return None
+        return Quota(
+            rate=organisation.parameters.rate,
+            burst=organisation.parameters.burst,
+            shares=organisation.parameters.quota_shares,
+            created=organisation.created,
+        )
 
 
 def apply(state: FleetState, command: Command) -> tuple[FleetState, Result]:
@@ -200,10 +268,82 @@
                 ),
                 Accepted(revision=state.revision),
             )
+        case ReplaceConfiguration():
+            return _replace_configuration(state, command)
+        case ReadConfiguration():
+            text = state.accepted.text if state.accepted else b""
+            return state, CurrentConfiguration(text=text)
         case _:
             return _change(state, command)
 
 
+def _replace_configuration(
+    state: FleetState, command: ReplaceConfiguration
+) -> tuple[FleetState, Result]:
+    """Replaces the document; one accepted before is accepted again."""
+    earlier = state.documents.get(command.digest) or state.old_documents.get(
+        command.digest
+    )
+    if earlier is not None:
+        return state, earlier
+    document = command.document
+    current = state.accepted.configuration.version if state.accepted else 0
+    findings = list(document_checks.check(document))
+    if command.expect_version == current and document.version <= current:
+        findings.append(
+            exceptions.Finding(
+                source="configuration",
+                key="version",
+                text=f"must be above {current}, the version in force",
+            )
+        )
+    if findings:
+        return state, Rejected(findings=tuple(findings))
+    if command.expect_version != current:
+        return state, Conflict(
+            version=current,
+            detail=f"builds on version {command.expect_version}",
+        )
+    revision = state.revision + 1
+    result = Accepted(revision=revision, version=document.version)
+    documents, old = state.documents, state.old_documents
+    if len(documents) >= CHANGES_KEPT:
+        documents, old = immutables.Map(), documents
+    return (
+        dataclasses.replace(
+            state,
+            revision=revision,
+            accepted=configuration.Accepted(
+                configuration=document, text=command.text
+            ),
+            documents=documents.set(command.digest, result),
+            old_documents=old,
+            quotas=_quotas(state, document, revision),
+        ),
+        result,
+    )
+
+
+def _quotas(
+    state: FleetState, document: configuration.Configuration, revision: int
+) -> _Map:
+    """Returns the quotas of a document's organisations.
+
+    Where one was there before, tokens of it may be out on leases.
+    """
+    quotas = {}
+    for organisation in document.organisations:
+        if organisation.rate > 0:
+            held = state.quotas.get(organisation.name)
+            quotas[organisation.name] = Quota(
+                rate=organisation.rate,
+                burst=max(1, organisation.burst),
+                shares=0,
+                created=held.created if held else revision,
+            )
+    return immutables.Map(quotas)
+
+
 def _change(state: FleetState, command: Any) -> tuple[FleetState, Result]:
     """Applies a change of configuration once for its change id."""
     earlier = state.changes.get(command.change_id) or state.old_changes.get(
--- a/src/sassafrashall/decisions/founding.py
+++ b/src/sassafrashall/decisions/founding.py
@@ -27,7 +27,7 @@
 ) -> replication.Membership | None:
     """Returns the membership to begin with, or None while it is not certain.
 
-    Only the founder that comes first by name founds, and only when every
+    Founders are known by their addresses. Only the one that comes first founds, and only when every
     founder says that its folder is empty. The others take its membership over
     if they are part of it. A folder that is new in a fleet that was founded
     before begins with no membership at all: it must not vote as the replica
@@ -40,8 +40,10 @@
             return answer.membership
     if founded:
         return replication.Membership()
-    others = {answer.member.vm for answer in answers}
-    if own.vm != min(founders) or others != set(founders) - {own.vm}:
+    others = {answer.member.address for answer in answers}
+    if own.address != min(founders) or others != (
+        set(founders) - {own.address}
+    ):
         return None
     members = [own, *(answer.member for answer in answers)]
     return replication.Membership(
--- a/src/sassafrashall/decisions/leadership.py
+++ b/src/sassafrashall/decisions/leadership.py
@@ -227,8 +227,13 @@
     message: replication.AppendReply,
     jitter: float,
     now: float,
+    heard_at: float,
 ) -> replication.Step:
-    """Moves a peer forward or back, and the commit index with it."""
+    """Moves a peer forward or back, and the commit index with it.
+
+    A peer counts as heard when the message that it answers was sent: the
+    answer may have waited while this VM was frozen.
+    """
     if message.term > state.term:
         return become_follower(state, message.term, "", jitter, now)
     peer = state.peer(message.sender)
@@ -246,7 +251,9 @@
         peer = dataclasses.replace(
             peer, next_index=max(peer.match + 1, back, 1)
         )
-    peer = dataclasses.replace(peer, busy_until=-1.0, heard_at=now)
+    peer = dataclasses.replace(
+        peer, busy_until=-1.0, heard_at=max(peer.heard_at, heard_at)
+    )
     state = _with_peer(state, message.sender, peer)
     state, applied = _advance_leader_commit(state, now)
     state, sent = _replicate(state, now, heartbeat=False)
--- a/src/sassafrashall/decisions/quota.py
+++ b/src/sassafrashall/decisions/quota.py
@@ -17,13 +17,33 @@
 LEASE_TTL = 2.0  # seconds, counted by the node from before it asked
 LEASE_GRACE = 1.0  # seconds that the owner adds
 OWNER_LEASE_TTL = LEASE_TTL + LEASE_GRACE
-DEMAND_WINDOW = 0.05  # seconds of its own demand that a node holds
 DEMAND_SMOOTHING = 0.2  # weight of the latest interval in the estimate
-HOT_DEMAND = 20.0  # requests a second from which a node borrows ahead
-IDLE_RETURN = 0.25  # seconds without use after which tokens go back
 EPSILON = 1e-9
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Borrowing:
+    """How far ahead of need a node borrows, and how often it reports.
+
+    Attributes:
+      window: Seconds of its own demand that a node holds.
+      hot_demand: Requests a second from which it borrows ahead.
+      idle_return: Seconds without use after which tokens go back.
+      report_interval: Seconds between two reports of use.
+    """
+
+    window: float = 0.05
+    hot_demand: float = 20.0
+    idle_return: float = 0.25
+    report_interval: float = 0.05
+
+
+# Fewer messages, for fleets whose quotas are checked over seconds.
+RELAXED = Borrowing(
+    window=0.5, hot_demand=2.0, idle_return=1.0, report_interval=0.5
+)
+
+
 # --- the owner's side --------------------------------------------------------
 
 
@@ -301,24 +321,29 @@
     )
 
 
-def wanted_ahead(cache: TokenCache, now: float) -> int:
+def wanted_ahead(
+    cache: TokenCache, now: float, law: Borrowing = Borrowing()
+) -> int:
     """Returns how many tokens to borrow ahead of need; 0 for a cold one."""
-    if cache.demand < HOT_DEMAND:
+    if cache.demand < law.hot_demand:
         return 0
-    target = math.ceil(cache.demand * DEMAND_WINDOW) + 1
+    target = math.ceil(cache.demand * law.window) + 1
     return max(0, target - cache.available(now))
 
 
 def report(
-    cache: TokenCache, organisation: str, now: float
+    cache: TokenCache,
+    organisation: str,
+    now: float,
+    law: Borrowing = Borrowing(),
 ) -> tuple[TokenCache, tuple[Report, ...]]:
     """Returns what to tell the owners: uses, and tokens that lie idle."""
-    idle = now - cache.last_use >= IDLE_RETURN
+    idle = now - cache.last_use >= law.idle_return
     kept: list[HeldLease] = []
     reports: list[Report] = []
     spare = 0
     if not idle:
-        spare = math.ceil(cache.demand * DEMAND_WINDOW * 2) + 1
+        spare = math.ceil(cache.demand * law.window * 2) + 1
     for lease in cache.leases:
         if lease.expires_at <= now and not lease.used:
             continue
--- a/src/sassafrashall/decisions/replication.py
+++ b/src/sassafrashall/decisions/replication.py
@@ -170,10 +170,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Received:
-    """A message from another replica."""
+    """A message from another replica.
+
+    Attributes:
+      sent_at: For a reply, when the message that it answers was sent; None if
+        that is not known.
+    """
 
     message: Message
     jitter: float = 0.5
+    sent_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/decisions/retries.py
+++ b/src/sassafrashall/decisions/retries.py
@@ -18,8 +18,20 @@
         exceptions.SHED,
         exceptions.STOPPING,
         exceptions.NO_UPSTREAM,
+        exceptions.PEER_UNREACHABLE,
         exceptions.UPSTREAM_FAILED,
         exceptions.UPSTREAM_SILENT,
+        exceptions.UPSTREAM_REFUSED,
+    }
+)
+
+# Refusals of a node in front of its upstream, which has not seen the request.
+_IN_FRONT = frozenset(
+    {
+        exceptions.SHED,
+        exceptions.STOPPING,
+        exceptions.NO_UPSTREAM,
+        exceptions.PEER_UNREACHABLE,
     }
 )
 
@@ -41,7 +53,23 @@
     """Draws every repeat from the budget of the call tree and the ratio."""
 
 
-Law: TypeAlias = NoRetries | FixedRetries | BudgetRetries
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ArrivalRetries:
+    """Draws repeats that may reach an upstream again from a node's ratio.
+
+    A refusal in front of an upstream costs it nothing, so another one is tried
+    without a token, a few times.
+
+    Attributes:
+      ratio: Repeats for each first try of a service.
+      refusals: Attempts that may be refused in front of an upstream.
+    """
+
+    ratio: float = 0.04
+    refusals: int = 3
+
+
+Law: TypeAlias = NoRetries | FixedRetries | BudgetRetries | ArrivalRetries
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,9 +79,25 @@
     tokens: float = RATIO_BURST
 
 
-def on_first_try(state: RatioState) -> RatioState:
+def on_first_try(state: RatioState, law: Law | None = None) -> RatioState:
     """Earns a part of a retry."""
-    return RatioState(tokens=min(RATIO_BURST, state.tokens + RATIO))
+    ratio = law.ratio if isinstance(law, ArrivalRetries) else RATIO
+    return RatioState(tokens=min(RATIO_BURST, state.tokens + ratio))
+
+
+def ratio_key(law: Law, service: str) -> str:
+    """Returns which calls share a ratio: those of a service, or all."""
+    return service if isinstance(law, ArrivalRetries) else ""
+
+
+def is_free(law: Law, refusal: model.Refuse) -> bool:
+    """Returns whether a repeat after this refusal needs no token."""
+    return isinstance(law, ArrivalRetries) and in_front(refusal)
+
+
+def in_front(refusal: model.Refuse) -> bool:
+    """Returns whether a node refused in front of its upstream."""
+    return refusal.run is model.RunState.NOT_RUN and refusal.code in _IN_FRONT
 
 
 def on_retry(state: RatioState) -> RatioState:
@@ -124,3 +168,7 @@
             return attempts <= count
         case BudgetRetries():
             return call.retries > 0 and ratio.tokens >= 1.0
+        case ArrivalRetries(refusals=refusals):
+            if is_free(law, refusal):
+                return attempts <= refusals
+            return call.retries > 0 and ratio.tokens >= 1.0
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -13,6 +13,8 @@
 EJECTION_LIMIT = 16.0  # seconds
 RAMP_TIME = 3.0  # seconds until a new upstream gets its full part
 RAMP_START = 0.25
+LOAD_SCALE = 1000  # loads travel as whole numbers
+LOAD_TTL = 1.0  # seconds that a load seen on an answer counts
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -25,7 +27,22 @@
     """Picks two at random and takes the one with less of our own work."""
 
 
-Law: TypeAlias = RandomChoice | TwoChoices
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeastLoaded:
+    """Takes the upstream with the most free slots, near ones first.
+
+    Attributes:
+      own_vm: Up to this load the upstream on the own VM is taken.
+      near: Up to this load an upstream of the own data centre is taken.
+      crossing: What another data centre costs, as a part of the slots.
+    """
+
+    own_vm: float = 0.6
+    near: float = 0.75
+    crossing: float = 0.1
+
+
+Law: TypeAlias = RandomChoice | TwoChoices | LeastLoaded
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -36,6 +53,8 @@
       vm: Its node's VM, which identifies it.
       in_flight: Requests that this process has there.
       known_since: When this process first saw it ready.
+      load: Part of its slots in use or waited for, as its node last told.
+      is_own: Whether it is on the VM of this process.
     """
 
     vm: str
@@ -43,6 +62,8 @@
     slots: int
     in_flight: int = 0
     known_since: float = 0.0
+    load: float = 0.0
+    is_own: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -146,6 +167,39 @@
             rest = tuple(c for c in pool if c is not first) or (first,)
             second = rest[int(draws[1] * len(rest))]
             return min(first, second, key=lambda c: _load(c, now))
+        case LeastLoaded():
+            return _least_loaded(law, candidates, data_centre, draws[0])
+
+
+def _least_loaded(
+    law: LeastLoaded,
+    candidates: tuple[Candidate, ...],
+    data_centre: str,
+    draw: float,
+) -> Candidate:
+    # A place drawn anew for each call decides between equal loads.
+    turn = int(draw * len(candidates))
+    ordered = candidates[turn:] + candidates[:turn]
+    loads = [_known_load(candidate) for candidate in ordered]
+    for candidate, load in zip(ordered, loads, strict=True):
+        if candidate.is_own and load <= law.own_vm:
+            return candidate
+    near = [
+        (load, place)
+        for place, load in enumerate(loads)
+        if ordered[place].data_centre == data_centre
+    ]
+    if near and min(near)[0] <= law.near:
+        return ordered[min(near)[1]]
+    weighed = [
+        (load + law.crossing * (c.data_centre != data_centre), place)
+        for place, (c, load) in enumerate(zip(ordered, loads, strict=True))
+    ]
+    return ordered[min(weighed)[1]]
+
+
+def _known_load(candidate: Candidate) -> float:
+    return max(candidate.load, candidate.in_flight / max(1, candidate.slots))
 
 
 def _load(candidate: Candidate, now: float) -> float:
--- a/src/sassafrashall/exceptions.py
+++ b/src/sassafrashall/exceptions.py
@@ -24,6 +24,9 @@
 UPSTREAM_FAILED = "upstream_failed"
 UPSTREAM_SILENT = "upstream_silent"
 ANSWER_TOO_LARGE = "answer_too_large"
+PEER_UNREACHABLE = "peer_unreachable"
+UPSTREAM_REFUSED = "upstream_refused"
+NO_CONFIGURATION = "no_configuration"
 INTERNAL = "internal_error"
 
 STATUS_BY_CODE = {
@@ -47,6 +50,9 @@
     UPSTREAM_FAILED: 502,
     UPSTREAM_SILENT: 504,
     ANSWER_TOO_LARGE: 502,
+    PEER_UNREACHABLE: 503,
+    UPSTREAM_REFUSED: 503,
+    NO_CONFIGURATION: 503,
     INTERNAL: 500,
 }
 
--- a/src/sassafrashall/filters/dispatch.py
+++ b/src/sassafrashall/filters/dispatch.py
@@ -45,7 +45,7 @@
                 messages.Choose(service=call.service, avoid=avoid)
             )
             if choice is None:
-                return _truthful(_no_upstream(call), may_have_run)
+                return truthful(no_upstream(call), may_have_run)
             outcome, kept = await self._attempt(call, choice)
             avoid |= {choice.vm}
             # Tokens that went along come back with the answer or are lost.
@@ -55,7 +55,7 @@
             refusal = retries.failure_of(outcome)
             if refusal is not None:
                 may_have_run |= refusal.run is not model.RunState.NOT_RUN
-                outcome = _truthful(outcome, may_have_run)
+                outcome = truthful(outcome, may_have_run)
             if refusal is None or not await self._routing.ask(
                 messages.Retry(call=call, refusal=refusal, attempts=attempts)
             ):
@@ -72,7 +72,7 @@
         level = -1
         try:
             outcome = await self._send(call, choice, handed)
-            verdict = _verdict(outcome)
+            verdict = verdict_of(outcome)
             level = outcome.level
         finally:
             self._routing.tell(
@@ -117,14 +117,15 @@
         )
 
 
-def _truthful(outcome: model.Outcome, may_have_run: bool) -> model.Outcome:
+def truthful(outcome: model.Outcome, may_have_run: bool) -> model.Outcome:
     """Says `unknown` where an earlier attempt may have run the request."""
     if may_have_run and isinstance(outcome, model.Refuse):
         return dataclasses.replace(outcome, run=model.RunState.UNKNOWN)
     return outcome
 
 
-def _no_upstream(call: model.Call) -> model.Refuse:
+def no_upstream(call: model.Call) -> model.Refuse:
+    """Refuses a call whose service has no upstream now."""
     return model.Refuse(
         code=exceptions.NO_UPSTREAM,
         detail=f"no upstream of {call.service} can be reached now",
@@ -133,7 +134,7 @@
     )
 
 
-def _verdict(outcome: model.Outcome) -> messages.Verdict:
+def verdict_of(outcome: model.Outcome) -> messages.Verdict:
     """Returns what the outcome says of the upstream."""
     match outcome:
         case model.Answer(response=model.Response(status=502 | 503 | 504)):
@@ -144,6 +145,7 @@
             code=exceptions.UPSTREAM_FAILED
             | exceptions.UPSTREAM_SILENT
             | exceptions.NO_UPSTREAM
+            | exceptions.PEER_UNREACHABLE
             | exceptions.STOPPING
         ):
             return messages.Verdict.BROKEN
--- /dev/null
+++ b/src/sassafrashall/filters/document_route.py
@@ -0,0 +1,56 @@
+"""Finds the route of a request in the fleet configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import model
+from sassafrashall.decisions import route_table
+
+RETRY_AFTER = 0.5  # seconds; a node that starts has its configuration by then
+
+
+class DocumentRouteFilter:
+    """Sets what the route says: service, deadline, attempts, priority."""
+
+    def __init__(
+        self, *, table: mailbox.Published[route_table.RouteTable | None]
+    ) -> None:
+        self._table = table
+        self._shares: dict[str, route_table.Shares] = {}
+
+    async def handle(self, call: model.Call) -> model.Result:
+        """Takes the route with the longest prefix of the path."""
+        table = self._table.value
+        if table is None:
+            return model.Refuse(
+                code=exceptions.NO_CONFIGURATION,
+                detail="the node has just started and knows no route yet",
+                retry_after_s=RETRY_AFTER,
+            )
+        request = call.request
+        route = table.find(request.host, request.path)
+        if route is None:
+            return model.Refuse(
+                code=exceptions.UNKNOWN_ROUTE,
+                detail="no route covers this host and path",
+            )
+        service, shares = route_table.choose_target(
+            route.targets, self._shares.get(route.name)
+        )
+        if shares is not None:
+            self._shares[route.name] = shares
+        return model.Forward(
+            call=dataclasses.replace(
+                call,
+                service=service,
+                idempotent=route.idempotent,
+                priority=route.priority,
+                attempts=route.attempts,
+                retries=route.attempts - 1,
+                deadline=request.received_at + route.timeout_s,
+                metered=not route.open,
+            )
+        )
--- /dev/null
+++ b/src/sassafrashall/filters/forward.py
@@ -0,0 +1,144 @@
+"""Sends a call of a routed fleet to an upstream's node, again where allowed."""
+
+from __future__ import annotations
+
+import dataclasses
+import uuid
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.decisions import retries
+from sassafrashall.filters import chain
+from sassafrashall.filters import dispatch
+
+
+class ForwardFilter:
+    """Ends the chain of the node where a call enters the system."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        routing: mailbox.Mailbox,
+        links: mailbox.Mailbox,
+        local: chain.Chain,
+        event_log: events.EventLog,
+    ) -> None:
+        self._node = node
+        self._routing = routing
+        self._links = links
+        self._local = local
+        self._events = event_log
+
+    async def handle(self, call: model.Call) -> model.Outcome:
+        """Makes attempts until one ends the call or its time is up."""
+        self._routing.tell(messages.FirstTry(service=call.service))
+        left = call.deadline - clock.monotonic()
+        with trio.move_on_after(max(0.0, left)):
+            return await self._attempts(call)
+        return model.Refuse(
+            code=exceptions.DEADLINE,
+            detail="the deadline passed before the answer was there",
+            run=model.RunState.UNKNOWN,
+        )
+
+    async def _attempts(self, call: model.Call) -> model.Outcome:
+        attempts = 0
+        avoid: frozenset[str] = frozenset()
+        may_have_run = False
+        while True:
+            attempts += 1
+            choice = await self._routing.ask(
+                messages.Choose(service=call.service, avoid=avoid)
+            )
+            if choice is None:
+                return dispatch.truthful(
+                    dispatch.no_upstream(call), may_have_run
+                )
+            outcome = await self._attempt(call, choice)
+            refusal = _failure_of(outcome)
+            if refusal is None:
+                return outcome
+            avoid |= {choice.vm}
+            if refusal.run is not model.RunState.NOT_RUN:
+                may_have_run = True
+            outcome = dispatch.truthful(refusal, may_have_run)
+            if _is_streamed(call, refusal) or not await self._routing.ask(
+                messages.Retry(call=call, refusal=refusal, attempts=attempts)
+            ):
+                return outcome
+            if not retries.in_front(refusal):
+                call = dataclasses.replace(call, retries=call.retries - 1)
+            self._events.record("call.retried", call.root_id, refusal.code)
+
+    async def _attempt(
+        self, call: model.Call, choice: messages.Choice
+    ) -> model.Outcome:
+        verdict = messages.Verdict.NONE
+        level = load = -1
+        try:
+            outcome = await self._send(call, choice)
+            verdict = dispatch.verdict_of(outcome)
+            level, load = outcome.level, outcome.load
+        finally:
+            self._routing.tell(
+                messages.AttemptEnded(
+                    vm=choice.vm,
+                    service=call.service,
+                    verdict=verdict,
+                    level=level,
+                    load=load,
+                )
+            )
+        return outcome
+
+    async def _send(
+        self, call: model.Call, choice: messages.Choice
+    ) -> model.Outcome:
+        ticket = call.ticket(
+            node=choice.vm,
+            call_id=uuid.uuid4().hex[:16],
+            retries=0,
+            now=clock.monotonic(),
+        )
+        if choice.vm == self._node:
+            request = dataclasses.replace(
+                call.request,
+                source=model.Source.PEER,
+                received_at=clock.monotonic(),
+                timeout_ms=ticket.remaining_ms,
+                ticket=ticket,
+            )
+            return await self._local.run(
+                model.Call(request=request, root_id=call.root_id)
+            )
+        return await self._links.ask(
+            messages.Exchange(
+                address=choice.address,
+                request=call.request,
+                ticket=ticket,
+                deadline=call.deadline,
+                to_upstream=False,
+                confirm=not call.idempotent or call.request.rest is not None,
+            )
+        )
+
+
+def _failure_of(outcome: model.Outcome) -> model.Refuse | None:
+    """Returns a refusal; an upstream's own answer is final, whatever it says.
+
+    The upstream's own statement that it did not run a request has been made a
+    refusal at its node.
+    """
+    return outcome if isinstance(outcome, model.Refuse) else None
+
+
+def _is_streamed(call: model.Call, refusal: model.Refuse) -> bool:
+    """Returns whether a body may be partly used up and can't be sent again."""
+    return call.request.rest is not None and not retries.in_front(refusal)
--- /dev/null
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -0,0 +1,288 @@
+"""The node's last step in front of its upstream in a routed fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.transport import http
+from sassafrashall.transport import upstream_connection
+
+# A request that must not run twice is not sent on a connection that has been
+# idle longer: the upstream may be closing it.
+FRESH_IDLE_TIME = 1.0  # seconds
+ANY_IDLE_TIME = 1e6  # seconds; the connection's own expiry counts
+
+
+class Dialect(Protocol):
+    """How an upstream wants requests, and what its answers mean."""
+
+    def encode(
+        self, call: model.Call, upstream: model.Upstream, now: float
+    ) -> http.RawRequest:
+        """Returns the request for the upstream."""
+        ...
+
+    def answers(self, request: http.RawRequest) -> upstream_connection.Answers:
+        """Returns what tells whether an answer belongs to the request."""
+        ...
+
+    def decode(self, response: model.Response) -> model.Outcome:
+        """Returns what the upstream's answer means."""
+        ...
+
+
+class LocalUpstreamFilter:
+    """Ends the chain of the node beside the upstream."""
+
+    def __init__(
+        self,
+        *,
+        admission: mailbox.Mailbox,
+        level: mailbox.Published[int],
+        load: mailbox.Published[int],
+        pool: mailbox.Mailbox,
+        dialect: Dialect,
+    ) -> None:
+        self._admission = admission
+        self._level = level
+        self._load = load
+        self._pool = pool
+        self._dialect = dialect
+
+    async def handle(self, call: model.Call) -> model.Outcome:
+        """Waits for a slot, then runs the call."""
+        admitted = await self._admission.ask(
+            messages.Admit(
+                call_id=call.call_id,
+                organisation=call.organisation,
+                priority=call.priority,
+                root_id=call.root_id,
+                deadline=call.deadline,
+            )
+        )
+        match admitted:
+            case messages.Admitted(upstream=upstream):
+                return await self._run(call, upstream)
+            case messages.Shed(code=code, detail=detail, level=level):
+                return model.Refuse(
+                    code=code,
+                    detail=detail,
+                    level=level,
+                    load=self._load.value,
+                    retry_after_s=1.0,
+                )
+            case _:
+                raise TypeError(f"unknown answer {admitted!r}")
+
+    async def _run(
+        self, call: model.Call, upstream: model.Upstream
+    ) -> model.Outcome:
+        slot = _Slot(admission=self._admission)
+        try:
+            if upstream.service != call.service:
+                return model.Refuse(
+                    code=exceptions.NO_UPSTREAM,
+                    detail=f"{call.service} does not run here any more",
+                )
+            confirm = call.request.confirm
+            if confirm is not None and not await confirm():
+                return model.Refuse(
+                    code=exceptions.PEER_UNREACHABLE,
+                    detail="the calling node did not confirm the request",
+                )
+            outcome = await self._exchange(call, upstream, slot)
+        finally:
+            if not slot.held:
+                slot.release()
+        return _with_load(outcome, self._level.value, self._load.value)
+
+    async def _exchange(
+        self, call: model.Call, upstream: model.Upstream, slot: _Slot
+    ) -> model.Outcome:
+        left = call.deadline - clock.monotonic()
+        if left <= 0:
+            return model.Refuse(
+                code=exceptions.DEADLINE, detail="no time is left to run it"
+            )
+        with trio.move_on_after(left):
+            try:
+                return await self._send(call, upstream, slot)
+            except exceptions.ConnectionFailedError as error:
+                return _failure(error)
+        return model.Refuse(
+            code=exceptions.DEADLINE,
+            detail="the deadline passed while the upstream ran the request",
+            run=model.RunState.UNKNOWN,
+        )
+
+    async def _send(
+        self, call: model.Call, upstream: model.Upstream, slot: _Slot
+    ) -> model.Outcome:
+        request = self._dialect.encode(call, upstream, clock.monotonic())
+        repeatable = call.idempotent and request.rest is None
+        connection = await self._connection(upstream.address, call.idempotent)
+        try:
+            response = await self._exchange_on(connection, request)
+        except exceptions.ConnectionFailedError:
+            if not (connection.used_before and repeatable):
+                raise
+            # The upstream had closed the idle connection.
+            connection = await upstream_connection.UpstreamConnection.open(
+                upstream.address
+            )
+            response = await self._exchange_on(connection, request)
+        if response.rest is None:
+            self._pool.tell(messages.CheckIn(connection=connection))
+            slot.answered(response.status)
+            return self._dialect.decode(response)
+        slot.held = True
+        body = _StreamedAnswer(
+            rest=response.rest,
+            connection=connection,
+            pool=self._pool,
+            deadline=call.deadline,
+            on_end=slot.release,
+        )
+        return self._dialect.decode(
+            model.Response(
+                status=response.status,
+                headers=response.headers,
+                body=response.body,
+                rest=body,
+            )
+        )
+
+    async def _connection(
+        self, address: model.Address, idempotent: bool
+    ) -> upstream_connection.UpstreamConnection:
+        idle = await self._pool.ask(
+            messages.CheckOut(
+                address=address,
+                longest_idle=ANY_IDLE_TIME if idempotent else FRESH_IDLE_TIME,
+            )
+        )
+        if idle is not None:
+            return idle
+        return await upstream_connection.UpstreamConnection.open(address)
+
+    async def _exchange_on(
+        self,
+        connection: upstream_connection.UpstreamConnection,
+        request: http.RawRequest,
+    ) -> model.Response:
+        """Closes the connection, and with it the request, unless it ends."""
+        whole = False
+        try:
+            response = await connection.exchange(
+                request, self._dialect.answers(request)
+            )
+            whole = True
+            return response
+        finally:
+            if not whole:
+                with trio.CancelScope(shield=True):
+                    await connection.close()
+
+
+class _Slot:
+    """A slot of the upstream, given back once."""
+
+    def __init__(self, *, admission: mailbox.Mailbox) -> None:
+        self._admission = admission
+        self._began = clock.monotonic()
+        self._latency = -1.0
+        self._shed = False
+        self._released = False
+        self.held = False
+
+    def answered(self, status: int) -> None:
+        """Notes how the upstream answered."""
+        self._shed = status in (429, 503)
+        if not self._shed:
+            self._latency = clock.monotonic() - self._began
+
+    def release(self) -> None:
+        """Gives the slot back."""
+        if not self._released:
+            self._released = True
+            self._admission.tell(
+                messages.Finished(latency=self._latency, shed=self._shed)
+            )
+
+
+class _StreamedAnswer:
+    """The rest of an answer; the slot is held until its end."""
+
+    def __init__(
+        self,
+        *,
+        rest: model.BodyReader,
+        connection: upstream_connection.UpstreamConnection,
+        pool: mailbox.Mailbox,
+        deadline: float,
+        on_end: Callable[[], None],
+    ) -> None:
+        self._rest = rest
+        self._connection = connection
+        self._pool = pool
+        self._deadline = deadline
+        self._on_end = on_end
+        self._ended = False
+
+    async def read(self) -> bytes:
+        """Returns the next bytes, or none at the end."""
+        if self._ended:
+            return b""
+        left = max(0.0, self._deadline - clock.monotonic())
+        with trio.move_on_after(left):
+            data = await self._rest.read()
+            if not data:
+                self._ended = True
+                self._on_end()
+                self._pool.tell(messages.CheckIn(connection=self._connection))
+            return data
+        raise exceptions.ConnectionFailedError(
+            "the deadline passed in the middle of the answer", committed=True
+        )
+
+    async def close(self) -> None:
+        """Gives the rest up."""
+        if not self._ended:
+            self._ended = True
+            self._on_end()
+            await self._connection.close()
+
+
+def _failure(error: exceptions.ConnectionFailedError) -> model.Refuse:
+    return model.Refuse(
+        code=exceptions.UPSTREAM_SILENT
+        if error.silent
+        else exceptions.UPSTREAM_FAILED,
+        detail=f"the upstream: {error}",
+        run=model.RunState.UNKNOWN
+        if error.committed
+        else model.RunState.NOT_RUN,
+    )
+
+
+def _with_load(outcome: model.Outcome, level: int, load: int) -> model.Outcome:
+    match outcome:
+        case model.Answer(response=response):
+            return model.Answer(response=response, level=level, load=load)
+        case model.Refuse():
+            return model.Refuse(
+                code=outcome.code,
+                detail=outcome.detail,
+                run=outcome.run,
+                retry_after_s=outcome.retry_after_s,
+                level=level,
+                load=load,
+            )
--- a/src/sassafrashall/filters/quota.py
+++ b/src/sassafrashall/filters/quota.py
@@ -17,7 +17,7 @@
 
     async def handle(self, call: model.Call) -> model.Result:
         """Takes one token for a call that comes from outside."""
-        if call.parent_id:
+        if call.parent_id or not call.metered:
             return model.Forward(call=call)
         answer = await self._quota.ask(
             messages.TakeToken(
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -37,14 +37,31 @@
     majority_age: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlsKnown:
+    """The controls that a node may turn to, as its control named them."""
+
+    members: tuple[replication.Member, ...]
+
+
 # --- membership --------------------------------------------------------------
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Announce:
-    """The local upstream says what it is; None once it has lapsed."""
+    """The local upstream says what it is.
+
+    Attributes:
+      upstream: None once it is gone.
+      incarnation: Which start of it speaks; empty if it gives no name.
+      born: Orders the starts of one VM's upstream; milliseconds.
+      sequence: Orders what one start says; -1 if it does not count.
+    """
 
     upstream: model.Upstream | None
+    incarnation: str = ""
+    born: int = 0
+    sequence: int = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -218,12 +235,14 @@
     Attributes:
       verdict: What it says of the upstream.
       level: Admission level of the service there, or -1.
+      load: Part of the slots there in use or waited for, in thousandths, or -1.
     """
 
     vm: str
     service: str
     verdict: Verdict
     level: int = -1
+    load: int = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -253,6 +272,8 @@
 class FirstTry:
     """A call makes its first attempt."""
 
+    service: str = ""
+
 
 # --- connections -------------------------------------------------------------
 
@@ -276,6 +297,25 @@
     confirm: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CheckOut:
+    """Asks for a connection to an upstream; answered with one, or None.
+
+    Attributes:
+      longest_idle: Seconds since its last use beyond which it is of no use.
+    """
+
+    address: model.Address
+    longest_idle: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CheckIn:
+    """Gives a connection back for the next exchange."""
+
+    connection: Any
+
+
 # --- replica -----------------------------------------------------------------
 
 
@@ -337,6 +377,7 @@
     commit: int
     leader: str
     majority_age: float
+    proved_at: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import enum
+from typing import Protocol
 from typing import TypeAlias
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
@@ -166,6 +169,7 @@
     Attributes:
       slots: Requests it can work on at once.
       connection_limit: Connections it accepts.
+      incarnation: Names this start of the upstream; empty if it gave no name.
     """
 
     service: str
@@ -173,6 +177,7 @@
     slots: int
     connection_limit: int
     state: UpstreamState
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -240,6 +245,7 @@
 
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
+Confirm: TypeAlias = Callable[[], Awaitable[bool]]
 
 
 def find_header(headers: Headers, name: str) -> str | None:
@@ -250,13 +256,34 @@
     return None
 
 
+class BodyReader(Protocol):
+    """The part of a body that has not been received yet."""
+
+    async def read(self) -> bytes:
+        """Returns the next bytes, or none at the end.
+
+        Raises:
+          ConnectionFailedError: The sender broke off.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Gives the rest up; does nothing after the end."""
+        ...
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Response:
-    """A whole response as it came from an upstream or a peer."""
+    """A response as it came from an upstream or a peer.
+
+    Attributes:
+      body: The whole body, or its beginning if there is a `rest`.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    rest: BodyReader | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -297,6 +324,11 @@
       ticket: The verified ticket, if one came along.
       bad_ticket: Whether a ticket came along that is not valid.
       timeout_ms: Remaining time that the caller gives, if it does.
+      host: Which host the caller addressed, in lower case without a port.
+      caller: Service of the VM where the request began.
+      rest: What follows `body`, if it is too long to be held whole.
+      confirm: Asks the calling node whether it still wants the request, as the
+        last step before it is handed to an upstream.
     """
 
     method: str
@@ -311,6 +343,10 @@
     bad_ticket: bool = False
     timeout_ms: int | None = None
     idempotency_key: str = ""
+    host: str = ""
+    caller: str = ""
+    rest: BodyReader | None = None
+    confirm: Confirm | None = None
 
     @property
     def path(self) -> str:
@@ -327,6 +363,8 @@
       retries: Retry tokens this call may spend or hand on.
       parent_id: The running call on this node that made this one, if nested.
       claim_id: Set once a claim for the idempotency key is granted.
+      attempts: Upstreams that it may reach at most, by its route.
+      metered: Whether it draws on its organisation's quota.
     """
 
     request: Request
@@ -341,6 +379,8 @@
     depth: int = 0
     parent_id: str = ""
     claim_id: str = ""
+    attempts: int = 0
+    metered: bool = True
 
     def ticket(
         self, *, node: str, call_id: str, retries: int, now: float
@@ -391,6 +431,7 @@
       retry_after_s: When a new attempt may succeed; 0 if not known.
       retries_left: Unused retry tokens that came back with it.
       level: Admission level of the service at the refusing node, or -1.
+      load: Part of its slots in use or waited for, in thousandths, or -1.
     """
 
     code: str
@@ -399,6 +440,7 @@
     retry_after_s: float = 0.0
     retries_left: int = 0
     level: int = -1
+    load: int = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -408,11 +450,13 @@
     Attributes:
       retries_left: Unused retry tokens that came back with the answer.
       level: Admission level of the service at the answering node.
+      load: Part of its slots in use or waited for, in thousandths, or -1.
     """
 
     response: Response
     retries_left: int = 0
     level: int = -1
+    load: int = -1
 
 
 Result: TypeAlias = Forward | Refuse | Answer
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from sassafrashall import configuration
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import model
@@ -42,6 +43,7 @@
     Attributes:
       directory_source: The control process whose directory the node follows.
       directory_version: What it holds of it.
+      document_version: Version of the fleet configuration that it holds.
     """
 
     record: model.NodeRecord
@@ -49,6 +51,7 @@
     directory_version: int
     withdrawn_count: int
     load: model.NodeLoad | None = None
+    document_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -59,6 +62,9 @@
       complete: Whether `entries` is the whole directory.
       majority_age: Seconds since this control was in touch with a majority.
       withdrawn: Digests of all withdrawn keys, if the node holds fewer.
+      proof_age: Seconds since `revision` was certainly the newest one.
+      document: The fleet configuration, if the node holds an older one.
+      controls: The members of the replicated log, where nodes may turn to.
     """
 
     directory_source: str
@@ -69,6 +75,9 @@
     organisations: tuple[model.Organisation, ...]
     withdrawn: tuple[str, ...]
     majority_age: float
+    proof_age: float = 1e6
+    document: configuration.Configuration | None = None
+    controls: tuple[replication.Member, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -143,6 +152,8 @@
 
     Attributes:
       majority_age: Seconds since it was in touch with a majority.
+      proof_age: Seconds since `revision` was certainly the newest one, as far
+        as the control knows of itself; only a leader knows.
     """
 
     vm: str
@@ -156,6 +167,7 @@
     revision: int
     majority_age: float
     voter: bool
+    proof_age: float = 1e6
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -317,6 +329,9 @@
     fleet_state.ClaimRequest,
     fleet_state.ReleaseClaim,
     fleet_state.RotateClaims,
+    fleet_state.ReplaceConfiguration,
+    fleet_state.ReadConfiguration,
+    fleet_state.CurrentConfiguration,
     fleet_state.NoOp,
     fleet_state.Accepted,
     fleet_state.Conflict,
--- /dev/null
+++ b/src/sassafrashall/routed_node.py
@@ -0,0 +1,301 @@
+"""The node of a routed fleet: beside one upstream, wired to the platform."""
+
+from __future__ import annotations
+
+import secrets
+import time
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import configuration
+from sassafrashall import events
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import settings as settings_module
+from sassafrashall import task
+from sassafrashall.controllers import admission
+from sassafrashall.controllers import control_link
+from sassafrashall.controllers import node_membership
+from sassafrashall.controllers import node_quota
+from sassafrashall.controllers import peer_links
+from sassafrashall.controllers import routing
+from sassafrashall.controllers import upstream_pool
+from sassafrashall.decisions import quota as quota_decisions
+from sassafrashall.filters import chain
+from sassafrashall.filters import deadline
+from sassafrashall.filters import document_key
+from sassafrashall.filters import document_route
+from sassafrashall.filters import early_shed
+from sassafrashall.filters import forward
+from sassafrashall.filters import local_upstream
+from sassafrashall.filters import quota
+from sassafrashall.filters import upstream
+from sassafrashall.platform import dialect
+from sassafrashall.platform import front_end
+from sassafrashall.platform import node_api
+from sassafrashall.transport import http_server
+from sassafrashall.transport import ops_api
+from sassafrashall.transport import peer_server
+from sassafrashall.transport import stream_server
+
+HEARTBEAT_INTERVAL = 0.5  # seconds; a change is in force within about one
+# Seconds until a silent upstream counts as gone. Heartbeats come each 1.5 s
+# and may be seconds late; a crash shows on its connections before.
+ANNOUNCEMENT_TTL = 8.0
+# Part of the withdrawal time for which a proof counts; the rest covers the way
+# from the decision to the upstream.
+LEASE_PART = 0.9
+# Seconds that callers and peers need to learn that the node leaves: two
+# readiness questions, a second apart, and the answers on their way.
+LEAVE_NOTICE = 2.5
+LEAVE_TIMEOUT = 1.0  # seconds to tell a control
+GRACE_MARGIN = 0.4  # seconds before SIGKILL by which the process has ended
+IDLE_POLL = 0.05  # seconds between looks for requests in progress
+
+
+class RoutedNode:
+    """Owns the controllers, the filter chains and the listeners of a node."""
+
+    def __init__(self, *, settings: settings_module.Daemon) -> None:
+        assert settings.routed is not None
+        self._settings = settings
+        self._routed = settings.routed
+        self._clock = clock.HybridClock()
+        self._events = events.EventLog(process=settings.vm, clock=self._clock)
+        self._metrics = metrics.Metrics(
+            process=settings.vm, data_centre=settings.data_centre
+        )
+        self._secret = settings.fleet_secret.encode()
+        self._leaving = False
+        self._in_progress = 0
+        self._build_controllers()
+        self._worker_chain = self._build_worker_chain()
+        self._entry_chain = self._build_entry_chain()
+        self._build_listeners()
+        self._controllers: tuple[task.Controller, ...] = (
+            self._link,
+            self._membership,
+            self._quota,
+            self._admission,
+            self._routing,
+            self._links,
+            self._pool,
+        )
+
+    def _build_controllers(self) -> None:
+        settings = self._settings
+        self._link = control_link.ControlLink(
+            controls=settings.controls,
+            data_centre=settings.data_centre,
+            secret=settings.fleet_secret,
+            event_log=self._events,
+        )
+        self._level = mailbox.Published[int](initial=-1)
+        self._load = mailbox.Published[int](initial=0)
+        self._membership = node_membership.NodeMembership(
+            record=self._record(),
+            link=self._link.mailbox,
+            level=self._level,
+            event_log=self._events,
+            counters=self._metrics,
+            announcement_ttl=ANNOUNCEMENT_TTL,
+            heartbeat_interval=HEARTBEAT_INTERVAL,
+        )
+        self._quota = node_quota.NodeQuota(
+            link=self._link.mailbox,
+            counters=self._metrics,
+            borrowing=quota_decisions.RELAXED,
+        )
+        self._admission = admission.Admission(
+            local=self._membership.local,
+            level=self._level,
+            policy=settings.policy,
+            event_log=self._events,
+            counters=self._metrics,
+            load=self._load,
+        )
+        self._routing = routing.Routing(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            view=self._membership.view,
+            policy=settings.policy,
+            event_log=self._events,
+            counters=self._metrics,
+            seed=secrets.randbits(64),
+        )
+        self._links = peer_links.PeerLinks(
+            vm=settings.vm, secret=self._secret, counters=self._metrics
+        )
+        self._pool = upstream_pool.UpstreamPool(counters=self._metrics)
+
+    def _record(self) -> model.NodeRecord:
+        listen = self._settings.listen
+        assert listen.peers is not None
+        return model.NodeRecord(
+            vm=self._settings.vm,
+            data_centre=self._settings.data_centre,
+            incarnation=time.time_ns(),
+            counter=1,
+            peer_address=listen.peers,
+            ops_address=listen.ops,
+        )
+
+    def _build_worker_chain(self) -> chain.Chain:
+        return chain.Chain(
+            name="worker",
+            counters=self._metrics,
+            filters=(
+                upstream.TicketFilter(),
+                deadline.DeadlineFilter(
+                    default_timeout_ms=self._settings.default_timeout_ms
+                ),
+                local_upstream.LocalUpstreamFilter(
+                    admission=self._admission.mailbox,
+                    level=self._level,
+                    load=self._load,
+                    pool=self._pool.mailbox,
+                    dialect=dialect.UpstreamDialect(),
+                ),
+            ),
+        )
+
+    def _build_entry_chain(self) -> chain.Chain:
+        settings = self._settings
+        table = self._membership.table
+        lease = None
+        if self._routed.strict_withdrawal:
+            lease = LEASE_PART * self._routed.withdrawal.seconds
+        return chain.Chain(
+            name="entry",
+            counters=self._metrics,
+            filters=(
+                document_route.DocumentRouteFilter(table=table),
+                document_key.DocumentKeyFilter(
+                    table=table, view=self._membership.view, lease=lease
+                ),
+                deadline.DeadlineFilter(
+                    default_timeout_ms=settings.default_timeout_ms
+                ),
+                early_shed.EarlyShedFilter(
+                    law=settings.policy.shed_law(),
+                    routing=self._routing.mailbox,
+                    levels=self._routing.service_levels,
+                    counters=self._metrics,
+                ),
+                quota.QuotaFilter(quota=self._quota.mailbox),
+                forward.ForwardFilter(
+                    node=settings.vm,
+                    routing=self._routing.mailbox,
+                    links=self._links.mailbox,
+                    local=self._worker_chain,
+                    event_log=self._events,
+                ),
+            ),
+        )
+
+    def _build_listeners(self) -> None:
+        listen = self._settings.listen
+        assert listen.callers and listen.peers and self._routed.upstream
+        assert listen.readiness and listen.announcements
+        calls = front_end.FrontEnd(
+            handler=self._enter, service=self._routed.service
+        )
+        self._callers = stream_server.Server(
+            address=listen.callers,
+            handler=calls.handle,
+            source=model.Source.CALLER,
+            limits=self._limits,
+        )
+        self._peers = peer_server.PeerServer(
+            address=listen.peers,
+            handler=self._serve_peer,
+            prove=lambda vm: peer_links.proof(vm, self._secret),
+        )
+        ops = ops_api.OpsApi(
+            counters=self._metrics,
+            event_log=self._events,
+            refresh=self._refresh_metrics,
+        )
+        readiness = node_api.Readiness(is_ready=self._is_ready)
+        announcements = node_api.Announcements(
+            membership=self._membership.mailbox, upstream=self._routed.upstream
+        )
+        self._pages = tuple(
+            http_server.Server(
+                address=address, handler=handler, source=model.Source.CALLER
+            )
+            for address, handler in (
+                (listen.readiness, readiness.handle),
+                (listen.announcements, announcements.handle),
+                (listen.ops, ops.handle),
+            )
+        )
+
+    def _limits(self) -> configuration.Limits:
+        table = self._membership.table.value
+        return table.document.limits if table else configuration.Limits()
+
+    def _is_ready(self) -> bool:
+        return not self._leaving and self._membership.table.value is not None
+
+    async def _enter(self, request: model.Request) -> model.Outcome:
+        self._in_progress += 1
+        try:
+            return await self._entry_chain.run(
+                model.Call(request=request, root_id=request.request_id)
+            )
+        finally:
+            self._in_progress -= 1
+
+    async def _serve_peer(self, request: model.Request) -> model.Outcome:
+        return await self._worker_chain.run(
+            model.Call(request=request, root_id="")
+        )
+
+    def _refresh_metrics(self) -> None:
+        view = self._membership.view.value
+        self._metrics.gauge("nodes_known", len(view.records))
+        self._metrics.gauge("requests_in_progress", self._in_progress)
+        self._metrics.gauge("connections", self._callers.connections)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts the controllers, then the listeners."""
+        for controller in self._controllers:
+            await controller.start(nursery)
+        await self._peers.start(nursery)
+        for page in self._pages:
+            await page.start(nursery)
+        await self._callers.start(nursery)
+        self._events.record("process.started")
+        logs.get().info("node started", extra={"vm": self._settings.vm})
+
+    async def close(self) -> None:
+        """Leaves the fleet, finishes every request, then stops."""
+        ends_at = clock.monotonic() + self._routed.grace.seconds - GRACE_MARGIN
+        logs.get().info("node leaving")
+        self._events.record("process.leaving")
+        self._leaving = True
+        self._callers.drain()
+        with trio.move_on_after(LEAVE_TIMEOUT):
+            try:
+                await self._membership.mailbox.ask(messages.Leave())
+            except exceptions.SassafrashallError as error:
+                logs.get().warning(
+                    "leaves unannounced", extra={"reason": str(error)}
+                )
+        await trio.sleep(LEAVE_NOTICE)
+        while clock.monotonic() < ends_at and (
+            self._in_progress or self._peers.busy
+        ):
+            await trio.sleep(IDLE_POLL)
+        with trio.move_on_after(max(0.0, ends_at - clock.monotonic())):
+            await self._callers.close()
+        await self._peers.close()
+        for controller in reversed(self._controllers):
+            await controller.close()
+        logs.get().info("node stopped")
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -56,6 +56,9 @@
       peers: Requests from other nodes.
       rpc: Remote procedure calls.
       ops: Metrics, events and status.
+      readiness: Questions of the platform whether this node is ready.
+      announcements: What the upstream on this VM says of itself.
+      operators: The operator's HTTP interface to the fleet configuration.
     """
 
     ops: model.Address
@@ -63,6 +66,42 @@
     local: model.Address | None = None
     peers: model.Address | None = None
     rpc: model.Address | None = None
+    readiness: model.Address | None = None
+    announcements: model.Address | None = None
+    operators: model.Address | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Duration:
+    """A time, written as a number with its unit, `ms` or `s`."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Routed:
+    """A fleet that is routed by one configuration document.
+
+    Attributes:
+      service: Service of the upstream on this VM; empty on a control.
+      upstream: Where that upstream listens.
+      strict_withdrawal: Whether a request with a key needs a proof that no
+        newer configuration withdrew it.
+      withdrawal: Within this time a withdrawn key stops working everywhere.
+      grace: From SIGTERM to SIGKILL.
+      retry_ratio: Repeats that reach an upstream, for each request of a
+        service, over the whole fleet.
+      first_start: Whether the fleet starts for the first time; a control with
+        an empty folder founds it only then.
+    """
+
+    service: str = ""
+    upstream: model.Address | None = None
+    strict_withdrawal: bool = False
+    withdrawal: Duration = Duration(seconds=5.0)
+    grace: Duration = Duration(seconds=6.0)
+    retry_ratio: float = 0.2
+    first_start: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -116,11 +155,13 @@
 ROUTING_LAWS: dict[str, routing_laws.Law] = {
     "random": routing_laws.RandomChoice(),
     "two-choices": routing_laws.TwoChoices(),
+    "least-loaded": routing_laws.LeastLoaded(),
 }
 RETRY_LAWS: dict[str, retry_laws.Law] = {
     "none": retry_laws.NoRetries(),
     "fixed": retry_laws.FixedRetries(),
     "budget": retry_laws.BudgetRetries(),
+    "arrivals": retry_laws.ArrivalRetries(),
 }
 _LAW_NAMES = {
     "limit": tuple(LIMIT_LAWS),
@@ -140,20 +181,26 @@
       operator_secret: What operators' tools present to a control.
       data_folder: Needed by a control; its state lives there.
       default_timeout_ms: For callers that give no deadline.
+      seeds: Controls that are known by address only, in place of `controls`.
+      seed_port: Port of their remote calls, if `seeds` names another one.
+      routed: Set for a fleet with one configuration document.
     """
 
     role: Role
     vm: str
     data_centre: str
     listen: Listen
-    controls: tuple[Control, ...]
     fleet_secret: str
+    controls: tuple[Control, ...] = ()
+    seeds: tuple[model.Address, ...] = ()
+    seed_port: int = 0
     operator_secret: str = ""
     data_folder: str = ""
     default_timeout_ms: int = 10_000
     claim_retention_s: int = 86_400
     log_level: str = "INFO"
     policy: Policy = Policy()
+    routed: Routed | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -179,6 +226,14 @@
     return model.Address(host=host.strip("[]"), port=int(port))
 
 
+def parse_duration(text: str) -> Duration:
+    """Parses `1500ms` or `2.5s`; raises `ValueError` with what is wrong."""
+    match = re.fullmatch(r"([0-9]+(?:\.[0-9]+)?)(ms|s)", text)
+    if match is None:
+        raise ValueError(f"{text!r} is not a number with its unit, ms or s")
+    return Duration(seconds=float(match[1]) / (1000 if match[2] == "ms" else 1))
+
+
 def read(path: str, settings_type: type[_T]) -> _T:
     """Reads and checks a settings file.
 
@@ -213,9 +268,23 @@
                 for key, text in faults
             )
         )
+    if isinstance(settings, Daemon) and settings.seeds:
+        return dataclasses.replace(settings, controls=_from_seeds(settings))
     return settings
 
 
+def _from_seeds(settings: Daemon) -> tuple[Control, ...]:
+    """Returns the seeds as controls whose names and places are not known."""
+    addresses = (
+        model.Address(host=seed.host, port=settings.seed_port or seed.port)
+        for seed in settings.seeds
+    )
+    return tuple(
+        Control(vm=str(address), data_centre="", address=address)
+        for address in addresses
+    )
+
+
 def _load(text: str, source: str) -> Any:
     try:
         document = yaml.YAML(typ="rt").load(text)
@@ -241,6 +310,9 @@
     converter.register_structure_hook(
         model.Address, lambda value, _: parse_address(str(value))
     )
+    converter.register_structure_hook(
+        Duration, lambda value, _: parse_duration(str(value))
+    )
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook(int, _structure_whole)
     # The role is a subclass of str and would be taken for one.
@@ -326,7 +398,9 @@
     faults: list[tuple[str, str]] = []
     listen = settings.listen
     needed: tuple[str, ...]
-    if settings.role is Role.NODE:
+    if settings.role is Role.NODE and settings.routed:
+        needed = ("callers", "readiness", "announcements", "peers")
+    elif settings.role is Role.NODE:
         needed = ("callers", "local", "peers")
     else:
         needed = ("rpc",)
@@ -334,7 +408,8 @@
             faults.append(("data_folder", "a control needs a data folder"))
         if not settings.operator_secret:
             faults.append(("operator_secret", "a control needs it"))
-        if settings.vm not in {control.vm for control in settings.controls}:
+        named = {control.vm for control in settings.controls}
+        if not settings.seeds and settings.vm not in named:
             faults.append(("controls", f"{settings.vm!r} is not among them"))
     for name in needed:
         if getattr(listen, name) is None:
@@ -351,7 +426,10 @@
     if settings.default_timeout_ms < 1:
         faults.append(("default_timeout_ms", "must be positive"))
     faults.extend(_check_policy(settings.policy))
-    faults.extend(_check_controls(settings.controls))
+    if not settings.seeds:
+        faults.extend(_check_controls(settings.controls))
+    elif settings.controls:
+        faults.append(("seeds", "stand in place of 'controls'"))
     return faults
 
 
--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -34,6 +34,7 @@
     Attributes:
       headers: Lower-case names with their values, in order.
       received_at: Monotonic seconds.
+      rest: What follows `body`, if it is too long to be held whole.
     """
 
     method: str
@@ -42,6 +43,7 @@
     body: bytes
     source: model.Source
     received_at: float
+    rest: model.BodyReader | None = None
 
 
 def end_to_end(headers: model.Headers) -> model.Headers:
--- /dev/null
+++ b/src/sassafrashall/transport/peer_server.py
@@ -0,0 +1,262 @@
+"""Serves the calls that other nodes send on their connections."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hmac
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import logs
+from sassafrashall import model
+from sassafrashall.transport import frames
+from sassafrashall.transport import peer_connection
+from sassafrashall.transport import sockets
+
+PROCEED_TIMEOUT = 1.0  # seconds that a slot is kept for a calling node
+
+Handler = Callable[[model.Request], Awaitable[model.Outcome]]
+Prove = Callable[[str], bytes]
+
+
+class _ServedCall:
+    """One call of a connection, handled in a task of its own."""
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.proceed = trio.Event()
+        self.body: peer_connection.IncomingBody | None = None
+        self.answer: peer_connection.OutgoingBody | None = None
+
+
+class _Serving:
+    """One accepted connection."""
+
+    def __init__(
+        self,
+        *,
+        connection: peer_connection.PeerConnection,
+        handler: Handler,
+        prove: Prove,
+    ) -> None:
+        self._connection = connection
+        self._handler = handler
+        self._prove = prove
+        self._known = False
+        self._calls: dict[int, _ServedCall] = {}
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call is in progress."""
+        return bool(self._calls)
+
+    async def serve(self) -> None:
+        """Runs until the connection ends; its calls end with it."""
+        async with trio.open_nursery() as self._nursery:
+            await self._connection.run(self._on_frame)
+            self._nursery.cancel_scope.cancel()
+
+    def _on_frame(self, frame: frames.Frame) -> None:
+        match frame:
+            case frames.Hello(vm=vm, proof=given):
+                self._known = hmac.compare_digest(given, self._prove(vm))
+            case frames.OpenCall() if self._known:
+                call = _ServedCall()
+                self._calls[frame.call] = call
+                if frame.more:
+                    call.body = peer_connection.IncomingBody(
+                        connection=self._connection, call=frame.call
+                    )
+                assert self._nursery is not None
+                self._nursery.start_soon(self._run, frame, call)
+            case frames.Proceed(call=number):
+                if number in self._calls:
+                    self._calls[number].proceed.set()
+            case frames.BodyPart(call=number, data=data):
+                held = self._calls.get(number)
+                if held is not None and held.body is not None:
+                    held.body.put(data)
+            case frames.Credit(call=number, count=count):
+                held = self._calls.get(number)
+                if held is not None and held.answer is not None:
+                    held.answer.credit(count)
+            case frames.CancelCall(call=number):
+                if number in self._calls:
+                    self._calls[number].scope.cancel()
+            case _:
+                raise exceptions.ProtocolError(
+                    exceptions.BAD_REQUEST, "unexpected frame"
+                )
+
+    async def _run(self, frame: frames.OpenCall, call: _ServedCall) -> None:
+        try:
+            with call.scope:
+                await self._answer(frame, call)
+        finally:
+            self._calls.pop(frame.call, None)
+
+    async def _answer(self, frame: frames.OpenCall, call: _ServedCall) -> None:
+        async def confirm() -> bool:
+            self._connection.send(frames.Offer(call=frame.call))
+            with trio.move_on_after(PROCEED_TIMEOUT):
+                await call.proceed.wait()
+            return call.proceed.is_set()
+
+        request = _request_of(
+            frame, call.body, confirm if frame.confirm else None
+        )
+        try:
+            outcome = await self._handler(request)
+        except exceptions.MailboxClosedError:
+            outcome = model.Refuse(
+                code=exceptions.STOPPING,
+                detail="the node has stopped",
+                run=model.RunState.UNKNOWN,
+            )
+        except Exception:
+            # A fault must not end the calls of other requests with it.
+            logs.get().exception("fault while a call of a peer was served")
+            outcome = model.Refuse(
+                code=exceptions.INTERNAL,
+                detail="a fault inside the system; its log says more",
+                run=model.RunState.UNKNOWN,
+            )
+        match outcome:
+            case model.Refuse():
+                self._connection.send(_refusal(frame.call, outcome))
+            case model.Answer(response=response):
+                self._connection.send(_answer(frame.call, outcome))
+                if response.rest is not None:
+                    await self._send_rest(frame.call, call, response.rest)
+
+    async def _send_rest(
+        self, number: int, call: _ServedCall, rest: model.BodyReader
+    ) -> None:
+        call.answer = peer_connection.OutgoingBody(
+            connection=self._connection, call=number
+        )
+        try:
+            await call.answer.send(rest)
+        except exceptions.ConnectionFailedError:
+            self._connection.send(frames.CancelCall(call=number))
+        finally:
+            with trio.CancelScope(shield=True):
+                await rest.close()
+
+
+def _request_of(
+    frame: frames.OpenCall,
+    rest: model.BodyReader | None,
+    confirm: model.Confirm | None,
+) -> model.Request:
+    now = clock.monotonic()
+    return model.Request(
+        method=frame.method,
+        target=frame.target,
+        headers=frame.headers,
+        body=frame.body,
+        source=model.Source.PEER,
+        received_at=now,
+        timeout_ms=frame.remaining_ms,
+        caller=frame.caller,
+        rest=rest,
+        confirm=confirm,
+        ticket=model.Ticket(
+            organisation=frame.organisation,
+            root_id=frame.call_id,
+            call_id=frame.call_id,
+            node="",
+            service=frame.service,
+            priority=model.Priority(frame.priority),
+            remaining_ms=frame.remaining_ms,
+            retries=0,
+            depth=0,
+            idempotent=frame.idempotent,
+        ),
+    )
+
+
+def _refusal(number: int, refusal: model.Refuse) -> frames.RefuseCall:
+    return frames.RefuseCall(
+        call=number,
+        code=refusal.code,
+        detail=refusal.detail,
+        run=refusal.run,
+        retry_after_s=refusal.retry_after_s,
+        level=refusal.level,
+        load=refusal.load,
+    )
+
+
+def _answer(number: int, answer: model.Answer) -> frames.AnswerCall:
+    response = answer.response
+    return frames.AnswerCall(
+        call=number,
+        status=response.status,
+        headers=response.headers,
+        body=response.body,
+        more=response.rest is not None,
+        level=answer.level,
+        load=answer.load,
+    )
+
+
+class PeerServer:
+    """Listens for other nodes."""
+
+    def __init__(
+        self, *, address: model.Address, handler: Handler, prove: Prove
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._prove = prove
+        self._serving: set[_Serving] = set()
+        self._listeners: list[trio.SocketListener] = []
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call is in progress on any connection."""
+        return any(serving.busy for serving in self._serving)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Binds the address and serves in `nursery`."""
+        self._listeners = await trio.open_tcp_listeners(
+            self._address.port, host=self._address.host
+        )
+        for listener in self._listeners:
+            nursery.start_soon(self._accept, listener, nursery)
+
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+                sockets.detect_silence(stream)
+            except trio.ClosedResourceError:
+                return
+            except OSError:
+                await trio.sleep(0.05)
+                continue
+            nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        serving = _Serving(
+            connection=peer_connection.PeerConnection(stream=stream),
+            handler=self._handler,
+            prove=self._prove,
+        )
+        self._serving.add(serving)
+        try:
+            await serving.serve()
+        finally:
+            self._serving.discard(serving)
+
+    async def close(self) -> None:
+        """Stops accepting; connections end with the process."""
+        for listener in self._listeners:
+            await listener.aclose()
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -7,6 +7,7 @@
 import immutables
 import msgspec
 
+from sassafrashall import configuration
 from sassafrashall import model
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import codec
@@ -22,6 +23,10 @@
     old_claims: tuple[tuple[str, str, str, str], ...]
     changes: tuple[tuple[str, bytes], ...]
     old_changes: tuple[tuple[str, bytes], ...]
+    accepted: configuration.Accepted | None = None
+    documents: tuple[tuple[str, bytes], ...] = ()
+    old_documents: tuple[tuple[str, bytes], ...] = ()
+    quotas: tuple[tuple[str, fleet_state.Quota], ...] = ()
 
 
 def encode(state: fleet_state.FleetState) -> bytes:
@@ -34,6 +39,10 @@
             old_claims=_claims(state.old_claims),
             changes=_changes(state.changes),
             old_changes=_changes(state.old_changes),
+            accepted=state.accepted,
+            documents=_changes(state.documents),
+            old_documents=_changes(state.old_documents),
+            quotas=tuple(state.quotas.items()),
         )
     )
 
@@ -48,6 +57,10 @@
         old_claims=_claim_map(body.old_claims),
         changes=_change_map(body.changes),
         old_changes=_change_map(body.old_changes),
+        accepted=body.accepted,
+        documents=_change_map(body.documents),
+        old_documents=_change_map(body.old_documents),
+        quotas=immutables.Map(dict(body.quotas)),
     )
 
 
--- /dev/null
+++ b/src/sassafrashall/transport/stream_server.py
@@ -0,0 +1,385 @@
+"""Serves HTTP/1.1 with bodies that are passed on as they arrive."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from sassafrashall import clock
+from sassafrashall import configuration
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall.transport import codec
+from sassafrashall.transport import http
+from sassafrashall.transport import http1
+
+LISTEN_BACKLOG = 1024
+WHOLE_BODY = 64 * 1024  # bytes up to which a body is held and can be resent
+READ_AHEAD = 128 * 1024  # bytes of a body that wait for their consumer
+LINGER_TIME = 1.0  # seconds for the rest of a body after an early answer
+SLOW_READER_TIMEOUT = 30.0  # seconds without progress of a caller that reads
+CONNECTION_LIMIT = 3000  # a node's descriptors, less peers and upstream
+
+Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
+LimitsSource = Callable[[], configuration.Limits]
+
+
+class _RequestBody:
+    """The rest of a request's body, read from its connection."""
+
+    def __init__(self, *, connection: Connection, limit: int) -> None:
+        self._connection = connection
+        self._left = limit
+        self.ended = False
+
+    async def read(self) -> bytes:
+        """Returns the next bytes, or none at the end."""
+        if self.ended:
+            return b""
+        match await self._connection.next_event():
+            case http1.BodyPart(data=data):
+                self._left -= len(data)
+                if self._left < 0:
+                    raise exceptions.ProtocolError(
+                        exceptions.BODY_TOO_LARGE, "the body is too large"
+                    )
+                return data
+            case http1.MessageEnd():
+                self.ended = True
+                return b""
+            case _:
+                raise exceptions.ConnectionFailedError(
+                    "the caller broke off", committed=True
+                )
+
+    async def close(self) -> None:
+        """Leaves the rest unread."""
+
+
+class Connection:
+    """One accepted connection: a task that reads, a task that answers."""
+
+    def __init__(
+        self,
+        *,
+        stream: trio.SocketStream,
+        handler: Handler,
+        source: model.Source,
+        limits: configuration.Limits,
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._source = source
+        self._limits = limits
+        self._parser = http1.RequestParser(head_limit=limits.head_bytes)
+        self._arrived = trio.Event()
+        self._taken = trio.Event()
+        self._handling = trio.CancelScope()
+        self._gone = False
+        self._fault: exceptions.ProtocolError | None = None
+        self._busy = False
+        self._expiring = False
+
+    async def serve(self) -> None:
+        """Runs until either side ends the connection."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read)
+            try:
+                await self._answer_requests()
+            except (
+                OSError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ):
+                pass
+            nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(self._stream)
+
+    def expire(self) -> None:
+        """Lets the connection end with its next response."""
+        self._expiring = True
+
+    def stop(self) -> None:
+        """Ends the connection once it is idle."""
+        self._expiring = True
+        if not self._busy and not self._parser.partial:
+            self._gone = True
+            self._arrived.set()
+
+    async def _read(self) -> None:
+        """Reads all along, so that a caller that leaves is noticed at once."""
+        while True:
+            try:
+                data = await self._stream.receive_some(http.RECEIVE_SIZE)
+            except (OSError, trio.BrokenResourceError):
+                data = b""
+            except trio.ClosedResourceError:
+                return
+            if not data:
+                self._gone = True
+                self._arrived.set()
+                self._handling.cancel()
+                return
+            try:
+                self._parser.feed(data)
+            except exceptions.ProtocolError as fault:
+                self._fault = fault
+                self._arrived.set()
+                return
+            self._arrived.set()
+            while self._parser.buffered > READ_AHEAD:
+                self._taken = trio.Event()
+                await self._taken.wait()
+
+    async def next_event(self) -> http1.Event | None:
+        """Waits for the next event; None once no more can come.
+
+        Raises:
+          ProtocolError: The caller sent something that is not HTTP.
+        """
+        while True:
+            event = self._parser.next_event()
+            if event is not None:
+                self._taken.set()
+                return event
+            if self._fault is not None:
+                raise self._fault
+            if self._gone:
+                return None
+            self._arrived = trio.Event()
+            await self._arrived.wait()
+
+    async def _next_head(self) -> http1.RequestHead | None:
+        event = self._parser.next_event()
+        if event is None:
+            event = await self._wait_for_head()
+        return event if isinstance(event, http1.RequestHead) else None
+
+    async def _wait_for_head(self) -> http1.Event | None:
+        with trio.move_on_after(self._limits.idle_timeout_s) as timeout:
+            while True:
+                if self._parser.partial:
+                    timeout.deadline = min(
+                        timeout.deadline,
+                        trio.current_time() + self._limits.head_timeout_s,
+                    )
+                event = self._parser.next_event()
+                if event is not None:
+                    return event
+                if self._fault is not None:
+                    raise self._fault
+                if self._gone:
+                    return None
+                self._arrived = trio.Event()
+                await self._arrived.wait()
+        return None
+
+    async def _answer_requests(self) -> None:
+        while True:
+            try:
+                head = await self._next_head()
+                if head is None:
+                    return
+                self._busy = True
+                with trio.CancelScope() as self._handling:
+                    if self._gone:
+                        return
+                    goes_on = await self._answer(head)
+                if self._handling.cancelled_caught or not goes_on:
+                    return
+                self._busy = False
+            except exceptions.ProtocolError as fault:
+                await self._refuse(fault)
+                return
+            except exceptions.ConnectionFailedError:
+                return
+
+    async def _answer(self, head: http1.RequestHead) -> bool:
+        """Answers one request and returns whether the connection goes on."""
+        if head.length is not None and head.length > self._limits.body_bytes:
+            raise exceptions.ProtocolError(
+                exceptions.BODY_TOO_LARGE, "the body is too large"
+            )
+        received_at = clock.monotonic()
+        if model.find_header(head.headers, "expect") is not None:
+            await self._stream.send_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+        rest = _RequestBody(connection=self, limit=self._limits.body_bytes)
+        body = await self._beginning(head, rest)
+        response = await self._handler(
+            http.RawRequest(
+                method=head.method,
+                target=head.target,
+                headers=head.headers,
+                body=body,
+                source=self._source,
+                received_at=received_at,
+                rest=None if rest.ended else rest,
+            )
+        )
+        closes = self._expiring or not head.keep_alive or not rest.ended
+        whole = await self._send(response, closes, head.method == "HEAD")
+        if not rest.ended:
+            await self._linger(rest)
+        return whole and not closes
+
+    async def _beginning(
+        self, head: http1.RequestHead, rest: _RequestBody
+    ) -> bytes:
+        """Returns the whole body if it is short, else what is there of it."""
+        parts: list[bytes] = []
+        size = 0
+        while size <= WHOLE_BODY:
+            data = await rest.read()
+            if not data:
+                break
+            parts.append(data)
+            size += len(data)
+        return b"".join(parts)
+
+    async def _send(
+        self, response: model.Response, closes: bool, head_only: bool
+    ) -> bool:
+        """Sends a response and returns whether it is whole."""
+        headers = response.headers
+        length: int | None = len(response.body)
+        if response.rest is not None or head_only:
+            told = model.find_header(headers, "content-length")
+            length = int(told) if told is not None else None
+            if head_only and length is None:
+                length = 0
+        kept = tuple(h for h in headers if h[0] != "content-length")
+        head = http1.encode_response(response.status, kept, length, closes)
+        if head_only or response.status in (204, 304):
+            await self._stream.send_all(head)
+            return True
+        if response.rest is None:
+            await self._stream.send_all(head + response.body)
+            return True
+        return await self._send_parts(head, response, length is None)
+
+    async def _send_parts(
+        self, head: bytes, response: model.Response, chunked: bool
+    ) -> bool:
+        encode = http1.encode_chunk if chunked else bytes
+        rest = response.rest
+        assert rest is not None
+        data = head + (encode(response.body) if response.body else b"")
+        try:
+            while data:
+                with trio.fail_after(SLOW_READER_TIMEOUT):
+                    await self._stream.send_all(data)
+                part = await rest.read()
+                data = encode(part) if part else b""
+        except (exceptions.ConnectionFailedError, trio.TooSlowError):
+            # The connection ends without the end of the body, which tells
+            # the caller that the answer is not whole.
+            return False
+        finally:
+            await rest.close()
+        if chunked:
+            await self._stream.send_all(http1.LAST_CHUNK)
+        return True
+
+    async def _refuse(self, fault: exceptions.ProtocolError) -> None:
+        """Answers input that could not be read; the connection ends."""
+        response = codec.problem(
+            model.Refuse(code=fault.code, detail=str(fault))
+        )
+        await self._send(response, True, False)
+
+    async def _linger(self, rest: _RequestBody) -> None:
+        """Reads what the caller still sends, so that the answer reaches it."""
+        with trio.move_on_after(LINGER_TIME):
+            try:
+                while await rest.read():
+                    pass
+            except exceptions.SassafrashallError:
+                return
+
+
+class Server:
+    """Listens on one address and serves each connection in two tasks."""
+
+    def __init__(
+        self,
+        *,
+        address: model.Address,
+        handler: Handler,
+        source: model.Source,
+        limits: LimitsSource,
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._source = source
+        self._limits = limits
+        self._connections: set[Connection] = set()
+        self._listeners: list[trio.SocketListener] = []
+        self._empty = trio.Event()
+        self._draining = False
+
+    @property
+    def connections(self) -> int:
+        """Connections open now."""
+        return len(self._connections)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Binds the address and serves in `nursery`."""
+        self._listeners = await trio.open_tcp_listeners(
+            self._address.port,
+            host=self._address.host,
+            backlog=LISTEN_BACKLOG,
+        )
+        for listener in self._listeners:
+            nursery.start_soon(self._accept, listener, nursery)
+
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return
+            except OSError:
+                await trio.sleep(0.05)
+                continue
+            if len(self._connections) >= CONNECTION_LIMIT:
+                await trio.aclose_forcefully(stream)
+                continue
+            nursery.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = Connection(
+            stream=stream,
+            handler=self._handler,
+            source=self._source,
+            limits=self._limits(),
+        )
+        self._connections.add(connection)
+        if self._draining:
+            connection.expire()
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+            if not self._connections:
+                self._empty.set()
+
+    def drain(self) -> None:
+        """Ends every connection with its next response."""
+        self._draining = True
+        for connection in self._connections:
+            connection.expire()
+
+    async def close(self) -> None:
+        """Stops accepting, then waits for the requests in progress."""
+        for listener in self._listeners:
+            await listener.aclose()
+        for connection in list(self._connections):
+            connection.stop()
+        while self._connections:
+            self._empty = trio.Event()
+            await self._empty.wait()
