--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -20,6 +20,7 @@
 from sassafrashall.transport import rpc
 
 ATTEMPT_TIMEOUT = 0.6  # seconds for one control
+ROUND_PAUSE = 0.1  # seconds after every control has failed
 PROBE_TIMEOUT = 0.5  # seconds
 HOME_INTERVAL = 5.0  # seconds between looks whether the nearest is back
 FRESH = 2.0  # seconds of majority age that a node accepts
@@ -104,10 +105,15 @@
         """Tries the controls in turn until one answers or time is up."""
         deadline = clock.monotonic() + message.timeout
         error: exceptions.SassafrashallError | None = None
-        for _ in self._addresses:
+        attempts = 0
+        while not reply.abandoned:
+            if attempts and attempts % len(self._addresses) == 0:
+                # All have failed, as they do while a leader is elected.
+                await trio.sleep(ROUND_PAUSE)
             remaining = deadline - clock.monotonic()
-            if remaining <= 0 or reply.abandoned:
+            if remaining <= 0:
                 break
+            attempts += 1
             used = self._current
             try:
                 answer = await self._clients.get(used).call(
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -117,9 +117,12 @@
         spoken = (message.born, message.sequence)
         if message.upstream is None:
             held = self._record.upstream
-            if message.incarnation and held is not None:
-                if held.incarnation != message.incarnation:
-                    return
+            if (
+                message.incarnation
+                and held is not None
+                and held.incarnation != message.incarnation
+            ):
+                return
             self._ended_incarnation = message.incarnation
             self._set_upstream(None)
             return
--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -19,7 +19,7 @@
 
 TICK_INTERVAL = 0.05  # seconds between looks at active caches
 BORROW_TIMEOUT = 1.0  # seconds
-TOKEN_WAIT = 0.06  # seconds that a request waits for a token
+TOKEN_WAIT = 0.15  # seconds that a request waits for a token
 DRY_PAUSE = 0.01  # seconds at least between two questions to dry owners
 
 
@@ -77,7 +77,7 @@
         *,
         link: mailbox.Mailbox,
         counters: metrics.Metrics,
-        borrowing: quota.Borrowing = quota.Borrowing(),
+        borrowing: quota.Borrowing = quota.EAGER,
     ) -> None:
         super().__init__()
         self._borrowing = borrowing
--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -41,6 +41,9 @@
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._tolerance = quota.EXACT
+        if settings.routed is not None:
+            self._tolerance = settings.routed.tolerance()
         self._replica = replica
         self._view = view
         self._events = event_log
@@ -107,10 +110,11 @@
         held = view.state.quota(name)
         if held is None:
             return 0.0, 0
+        rate, burst = self._tolerance.widen(held.rate, held.burst)
         return quota.share(
             name,
-            held.rate,
-            held.burst,
+            rate,
+            burst,
             owner or self._replica_id,
             view.owners,
             held.shares,
--- a/src/sassafrashall/decisions/founding.py
+++ b/src/sassafrashall/decisions/founding.py
@@ -27,11 +27,12 @@
 ) -> replication.Membership | None:
     """Returns the membership to begin with, or None while it is not certain.
 
-    Founders are known by their addresses. Only the one that comes first founds, and only when every
-    founder says that its folder is empty. The others take its membership over
-    if they are part of it. A folder that is new in a fleet that was founded
-    before begins with no membership at all: it must not vote as the replica
-    whose place it takes, and asks to be a learner.
+    Founders are known by their addresses. Only the one that comes first
+    founds, and only when every founder says that its folder is empty. The
+    others take its membership over if they are part of it. A folder that is
+    new in a fleet that was founded before begins with no membership at all: it
+    must not vote as the replica whose place it takes, and asks to be a
+    learner.
     """
     founded = [answer for answer in answers if answer.founded]
     for answer in founded:
--- a/src/sassafrashall/decisions/quota.py
+++ b/src/sassafrashall/decisions/quota.py
@@ -38,12 +38,37 @@
     report_interval: float = 0.05
 
 
+EAGER = Borrowing()
 # Fewer messages, for fleets whose quotas are checked over seconds.
 RELAXED = Borrowing(
     window=0.5, hot_demand=2.0, idle_return=1.0, report_interval=0.5
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Tolerance:
+    """By how much the fleet may admit more than an organisation's quota.
+
+    Tokens that lie unused at nodes would else be refused within the rate.
+
+    Attributes:
+      part: Of rate and burst.
+      tokens: On top of the burst.
+    """
+
+    part: float = 0.0
+    tokens: int = 0
+
+    def widen(self, rate: float, burst: int) -> tuple[float, int]:
+        """Returns the rate and burst that owners share out."""
+        return rate * (1 + self.part), int(burst * (1 + self.part)) + (
+            self.tokens
+        )
+
+
+EXACT = Tolerance()
+
+
 # --- the owner's side --------------------------------------------------------
 
 
@@ -321,9 +346,7 @@
     )
 
 
-def wanted_ahead(
-    cache: TokenCache, now: float, law: Borrowing = Borrowing()
-) -> int:
+def wanted_ahead(cache: TokenCache, now: float, law: Borrowing = EAGER) -> int:
     """Returns how many tokens to borrow ahead of need; 0 for a cold one."""
     if cache.demand < law.hot_demand:
         return 0
@@ -335,7 +358,7 @@
     cache: TokenCache,
     organisation: str,
     now: float,
-    law: Borrowing = Borrowing(),
+    law: Borrowing = EAGER,
 ) -> tuple[TokenCache, tuple[Report, ...]]:
     """Returns what to tell the owners: uses, and tokens that lie idle."""
     idle = now - cache.last_use >= law.idle_return
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -38,7 +38,7 @@
     """
 
     own_vm: float = 0.6
-    near: float = 0.75
+    near: float = 0.9
     crossing: float = 0.1
 
 
--- a/src/sassafrashall/platform/node_api.py
+++ b/src/sassafrashall/platform/node_api.py
@@ -1,4 +1,4 @@
-"""What the platform asks of a node: readiness, and its upstream's heartbeats."""
+"""What the platform asks of a node: readiness, and upstream heartbeats."""
 
 from __future__ import annotations
 
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -20,11 +20,15 @@
 from sassafrashall import model
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
+from sassafrashall.decisions import quota
 from sassafrashall.decisions import retries as retry_laws
 from sassafrashall.decisions import routing as routing_laws
 from sassafrashall.decisions import shedding
 
 SECRET_LENGTH = 16  # characters at least
+# Part of the tolerated overage that is used: requests bunch on their way from
+# the decision to the upstream.
+QUOTA_MARGIN = 0.8
 SECRET_LIMIT = 64  # characters at most; the keyed hash takes no more
 
 _T = TypeVar("_T")
@@ -89,6 +93,8 @@
         newer configuration withdrew it.
       withdrawal: Within this time a withdrawn key stops working everywhere.
       grace: From SIGTERM to SIGKILL.
+      quota_overage: Part of its quota that an organisation may get beyond it.
+      quota_slack: Requests that it may get beyond that, in a few seconds.
       retry_ratio: Repeats that reach an upstream, for each request of a
         service, over the whole fleet.
       first_start: Whether the fleet starts for the first time; a control with
@@ -100,9 +106,18 @@
     strict_withdrawal: bool = False
     withdrawal: Duration = Duration(seconds=5.0)
     grace: Duration = Duration(seconds=6.0)
+    quota_overage: float = 0.0
+    quota_slack: int = 0
     retry_ratio: float = 0.2
     first_start: bool = True
 
+    def tolerance(self) -> quota.Tolerance:
+        """Returns what quota owners share out beyond the quotas."""
+        return quota.Tolerance(
+            part=QUOTA_MARGIN * self.quota_overage,
+            tokens=int(QUOTA_MARGIN * self.quota_slack),
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Policy:
@@ -315,7 +330,8 @@
     )
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook(int, _structure_whole)
-    # The role is a subclass of str and would be taken for one.
+    # These are subclasses of int and str and would be taken for them.
+    converter.register_structure_hook(bool, _structure_flag)
     converter.register_structure_hook(Role, lambda value, _: Role(value))
     return converter
 
@@ -326,6 +342,12 @@
     return str(value)
 
 
+def _structure_flag(value: Any, _: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is not true or false")
+    return value
+
+
 def _structure_whole(value: Any, _: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{value!r} is not a whole number")
