--- /dev/null
+++ b/bench/hot_path.py
@@ -0,0 +1,147 @@
+"""Processor time of one call over two nodes, with a profile if asked for.
+
+Two nodes and a control run in this process; callers and the upstream run in
+another one and cost nothing here.
+
+    python -m bench.hot_path [--calls N] [--profile]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import cProfile
+import multiprocessing
+import pstats
+import resource
+
+import trio
+
+from bench import routed
+
+CONNECTIONS = 50
+SERVICE_TIME = 0.02  # seconds that the stand-in upstream takes
+
+
+class _Upstream(asyncio.Protocol):
+    """Answers every request after its service time."""
+
+    def connection_made(self, transport):
+        self._transport = transport
+        self._data = b""
+
+    def data_received(self, data):
+        self._data += data
+        if not self._data.endswith(b"\r\n\r\n"):
+            return
+        head, self._data = self._data, b""
+        start = head.lower().index(b"request-id: ") + 12
+        request_id = head[start : head.index(b"\r\n", start)]
+        asyncio.get_running_loop().call_later(
+            SERVICE_TIME, self._answer, request_id
+        )
+
+    def _answer(self, request_id):
+        self._transport.write(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Signature: s\r\n"
+            b"Keep-Alive: timeout=10\r\nContent-Length: 1500\r\n\r\n"
+            % request_id
+            + b"x" * 1500
+        )
+
+
+async def _caller(address, name, calls):
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    for number in range(calls):
+        writer.write(
+            b"GET /some/path/%d HTTP/1.1\r\nHost: beta.example\r\n"
+            b"Request-Id: %08x%08x\r\nRequest-Deadline: 5000\r\n\r\n"
+            % (number, name, number)
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200"), head
+        await reader.readexactly(1500)
+    writer.close()
+
+
+async def _outside(callers, upstream, calls, go):
+    loop = asyncio.get_running_loop()
+    await loop.create_server(_Upstream, upstream.host, upstream.port)
+    go.put("listening")
+    await loop.run_in_executor(None, go.get)
+    each = calls // CONNECTIONS
+    await asyncio.gather(
+        *(_caller(callers, name, each) for name in range(CONNECTIONS))
+    )
+
+
+def _run_outside(callers, upstream, calls, go):
+    asyncio.run(_outside(callers, upstream, calls, go))
+
+
+def _cpu():
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+async def _announce(upstream):
+    while True:
+        await upstream.announce()
+        await trio.sleep(routed.HEARTBEAT_INTERVAL)
+
+
+async def _measure(calls, profile):
+    fleet = routed.Fleet(services={"vm-a": "alpha", "vm-b": "beta"})
+    context = multiprocessing.get_context("spawn")
+    go = context.SimpleQueue()
+    outside = context.Process(
+        target=_run_outside,
+        args=(
+            fleet.callers["vm-a"],
+            fleet.upstreams["vm-b"].address,
+            calls,
+            go,
+        ),
+    )
+    outside.start()
+    try:
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery, upstreams=False)
+            for upstream in fleet.upstreams.values():
+                nursery.start_soon(_announce, upstream)
+            await trio.to_thread.run_sync(go.get)
+            await fleet.configured(routed.document(services=("alpha", "beta")))
+            began, cpu = trio.current_time(), _cpu()
+            if profile:
+                profile.enable()
+            go.put("start")
+            await trio.to_thread.run_sync(outside.join)
+            if profile:
+                profile.disable()
+            cpu, elapsed = _cpu() - cpu, trio.current_time() - began
+            nursery.cancel_scope.cancel()
+    finally:
+        outside.kill()
+        fleet.close()
+    print(
+        f"{calls} calls in {elapsed:.2f} s: "
+        f"{1e6 * cpu / calls:.0f} us of processor time a call, "
+        f"{calls / cpu:.0f} calls a second a core"
+    )
+
+
+def main():
+    """Prints the cost of a call."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--calls", type=int, default=10_000)
+    parser.add_argument("--profile", action="store_true")
+    options = parser.parse_args()
+    profile = cProfile.Profile() if options.profile else None
+    trio.run(_measure, options.calls, profile)
+    if profile:
+        stats = pstats.Stats(profile)
+        stats.sort_stats("tottime").print_stats(45)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -10,6 +10,7 @@
 from sassafrashall import clock
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
@@ -131,7 +132,7 @@
         if not was_ready or self._limit is None:
             self._limit = limits.start(upstream.slots, now)
         else:
-            self._limit = dataclasses.replace(
+            self._limit = frozen.changed(
                 self._limit,
                 slots=upstream.slots,
                 limit=min(self._limit.limit, float(upstream.slots)),
@@ -251,7 +252,7 @@
     def _drop(self, call_id: str) -> None:
         if self._waiting.pop(call_id, None) is not None:
             kept = tuple(i for i in self._queue.items if i.item_id != call_id)
-            self._queue = dataclasses.replace(self._queue, items=kept)
+            self._queue = frozen.changed(self._queue, items=kept)
 
     def _shed(self, item: queues.Item, code: str, detail: str) -> None:
         self._level = shedding.on_shed(self._level, item.priority)
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -61,6 +61,7 @@
         self._heartbeat_interval = heartbeat_interval
         self._spoken = (0, -1)
         self._ended_incarnation = ""
+        self._controls_lost = False
         self._controls: tuple[replication.Member, ...] = ()
         self._table = mailbox.Published[route_table.RouteTable | None](
             initial=None
@@ -200,11 +201,23 @@
                 self.mailbox.tell(
                     _HeartbeatAnswered(reply=answer, sent_at=sent_at)
                 )
-            except exceptions.SassafrashallError:
+                self._note_control("")
+            except exceptions.SassafrashallError as error:
                 self._metrics.count("heartbeats_failed")
+                self._note_control(str(error))
             with trio.move_on_after(self._heartbeat_interval):
                 await self._kick.wait()
 
+    def _note_control(self, failure: str) -> None:
+        """Logs when the controls are lost and when they are back."""
+        if bool(failure) == self._controls_lost:
+            return
+        self._controls_lost = bool(failure)
+        if failure:
+            logs.get().warning("controls lost", extra={"reason": failure})
+        else:
+            logs.get().info("controls are back")
+
     def _on_answer(self, message: _HeartbeatAnswered) -> None:
         answer = message.reply
         view = self._view.value
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -39,7 +39,7 @@
     async def _teardown(self) -> None:
         for idle in self._idle.values():
             for connection in idle:
-                await connection.close()
+                connection.close()
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
@@ -61,14 +61,14 @@
                 # Too old for this exchange, and so are those before it.
                 idle.append(connection)
                 return None
-            self._spawn(connection.close)
+            connection.close()
         return None
 
     def _check_in(
         self, connection: upstream_connection.UpstreamConnection
     ) -> None:
         if not connection.usable(ANY_IDLE_TIME):
-            self._spawn(connection.close)
+            connection.close()
             return
         self._idle.setdefault(connection.address, collections.deque()).append(
             connection
@@ -83,5 +83,5 @@
                 )
                 for connection in idle:
                     if connection not in kept:
-                        self._spawn(connection.close)
+                        connection.close()
                 self._idle[address] = kept
--- a/src/sassafrashall/decisions/limits.py
+++ b/src/sassafrashall/decisions/limits.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TypeAlias
 
+from sassafrashall import frozen
+
 RAMP_TIME = 3.0  # seconds from the first slot to all of them
 RAMP_START = 0.25  # part of the slots given to an upstream that is new
 DECREASE_FACTOR = 0.85
@@ -101,11 +103,11 @@
 
 def _observe(state: LimitState, latency: float) -> LimitState:
     if not state.base_latency:
-        return dataclasses.replace(state, base_latency=latency, latency=latency)
+        return frozen.changed(state, base_latency=latency, latency=latency)
     base = state.base_latency
     base = min(latency, base + BASE_DRIFT * (latency - base))
     smooth = state.latency + LATENCY_WEIGHT * (latency - state.latency)
-    return dataclasses.replace(state, base_latency=base, latency=smooth)
+    return frozen.changed(state, base_latency=base, latency=smooth)
 
 
 def _increase(state: LimitState, in_flight: int) -> LimitState:
@@ -113,13 +115,13 @@
     if in_flight < state.limit * 0.5:
         return state
     limit = min(state.slots, state.limit + INCREASE_STEP / state.limit)
-    return dataclasses.replace(state, limit=limit)
+    return frozen.changed(state, limit=limit)
 
 
 def _decrease(state: LimitState, now: float) -> LimitState:
     if now - state.decreased_at < DECREASE_INTERVAL:
         return state
-    return dataclasses.replace(
+    return frozen.changed(
         state,
         limit=max(1.0, state.limit * DECREASE_FACTOR),
         decreased_at=now,
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -6,6 +6,7 @@
 import math
 from typing import TypeAlias
 
+from sassafrashall import frozen
 from sassafrashall import model
 
 SHORTEST_QUEUE = 2  # requests
@@ -83,7 +84,7 @@
             wait = max(wait, WAIT_FACTOR * latency)
             fitting = math.ceil(limit * wait / latency)
             length = max(SHORTEST_QUEUE, min(law.length, fitting))
-            return dataclasses.replace(law, length=length, longest_wait=wait)
+            return frozen.changed(law, length=length, longest_wait=wait)
         case _:
             return law
 
@@ -95,14 +96,12 @@
         case FirstInFirstOut(length=length):
             if length and len(items) > length:
                 return queue, (item,)
-            return dataclasses.replace(queue, items=items), ()
+            return frozen.changed(queue, items=items), ()
         case PriorityFair(length=length):
             if len(items) <= length:
-                return dataclasses.replace(queue, items=items), ()
+                return frozen.changed(queue, items=items), ()
             victim = _victim(items)
-            return remove(dataclasses.replace(queue, items=items), victim), (
-                victim,
-            )
+            return remove(frozen.changed(queue, items=items), victim), (victim,)
 
 
 def pop(law: Law, queue: Queue) -> tuple[Queue, Item | None]:
@@ -111,7 +110,7 @@
         return queue, None
     match law:
         case FirstInFirstOut():
-            return dataclasses.replace(queue, items=queue.items[1:]), (
+            return frozen.changed(queue, items=queue.items[1:]), (
                 queue.items[0]
             )
         case PriorityFair():
@@ -140,12 +139,12 @@
     if not expired_items:
         return queue, ()
     kept = tuple(item for item in queue.items if item not in expired_items)
-    return dataclasses.replace(queue, items=kept), expired_items
+    return frozen.changed(queue, items=kept), expired_items
 
 
 def remove(queue: Queue, item: Item) -> Queue:
     """Takes out one item."""
-    return dataclasses.replace(
+    return frozen.changed(
         queue, items=tuple(other for other in queue.items if other != item)
     )
 
@@ -194,7 +193,7 @@
     times[key[0]] = begin
     # What lies behind the virtual time says no more than the time itself.
     kept = {k: v for k, v in served.items() if v > times.get(k[0], 0.0)}
-    return dataclasses.replace(
+    return frozen.changed(
         queue,
         served=tuple(kept.items()),
         virtual_time=tuple(times.items()),
--- a/src/sassafrashall/decisions/shedding.py
+++ b/src/sassafrashall/decisions/shedding.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from sassafrashall import frozen
 from sassafrashall import model
 
 OPEN_LEVEL = float(len(model.Priority))
@@ -74,7 +75,7 @@
 
 def on_dispatch(state: LevelState, priority: int, delay: float) -> LevelState:
     """Counts a request that left the queue after `delay` seconds."""
-    return dataclasses.replace(
+    return frozen.changed(
         state,
         admitted=_raised(state.admitted, priority),
         delay=max(state.delay, delay),
@@ -83,7 +84,7 @@
 
 def on_shed(state: LevelState, priority: int) -> LevelState:
     """Counts a request that the queue shed."""
-    return dataclasses.replace(state, shed=_raised(state.shed, priority))
+    return frozen.changed(state, shed=_raised(state.shed, priority))
 
 
 def _raised(counts: tuple[int, ...], place: int) -> tuple[int, ...]:
@@ -166,7 +167,7 @@
     counts = dict(demand.counts)
     key = (service, priority, organisation)
     counts[key] = counts.get(key, 0) + 1
-    return dataclasses.replace(demand, counts=tuple(counts.items()))
+    return frozen.changed(demand, counts=tuple(counts.items()))
 
 
 def seen_level(
--- a/src/sassafrashall/filters/deadline.py
+++ b/src/sassafrashall/filters/deadline.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import model
 
 
@@ -28,4 +27,4 @@
             return model.Refuse(
                 code=exceptions.DEADLINE, detail="the deadline has passed"
             )
-        return model.Forward(call=dataclasses.replace(call, deadline=deadline))
+        return model.Forward(call=frozen.changed(call, deadline=deadline))
--- a/src/sassafrashall/filters/dispatch.py
+++ b/src/sassafrashall/filters/dispatch.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import uuid
 
 from sassafrashall import clock
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -49,9 +49,7 @@
             outcome, kept = await self._attempt(call, choice)
             avoid |= {choice.vm}
             # Tokens that went along come back with the answer or are lost.
-            call = dataclasses.replace(
-                call, retries=kept + outcome.retries_left
-            )
+            call = frozen.changed(call, retries=kept + outcome.retries_left)
             refusal = retries.failure_of(outcome)
             if refusal is not None:
                 may_have_run |= refusal.run is not model.RunState.NOT_RUN
@@ -59,8 +57,8 @@
             if refusal is None or not await self._routing.ask(
                 messages.Retry(call=call, refusal=refusal, attempts=attempts)
             ):
-                return dataclasses.replace(outcome, retries_left=call.retries)
-            call = dataclasses.replace(call, retries=max(0, call.retries - 1))
+                return frozen.changed(outcome, retries_left=call.retries)
+            call = frozen.changed(call, retries=max(0, call.retries - 1))
             self._events.record("call.retried", call.root_id, refusal.code)
 
     async def _attempt(
@@ -95,7 +93,7 @@
             now=clock.monotonic(),
         )
         if choice.vm == self._node:
-            request = dataclasses.replace(
+            request = frozen.changed(
                 call.request,
                 source=model.Source.PEER,
                 received_at=clock.monotonic(),
@@ -120,7 +118,7 @@
 def truthful(outcome: model.Outcome, may_have_run: bool) -> model.Outcome:
     """Says `unknown` where an earlier attempt may have run the request."""
     if may_have_run and isinstance(outcome, model.Refuse):
-        return dataclasses.replace(outcome, run=model.RunState.UNKNOWN)
+        return frozen.changed(outcome, run=model.RunState.UNKNOWN)
     return outcome
 
 
--- a/src/sassafrashall/filters/document_key.py
+++ b/src/sassafrashall/filters/document_key.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.decisions import route_table
@@ -37,7 +36,7 @@
         table = self._table.value
         assert table is not None  # The route came from it.
         if not table.document.keyed or not call.metered:
-            return model.Forward(call=dataclasses.replace(call, metered=False))
+            return model.Forward(call=frozen.changed(call, metered=False))
         if self._lease is not None:
             age = clock.monotonic() - self._view.value.fresh_at
             if age > self._lease:
@@ -56,7 +55,7 @@
                 detail="the key is unknown or withdrawn",
             )
         return model.Forward(
-            call=dataclasses.replace(
+            call=frozen.changed(
                 call,
                 organisation=owner.name,
                 priority=call.priority
--- a/src/sassafrashall/filters/document_route.py
+++ b/src/sassafrashall/filters/document_route.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.decisions import route_table
@@ -43,7 +42,7 @@
         if shares is not None:
             self._shares[route.name] = shares
         return model.Forward(
-            call=dataclasses.replace(
+            call=frozen.changed(
                 call,
                 service=service,
                 idempotent=route.idempotent,
--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import uuid
 
 import trio
@@ -10,6 +9,7 @@
 from sassafrashall import clock
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -74,7 +74,7 @@
             ):
                 return outcome
             if not retries.in_front(refusal):
-                call = dataclasses.replace(call, retries=call.retries - 1)
+                call = frozen.changed(call, retries=call.retries - 1)
             self._events.record("call.retried", call.root_id, refusal.code)
 
     async def _attempt(
@@ -108,7 +108,7 @@
             now=clock.monotonic(),
         )
         if choice.vm == self._node:
-            request = dataclasses.replace(
+            request = frozen.changed(
                 call.request,
                 source=model.Source.PEER,
                 received_at=clock.monotonic(),
--- a/src/sassafrashall/filters/identity.py
+++ b/src/sassafrashall/filters/identity.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
 
 import xxhash
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -123,7 +123,7 @@
             return begun
         call = _with_rules(call, organisation.parameters)
         return model.Forward(
-            call=dataclasses.replace(
+            call=frozen.changed(
                 call,
                 organisation=ticket.organisation,
                 root_id=ticket.root_id,
@@ -142,7 +142,7 @@
     call: model.Call, organisation: model.Organisation
 ) -> model.Call:
     call = _with_rules(call, organisation.parameters)
-    return dataclasses.replace(
+    return frozen.changed(
         call,
         organisation=organisation.name,
         retries=organisation.parameters.retry_bound,
@@ -164,7 +164,7 @@
     idempotent = method in model.IDEMPOTENT_METHODS and not matched(
         parameters.never_repeated_routes
     )
-    return dataclasses.replace(call, priority=priority, idempotent=idempotent)
+    return frozen.changed(call, priority=priority, idempotent=idempotent)
 
 
 def _fingerprint(request: model.Request) -> str:
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -40,7 +40,11 @@
 
 
 class LocalUpstreamFilter:
-    """Ends the chain of the node beside the upstream."""
+    """Ends the chain of the node beside the upstream.
+
+    Whoever runs the chain cancels it at the deadline; that closes the
+    connection, and with it the request at the upstream.
+    """
 
     def __init__(
         self,
@@ -107,21 +111,14 @@
     async def _exchange(
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
     ) -> model.Outcome:
-        left = call.deadline - clock.monotonic()
-        if left <= 0:
+        if call.deadline <= clock.monotonic():
             return model.Refuse(
                 code=exceptions.DEADLINE, detail="no time is left to run it"
             )
-        with trio.move_on_after(left):
-            try:
-                return await self._send(call, upstream, slot)
-            except exceptions.ConnectionFailedError as error:
-                return _failure(error)
-        return model.Refuse(
-            code=exceptions.DEADLINE,
-            detail="the deadline passed while the upstream ran the request",
-            run=model.RunState.UNKNOWN,
-        )
+        try:
+            return await self._send(call, upstream, slot)
+        except exceptions.ConnectionFailedError as error:
+            return _failure(error)
 
     async def _send(
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
@@ -188,8 +185,7 @@
             return response
         finally:
             if not whole:
-                with trio.CancelScope(shield=True):
-                    await connection.close()
+                connection.close()
 
 
 class _Slot:
@@ -258,7 +254,7 @@
         if not self._ended:
             self._ended = True
             self._on_end()
-            await self._connection.close()
+            self._connection.close()
 
 
 def _failure(error: exceptions.ConnectionFailedError) -> model.Refuse:
--- a/src/sassafrashall/filters/route.py
+++ b/src/sassafrashall/filters/route.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import model
 
@@ -32,4 +32,4 @@
                 code=exceptions.UNKNOWN_ROUTE,
                 detail=f"no service {service!r} is known",
             )
-        return model.Forward(call=dataclasses.replace(call, service=service))
+        return model.Forward(call=frozen.changed(call, service=service))
--- a/src/sassafrashall/filters/upstream.py
+++ b/src/sassafrashall/filters/upstream.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from sassafrashall import clock
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -25,7 +24,7 @@
                 detail="a request from a peer needs a valid ticket",
             )
         return model.Forward(
-            call=dataclasses.replace(
+            call=frozen.changed(
                 call,
                 root_id=ticket.root_id,
                 call_id=ticket.call_id,
@@ -107,7 +106,7 @@
         level = shedding.carried(
             self._level.value, self._nested_level.value, clock.monotonic()
         )
-        return dataclasses.replace(outcome, level=level)
+        return frozen.changed(outcome, level=level)
 
     async def _exchange(
         self, call: model.Call, upstream: model.Upstream
@@ -140,7 +139,7 @@
             )
         finally:
             self._running.tell(messages.EndCall(call_id=call.call_id))
-        return dataclasses.replace(outcome, retries_left=retries_left)
+        return frozen.changed(outcome, retries_left=retries_left)
 
 
 def _is_shed(outcome: model.Outcome) -> bool:
--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -188,7 +188,7 @@
 
     def __init__(self, *, initial: _T) -> None:
         self._value = initial
-        self._changed = trio.Event()
+        self._changed: trio.Event | None = None
 
     @property
     def value(self) -> _T:
@@ -198,10 +198,13 @@
     def publish(self, value: _T) -> None:
         """Replaces the snapshot and wakes those that wait for a change."""
         self._value = value
-        changed, self._changed = self._changed, trio.Event()
-        changed.set()
+        changed, self._changed = self._changed, None
+        if changed is not None:
+            changed.set()
 
     async def wait_changed(self) -> _T:
         """Waits for the next snapshot."""
+        if self._changed is None:
+            self._changed = trio.Event()
         await self._changed.wait()
         return self._value
--- a/src/sassafrashall/platform/dialect.py
+++ b/src/sassafrashall/platform/dialect.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import model
 from sassafrashall.platform import names
 from sassafrashall.transport import http
@@ -65,6 +64,4 @@
         headers = http.end_to_end(response.headers)
         if length is not None:
             headers = (*headers, ("content-length", length))
-        return model.Answer(
-            response=dataclasses.replace(response, headers=headers)
-        )
+        return model.Answer(response=frozen.changed(response, headers=headers))
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -87,6 +87,11 @@
             self._pool,
         )
 
+    @property
+    def membership(self) -> node_membership.NodeMembership:
+        """What this node knows of the fleet."""
+        return self._membership
+
     def _build_controllers(self) -> None:
         settings = self._settings
         self._link = control_link.ControlLink(
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -15,8 +15,6 @@
 
 WINDOW = 256 * 1024  # bytes of one body that may be on their way
 PART_SIZE = 32 * 1024  # bytes of a body in one frame, so that none blocks all
-CONNECT_TIMEOUT = 1.0  # seconds
-WRITE_TIMEOUT = 3.0  # seconds without progress until a peer counts as silent
 
 OnFrame = Callable[[frames.Frame], None]
 
@@ -24,7 +22,7 @@
 class PeerConnection:
     """Owns a socket; one task writes what waits, one reads."""
 
-    def __init__(self, *, stream: trio.SocketStream) -> None:
+    def __init__(self, *, stream: sockets.Stream) -> None:
         self._stream = stream
         self._waiting: list[bytes] = []
         self._more = trio.Event()
@@ -33,17 +31,7 @@
     @classmethod
     async def open(cls, address: model.Address) -> PeerConnection:
         """Connects; raises `ConnectionFailedError` if that fails."""
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-            sockets.detect_silence(stream)
-        except (OSError, trio.TooSlowError) as error:
-            raise exceptions.ConnectionFailedError(
-                f"cannot connect to {address}: {error}",
-                committed=False,
-                silent=isinstance(error, trio.TooSlowError),
-            ) from error
-        return cls(stream=stream)
+        return cls(stream=await sockets.connect(address))
 
     @property
     def ended(self) -> bool:
@@ -63,14 +51,13 @@
                 self._more = trio.Event()
                 await self._more.wait()
             waiting, self._waiting = self._waiting, []
-            with trio.fail_after(WRITE_TIMEOUT):
-                await self._stream.send_all(b"".join(waiting))
+            await self._stream.send(b"".join(waiting))
 
     async def read(self, on_frame: OnFrame) -> None:
         """Hands over every frame until the connection ends."""
         buffer = frames.FrameBuffer()
         while True:
-            data = await self._stream.receive_some(http.RECEIVE_SIZE)
+            data = await self._stream.receive(http.RECEIVE_SIZE)
             if not data:
                 return
             for frame in buffer.feed(data):
@@ -85,16 +72,13 @@
                 nursery.cancel_scope.cancel()
         except* (
             OSError,
-            trio.BrokenResourceError,
             trio.ClosedResourceError,
-            trio.TooSlowError,
             exceptions.ProtocolError,
         ):
             pass
         finally:
             self._ended = True
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(self._stream)
+            self._stream.close()
 
 
 class IncomingBody:
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -93,6 +93,9 @@
                 )
 
     async def _run(self, frame: frames.OpenCall, call: _ServedCall) -> None:
+        # The calling node ends the request at the same time by its own clock,
+        # so nothing is sent to it then.
+        call.scope.deadline = trio.current_time() + frame.remaining_ms / 1000
         try:
             with call.scope:
                 await self._answer(frame, call)
@@ -235,8 +238,8 @@
     ) -> None:
         while True:
             try:
-                stream = await listener.accept()
-                sockets.detect_silence(stream)
+                stream = await sockets.accept(listener)
+                stream.detect_silence()
             except trio.ClosedResourceError:
                 return
             except OSError:
@@ -244,7 +247,7 @@
                 continue
             nursery.start_soon(self._serve, stream)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: sockets.Stream) -> None:
         serving = _Serving(
             connection=peer_connection.PeerConnection(stream=stream),
             handler=self._handler,
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -14,12 +14,14 @@
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
+from sassafrashall.transport import sockets
 
 LISTEN_BACKLOG = 1024
 WHOLE_BODY = 64 * 1024  # bytes up to which a body is held and can be resent
 READ_AHEAD = 128 * 1024  # bytes of a body that wait for their consumer
 LINGER_TIME = 1.0  # seconds for the rest of a body after an early answer
 SLOW_READER_TIMEOUT = 30.0  # seconds without progress of a caller that reads
+SWEEP_INTERVAL = 0.5  # seconds between looks for idle connections
 CONNECTION_LIMIT = 3000  # a node's descriptors, less peers and upstream
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
@@ -64,7 +66,7 @@
     def __init__(
         self,
         *,
-        stream: trio.SocketStream,
+        stream: sockets.Stream,
         handler: Handler,
         source: model.Source,
         limits: configuration.Limits,
@@ -76,7 +78,7 @@
         self._parser = http1.RequestParser(head_limit=limits.head_bytes)
         self._arrived = trio.Event()
         self._taken = trio.Event()
-        self._handling = trio.CancelScope()
+        self._active_at = clock.monotonic()
         self._gone = False
         self._fault: exceptions.ProtocolError | None = None
         self._busy = False
@@ -84,19 +86,27 @@
 
     async def serve(self) -> None:
         """Runs until either side ends the connection."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read)
-            try:
-                await self._answer_requests()
-            except (
-                OSError,
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ):
-                pass
-            nursery.cancel_scope.cancel()
-        with trio.CancelScope(shield=True):
-            await trio.aclose_forcefully(self._stream)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read, nursery.cancel_scope)
+                try:
+                    await self._answer_requests()
+                except (OSError, trio.ClosedResourceError):
+                    pass
+                nursery.cancel_scope.cancel()
+        finally:
+            self._stream.close()
+
+    def close_if_idle(self, now: float) -> None:
+        """Ends the connection if its caller takes too long for a request."""
+        if self._busy:
+            return
+        limit = self._limits.idle_timeout_s
+        if self._parser.partial:
+            limit = self._limits.head_timeout_s
+        if now - self._active_at > limit:
+            self._gone = True
+            self._arrived.set()
 
     def expire(self) -> None:
         """Lets the connection end with its next response."""
@@ -109,20 +119,18 @@
             self._gone = True
             self._arrived.set()
 
-    async def _read(self) -> None:
+    async def _read(self, everything: trio.CancelScope) -> None:
         """Reads all along, so that a caller that leaves is noticed at once."""
         while True:
             try:
-                data = await self._stream.receive_some(http.RECEIVE_SIZE)
-            except (OSError, trio.BrokenResourceError):
+                data = await self._stream.receive(http.RECEIVE_SIZE)
+            except (OSError, trio.ClosedResourceError):
                 data = b""
-            except trio.ClosedResourceError:
-                return
             if not data:
-                self._gone = True
-                self._arrived.set()
-                self._handling.cancel()
+                everything.cancel()
                 return
+            if not self._parser.partial:
+                self._active_at = clock.monotonic()
             try:
                 self._parser.feed(data)
             except exceptions.ProtocolError as fault:
@@ -152,45 +160,17 @@
             self._arrived = trio.Event()
             await self._arrived.wait()
 
-    async def _next_head(self) -> http1.RequestHead | None:
-        event = self._parser.next_event()
-        if event is None:
-            event = await self._wait_for_head()
-        return event if isinstance(event, http1.RequestHead) else None
-
-    async def _wait_for_head(self) -> http1.Event | None:
-        with trio.move_on_after(self._limits.idle_timeout_s) as timeout:
-            while True:
-                if self._parser.partial:
-                    timeout.deadline = min(
-                        timeout.deadline,
-                        trio.current_time() + self._limits.head_timeout_s,
-                    )
-                event = self._parser.next_event()
-                if event is not None:
-                    return event
-                if self._fault is not None:
-                    raise self._fault
-                if self._gone:
-                    return None
-                self._arrived = trio.Event()
-                await self._arrived.wait()
-        return None
-
     async def _answer_requests(self) -> None:
         while True:
             try:
-                head = await self._next_head()
-                if head is None:
+                head = await self.next_event()
+                if not isinstance(head, http1.RequestHead):
                     return
                 self._busy = True
-                with trio.CancelScope() as self._handling:
-                    if self._gone:
-                        return
-                    goes_on = await self._answer(head)
-                if self._handling.cancelled_caught or not goes_on:
+                if not await self._answer(head):
                     return
                 self._busy = False
+                self._active_at = clock.monotonic()
             except exceptions.ProtocolError as fault:
                 await self._refuse(fault)
                 return
@@ -205,7 +185,7 @@
             )
         received_at = clock.monotonic()
         if model.find_header(head.headers, "expect") is not None:
-            await self._stream.send_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         rest = _RequestBody(connection=self, limit=self._limits.body_bytes)
         body = await self._beginning(head, rest)
         response = await self._handler(
@@ -253,10 +233,10 @@
         kept = tuple(h for h in headers if h[0] != "content-length")
         head = http1.encode_response(response.status, kept, length, closes)
         if head_only or response.status in (204, 304):
-            await self._stream.send_all(head)
+            await self._stream.send(head)
             return True
         if response.rest is None:
-            await self._stream.send_all(head + response.body)
+            await self._stream.send(head + response.body)
             return True
         return await self._send_parts(head, response, length is None)
 
@@ -270,7 +250,7 @@
         try:
             while data:
                 with trio.fail_after(SLOW_READER_TIMEOUT):
-                    await self._stream.send_all(data)
+                    await self._stream.send(data)
                 part = await rest.read()
                 data = encode(part) if part else b""
         except (exceptions.ConnectionFailedError, trio.TooSlowError):
@@ -280,7 +260,7 @@
         finally:
             await rest.close()
         if chunked:
-            await self._stream.send_all(http1.LAST_CHUNK)
+            await self._stream.send(http1.LAST_CHUNK)
         return True
 
     async def _refuse(self, fault: exceptions.ProtocolError) -> None:
@@ -334,24 +314,33 @@
         )
         for listener in self._listeners:
             nursery.start_soon(self._accept, listener, nursery)
+        nursery.start_soon(self._sweep)
+
+    async def _sweep(self) -> None:
+        """Ends the connections that are idle for too long."""
+        while True:
+            await trio.sleep(SWEEP_INTERVAL)
+            now = clock.monotonic()
+            for connection in list(self._connections):
+                connection.close_if_idle(now)
 
     async def _accept(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
         while True:
             try:
-                stream = await listener.accept()
+                stream = await sockets.accept(listener)
             except trio.ClosedResourceError:
                 return
             except OSError:
                 await trio.sleep(0.05)
                 continue
             if len(self._connections) >= CONNECTION_LIMIT:
-                await trio.aclose_forcefully(stream)
+                stream.close()
                 continue
             nursery.start_soon(self._serve, stream)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: sockets.Stream) -> None:
         connection = Connection(
             stream=stream,
             handler=self._handler,
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -14,7 +14,6 @@
 from sassafrashall.transport import http1
 from sassafrashall.transport import sockets
 
-CONNECT_TIMEOUT = 1.0  # seconds
 HEAD_LIMIT = 64 * 1024  # bytes of an answer's head
 WHOLE_BODY = 64 * 1024  # bytes up to which an answer is held whole
 IDLE_MARGIN = 2.0  # seconds before the upstream's own idle timeout
@@ -32,7 +31,7 @@
     """
 
     def __init__(
-        self, *, stream: trio.SocketStream, address: model.Address
+        self, *, stream: sockets.Stream, address: model.Address
     ) -> None:
         self._stream = stream
         self._address = address
@@ -46,17 +45,7 @@
     @classmethod
     async def open(cls, address: model.Address) -> UpstreamConnection:
         """Connects; raises `ConnectionFailedError` if that fails."""
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-            sockets.detect_silence(stream)
-        except (OSError, trio.TooSlowError) as error:
-            raise exceptions.ConnectionFailedError(
-                f"cannot connect to {address}: {error}",
-                committed=False,
-                silent=isinstance(error, trio.TooSlowError),
-            ) from error
-        return cls(stream=stream, address=address)
+        return cls(stream=await sockets.connect(address), address=address)
 
     @property
     def address(self) -> model.Address:
@@ -82,7 +71,7 @@
             return False
         # An idle connection that is readable was closed, or holds bytes that
         # belong to no request.
-        descriptor = self._stream.socket.fileno()
+        descriptor = self._stream.descriptor
         if descriptor < 0:
             return False
         poll = select.poll()
@@ -115,12 +104,11 @@
                     len(request.body),
                 )
                 self._committed = True
-                await self._stream.send_all(head + request.body)
+                await self._stream.send(head + request.body)
                 return await self._receive(answers)
             return await self._exchange_stream(request, answers)
         except (
             OSError,
-            trio.BrokenResourceError,
             trio.ClosedResourceError,
             exceptions.ProtocolError,
         ) as error:
@@ -155,11 +143,11 @@
             self._committed = True
             data = head + (encode(request.body) if request.body else b"")
             while data:
-                await self._stream.send_all(data)
+                await self._stream.send(data)
                 part = await request.rest.read()
                 data = encode(part) if part else b""
             if chunked:
-                await self._stream.send_all(http1.LAST_CHUNK)
+                await self._stream.send(http1.LAST_CHUNK)
             whole = True
 
         async def receive(nursery: trio.Nursery) -> None:
@@ -173,7 +161,7 @@
                 nursery.start_soon(send)
         except* (
             OSError,
-            trio.BrokenResourceError,
+            trio.ClosedResourceError,
             exceptions.SassafrashallError,
         ) as group:
             if response is None:
@@ -234,7 +222,7 @@
         """
         try:
             return await self._next_event()
-        except (OSError, trio.BrokenResourceError) as error:
+        except (OSError, trio.ClosedResourceError) as error:
             raise exceptions.ConnectionFailedError(
                 str(error), committed=True
             ) from error
@@ -248,7 +236,7 @@
             event = self._parser.next_event()
             if event is not None:
                 return event
-            data = await self._stream.receive_some(http.RECEIVE_SIZE)
+            data = await self._stream.receive(http.RECEIVE_SIZE)
             if data:
                 self._parser.feed(data)
                 continue
@@ -261,9 +249,9 @@
                 )
             return event
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes the socket, which cancels a request at the upstream."""
-        await trio.aclose_forcefully(self._stream)
+        self._stream.close()
 
 
 class _AnswerBody:
