--- a/bench/hot_path.py
+++ b/bench/hot_path.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import cProfile
+import gc
 import multiprocessing
 import pstats
 import resource
@@ -18,9 +19,10 @@
 import trio
 
 from bench import routed
+from sassafrashall import daemon
 
 CONNECTIONS = 50
-SERVICE_TIME = 0.02  # seconds that the stand-in upstream takes
+SERVICE_TIME = 0.1  # seconds; keeps the nodes at about a third of a core
 
 
 class _Upstream(asyncio.Protocol):
@@ -137,6 +139,8 @@
     parser.add_argument("--profile", action="store_true")
     options = parser.parse_args()
     profile = cProfile.Profile() if options.profile else None
+    # As the daemon does.
+    gc.set_threshold(*daemon.GC_THRESHOLDS)
     trio.run(_measure, options.calls, profile)
     if profile:
         stats = pstats.Stats(profile)
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -187,9 +187,10 @@
     ) -> None:
         assert self._upstream is not None
         self._in_flight += 1
-        self._level = shedding.on_dispatch(
-            self._level, item.priority, now - item.arrived_at
-        )
+        if not isinstance(self._shed_law, shedding.NoEarlyShed):
+            self._level = shedding.on_dispatch(
+                self._level, item.priority, now - item.arrived_at
+            )
         reply.on_abandon(None)
         reply.put(messages.Admitted(upstream=self._upstream))
 
--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -17,6 +17,10 @@
 from sassafrashall.transport import frames
 from sassafrashall.transport import peer_connection
 
+# Seconds between looks for calls whose time is up; a timer for each call would
+# cost more than it is worth.
+EXPIRY_INTERVAL = 0.03
+
 
 def proof(vm: str, secret: bytes) -> bytes:
     """Returns what shows another node that `vm` knows the fleet's secret."""
@@ -88,7 +92,7 @@
             self._open(call)
 
     def _open(self, call: _PendingCall) -> None:
-        if call.reply.abandoned:
+        if call.reply.abandoned or call.reply.done:
             return
         assert self._connection is not None
         self._number += 1
@@ -131,6 +135,17 @@
                     _failure(exceptions.BAD_REQUEST, str(error), True)
                 )
 
+    def expire(self, now: float) -> None:
+        """Ends the calls whose time is up."""
+        for call in self._unsent:
+            if call.message.deadline <= now:
+                call.reply.put(_too_late(False))
+        for number, call in list(self._calls.items()):
+            if call.message.deadline <= now and call.answer is None:
+                self._cancel(number)
+                call.reply.on_abandon(None)
+                call.reply.put(_too_late(call.committed))
+
     def _cancel(self, number: int) -> None:
         call = self._calls.pop(number, None)
         if call is None:
@@ -227,6 +242,14 @@
             )
 
 
+def _too_late(committed: bool) -> model.Refuse:
+    return _failure(
+        exceptions.DEADLINE,
+        "the deadline passed before the answer was there",
+        committed,
+    )
+
+
 def _failure(code: str, detail: str, committed: bool) -> model.Refuse:
     return model.Refuse(
         code=code,
@@ -252,6 +275,16 @@
         """The fleet's secret."""
         return self._secret
 
+    async def _setup(self) -> None:
+        self._spawn(self._expire_calls)
+
+    async def _expire_calls(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_INTERVAL)
+            now = clock.monotonic()
+            for link in tuple(self._links.values()):
+                link.expire(now)
+
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
             case messages.Exchange(address=address):
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sassafrashall import clock
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
@@ -52,22 +53,24 @@
         self, message: messages.CheckOut
     ) -> upstream_connection.UpstreamConnection | None:
         idle = self._idle.get(message.address)
+        now = clock.monotonic()
         while idle:
             # The one used last is the one most likely to be alive.
             connection = idle.pop()
-            if connection.usable(message.longest_idle):
+            if not connection.usable(message.longest_idle, now):
+                if connection.usable(ANY_IDLE_TIME, now):
+                    # Too old for this exchange, and so are those before it.
+                    idle.append(connection)
+                    return None
+            elif connection.alive:
                 return connection
-            if connection.usable(ANY_IDLE_TIME):
-                # Too old for this exchange, and so are those before it.
-                idle.append(connection)
-                return None
             connection.close()
         return None
 
     def _check_in(
         self, connection: upstream_connection.UpstreamConnection
     ) -> None:
-        if not connection.usable(ANY_IDLE_TIME):
+        if not connection.usable(ANY_IDLE_TIME, clock.monotonic()):
             connection.close()
             return
         self._idle.setdefault(connection.address, collections.deque()).append(
@@ -77,11 +80,12 @@
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(SWEEP_INTERVAL)
-            for address, idle in list(self._idle.items()):
-                kept = collections.deque(
-                    c for c in idle if c.usable(ANY_IDLE_TIME)
-                )
-                for connection in idle:
-                    if connection not in kept:
+            now = clock.monotonic()
+            for idle in self._idle.values():
+                for connection in tuple(idle):
+                    if not (
+                        connection.usable(ANY_IDLE_TIME, now)
+                        and connection.alive
+                    ):
+                        idle.remove(connection)
                         connection.close()
-                self._idle[address] = kept
--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -39,14 +39,7 @@
     async def handle(self, call: model.Call) -> model.Outcome:
         """Makes attempts until one ends the call or its time is up."""
         self._routing.tell(messages.FirstTry(service=call.service))
-        left = call.deadline - clock.monotonic()
-        with trio.move_on_after(max(0.0, left)):
-            return await self._attempts(call)
-        return model.Refuse(
-            code=exceptions.DEADLINE,
-            detail="the deadline passed before the answer was there",
-            run=model.RunState.UNKNOWN,
-        )
+        return await self._attempts(call)
 
     async def _attempts(self, call: model.Call) -> model.Outcome:
         attempts = 0
@@ -115,9 +108,7 @@
                 timeout_ms=ticket.remaining_ms,
                 ticket=ticket,
             )
-            return await self._local.run(
-                model.Call(request=request, root_id=call.root_id)
-            )
+            return await self._run_here(call, request)
         return await self._links.ask(
             messages.Exchange(
                 address=choice.address,
@@ -129,6 +120,20 @@
             )
         )
 
+    async def _run_here(
+        self, call: model.Call, request: model.Request
+    ) -> model.Outcome:
+        left = call.deadline - clock.monotonic()
+        with trio.move_on_after(max(0.0, left)):
+            return await self._local.run(
+                model.Call(request=request, root_id=call.root_id)
+            )
+        return model.Refuse(
+            code=exceptions.DEADLINE,
+            detail="the deadline passed before the answer was there",
+            run=model.RunState.UNKNOWN,
+        )
+
 
 def _failure_of(outcome: model.Outcome) -> model.Refuse | None:
     """Returns a refusal; an upstream's own answer is final, whatever it says.
--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -38,6 +38,21 @@
         self._on_abandon: Callable[[], None] | None = None
         self.abandoned = False
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the answer is there and is no error."""
+        return self._done and self._error is None
+
+    @property
+    def value(self) -> Any:
+        """The answer, once it is there."""
+        return self._value
+
+    @property
+    def done(self) -> bool:
+        """Whether the answer is there."""
+        return self._done
+
     def put(self, value: Any) -> None:
         """Delivers the answer; only the first one counts."""
         if not self._done:
@@ -119,6 +134,8 @@
         """Sends a message and waits for its answer."""
         reply = Reply()
         self._put(Envelope(message=message, reply=reply))
+        if reply.succeeded:
+            return reply.value
         return await reply.wait()
 
     def forward(self, message: Any, reply: Reply) -> None:
@@ -129,8 +146,17 @@
         if self._closed:
             raise exceptions.MailboxClosedError("task has ended")
         if self._receiver is not None:
-            self._queue.append(envelope)
-            self._work_off()
+            if self._busy or self._queue:
+                self._queue.append(envelope)
+                self._work_off()
+                return
+            self._busy = True
+            try:
+                self._receiver(envelope)
+            finally:
+                self._busy = False
+            if self._queue:
+                self._work_off()
             return
         try:
             self._send.send_nowait(envelope)
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -26,6 +26,7 @@
         self._stream = stream
         self._waiting: list[bytes] = []
         self._more = trio.Event()
+        self._writing = False
         self._ended = False
 
     @classmethod
@@ -39,17 +40,28 @@
         return self._ended
 
     def send(self, frame: frames.Frame) -> None:
-        """Queues a frame; those of one turn leave in one write."""
-        self._waiting.append(frames.encode(frame))
-        if len(self._waiting) == 1:
+        """Sends a frame at once, or queues it if the socket is full."""
+        data = frames.encode(frame)
+        if self._waiting or self._writing:
+            self._waiting.append(data)
+            return
+        try:
+            sent = self._stream.push(data)
+        except OSError:
+            # The reading task finds the broken connection as well.
+            return
+        if sent < len(data):
+            self._waiting.append(data[sent:])
             self._more.set()
 
     async def write(self) -> None:
         """Writes what is queued until the connection breaks."""
         while True:
             if not self._waiting:
+                self._writing = False
                 self._more = trio.Event()
                 await self._more.wait()
+            self._writing = True
             waiting, self._waiting = self._waiting, []
             await self._stream.send(b"".join(waiting))
 
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -101,6 +101,9 @@
                 await self._answer(frame, call)
         finally:
             self._calls.pop(frame.call, None)
+        if call.scope.cancelled_caught and call.answer is not None:
+            # What was sent of the answer must not be taken for all of it.
+            self._connection.send(frames.CancelCall(call=frame.call))
 
     async def _answer(self, frame: frames.OpenCall, call: _ServedCall) -> None:
         async def confirm() -> bool:
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -44,9 +44,25 @@
             self._socket.setsockopt(level, option, value)
 
     @property
-    def descriptor(self) -> int:
-        """The file descriptor; negative once closed."""
-        return self._socket.fileno()
+    def has_ended(self) -> bool:
+        """Whether the other end has closed the connection."""
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and nothing has arrived."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     async def receive(self, size: int) -> bytes:
         """Returns what has arrived, at least a byte, or none at the end."""
@@ -71,12 +87,13 @@
 
     async def send(self, data: bytes) -> None:
         """Sends everything."""
-        sent = self._push(data)
+        sent = self.push(data)
         while sent < len(data):
             await trio.lowlevel.wait_writable(self._socket)
-            sent += self._push(memoryview(data)[sent:])
+            sent += self.push(memoryview(data)[sent:])
 
-    def _push(self, data: bytes | memoryview) -> int:
+    def push(self, data: bytes | memoryview) -> int:
+        """Sends what fits at once and returns how much that was."""
         try:
             return self._socket.send(data)
         except BlockingIOError:
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -18,10 +18,9 @@
 
 LISTEN_BACKLOG = 1024
 WHOLE_BODY = 64 * 1024  # bytes up to which a body is held and can be resent
-READ_AHEAD = 128 * 1024  # bytes of a body that wait for their consumer
 LINGER_TIME = 1.0  # seconds for the rest of a body after an early answer
 SLOW_READER_TIMEOUT = 30.0  # seconds without progress of a caller that reads
-SWEEP_INTERVAL = 0.5  # seconds between looks for idle connections
+SWEEP_INTERVAL = 0.2  # seconds between looks for callers that have left
 CONNECTION_LIMIT = 3000  # a node's descriptors, less peers and upstream
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
@@ -61,7 +60,12 @@
 
 
 class Connection:
-    """One accepted connection: a task that reads, a task that answers."""
+    """One accepted connection; one task reads and answers its requests.
+
+    While a request is in progress nobody reads, so the server looks now and
+    then whether the caller has left: a task that reads all along would cost
+    each request a turn of the scheduler.
+    """
 
     def __init__(
         self,
@@ -76,38 +80,21 @@
         self._source = source
         self._limits = limits
         self._parser = http1.RequestParser(head_limit=limits.head_bytes)
-        self._arrived = trio.Event()
-        self._taken = trio.Event()
+        self._scope = trio.CancelScope()
         self._active_at = clock.monotonic()
-        self._gone = False
-        self._fault: exceptions.ProtocolError | None = None
         self._busy = False
         self._expiring = False
 
     async def serve(self) -> None:
         """Runs until either side ends the connection."""
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read, nursery.cancel_scope)
-                try:
-                    await self._answer_requests()
-                except (OSError, trio.ClosedResourceError):
-                    pass
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                await self._answer_requests()
+        except (OSError, trio.ClosedResourceError):
+            pass
         finally:
             self._stream.close()
 
-    def close_if_idle(self, now: float) -> None:
-        """Ends the connection if its caller takes too long for a request."""
-        if self._busy:
-            return
-        limit = self._limits.idle_timeout_s
-        if self._parser.partial:
-            limit = self._limits.head_timeout_s
-        if now - self._active_at > limit:
-            self._gone = True
-            self._arrived.set()
-
     def expire(self) -> None:
         """Lets the connection end with its next response."""
         self._expiring = True
@@ -116,31 +103,19 @@
         """Ends the connection once it is idle."""
         self._expiring = True
         if not self._busy and not self._parser.partial:
-            self._gone = True
-            self._arrived.set()
+            self._scope.cancel()
 
-    async def _read(self, everything: trio.CancelScope) -> None:
-        """Reads all along, so that a caller that leaves is noticed at once."""
-        while True:
-            try:
-                data = await self._stream.receive(http.RECEIVE_SIZE)
-            except (OSError, trio.ClosedResourceError):
-                data = b""
-            if not data:
-                everything.cancel()
-                return
-            if not self._parser.partial:
-                self._active_at = clock.monotonic()
-            try:
-                self._parser.feed(data)
-            except exceptions.ProtocolError as fault:
-                self._fault = fault
-                self._arrived.set()
-                return
-            self._arrived.set()
-            while self._parser.buffered > READ_AHEAD:
-                self._taken = trio.Event()
-                await self._taken.wait()
+    def check(self, now: float) -> None:
+        """Ends the connection if its caller has left or takes too long."""
+        if self._busy:
+            if self._stream.has_ended:
+                self._scope.cancel()
+            return
+        limit = self._limits.idle_timeout_s
+        if self._parser.partial:
+            limit = self._limits.head_timeout_s
+        if now - self._active_at > limit:
+            self._scope.cancel()
 
     async def next_event(self) -> http1.Event | None:
         """Waits for the next event; None once no more can come.
@@ -151,14 +126,14 @@
         while True:
             event = self._parser.next_event()
             if event is not None:
-                self._taken.set()
                 return event
-            if self._fault is not None:
-                raise self._fault
-            if self._gone:
+            begun = self._parser.partial
+            data = await self._stream.receive(http.RECEIVE_SIZE)
+            if not data:
                 return None
-            self._arrived = trio.Event()
-            await self._arrived.wait()
+            if not begun:
+                self._active_at = clock.monotonic()
+            self._parser.feed(data)
 
     async def _answer_requests(self) -> None:
         while True:
@@ -281,7 +256,7 @@
 
 
 class Server:
-    """Listens on one address and serves each connection in two tasks."""
+    """Listens on one address and serves each connection in a task."""
 
     def __init__(
         self,
@@ -317,12 +292,12 @@
         nursery.start_soon(self._sweep)
 
     async def _sweep(self) -> None:
-        """Ends the connections that are idle for too long."""
+        """Ends connections whose callers have left or are idle for too long."""
         while True:
             await trio.sleep(SWEEP_INTERVAL)
             now = clock.monotonic()
             for connection in list(self._connections):
-                connection.close_if_idle(now)
+                connection.check(now)
 
     async def _accept(
         self, listener: trio.SocketListener, nursery: trio.Nursery
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import select
 
 import trio
 
@@ -62,21 +61,22 @@
         """Whether an earlier exchange ran on this connection."""
         return self._exchanges > 1
 
-    def usable(self, longest_idle: float) -> bool:
-        """Returns whether another exchange may start."""
-        now = clock.monotonic()
-        if not self._reusable or now >= self._expires_at:
-            return False
-        if now - self._used_at > longest_idle:
-            return False
-        # An idle connection that is readable was closed, or holds bytes that
-        # belong to no request.
-        descriptor = self._stream.descriptor
-        if descriptor < 0:
-            return False
-        poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
-        return not poll.poll(0)
+    @property
+    def alive(self) -> bool:
+        """Whether the upstream has left the idle connection as it was.
+
+        One that was closed, or holds bytes that belong to no request, is of
+        no more use.
+        """
+        return self._stream.is_quiet
+
+    def usable(self, longest_idle: float, now: float) -> bool:
+        """Returns whether another exchange may start, by what is known."""
+        return (
+            self._reusable
+            and now < self._expires_at
+            and now - self._used_at <= longest_idle
+        )
 
     async def exchange(
         self, request: http.RawRequest, answers: Answers
