--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import uuid
 
 import trio
@@ -35,6 +36,9 @@
         self._links = links
         self._local = local
         self._events = event_log
+        # Names calls without a random number for each.
+        self._boot = uuid.uuid4().hex[:8]
+        self._numbers = itertools.count()
 
     async def handle(self, call: model.Call) -> model.Outcome:
         """Makes attempts until one ends the call or its time is up."""
@@ -96,7 +100,7 @@
     ) -> model.Outcome:
         ticket = call.ticket(
             node=choice.vm,
-            call_id=uuid.uuid4().hex[:16],
+            call_id=f"{self._boot}{next(self._numbers):x}",
             retries=0,
             now=clock.monotonic(),
         )
--- a/src/sassafrashall/platform/front_end.py
+++ b/src/sassafrashall/platform/front_end.py
@@ -62,8 +62,9 @@
 
     def decode(self, raw: http.RawRequest) -> model.Request:
         """Returns the typed request; raises `ProtocolError` for bad input."""
-        hosts = [value for name, value in raw.headers if name == "host"]
-        if len(hosts) != 1:
+        given = dict(raw.headers)
+        host = given.get("host", "")
+        if not host or sum(name == "host" for name, _ in raw.headers) != 1:
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "exactly one Host header is needed"
             )
@@ -71,13 +72,13 @@
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "the target must be a path"
             )
-        key = _key(raw.headers)
+        key = _key(given.get("authorization", ""))
         headers = tuple(
             (name, value)
             for name, value in http.end_to_end(raw.headers)
             if name not in names.OWN_HEADERS and not (key and key in value)
         )
-        length = model.find_header(raw.headers, "content-length")
+        length = given.get("content-length")
         if raw.rest is not None and length is not None:
             headers = (*headers, ("content-length", length))
         return model.Request(
@@ -87,10 +88,10 @@
             body=raw.body,
             source=raw.source,
             received_at=raw.received_at,
-            request_id=model.find_header(raw.headers, names.REQUEST_ID) or "",
+            request_id=given.get(names.REQUEST_ID, ""),
             key=key,
-            timeout_ms=_timeout(raw.headers),
-            host=hosts[0].partition(":")[0].lower(),
+            timeout_ms=_timeout(given.get(names.DEADLINE)),
+            host=host.partition(":")[0].lower(),
             caller=self._service,
             rest=raw.rest,
         )
@@ -124,8 +125,7 @@
     return 502 if status in _PROMISES else status
 
 
-def _timeout(headers: model.Headers) -> int | None:
-    value = model.find_header(headers, names.DEADLINE)
+def _timeout(value: str | None) -> int | None:
     if value is None:
         return None
     if not value.isdigit() or len(value) > DEADLINE_DIGITS:
@@ -135,8 +135,7 @@
     return int(value)
 
 
-def _key(headers: model.Headers) -> str:
-    value = model.find_header(headers, "authorization") or ""
+def _key(value: str) -> str:
     scheme, _, key = value.partition(" ")
     key = key.strip()
     if scheme.lower() != "bearer" or len(key) > KEY_LENGTH_LIMIT:
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import operator
 import struct
 import typing
 from typing import TypeAlias
@@ -155,13 +156,19 @@
     )
     for kind in _KINDS
 )
+_getters = {
+    kind: operator.attrgetter(*_FIELDS[kind])
+    if len(_FIELDS[kind]) > 1
+    else lambda frame: (frame.call,)
+    for kind in _KINDS
+}
 _encoder = msgspec.msgpack.Encoder()
 
 
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame."""
     kind = type(frame)
-    body = _encoder.encode([getattr(frame, name) for name in _FIELDS[kind]])
+    body = _encoder.encode(_getters[kind](frame))
     return _PREFIX.pack(len(body), _NUMBER[kind]) + body
 
 
--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -48,15 +48,11 @@
 
 def end_to_end(headers: model.Headers) -> model.Headers:
     """Returns the headers without those that concern one connection only."""
-    named: set[str] = set()
+    named: frozenset[str] = _HOP_HEADERS
     for name, value in headers:
         if name == "connection":
-            named.update(part.strip().lower() for part in value.split(","))
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in _HOP_HEADERS and name not in named
-    )
+            named |= {part.strip().lower() for part in value.split(",")}
+    return tuple(header for header in headers if header[0] not in named)
 
 
 def text_headers(headers: Iterable[tuple[bytes, bytes]]) -> model.Headers:
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -76,15 +76,12 @@
         self._head_limit = head_limit
         self._events: collections.deque[Event] = collections.deque()
         self._headers: list[tuple[str, str]] = []
+        self._header_size = 0
+        self._length = ""
+        self._encoding = ""
         self._head_size = 0
         self._in_head = True
         self._begun = False
-        self._buffered = 0
-
-    @property
-    def buffered(self) -> int:
-        """Bytes of bodies that have not been taken yet."""
-        return self._buffered
 
     @property
     def partial(self) -> bool:
@@ -93,18 +90,7 @@
 
     def next_event(self) -> Event | None:
         """Takes the next event; None if more bytes are needed."""
-        if not self._events:
-            return None
-        event = self._events.popleft()
-        if isinstance(event, BodyPart):
-            self._buffered -= len(event.data)
-        return event
-
-    def put_back(self, event: Event) -> None:
-        """Makes an event that was taken the next one again."""
-        self._events.appendleft(event)
-        if isinstance(event, BodyPart):
-            self._buffered += len(event.data)
+        return self._events.popleft() if self._events else None
 
     def _feed(self, parser: object, data: bytes) -> None:
         if self._in_head:
@@ -126,19 +112,24 @@
     def on_message_begin(self) -> None:
         """A message begins."""
         self._headers = []
+        self._header_size = 0
+        self._length = self._encoding = ""
         self._in_head = True
         self._begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header is whole."""
-        self._headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-        )
+        self._header_size += len(name) + len(value)
+        named, told = name.lower().decode("latin-1"), value.decode("latin-1")
+        if named == "content-length":
+            self._length = told
+        elif named == "transfer-encoding":
+            self._encoding = told
+        self._headers.append((named, told))
 
     def on_body(self, data: bytes) -> None:
         """Bytes of the body."""
         self._events.append(BodyPart(data=data))
-        self._buffered += len(data)
 
     def on_message_complete(self) -> None:
         """The message is whole."""
@@ -147,28 +138,6 @@
         self._begun = False
         self._head_size = 0
 
-    def _length(self) -> int | None:
-        """Returns the announced length; None without one or with chunks."""
-        length = None
-        for name, value in self._headers:
-            if name == "transfer-encoding":
-                return None
-            if name == "content-length":
-                if not value.isdigit() or len(value) > LENGTH_DIGITS:
-                    raise exceptions.ProtocolError(
-                        exceptions.BAD_REQUEST, "Content-Length is no number"
-                    )
-                length = int(value)
-        return length
-
-    def _check_head(self, start: int) -> None:
-        size = start + sum(len(n) + len(v) for n, v in self._headers)
-        if size > self._head_limit:
-            raise exceptions.ProtocolError(
-                exceptions.HEAD_TOO_LARGE,
-                f"head exceeds {self._head_limit} bytes",
-            )
-
 
 class RequestParser(_Parser):
     """Parses the requests of one connection."""
@@ -192,22 +161,34 @@
     def on_headers_complete(self) -> None:
         """The head is whole."""
         target, self._target = self._target, b""
-        try:
-            self._check_head(len(target))
-            chunked = any(n == "transfer-encoding" for n, _ in self._headers)
-            head = RequestHead(
+        self._failure = self._fault_of_head(len(target))
+        if self._failure is not None:
+            # The library would hide an error raised inside of a callback.
+            return
+        self._in_head = False
+        self._events.append(
+            RequestHead(
                 method=self._parser.get_method().decode("ascii"),
                 target=target.decode("latin-1"),
                 headers=tuple(self._headers),
-                length=None if chunked else self._length() or 0,
+                length=None if self._encoding else int(self._length or 0),
                 keep_alive=self._parser.should_keep_alive(),
             )
-        except exceptions.ProtocolError as failure:
-            # The library would hide an error raised inside of a callback.
-            self._failure = failure
-            return
-        self._in_head = False
-        self._events.append(head)
+        )
+
+    def _fault_of_head(self, target: int) -> exceptions.ProtocolError | None:
+        if target + self._header_size > self._head_limit:
+            return exceptions.ProtocolError(
+                exceptions.HEAD_TOO_LARGE,
+                f"head exceeds {self._head_limit} bytes",
+            )
+        if self._length and (
+            not self._length.isdigit() or len(self._length) > LENGTH_DIGITS
+        ):
+            return exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "Content-Length is no number"
+            )
+        return None
 
 
 class ResponseParser(_Parser):
@@ -246,14 +227,10 @@
         self._skipped = status < 200
         if self._skipped:
             return
-        chunked = any(
-            name == "transfer-encoding" and "chunked" in value.lower()
-            for name, value in self._headers
-        )
+        chunked = "chunked" in self._encoding.lower()
         length = None
-        for name, value in self._headers:
-            if name == "content-length" and not chunked and value.isdigit():
-                length = int(value)
+        if not chunked and self._length.isdigit():
+            length = int(self._length)
         bodiless = status in _WITHOUT_BODY or self.without_body
         self._until_close = not (chunked or bodiless or length is not None)
         self._events.append(
--- /dev/null
+++ b/tests/test_routed_node.py
@@ -0,0 +1,312 @@
+"""The whole path of a routed fleet, over real sockets in one process."""
+
+import contextlib
+import json
+
+from bench import routed
+import pytest
+import trio
+
+from sassafrashall import clock
+from sassafrashall import model
+from tests import loopback
+
+KEYS = {"org-a": "key-of-a", "org-b": "key-of-b"}
+
+
+@contextlib.asynccontextmanager
+async def _fleet(document=None, **fields):
+    fields.setdefault("services", {"vm-a": "alpha", "vm-b": "beta"})
+    document = document or routed.document(services=("alpha", "beta"))
+    async with routed.running(document, **fields) as fleet:
+        yield fleet
+
+
+async def _get(fleet, *headers, vm="vm-a", host="beta.example", path="/x"):
+    return await routed.send(
+        fleet.callers[vm],
+        "GET",
+        path,
+        headers=(("request-id", "r1"), *headers),
+        host=host,
+    )
+
+
+async def test_a_request_crosses_to_the_upstream_of_its_route():
+    async with _fleet() as fleet:
+        response = await _get(fleet, path="/some/path?q=1")
+        (seen,) = fleet.upstreams["vm-b"].requests
+    assert (response.status, response.body) == (200, b"answer to ")
+    assert model.find_header(response.headers, "response-signature") == "of-r1"
+    assert seen.target == "/some/path?q=1"
+    assert model.find_header(seen.headers, "host") == "beta.example"
+    assert model.find_header(seen.headers, "caller-service") == "alpha"
+    assert model.find_header(seen.headers, "target-instance") == (
+        fleet.upstreams["vm-b"].incarnation
+    )
+    assert int(model.find_header(seen.headers, "request-deadline")) <= 5000
+
+
+async def test_the_upstream_of_the_own_vm_is_reached_without_a_peer():
+    async with _fleet() as fleet:
+        response = await _get(fleet, host="alpha.example")
+        assert response.status == 200
+        assert len(fleet.upstreams["vm-a"].requests) == 1
+
+
+async def test_an_unknown_host_or_path_is_404():
+    document = routed.document(services=("beta",), path_prefix="/known/")
+    async with _fleet(document) as fleet:
+        assert (await _get(fleet, host="other.example")).status == 404
+        assert (await _get(fleet, path="/unknown/")).status == 404
+        assert (await _get(fleet, path="/known/x")).status == 200
+
+
+async def test_the_key_decides_the_organisation_and_goes_no_further():
+    document = routed.document(services=("beta",), keys=KEYS)
+    async with _fleet(document) as fleet:
+        refused = await _get(fleet)
+        wrong = await _get(fleet, ("authorization", "Bearer nobody"))
+        served = await _get(
+            fleet,
+            ("authorization", "Bearer key-of-a"),
+            ("tenant-id", "org-b"),
+            ("caller-service", "forged"),
+            ("target-instance", "forged"),
+            ("x-copy", "the key-of-a again"),
+        )
+        (seen,) = fleet.upstreams["vm-b"].requests
+    assert (refused.status, wrong.status, served.status) == (401, 401, 200)
+    named = [v for name, v in seen.headers if name == "tenant-id"]
+    assert named == ["org-a"]
+    callers = [v for name, v in seen.headers if name == "caller-service"]
+    assert callers == ["alpha"]
+    assert not [v for _, v in seen.headers if "key-of-a" in v or v == "forged"]
+
+
+async def test_a_key_needs_a_recent_proof_and_open_routes_do_not():
+    document = routed.document(services=("alpha", "beta"), keys=KEYS)
+    document["routes"]["r-alpha"]["public"] = True
+    async with _fleet(document) as fleet:
+        key = ("authorization", "Bearer key-of-a")
+        assert (await _get(fleet, key)).status == 200
+        await fleet.controls[0].close()
+        with trio.fail_after(8):
+            while (await _get(fleet, key)).status == 200:
+                await trio.sleep(0.1)
+        stale = await _get(fleet, key)
+        assert stale.status == 503
+        assert json.loads(stale.body)["code"] == "stale_configuration"
+        assert (await _get(fleet, host="alpha.example")).status == 200
+
+
+async def test_a_withdrawn_key_is_refused_once_the_change_is_in_force():
+    document = routed.document(services=("beta",), keys=KEYS)
+    async with _fleet(document) as fleet:
+        key = ("authorization", "Bearer key-of-a")
+        assert (await _get(fleet, key)).status == 200
+        changed = routed.document(
+            version="r2", services=("beta",), keys={"org-b": "key-of-b"}
+        )
+        assert (await fleet.configure(changed, match="r1")).status == 200
+        with trio.fail_after(2):
+            while (await _get(fleet, key)).status != 401:
+                await trio.sleep(0.05)
+
+
+async def test_long_bodies_stream_both_ways():
+    body = bytes(range(256)) * 8192
+
+    def echo(raw):
+        request_id = model.find_header(raw.headers, "request-id")
+        return model.Response(
+            status=200, headers=(("request-id", request_id),), body=raw.body
+        )
+
+    async with _fleet() as fleet:
+        fleet.upstreams["vm-b"].answer = echo
+        # The stand-in upstream takes bodies up to a megabyte.
+        sent = body[: 1 << 20]
+        for vm in ("vm-a", "vm-b"):
+            response = await routed.send(
+                fleet.callers[vm],
+                "POST",
+                "/x",
+                headers=(("request-id", "r1"),),
+                body=sent,
+                host="beta.example",
+            )
+            assert response.status == 200
+            assert response.body == sent
+
+
+async def test_a_caller_that_leaves_cancels_its_work():
+    async with _fleet() as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.delay = 5.0
+        with trio.move_on_after(0.5):
+            await _get(fleet)
+        with trio.fail_after(0.5):
+            while not upstream.cancelled:
+                await trio.sleep(0.01)
+
+
+async def test_the_timeout_of_the_route_ends_the_request():
+    document = routed.document(services=("beta",), timeout="300ms")
+    async with _fleet(document) as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.delay = 5.0
+        began = clock.monotonic()
+        response = await _get(fleet)
+        assert response.status == 504
+        assert 0.25 < clock.monotonic() - began < 0.8
+        with trio.fail_after(0.5):
+            while not upstream.cancelled:
+                await trio.sleep(0.01)
+
+
+async def test_an_upstream_that_did_not_run_it_is_tried_elsewhere():
+    services = {"vm-a": "alpha", "vm-b": "beta", "vm-c": "beta"}
+    async with _fleet(services=services) as fleet:
+        fleet.upstreams["vm-b"].answer = lambda raw: model.Response(
+            status=503, headers=(("not-executed", "1"),), body=b""
+        )
+        ends = [(await _get(fleet)).status for _ in range(6)]
+        assert set(ends) == {200}
+
+
+async def test_a_refusal_of_every_upstream_says_when_to_come_back():
+    async with _fleet() as fleet:
+        fleet.upstreams["vm-b"].answer = lambda raw: model.Response(
+            status=503, headers=(("not-executed", "1"),), body=b""
+        )
+        response = await _get(fleet)
+        assert response.status == 503
+        assert float(model.find_header(response.headers, "retry-after")) > 0
+        assert json.loads(response.body)["run"] == "not-run"
+
+
+async def test_a_request_that_may_have_run_is_not_sent_again():
+    document = routed.document(
+        services=("beta",), route_type="non_idempotent", max_attempts=3
+    )
+    services = {"vm-a": "alpha", "vm-b": "beta", "vm-c": "beta"}
+    async with _fleet(document, services=services) as fleet:
+
+        def broken(raw):
+            # The stand-in's server ends the connection without an answer.
+            raise trio.BrokenResourceError
+
+        for vm in ("vm-b", "vm-c"):
+            fleet.upstreams[vm].answer = broken
+        response = await _get(fleet)
+        seen = [len(fleet.upstreams[vm].requests) for vm in ("vm-b", "vm-c")]
+        assert response.status == 502
+        assert sum(seen) == 1
+
+
+async def test_a_draining_upstream_gets_nothing_more():
+    services = {"vm-a": "alpha", "vm-b": "beta", "vm-c": "beta"}
+    async with _fleet(services=services) as fleet:
+        leaving = fleet.upstreams["vm-b"]
+        leaving.state = "draining"
+        assert await leaving.announce() == 200
+        before = len(leaving.requests)
+        ends = [(await _get(fleet)).status for _ in range(8)]
+        assert set(ends) == {200}
+        assert len(leaving.requests) == before
+
+
+async def test_late_heartbeats_and_odd_ones_change_nothing():
+    async with _fleet() as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        assert await upstream.announce(info="text") == 400
+        assert await upstream.announce(address="10.0.0.1:1") == 400
+        late = upstream.heartbeat()
+        upstream.state = "draining"
+        assert await upstream.announce() == 200
+        await routed.send(
+            upstream.announce_to,
+            "PUT",
+            f"/-/instances/{upstream.incarnation}",
+            body=late,
+        )
+        response = await _get(fleet)
+        assert response.status == 503
+
+
+async def test_a_worker_that_left_is_not_brought_back_by_a_late_heartbeat():
+    async with _fleet() as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        late = upstream.heartbeat()
+        await upstream.leave()
+        await routed.send(
+            upstream.announce_to,
+            "PUT",
+            f"/-/instances/{upstream.incarnation}",
+            body=late,
+        )
+        assert (await _get(fleet)).status == 503
+
+
+async def test_a_stop_finishes_what_is_in_progress():
+    async with _fleet() as fleet:
+        fleet.upstreams["vm-b"].delay = 1.0
+        ends = []
+
+        async def one(vm):
+            ends.append((await _get(fleet, vm=vm)).status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one, "vm-a")
+            nursery.start_soon(one, "vm-b")
+            await trio.sleep(0.3)
+            nursery.start_soon(fleet.nodes["vm-b"].close)
+            await trio.sleep(0.3)
+            ready = await routed.send(
+                fleet.readiness["vm-b"], "GET", "/-/readiness"
+            )
+            assert ready.status == 503
+        assert ends == [200, 200]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"GET http://beta.example/ HTTP/1.1\r\nHost: beta.example\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: beta.example\r\nContent-Length: 1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: beta.example\r\nRequest-Deadline: x\r\n\r\n",
+        b"\x16\x03\x01\x02\x00 not http at all\r\n\r\n",
+    ],
+)
+async def test_bad_input_is_400_and_reaches_no_upstream(head):
+    async with _fleet() as fleet:
+        answer = await loopback.talk(fleet.callers["vm-a"], head)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert not fleet.upstreams["vm-b"].requests
+
+
+async def test_a_head_over_the_limit_is_431():
+    document = routed.document(services=("beta",))
+    document["limits"]["max_header_bytes"] = 1000
+    async with _fleet(document) as fleet:
+        head = b"GET / HTTP/1.1\r\nHost: beta.example\r\nX: %b\r\n\r\n"
+        answer = await loopback.talk(
+            fleet.callers["vm-a"], head % (b"y" * 2000)
+        )
+        assert answer.startswith(b"HTTP/1.1 431 ")
+
+
+async def test_a_body_over_the_limit_is_413():
+    document = routed.document(services=("beta",))
+    document["limits"]["max_body_bytes"] = 1000
+    async with _fleet(document) as fleet:
+        answer = await loopback.talk(
+            fleet.callers["vm-a"],
+            b"POST / HTTP/1.1\r\nHost: beta.example\r\n"
+            b"Content-Length: 1001\r\n\r\n",
+        )
+        assert answer.startswith(b"HTTP/1.1 413 ")
