--- a/src/sassafrashall/clock.py
+++ b/src/sassafrashall/clock.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 
-
-def monotonic() -> float:
-    """Returns monotonic seconds that go on while the VM is suspended.
-
-    Leases and deadlines must lapse during a suspension too.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+# Returns monotonic seconds that go on while the VM is suspended: leases and
+# deadlines must lapse during a suspension too.
+monotonic = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -210,7 +210,7 @@
         self._dispatch(now)
 
     def _dispatch(self, now: float) -> None:
-        if self._limit is None:
+        if self._limit is None or not self._queue.items:
             return
         self._drop_expired(now)
         limit = limits.current(self._limit_law, self._limit, now)
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -174,7 +174,7 @@
         return load / routing.LOAD_SCALE
 
     def _health_of(self, vm: str) -> routing.Health:
-        return self._health.get(vm, routing.Health())
+        return self._health.get(vm, routing.HEALTHY)
 
     def _on_ended(self, message: messages.AttemptEnded, now: float) -> None:
         self._in_flight[message.vm] -= 1
@@ -194,7 +194,9 @@
                 after = routing.on_answer(
                     before,
                     message.verdict is messages.Verdict.ERROR,
-                    self._peers(message),
+                    self._peers(message)
+                    if message.verdict is messages.Verdict.ERROR
+                    else (),
                     now,
                 )
         if after.ejections > before.ejections:
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -86,6 +86,9 @@
     probing: bool = False
 
 
+HEALTHY = Health()
+
+
 def usable(health: Health, now: float) -> bool:
     """Returns whether requests may go there; one at a time after ejection."""
     if health.ejected_until > now:
--- a/src/sassafrashall/filters/chain.py
+++ b/src/sassafrashall/filters/chain.py
@@ -42,6 +42,7 @@
         self._name = name
         self._filters = filters
         self._metrics = counters
+        self._answers = counters.handle("answers", chain=name)
 
     async def run(self, call: model.Call) -> model.Outcome:
         """Returns how the call ends."""
@@ -82,7 +83,7 @@
     def _count(self, outcome: model.Outcome) -> None:
         match outcome:
             case model.Answer():
-                self._metrics.count("answers", chain=self._name)
+                self._answers.increment()
             case model.Refuse(code=code, run=run):
                 self._metrics.count(
                     "refusals", chain=self._name, code=code, run=run
--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -95,6 +95,19 @@
         return self._value
 
 
+class _Nobody(Reply):
+    """Stands for the asker of a message that needs no answer."""
+
+    def put(self, value: Any) -> None:
+        """Drops the answer."""
+
+    def fail(self, error: BaseException) -> None:
+        """Drops the error."""
+
+
+NOBODY = _Nobody()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Envelope:
     """A message with the place for its answer, if one is wanted."""
--- a/src/sassafrashall/metrics.py
+++ b/src/sassafrashall/metrics.py
@@ -3,10 +3,25 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import TypeAlias
 
 import aioprometheus
 from aioprometheus import renderer
 
+_Key: TypeAlias = tuple[str, tuple[tuple[str, str], ...]]
+
+
+class Count:
+    """One counter with its labels, resolved once."""
+
+    def __init__(self, *, totals: dict[_Key, float], key: _Key) -> None:
+        self._totals = totals
+        self._key = key
+
+    def increment(self) -> None:
+        """Adds one."""
+        self._totals[self._key] = self._totals.get(self._key, 0) + 1
+
 
 class Metrics:
     """The registry of one process."""
@@ -16,7 +31,13 @@
         self._labels = {"vm": process, "data_centre": data_centre}
         self._counters: dict[str, aioprometheus.Counter] = {}
         self._gauges: dict[str, aioprometheus.Gauge] = {}
-        self._totals: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
+        self._totals: dict[_Key, float] = {}
+
+    def handle(self, name: str, **labels: str) -> Count:
+        """Returns a counter for what is counted with every request."""
+        return Count(
+            totals=self._totals, key=(name, tuple(sorted(labels.items())))
+        )
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds `amount` to the counter `name`."""
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -26,6 +26,7 @@
 from sassafrashall.controllers import routing
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.decisions import quota as quota_decisions
+from sassafrashall.decisions import shedding
 from sassafrashall.filters import chain
 from sassafrashall.filters import deadline
 from sassafrashall.filters import document_key
@@ -186,12 +187,7 @@
                 deadline.DeadlineFilter(
                     default_timeout_ms=settings.default_timeout_ms
                 ),
-                early_shed.EarlyShedFilter(
-                    law=settings.policy.shed_law(),
-                    routing=self._routing.mailbox,
-                    levels=self._routing.service_levels,
-                    counters=self._metrics,
-                ),
+                *self._early_shed(),
                 quota.QuotaFilter(quota=self._quota.mailbox),
                 forward.ForwardFilter(
                     node=settings.vm,
@@ -203,6 +199,19 @@
             ),
         )
 
+    def _early_shed(self) -> tuple[chain.Filter, ...]:
+        law = self._settings.policy.shed_law()
+        if isinstance(law, shedding.NoEarlyShed):
+            return ()
+        return (
+            early_shed.EarlyShedFilter(
+                law=law,
+                routing=self._routing.mailbox,
+                levels=self._routing.service_levels,
+                counters=self._metrics,
+            ),
+        )
+
     def _build_listeners(self) -> None:
         listen = self._settings.listen
         assert listen.callers and listen.peers and self._routed.upstream
--- a/src/sassafrashall/task.py
+++ b/src/sassafrashall/task.py
@@ -58,7 +58,7 @@
         await trio.sleep_forever()
 
     def _on_envelope(self, envelope: mailbox_module.Envelope) -> None:
-        reply = envelope.reply or mailbox_module.Reply()
+        reply = envelope.reply or mailbox_module.NOBODY
         if not reply.abandoned:
             self._handle(envelope.message, reply)
 
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -18,6 +18,7 @@
 
 _REASONS = {status.value: status.phrase for status in http_status.HTTPStatus}
 _WITHOUT_BODY = (204, 304)
+NAMES_KEPT = 256  # header names that are decoded only once
 LENGTH_DIGITS = 15  # of a Content-Length that can be meant
 
 
@@ -69,6 +70,17 @@
 Event: TypeAlias = RequestHead | ResponseHead | BodyPart | MessageEnd
 
 
+_names: dict[bytes, str] = {}
+
+
+def _name_of(name: bytes) -> str:
+    """Returns a header name in lower case; callers send the same few."""
+    decoded = name.lower().decode("latin-1")
+    if len(_names) < NAMES_KEPT:
+        _names[name] = decoded
+    return decoded
+
+
 class _Parser:
     """What requests and responses have in common."""
 
@@ -76,7 +88,6 @@
         self._head_limit = head_limit
         self._events: collections.deque[Event] = collections.deque()
         self._headers: list[tuple[str, str]] = []
-        self._header_size = 0
         self._length = ""
         self._encoding = ""
         self._head_size = 0
@@ -112,15 +123,14 @@
     def on_message_begin(self) -> None:
         """A message begins."""
         self._headers = []
-        self._header_size = 0
         self._length = self._encoding = ""
         self._in_head = True
         self._begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header is whole."""
-        self._header_size += len(name) + len(value)
-        named, told = name.lower().decode("latin-1"), value.decode("latin-1")
+        named = _names.get(name) or _name_of(name)
+        told = value.decode("latin-1")
         if named == "content-length":
             self._length = told
         elif named == "transfer-encoding":
@@ -177,7 +187,10 @@
         )
 
     def _fault_of_head(self, target: int) -> exceptions.ProtocolError | None:
-        if target + self._header_size > self._head_limit:
+        # What was fed so far holds the head, and perhaps more.
+        if self._head_size > self._head_limit and self._head_limit < (
+            target + sum(len(n) + len(v) for n, v in self._headers)
+        ):
             return exceptions.ProtocolError(
                 exceptions.HEAD_TOO_LARGE,
                 f"head exceeds {self._head_limit} bytes",
@@ -266,7 +279,8 @@
 ) -> bytes:
     """Returns the head of a request; `length` None means chunks."""
     lines = [f"{method} {target} HTTP/1.1\r\n"]
-    lines.extend(f"{name}: {value}\r\n" for name, value in headers)
+    for name, value in headers:
+        lines.append(f"{name}: {value}\r\n")
     if length is None:
         lines.append("transfer-encoding: chunked\r\n")
     elif length or method in ("POST", "PUT", "PATCH"):
@@ -280,7 +294,9 @@
 ) -> bytes:
     """Returns the head of a response; `length` None means chunks."""
     lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Status')}\r\n"]
-    lines.extend(f"{name}: {value}\r\n" for name, value in headers)
+    for name, value in headers:
+        if name != "content-length":
+            lines.append(f"{name}: {value}\r\n")
     if status not in _WITHOUT_BODY:
         if length is None:
             lines.append("transfer-encoding: chunked\r\n")
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -16,6 +16,9 @@
 from sassafrashall.transport import peer_connection
 from sassafrashall.transport import sockets
 
+# Seconds between looks for calls whose time is up; a timer for each call would
+# cost more than it is worth.
+EXPIRY_INTERVAL = 0.03
 PROCEED_TIMEOUT = 1.0  # seconds that a slot is kept for a calling node
 
 Handler = Callable[[model.Request], Awaitable[model.Outcome]]
@@ -25,7 +28,8 @@
 class _ServedCall:
     """One call of a connection, handled in a task of its own."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, deadline: float) -> None:
+        self.deadline = deadline
         self.scope = trio.CancelScope()
         self.proceed = trio.Event()
         self.body: peer_connection.IncomingBody | None = None
@@ -54,6 +58,16 @@
         """Whether a call is in progress."""
         return bool(self._calls)
 
+    def expire(self, now: float) -> None:
+        """Cancels the calls whose time is up.
+
+        The calling node ends them at the same time by its own clock, so
+        nothing is sent to it.
+        """
+        for call in self._calls.values():
+            if call.deadline <= now:
+                call.scope.cancel()
+
     async def serve(self) -> None:
         """Runs until the connection ends; its calls end with it."""
         async with trio.open_nursery() as self._nursery:
@@ -65,7 +79,9 @@
             case frames.Hello(vm=vm, proof=given):
                 self._known = hmac.compare_digest(given, self._prove(vm))
             case frames.OpenCall() if self._known:
-                call = _ServedCall()
+                call = _ServedCall(
+                    deadline=clock.monotonic() + frame.remaining_ms / 1000
+                )
                 self._calls[frame.call] = call
                 if frame.more:
                     call.body = peer_connection.IncomingBody(
@@ -93,9 +109,6 @@
                 )
 
     async def _run(self, frame: frames.OpenCall, call: _ServedCall) -> None:
-        # The calling node ends the request at the same time by its own clock,
-        # so nothing is sent to it then.
-        call.scope.deadline = trio.current_time() + frame.remaining_ms / 1000
         try:
             with call.scope:
                 await self._answer(frame, call)
@@ -235,6 +248,14 @@
         )
         for listener in self._listeners:
             nursery.start_soon(self._accept, listener, nursery)
+        nursery.start_soon(self._expire_calls)
+
+    async def _expire_calls(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_INTERVAL)
+            now = clock.monotonic()
+            for serving in self._serving:
+                serving.expire(now)
 
     async def _accept(
         self, listener: trio.SocketListener, nursery: trio.Nursery
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -205,8 +205,7 @@
             length = int(told) if told is not None else None
             if head_only and length is None:
                 length = 0
-        kept = tuple(h for h in headers if h[0] != "content-length")
-        head = http1.encode_response(response.status, kept, length, closes)
+        head = http1.encode_response(response.status, headers, length, closes)
         if head_only or response.status in (204, 304):
             await self._stream.send(head)
             return True
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,5 +1,8 @@
+import dataclasses
+
 import pytest
 
+from sassafrashall.decisions import consensus
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import replication
 from tests import scripted
@@ -197,3 +200,36 @@
         leader.name, replication.ProposeMembership(membership=changed)
     )
     assert not leadership.can_change_membership(leader.state)
+
+
+def test_an_answer_that_waited_is_no_proof_of_the_lead():
+    """A leader that was frozen finds answers to questions of long ago."""
+    cluster = scripted.Cluster(seed=11)
+    cluster.run(3.0)
+    leader = cluster.leader()
+    state = leader.state
+    other = next(n for n in cluster.replicas if n != leader.name)
+    reply = replication.AppendReply(
+        sender=other,
+        receiver=leader.name,
+        term=state.term,
+        success=True,
+        match=state.commit,
+    )
+    asked_at, now = cluster.now, cluster.now + 30.0
+    for sent_at, fresh in ((asked_at, False), (now - 0.1, True)):
+        answered, _ = consensus.step(
+            state, replication.Received(message=reply, sent_at=sent_at), now
+        )
+        ticked, _ = consensus.step(answered, replication.Tick(jitter=0.5), now)
+        proved = consensus.proved_at(ticked, now)
+        assert (proved >= now - 0.5) is fresh
+
+
+def test_a_new_leader_proves_nothing_before_an_entry_of_its_own():
+    cluster = scripted.Cluster(seed=12)
+    cluster.run(3.0)
+    state = cluster.leader().state
+    assert consensus.proved_at(state, cluster.now) > 0
+    fresh = dataclasses.replace(state, term=state.term + 1)
+    assert consensus.proved_at(fresh, cluster.now) == float("-inf")
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -155,3 +155,9 @@
             rate, burst = model.random.choice([(100, 20), (10, 5), (50, 12)])
             model.change_rate(rate, burst)
     quota_model.check_bound(model.admitted, 100, 20)
+
+
+def test_a_tolerance_widens_what_owners_share_out():
+    assert quota.EXACT.widen(10.0, 7) == (10.0, 7)
+    wider = quota.Tolerance(part=0.1, tokens=20)
+    assert wider.widen(10.0, 30) == (11.0, 53)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -76,3 +76,40 @@
         response=model.Response(status=503, headers=(), body=b"")
     )
     assert retries.failure_of(answer).run is model.RunState.UNKNOWN
+
+
+def _refusal(code, run=model.RunState.NOT_RUN):
+    return model.Refuse(code=code, detail="", run=run)
+
+
+def _may_repeat(refusal, *, attempts=1, tokens=0.0, left=1):
+    call = model.Call(
+        request=None, root_id="r", idempotent=True, deadline=9.0, retries=left
+    )
+    return retries.should_retry(
+        retries.ArrivalRetries(),
+        call,
+        refusal,
+        attempts,
+        retries.RatioState(tokens=tokens),
+        1.0,
+    )
+
+
+def test_a_refusal_in_front_of_an_upstream_costs_no_token():
+    refusal = _refusal(exceptions.SHED)
+    assert retries.is_free(retries.ArrivalRetries(), refusal)
+    assert _may_repeat(refusal, attempts=3, left=0)
+    assert not _may_repeat(refusal, attempts=4)
+
+
+def test_what_reached_an_upstream_draws_from_the_ratio():
+    for code, run in (
+        (exceptions.UPSTREAM_REFUSED, model.RunState.NOT_RUN),
+        (exceptions.UPSTREAM_FAILED, model.RunState.UNKNOWN),
+    ):
+        refusal = _refusal(code, run)
+        assert not retries.is_free(retries.ArrivalRetries(), refusal)
+        assert _may_repeat(refusal, tokens=1.0)
+        assert not _may_repeat(refusal, tokens=0.9)
+        assert not _may_repeat(refusal, tokens=1.0, left=0)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -85,3 +85,42 @@
         return max(loads) - min(loads)
 
     assert spread(routing.TwoChoices()) < spread(routing.RandomChoice())
+
+
+def _place(vm, centre, load=0.0, is_own=False, in_flight=0):
+    return routing.Candidate(
+        vm=vm,
+        data_centre=centre,
+        slots=10,
+        load=load,
+        is_own=is_own,
+        in_flight=in_flight,
+    )
+
+
+def _least_loaded(*candidates, draw=0.0):
+    chosen = routing.choose(
+        routing.LeastLoaded(), candidates, "a", (draw, 0.0), 0.0
+    )
+    return chosen.vm
+
+
+def test_least_loaded_prefers_the_own_vm_then_the_own_data_centre():
+    far = _place("far", "b")
+    near = _place("near", "a", load=0.3)
+    own = _place("own", "a", load=0.5, is_own=True)
+    assert _least_loaded(far, near, own) == "own"
+    busy = _place("own", "a", load=0.7, is_own=True)
+    assert _least_loaded(far, near, busy) == "near"
+
+
+def test_least_loaded_crosses_only_where_it_is_worth_it():
+    near = _place("near", "a", load=0.95)
+    assert _least_loaded(near, _place("far", "b", load=0.5)) == "far"
+    assert _least_loaded(near, _place("far", "b", load=0.9)) == "near"
+
+
+def test_least_loaded_counts_what_it_sent_before_answers_tell():
+    first = _place("first", "a", in_flight=5)
+    second = _place("second", "a", in_flight=1)
+    assert _least_loaded(first, second) == "second"
