Take wiped and new controls in without an operator, one at a time

A control with an empty folder joins as a learner under a new replica id and takes the place of the voter at its address, or of a voter that is silent for 2.5 s, once it has synced all that is committed. A replica that was replaced while it was cut off asks the others and joins again. A folder that was empty at a later start founds nothing. The log is compacted by size too.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -128,6 +128,7 @@
             retries="arrivals",
             early_shed="none",
         )
+        self.nursery = None
         self.operators = []
         self.callers = {}
         self.readiness = {}
@@ -136,31 +137,42 @@
         self.upstreams = {}
         # All at once, so that none is handed out twice.
         free = fleet.free_addresses(3 * controls + 6 * len(services))
-        rpcs, free = free[:controls], free[controls:]
-        for place, rpc in enumerate(rpcs):
+        self._rpcs, free = free[:controls], free[controls:]
+        self._control_pages = []
+        for place in range(controls):
             operators, ops, *free = free
             self.operators.append(operators)
-            self.controls.append(
-                control.Control(
-                    settings=self._daemon(
-                        role=settings.Role.CONTROL,
-                        vm=f"control-{place}",
-                        listen=settings.Listen(
-                            ops=ops, rpc=rpc, operators=operators
-                        ),
-                        seeds=rpcs,
-                        data_folder=self._folders.enter_context(
-                            tempfile.TemporaryDirectory()
-                        ),
-                        routed=settings.Routed(),
-                    )
-                )
-            )
+            self._control_pages.append(ops)
+            self.controls.append(self._control(place, first_start=True))
         for vm, service in services.items():
-            self._add_node(vm, service, rpcs, free[:6])
+            self._add_node(vm, service, free[:6])
             free = free[6:]
 
-    def _add_node(self, vm, service, rpcs, addresses):
+    def _control(self, place, *, first_start):
+        """Returns a control with an empty folder."""
+        return control.Control(
+            settings=self._daemon(
+                role=settings.Role.CONTROL,
+                vm=f"control-{place}",
+                listen=settings.Listen(
+                    ops=self._control_pages[place],
+                    rpc=self._rpcs[place],
+                    operators=self.operators[place],
+                ),
+                data_folder=self._folders.enter_context(
+                    tempfile.TemporaryDirectory()
+                ),
+                routed=settings.Routed(first_start=first_start),
+            )
+        )
+
+    async def wipe_control(self, place, nursery):
+        """Stops a control and starts it with an empty folder."""
+        await self.controls[place].close()
+        self.controls[place] = self._control(place, first_start=False)
+        await self.controls[place].start(nursery)
+
+    def _add_node(self, vm, service, addresses):
         callers, peers, readiness, announcements, ops, upstream = addresses
         self.callers[vm] = callers
         self.readiness[vm] = readiness
@@ -178,7 +190,6 @@
                     readiness=readiness,
                     announcements=announcements,
                 ),
-                seeds=rpcs,
                 routed=settings.Routed(
                     service=service,
                     upstream=upstream,
@@ -187,15 +198,15 @@
             )
         )
 
-    def _daemon(self, *, seeds, **fields):
+    def _daemon(self, **fields):
         return settings.Daemon(
             data_centre="dc-a",
             fleet_secret=SECRET,
             operator_secret=f"{SECRET}-operator",
-            seeds=tuple(seeds),
+            seeds=tuple(self._rpcs),
             controls=tuple(
                 settings.Control(vm=str(s), data_centre="", address=s)
-                for s in seeds
+                for s in self._rpcs
             ),
             policy=self.policy,
             **fields,
@@ -312,6 +323,7 @@
         async with trio.open_nursery() as nursery:
             await routed.start(nursery)
             await routed.configured(document_in_force)
+            routed.nursery = nursery
             yield routed
             nursery.cancel_scope.cancel()
     finally:
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -52,12 +52,14 @@
             folder=settings.data_folder,
             secret=settings.fleet_secret,
             claim_retention=settings.claim_retention_s,
+            replaces_lost=settings.routed is not None,
             event_log=self._events,
             counters=self._metrics,
         )
         self._founding = founding.Founding(
             address=str(settings.listen.rpc),
             founders=tuple(str(c.address) for c in settings.controls),
+            may_found=settings.routed is None or settings.routed.first_start,
             secret=settings.fleet_secret,
             replica=self._replica.mailbox,
             event_log=self._events,
@@ -162,6 +164,10 @@
         result = await self._replica.mailbox.ask(submit)
         return protocol.CommandResult(result=codec.encode(result))
 
+    async def status(self) -> protocol.StatusReply:
+        """Returns the fleet as this control sees it."""
+        return await self._status(protocol.StatusQuery())
+
     async def _status(
         self, message: protocol.StatusQuery
     ) -> protocol.StatusReply:
@@ -175,6 +181,7 @@
             member=status.member,
             founded=status.founded,
             membership=status.membership,
+            majority_age=status.majority_age,
         )
 
     def _refresh_metrics(self) -> None:
--- a/src/sassafrashall/controllers/founding.py
+++ b/src/sassafrashall/controllers/founding.py
@@ -17,6 +17,7 @@
 
 FOUNDING_INTERVAL = 0.3  # seconds
 JOIN_INTERVAL = 1.0  # seconds
+LOST_CONTACT = 2.0  # seconds without a majority until the others are asked
 CALL_TIMEOUT = 0.5  # seconds
 
 
@@ -28,12 +29,14 @@
         *,
         address: str,
         founders: tuple[str, ...],
+        may_found: bool,
         secret: str,
         replica: mailbox.Mailbox,
         event_log: events.EventLog,
     ) -> None:
         super().__init__()
         self._founders = founders
+        self._may_found = may_found
         self._replica = replica
         self._others = tuple(f for f in founders if f != address)
         self._clients = rpc.ClientPool(
@@ -49,29 +52,52 @@
     async def _work(self) -> None:
         while True:
             status = await self._replica.ask(messages.ReadReplica())
-            known = {m.replica_id for m in status.membership.everyone()}
-            if status.member.replica_id in known:
-                return
-            if status.founded:
-                await self._ask_all(protocol.JoinRequest(member=status.member))
-                await trio.sleep(JOIN_INTERVAL)
+            if not status.founded:
+                await self._try_to_found(status)
+                await trio.sleep(FOUNDING_INTERVAL)
                 continue
-            answers = await self._ask_all(protocol.FoundingQuery())
-            membership = founding.decide(
-                status.member,
-                self._founders,
-                tuple(
-                    founding.Answer(
-                        member=answer.member,
-                        founded=answer.founded,
-                        membership=answer.membership,
-                    )
-                    for answer in answers
-                ),
-            )
-            if membership is not None:
-                self._replica.tell(messages.Found(membership=membership))
-            await trio.sleep(FOUNDING_INTERVAL)
+            if await self._is_outside(status):
+                await self._ask_all(protocol.JoinRequest(member=status.member))
+            await trio.sleep(JOIN_INTERVAL)
+
+    async def _try_to_found(self, status: messages.ReplicaStatus) -> None:
+        answers = await self._ask_all(protocol.FoundingQuery())
+        membership = founding.decide(
+            status.member,
+            self._founders,
+            tuple(
+                founding.Answer(
+                    member=answer.member,
+                    founded=answer.founded,
+                    membership=answer.membership,
+                )
+                for answer in answers
+            ),
+            may_found=self._may_found,
+        )
+        if membership is not None:
+            self._replica.tell(messages.Found(membership=membership))
+
+    async def _is_outside(self, status: messages.ReplicaStatus) -> bool:
+        """Returns whether this replica is no member, or none any more.
+
+        One that was replaced while it was cut off does not hear of it; it
+        asks the others once it has no contact to a majority.
+        """
+        own_id = status.member.replica_id
+        members = status.membership.everyone()
+        if own_id not in {member.replica_id for member in members}:
+            return True
+        if status.majority_age < LOST_CONTACT:
+            return False
+        answers = await self._ask_all(protocol.FoundingQuery())
+        return any(
+            answer.majority_age < LOST_CONTACT
+            and answer.membership.voters
+            and own_id
+            not in {m.replica_id for m in answer.membership.everyone()}
+            for answer in answers
+        )
 
     async def _ask_all(self, message: Any) -> list[Any]:
         answers: list[Any] = []
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -20,6 +20,7 @@
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import leadership
+from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
 from sassafrashall.storage import log_store
 from sassafrashall.transport import codec
@@ -27,8 +28,11 @@
 from sassafrashall.transport import snapshots
 
 SUBMIT_TIMEOUT = 3.0  # seconds
+JOIN_TIMEOUT = 0.5  # seconds to pass a join request on to the leader
+REPLACE_INTERVAL = 0.3  # seconds between looks for a lost voter
 LEADER_WAIT = 0.1  # seconds between looks for a leader
 COMPACT_AFTER = 2000  # applied entries
+COMPACT_SIZE = 4 * 1024 * 1024  # bytes of applied commands
 BATCH_LIMIT = 256  # messages handled with one sync
 
 _SAVING = (replication.SaveVote, replication.Append, replication.SaveSnapshot)
@@ -69,6 +73,7 @@
         folder: str,
         secret: str,
         claim_retention: float,
+        replaces_lost: bool,
         event_log: events.EventLog,
         counters: metrics.Metrics,
     ) -> None:
@@ -77,6 +82,9 @@
         self._data_centre = data_centre
         self._address = address
         self._claim_retention = claim_retention
+        self._replaces_lost = replaces_lost
+        self._replace_check_at = 0.0
+        self._led_since = 0.0
         self._events = event_log
         self._metrics = counters
         self._store = log_store.LogStore(folder=folder)
@@ -91,6 +99,7 @@
         self._replay_index = 0
         self._replayed_revision = 0
         self._snapshotting = False
+        self._applied_size = 0
         self._view = mailbox.Published[messages.FleetView](
             initial=messages.FleetView()
         )
@@ -165,8 +174,34 @@
         actions.extend(
             self._step(replication.Tick(jitter=self._random.random()))
         )
+        actions.extend(self._replace_lost_voter())
         await self._perform(actions, replies)
 
+    def _replace_lost_voter(self) -> tuple[replication.Action, ...]:
+        """Puts a learner in the place of a voter that is lost."""
+        now = clock.monotonic()
+        if (
+            not self._replaces_lost
+            or self._state.role is not replication.Role.LEADER
+            or now < self._replace_check_at
+        ):
+            return ()
+        self._replace_check_at = now + REPLACE_INTERVAL
+        due = replacements.due(self._state, self._led_since, now)
+        if due is None:
+            return ()
+        old_id, new_id = due
+        changed = replication.replacement(
+            self._state.membership, old_id, new_id
+        )
+        if changed is None:
+            return ()
+        self._events.record("replica.replaced", detail=f"{old_id} {new_id}")
+        logs.get().info(
+            "replaces a lost control", extra={"old": old_id, "new": new_id}
+        )
+        return self._step(replication.ProposeMembership(membership=changed))
+
     def _event_of(
         self,
         message: Any,
@@ -196,6 +231,9 @@
                 return self._replace(message, reply)
             case protocol.JoinRequest(member=member):
                 reply.put(protocol.Ack())
+                if self._state.role is not replication.Role.LEADER:
+                    self._spawn(self._pass_join_on, message)
+                    return None
                 return self._add_learner(member)
             case messages.ReadReplica():
                 reply.put(self._status())
@@ -315,6 +353,7 @@
 
     def _apply(self, entries: tuple[replication.Entry, ...]) -> None:
         for entry in entries:
+            self._applied_size += len(entry.command)
             result: Any = fleet_state.Accepted(revision=self._fleet.revision)
             if entry.command:
                 self._fleet, result = fleet_state.apply(
@@ -330,8 +369,10 @@
                 self._replayed_revision = self._fleet.revision
         self._publish()
         behind = self._state.commit - self._state.snapshot.index
-        if behind >= COMPACT_AFTER and not self._snapshotting:
+        full = behind >= COMPACT_AFTER or self._applied_size >= COMPACT_SIZE
+        if full and not self._snapshotting:
             self._snapshotting = True
+            self._applied_size = 0
             index = self._state.commit
             header = replication.Snapshot(
                 index=index,
@@ -367,7 +408,9 @@
     def _on_role(self, role: replication.Role, term: int) -> None:
         self._events.record(f"replica.{role}", detail=f"term {term}")
         logs.get().info("replica role", extra={"role": role, "term": term})
-        if role is not replication.Role.LEADER:
+        if role is replication.Role.LEADER:
+            self._led_since = clock.monotonic()
+        else:
             for pending in self._pending.values():
                 pending.reply.fail(
                     exceptions.RpcError("lost the lead; send it again")
@@ -416,6 +459,17 @@
         changed = replication.with_learner(membership, member)
         return replication.ProposeMembership(membership=changed)
 
+    async def _pass_join_on(self, message: protocol.JoinRequest) -> None:
+        leader = self._leader()
+        if leader is None or leader.replica_id == self._state.replica_id:
+            return
+        try:
+            await self._clients.get(leader.address).call(message, JOIN_TIMEOUT)
+        except exceptions.RpcError as error:
+            logs.get().info(
+                "join request not passed on", extra={"reason": str(error)}
+            )
+
     def _adopt(self, membership: replication.Membership) -> None:
         if self._founded:
             return
--- a/src/sassafrashall/decisions/founding.py
+++ b/src/sassafrashall/decisions/founding.py
@@ -24,6 +24,8 @@
     own: replication.Member,
     founders: tuple[str, ...],
     answers: tuple[Answer, ...],
+    *,
+    may_found: bool = True,
 ) -> replication.Membership | None:
     """Returns the membership to begin with, or None while it is not certain.
 
@@ -41,6 +43,9 @@
             return answer.membership
     if founded:
         return replication.Membership()
+    if not may_found:
+        # The fleet was founded before; our folder was lost since.
+        return None
     others = {answer.member.address for answer in answers}
     if own.address != min(founders) or others != (
         set(founders) - {own.address}
--- a/src/sassafrashall/decisions/replication.py
+++ b/src/sassafrashall/decisions/replication.py
@@ -369,5 +369,9 @@
 
 def with_learner(membership: Membership, member: Member) -> Membership:
     """Returns the membership with a new learner; older ones of its VM go."""
-    learners = tuple(m for m in membership.learners if m.vm != member.vm)
+    learners = tuple(
+        m
+        for m in membership.learners
+        if m.vm != member.vm and m.address != member.address
+    )
     return dataclasses.replace(membership, learners=(*learners, member))
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -232,11 +232,13 @@
 
     Attributes:
       membership: The membership it knows; empty if it was never founded.
+      majority_age: Seconds since it was in touch with a majority.
     """
 
     member: replication.Member
     founded: bool
     membership: replication.Membership
+    majority_age: float = 1e6
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/tests/test_replacements.py
@@ -0,0 +1,111 @@
+"""Controls that lose their folder come back without an operator."""
+
+import dataclasses
+
+from bench import routed
+import trio
+
+from sassafrashall.decisions import replacements
+from sassafrashall.decisions import replication
+
+
+def _member(replica_id, address):
+    return replication.Member(
+        replica_id=replica_id, vm=address, data_centre="d", address=address
+    )
+
+
+A, B, C = (_member(name, f"at-{name}") for name in "abc")
+
+
+def _leader(learner, *, heard, match=5, joint=False):
+    peers = tuple(
+        (name, replication.Peer(next_index=6, match=match, heard_at=at))
+        for name, at in heard.items()
+    )
+    return replication.State(
+        replica_id="a",
+        term=1,
+        role=replication.Role.LEADER,
+        entries=tuple(replication.Entry(index=n, term=1) for n in range(1, 6)),
+        commit=5,
+        membership=replication.Membership(
+            voters=(A, B, C),
+            outgoing=(A, B, C) if joint else (),
+            learners=(learner,),
+        ),
+        peers=peers,
+    )
+
+
+def _due(state):
+    return replacements.due(state, 0.0, 100.0)
+
+
+def test_an_empty_folder_takes_the_place_of_the_voter_at_its_address():
+    new = _member("new", C.address)
+    state = _leader(new, heard={"b": 100.0, "c": 100.0, "new": 100.0})
+    assert _due(state) == ("c", "new")
+
+
+def test_a_new_vm_takes_the_place_of_a_silent_voter_only():
+    new = _member("new", "at-new")
+    alive = {"b": 100.0, "c": 99.0, "new": 100.0}
+    assert _due(_leader(new, heard=alive)) is None
+    assert _due(_leader(new, heard=alive | {"c": 97.0})) == ("c", "new")
+
+
+def test_nobody_is_replaced_before_the_learner_has_everything():
+    new = _member("new", C.address)
+    heard = {"b": 100.0, "c": 90.0, "new": 100.0}
+    assert _due(_leader(new, heard=heard, match=4)) is None
+    assert _due(_leader(new, heard=heard | {"new": 98.0})) is None
+
+
+def test_one_replacement_at_a_time():
+    new = _member("new", C.address)
+    heard = {"b": 100.0, "c": 90.0, "new": 100.0}
+    assert _due(_leader(new, heard=heard, joint=True)) is None
+
+
+def test_a_new_leader_waits_for_the_first_answers():
+    new = _member("new", "at-new")
+    state = _leader(new, heard={"b": -1.0, "c": -1.0, "new": 100.0})
+    assert replacements.due(state, 99.0, 100.0) is None
+    assert replacements.due(dataclasses.replace(state), 90.0, 100.0)
+
+
+async def _voters(fleet, place):
+    status = await fleet.controls[place].status()
+    return {m.replica_id for m in status.membership.voters}
+
+
+async def _accepted(fleet, version, match):
+    document = routed.document(version=version, services=("alpha",))
+    with trio.fail_after(15):
+        while True:
+            for at in range(len(fleet.operators)):
+                try:
+                    answer = await fleet.configure(document, match=match, at=at)
+                except Exception:
+                    continue
+                if answer.status == 200:
+                    return
+            await trio.sleep(0.1)
+
+
+async def test_two_controls_lose_their_folders_one_after_the_other():
+    """What was acknowledged is there although no first folder is left."""
+    async with routed.running(
+        routed.document(), services={"vm-a": "alpha"}, controls=3
+    ) as fleet:
+        await _accepted(fleet, "r2", "r1")
+        for place, version in ((0, 3), (1, 4), (2, 5)):
+            before = await _voters(fleet, (place + 1) % 3)
+            await fleet.wipe_control(place, fleet.nursery)
+            with trio.fail_after(15):
+                while (await _voters(fleet, (place + 1) % 3)) == before:
+                    await trio.sleep(0.1)
+            await _accepted(fleet, f"r{version}", f"r{version - 1}")
+        read = await routed.send(fleet.operators[0], "GET", "/-/configuration")
+        assert b'"r5"' in read.body
