--- a/src/sassafrashall/cmdline.py
+++ b/src/sassafrashall/cmdline.py
@@ -13,6 +13,7 @@
 
 from sassafrashall import api
 from sassafrashall import exceptions
+from sassafrashall import explanations
 from sassafrashall import model
 from sassafrashall import reports
 from sassafrashall import settings as settings_module
@@ -93,9 +94,18 @@
     _add_organisation(nouns)
     _add_key(nouns)
     _add_others(nouns)
+    _add_explain(nouns)
     return parser
 
 
+def _add_explain(nouns: Any) -> None:
+    explain = nouns.add_parser(
+        "explain", help="the way of one request, from log files"
+    )
+    explain.add_argument("request_id", metavar="REQUEST-ID")
+    explain.add_argument("files", nargs="+", metavar="FILE")
+
+
 def _verbs(nouns: Any, noun: str, text: str) -> Any:
     parser = nouns.add_parser(noun, help=text)
     return parser.add_subparsers(dest="verb", required=True)
@@ -203,6 +213,15 @@
             )
         case ("settings", "check"):
             return _check_settings(options)
+        case ("explain", _):
+            explanation = explanations.explain(
+                options.request_id, options.files
+            )
+            return Output(
+                text=explanation.text(),
+                data=explanation,
+                status=EXIT_OK if explanation.lines else EXIT_FAILED,
+            )
     settings = settings_module.read(options.settings, settings_module.Tool)
     return trio.run(_run_with_fleet, options, settings)
 
--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -107,6 +107,7 @@
             frames.OpenCall(
                 call=number,
                 call_id=ticket.call_id,
+                root_id=ticket.root_id,
                 service=ticket.service,
                 organisation=ticket.organisation,
                 caller=request.caller,
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -9,6 +9,7 @@
 
 from sassafrashall import clock
 from sassafrashall import configuration
+from sassafrashall import decision_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -72,6 +73,7 @@
             process=settings.vm, data_centre=settings.data_centre
         )
         self._secret = settings.fleet_secret.encode()
+        self._decisions = decision_log.DecisionLog()
         self._leaving = False
         self._in_progress = 0
         self._build_controllers()
@@ -260,16 +262,52 @@
     async def _enter(self, request: model.Request) -> model.Outcome:
         self._in_progress += 1
         try:
-            return await self._entry_chain.run(
+            outcome = await self._entry_chain.run(
                 model.Call(request=request, root_id=request.request_id)
             )
+            self._log(request.request_id, "entry", request, outcome)
+            return outcome
         finally:
             self._in_progress -= 1
 
     async def _serve_peer(self, request: model.Request) -> model.Outcome:
-        return await self._worker_chain.run(
+        outcome = await self._worker_chain.run(
             model.Call(request=request, root_id="")
         )
+        assert request.ticket is not None
+        self._log(request.ticket.root_id, "worker", request, outcome)
+        return outcome
+
+    def _log(
+        self,
+        request_id: str,
+        step: str,
+        request: model.Request,
+        outcome: model.Outcome,
+    ) -> None:
+        """Notes how a request ended at this node."""
+        took_ms = 1000 * (clock.monotonic() - request.received_at)
+        match outcome:
+            case model.Answer(response=response):
+                record: decision_log.Record = decision_log.Served(
+                    request_id=request_id,
+                    step=step,
+                    status=response.status,
+                    took_ms=took_ms,
+                )
+            case model.Refuse():
+                table = self._membership.table.value
+                record = decision_log.Ended(
+                    request_id=request_id,
+                    step=step,
+                    code=outcome.code,
+                    detail=outcome.detail,
+                    run=outcome.run,
+                    took_ms=took_ms,
+                    configuration=table.document.version if table else 0,
+                    peer_load=outcome.load,
+                )
+        self._decisions.write(record)
 
     def _refresh_metrics(self) -> None:
         view = self._membership.view.value
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -38,6 +38,7 @@
     """Begins a call.
 
     Attributes:
+      root_id: The caller's name for the request, for logs.
       remaining_ms: Time left when it was sent.
       confirm: Whether the other node asks with `Offer` before it dispatches.
       more: Whether parts of the body follow.
@@ -45,6 +46,7 @@
 
     call: int
     call_id: str
+    root_id: str
     service: str
     organisation: str
     caller: str
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -186,7 +186,7 @@
         confirm=confirm,
         ticket=model.Ticket(
             organisation=frame.organisation,
-            root_id=frame.call_id,
+            root_id=frame.root_id,
             call_id=frame.call_id,
             node="",
             service=frame.service,
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -10,6 +10,7 @@
     frames.OpenCall(
         call=1,
         call_id="c",
+        root_id="r",
         service="s",
         organisation="o",
         caller="t",
