Earn retries before they are spent, weigh those that may have run, tell slow upstreams from their peers

Cause: a node began with 10 repeats for each service; 12 nodes could exceed the fleet's slack of 48 in one window. A repeat of what may have run counts at every service below, so it costs 2.5 tokens of 0.08 a request, one that did not run costs 1.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -59,6 +59,7 @@
         self._demand = shedding.Demand()
         self._ratios: dict[str, retries.RatioState] = {}
         self._loads: dict[str, tuple[int, float]] = {}
+        self._paces: dict[str, routing.Pace] = {}
         self._indexed: model.NodeView | None = None
         self._by_service: dict[str, list[model.NodeRecord]] = {}
 
@@ -94,7 +95,7 @@
             case messages.FirstTry(service=service):
                 key = retries.ratio_key(self._retry_law, service)
                 self._ratios[key] = retries.on_first_try(
-                    self._ratios.get(key, retries.RatioState()),
+                    self._ratio_of(key),
                     self._retry_law,
                 )
             case messages.Retry():
@@ -162,10 +163,23 @@
             slots=record.upstream.slots,
             in_flight=self._in_flight[record.vm],
             load=self._load_of(record.vm),
+            slowness=self._slowness_of(record),
             is_own=record.vm == self._vm,
             known_since=self._known_since[(record.vm, record.incarnation)],
         )
 
+    def _slowness_of(self, record: model.NodeRecord) -> float:
+        """Returns how many times slower than its peers an upstream is."""
+        own = self._paces.get(record.vm)
+        if own is None or record.upstream is None:
+            return 1.0
+        peers = tuple(
+            pace
+            for other in self._by_service.get(record.upstream.service, ())
+            if (pace := self._paces.get(other.vm)) is not None
+        )
+        return routing.slowness(own, peers, clock.monotonic())
+
     def _load_of(self, vm: str) -> float:
         """Returns the load that the last answers told, while it is fresh."""
         load, seen_at = self._loads.get(vm, (0, 0.0))
@@ -180,6 +194,10 @@
         self._in_flight[message.vm] -= 1
         if self._in_flight[message.vm] <= 0:
             del self._in_flight[message.vm]
+        if message.took >= 0:
+            self._paces[message.vm] = routing.observe_pace(
+                self._paces.get(message.vm), message.took, now
+            )
         if message.load >= 0:
             self._loads[message.vm] = (message.load, now)
         if message.level >= 0:
@@ -254,9 +272,13 @@
         if nested:
             self._nested_level.publish(min(nested, key=lambda seen: seen.level))
 
+    def _ratio_of(self, key: str) -> retries.RatioState:
+        held = self._ratios.get(key)
+        return held or retries.first_ratio(self._retry_law)
+
     def _may_retry(self, message: messages.Retry, now: float) -> bool:
         key = retries.ratio_key(self._retry_law, message.call.service)
-        ratio = self._ratios.get(key, retries.RatioState())
+        ratio = self._ratio_of(key)
         allowed = retries.should_retry(
             self._retry_law,
             message.call,
@@ -266,7 +288,8 @@
             now,
         )
         if allowed:
-            if not retries.is_free(self._retry_law, message.refusal):
-                self._ratios[key] = retries.on_retry(ratio)
+            self._ratios[key] = retries.on_retry(
+                ratio, retries.cost(self._retry_law, message.refusal)
+            )
             self._metrics.count("retries", service=message.call.service)
         return allowed
--- a/src/sassafrashall/decisions/retries.py
+++ b/src/sassafrashall/decisions/retries.py
@@ -60,12 +60,19 @@
     A refusal in front of an upstream costs it nothing, so another one is tried
     without a token, a few times.
 
+    A repeat of what may have run makes the calls of the first run again, so it
+    counts at every service below; it costs more than one of what did not run.
+
     Attributes:
-      ratio: Repeats for each first try of a service.
+      ratio: Tokens for each first try of a service.
+      burst: Tokens that a node holds at most; it begins with none.
+      repeat_cost: Tokens for a repeat of what may have run.
       refusals: Attempts that may be refused in front of an upstream.
     """
 
-    ratio: float = 0.04
+    ratio: float = 0.08
+    burst: float = 4.0
+    repeat_cost: float = 2.5
     refusals: int = 3
 
 
@@ -81,8 +88,26 @@
 
 def on_first_try(state: RatioState, law: Law | None = None) -> RatioState:
     """Earns a part of a retry."""
-    ratio = law.ratio if isinstance(law, ArrivalRetries) else RATIO
-    return RatioState(tokens=min(RATIO_BURST, state.tokens + ratio))
+    ratio, burst = RATIO, RATIO_BURST
+    if isinstance(law, ArrivalRetries):
+        ratio, burst = law.ratio, law.burst
+    return RatioState(tokens=min(burst, state.tokens + ratio))
+
+
+def first_ratio(law: Law) -> RatioState:
+    """Returns what a node that starts may spend."""
+    return RatioState(
+        tokens=0.0 if isinstance(law, ArrivalRetries) else RATIO_BURST
+    )
+
+
+def cost(law: Law, refusal: model.Refuse) -> float:
+    """Returns the tokens that a repeat after this refusal costs."""
+    if not isinstance(law, ArrivalRetries):
+        return 1.0
+    if in_front(refusal):
+        return 0.0
+    return 1.0 if refusal.run is model.RunState.NOT_RUN else law.repeat_cost
 
 
 def ratio_key(law: Law, service: str) -> str:
@@ -90,19 +115,14 @@
     return service if isinstance(law, ArrivalRetries) else ""
 
 
-def is_free(law: Law, refusal: model.Refuse) -> bool:
-    """Returns whether a repeat after this refusal needs no token."""
-    return isinstance(law, ArrivalRetries) and in_front(refusal)
-
-
 def in_front(refusal: model.Refuse) -> bool:
     """Returns whether a node refused in front of its upstream."""
     return refusal.run is model.RunState.NOT_RUN and refusal.code in _IN_FRONT
 
 
-def on_retry(state: RatioState) -> RatioState:
+def on_retry(state: RatioState, tokens: float = 1.0) -> RatioState:
     """Spends a retry."""
-    return RatioState(tokens=state.tokens - 1.0)
+    return RatioState(tokens=state.tokens - tokens)
 
 
 def handed_on(retries: int, *, is_root: bool) -> int:
@@ -169,6 +189,6 @@
         case BudgetRetries():
             return call.retries > 0 and ratio.tokens >= 1.0
         case ArrivalRetries(refusals=refusals):
-            if is_free(law, refusal):
+            if in_front(refusal):
                 return attempts <= refusals
-            return call.retries > 0 and ratio.tokens >= 1.0
+            return call.retries > 0 and ratio.tokens >= cost(law, refusal)
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -16,6 +16,11 @@
 RAMP_TIME = 3.0  # seconds until a new upstream gets its full part
 RAMP_START = 0.25
 LOAD_SCALE = 1000  # loads travel as whole numbers
+PACE_WEIGHT = 0.1  # weight of the latest answer
+PACE_TTL = 2.0  # seconds that answers tell how fast an upstream is
+PACE_FLOOR = 0.005  # seconds; shorter answers differ by chance
+SLOW = 2.5  # times its peers; upstreams of one service differ by up to two
+SLOW_LOAD = 0.3  # load that a slow upstream is taken to have at least
 LOAD_TTL = 1.0  # seconds that a load seen on an answer counts
 
 
@@ -57,6 +62,7 @@
       known_since: When this process first saw it ready.
       load: Part of its slots in use or waited for, as its node last told.
       is_own: Whether it is on the VM of this process.
+      slowness: How many times slower than its peers it answers.
     """
 
     vm: str
@@ -66,6 +72,7 @@
     known_since: float = 0.0
     load: float = 0.0
     is_own: bool = False
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -204,7 +211,42 @@
 
 
 def _known_load(candidate: Candidate) -> float:
-    return max(candidate.load, candidate.in_flight / max(1, candidate.slots))
+    load = max(candidate.load, candidate.in_flight / max(1, candidate.slots))
+    if candidate.slowness <= SLOW:
+        return load
+    return max(load, SLOW_LOAD) * candidate.slowness
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pace:
+    """How fast an upstream answered lately.
+
+    Attributes:
+      seconds: Smoothed time until an answer.
+    """
+
+    seconds: float
+    seen_at: float
+
+
+def observe_pace(pace: Pace | None, took: float, now: float) -> Pace:
+    """Takes the seconds that an answer took."""
+    if pace is None or now - pace.seen_at > PACE_TTL:
+        return Pace(seconds=took, seen_at=now)
+    seconds = pace.seconds + PACE_WEIGHT * (took - pace.seconds)
+    return Pace(seconds=seconds, seen_at=now)
+
+
+def slowness(own: Pace, peers: tuple[Pace, ...], now: float) -> float:
+    """Returns how many times slower than the median of its peers one is.
+
+    An upstream without a recent answer counts as fast, so that it is tried
+    again. Two can't tell which of them is slow, but the faster one is better.
+    """
+    recent = sorted(p.seconds for p in peers if now - p.seen_at <= PACE_TTL)
+    if now - own.seen_at > PACE_TTL or len(recent) < 2:
+        return 1.0
+    return own.seconds / max(PACE_FLOOR, recent[(len(recent) - 1) // 2])
 
 
 def _load(candidate: Candidate, now: float) -> float:
--- a/src/sassafrashall/filters/dispatch.py
+++ b/src/sassafrashall/filters/dispatch.py
@@ -137,6 +137,8 @@
     match outcome:
         case model.Answer(response=model.Response(status=502 | 503 | 504)):
             return messages.Verdict.ERROR
+        case model.Refuse(code=exceptions.UPSTREAM_REFUSED):
+            return messages.Verdict.ERROR
         case model.Answer():
             return messages.Verdict.ANSWERED
         case model.Refuse(
--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -79,8 +79,12 @@
     ) -> model.Outcome:
         verdict = messages.Verdict.NONE
         level = load = -1
+        took = -1.0
+        began = clock.monotonic()
         try:
             outcome = await self._send(call, choice)
+            if isinstance(outcome, model.Answer):
+                took = clock.monotonic() - began
             verdict = dispatch.verdict_of(outcome)
             level, load = outcome.level, outcome.load
         finally:
@@ -91,6 +95,7 @@
                     verdict=verdict,
                     level=level,
                     load=load,
+                    took=took,
                 )
             )
         return outcome
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -236,6 +236,7 @@
       verdict: What it says of the upstream.
       level: Admission level of the service there, or -1.
       load: Part of the slots there in use or waited for, in thousandths, or -1.
+      took: Seconds until the answer; negative without one.
     """
 
     vm: str
@@ -243,6 +244,7 @@
     verdict: Verdict
     level: int = -1
     load: int = -1
+    took: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 from sassafrashall.decisions import routing
@@ -124,3 +125,32 @@
     first = _place("first", "a", in_flight=5)
     second = _place("second", "a", in_flight=1)
     assert _least_loaded(first, second) == "second"
+
+
+def _pace(seconds, seen_at=10.0):
+    return routing.Pace(seconds=seconds, seen_at=seen_at)
+
+
+def test_a_slow_upstream_is_told_from_its_peers():
+    slow = _pace(0.5)
+    peers = (slow, _pace(0.1), _pace(0.1))
+    assert routing.slowness(slow, peers, 10.0) == 5.0
+    assert routing.slowness(peers[1], peers, 10.0) == 1.0
+    # Where all are slow, none is slower.
+    assert routing.slowness(slow, (slow, slow), 10.0) == 1.0
+
+
+def test_a_slow_upstream_is_tried_again_after_a_while():
+    slow = _pace(0.5)
+    peers = (slow, _pace(0.1), _pace(0.1))
+    assert routing.slowness(slow, peers, 13.0) == 1.0
+
+
+def test_least_loaded_leaves_a_slow_upstream_of_the_own_vm():
+    own = dataclasses.replace(
+        _place("own", "a", load=0.1, is_own=True), slowness=5.0
+    )
+    near = _place("near", "a", load=0.4)
+    assert _least_loaded(own, near) == "near"
+    unequal = dataclasses.replace(own, slowness=2.0)
+    assert _least_loaded(unequal, near) == "own"
