--- a/src/sassafrashall/configuration.py
+++ b/src/sassafrashall/configuration.py
@@ -22,6 +22,8 @@
     Attributes:
       targets: Services by share; a single one takes everything.
       timeout_s: Longest time that a request is kept waiting.
+      target_latency_s: Time within which an answer is worth most; 0 if not
+        told.
       attempts: Upstreams that one request may be sent to at most.
       open: Whether the route is served without a key.
     """
@@ -33,6 +35,7 @@
     targets: tuple[Target, ...]
     timeout_s: float
     attempts: int
+    target_latency_s: float = 0.0
     priority: model.Priority = model.Priority.NORMAL
     open: bool = False
 
--- a/src/sassafrashall/decision_log.py
+++ b/src/sassafrashall/decision_log.py
@@ -13,6 +13,7 @@
 # Lines a second for each kind; failures before refusals before successes.
 FAILED_LINES = 40
 REFUSED_LINES = 20
+LATE_LINES = 10
 SERVED_LINES = 1
 
 
@@ -23,12 +24,15 @@
     Attributes:
       step: Which chain decided: `entry` or `worker`.
       took_ms: From its arrival at this process.
+      target_ms: The route's target latency; 0 if there is none.
     """
 
     request_id: str
     step: str
     status: int
     took_ms: float
+    target_ms: float
+    upstream_load: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -85,6 +89,8 @@
         case Served(status=status):
             if status >= 500:
                 return "request answered with an error", FAILED_LINES
+            if 0 < record.target_ms < record.took_ms:
+                return "request served late", LATE_LINES
             return "request served", SERVED_LINES
         case Ended(run=model.RunState.NOT_RUN):
             return "request refused", REFUSED_LINES
--- a/src/sassafrashall/explanations.py
+++ b/src/sassafrashall/explanations.py
@@ -144,4 +144,9 @@
             return _CAUSES.get(code, f"It ended with {code}.")
         if int(line.get("status", 0)) >= 500:
             return "Its upstream answered with an error of its own."
+        if 0 < line.get("target_ms", 0) < line.get("took_ms", 0):
+            return (
+                "It was served, but later than its route's target; compare the "
+                "worker's time with the entry's, and see the upstream's load."
+            )
     return ""
--- a/src/sassafrashall/platform/documents.py
+++ b/src/sassafrashall/platform/documents.py
@@ -62,6 +62,7 @@
         targets=_targets(reader, fields, place),
         timeout_s=reader.seconds(fields, "timeout", place),
         attempts=reader.whole(fields, "max_attempts", place),
+        target_latency_s=reader.seconds(fields, "target_latency", place, 0.0),
         priority=_priority(reader.whole(fields, "priority", place, 1)),
         open=reader.flag(fields, "public", place),
     )
--- a/src/sassafrashall/platform/front_end.py
+++ b/src/sassafrashall/platform/front_end.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import json
 
 from sassafrashall import exceptions
-from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.platform import names
+from sassafrashall.transport import guard
 from sassafrashall.transport import http
 
 KEY_LENGTH_LIMIT = 256  # characters
@@ -20,13 +18,11 @@
 # Statuses that promise that a request has not run and never will.
 _PROMISES = (408, 421, 429, 503)
 
-Handler = Callable[[model.Request], Awaitable[model.Outcome]]
-
 
 class FrontEnd:
     """Turns HTTP requests into typed requests, and outcomes into answers."""
 
-    def __init__(self, *, handler: Handler, service: str) -> None:
+    def __init__(self, *, handler: guard.Handler, service: str) -> None:
         self._handler = handler
         self._service = service
 
@@ -38,22 +34,7 @@
             return encode_refusal(
                 model.Refuse(code=error.code, detail=str(error))
             )
-        try:
-            outcome = await self._handler(request)
-        except exceptions.MailboxClosedError:
-            outcome = model.Refuse(
-                code=exceptions.STOPPING,
-                detail="the node is stopping",
-                run=model.RunState.UNKNOWN,
-            )
-        except Exception:
-            # A fault must not take the requests of other callers with it.
-            logs.get().exception("fault in the filter chain")
-            outcome = model.Refuse(
-                code=exceptions.INTERNAL,
-                detail="a fault inside the system; its log says more",
-                run=model.RunState.UNKNOWN,
-            )
+        outcome = await guard.outcome_of(self._handler, request)
         match outcome:
             case model.Answer(response=response):
                 return response
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -27,6 +27,7 @@
 from sassafrashall.controllers import routing
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.decisions import quota as quota_decisions
+from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
 from sassafrashall.filters import chain
 from sassafrashall.filters import deadline
@@ -287,6 +288,7 @@
     ) -> None:
         """Notes how a request ended at this node."""
         took_ms = 1000 * (clock.monotonic() - request.received_at)
+        table = self._membership.table.value
         match outcome:
             case model.Answer(response=response):
                 record: decision_log.Record = decision_log.Served(
@@ -294,9 +296,10 @@
                     step=step,
                     status=response.status,
                     took_ms=took_ms,
+                    target_ms=_target_ms(table, request),
+                    upstream_load=outcome.load,
                 )
             case model.Refuse():
-                table = self._membership.table.value
                 record = decision_log.Ended(
                     request_id=request_id,
                     step=step,
@@ -351,3 +354,11 @@
         for controller in reversed(self._controllers):
             await controller.close()
         logs.get().info("node stopped")
+
+
+def _target_ms(
+    table: route_table.RouteTable | None, request: model.Request
+) -> float:
+    """Returns the target latency of a request's route; 0 if none is known."""
+    route = table.find(request.host, request.path) if table else None
+    return 1000 * route.target_latency_s if route else 0.0
--- a/src/sassafrashall/transport/front_end.py
+++ b/src/sassafrashall/transport/front_end.py
@@ -6,24 +6,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import urllib.parse
 import uuid
 
 from sassafrashall import clock
 from sassafrashall import exceptions
-from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.transport import codec
+from sassafrashall.transport import guard
 from sassafrashall.transport import http
 
 KEY_LENGTH_LIMIT = 256  # characters
 _OWN_HEADERS = frozenset({"authorization", codec.DEADLINE_HEADER})
 
-Handler = Callable[[model.Request], Awaitable[model.Outcome]]
-
 
 class FrontEnd:
     """Turns HTTP requests of one listener into typed requests."""
@@ -31,7 +27,7 @@
     def __init__(
         self,
         *,
-        handler: Handler,
+        handler: guard.Handler,
         secret: bytes,
         hybrid_clock: clock.HybridClock,
     ) -> None:
@@ -50,22 +46,7 @@
             return codec.problem(
                 model.Refuse(code=error.code, detail=str(error))
             )
-        try:
-            outcome = await self._handler(request)
-        except exceptions.MailboxClosedError:
-            outcome = model.Refuse(
-                code=exceptions.STOPPING,
-                detail="the node is stopping",
-                run=model.RunState.UNKNOWN,
-            )
-        except Exception:
-            # A fault must not take the requests of other callers with it.
-            logs.get().exception("fault in the filter chain")
-            outcome = model.Refuse(
-                code=exceptions.INTERNAL,
-                detail="a fault inside the system; its log says more",
-                run=model.RunState.UNKNOWN,
-            )
+        outcome = await guard.outcome_of(self._handler, request)
         return self.encode(outcome, raw.source, request.request_id)
 
     def decode(self, raw: http.RawRequest) -> model.Request:
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import hmac
 
@@ -10,9 +9,9 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
-from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.transport import frames
+from sassafrashall.transport import guard
 from sassafrashall.transport import peer_connection
 from sassafrashall.transport import sockets
 
@@ -21,7 +20,6 @@
 EXPIRY_INTERVAL = 0.05
 PROCEED_TIMEOUT = 1.0  # seconds that a slot is kept for a calling node
 
-Handler = Callable[[model.Request], Awaitable[model.Outcome]]
 Prove = Callable[[str], bytes]
 
 
@@ -43,7 +41,7 @@
         self,
         *,
         connection: peer_connection.PeerConnection,
-        handler: Handler,
+        handler: guard.Handler,
         prove: Prove,
     ) -> None:
         self._connection = connection
@@ -128,22 +126,7 @@
         request = _request_of(
             frame, call.body, confirm if frame.confirm else None
         )
-        try:
-            outcome = await self._handler(request)
-        except exceptions.MailboxClosedError:
-            outcome = model.Refuse(
-                code=exceptions.STOPPING,
-                detail="the node has stopped",
-                run=model.RunState.UNKNOWN,
-            )
-        except Exception:
-            # A fault must not end the calls of other requests with it.
-            logs.get().exception("fault while a call of a peer was served")
-            outcome = model.Refuse(
-                code=exceptions.INTERNAL,
-                detail="a fault inside the system; its log says more",
-                run=model.RunState.UNKNOWN,
-            )
+        outcome = await guard.outcome_of(self._handler, request)
         match outcome:
             case model.Refuse():
                 self._connection.send(_refusal(frame.call, outcome))
@@ -228,7 +211,7 @@
     """Listens for other nodes."""
 
     def __init__(
-        self, *, address: model.Address, handler: Handler, prove: Prove
+        self, *, address: model.Address, handler: guard.Handler, prove: Prove
     ) -> None:
         self._address = address
         self._handler = handler
