--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -132,15 +132,27 @@
     async def _run_here(
         self, call: model.Call, request: model.Request
     ) -> model.Outcome:
+        dispatched = False
+
+        async def confirm() -> bool:
+            nonlocal dispatched
+            dispatched = True
+            return True
+
         left = call.deadline - clock.monotonic()
         with trio.move_on_after(max(0.0, left)):
             return await self._local.run(
-                model.Call(request=request, root_id=call.root_id)
+                model.Call(
+                    request=frozen.changed(request, confirm=confirm),
+                    root_id=call.root_id,
+                )
             )
         return model.Refuse(
             code=exceptions.DEADLINE,
             detail="the deadline passed before the answer was there",
-            run=model.RunState.UNKNOWN,
+            run=model.RunState.UNKNOWN
+            if dispatched
+            else model.RunState.NOT_RUN,
         )
 
 
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -165,6 +165,35 @@
                 await trio.sleep(0.01)
 
 
+async def test_what_waited_for_a_slot_to_its_end_has_not_run():
+    document = routed.document(
+        services=("beta",), route_type="non_idempotent", timeout="200ms"
+    )
+    async with _fleet(document) as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.slots = 1
+        assert await upstream.announce() == 200
+        upstream.delay = 5.0
+        ends = []
+
+        async def one(vm):
+            response = await _get(fleet, vm=vm)
+            ends.append((response.status, json.loads(response.body)["run"]))
+
+        async with trio.open_nursery() as nursery:
+            # On the own VM and from another one: each time one runs and the
+            # other waits.
+            for vm in ("vm-b", "vm-a"):
+                nursery.start_soon(one, vm)
+        assert sorted(ends) == [(503, "not-run"), (504, "unknown")]
+        assert len(upstream.requests) == 1
+        ends.clear()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one, "vm-b")
+            nursery.start_soon(one, "vm-b")
+        assert sorted(ends) == [(503, "not-run"), (504, "unknown")]
+
+
 async def test_an_upstream_that_did_not_run_it_is_tried_elsewhere():
     services = {"vm-a": "alpha", "vm-b": "beta", "vm-c": "beta"}
     async with _fleet(services=services) as fleet:
