--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -34,13 +34,14 @@
         event_log: events.EventLog,
         counters: metrics.Metrics,
         seed: int,
+        retry_law: retries.Law | None = None,
     ) -> None:
         super().__init__()
         self._vm = vm
         self._data_centre = data_centre
         self._view = view
         self._routing_law = policy.routing_law()
-        self._retry_law = policy.retry_law()
+        self._retry_law = retry_law or policy.retry_law()
         self._events = event_log
         self._metrics = counters
         self._random = random.Random(seed)
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -16,7 +16,6 @@
 from sassafrashall.transport import upstream_connection
 
 SWEEP_INTERVAL = 1.0  # seconds between looks for connections that expired
-ANY_IDLE_TIME = 1e6  # seconds; the connection's own expiry counts
 
 
 class UpstreamPool(task.Controller):
@@ -58,7 +57,7 @@
             # The one used last is the one most likely to be alive.
             connection = idle.pop()
             if not connection.usable(message.longest_idle, now):
-                if connection.usable(ANY_IDLE_TIME, now):
+                if connection.usable(messages.ANY_IDLE_TIME, now):
                     # Too old for this exchange, and so are those before it.
                     idle.append(connection)
                     return None
@@ -70,7 +69,7 @@
     def _check_in(
         self, connection: upstream_connection.UpstreamConnection
     ) -> None:
-        if not connection.usable(ANY_IDLE_TIME, clock.monotonic()):
+        if not connection.usable(messages.ANY_IDLE_TIME, clock.monotonic()):
             connection.close()
             return
         self._idle.setdefault(connection.address, collections.deque()).append(
@@ -84,7 +83,7 @@
             for idle in self._idle.values():
                 for connection in tuple(idle):
                     if not (
-                        connection.usable(ANY_IDLE_TIME, now)
+                        connection.usable(messages.ANY_IDLE_TIME, now)
                         and connection.alive
                     ):
                         idle.remove(connection)
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -18,7 +18,6 @@
 # A request that must not run twice is not sent on a connection that has been
 # idle longer: the upstream may be closing it.
 FRESH_IDLE_TIME = 1.0  # seconds
-ANY_IDLE_TIME = 1e6  # seconds; the connection's own expiry counts
 
 
 class Dialect(Protocol):
@@ -163,7 +162,9 @@
         idle = await self._pool.ask(
             messages.CheckOut(
                 address=address,
-                longest_idle=ANY_IDLE_TIME if idempotent else FRESH_IDLE_TIME,
+                longest_idle=messages.ANY_IDLE_TIME
+                if idempotent
+                else FRESH_IDLE_TIME,
             )
         )
         if idle is not None:
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -299,6 +299,9 @@
     confirm: bool
 
 
+ANY_IDLE_TIME = 1e6  # seconds; the connection's own expiry counts
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CheckOut:
     """Asks for a connection to an upstream; answered with one, or None.
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -136,6 +136,7 @@
             event_log=self._events,
             counters=self._metrics,
             seed=secrets.randbits(64),
+            retry_law=self._routed.retry_law(settings.policy.retry_law()),
         )
         self._links = peer_links.PeerLinks(
             vm=settings.vm, secret=self._secret, counters=self._metrics
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -29,6 +29,9 @@
 # Part of the tolerated overage that is used: requests bunch on their way from
 # the decision to the upstream.
 QUOTA_MARGIN = 0.8
+# Part of the tolerated ratio of repeats that one hop may use; with the cost of
+# repeats that may have run, four hops together stay below the ratio.
+RETRY_PART = 0.4
 SECRET_LIMIT = 64  # characters at most; the keyed hash takes no more
 
 _T = TypeVar("_T")
@@ -111,6 +114,16 @@
     retry_ratio: float = 0.2
     first_start: bool = True
 
+    def retry_law(self, law: retry_laws.Law) -> retry_laws.Law:
+        """Returns the law with the ratio that this fleet allows."""
+        match law:
+            case retry_laws.ArrivalRetries():
+                return dataclasses.replace(
+                    law, ratio=RETRY_PART * self.retry_ratio
+                )
+            case _:
+                return law
+
     def tolerance(self) -> quota.Tolerance:
         """Returns what quota owners share out beyond the quotas."""
         return quota.Tolerance(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 from sassafrashall import exceptions
 from sassafrashall import settings
+from sassafrashall.decisions import retries
 
 NODE = """\
 role: node
@@ -73,3 +74,56 @@
 def test_a_missing_file_is_said_so(tmp_path):
     with pytest.raises(exceptions.FindingsError):
         settings.read(str(tmp_path / "none.yaml"), settings.Tool)
+
+
+def test_the_fleet_ratio_bounds_the_repeats_of_a_hop():
+    routed = settings.Routed(retry_ratio=0.1)
+    law = routed.retry_law(retries.ArrivalRetries())
+    assert law.ratio == pytest.approx(0.04)
+    assert routed.retry_law(retries.NoRetries()) == retries.NoRetries()
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
+)
+def test_durations(text, seconds):
+    assert settings.parse_duration(text).seconds == seconds
+
+
+@pytest.mark.parametrize("text", ["", "5", "s", "-1s", "1m", "1 s", "1e3ms"])
+def test_what_is_no_duration(text):
+    with pytest.raises(ValueError):
+        settings.parse_duration(text)
+
+
+def test_seeds_stand_in_place_of_controls():
+    text = """
+role: node
+vm: vm-a
+data_centre: dc-a
+fleet_secret: a-secret-of-some-length
+seeds: ["10.0.0.1:8540", "10.0.0.2:8540"]
+seed_port: 7000
+listen:
+  callers: 10.0.0.3:1
+  peers: 10.0.0.3:2
+  readiness: 10.0.0.3:3
+  announcements: 10.0.0.3:4
+  ops: 10.0.0.3:5
+routed:
+  service: alpha
+  upstream: 10.0.0.3:6
+  strict_withdrawal: true
+  withdrawal: 5000ms
+"""
+    read = settings.parse(text, "f", settings.Daemon)
+    assert [str(control.address) for control in read.controls] == [
+        "10.0.0.1:7000",
+        "10.0.0.2:7000",
+    ]
+    assert read.routed.strict_withdrawal
+    assert read.routed.withdrawal.seconds == 5.0
+    with pytest.raises(exceptions.FindingsError) as error:
+        settings.parse(text.replace("true", "1"), "f", settings.Daemon)
+    (finding,) = error.value.findings
+    assert (finding.key, finding.line) == ("routed.strict_withdrawal", 17)
