--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -123,7 +123,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Organisation:
-    """A tenant with its parameters and keys.
+    """An organisation with its parameters and keys.
 
     Attributes:
       version: Counts the accepted changes of this organisation.
