--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -90,10 +90,8 @@
         named = [(member.address, member.data_centre) for member in members]
         known = {address for address, _ in named}
         # A control that has left may still lead to those that replaced it.
-        left = [(a, "") for a in self._addresses if a not in known]
-        self._addresses = self._ordered(named) + tuple(
-            address for address, _ in left
-        )
+        left = tuple(a for a in self._addresses if a not in known)
+        self._addresses = self._ordered(named) + left
         near = self._addresses[0]
         if self._current != near and not self._probing:
             self._probing = True
--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -17,10 +17,6 @@
 from sassafrashall.transport import frames
 from sassafrashall.transport import peer_connection
 
-# Seconds between looks for calls whose time is up; a timer for each call would
-# cost more than it is worth.
-EXPIRY_INTERVAL = 0.05
-
 
 def proof(vm: str, secret: bytes) -> bytes:
     """Returns what shows another node that `vm` knows the fleet's secret."""
@@ -36,7 +32,6 @@
         self.message = message
         self.reply = reply
         self.committed = not message.confirm
-        self.timer = 0.0
         self.upload: peer_connection.OutgoingBody | None = None
         self.upload_scope: trio.CancelScope | None = None
         self.answer: peer_connection.IncomingBody | None = None
@@ -281,7 +276,7 @@
 
     async def _expire_calls(self) -> None:
         while True:
-            await trio.sleep(EXPIRY_INTERVAL)
+            await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
             for link in tuple(self._links.values()):
                 link.expire(now)
--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -144,19 +144,16 @@
     def _on_borrow(
         self, message: protocol.Borrow, reply: mailbox.Reply, now: float
     ) -> None:
-        foreign = self._take_reports(message.reports, now)
-        self._pass_on_all(foreign)
-        grants, wait = self._lend(message.organisation, message.wanted, now)
-        lent = sum(grant.tokens for grant in grants)
-        if lent or message.forwarded:
-            reply.put(protocol.BorrowReply(grants=grants, wait=wait))
+        own = self._lend_own(message, now)
+        if own.grants or message.forwarded:
+            reply.put(own)
             return
-        self._spawn(self._ask_others, message, wait, reply)
+        self._spawn(self._ask_others, message, own.wait, reply)
 
     def _lend_own(
         self, message: protocol.Borrow, now: float
     ) -> protocol.BorrowReply:
-        """Lends from our own share only; nobody waits for these tokens."""
+        """Takes the reports and lends from our own share only."""
         self._pass_on_all(self._take_reports(message.reports, now))
         grants, wait = self._lend(message.organisation, message.wanted, now)
         return protocol.BorrowReply(grants=grants, wait=wait)
@@ -212,8 +209,6 @@
         """Returns the other owners that have a part of a quota."""
         now = clock.monotonic()
         view = self._view.value
-        if view.state.quota(name) is None:
-            return []
         others = [
             (member.replica_id, member.address)
             for member in view.members
--- a/src/sassafrashall/decisions/route_table.py
+++ b/src/sassafrashall/decisions/route_table.py
@@ -19,8 +19,6 @@
     document: configuration.Configuration
     routes: dict[str, tuple[configuration.Route, ...]]
     owners: dict[str, configuration.Organisation]
-    organisations: dict[str, configuration.Organisation]
-    services: dict[str, configuration.Service]
 
     def find(self, host: str, path: str) -> configuration.Route | None:
         """Returns the route with the longest prefix of `path`, if any."""
@@ -48,8 +46,6 @@
             for organisation in document.organisations
             for digest in organisation.digests
         },
-        organisations={o.name: o for o in document.organisations},
-        services={s.name: s for s in document.services},
     )
 
 
--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -43,9 +43,6 @@
     async def handle(self, call: model.Call) -> model.Outcome:
         """Makes attempts until one ends the call or its time is up."""
         self._routing.tell(messages.FirstTry(service=call.service))
-        return await self._attempts(call)
-
-    async def _attempts(self, call: model.Call) -> model.Outcome:
         attempts = 0
         avoid: frozenset[str] = frozenset()
         may_have_run = False
@@ -58,18 +55,17 @@
                 return dispatch.truthful(
                     dispatch.no_upstream(call), may_have_run
                 )
-            outcome = await self._attempt(call, choice)
-            refusal = _failure_of(outcome)
-            if refusal is None:
-                return outcome
+            refusal = await self._attempt(call, choice)
+            if isinstance(refusal, model.Answer):
+                # An upstream's own answer is final, whatever it says; that it
+                # did not run a request its node has made a refusal.
+                return refusal
             avoid |= {choice.vm}
-            if refusal.run is not model.RunState.NOT_RUN:
-                may_have_run = True
-            outcome = dispatch.truthful(refusal, may_have_run)
+            may_have_run |= refusal.run is not model.RunState.NOT_RUN
             if _is_streamed(call, refusal) or not await self._routing.ask(
                 messages.Retry(call=call, refusal=refusal, attempts=attempts)
             ):
-                return outcome
+                return dispatch.truthful(refusal, may_have_run)
             if not retries.in_front(refusal):
                 call = frozen.changed(call, retries=call.retries - 1)
             self._events.record("call.retried", call.root_id, refusal.code)
@@ -156,15 +152,6 @@
         )
 
 
-def _failure_of(outcome: model.Outcome) -> model.Refuse | None:
-    """Returns a refusal; an upstream's own answer is final, whatever it says.
-
-    The upstream's own statement that it did not run a request has been made a
-    refusal at its node.
-    """
-    return outcome if isinstance(outcome, model.Refuse) else None
-
-
 def _is_streamed(call: model.Call, refusal: model.Refuse) -> bool:
     """Returns whether a body may be partly used up and can't be sent again."""
     return call.request.rest is not None and not retries.in_front(refusal)
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -9,9 +9,11 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall.filters import slots
 from sassafrashall.transport import http
 from sassafrashall.transport import upstream_connection
 
@@ -62,28 +64,12 @@
 
     async def handle(self, call: model.Call) -> model.Outcome:
         """Waits for a slot, then runs the call."""
-        admitted = await self._admission.ask(
-            messages.Admit(
-                call_id=call.call_id,
-                organisation=call.organisation,
-                priority=call.priority,
-                root_id=call.root_id,
-                deadline=call.deadline,
-            )
-        )
+        admitted = await slots.admit(self._admission, call)
         match admitted:
             case messages.Admitted(upstream=upstream):
                 return await self._run(call, upstream)
-            case messages.Shed(code=code, detail=detail, level=level):
-                return model.Refuse(
-                    code=code,
-                    detail=detail,
-                    level=level,
-                    load=self._load.value,
-                    retry_after_s=1.0,
-                )
-            case _:
-                raise TypeError(f"unknown answer {admitted!r}")
+            case model.Refuse():
+                return frozen.changed(admitted, load=self._load.value)
 
     async def _run(
         self, call: model.Call, upstream: model.Upstream
@@ -105,7 +91,9 @@
         finally:
             if not slot.held:
                 slot.release()
-        return _with_load(outcome, self._level.value, self._load.value)
+        return frozen.changed(
+            outcome, level=self._level.value, load=self._load.value
+        )
 
     async def _exchange(
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
@@ -147,14 +135,7 @@
             deadline=call.deadline,
             on_end=slot.release,
         )
-        return self._dialect.decode(
-            model.Response(
-                status=response.status,
-                headers=response.headers,
-                body=response.body,
-                rest=body,
-            )
-        )
+        return self._dialect.decode(frozen.changed(response, rest=body))
 
     async def _connection(
         self, address: model.Address, idempotent: bool
@@ -268,18 +249,3 @@
         if error.committed
         else model.RunState.NOT_RUN,
     )
-
-
-def _with_load(outcome: model.Outcome, level: int, load: int) -> model.Outcome:
-    match outcome:
-        case model.Answer(response=response):
-            return model.Answer(response=response, level=level, load=load)
-        case model.Refuse():
-            return model.Refuse(
-                code=outcome.code,
-                detail=outcome.detail,
-                run=outcome.run,
-                retry_after_s=outcome.retry_after_s,
-                level=level,
-                load=load,
-            )
--- a/src/sassafrashall/filters/upstream.py
+++ b/src/sassafrashall/filters/upstream.py
@@ -10,6 +10,7 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.decisions import shedding
+from sassafrashall.filters import slots
 
 
 class TicketFilter:
@@ -62,28 +63,12 @@
 
     async def handle(self, call: model.Call) -> model.Outcome:
         """Waits for a slot and dispatches to the local upstream."""
-        admitted = await self._admission.ask(
-            messages.Admit(
-                call_id=call.call_id,
-                organisation=call.organisation,
-                priority=call.priority,
-                root_id=call.root_id,
-                deadline=call.deadline,
-            )
-        )
+        admitted = await slots.admit(self._admission, call)
         match admitted:
             case messages.Admitted(upstream=upstream):
                 return await self._run(call, upstream)
-            case messages.Shed(code=code, detail=detail, level=level):
-                return model.Refuse(
-                    code=code,
-                    detail=detail,
-                    level=level,
-                    retries_left=call.retries,
-                    retry_after_s=1.0,
-                )
-            case _:
-                raise TypeError(f"unknown answer {admitted!r}")
+            case model.Refuse():
+                return admitted
 
     async def _run(
         self, call: model.Call, upstream: model.Upstream
--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -8,6 +8,7 @@
 from sassafrashall import model
 
 RECEIVE_SIZE = 64 * 1024  # bytes
+WHOLE_BODY = 64 * 1024  # bytes up to which a body is held and can be resent
 PROGRESS_INTERVAL = 0.25  # seconds between signs of life of a slow request
 
 _HOP_HEADERS = frozenset(
@@ -55,6 +56,19 @@
     return tuple(header for header in headers if header[0] not in named)
 
 
+async def read_beginning(body: model.BodyReader) -> bytes:
+    """Returns a short body whole, and of a long one what is there first."""
+    parts: list[bytes] = []
+    size = 0
+    while size <= WHOLE_BODY:
+        data = await body.read()
+        if not data:
+            break
+        parts.append(data)
+        size += len(data)
+    return b"".join(parts)
+
+
 def text_headers(headers: Iterable[tuple[bytes, bytes]]) -> model.Headers:
     """Returns header bytes as text."""
     return tuple(
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -113,10 +113,13 @@
                 exceptions.BAD_REQUEST, str(error) or type(error).__name__
             ) from error
         if self._in_head and self._head_size > self._head_limit:
-            raise exceptions.ProtocolError(
-                exceptions.HEAD_TOO_LARGE,
-                f"head exceeds {self._head_limit} bytes",
-            )
+            raise self._head_too_large()
+
+    def _head_too_large(self) -> exceptions.ProtocolError:
+        return exceptions.ProtocolError(
+            exceptions.HEAD_TOO_LARGE,
+            f"head exceeds {self._head_limit} bytes",
+        )
 
     # --- callbacks of the library --------------------------------------------
 
@@ -144,6 +147,9 @@
     def on_message_complete(self) -> None:
         """The message is whole."""
         self._events.append(MessageEnd())
+        self._expect_head()
+
+    def _expect_head(self) -> None:
         self._in_head = True
         self._begun = False
         self._head_size = 0
@@ -191,10 +197,7 @@
         if self._head_size > self._head_limit and self._head_limit < (
             target + sum(len(n) + len(v) for n, v in self._headers)
         ):
-            return exceptions.ProtocolError(
-                exceptions.HEAD_TOO_LARGE,
-                f"head exceeds {self._head_limit} bytes",
-            )
+            return self._head_too_large()
         if self._length and (
             not self._length.isdigit() or len(self._length) > LENGTH_DIGITS
         ):
@@ -261,9 +264,7 @@
 
     def on_message_complete(self) -> None:
         """The message is whole."""
-        self._in_head = True
-        self._begun = False
-        self._head_size = 0
+        self._expect_head()
         if self._skipped:
             self._skipped = False
             return
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -15,9 +15,6 @@
 from sassafrashall.transport import peer_connection
 from sassafrashall.transport import sockets
 
-# Seconds between looks for calls whose time is up; a timer for each call would
-# cost more than it is worth.
-EXPIRY_INTERVAL = 0.05
 PROCEED_TIMEOUT = 1.0  # seconds that a slot is kept for a calling node
 
 Prove = Callable[[str], bytes]
@@ -235,7 +232,7 @@
 
     async def _expire_calls(self) -> None:
         while True:
-            await trio.sleep(EXPIRY_INTERVAL)
+            await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
             for serving in self._serving:
                 serving.expire(now)
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -17,7 +17,6 @@
 from sassafrashall.transport import sockets
 
 LISTEN_BACKLOG = 1024
-WHOLE_BODY = 64 * 1024  # bytes up to which a body is held and can be resent
 LINGER_TIME = 1.0  # seconds for the rest of a body after an early answer
 SLOW_READER_TIMEOUT = 30.0  # seconds without progress of a caller that reads
 SWEEP_INTERVAL = 0.2  # seconds between looks for callers that have left
@@ -162,7 +161,7 @@
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         rest = _RequestBody(connection=self, limit=self._limits.body_bytes)
-        body = await self._beginning(head, rest)
+        body = await http.read_beginning(rest)
         response = await self._handler(
             http.RawRequest(
                 method=head.method,
@@ -180,20 +179,6 @@
             await self._linger(rest)
         return whole and not closes
 
-    async def _beginning(
-        self, head: http1.RequestHead, rest: _RequestBody
-    ) -> bytes:
-        """Returns the whole body if it is short, else what is there of it."""
-        parts: list[bytes] = []
-        size = 0
-        while size <= WHOLE_BODY:
-            data = await rest.read()
-            if not data:
-                break
-            parts.append(data)
-            size += len(data)
-        return b"".join(parts)
-
     async def _send(
         self, response: model.Response, closes: bool, head_only: bool
     ) -> bool:
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -14,7 +14,6 @@
 from sassafrashall.transport import sockets
 
 HEAD_LIMIT = 64 * 1024  # bytes of an answer's head
-WHOLE_BODY = 64 * 1024  # bytes up to which an answer is held whole
 IDLE_MARGIN = 2.0  # seconds before the upstream's own idle timeout
 DEFAULT_KEEP_ALIVE = 5.0  # seconds, where the upstream tells no idle timeout
 STRAY_ANSWERS = 4  # answers to other requests that are passed over
@@ -51,11 +50,6 @@
         """Where the upstream listens."""
         return self._address
 
-    @property
-    def committed(self) -> bool:
-        """Whether the upstream may have received the request."""
-        return self._committed
-
     @property
     def used_before(self) -> bool:
         """Whether an earlier exchange ran on this connection."""
@@ -195,16 +189,10 @@
         self, head: http1.ResponseHead, clean: bool
     ) -> model.Response:
         reader = _AnswerBody(connection=self, head=head, clean=clean)
-        parts: list[bytes] = []
-        size = 0
-        while size <= WHOLE_BODY and not reader.ended:
-            data = await reader.read()
-            parts.append(data)
-            size += len(data)
         return model.Response(
             status=head.status,
             headers=head.headers,
-            body=b"".join(parts),
+            body=await http.read_beginning(reader),
             rest=None if reader.ended else reader,
         )
 
@@ -222,11 +210,11 @@
         """
         try:
             return await self._next_event()
-        except (OSError, trio.ClosedResourceError) as error:
-            raise exceptions.ConnectionFailedError(
-                str(error), committed=True
-            ) from error
-        except exceptions.ProtocolError as error:
+        except (
+            OSError,
+            trio.ClosedResourceError,
+            exceptions.ProtocolError,
+        ) as error:
             raise exceptions.ConnectionFailedError(
                 str(error), committed=True
             ) from error
