One listener for both HTTP servers and one accept loop for all three; settings text apart

The two servers kept and closed their connections in the same 80 lines, and three accept loops slept the same unnamed 50 ms. Behaviour stays as it is; no test changed.

--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -12,12 +12,10 @@
 
 import cattrs
 from cattrs import errors as cattrs_errors
-from ruamel import yaml
-from ruamel.yaml import comments as yaml_comments
-from ruamel.yaml import error as yaml_error
 
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall import settings_text
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota
@@ -279,19 +277,22 @@
 
 def parse(text: str, source: str, settings_type: type[_T]) -> _T:
     """Parses and checks settings; see `read`."""
-    document = _load(text, source)
+    document = settings_text.load(text, source)
     try:
         settings = _converter().structure(document, settings_type)
     except (cattrs_errors.BaseValidationError, ValueError, TypeError) as error:
         raise exceptions.FindingsError(
-            _findings_of(error, document, source)
+            settings_text.findings_of(error, document, source)
         ) from error
     faults = _check(settings)
     if faults:
         raise exceptions.FindingsError(
             tuple(
                 exceptions.Finding(
-                    source=source, line=_line(document, key), key=key, text=text
+                    source=source,
+                    line=settings_text.line_of(document, key),
+                    key=key,
+                    text=text,
                 )
                 for key, text in faults
             )
@@ -313,26 +314,6 @@
     )
 
 
-def _load(text: str, source: str) -> Any:
-    try:
-        document = yaml.YAML(typ="rt").load(text)
-    except yaml_error.MarkedYAMLError as error:
-        line = error.problem_mark.line + 1 if error.problem_mark else 0
-        finding = exceptions.Finding(
-            source=source, line=line, text=str(error.problem)
-        )
-        raise exceptions.FindingsError((finding,)) from error
-    except yaml_error.YAMLError as error:
-        raise exceptions.FindingsError(
-            (exceptions.Finding(source=source, text=str(error)),)
-        ) from error
-    if not isinstance(document, dict):
-        raise exceptions.FindingsError(
-            (exceptions.Finding(source=source, text="not a mapping"),)
-        )
-    return document
-
-
 def _converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
     converter.register_structure_hook(
@@ -367,58 +348,6 @@
     return int(value)
 
 
-def _findings_of(
-    error: BaseException, document: Any, source: str
-) -> tuple[exceptions.Finding, ...]:
-    findings = []
-    for text in cattrs.transform_error(error, format_exception=_describe):
-        message, _, path = text.rpartition(" @ $")
-        key = _dotted(path)
-        if match := re.search(r"extra fields found \((.*)\)", message):
-            for extra in match[1].split(", "):
-                place = f"{key}.{extra}".strip(".")
-                findings.append((place, "unknown key"))
-        else:
-            findings.append((key, message or text))
-    return tuple(
-        exceptions.Finding(
-            source=source, line=_line(document, key), key=key, text=message
-        )
-        for key, message in findings
-    )
-
-
-def _describe(error: BaseException, _: type | None) -> str:
-    match error:
-        case KeyError():
-            return f"required key {error.args[0]!r} is missing"
-        case cattrs_errors.ForbiddenExtraKeysError():
-            extra = ", ".join(sorted(error.extra_fields))
-            return f"extra fields found ({extra})"
-        case _:
-            return str(error)
-
-
-def _dotted(path: str) -> str:
-    return re.sub(r"\[(\d+)\]", r".\1", path).strip(".")
-
-
-def _line(document: Any, key: str) -> int:
-    """Returns the line of a dotted key, or of its nearest parent."""
-    line = 1
-    place = document
-    for part in key.split(".") if key else ():
-        if isinstance(place, yaml_comments.CommentedMap) and part in place:
-            line = place.lc.data[part][0] + 1
-            place = place[part]
-        elif isinstance(place, yaml_comments.CommentedSeq) and part.isdigit():
-            line = place.lc.data[int(part)][0] + 1
-            place = place[int(part)]
-        else:
-            break
-    return line
-
-
 def _check(settings: Any) -> list[tuple[str, str]]:
     match settings:
         case Daemon():
--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -14,12 +14,12 @@
 from sassafrashall import model
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
+from sassafrashall.transport import listener
 
 HEAD_LIMIT = 16 * 1024  # bytes
 BODY_LIMIT = 1024 * 1024  # bytes
 IDLE_TIMEOUT = 75.0  # seconds
 REQUEST_TIMEOUT = 10.0  # seconds to receive a whole request
-LISTEN_BACKLOG = 1024
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 
@@ -251,8 +251,10 @@
         )
 
 
-class Server:
-    """Listens on one address and serves each connection in a task."""
+class Server(listener.Listener[ServerConnection]):
+    """Serves requests that are held whole."""
+
+    _ordinary_ends = (OSError, h11.ProtocolError)
 
     def __init__(
         self,
@@ -262,74 +264,11 @@
         source: model.Source,
         connection_limit: int = 4096,
     ) -> None:
-        self._address = address
+        super().__init__(address=address, connection_limit=connection_limit)
         self._handler = handler
         self._source = source
-        self._connection_limit = connection_limit
-        self._connections: set[ServerConnection] = set()
-        self._listeners: list[trio.SocketListener] = []
-        self._empty = trio.Event()
-        self._draining = False
-
-    @property
-    def connections(self) -> int:
-        """Connections open now."""
-        return len(self._connections)
-
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Binds the address and serves in `nursery`."""
-        self._listeners = await trio.open_tcp_listeners(
-            self._address.port,
-            host=self._address.host,
-            backlog=LISTEN_BACKLOG,
-        )
-        for listener in self._listeners:
-            nursery.start_soon(self._accept, listener, nursery)
 
-    async def _accept(
-        self, listener: trio.SocketListener, nursery: trio.Nursery
-    ) -> None:
-        while True:
-            try:
-                stream = await listener.accept()
-            except trio.ClosedResourceError:
-                return
-            except OSError:
-                await trio.sleep(0.05)
-                continue
-            if len(self._connections) >= self._connection_limit:
-                await stream.aclose()
-                continue
-            nursery.start_soon(self._serve, stream)
-
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        connection = ServerConnection(
+    def _connect(self, stream: trio.SocketStream) -> ServerConnection:
+        return ServerConnection(
             stream=stream, handler=self._handler, source=self._source
         )
-        self._connections.add(connection)
-        if self._draining:
-            connection.expire()
-        try:
-            await connection.serve()
-        except (OSError, h11.ProtocolError):
-            pass
-        finally:
-            self._connections.discard(connection)
-            if not self._connections:
-                self._empty.set()
-
-    def drain(self) -> None:
-        """Ends every connection with its next response."""
-        self._draining = True
-        for connection in self._connections:
-            connection.expire()
-
-    async def close(self) -> None:
-        """Stops accepting, then waits for the requests in progress."""
-        for listener in self._listeners:
-            await listener.aclose()
-        for connection in list(self._connections):
-            connection.stop()
-        while self._connections:
-            self._empty = trio.Event()
-            await self._empty.wait()
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -12,6 +12,7 @@
 from sassafrashall import model
 from sassafrashall.transport import frames
 from sassafrashall.transport import guard
+from sassafrashall.transport import listener
 from sassafrashall.transport import peer_connection
 from sassafrashall.transport import sockets
 
@@ -215,6 +216,7 @@
         self._prove = prove
         self._serving: set[_Serving] = set()
         self._listeners: list[trio.SocketListener] = []
+        self._nursery: trio.Nursery | None = None
 
     @property
     def busy(self) -> bool:
@@ -223,11 +225,12 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address and serves in `nursery`."""
+        self._nursery = nursery
         self._listeners = await trio.open_tcp_listeners(
             self._address.port, host=self._address.host
         )
-        for listener in self._listeners:
-            nursery.start_soon(self._accept, listener, nursery)
+        for accepting in self._listeners:
+            nursery.start_soon(listener.accept_all, accepting, self._take)
         nursery.start_soon(self._expire_calls)
 
     async def _expire_calls(self) -> None:
@@ -237,19 +240,11 @@
             for serving in self._serving:
                 serving.expire(now)
 
-    async def _accept(
-        self, listener: trio.SocketListener, nursery: trio.Nursery
-    ) -> None:
-        while True:
-            try:
-                stream = await sockets.accept(listener)
-                stream.detect_silence()
-            except trio.ClosedResourceError:
-                return
-            except OSError:
-                await trio.sleep(0.05)
-                continue
-            nursery.start_soon(self._serve, stream)
+    def _take(self, accepted: trio.SocketStream) -> None:
+        stream = sockets.Stream(stream=accepted)
+        stream.detect_silence()
+        assert self._nursery is not None
+        self._nursery.start_soon(self._serve, stream)
 
     async def _serve(self, stream: sockets.Stream) -> None:
         serving = _Serving(
@@ -265,5 +260,5 @@
 
     async def close(self) -> None:
         """Stops accepting; connections end with the process."""
-        for listener in self._listeners:
-            await listener.aclose()
+        for accepting in self._listeners:
+            await accepting.aclose()
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -120,8 +120,3 @@
     connected = Stream(stream=stream)
     connected.detect_silence()
     return connected
-
-
-async def accept(listener: trio.SocketListener) -> Stream:
-    """Accepts a connection; raises `OSError` or `ClosedResourceError`."""
-    return Stream(stream=await listener.accept())
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -14,9 +14,9 @@
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
+from sassafrashall.transport import listener
 from sassafrashall.transport import sockets
 
-LISTEN_BACKLOG = 1024
 LINGER_TIME = 1.0  # seconds for the rest of a body after an early answer
 SLOW_READER_TIMEOUT = 30.0  # seconds without progress of a caller that reads
 SWEEP_INTERVAL = 0.2  # seconds between looks for callers that have left
@@ -239,8 +239,8 @@
                 return
 
 
-class Server:
-    """Listens on one address and serves each connection in a task."""
+class Server(listener.Listener[Connection]):
+    """Serves requests whose bodies are passed on as they arrive."""
 
     def __init__(
         self,
@@ -250,31 +250,24 @@
         source: model.Source,
         limits: LimitsSource,
     ) -> None:
-        self._address = address
+        super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
         self._handler = handler
         self._source = source
         self._limits = limits
-        self._connections: set[Connection] = set()
-        self._listeners: list[trio.SocketListener] = []
-        self._empty = trio.Event()
-        self._draining = False
-
-    @property
-    def connections(self) -> int:
-        """Connections open now."""
-        return len(self._connections)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address and serves in `nursery`."""
-        self._listeners = await trio.open_tcp_listeners(
-            self._address.port,
-            host=self._address.host,
-            backlog=LISTEN_BACKLOG,
-        )
-        for listener in self._listeners:
-            nursery.start_soon(self._accept, listener, nursery)
+        await super().start(nursery)
         nursery.start_soon(self._sweep)
 
+    def _connect(self, stream: trio.SocketStream) -> Connection:
+        return Connection(
+            stream=sockets.Stream(stream=stream),
+            handler=self._handler,
+            source=self._source,
+            limits=self._limits(),
+        )
+
     async def _sweep(self) -> None:
         """Ends connections whose callers have left or are idle for too long."""
         while True:
@@ -282,52 +275,3 @@
             now = clock.monotonic()
             for connection in list(self._connections):
                 connection.check(now)
-
-    async def _accept(
-        self, listener: trio.SocketListener, nursery: trio.Nursery
-    ) -> None:
-        while True:
-            try:
-                stream = await sockets.accept(listener)
-            except trio.ClosedResourceError:
-                return
-            except OSError:
-                await trio.sleep(0.05)
-                continue
-            if len(self._connections) >= CONNECTION_LIMIT:
-                stream.close()
-                continue
-            nursery.start_soon(self._serve, stream)
-
-    async def _serve(self, stream: sockets.Stream) -> None:
-        connection = Connection(
-            stream=stream,
-            handler=self._handler,
-            source=self._source,
-            limits=self._limits(),
-        )
-        self._connections.add(connection)
-        if self._draining:
-            connection.expire()
-        try:
-            await connection.serve()
-        finally:
-            self._connections.discard(connection)
-            if not self._connections:
-                self._empty.set()
-
-    def drain(self) -> None:
-        """Ends every connection with its next response."""
-        self._draining = True
-        for connection in self._connections:
-            connection.expire()
-
-    async def close(self) -> None:
-        """Stops accepting, then waits for the requests in progress."""
-        for listener in self._listeners:
-            await listener.aclose()
-        for connection in list(self._connections):
-            connection.stop()
-        while self._connections:
-            self._empty = trio.Event()
-            await self._empty.wait()
