Handle a call by a fiber that replies resume, in place of tasks

Cause: a call over two nodes took six turns of the scheduler, a task and a cancel scope at the upstream's node, and a look at the idle connection. The connection to an upstream is a task now that owns its socket and reads all along, as is that of a caller; a call in between is a coroutine that goes on in the turn of whoever delivers the reply it waits for.

An idempotent request is sent again on a new connection only if the upstream closed an idle one without a byte of an answer: a garbled answer on a reused connection was repeated before, outside of the retry ratio.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -244,6 +244,13 @@
 
     def _look(self, now: float) -> None:
         self._dispatch(now)
+        self._queue, late = queues.overdue(self._queue, now)
+        for item in late:
+            self._shed(
+                item,
+                exceptions.DEADLINE,
+                "the deadline passed before there was a slot",
+            )
         before = self._level.level
         self._level = shedding.update(self._level, now)
         was_open = before >= shedding.OPEN_LEVEL
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -162,8 +162,9 @@
         replies: dict[str, mailbox.Reply] = {}
         proposals: list[tuple[bytes, mailbox.Reply]] = []
         for envelope in batch:
-            reply = envelope.reply or mailbox.Reply()
-            event = self._event_of(envelope.message, reply, proposals, replies)
+            event = self._event_of(
+                envelope.message, envelope.reply, proposals, replies
+            )
             if event is not None:
                 actions.extend(self._step(event))
                 if replies:
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -1,90 +1,130 @@
-"""The idle connections to the upstream on this VM."""
+"""The connections to the upstream on this VM, and exchanges on them."""
 
 from __future__ import annotations
 
-import collections
 from typing import Any
 
 import trio
 
 from sassafrashall import clock
+from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall import task
+from sassafrashall.transport import sockets
 from sassafrashall.transport import upstream_connection
 
-SWEEP_INTERVAL = 1.0  # seconds between looks for connections that expired
+SWEEP_INTERVAL = 0.05  # seconds between looks for exchanges whose time is up
 
 
 class UpstreamPool(task.Controller):
-    """Owns connections while no exchange runs on them.
-
-    A message hands a connection over to the task that makes the exchange, and
-    another one hands it back.
-    """
+    """Gives each exchange a connection; a child task owns each of them."""
 
     def __init__(self, *, counters: metrics.Metrics) -> None:
         super().__init__()
         self._metrics = counters
+        self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._idle: dict[
-            model.Address,
-            collections.deque[upstream_connection.UpstreamConnection],
+            model.Address, list[upstream_connection.UpstreamConnection]
         ] = {}
 
     async def _setup(self) -> None:
         self._spawn(self._sweep)
 
-    async def _teardown(self) -> None:
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
-
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
-            case messages.CheckOut():
-                reply.put(self._check_out(message))
-            case messages.CheckIn(connection=connection):
-                self._check_in(connection)
+            case messages.RunExchange():
+                connection = self._idle_connection(message)
+                if connection is not None:
+                    connection.begin(message, reply)
+                else:
+                    self._spawn(self._connect, message, reply)
 
-    def _check_out(
-        self, message: messages.CheckOut
+    def _idle_connection(
+        self, message: messages.RunExchange
     ) -> upstream_connection.UpstreamConnection | None:
         idle = self._idle.get(message.address)
         now = clock.monotonic()
         while idle:
             # The one used last is the one most likely to be alive.
-            connection = idle.pop()
-            if not connection.usable(message.longest_idle, now):
-                if connection.usable(messages.ANY_IDLE_TIME, now):
-                    # Too old for this exchange, and so are those before it.
-                    idle.append(connection)
-                    return None
-            elif connection.alive:
-                return connection
-            connection.close()
+            connection = idle[-1]
+            if connection.usable(message.longest_idle, now):
+                return idle.pop()
+            if connection.usable(messages.ANY_IDLE_TIME, now):
+                # Too old for this exchange, and so are those before it.
+                return None
+            idle.pop().close()
         return None
 
-    def _check_in(
-        self, connection: upstream_connection.UpstreamConnection
+    async def _connect(
+        self, message: messages.RunExchange, reply: mailbox.Reply
     ) -> None:
-        if not connection.usable(messages.ANY_IDLE_TIME, clock.monotonic()):
-            connection.close()
+        """Opens a connection and serves it to its end."""
+        self._metrics.count("upstream_connections_opened")
+        left = max(0.0, message.deadline - clock.monotonic())
+        stream = None
+        try:
+            with trio.move_on_after(left):
+                stream = await sockets.connect(message.address)
+        except exceptions.ConnectionFailedError as error:
+            reply.fail(error)
+            return
+        if stream is None:
+            reply.fail(
+                exceptions.ConnectionFailedError(
+                    "the deadline passed before there was a connection",
+                    committed=False,
+                    expired=True,
+                )
+            )
             return
-        self._idle.setdefault(connection.address, collections.deque()).append(
-            connection
+        connection = upstream_connection.UpstreamConnection(
+            stream=stream,
+            address=message.address,
+            on_free=self._take_back,
+            on_unread=self._send_again,
         )
+        if reply.abandoned:
+            connection.close()
+            return
+        self._connections.add(connection)
+        try:
+            await connection.run(message, reply)
+        finally:
+            self._connections.discard(connection)
+            self._forget(connection)
+
+    def _take_back(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def _send_again(
+        self, message: messages.RunExchange, reply: mailbox.Reply
+    ) -> None:
+        self._spawn(self._connect, message, reply)
+
+    def _forget(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(connection.address, None)
 
     async def _sweep(self) -> None:
+        """Ends exchanges and idle connections whose time is up."""
         while True:
             await trio.sleep(SWEEP_INTERVAL)
             now = clock.monotonic()
+            for connection in tuple(self._connections):
+                if connection.deadline <= now:
+                    connection.expire()
             for idle in self._idle.values():
-                for connection in tuple(idle):
-                    if not (
-                        connection.usable(messages.ANY_IDLE_TIME, now)
-                        and connection.alive
-                    ):
-                        idle.remove(connection)
+                for connection in idle:
+                    if not connection.usable(messages.ANY_IDLE_TIME, now):
+                        # Its task ends and takes it off the list.
                         connection.close()
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -142,6 +142,15 @@
     return frozen.changed(queue, items=kept), expired_items
 
 
+def overdue(queue: Queue, now: float) -> tuple[Queue, tuple[Item, ...]]:
+    """Takes out, under any law, what nobody waits for any more."""
+    late = tuple(item for item in queue.items if item.deadline <= now)
+    if not late:
+        return queue, ()
+    kept = tuple(item for item in queue.items if item.deadline > now)
+    return frozen.changed(queue, items=kept), late
+
+
 def remove(queue: Queue, item: Item) -> Queue:
     """Takes out one item."""
     return frozen.changed(
--- a/src/sassafrashall/exceptions.py
+++ b/src/sassafrashall/exceptions.py
@@ -114,16 +114,23 @@
     Attributes:
       committed: Whether the peer may have received the whole request.
       silent: Whether the peer did not react in time.
+      expired: Whether the deadline of the request ended it.
     """
 
     code = UPSTREAM_FAILED
 
     def __init__(
-        self, detail: str, *, committed: bool, silent: bool = False
+        self,
+        detail: str,
+        *,
+        committed: bool,
+        silent: bool = False,
+        expired: bool = False,
     ) -> None:
         super().__init__(detail)
         self.committed = committed
         self.silent = silent
+        self.expired = expired
 
 
 class RpcError(SassafrashallError):
--- a/src/sassafrashall/filters/forward.py
+++ b/src/sassafrashall/filters/forward.py
@@ -5,11 +5,8 @@
 import itertools
 import uuid
 
-import trio
-
 from sassafrashall import clock
 from sassafrashall import events
-from sassafrashall import exceptions
 from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -113,7 +110,10 @@
                 timeout_ms=ticket.remaining_ms,
                 ticket=ticket,
             )
-            return await self._run_here(call, request)
+            # The slot's queue and the pool end it at its deadline.
+            return await self._local.run(
+                model.Call(request=request, root_id=call.root_id)
+            )
         return await self._links.ask(
             messages.Exchange(
                 address=choice.address,
@@ -125,32 +125,6 @@
             )
         )
 
-    async def _run_here(
-        self, call: model.Call, request: model.Request
-    ) -> model.Outcome:
-        dispatched = False
-
-        async def confirm() -> bool:
-            nonlocal dispatched
-            dispatched = True
-            return True
-
-        left = call.deadline - clock.monotonic()
-        with trio.move_on_after(max(0.0, left)):
-            return await self._local.run(
-                model.Call(
-                    request=frozen.changed(request, confirm=confirm),
-                    root_id=call.root_id,
-                )
-            )
-        return model.Refuse(
-            code=exceptions.DEADLINE,
-            detail="the deadline passed before the answer was there",
-            run=model.RunState.UNKNOWN
-            if dispatched
-            else model.RunState.NOT_RUN,
-        )
-
 
 def _is_streamed(call: model.Call, refusal: model.Refuse) -> bool:
     """Returns whether a body may be partly used up and can't be sent again."""
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -43,8 +43,8 @@
 class LocalUpstreamFilter:
     """Ends the chain of the node beside the upstream.
 
-    Whoever runs the chain cancels it at the deadline; that closes the
-    connection, and with it the request at the upstream.
+    Whoever gives a call up cancels it, which closes the connection and with it
+    the request at the upstream; the pool does so at the deadline.
     """
 
     def __init__(
@@ -111,64 +111,27 @@
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
     ) -> model.Outcome:
         request = self._dialect.encode(call, upstream, clock.monotonic())
-        repeatable = call.idempotent and request.rest is None
-        connection = await self._connection(upstream.address, call.idempotent)
-        try:
-            response = await self._exchange_on(connection, request)
-        except exceptions.ConnectionFailedError:
-            if not (connection.used_before and repeatable):
-                raise
-            # The upstream had closed the idle connection.
-            connection = await upstream_connection.UpstreamConnection.open(
-                upstream.address
+        response = await self._pool.ask(
+            messages.RunExchange(
+                address=upstream.address,
+                request=request,
+                answers=self._dialect.answers(request),
+                longest_idle=messages.ANY_IDLE_TIME
+                if call.idempotent
+                else FRESH_IDLE_TIME,
+                repeatable=call.idempotent and request.rest is None,
+                deadline=call.deadline,
             )
-            response = await self._exchange_on(connection, request)
+        )
         if response.rest is None:
-            self._pool.tell(messages.CheckIn(connection=connection))
             slot.answered(response.status)
             return self._dialect.decode(response)
         slot.held = True
         body = _StreamedAnswer(
-            rest=response.rest,
-            connection=connection,
-            pool=self._pool,
-            deadline=call.deadline,
-            on_end=slot.release,
+            rest=response.rest, deadline=call.deadline, on_end=slot.release
         )
         return self._dialect.decode(frozen.changed(response, rest=body))
 
-    async def _connection(
-        self, address: model.Address, idempotent: bool
-    ) -> upstream_connection.UpstreamConnection:
-        idle = await self._pool.ask(
-            messages.CheckOut(
-                address=address,
-                longest_idle=messages.ANY_IDLE_TIME
-                if idempotent
-                else FRESH_IDLE_TIME,
-            )
-        )
-        if idle is not None:
-            return idle
-        return await upstream_connection.UpstreamConnection.open(address)
-
-    async def _exchange_on(
-        self,
-        connection: upstream_connection.UpstreamConnection,
-        request: http.RawRequest,
-    ) -> model.Response:
-        """Closes the connection, and with it the request, unless it ends."""
-        whole = False
-        try:
-            response = await connection.exchange(
-                request, self._dialect.answers(request)
-            )
-            whole = True
-            return response
-        finally:
-            if not whole:
-                connection.close()
-
 
 class _Slot:
     """A slot of the upstream, given back once."""
@@ -203,14 +166,10 @@
         self,
         *,
         rest: model.BodyReader,
-        connection: upstream_connection.UpstreamConnection,
-        pool: mailbox.Mailbox,
         deadline: float,
         on_end: Callable[[], None],
     ) -> None:
         self._rest = rest
-        self._connection = connection
-        self._pool = pool
         self._deadline = deadline
         self._on_end = on_end
         self._ended = False
@@ -225,7 +184,6 @@
             if not data:
                 self._ended = True
                 self._on_end()
-                self._pool.tell(messages.CheckIn(connection=self._connection))
             return data
         raise exceptions.ConnectionFailedError(
             "the deadline passed in the middle of the answer", committed=True
@@ -236,14 +194,17 @@
         if not self._ended:
             self._ended = True
             self._on_end()
-            self._connection.close()
+            await self._rest.close()
 
 
 def _failure(error: exceptions.ConnectionFailedError) -> model.Refuse:
+    code = exceptions.UPSTREAM_FAILED
+    if error.expired:
+        code = exceptions.DEADLINE
+    elif error.silent:
+        code = exceptions.UPSTREAM_SILENT
     return model.Refuse(
-        code=exceptions.UPSTREAM_SILENT
-        if error.silent
-        else exceptions.UPSTREAM_FAILED,
+        code=code,
         detail=f"the upstream: {error}",
         run=model.RunState.UNKNOWN
         if error.committed
--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -12,6 +12,7 @@
 import trio
 
 from sassafrashall import exceptions
+from sassafrashall import fiber
 
 MAILBOX_SIZE = 100_000  # messages
 
@@ -26,6 +27,7 @@
         "_error",
         "_event",
         "_on_abandon",
+        "_on_done",
         "_value",
         "abandoned",
     )
@@ -36,6 +38,7 @@
         self._value: Any = None
         self._error: BaseException | None = None
         self._on_abandon: Callable[[], None] | None = None
+        self._on_done: Callable[[], None] | None = None
         self.abandoned = False
 
     @property
@@ -69,6 +72,12 @@
         self._done = True
         if self._event is not None:
             self._event.set()
+        elif self._on_done is not None:
+            self._on_done()
+
+    def on_done(self, callback: Callable[[], None]) -> None:
+        """Sets what to call when the answer is there."""
+        self._on_done = callback
 
     def on_abandon(self, callback: Callable[[], None] | None) -> None:
         """Sets what to call when the asker no longer waits."""
@@ -79,10 +88,13 @@
     async def wait(self) -> Any:
         """Waits for the answer; a cancelled wait abandons the message."""
         if not self._done:
-            self._event = trio.Event()
             try:
-                await self._event.wait()
-            except trio.Cancelled:
+                if fiber.is_current():
+                    await fiber.suspend(self)
+                else:
+                    self._event = trio.Event()
+                    await self._event.wait()
+            except (trio.Cancelled, fiber.Cancelled):
                 # An answer that is there already may hold a slot or a token,
                 # so it is taken; the cancellation comes with the next wait.
                 if not self._done:
@@ -110,13 +122,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Envelope:
-    """A message with the place for its answer, if one is wanted."""
+    """A message that waits, with the place for its answer."""
 
     message: Any
-    reply: Reply | None = None
+    reply: Reply
 
 
-Receiver = Callable[[Envelope], None]
+Receiver = Callable[[Any, Reply], None]
 
 
 class Mailbox:
@@ -141,38 +153,38 @@
 
     def tell(self, message: Any) -> None:
         """Sends a message that needs no answer."""
-        self._put(Envelope(message=message))
+        self._put(message, NOBODY)
 
     async def ask(self, message: Any) -> Any:
         """Sends a message and waits for its answer."""
         reply = Reply()
-        self._put(Envelope(message=message, reply=reply))
+        self._put(message, reply)
         if reply.succeeded:
             return reply.value
         return await reply.wait()
 
     def forward(self, message: Any, reply: Reply) -> None:
         """Sends a message on whose answer somebody else waits for."""
-        self._put(Envelope(message=message, reply=reply))
+        self._put(message, reply)
 
-    def _put(self, envelope: Envelope) -> None:
+    def _put(self, message: Any, reply: Reply) -> None:
         if self._closed:
             raise exceptions.MailboxClosedError("task has ended")
         if self._receiver is not None:
             if self._busy or self._queue:
-                self._queue.append(envelope)
+                self._queue.append(Envelope(message=message, reply=reply))
                 self._work_off()
                 return
             self._busy = True
             try:
-                self._receiver(envelope)
+                self._receiver(message, reply)
             finally:
                 self._busy = False
             if self._queue:
                 self._work_off()
             return
         try:
-            self._send.send_nowait(envelope)
+            self._send.send_nowait(Envelope(message=message, reply=reply))
         except (trio.ClosedResourceError, trio.BrokenResourceError) as error:
             raise exceptions.MailboxClosedError("task has ended") from error
 
@@ -190,7 +202,8 @@
         self._busy = True
         try:
             while self._queue and self._receiver is not None:
-                self._receiver(self._queue.popleft())
+                envelope = self._queue.popleft()
+                self._receiver(envelope.message, envelope.reply)
         finally:
             self._busy = False
 
@@ -215,10 +228,7 @@
         while (envelope := self.receive_nowait()) is not None:
             waiting.append(envelope)
         for envelope in waiting:
-            if envelope.reply:
-                envelope.reply.fail(
-                    exceptions.MailboxClosedError("task has ended")
-                )
+            envelope.reply.fail(exceptions.MailboxClosedError("task has ended"))
         self._receive.close()
 
 
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import Any
@@ -303,22 +304,28 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class CheckOut:
-    """Asks for a connection to an upstream; answered with one, or None.
+class RunExchange:
+    """Sends a request to an upstream; answered with its `model.Response`.
+
+    It fails with `ConnectionFailedError`. To abandon it closes the connection,
+    and with it cancels the request at the upstream.
 
     Attributes:
-      longest_idle: Seconds since its last use beyond which it is of no use.
+      request: What to send, as `http.RawRequest`.
+      answers: Tells by status and headers whether an answer belongs to it.
+      longest_idle: Seconds since its last use beyond which a connection is of
+        no use.
+      repeatable: Whether to send it again, on a new connection, if the
+        upstream closed an idle one without a byte of an answer.
+      deadline: Monotonic seconds.
     """
 
     address: model.Address
+    request: Any
+    answers: Callable[[int, model.Headers], bool]
     longest_idle: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CheckIn:
-    """Gives a connection back for the next exchange."""
-
-    connection: Any
+    repeatable: bool
+    deadline: float
 
 
 # --- replica -----------------------------------------------------------------
--- a/src/sassafrashall/task.py
+++ b/src/sassafrashall/task.py
@@ -54,13 +54,12 @@
             self._ended.set()
 
     async def _receive_messages(self) -> None:
-        self._mailbox.serve(self._on_envelope)
+        self._mailbox.serve(self._on_message)
         await trio.sleep_forever()
 
-    def _on_envelope(self, envelope: mailbox_module.Envelope) -> None:
-        reply = envelope.reply or mailbox_module.NOBODY
+    def _on_message(self, message: Any, reply: mailbox_module.Reply) -> None:
         if not reply.abandoned:
-            self._handle(envelope.message, reply)
+            self._handle(message, reply)
 
     def _spawn(self, function: Any, *args: Any) -> None:
         """Runs an asynchronous function in a child task."""
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -9,6 +9,8 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import fiber
+from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.transport import frames
 from sassafrashall.transport import guard
@@ -22,14 +24,25 @@
 
 
 class _ServedCall:
-    """One call of a connection, handled in a task of its own."""
+    """One call of a connection, handled by a fiber."""
 
-    def __init__(self, *, deadline: float) -> None:
+    def __init__(self, *, number: int, deadline: float) -> None:
+        self.number = number
         self.deadline = deadline
-        self.scope = trio.CancelScope()
-        self.proceed = trio.Event()
+        self.fiber: fiber.Fiber | None = None
+        # Whether the calling node still wants the call, once that was asked.
+        self.proceed: mailbox.Reply | None = None
+        self.proceed_until = 0.0
         self.body: peer_connection.IncomingBody | None = None
         self.answer: peer_connection.OutgoingBody | None = None
+        self.answer_scope = trio.CancelScope()
+
+    def cancel(self) -> None:
+        """Ends the call, or what is still to be sent of its answer."""
+        if self.answer is not None:
+            self.answer_scope.cancel()
+        elif self.fiber is not None:
+            self.fiber.cancel()
 
 
 class _Serving:
@@ -60,34 +73,32 @@
         The calling node ends them at the same time by its own clock, so
         nothing is sent to it.
         """
-        for call in self._calls.values():
+        for call in tuple(self._calls.values()):
             if call.deadline <= now:
-                call.scope.cancel()
+                call.cancel()
+            elif call.proceed is not None and call.proceed_until <= now:
+                call.proceed.put(False)
 
     async def serve(self) -> None:
         """Runs until the connection ends; its calls end with it."""
-        async with trio.open_nursery() as self._nursery:
-            await self._connection.run(self._on_frame)
-            self._nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as self._nursery:
+                await self._connection.run(self._on_frame)
+                self._nursery.cancel_scope.cancel()
+        finally:
+            for call in tuple(self._calls.values()):
+                call.cancel()
 
     def _on_frame(self, frame: frames.Frame) -> None:
         match frame:
+            case frames.OpenCall() if self._known:
+                self._open(frame)
             case frames.Hello(vm=vm, proof=given):
                 self._known = hmac.compare_digest(given, self._prove(vm))
-            case frames.OpenCall() if self._known:
-                call = _ServedCall(
-                    deadline=clock.monotonic() + frame.remaining_ms / 1000
-                )
-                self._calls[frame.call] = call
-                if frame.more:
-                    call.body = peer_connection.IncomingBody(
-                        connection=self._connection, call=frame.call
-                    )
-                assert self._nursery is not None
-                self._nursery.start_soon(self._run, frame, call)
             case frames.Proceed(call=number):
-                if number in self._calls:
-                    self._calls[number].proceed.set()
+                held = self._calls.get(number)
+                if held is not None and held.proceed is not None:
+                    held.proceed.put(True)
             case frames.BodyPart(call=number, data=data):
                 held = self._calls.get(number)
                 if held is not None and held.body is not None:
@@ -98,54 +109,75 @@
                     held.answer.credit(count)
             case frames.CancelCall(call=number):
                 if number in self._calls:
-                    self._calls[number].scope.cancel()
+                    self._calls[number].cancel()
             case _:
                 raise exceptions.ProtocolError(
                     exceptions.BAD_REQUEST, "unexpected frame"
                 )
 
-    async def _run(self, frame: frames.OpenCall, call: _ServedCall) -> None:
-        try:
-            with call.scope:
-                await self._answer(frame, call)
-        finally:
-            self._calls.pop(frame.call, None)
-        if call.scope.cancelled_caught and call.answer is not None:
-            # What was sent of the answer must not be taken for all of it.
-            self._connection.send(frames.CancelCall(call=frame.call))
+    def _open(self, frame: frames.OpenCall) -> None:
+        call = _ServedCall(
+            number=frame.call,
+            deadline=clock.monotonic() + frame.remaining_ms / 1000,
+        )
+        self._calls[frame.call] = call
+        if frame.more:
+            call.body = peer_connection.IncomingBody(
+                connection=self._connection, call=frame.call
+            )
+        call.fiber = fiber.Fiber(
+            coroutine=self._answer(frame, call),
+            on_end=lambda: self._on_end(call),
+        )
+        call.fiber.start()
+
+    def _on_end(self, call: _ServedCall) -> None:
+        if call.answer is None:
+            self._calls.pop(call.number, None)
 
     async def _answer(self, frame: frames.OpenCall, call: _ServedCall) -> None:
         async def confirm() -> bool:
+            call.proceed = mailbox.Reply()
+            call.proceed_until = clock.monotonic() + PROCEED_TIMEOUT
             self._connection.send(frames.Offer(call=frame.call))
-            with trio.move_on_after(PROCEED_TIMEOUT):
-                await call.proceed.wait()
-            return call.proceed.is_set()
+            return await call.proceed.wait()
 
         request = _request_of(
             frame, call.body, confirm if frame.confirm else None
         )
         outcome = await guard.outcome_of(self._handler, request)
         match outcome:
-            case model.Refuse():
-                self._connection.send(_refusal(frame.call, outcome))
             case model.Answer(response=response):
                 self._connection.send(_answer(frame.call, outcome))
                 if response.rest is not None:
-                    await self._send_rest(frame.call, call, response.rest)
+                    assert self._nursery is not None
+                    rest = call.answer = peer_connection.OutgoingBody(
+                        connection=self._connection, call=frame.call
+                    )
+                    self._nursery.start_soon(
+                        self._send_rest, call, rest, response.rest
+                    )
+            case model.Refuse():
+                self._connection.send(_refusal(frame.call, outcome))
 
     async def _send_rest(
-        self, number: int, call: _ServedCall, rest: model.BodyReader
+        self,
+        call: _ServedCall,
+        answer: peer_connection.OutgoingBody,
+        rest: model.BodyReader,
     ) -> None:
-        call.answer = peer_connection.OutgoingBody(
-            connection=self._connection, call=number
-        )
         try:
-            await call.answer.send(rest)
+            with call.answer_scope:
+                await answer.send(rest)
         except exceptions.ConnectionFailedError:
-            self._connection.send(frames.CancelCall(call=number))
+            self._connection.send(frames.CancelCall(call=call.number))
         finally:
+            self._calls.pop(call.number, None)
             with trio.CancelScope(shield=True):
                 await rest.close()
+        if call.answer_scope.cancelled_caught:
+            # What was sent of the answer must not be taken for all of it.
+            self._connection.send(frames.CancelCall(call=call.number))
 
 
 def _request_of(
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -10,6 +10,7 @@
 from sassafrashall import clock
 from sassafrashall import configuration
 from sassafrashall import exceptions
+from sassafrashall import fiber
 from sassafrashall import model
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
@@ -24,6 +25,8 @@
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 LimitsSource = Callable[[], configuration.Limits]
+# Runs an asynchronous function in a task of its own.
+Spawn = Callable[..., None]
 
 
 class _RequestBody:
@@ -58,12 +61,23 @@
         """Leaves the rest unread."""
 
 
+class _Exchange:
+    """A request in progress and how its answer must be sent."""
+
+    def __init__(self, *, head: http1.RequestHead) -> None:
+        self.head = head
+        self.fiber: fiber.Fiber | None = None
+        self.ended = trio.Event()
+
+
 class Connection:
-    """One accepted connection; one task reads and answers its requests.
+    """One accepted connection.
 
-    While a request is in progress nobody reads, so the server looks now and
-    then whether the caller has left: a task that reads all along would cost
-    each request a turn of the scheduler.
+    A task reads, also while a request is in progress, so that it learns at
+    once that the caller has left. A request with a short body is handled by a
+    fiber; one with a long body by the task itself, which reads the rest of it
+    on the way, and the server then looks now and then whether the caller has
+    left.
     """
 
     def __init__(
@@ -73,25 +87,31 @@
         handler: Handler,
         source: model.Source,
         limits: configuration.Limits,
+        spawn: Spawn,
     ) -> None:
         self._stream = stream
         self._handler = handler
         self._source = source
         self._limits = limits
+        self._spawn = spawn
         self._parser = http1.RequestParser(head_limit=limits.head_bytes)
         self._scope = trio.CancelScope()
         self._active_at = clock.monotonic()
-        self._busy = False
+        self._exchange: _Exchange | None = None
+        self._reading = False
         self._expiring = False
+        self._ending = False
 
     async def serve(self) -> None:
         """Runs until either side ends the connection."""
         try:
             with self._scope:
-                await self._answer_requests()
+                await self._take_requests()
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
+            if self._exchange is not None and self._exchange.fiber is not None:
+                self._exchange.fiber.cancel()
             self._stream.close()
 
     def expire(self) -> None:
@@ -101,13 +121,13 @@
     def stop(self) -> None:
         """Ends the connection once it is idle."""
         self._expiring = True
-        if not self._busy and not self._parser.partial:
+        if self._exchange is None and not self._parser.partial:
             self._scope.cancel()
 
     def check(self, now: float) -> None:
         """Ends the connection if its caller has left or takes too long."""
-        if self._busy:
-            if self._stream.has_ended:
+        if self._exchange is not None:
+            if not self._reading and self._stream.has_ended:
                 self._scope.cancel()
             return
         limit = self._limits.idle_timeout_s
@@ -127,76 +147,158 @@
             if event is not None:
                 return event
             begun = self._parser.partial
+            self._reading = True
             data = await self._stream.receive(http.RECEIVE_SIZE)
+            self._reading = False
             if not data:
                 return None
             if not begun:
                 self._active_at = clock.monotonic()
+            if self._exchange is not None and self._exchange.fiber is not None:
+                # The next request waits for the end of this one; nothing more
+                # is read until then.
+                await self._exchange.ended.wait()
             self._parser.feed(data)
 
-    async def _answer_requests(self) -> None:
-        while True:
+    async def _take_requests(self) -> None:
+        while not self._ending:
             try:
                 head = await self.next_event()
-                if not isinstance(head, http1.RequestHead):
-                    return
-                self._busy = True
-                if not await self._answer(head):
+                if self._exchange is not None and head is not None:
+                    await self._exchange.ended.wait()
+                if self._ending or not isinstance(head, http1.RequestHead):
                     return
-                self._busy = False
-                self._active_at = clock.monotonic()
+                await self._take(head)
             except exceptions.ProtocolError as fault:
                 await self._refuse(fault)
                 return
             except exceptions.ConnectionFailedError:
                 return
 
-    async def _answer(self, head: http1.RequestHead) -> bool:
-        """Answers one request and returns whether the connection goes on."""
+    async def _take(self, head: http1.RequestHead) -> None:
+        """Begins a request, and ends it as well if its body is long."""
         if head.length is not None and head.length > self._limits.body_bytes:
             raise exceptions.ProtocolError(
                 exceptions.BODY_TOO_LARGE, "the body is too large"
             )
+        exchange = self._exchange = _Exchange(head=head)
         received_at = clock.monotonic()
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         rest = _RequestBody(connection=self, limit=self._limits.body_bytes)
         body = await http.read_beginning(rest)
-        response = await self._handler(
-            http.RawRequest(
-                method=head.method,
-                target=head.target,
-                headers=head.headers,
-                body=body,
-                source=self._source,
-                received_at=received_at,
-                rest=None if rest.ended else rest,
-            )
+        request = http.RawRequest(
+            method=head.method,
+            target=head.target,
+            headers=head.headers,
+            body=body,
+            source=self._source,
+            received_at=received_at,
+            rest=None if rest.ended else rest,
         )
-        closes = self._expiring or not head.keep_alive or not rest.ended
-        whole = await self._send(response, closes, head.method == "HEAD")
+        if rest.ended:
+            exchange.fiber = fiber.Fiber(
+                coroutine=self._respond(exchange, request),
+                on_end=lambda: self._on_fiber_end(exchange),
+            )
+            exchange.fiber.start()
+            return
+        response = await self._handler(request)
+        closes = self._closes(exchange) or not rest.ended
+        whole = await self._send(exchange, response, closes)
         if not rest.ended:
             await self._linger(rest)
-        return whole and not closes
+        self._end(exchange, whole and not closes)
+
+    async def _respond(
+        self, exchange: _Exchange, request: http.RawRequest
+    ) -> None:
+        """Answers a request in a fiber; a task sends what does not fit."""
+        response = await self._handler(request)
+        closes = self._closes(exchange)
+        if response.rest is not None:
+            self._spawn(self._send_later, exchange, response, closes, b"")
+            return
+        data = self._whole(exchange, response, closes)
+        try:
+            sent = self._stream.push(data)
+        except OSError:
+            self._end(exchange, False)
+            return
+        if sent < len(data):
+            self._spawn(
+                self._send_later, exchange, response, closes, data[sent:]
+            )
+            return
+        self._end(exchange, not closes)
+
+    async def _send_later(
+        self,
+        exchange: _Exchange,
+        response: model.Response,
+        closes: bool,
+        data: bytes,
+    ) -> None:
+        """Sends an answer that does not fit at once."""
+        whole = False
+        try:
+            if response.rest is not None:
+                whole = await self._send(exchange, response, closes)
+            else:
+                with trio.move_on_after(SLOW_READER_TIMEOUT):
+                    await self._stream.send(data)
+                    whole = True
+        except (OSError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._end(exchange, whole and not closes)
+
+    def _on_fiber_end(self, exchange: _Exchange) -> None:
+        """A fiber that was cancelled sends nothing and ends the exchange."""
+        if exchange.fiber is not None and exchange.fiber.cancelled:
+            self._end(exchange, False)
+
+    def _closes(self, exchange: _Exchange) -> bool:
+        return self._expiring or not exchange.head.keep_alive
+
+    def _end(self, exchange: _Exchange, goes_on: bool) -> None:
+        """Ends a request, and the connection unless it goes on."""
+        if self._exchange is not exchange:
+            return
+        self._exchange = None
+        self._active_at = clock.monotonic()
+        if not goes_on:
+            self._ending = True
+            self._scope.cancel()
+        exchange.ended.set()
+
+    def _whole(
+        self, exchange: _Exchange, response: model.Response, closes: bool
+    ) -> bytes:
+        """Returns the bytes of a response that is there."""
+        head_only = exchange.head.method == "HEAD"
+        length = len(response.body)
+        if head_only:
+            length = _told_length(response.headers) or 0
+        head = http1.encode_response(
+            response.status, response.headers, length, closes
+        )
+        if head_only or response.status in (204, 304):
+            return head
+        return head + response.body
 
     async def _send(
-        self, response: model.Response, closes: bool, head_only: bool
+        self, exchange: _Exchange, response: model.Response, closes: bool
     ) -> bool:
         """Sends a response and returns whether it is whole."""
-        headers = response.headers
-        length: int | None = len(response.body)
-        if response.rest is not None or head_only:
-            told = model.find_header(headers, "content-length")
-            length = int(told) if told is not None else None
-            if head_only and length is None:
-                length = 0
-        head = http1.encode_response(response.status, headers, length, closes)
-        if head_only or response.status in (204, 304):
-            await self._stream.send(head)
-            return True
-        if response.rest is None:
-            await self._stream.send(head + response.body)
+        bodiless = response.status in (204, 304)
+        if response.rest is None or bodiless or exchange.head.method == "HEAD":
+            await self._stream.send(self._whole(exchange, response, closes))
             return True
+        length = _told_length(response.headers)
+        head = http1.encode_response(
+            response.status, response.headers, length, closes
+        )
         return await self._send_parts(head, response, length is None)
 
     async def _send_parts(
@@ -224,10 +326,15 @@
 
     async def _refuse(self, fault: exceptions.ProtocolError) -> None:
         """Answers input that could not be read; the connection ends."""
+        if self._exchange is not None and self._exchange.fiber is not None:
+            await self._exchange.ended.wait()
         response = codec.problem(
             model.Refuse(code=fault.code, detail=str(fault))
         )
-        await self._send(response, True, False)
+        head = http1.encode_response(
+            response.status, response.headers, len(response.body), True
+        )
+        await self._stream.send(head + response.body)
 
     async def _linger(self, rest: _RequestBody) -> None:
         """Reads what the caller still sends, so that the answer reaches it."""
@@ -239,6 +346,11 @@
                 return
 
 
+def _told_length(headers: model.Headers) -> int | None:
+    told = model.find_header(headers, "content-length")
+    return int(told) if told is not None else None
+
+
 class Server(listener.Listener[Connection]):
     """Serves requests whose bodies are passed on as they arrive."""
 
@@ -261,11 +373,13 @@
         nursery.start_soon(self._sweep)
 
     def _connect(self, stream: trio.SocketStream) -> Connection:
+        assert self._nursery is not None
         return Connection(
             stream=sockets.Stream(stream=stream),
             handler=self._handler,
             source=self._source,
             limits=self._limits(),
+            spawn=self._nursery.start_soon,
         )
 
     async def _sweep(self) -> None:
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -8,6 +8,8 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
@@ -21,195 +23,332 @@
 Answers = Callable[[int, model.Headers], bool]
 
 
+class _Exchange:
+    """A request on a connection and what has arrived of its answer."""
+
+    def __init__(
+        self, *, message: messages.RunExchange, reply: mailbox.Reply
+    ) -> None:
+        self.message = message
+        self.reply = reply
+        self.head: http1.ResponseHead | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.strays = 0
+        self.is_stray = False
+        self.uploaded = message.request.rest is None
+        self.upload_scope = trio.CancelScope()
+
+
 class UpstreamConnection:
-    """Sends requests to an upstream and reads its answers.
+    """Owns a socket to an upstream; its task reads for as long as it is open.
 
     An answer that names another request is passed over: an upstream may send
     one late, where the next answer is due.
     """
 
     def __init__(
-        self, *, stream: sockets.Stream, address: model.Address
+        self,
+        *,
+        stream: sockets.Stream,
+        address: model.Address,
+        on_free: Callable[[UpstreamConnection], None],
+        on_unread: Callable[[messages.RunExchange, mailbox.Reply], None],
     ) -> None:
+        """Takes over a socket.
+
+        Args:
+          stream: The socket.
+          address: Where the upstream listens.
+          on_free: Called when another exchange may begin.
+          on_unread: Called with an exchange that may be sent again, since the
+            upstream closed an idle connection.
+        """
         self._stream = stream
         self._address = address
+        self._on_free = on_free
+        self._on_unread = on_unread
         self._parser = http1.ResponseParser(head_limit=HEAD_LIMIT)
-        self._committed = False
+        self._exchange: _Exchange | None = None
+        self._nursery: trio.Nursery | None = None
+        self._rest: _AnswerBody | None = None
+        self._rest_ended = trio.Event()
+        self._answered = False
+        self._open = True
         self._reusable = True
         self._exchanges = 0
         self._used_at = clock.monotonic()
         self._expires_at = self._used_at + DEFAULT_KEEP_ALIVE
 
-    @classmethod
-    async def open(cls, address: model.Address) -> UpstreamConnection:
-        """Connects; raises `ConnectionFailedError` if that fails."""
-        return cls(stream=await sockets.connect(address), address=address)
-
     @property
     def address(self) -> model.Address:
         """Where the upstream listens."""
         return self._address
 
     @property
-    def used_before(self) -> bool:
-        """Whether an earlier exchange ran on this connection."""
-        return self._exchanges > 1
-
-    @property
-    def alive(self) -> bool:
-        """Whether the upstream has left the idle connection as it was.
-
-        One that was closed, or holds bytes that belong to no request, is of
-        no more use.
-        """
-        return self._stream.is_quiet
+    def deadline(self) -> float:
+        """When the exchange on it must have an answer; infinite if none."""
+        if self._exchange is None:
+            return float("inf")
+        return self._exchange.message.deadline
 
     def usable(self, longest_idle: float, now: float) -> bool:
-        """Returns whether another exchange may start, by what is known."""
+        """Returns whether another exchange may start."""
         return (
-            self._reusable
+            self._open
+            and self._reusable
+            and self._exchange is None
             and now < self._expires_at
             and now - self._used_at <= longest_idle
         )
 
-    async def exchange(
-        self, request: http.RawRequest, answers: Answers
-    ) -> model.Response:
-        """Sends a request and returns the answer to it.
-
-        Args:
-          request: What to send.
-          answers: Tells whether an answer belongs to this request.
-
-        Raises:
-          ConnectionFailedError: `committed` tells whether the upstream may
-            have received the request.
-        """
-        self._committed = False
+    def begin(
+        self, message: messages.RunExchange, reply: mailbox.Reply
+    ) -> None:
+        """Sends a request; its answer, or the failure, goes to `reply`."""
         self._reusable = False
         self._exchanges += 1
+        self._answered = False
+        request = message.request
         self._parser.without_body = request.method == "HEAD"
+        self._exchange = _Exchange(message=message, reply=reply)
+        reply.on_abandon(self.close)
+        if request.rest is not None:
+            assert self._nursery is not None
+            self._nursery.start_soon(self._upload, self._exchange)
+            return
+        head = http1.encode_request(
+            request.method, request.target, request.headers, len(request.body)
+        )
+        data = head + request.body
         try:
-            if request.rest is None:
-                head = http1.encode_request(
-                    request.method,
-                    request.target,
-                    request.headers,
-                    len(request.body),
-                )
-                self._committed = True
-                await self._stream.send(head + request.body)
-                return await self._receive(answers)
-            return await self._exchange_stream(request, answers)
-        except (
-            OSError,
-            trio.ClosedResourceError,
-            exceptions.ProtocolError,
-        ) as error:
-            raise exceptions.ConnectionFailedError(
-                str(error) or type(error).__name__, committed=self._committed
-            ) from error
-
-    async def _exchange_stream(
-        self, request: http.RawRequest, answers: Answers
-    ) -> model.Response:
-        """Sends a long body while it waits for the answer.
-
-        An answer may come before the body is sent; the connection then ends
-        with it, since the rest of the body is still due on it.
-        """
-        length = model.find_header(request.headers, "content-length")
-        headers = tuple(h for h in request.headers if h[0] != "content-length")
-        whole = False
-        response: model.Response | None = None
-
-        async def send() -> None:
-            nonlocal whole
-            chunked = length is None
-            head = http1.encode_request(
-                request.method,
-                request.target,
-                headers,
-                None if length is None else int(length),
+            sent = self._stream.push(data)
+        except OSError as error:
+            self._fail(str(error))
+            return
+        if sent < len(data):
+            assert self._nursery is not None
+            self._nursery.start_soon(self._send_rest, data[sent:])
+
+    async def run(
+        self, message: messages.RunExchange, reply: mailbox.Reply
+    ) -> None:
+        """Begins with an exchange and reads until the connection ends."""
+        detail = "the upstream closed the connection"
+        try:
+            async with trio.open_nursery() as self._nursery:
+                self.begin(message, reply)
+                await self._read()
+                self._nursery.cancel_scope.cancel()
+        except* (OSError, trio.ClosedResourceError) as group:
+            detail = str(group.exceptions[0]) or detail
+        except* exceptions.SassafrashallError as faults:
+            detail = str(faults.exceptions[0])
+            self._answered = True
+        finally:
+            self.close()
+            self._end_exchange(detail)
+
+    def _end_exchange(self, detail: str) -> None:
+        """Answers for an exchange that the connection took with it."""
+        held, self._exchange = self._exchange, None
+        if held is None or held.reply.abandoned:
+            return
+        held.reply.on_abandon(None)
+        # The upstream had closed the idle connection before it read anything.
+        was_idle = self._exchanges > 1 and not self._answered
+        if was_idle and held.message.repeatable:
+            self._on_unread(held.message, held.reply)
+        else:
+            held.reply.fail(
+                exceptions.ConnectionFailedError(detail, committed=True)
             )
-            encode = http1.encode_chunk if chunked else bytes
-            assert request.rest is not None
-            self._committed = True
-            data = head + (encode(request.body) if request.body else b"")
-            while data:
-                await self._stream.send(data)
-                part = await request.rest.read()
-                data = encode(part) if part else b""
-            if chunked:
-                await self._stream.send(http1.LAST_CHUNK)
-            whole = True
-
-        async def receive(nursery: trio.Nursery) -> None:
-            nonlocal response
-            response = await self._receive(answers)
-            nursery.cancel_scope.cancel()
 
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(receive, nursery)
-                nursery.start_soon(send)
-        except* (
-            OSError,
-            trio.ClosedResourceError,
-            exceptions.SassafrashallError,
-        ) as group:
-            if response is None:
-                raise exceptions.ConnectionFailedError(
-                    str(group.exceptions[0]), committed=self._committed
-                ) from group
-        self._reusable = self._reusable and whole
-        assert response is not None
-        return response
-
-    async def _receive(self, answers: Answers) -> model.Response:
-        strays = 0
+    async def _read(self) -> None:
         while True:
-            head = await self._next_event()
-            if not isinstance(head, http1.ResponseHead):
-                raise exceptions.ConnectionFailedError(
-                    "no answer on the connection", committed=self._committed
-                )
-            if answers(head.status, head.headers):
-                return await self._body_of(head, clean=strays == 0)
-            strays += 1
-            if strays > STRAY_ANSWERS or head.ends_with_connection:
-                raise exceptions.ConnectionFailedError(
-                    "answers to other requests on the connection",
-                    committed=self._committed,
-                )
-            while isinstance(await self._next_event(), http1.BodyPart):
-                pass
-
-    async def _body_of(
-        self, head: http1.ResponseHead, clean: bool
-    ) -> model.Response:
-        reader = _AnswerBody(connection=self, head=head, clean=clean)
-        return model.Response(
-            status=head.status,
-            headers=head.headers,
-            body=await http.read_beginning(reader),
-            rest=None if reader.ended else reader,
+            data = await self._stream.receive(http.RECEIVE_SIZE)
+            if self._exchange is None:
+                # Closed while idle, or bytes that belong to no request.
+                return
+            if data:
+                self._answered = True
+                self._parser.feed(data)
+            else:
+                self._parser.end()
+            while (event := self._parser.next_event()) is not None:
+                self._on_event(event)
+                if self._rest is not None:
+                    await self._rest_ended.wait()
+                    self._rest = None
+                    if not self._reusable:
+                        return
+                    self._on_free(self)
+            if not data or not self._open:
+                return
+
+    def _on_event(self, event: http1.Event) -> None:
+        exchange = self._exchange
+        if exchange is None:
+            raise _protocol_error("bytes after an answer")
+        match event:
+            case http1.ResponseHead():
+                self._on_head(exchange, event)
+            case http1.BodyPart(data=data):
+                if not exchange.is_stray:
+                    exchange.parts.append(data)
+                    exchange.size += len(data)
+                    if exchange.size > http.WHOLE_BODY:
+                        self._hand_over(exchange)
+            case http1.MessageEnd():
+                if exchange.is_stray:
+                    exchange.is_stray = False
+                else:
+                    self._finish(exchange)
+
+    def _on_head(self, exchange: _Exchange, head: http1.ResponseHead) -> None:
+        if exchange.message.answers(head.status, head.headers):
+            exchange.head = head
+            return
+        exchange.strays += 1
+        exchange.is_stray = True
+        if exchange.strays > STRAY_ANSWERS or head.ends_with_connection:
+            raise _protocol_error("answers to other requests on the connection")
+
+    def _finish(self, exchange: _Exchange) -> None:
+        """The answer is whole."""
+        head = exchange.head
+        if head is None:
+            raise _protocol_error("a body without a head")
+        self._settle(exchange, head)
+        # The reply may begin the next exchange in this turn.
+        if self._reusable:
+            self._on_free(self)
+        else:
+            self.close()
+        exchange.reply.put(
+            model.Response(
+                status=head.status,
+                headers=head.headers,
+                body=b"".join(exchange.parts),
+            )
         )
 
-    def finish(self, head: http1.ResponseHead, clean: bool) -> None:
-        """An answer is whole; decides whether the connection goes on."""
+    def _settle(self, exchange: _Exchange, head: http1.ResponseHead) -> None:
+        """Ends the exchange and decides whether the connection goes on."""
+        exchange.reply.on_abandon(None)
+        # An early answer ends the connection with the rest of the body due.
+        exchange.upload_scope.cancel()
+        self._exchange = None
         self._used_at = clock.monotonic()
         self._expires_at = self._used_at + _idle_time(head.headers)
-        self._reusable = clean and head.keep_alive and self._parser.at_boundary
+        self._reusable = (
+            self._open
+            and exchange.uploaded
+            and exchange.strays == 0
+            and head.keep_alive
+            and self._parser.at_boundary
+        )
+
+    def _hand_over(self, exchange: _Exchange) -> None:
+        """Lets the asker read the rest of a long body by itself."""
+        head = exchange.head
+        if head is None:
+            raise _protocol_error("a body without a head")
+        self._rest_ended = trio.Event()
+        self._rest = _AnswerBody(connection=self, exchange=exchange)
+        exchange.reply.on_abandon(None)
+        exchange.reply.put(
+            model.Response(
+                status=head.status,
+                headers=head.headers,
+                body=b"".join(exchange.parts),
+                rest=self._rest,
+            )
+        )
+
+    def expire(self) -> None:
+        """Ends an exchange whose time is up."""
+        if self._exchange is not None and self._rest is None:
+            held, self._exchange = self._exchange, None
+            held.reply.on_abandon(None)
+            held.reply.fail(
+                exceptions.ConnectionFailedError(
+                    "no answer by the deadline", committed=True, expired=True
+                )
+            )
+        self.close()
+
+    def _fail(self, detail: str) -> None:
+        """Ends an exchange whose request could not be sent."""
+        held, self._exchange = self._exchange, None
+        self.close()
+        if held is not None:
+            held.reply.on_abandon(None)
+            held.reply.fail(
+                exceptions.ConnectionFailedError(detail, committed=True)
+            )
+
+    # --- a request that does not fit at once ---------------------------------
+
+    async def _send_rest(self, data: bytes) -> None:
+        try:
+            await self._stream.send(data)
+        except (OSError, trio.ClosedResourceError) as error:
+            self._fail(str(error))
+
+    async def _upload(self, exchange: _Exchange) -> None:
+        """Sends a long body while the answer may already arrive."""
+        request = exchange.message.request
+        length = model.find_header(request.headers, "content-length")
+        headers = tuple(h for h in request.headers if h[0] != "content-length")
+        encode = http1.encode_chunk if length is None else bytes
+        data = http1.encode_request(
+            request.method,
+            request.target,
+            headers,
+            None if length is None else int(length),
+        )
+        if request.body:
+            data += encode(request.body)
+        with exchange.upload_scope:
+            try:
+                while data:
+                    await self._stream.send(data)
+                    part = await request.rest.read()
+                    data = encode(part) if part else b""
+                if length is None:
+                    await self._stream.send(http1.LAST_CHUNK)
+                exchange.uploaded = True
+            except (
+                OSError,
+                trio.ClosedResourceError,
+                exceptions.SassafrashallError,
+            ) as error:
+                if self._exchange is exchange:
+                    self._fail(str(error))
+
+    # --- the rest of a long answer -------------------------------------------
 
     async def next_event(self) -> http1.Event:
-        """Returns the next event of the answer.
+        """Returns the next event of a long answer.
 
         Raises:
           ConnectionFailedError: The connection ended before it.
         """
         try:
-            return await self._next_event()
+            while True:
+                event = self._parser.next_event()
+                if event is not None:
+                    return event
+                data = await self._stream.receive(http.RECEIVE_SIZE)
+                if data:
+                    self._parser.feed(data)
+                    continue
+                self._parser.end()
+                event = self._parser.next_event()
+                if event is None:
+                    raise _protocol_error("the upstream closed the connection")
+                return event
         except (
             OSError,
             trio.ClosedResourceError,
@@ -219,54 +358,43 @@
                 str(error), committed=True
             ) from error
 
-    async def _next_event(self) -> http1.Event:
-        while True:
-            event = self._parser.next_event()
-            if event is not None:
-                return event
-            data = await self._stream.receive(http.RECEIVE_SIZE)
-            if data:
-                self._parser.feed(data)
-                continue
-            self._parser.end()
-            event = self._parser.next_event()
-            if event is None:
-                raise exceptions.ConnectionFailedError(
-                    "the upstream closed the connection",
-                    committed=self._committed,
-                )
-            return event
+    def end_rest(self, exchange: _Exchange, *, whole: bool) -> None:
+        """A long answer is whole, or given up."""
+        if whole and exchange.head is not None:
+            self._settle(exchange, exchange.head)
+        else:
+            self._exchange = None
+            self._reusable = False
+            self.close()
+        self._rest_ended.set()
 
     def close(self) -> None:
         """Closes the socket, which cancels a request at the upstream."""
-        self._stream.close()
+        if self._open:
+            self._open = False
+            self._stream.close()
 
 
 class _AnswerBody:
-    """The body of an answer as it arrives."""
+    """The rest of a long answer as it arrives."""
 
     def __init__(
-        self,
-        *,
-        connection: UpstreamConnection,
-        head: http1.ResponseHead,
-        clean: bool,
+        self, *, connection: UpstreamConnection, exchange: _Exchange
     ) -> None:
         self._connection = connection
-        self._head = head
-        self._clean = clean
-        self.ended = False
+        self._exchange = exchange
+        self._ended = False
 
     async def read(self) -> bytes:
         """Returns the next bytes, or none at the end."""
-        if self.ended:
+        if self._ended:
             return b""
         match await self._connection.next_event():
             case http1.BodyPart(data=data):
                 return data
             case http1.MessageEnd():
-                self.ended = True
-                self._connection.finish(self._head, self._clean)
+                self._ended = True
+                self._connection.end_rest(self._exchange, whole=True)
                 return b""
             case _:
                 raise exceptions.ConnectionFailedError(
@@ -274,12 +402,21 @@
                 )
 
     async def close(self) -> None:
-        """Gives the rest up; the connection can't be used again."""
+        """Gives the rest up; does nothing after the end."""
+        if not self._ended:
+            self._ended = True
+            self._connection.end_rest(self._exchange, whole=False)
+
+
+def _protocol_error(detail: str) -> exceptions.ProtocolError:
+    return exceptions.ProtocolError(exceptions.UPSTREAM_FAILED, detail)
 
 
 def _idle_time(headers: model.Headers) -> float:
     """Returns seconds for which the connection may stay idle."""
-    value = model.find_header(headers, "keep-alive") or ""
+    value = model.find_header(headers, "keep-alive")
+    if value is None:
+        return DEFAULT_KEEP_ALIVE
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
         if name.lower() == "timeout" and seconds.isdigit():
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -7,6 +7,7 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import peer_links
@@ -171,7 +172,7 @@
 
     async def handler(request):
         try:
-            await trio.sleep_forever()
+            await mailbox.Reply().wait()
         finally:
             ended.set()
 
