Compare the pace of a service's upstreams once in 0.1 s, not for each candidate of each call

With n upstreams a choice sorted n lists of n; at 24 upstreams of a service, as on the grown deployments, that is 576 entries a call.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -19,6 +19,7 @@
 from sassafrashall.decisions import shedding
 
 LEVEL_REFRESH = 0.1  # seconds after which an unchanged level is made anew
+SLOWNESS_REFRESH = 0.1  # seconds; a slow upstream shows over many answers
 
 
 class Routing(task.Controller):
@@ -61,6 +62,8 @@
         self._ratios: dict[str, retries.RatioState] = {}
         self._loads: dict[str, tuple[int, float]] = {}
         self._paces: dict[str, routing.Pace] = {}
+        # By service: when it was made, and the slowness by VM.
+        self._slowness: dict[str, tuple[float, dict[str, float]]] = {}
         self._indexed: model.NodeView | None = None
         self._by_service: dict[str, list[model.NodeRecord]] = {}
 
@@ -108,13 +111,13 @@
         self._index(now)
         records = self._by_service.get(message.service, [])
         usable = tuple(
-            self._candidate(record)
+            self._candidate(record, now)
             for record in records
             if routing.usable(self._health_of(record.vm), now)
         )
         if not usable:
             # Better an upstream that failed lately than none at all.
-            usable = tuple(self._candidate(record) for record in records)
+            usable = tuple(self._candidate(record, now) for record in records)
         fresh = tuple(c for c in usable if c.vm not in message.avoid)
         chosen = routing.choose(
             self._routing_law,
@@ -156,35 +159,47 @@
             if vm in view.records
         }
 
-    def _candidate(self, record: model.NodeRecord) -> routing.Candidate:
+    def _candidate(
+        self, record: model.NodeRecord, now: float
+    ) -> routing.Candidate:
         assert record.upstream is not None
         return routing.Candidate(
             vm=record.vm,
             data_centre=record.data_centre,
             slots=record.upstream.slots,
             in_flight=self._in_flight[record.vm],
-            load=self._load_of(record.vm),
-            slowness=self._slowness_of(record),
+            load=self._load_of(record.vm, now),
+            slowness=self._slowness_of(record, now),
             is_own=record.vm == self._vm,
             known_since=self._known_since[(record.vm, record.incarnation)],
         )
 
-    def _slowness_of(self, record: model.NodeRecord) -> float:
+    def _slowness_of(self, record: model.NodeRecord, now: float) -> float:
         """Returns how many times slower than its peers an upstream is."""
-        own = self._paces.get(record.vm)
-        if own is None or record.upstream is None:
-            return 1.0
-        peers = tuple(
-            pace
-            for other in self._by_service.get(record.upstream.service, ())
-            if (pace := self._paces.get(other.vm)) is not None
-        )
-        return routing.slowness(own, peers, clock.monotonic())
+        assert record.upstream is not None
+        service = record.upstream.service
+        made_at, slowness = self._slowness.get(service, (0.0, {}))
+        if now - made_at > SLOWNESS_REFRESH:
+            # Anew for all of a service at once: each is compared with all.
+            slowness = self._slowness_by_vm(service, now)
+            self._slowness[service] = (now, slowness)
+        return slowness.get(record.vm, 1.0)
+
+    def _slowness_by_vm(self, service: str, now: float) -> dict[str, float]:
+        paces = {
+            record.vm: pace
+            for record in self._by_service.get(service, ())
+            if (pace := self._paces.get(record.vm)) is not None
+        }
+        peers = tuple(paces.values())
+        return {
+            vm: routing.slowness(pace, peers, now) for vm, pace in paces.items()
+        }
 
-    def _load_of(self, vm: str) -> float:
+    def _load_of(self, vm: str, now: float) -> float:
         """Returns the load that the last answers told, while it is fresh."""
         load, seen_at = self._loads.get(vm, (0, 0.0))
-        if clock.monotonic() - seen_at > routing.LOAD_TTL:
+        if now - seen_at > routing.LOAD_TTL:
             return 0.0
         return load / routing.LOAD_SCALE
 
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -16,7 +16,7 @@
 from sassafrashall.transport import sockets
 from sassafrashall.transport import upstream_connection
 
-SWEEP_INTERVAL = 0.05  # seconds between looks for exchanges whose time is up
+SWEEP_INTERVAL = 0.1  # seconds between looks for exchanges whose time is up
 
 
 class UpstreamPool(task.Controller):
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -17,7 +17,7 @@
 PART_SIZE = 32 * 1024  # bytes of a body in one frame, so that none blocks all
 # Seconds between looks for calls whose time is up; a timer for each call would
 # cost more than it is worth.
-EXPIRY_INTERVAL = 0.05
+EXPIRY_INTERVAL = 0.1
 
 OnFrame = Callable[[frames.Frame], None]
 
