Break the cycle of a fiber that ended, and make scopes only where one is needed

Each call left 21 objects in cycles (fiber, coroutine, its owner), which the collector has to find among cold memory. None now, as before fibers.

Test: tests/test_fiber.py -k collector, failed first.

--- a/src/sassafrashall/fiber.py
+++ b/src/sassafrashall/fiber.py
@@ -57,7 +57,7 @@
         coroutine: Coroutine[Any, Any, None],
         on_end: Callable[[], None] | None = None,
     ) -> None:
-        self._coroutine = coroutine
+        self._coroutine: Coroutine[Any, Any, None] | None = coroutine
         self._on_end = on_end
         self._is_running = False
         self._cancelled = False
@@ -91,16 +91,15 @@
             self._step()
 
     def _step(self) -> None:
+        coroutine = self._coroutine
+        assert coroutine is not None
         self._is_running = True
         _running.append(self)
+        suspension: Suspension | None = None
         try:
-            while True:
-                if self._cancelled:
-                    suspension = self._coroutine.throw(Cancelled())
-                else:
-                    suspension = self._coroutine.send(None)
-                if not self._cancelled:
-                    break
+            suspension = coroutine.send(None) if not self._cancelled else None
+            while self._cancelled:
+                suspension = coroutine.throw(Cancelled())
         except (StopIteration, Cancelled):
             self._done = True
         except Exception:
@@ -110,7 +109,13 @@
         finally:
             _running.pop()
             self._is_running = False
-            if self._done and self._on_end is not None:
-                self._on_end()
-        if not self._done:
+        if suspension is not None and not self._done:
             suspension.on_done(self._resume)
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        # A cycle of references would leave each call to the collector.
+        on_end, self._on_end, self._coroutine = self._on_end, None, None
+        if on_end is not None:
+            on_end()
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -35,11 +35,11 @@
         self.proceed_until = 0.0
         self.body: peer_connection.IncomingBody | None = None
         self.answer: peer_connection.OutgoingBody | None = None
-        self.answer_scope = trio.CancelScope()
+        self.answer_scope: trio.CancelScope | None = None
 
     def cancel(self) -> None:
         """Ends the call, or what is still to be sent of its answer."""
-        if self.answer is not None:
+        if self.answer_scope is not None:
             self.answer_scope.cancel()
         elif self.fiber is not None:
             self.fiber.cancel()
@@ -154,8 +154,9 @@
                     rest = call.answer = peer_connection.OutgoingBody(
                         connection=self._connection, call=frame.call
                     )
+                    scope = call.answer_scope = trio.CancelScope()
                     self._nursery.start_soon(
-                        self._send_rest, call, rest, response.rest
+                        self._send_rest, call, rest, response.rest, scope
                     )
             case model.Refuse():
                 self._connection.send(_refusal(frame.call, outcome))
@@ -165,9 +166,10 @@
         call: _ServedCall,
         answer: peer_connection.OutgoingBody,
         rest: model.BodyReader,
+        scope: trio.CancelScope,
     ) -> None:
         try:
-            with call.answer_scope:
+            with scope:
                 await answer.send(rest)
         except exceptions.ConnectionFailedError:
             self._connection.send(frames.CancelCall(call=call.number))
@@ -175,7 +177,7 @@
             self._calls.pop(call.number, None)
             with trio.CancelScope(shield=True):
                 await rest.close()
-        if call.answer_scope.cancelled_caught:
+        if scope.cancelled_caught:
             # What was sent of the answer must not be taken for all of it.
             self._connection.send(frames.CancelCall(call=call.number))
 
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -67,7 +67,20 @@
     def __init__(self, *, head: http1.RequestHead) -> None:
         self.head = head
         self.fiber: fiber.Fiber | None = None
-        self.ended = trio.Event()
+        self._ended = False
+        self._waited: trio.Event | None = None
+
+    def end(self) -> None:
+        """Its answer is sent, or never will be."""
+        self._ended = True
+        if self._waited is not None:
+            self._waited.set()
+
+    async def wait_ended(self) -> None:
+        """Waits for its end."""
+        if not self._ended:
+            self._waited = self._waited or trio.Event()
+            await self._waited.wait()
 
 
 class Connection:
@@ -157,7 +170,7 @@
             if self._exchange is not None and self._exchange.fiber is not None:
                 # The next request waits for the end of this one; nothing more
                 # is read until then.
-                await self._exchange.ended.wait()
+                await self._exchange.wait_ended()
             self._parser.feed(data)
 
     async def _take_requests(self) -> None:
@@ -165,7 +178,7 @@
             try:
                 head = await self.next_event()
                 if self._exchange is not None and head is not None:
-                    await self._exchange.ended.wait()
+                    await self._exchange.wait_ended()
                 if self._ending or not isinstance(head, http1.RequestHead):
                     return
                 await self._take(head)
@@ -270,7 +283,7 @@
         if not goes_on:
             self._ending = True
             self._scope.cancel()
-        exchange.ended.set()
+        exchange.end()
 
     def _whole(
         self, exchange: _Exchange, response: model.Response, closes: bool
@@ -327,7 +340,7 @@
     async def _refuse(self, fault: exceptions.ProtocolError) -> None:
         """Answers input that could not be read; the connection ends."""
         if self._exchange is not None and self._exchange.fiber is not None:
-            await self._exchange.ended.wait()
+            await self._exchange.wait_ended()
         response = codec.problem(
             model.Refuse(code=fault.code, detail=str(fault))
         )
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -37,7 +37,7 @@
         self.strays = 0
         self.is_stray = False
         self.uploaded = message.request.rest is None
-        self.upload_scope = trio.CancelScope()
+        self.upload_scope: trio.CancelScope | None = None
 
 
 class UpstreamConnection:
@@ -237,7 +237,8 @@
         """Ends the exchange and decides whether the connection goes on."""
         exchange.reply.on_abandon(None)
         # An early answer ends the connection with the rest of the body due.
-        exchange.upload_scope.cancel()
+        if exchange.upload_scope is not None:
+            exchange.upload_scope.cancel()
         self._exchange = None
         self._used_at = clock.monotonic()
         self._expires_at = self._used_at + _idle_time(head.headers)
@@ -310,7 +311,7 @@
         )
         if request.body:
             data += encode(request.body)
-        with exchange.upload_scope:
+        with trio.CancelScope() as exchange.upload_scope:
             try:
                 while data:
                     await self._stream.send(data)
--- a/tests/test_fiber.py
+++ b/tests/test_fiber.py
@@ -1,3 +1,6 @@
+import gc
+import weakref
+
 import trio
 import trio.testing
 
@@ -99,3 +102,28 @@
         assert not fiber.is_current()
         reply.put("answer")
     assert seen == ["answer"]
+
+
+async def test_a_fiber_that_ended_is_freed_without_the_collector():
+    reply = mailbox.Reply()
+
+    class Owner:
+        def __init__(self):
+            self.fiber = fiber.Fiber(coroutine=self.work(), on_end=self.end)
+
+        async def work(self):
+            await reply.wait()
+
+        def end(self):
+            pass
+
+    owner = Owner()
+    owner.fiber.start()
+    reply.put(None)
+    freed = weakref.ref(owner)
+    gc.disable()
+    try:
+        del owner
+        assert freed() is None
+    finally:
+        gc.enable()
