No keep-alive probes on connections for remote procedure calls

Each call has its time-out, after which all connections to that process are dropped, so the probes told nothing new.

--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -251,7 +251,9 @@
         )
         stream = self._take_idle()
         if stream is None:
-            stream = await sockets.connect(self._address)
+            stream = await sockets.connect(
+                self._address, detect_silence=False
+            )
             call = frames.encode(frames.Identify(secret=self._secret)) + call
         whole = False
         try:
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -106,8 +106,14 @@
             self._socket.close()
 
 
-async def connect(address: model.Address) -> Stream:
-    """Connects; raises `ConnectionFailedError` if that fails."""
+async def connect(
+    address: model.Address, *, detect_silence: bool = True
+) -> Stream:
+    """Connects; raises `ConnectionFailedError` if that fails.
+
+    Without `detect_silence` an idle connection costs no bytes, and whoever
+    uses it has a time-out for each answer.
+    """
     try:
         with trio.fail_after(CONNECT_TIMEOUT):
             stream = await trio.open_tcp_stream(address.host, address.port)
@@ -118,5 +124,6 @@
             silent=isinstance(error, trio.TooSlowError),
         ) from error
     connected = Stream(stream=stream)
-    connected.detect_silence()
+    if detect_silence:
+        connected.detect_silence()
     return connected
