--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -67,6 +67,7 @@
         self._shed_law = policy.shed_law()
         self._events = event_log
         self._metrics = counters
+        self._slot_wait = counters.timing("slot_wait_seconds")
         self._limit: limits.LimitState | None = None
         self._queue = queues.Queue()
         self._level = shedding.LevelState()
@@ -190,6 +191,7 @@
     ) -> None:
         assert self._upstream is not None
         self._in_flight += 1
+        self._slot_wait.observe(now - item.arrived_at)
         if not isinstance(self._shed_law, shedding.NoEarlyShed):
             self._level = shedding.on_dispatch(
                 self._level, item.priority, now - item.arrived_at
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -12,6 +12,7 @@
 from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
+from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall.filters import slots
 from sassafrashall.transport import http
@@ -55,7 +56,9 @@
         load: mailbox.Published[int],
         pool: mailbox.Mailbox,
         dialect: Dialect,
+        counters: metrics.Metrics,
     ) -> None:
+        self._upstream_seconds = counters.timing("upstream_seconds")
         self._admission = admission
         self._level = level
         self._load = load
@@ -124,7 +127,7 @@
             )
         )
         if response.rest is None:
-            slot.answered(response.status)
+            self._upstream_seconds.observe(slot.answered(response.status))
             return self._dialect.decode(response)
         slot.held = True
         body = _StreamedAnswer(
@@ -144,11 +147,13 @@
         self._released = False
         self.held = False
 
-    def answered(self, status: int) -> None:
-        """Notes how the upstream answered."""
+    def answered(self, status: int) -> float:
+        """Notes how the upstream answered and returns its seconds."""
+        took = clock.monotonic() - self._began
         self._shed = status in (429, 503)
         if not self._shed:
-            self._latency = clock.monotonic() - self._began
+            self._latency = took
+        return took
 
     def release(self) -> None:
         """Gives the slot back."""
--- a/src/sassafrashall/metrics.py
+++ b/src/sassafrashall/metrics.py
@@ -1,13 +1,33 @@
-"""Counters and gauges of one process, rendered for a scraper."""
+"""Counters, gauges and histograms of one process, rendered for a scraper."""
 
 from __future__ import annotations
 
+import bisect
 from typing import Any
 from typing import TypeAlias
 
 import aioprometheus
+from aioprometheus import histogram
 from aioprometheus import renderer
 
+# Upper bounds in seconds: what two nodes add, a slot's wait, and the targets
+# and timeouts of the sites' routes.
+BOUNDS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
 _Key: TypeAlias = tuple[str, tuple[tuple[str, str], ...]]
 
 
@@ -23,6 +43,30 @@
         self._totals[self._key] = self._totals.get(self._key, 0) + 1
 
 
+class Timing:
+    """One histogram of seconds with its labels, resolved once."""
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(BOUNDS) + 1)
+        self._sum = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Counts one observation."""
+        self._counts[bisect.bisect_left(BOUNDS, seconds)] += 1
+        self._sum += seconds
+
+    def collected(self) -> histogram.Histogram:
+        """Returns the library's form, whose buckets are cumulative."""
+        found = histogram.Histogram(*BOUNDS)
+        total = 0
+        for bound, count in zip(found.buckets, self._counts, strict=True):
+            total += count
+            found.buckets[bound] = total
+        found.observations = total
+        found.sum = self._sum
+        return found
+
+
 class Metrics:
     """The registry of one process."""
 
@@ -32,6 +76,8 @@
         self._counters: dict[str, aioprometheus.Counter] = {}
         self._gauges: dict[str, aioprometheus.Gauge] = {}
         self._totals: dict[_Key, float] = {}
+        self._histograms: dict[str, aioprometheus.Histogram] = {}
+        self._timings: dict[_Key, Timing] = {}
 
     def handle(self, name: str, **labels: str) -> Count:
         """Returns a counter for what is counted with every request."""
@@ -39,6 +85,11 @@
             totals=self._totals, key=(name, tuple(sorted(labels.items())))
         )
 
+    def timing(self, name: str, **labels: str) -> Timing:
+        """Returns a histogram of seconds for what every request takes."""
+        key = (name, tuple(sorted(labels.items())))
+        return self._timings.setdefault(key, Timing())
+
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds `amount` to the counter `name`."""
         key = (name, tuple(sorted(labels.items())))
@@ -64,6 +115,12 @@
             if name not in self._counters:
                 self._counters[name] = self._new(aioprometheus.Counter, name)
             self._counters[name].set(dict(labels), value)
+        for (name, labels), timing in self._timings.items():
+            if name not in self._histograms:
+                self._histograms[name] = self._new(
+                    aioprometheus.Histogram, name
+                )
+            self._histograms[name].set_value(dict(labels), timing.collected())
         content, headers = renderer.render(self._registry, ["text/plain"])
         return headers["Content-Type"], content
 
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -75,6 +75,13 @@
         )
         self._secret = settings.fleet_secret.encode()
         self._decisions = decision_log.DecisionLog()
+        self._timings = {
+            (step, kind): self._metrics.timing(
+                "request_seconds", step=step, outcome=kind.__name__.lower()
+            )
+            for step in ("entry", "worker")
+            for kind in (model.Answer, model.Refuse)
+        }
         self._leaving = False
         self._in_progress = 0
         self._build_controllers()
@@ -170,6 +177,7 @@
                     load=self._load,
                     pool=self._pool.mailbox,
                     dialect=dialect.UpstreamDialect(),
+                    counters=self._metrics,
                 ),
             ),
         )
@@ -288,7 +296,9 @@
         outcome: model.Outcome,
     ) -> None:
         """Notes how a request ended at this node."""
-        took_ms = 1000 * (clock.monotonic() - request.received_at)
+        took = clock.monotonic() - request.received_at
+        self._timings[(step, type(outcome))].observe(took)
+        took_ms = 1000 * took
         table = self._membership.table.value
         match outcome:
             case model.Answer(response=response):
--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -251,9 +251,7 @@
         )
         stream = self._take_idle()
         if stream is None:
-            stream = await sockets.connect(
-                self._address, detect_silence=False
-            )
+            stream = await sockets.connect(self._address, detect_silence=False)
             call = frames.encode(frames.Identify(secret=self._secret)) + call
         whole = False
         try:
