Ask owners without a token ever more seldom

An owner's answer tells when its next token comes, which is the same for all nodes, so each node of the fleet came back for that one token; and an account that nobody waited for at a tick was forgotten with what it had learnt. Each dry answer in a row doubles the pause now, up to as long as a request waits for a token; an account lives a second after its last request.

Test: tests/test_node_quota.py -k seldom, failed first (a question each tick).

--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -22,6 +22,8 @@
 TOKEN_WAIT = 0.15  # seconds that a request waits for a token
 AHEAD_PAUSE = 0.3  # seconds until a dry owner is asked ahead of need again
 DRY_PAUSE = 0.01  # seconds at least between two questions to dry owners
+ACCOUNT_TTL = 1.0  # seconds without a request until an account is forgotten
+MOST_DRY = 8  # answers in a row after which the pause grows no further
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -61,6 +63,8 @@
         self.waiting: collections.deque[_Waiter] = collections.deque()
         self.borrowing = False
         self.ask_again_at = 0.0
+        self.dry_answers = 0  # in a row
+        self.taken_at = now
         self.wait = 0.0
         self.unreachable = False
         self.reported_at = now
@@ -110,6 +114,7 @@
             account = _Account(now=now)
             self._accounts[message.organisation] = account
         self._active.set()
+        account.taken_at = now
         account.cache = quota.arrive(account.cache, now)
         if not account.waiting:
             account.cache, granted = quota.spend(account.cache, now)
@@ -211,8 +216,12 @@
                 # A request that needs a token asks all owners at once.
                 account.ahead_again_at = now + AHEAD_PAUSE
             elif not grants:
-                pause = min(max(account.wait, DRY_PAUSE), TOKEN_WAIT)
-                account.ask_again_at = now + pause
+                growth = self._borrowing.dry_growth**account.dry_answers
+                pause = max(account.wait, DRY_PAUSE) * growth
+                account.ask_again_at = now + min(pause, TOKEN_WAIT)
+                account.dry_answers = min(account.dry_answers + 1, MOST_DRY)
+            if grants:
+                account.dry_answers = 0
             account.cache = quota.deposit(
                 account.cache,
                 tuple(
@@ -266,7 +275,11 @@
                     account.cache, name, now, self._borrowing
                 )
                 reports.extend(more)
-            if account.idle and account.cache.demand < 0.01:
+            if (
+                account.idle
+                and account.cache.demand < 0.01
+                and now - account.taken_at > ACCOUNT_TTL
+            ):
                 del self._accounts[name]
         if self._borrowing.joined:
             self._borrow_ahead(now)
--- a/src/sassafrashall/decisions/quota.py
+++ b/src/sassafrashall/decisions/quota.py
@@ -33,6 +33,9 @@
       low_mark: Part of the window's tokens below which a node borrows again;
         without a gap it would ask for each token that it used.
       joined: Whether a node asks for several organisations in one message.
+      dry_growth: By how much the pause between two questions to owners without
+        a token grows with each of them. Many nodes share what comes next, so
+        that the owner's own wait brings them all back for one token.
     """
 
     window: float = 0.05
@@ -41,6 +44,7 @@
     report_interval: float = 0.05
     low_mark: float = 1.0
     joined: bool = False
+    dry_growth: float = 1.0
 
 
 EAGER = Borrowing()
@@ -52,6 +56,7 @@
     report_interval=0.5,
     low_mark=0.5,
     joined=True,
+    dry_growth=2.0,
 )
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -94,9 +94,10 @@
 class Controls:
     """A fake of the controls behind a link: one state, scripted failures."""
 
-    def __init__(self, *, delay=0.0):
+    def __init__(self, *, delay=0.0, wait=0.5):
         self.state = fleet_state.FleetState()
         self.delay = delay
+        self.wait = wait
         self.tokens = 0
         self.fail = False
         self.results = []
@@ -127,7 +128,9 @@
         grant = protocol.LeaseGrant(
             owner="o", lease_id=f"l{self.tokens}", tokens=lent
         )
-        return protocol.BorrowReply(grants=(grant,) if lent else (), wait=0.5)
+        return protocol.BorrowReply(
+            grants=(grant,) if lent else (), wait=self.wait
+        )
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_node_quota.py
+++ b/tests/test_node_quota.py
@@ -1,3 +1,5 @@
+import math
+
 import trio
 
 from sassafrashall import clock
@@ -110,3 +112,23 @@
         await trio.sleep(0.6)
         controls.tokens = 50
         assert await _take(quota) == messages.TokenGranted()
+
+
+async def test_dry_owners_are_asked_ever_more_seldom():
+    """The pattern: one organisation far over its rate at every node."""
+    controls = fakes.Controls(wait=0.01)
+    link = fakes.Scripted(controls.handle)
+    quota = node_quota.NodeQuota(
+        link=link.mailbox,
+        counters=fakes.counters(),
+        borrowing=decisions_quota.RELAXED,
+    )
+    seconds = 2.0
+    async with fakes.started(link, quota):
+        with trio.move_on_after(seconds):
+            while True:
+                await _take(quota)
+    # The pause doubles from 10 ms until it is as long as a request waits.
+    doublings = math.log2(node_quota.TOKEN_WAIT / node_quota.DRY_PAUSE)
+    each = 1 / node_quota.TOKEN_WAIT + 1 / node_quota.AHEAD_PAUSE
+    assert len(link.seen) <= math.ceil(doublings) + math.ceil(seconds * each)
