End a long answer whose caller has left

Cause, found by reading: the task that sends a long answer did not end with its connection, so the upstream went on until the next bytes met the closed socket. Test: tests/test_stream_server.py -k long_answer, with what else a connection does while a request is in progress.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -67,9 +67,18 @@
     def __init__(self, *, head: http1.RequestHead) -> None:
         self.head = head
         self.fiber: fiber.Fiber | None = None
+        # Of the task that sends what does not fit at once.
+        self.sending: trio.CancelScope | None = None
         self._ended = False
         self._waited: trio.Event | None = None
 
+    def cancel(self) -> None:
+        """Gives it up: nobody waits for its answer."""
+        if self.fiber is not None:
+            self.fiber.cancel()
+        if self.sending is not None:
+            self.sending.cancel()
+
     def end(self) -> None:
         """Its answer is sent, or never will be."""
         self._ended = True
@@ -123,8 +132,8 @@
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
-            if self._exchange is not None and self._exchange.fiber is not None:
-                self._exchange.fiber.cancel()
+            if self._exchange is not None:
+                self._exchange.cancel()
             self._stream.close()
 
     def expire(self) -> None:
@@ -230,6 +239,7 @@
         response = await self._handler(request)
         closes = self._closes(exchange)
         if response.rest is not None:
+            exchange.sending = trio.CancelScope()
             self._spawn(self._send_later, exchange, response, closes, b"")
             return
         data = self._whole(exchange, response, closes)
@@ -239,6 +249,7 @@
             self._end(exchange, False)
             return
         if sent < len(data):
+            exchange.sending = trio.CancelScope()
             self._spawn(
                 self._send_later, exchange, response, closes, data[sent:]
             )
@@ -254,13 +265,15 @@
     ) -> None:
         """Sends an answer that does not fit at once."""
         whole = False
+        assert exchange.sending is not None
         try:
-            if response.rest is not None:
-                whole = await self._send(exchange, response, closes)
-            else:
-                with trio.move_on_after(SLOW_READER_TIMEOUT):
-                    await self._stream.send(data)
-                    whole = True
+            with exchange.sending:
+                if response.rest is not None:
+                    whole = await self._send(exchange, response, closes)
+                else:
+                    with trio.move_on_after(SLOW_READER_TIMEOUT):
+                        await self._stream.send(data)
+                        whole = True
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
@@ -332,7 +345,8 @@
             # the caller that the answer is not whole.
             return False
         finally:
-            await rest.close()
+            with trio.CancelScope(shield=True):
+                await rest.close()
         if chunked:
             await self._stream.send(http1.LAST_CHUNK)
         return True
