Nested calls before roots of their class in a full queue

Cause: a nested call has no organisation, so all of them together were one organisation among nine in the queue of the narrow service, where they are four fifths of the work: the first to be shed, each with a root that has cost most already. Calls carry their depth between nodes now; 'calls-first' ranks them before roots of their class only, so that urgent roots stay ahead. 'priority-fair' and 'fifo' stay selectable.

Test: tests/test_queues.py -k nested, with the baseline beside it.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -159,6 +159,7 @@
             item_id=message.call_id,
             organisation=message.organisation,
             priority=message.priority,
+            nested=message.nested,
             arrived_at=now,
             deadline=message.deadline,
         )
--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -108,6 +108,7 @@
                 caller=request.caller,
                 priority=int(ticket.priority),
                 remaining_ms=max(0, int(left * 1000)),
+                depth=ticket.depth,
                 idempotent=ticket.idempotent,
                 confirm=message.confirm,
                 method=request.method,
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -41,16 +41,30 @@
     longest_wait: float = 0.0
 
 
-Law: TypeAlias = FirstInFirstOut | PriorityFair
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallsFirst(PriorityFair):
+    """As `PriorityFair`, but inside a class nested calls go before roots.
+
+    A nested call that is shed wastes what its root has cost already, and fails
+    a request that was admitted.
+    """
+
+
+Law: TypeAlias = FirstInFirstOut | PriorityFair | CallsFirst
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Item:
-    """A waiting request."""
+    """A waiting request.
+
+    Attributes:
+      nested: Whether an upstream makes the call for a request that it runs.
+    """
 
     item_id: str
     organisation: str
     priority: model.Priority
+    nested: bool = False
     arrived_at: float
     deadline: float
 
@@ -100,7 +114,7 @@
         case PriorityFair(length=length):
             if len(items) <= length:
                 return frozen.changed(queue, items=items), ()
-            victim = _victim(items)
+            victim = _victim(law, items)
             return remove(frozen.changed(queue, items=items), victim), (victim,)
 
 
@@ -114,7 +128,7 @@
                 queue.items[0]
             )
         case PriorityFair():
-            return _pop_fair(queue)
+            return _pop_fair(law, queue)
 
 
 def expired(
@@ -164,12 +178,21 @@
         case FirstInFirstOut():
             return queue
         case PriorityFair():
-            return _charge(queue, item)
+            return _charge(law, queue, item)
+
+
+def _rank(law: Law, item: Item) -> int:
+    """Returns the place of an item's class; lower ones go first."""
+    match law:
+        case CallsFirst():
+            return 2 * item.priority + (not item.nested)
+        case _:
+            return int(item.priority)
 
 
-def _victim(items: tuple[Item, ...]) -> Item:
-    lowest = max(item.priority for item in items)
-    inside = [item for item in items if item.priority == lowest]
+def _victim(law: Law, items: tuple[Item, ...]) -> Item:
+    lowest = max(_rank(law, item) for item in items)
+    inside = [item for item in items if _rank(law, item) == lowest]
     waiting: dict[str, int] = {}
     for item in inside:
         waiting[item.organisation] = waiting.get(item.organisation, 0) + 1
@@ -179,22 +202,22 @@
     )
 
 
-def _pop_fair(queue: Queue) -> tuple[Queue, Item]:
-    highest = min(item.priority for item in queue.items)
+def _pop_fair(law: Law, queue: Queue) -> tuple[Queue, Item]:
+    highest = min(_rank(law, item) for item in queue.items)
     served = dict(queue.served)
     heads: dict[str, Item] = {}
     for item in queue.items:
-        if item.priority == highest:
+        if _rank(law, item) == highest:
             heads.setdefault(item.organisation, item)
     item = min(
         heads.values(),
         key=lambda head: served.get((highest, head.organisation), 0.0),
     )
-    return _charge(remove(queue, item), item), item
+    return _charge(law, remove(queue, item), item), item
 
 
-def _charge(queue: Queue, item: Item) -> Queue:
-    key = (int(item.priority), item.organisation)
+def _charge(law: Law, queue: Queue, item: Item) -> Queue:
+    key = (_rank(law, item), item.organisation)
     served = dict(queue.served)
     times = dict(queue.virtual_time)
     begin = max(served.get(key, 0.0), times.get(key[0], 0.0))
--- a/src/sassafrashall/filters/document_key.py
+++ b/src/sassafrashall/filters/document_key.py
@@ -35,8 +35,12 @@
         """Identifies the caller anew for each request of a connection."""
         table = self._table.value
         assert table is not None  # The route came from it.
-        if not table.document.keyed or not call.metered:
+        if not table.document.keyed:
             return model.Forward(call=frozen.changed(call, metered=False))
+        if not call.metered:
+            # Upstreams make their calls without a key, on open routes.
+            depth = 0 if call.request.key else 1
+            return model.Forward(call=frozen.changed(call, depth=depth))
         if self._lease is not None:
             age = clock.monotonic() - self._view.value.fresh_at
             if age > self._lease:
--- a/src/sassafrashall/filters/slots.py
+++ b/src/sassafrashall/filters/slots.py
@@ -18,6 +18,7 @@
             call_id=call.call_id,
             organisation=call.organisation,
             priority=call.priority,
+            nested=call.depth > 0,
             root_id=call.root_id,
             deadline=call.deadline,
         )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -104,11 +104,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Admit:
-    """Asks for a slot; answered with Admitted or Shed."""
+    """Asks for a slot; answered with Admitted or Shed.
+
+    Attributes:
+      nested: Whether an upstream makes the call for a request that it runs.
+    """
 
     call_id: str
     organisation: str
     priority: model.Priority
+    nested: bool
     root_id: str
     deadline: float
 
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -150,7 +150,10 @@
         """Returns the queue law with its length."""
         if self.queue == "fifo":
             return queues.FirstInFirstOut(length=self.queue_length)
-        return queues.PriorityFair(
+        fair = queues.PriorityFair
+        if self.queue == "calls-first":
+            fair = queues.CallsFirst
+        return fair(
             length=self.queue_length, longest_wait=self.longest_wait_ms / 1000
         )
 
@@ -191,7 +194,7 @@
 }
 _LAW_NAMES = {
     "limit": tuple(LIMIT_LAWS),
-    "queue": ("fifo", "priority-fair"),
+    "queue": ("fifo", "priority-fair", "calls-first"),
     "early_shed": tuple(SHED_LAWS),
     "routing": tuple(ROUTING_LAWS),
     "retries": tuple(RETRY_LAWS),
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -39,6 +39,7 @@
 
     Attributes:
       root_id: The caller's name for the request, for logs.
+      depth: 0 for a root, more for a call that an upstream makes.
       remaining_ms: Time left when it was sent.
       confirm: Whether the other node asks with `Offer` before it dispatches.
       more: Whether parts of the body follow.
@@ -52,6 +53,7 @@
     caller: str
     priority: int
     remaining_ms: int
+    depth: int
     idempotent: bool
     confirm: bool
     method: str
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -208,7 +208,7 @@
             priority=model.Priority(frame.priority),
             remaining_ms=frame.remaining_ms,
             retries=0,
-            depth=0,
+            depth=frame.depth,
             idempotent=frame.idempotent,
         ),
     )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -43,6 +43,7 @@
         call_id=name,
         organisation="org",
         priority=priority,
+        nested=False,
         root_id=name,
         deadline=clock.monotonic() + seconds,
     )
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -16,6 +16,7 @@
         caller="t",
         priority=0,
         remaining_ms=100,
+        depth=0,
         idempotent=False,
         confirm=True,
         method="POST",
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -141,6 +141,7 @@
             caller="t",
             priority=1,
             remaining_ms=5000,
+            depth=0,
             idempotent=False,
             confirm=True,
             method="POST",
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -111,3 +113,20 @@
     assert len(queue.items) <= FAIR.length
     priorities = [i.priority for i in served]
     assert priorities == sorted(priorities)
+
+
+def test_nested_calls_go_before_roots_of_their_class_and_are_shed_after():
+    """The pattern: a deep service that both roots and calls need is full."""
+    law = queues.CallsFirst(length=4)
+    roots = [_item(f"r{i}", f"o{i}") for i in range(3)]
+    calls = [
+        dataclasses.replace(_item(f"n{i}", ""), nested=True) for i in range(3)
+    ]
+    urgent = _item("u", priority=model.Priority.CRITICAL)
+    queue, shed = _fill(law, [*roots, *calls, urgent])
+    assert sorted(item.item_id for item in shed) == ["r0", "r1", "r2"]
+    order = [item.item_id for item in _drain(law, queue)]
+    assert order == ["u", "n0", "n1", "n2"]
+    # The baseline sheds the calls, which are all of one organisation.
+    _, shed = _fill(queues.PriorityFair(length=4), [*roots, *calls, urgent])
+    assert {item.item_id for item in shed} > {"n1", "n2"}
