--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,7 +27,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import reports
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.transport import codec
 from sassafrashall.transport import rpc
 
@@ -204,7 +204,7 @@
     async def some(part: int) -> None:
         for number in range(CLAIMS // 20):
             await client.submit(
-                fleet_state.ClaimRequest(
+                fleet_commands.ClaimRequest(
                     claim_id=f"{part:08d}{number:024d}",
                     organisation="bench",
                     idempotency_key=f"order-{part}-{number}",
@@ -235,7 +235,7 @@
     for number in range(ORGANISATIONS):
         name = f"organisation-{number}"
         await client.submit(
-            fleet_state.CreateOrganisation(
+            fleet_commands.CreateOrganisation(
                 change_id=name, name=name, template="research-allocation"
             )
         )
@@ -289,7 +289,7 @@
     with fleet.client() as client:
         await fleet.wait_ready(client)
         await client.submit(
-            fleet_state.CreateOrganisation(
+            fleet_commands.CreateOrganisation(
                 change_id="c",
                 name="bench",
                 template="web-api",
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -15,6 +15,7 @@
 from typing import TypeAlias
 
 from sassafrashall import reports
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 
 KEYS = 10_000
@@ -81,14 +82,14 @@
             case "look":
                 return not self._state.claims
             case _:
-                claim = fleet_state.ClaimRequest(
+                claim = fleet_commands.ClaimRequest(
                     claim_id=str(number),
                     organisation="x",
                     idempotency_key="k",
                     fingerprint="f",
                 )
                 self._state, result = fleet_state.apply(self._state, claim)
-                return isinstance(result, fleet_state.Granted)
+                return isinstance(result, fleet_commands.Granted)
 
 
 def main() -> int:
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -20,7 +20,7 @@
 from bench import caller as caller_module
 from bench import fleet as fleet_module
 from sassafrashall import reports
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 
 REQUESTS = 2000
 WARM_UP = 200  # requests
@@ -107,7 +107,7 @@
     with fleet.client() as client:
         await fleet.wait_ready(client)
         await client.submit(
-            fleet_state.CreateOrganisation(
+            fleet_commands.CreateOrganisation(
                 change_id="c1",
                 name="bench",
                 template="web-api",
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -25,7 +25,7 @@
 from bench import fleet as fleet_module
 from bench import load
 from sassafrashall import reports
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 
 CAPACITY = 50.0  # requests a second: 2 workers, 4 slots, 160 ms
 DEADLINE = 1.0  # seconds
@@ -305,7 +305,7 @@
             await self._fleet.wait_ready(client)
             for name in ORGANISATIONS:
                 await client.submit(
-                    fleet_state.CreateOrganisation(
+                    fleet_commands.CreateOrganisation(
                         change_id=f"create-{name}",
                         name=name,
                         template="web-api",
@@ -326,7 +326,7 @@
         rate, burst = scenario.quota
         for name in ORGANISATIONS:
             result = await client.submit(
-                fleet_state.SetParameters(
+                fleet_commands.SetParameters(
                     change_id=f"{scenario.name}-{name}",
                     name=name,
                     assignments=(("rate", str(rate)), ("burst", str(burst))),
--- a/src/sassafrashall/api.py
+++ b/src/sassafrashall/api.py
@@ -17,7 +17,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.filters import identity
 from sassafrashall.transport import codec
 from sassafrashall.transport import http_client
@@ -90,7 +90,9 @@
                 failures.append(str(error))
         raise UnreachableError("; ".join(failures))
 
-    async def submit(self, command: fleet_state.Command) -> fleet_state.Result:
+    async def submit(
+        self, command: fleet_commands.Command
+    ) -> fleet_commands.Result:
         """Commits a command; a resend with its change id is safe.
 
         Raises:
@@ -99,7 +101,7 @@
         message = protocol.SubmitCommand(command=codec.encode(command))
         answer = await self._call(message)
         result = codec.decode(answer.result)
-        if isinstance(result, fleet_state.Accepted):
+        if isinstance(result, fleet_commands.Accepted):
             self._seen_revision = max(self._seen_revision, result.revision)
         return result
 
@@ -119,17 +121,17 @@
 
     async def replace_replica(
         self, old_id: str, new_id: str
-    ) -> fleet_state.Result:
+    ) -> fleet_commands.Result:
         """Puts a learner in the place of a lost voter."""
         message = protocol.ReplaceReplica(old_id=old_id, new_id=new_id)
-        result: fleet_state.Result | None = None
+        result: fleet_commands.Result | None = None
         for client in self._clients:
             try:
                 answer = await client.call(message, self._settings.timeout_s)
             except exceptions.RpcError:
                 continue
             result = codec.decode(answer.result)
-            if isinstance(result, fleet_state.Accepted):
+            if isinstance(result, fleet_commands.Accepted):
                 return result
         if result is None:
             raise UnreachableError("no control answered")
@@ -147,11 +149,11 @@
 
     async def issue_key(
         self, organisation: str, key_id: str, change_id: str
-    ) -> tuple[fleet_state.Result, str]:
+    ) -> tuple[fleet_commands.Result, str]:
         """Issues a key and returns it; only its digest leaves this process."""
         key = self.new_key(change_id)
         result = await self.submit(
-            fleet_state.IssueKey(
+            fleet_commands.IssueKey(
                 change_id=change_id,
                 organisation=organisation,
                 key_id=key_id,
--- a/src/sassafrashall/cmdline.py
+++ b/src/sassafrashall/cmdline.py
@@ -17,7 +17,7 @@
 from sassafrashall import model
 from sassafrashall import reports
 from sassafrashall import settings as settings_module
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import templates
 from sassafrashall.transport import codec
 
@@ -269,24 +269,24 @@
             return await _show(options, client)
 
 
-def _command(options: argparse.Namespace) -> fleet_state.Command:
+def _command(options: argparse.Namespace) -> fleet_commands.Command:
     match (options.noun, options.verb):
         case ("organisation", "create"):
-            return fleet_state.CreateOrganisation(
+            return fleet_commands.CreateOrganisation(
                 change_id=options.change_id,
                 name=options.name,
                 template=options.template,
                 assignments=_assignments(options.assignments),
             )
         case ("organisation", "set"):
-            return fleet_state.SetParameters(
+            return fleet_commands.SetParameters(
                 change_id=options.change_id,
                 name=options.name,
                 assignments=_assignments(options.assignments),
                 expect_version=options.expect_version,
             )
         case _:
-            return fleet_state.WithdrawKey(
+            return fleet_commands.WithdrawKey(
                 change_id=options.change_id,
                 organisation=options.organisation,
                 key_id=options.key_id,
@@ -296,7 +296,7 @@
 async def _change(
     options: argparse.Namespace,
     client: api.FleetClient,
-    command: fleet_state.Command,
+    command: fleet_commands.Command,
 ) -> Output:
     output = _result(await client.submit(command))
     return await _wait(options, client, output)
@@ -337,11 +337,11 @@
     )
 
 
-def _result(result: fleet_state.Result) -> Output:
+def _result(result: fleet_commands.Result) -> Output:
     match result:
-        case fleet_state.Accepted():
+        case fleet_commands.Accepted():
             status = EXIT_OK
-        case fleet_state.Conflict():
+        case fleet_commands.Conflict():
             status = EXIT_CONFLICT
         case _:
             status = EXIT_INVALID
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -21,7 +21,7 @@
 from sassafrashall.controllers import founding
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import replication
 from sassafrashall.platform import operator_api
 from sassafrashall.transport import codec
@@ -157,7 +157,7 @@
         self, message: protocol.SubmitCommand
     ) -> protocol.CommandResult:
         command = codec.decode(message.command)
-        if isinstance(command, fleet_state.WithdrawKey):
+        if isinstance(command, fleet_commands.WithdrawKey):
             # Takes effect here and spreads while it is being committed.
             await self._directory.mailbox.ask(command)
         submit = messages.Submit(command=command, forwarded=message.forwarded)
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -19,6 +19,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import membership
 from sassafrashall.decisions import replication
@@ -119,7 +120,7 @@
                 reply.put(self._gossip_for(message, now))
             case _GossipAnswered():
                 self._on_gossip_answer(message, now)
-            case fleet_state.WithdrawKey():
+            case fleet_commands.WithdrawKey():
                 reply.put(self._withdraw_early(message))
 
     async def _follow_replica(self) -> None:
@@ -133,7 +134,7 @@
 
     # --- withdrawals ---------------------------------------------------------
 
-    def _withdraw_early(self, command: fleet_state.WithdrawKey) -> bool:
+    def _withdraw_early(self, command: fleet_commands.WithdrawKey) -> bool:
         """Refuses a key from now on, before its withdrawal is committed.
 
         Withdrawal is monotone, so it needs no majority to take effect.
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -18,6 +18,7 @@
 from sassafrashall import protocol
 from sassafrashall import task
 from sassafrashall.decisions import consensus
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import replacements
@@ -132,7 +133,7 @@
             await trio.sleep(self._claim_retention)
             if self._state.role is replication.Role.LEADER:
                 self.mailbox.tell(
-                    messages.Submit(command=fleet_state.RotateClaims())
+                    messages.Submit(command=fleet_commands.RotateClaims())
                 )
 
     async def _teardown(self) -> None:
@@ -355,7 +356,7 @@
     def _apply(self, entries: tuple[replication.Entry, ...]) -> None:
         for entry in entries:
             self._applied_size += len(entry.command)
-            result: Any = fleet_state.Accepted(revision=self._fleet.revision)
+            result: Any = fleet_commands.Accepted(revision=self._fleet.revision)
             if entry.command:
                 self._fleet, result = fleet_state.apply(
                     self._fleet, codec.decode(entry.command)
@@ -441,7 +442,7 @@
             finding = exceptions.Finding(
                 source="command", key="replica", text=fault
             )
-            reply.put(fleet_state.Rejected(findings=(finding,)))
+            reply.put(fleet_commands.Rejected(findings=(finding,)))
             return None
         self._events.record(
             "replica.replaced", detail=f"{message.old_id} {message.new_id}"
--- a/src/sassafrashall/decisions/fleet_state.py
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -16,180 +16,11 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.decisions import document_checks
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import templates
 
 CHANGES_KEPT = 10_000  # change ids in one generation
 
-# --- commands ----------------------------------------------------------------
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CreateOrganisation:
-    """Creates an organisation from a template."""
-
-    change_id: str
-    name: str
-    template: str
-    assignments: tuple[tuple[str, str], ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SetParameters:
-    """Changes parameters; `expect_version` 0 accepts any version."""
-
-    change_id: str
-    name: str
-    assignments: tuple[tuple[str, str], ...]
-    expect_version: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class IssueKey:
-    """Adds a key, known to the fleet only by its digest."""
-
-    change_id: str
-    organisation: str
-    key_id: str
-    digest: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class WithdrawKey:
-    """Withdraws a key for good."""
-
-    change_id: str
-    organisation: str
-    key_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ClaimRequest:
-    """Claims the only execution of a non-idempotent request.
-
-    Attributes:
-      claim_id: Names the claimant; a resend carries the same one.
-      fingerprint: Digest of method, target and body.
-    """
-
-    claim_id: str
-    organisation: str
-    idempotency_key: str
-    fingerprint: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ReleaseClaim:
-    """Gives a claim up; only valid if the request was not dispatched."""
-
-    claim_id: str
-    organisation: str
-    idempotency_key: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RotateClaims:
-    """Drops the claims that are older than one retention period."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ReplaceConfiguration:
-    """Replaces the fleet configuration if its version is the expected one.
-
-    Attributes:
-      expect_version: The version that this one builds on; 0 for the first.
-      digest: Identifies the text, so that a resend is recognised.
-      text: As the operator sent it; reads return it.
-    """
-
-    expect_version: int
-    document: configuration.Configuration
-    digest: str
-    text: bytes
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ReadConfiguration:
-    """Reads the fleet configuration at its place in the log."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NoOp:
-    """Commits the entries of earlier terms when a leader takes over."""
-
-
-Command: TypeAlias = (
-    CreateOrganisation
-    | SetParameters
-    | IssueKey
-    | WithdrawKey
-    | ClaimRequest
-    | ReleaseClaim
-    | RotateClaims
-    | ReplaceConfiguration
-    | ReadConfiguration
-    | NoOp
-)
-
-# --- results -----------------------------------------------------------------
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Accepted:
-    """The change is committed.
-
-    Attributes:
-      revision: Fleet revision of the change.
-      version: Version of the organisation after the change.
-    """
-
-    revision: int = 0
-    version: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Conflict:
-    """Another change came first; nothing was changed."""
-
-    version: int
-    detail: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Rejected:
-    """The change is not valid; nothing was changed."""
-
-    findings: tuple[exceptions.Finding, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Granted:
-    """The claimant may dispatch the request."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Taken:
-    """The claim belongs to another submission.
-
-    Attributes:
-      same_request: Whether the fingerprints are equal.
-    """
-
-    same_request: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CurrentConfiguration:
-    """The text of the newest configuration; empty before the first."""
-
-    text: bytes
-
-
-Result: TypeAlias = (
-    Accepted | Conflict | Rejected | Granted | Taken | CurrentConfiguration
-)
-
-# --- state -------------------------------------------------------------------
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Claim:
@@ -252,34 +83,36 @@
         )
 
 
-def apply(state: FleetState, command: Command) -> tuple[FleetState, Result]:
+def apply(
+    state: FleetState, command: fleet_commands.Command
+) -> tuple[FleetState, fleet_commands.Result]:
     """Applies one committed command."""
     match command:
-        case NoOp():
-            return state, Accepted(revision=state.revision)
-        case ClaimRequest():
+        case fleet_commands.NoOp():
+            return state, fleet_commands.Accepted(revision=state.revision)
+        case fleet_commands.ClaimRequest():
             return _claim(state, command)
-        case ReleaseClaim():
+        case fleet_commands.ReleaseClaim():
             return _release(state, command)
-        case RotateClaims():
+        case fleet_commands.RotateClaims():
             return (
                 dataclasses.replace(
                     state, claims=immutables.Map(), old_claims=state.claims
                 ),
-                Accepted(revision=state.revision),
+                fleet_commands.Accepted(revision=state.revision),
             )
-        case ReplaceConfiguration():
+        case fleet_commands.ReplaceConfiguration():
             return _replace_configuration(state, command)
-        case ReadConfiguration():
+        case fleet_commands.ReadConfiguration():
             text = state.accepted.text if state.accepted else b""
-            return state, CurrentConfiguration(text=text)
+            return state, fleet_commands.CurrentConfiguration(text=text)
         case _:
             return _change(state, command)
 
 
 def _replace_configuration(
-    state: FleetState, command: ReplaceConfiguration
-) -> tuple[FleetState, Result]:
+    state: FleetState, command: fleet_commands.ReplaceConfiguration
+) -> tuple[FleetState, fleet_commands.Result]:
     """Replaces the document; one accepted before is accepted again."""
     earlier = state.documents.get(command.digest) or state.old_documents.get(
         command.digest
@@ -298,14 +131,16 @@
             )
         )
     if findings:
-        return state, Rejected(findings=tuple(findings))
+        return state, fleet_commands.Rejected(findings=tuple(findings))
     if command.expect_version != current:
-        return state, Conflict(
+        return state, fleet_commands.Conflict(
             version=current,
             detail=f"builds on version {command.expect_version}",
         )
     revision = state.revision + 1
-    result = Accepted(revision=revision, version=document.version)
+    result = fleet_commands.Accepted(
+        revision=revision, version=document.version
+    )
     documents, old = state.documents, state.old_documents
     if len(documents) >= CHANGES_KEPT:
         documents, old = immutables.Map(), documents
@@ -344,7 +179,9 @@
     return immutables.Map(quotas)
 
 
-def _change(state: FleetState, command: Any) -> tuple[FleetState, Result]:
+def _change(
+    state: FleetState, command: Any
+) -> tuple[FleetState, fleet_commands.Result]:
     """Applies a change of configuration once for its change id."""
     earlier = state.changes.get(command.change_id) or state.old_changes.get(
         command.change_id
@@ -352,17 +189,17 @@
     if earlier is not None:
         return state, earlier
     match command:
-        case CreateOrganisation():
+        case fleet_commands.CreateOrganisation():
             outcome = _create(state, command)
-        case SetParameters():
+        case fleet_commands.SetParameters():
             outcome = _set(state, command)
-        case IssueKey():
+        case fleet_commands.IssueKey():
             outcome = _issue(state, command)
-        case WithdrawKey():
+        case fleet_commands.WithdrawKey():
             outcome = _withdraw(state, command)
         case _:
             raise TypeError(f"unknown command {command!r}")
-    result: Result
+    result: fleet_commands.Result
     if isinstance(outcome, model.Organisation):
         revision = state.revision + 1
         organisation = dataclasses.replace(
@@ -375,13 +212,17 @@
                 organisation.name, organisation
             ),
         )
-        result = Accepted(revision=revision, version=organisation.version)
+        result = fleet_commands.Accepted(
+            revision=revision, version=organisation.version
+        )
     else:
         result = outcome
     return _remember(state, command.change_id, result), result
 
 
-def _remember(state: FleetState, change_id: str, result: Result) -> FleetState:
+def _remember(
+    state: FleetState, change_id: str, result: fleet_commands.Result
+) -> FleetState:
     changes, old = state.changes, state.old_changes
     if len(changes) >= CHANGES_KEPT:
         changes, old = immutables.Map(), changes
@@ -391,8 +232,8 @@
 
 
 def _create(
-    state: FleetState, command: CreateOrganisation
-) -> model.Organisation | Conflict | Rejected:
+    state: FleetState, command: fleet_commands.CreateOrganisation
+) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
     findings: list[exceptions.Finding] = []
     if not templates.valid_name(command.name):
         findings.append(
@@ -414,10 +255,10 @@
     )
     findings.extend(faults)
     if findings:
-        return Rejected(findings=tuple(findings))
+        return fleet_commands.Rejected(findings=tuple(findings))
     existing = state.organisations.get(command.name)
     if existing is not None:
-        return Conflict(
+        return fleet_commands.Conflict(
             version=existing.version,
             detail=f"organisation {command.name} exists",
         )
@@ -427,8 +268,8 @@
 
 
 def _set(
-    state: FleetState, command: SetParameters
-) -> model.Organisation | Conflict | Rejected:
+    state: FleetState, command: fleet_commands.SetParameters
+) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
     organisation = state.organisations.get(command.name)
     if organisation is None:
         return _unknown(command.name)
@@ -436,9 +277,9 @@
         organisation.parameters, command.assignments, "parameters"
     )
     if findings:
-        return Rejected(findings=findings)
+        return fleet_commands.Rejected(findings=findings)
     if command.expect_version not in (0, organisation.version):
-        return Conflict(
+        return fleet_commands.Conflict(
             version=organisation.version,
             detail=f"expected version {command.expect_version}",
         )
@@ -450,19 +291,19 @@
 
 
 def _issue(
-    state: FleetState, command: IssueKey
-) -> model.Organisation | Conflict | Rejected:
+    state: FleetState, command: fleet_commands.IssueKey
+) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
     organisation = state.organisations.get(command.organisation)
     if organisation is None:
         return _unknown(command.organisation)
     if any(key.key_id == command.key_id for key in organisation.keys):
-        return Conflict(
+        return fleet_commands.Conflict(
             version=organisation.version,
             detail=f"key {command.key_id} exists",
         )
     for other in state.organisations.values():
         if any(key.digest == command.digest for key in other.keys):
-            return Rejected(
+            return fleet_commands.Rejected(
                 findings=(_finding("key", "this key was issued before"),)
             )
     key = model.Key(key_id=command.key_id, digest=command.digest)
@@ -474,13 +315,13 @@
 
 
 def _withdraw(
-    state: FleetState, command: WithdrawKey
-) -> model.Organisation | Conflict | Rejected:
+    state: FleetState, command: fleet_commands.WithdrawKey
+) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
     organisation = state.organisations.get(command.organisation)
     if organisation is None:
         return _unknown(command.organisation)
     if all(key.key_id != command.key_id for key in organisation.keys):
-        return Rejected(
+        return fleet_commands.Rejected(
             findings=(_finding("key", f"unknown key {command.key_id!r}"),)
         )
     keys = tuple(
@@ -495,25 +336,25 @@
 
 
 def _claim(
-    state: FleetState, command: ClaimRequest
-) -> tuple[FleetState, Result]:
+    state: FleetState, command: fleet_commands.ClaimRequest
+) -> tuple[FleetState, fleet_commands.Result]:
     key = (command.organisation, command.idempotency_key)
     earlier = state.claims.get(key) or state.old_claims.get(key)
     if earlier is not None:
         if earlier.claim_id == command.claim_id:
-            return state, Granted()
+            return state, fleet_commands.Granted()
         same = earlier.fingerprint == command.fingerprint
-        return state, Taken(same_request=same)
+        return state, fleet_commands.Taken(same_request=same)
     claim = Claim(claim_id=command.claim_id, fingerprint=command.fingerprint)
     claims = state.claims.set(key, claim)
-    return dataclasses.replace(state, claims=claims), Granted()
+    return dataclasses.replace(state, claims=claims), fleet_commands.Granted()
 
 
 def _release(
-    state: FleetState, command: ReleaseClaim
-) -> tuple[FleetState, Result]:
+    state: FleetState, command: fleet_commands.ReleaseClaim
+) -> tuple[FleetState, fleet_commands.Result]:
     key = (command.organisation, command.idempotency_key)
-    result = Accepted(revision=state.revision)
+    result = fleet_commands.Accepted(revision=state.revision)
     for name in ("claims", "old_claims"):
         claims = getattr(state, name)
         held = claims.get(key)
@@ -523,8 +364,8 @@
     return state, result
 
 
-def _unknown(name: str) -> Rejected:
-    return Rejected(
+def _unknown(name: str) -> fleet_commands.Rejected:
+    return fleet_commands.Rejected(
         findings=(_finding("name", f"unknown organisation {name!r}"),)
     )
 
--- a/src/sassafrashall/filters/claim.py
+++ b/src/sassafrashall/filters/claim.py
@@ -15,7 +15,7 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import protocol
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.transport import codec
 
 CLAIM_TIMEOUT = 3.0  # seconds
@@ -39,7 +39,7 @@
         """Claims, or refuses a duplicate."""
         if call.idempotent or not call.request.idempotency_key:
             return model.Forward(call=call)
-        claim = fleet_state.ClaimRequest(
+        claim = fleet_commands.ClaimRequest(
             claim_id=uuid.uuid4().hex,
             organisation=call.organisation,
             idempotency_key=call.request.idempotency_key,
@@ -68,13 +68,13 @@
         self, call: model.Call, claim_id: str, result: object
     ) -> model.Result:
         match result:
-            case fleet_state.Granted():
+            case fleet_commands.Granted():
                 self._events.record("claim.granted", call.root_id, claim_id)
                 return model.Forward(
                     call=dataclasses.replace(call, claim_id=claim_id),
                     closes=True,
                 )
-            case fleet_state.Taken(same_request=True):
+            case fleet_commands.Taken(same_request=True):
                 self._events.record("claim.duplicate", call.root_id)
                 return model.Refuse(
                     code=exceptions.DUPLICATE,
@@ -82,7 +82,7 @@
                     run=model.RunState.UNKNOWN,
                     retries_left=call.retries,
                 )
-            case fleet_state.Taken():
+            case fleet_commands.Taken():
                 return model.Refuse(
                     code=exceptions.KEY_REUSED,
                     detail="this idempotency key belongs to another request",
@@ -98,7 +98,7 @@
                 await self._release(call, call.claim_id)
 
     async def _release(self, call: model.Call, claim_id: str) -> None:
-        release = fleet_state.ReleaseClaim(
+        release = fleet_commands.ReleaseClaim(
             claim_id=claim_id,
             organisation=call.organisation,
             idempotency_key=call.request.idempotency_key,
@@ -111,7 +111,7 @@
             self._events.record("claim.release_lost", call.root_id, claim_id)
 
     async def _submit(
-        self, command: fleet_state.Command, timeout: float
+        self, command: fleet_commands.Command, timeout: float
     ) -> object:
         answer = await self._link.ask(
             messages.CallControl(
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -341,7 +341,7 @@
     """Commits a command; answered with its Result.
 
     Attributes:
-      command: A command of `fleet_state`.
+      command: A command of `fleet_commands`.
       forwarded: Whether another control sent it on.
     """
 
--- a/src/sassafrashall/platform/operator_api.py
+++ b/src/sassafrashall/platform/operator_api.py
@@ -12,7 +12,7 @@
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.platform import documents
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
@@ -49,8 +49,8 @@
             return node_api.json_response(503, {"error": error.code})
 
     async def _read(self) -> model.Response:
-        match await self._submit(fleet_state.ReadConfiguration()):
-            case fleet_state.CurrentConfiguration(text=text) if text:
+        match await self._submit(fleet_commands.ReadConfiguration()):
+            case fleet_commands.CurrentConfiguration(text=text) if text:
                 return model.Response(
                     status=200,
                     headers=(("content-type", "application/json"),),
@@ -70,7 +70,7 @@
                 source="If-Match", text="must be a version such as r12, or 0"
             )
             raise exceptions.FindingsError((finding,))
-        command = fleet_state.ReplaceConfiguration(
+        command = fleet_commands.ReplaceConfiguration(
             expect_version=expected,
             document=document,
             digest=hashlib.sha256(raw.body).hexdigest(),
@@ -86,18 +86,18 @@
             },
         )
         match result:
-            case fleet_state.Accepted(version=version):
+            case fleet_commands.Accepted(version=version):
                 return node_api.json_response(200, {"version": f"r{version}"})
-            case fleet_state.Conflict(version=version, detail=detail):
+            case fleet_commands.Conflict(version=version, detail=detail):
                 return node_api.json_response(
                     412, {"version": f"r{version}", "error": detail}
                 )
-            case fleet_state.Rejected(findings=findings):
+            case fleet_commands.Rejected(findings=findings):
                 return node_api.findings_response(400, findings)
             case _:
                 raise TypeError(f"unknown result {result!r}")
 
-    async def _submit(self, command: fleet_state.Command) -> Any:
+    async def _submit(self, command: fleet_commands.Command) -> Any:
         with trio.move_on_after(ANSWER_TIME):
             return await self._replica.ask(messages.Submit(command=command))
         raise exceptions.RpcError("not committed in time")
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -8,7 +8,7 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import model
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import replication
 from sassafrashall.transport import codec
@@ -340,20 +340,20 @@
     replication.InstallSnapshot,
     replication.RequestVote,
     replication.VoteReply,
-    fleet_state.CreateOrganisation,
-    fleet_state.SetParameters,
-    fleet_state.IssueKey,
-    fleet_state.WithdrawKey,
-    fleet_state.ClaimRequest,
-    fleet_state.ReleaseClaim,
-    fleet_state.RotateClaims,
-    fleet_state.ReplaceConfiguration,
-    fleet_state.ReadConfiguration,
-    fleet_state.CurrentConfiguration,
-    fleet_state.NoOp,
-    fleet_state.Accepted,
-    fleet_state.Conflict,
-    fleet_state.Rejected,
-    fleet_state.Granted,
-    fleet_state.Taken,
+    fleet_commands.CreateOrganisation,
+    fleet_commands.SetParameters,
+    fleet_commands.IssueKey,
+    fleet_commands.WithdrawKey,
+    fleet_commands.ClaimRequest,
+    fleet_commands.ReleaseClaim,
+    fleet_commands.RotateClaims,
+    fleet_commands.ReplaceConfiguration,
+    fleet_commands.ReadConfiguration,
+    fleet_commands.CurrentConfiguration,
+    fleet_commands.NoOp,
+    fleet_commands.Accepted,
+    fleet_commands.Conflict,
+    fleet_commands.Rejected,
+    fleet_commands.Granted,
+    fleet_commands.Taken,
 )
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -8,7 +8,7 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall import protocol
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import shedding
 from sassafrashall.decisions import templates
 
@@ -309,18 +309,18 @@
     return "\n".join(str(finding) for finding in found)
 
 
-def result(outcome: fleet_state.Result) -> str:
+def result(outcome: fleet_commands.Result) -> str:
     """Returns what became of a change."""
     match outcome:
-        case fleet_state.Accepted(revision=revision, version=version):
+        case fleet_commands.Accepted(revision=revision, version=version):
             return f"Accepted: revision {revision}, version {version}."
-        case fleet_state.Conflict(version=version, detail=detail):
+        case fleet_commands.Conflict(version=version, detail=detail):
             return (
                 f"Conflict: {detail}; the version now is {version}. Nothing "
                 "was changed. Look at it with 'organisation show', then try "
                 f"again with --expect-version {version}."
             )
-        case fleet_state.Rejected(findings=found):
+        case fleet_commands.Rejected(findings=found):
             return (
                 f"Rejected; nothing was changed. {len(found)} fault(s):\n"
                 + findings(found)
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -9,10 +9,13 @@
 
 from sassafrashall import configuration
 from sassafrashall import model
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import codec
 
-codec.register(fleet_state.Accepted, fleet_state.Conflict, fleet_state.Rejected)
+codec.register(
+    fleet_commands.Accepted, fleet_commands.Conflict, fleet_commands.Rejected
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import mailbox
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import quota
@@ -108,7 +109,7 @@
 
 def _claims(patch):
     def always(state, command):
-        return state, fleet_state.Granted()
+        return state, fleet_commands.Granted()
 
     patch.setattr(fleet_state, "_claim", always)
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -10,7 +10,7 @@
 from bench import fleet as fleet_module
 import trio
 
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 
 DATA_CENTRES = ("a", "b", "c")
 
@@ -51,14 +51,14 @@
 async def create(client, name, *, rate="5000", burst="1000") -> str:
     """Creates an organisation and returns a key that works everywhere."""
     created = await client.submit(
-        fleet_state.CreateOrganisation(
+        fleet_commands.CreateOrganisation(
             change_id=f"create-{name}",
             name=name,
             template="web-api",
             assignments=(("rate", rate), ("burst", burst)),
         )
     )
-    assert isinstance(created, fleet_state.Accepted), created
+    assert isinstance(created, fleet_commands.Accepted), created
     issued, key = await client.issue_key(name, "k1", f"issue-{name}")
     rollout = await client.wait_in_force(issued.revision, 10.0)
     assert not rollout.missing, rollout
@@ -79,9 +79,9 @@
     return counts
 
 
-def rate_change(number) -> fleet_state.SetParameters:
+def rate_change(number) -> fleet_commands.SetParameters:
     """Returns a change of the rate under an id of its own."""
-    return fleet_state.SetParameters(
+    return fleet_commands.SetParameters(
         change_id=f"rate-{number}",
         name="org",
         assignments=(("rate", str(5000 + number)),),
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -3,7 +3,7 @@
 
 from sassafrashall import exceptions
 from sassafrashall import model
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.filters import claim
 from tests import fakes
 
@@ -68,7 +68,7 @@
 
     assert isinstance(await _with(controls, body), model.Forward)
     assert any(
-        isinstance(command, fleet_state.ReleaseClaim)
+        isinstance(command, fleet_commands.ReleaseClaim)
         for command, _ in controls.results
     )
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from tests import processes
 
 
@@ -122,7 +122,7 @@
     async with processes.running() as (fleet, client, key):
         for number in range(30):
             result = await client.submit(_rate(number))
-            assert isinstance(result, fleet_state.Accepted)
+            assert isinstance(result, fleet_commands.Accepted)
         lost = await _replica_of(client, "control-c")
         fleet.kill("control-c")
         folder = fleet.folder / "control-c"
@@ -133,7 +133,7 @@
         with trio.fail_after(15):
             while True:
                 done = await client.replace_replica(lost, new)
-                if isinstance(done, fleet_state.Accepted):
+                if isinstance(done, fleet_commands.Accepted):
                     break
                 await trio.sleep(0.3)
         fleet.kill("control-b")
@@ -143,7 +143,7 @@
         (organisation,) = status.organisations
     assert organisation.parameters.rate == 5099
     assert organisation.version == 33
-    assert isinstance(result, fleet_state.Accepted)
+    assert isinstance(result, fleet_commands.Accepted)
 
 
 async def test_restart_of_all_controls_after_many_changes_loses_none():
@@ -190,7 +190,7 @@
             assert (await caller.send("/grant/x")).whole
         began = trio.current_time()
         await client.submit(
-            fleet_state.WithdrawKey(
+            fleet_commands.WithdrawKey(
                 change_id="w", organisation="org", key_id="k1"
             )
         )
@@ -209,7 +209,7 @@
             fleet.kill(name)
         caller = processes.caller_of(fleet, "node-a", key)
         assert (await caller.send("/grant/x")).status == 200
-        withdraw = fleet_state.WithdrawKey(
+        withdraw = fleet_commands.WithdrawKey(
             change_id="w", organisation="org", key_id="k1"
         )
         try:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 
 from sassafrashall import model
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import snapshots
 
@@ -10,7 +11,7 @@
 def _create(state, name="a", change_id="c0", assignments=()):
     return fleet_state.apply(
         state,
-        fleet_state.CreateOrganisation(
+        fleet_commands.CreateOrganisation(
             change_id=change_id,
             name=name,
             template="web-api",
@@ -22,7 +23,7 @@
 def _set(state, change_id, value="5", expect=0, name="a"):
     return fleet_state.apply(
         state,
-        fleet_state.SetParameters(
+        fleet_commands.SetParameters(
             change_id=change_id,
             name=name,
             assignments=(("rate", value),),
@@ -34,7 +35,7 @@
 def _claim(state, claim_id, fingerprint="f", key="k"):
     return fleet_state.apply(
         state,
-        fleet_state.ClaimRequest(
+        fleet_commands.ClaimRequest(
             claim_id=claim_id,
             organisation="a",
             idempotency_key=key,
@@ -47,8 +48,8 @@
     state, _ = _create(fleet_state.FleetState())
     state, first = _set(state, "c1", expect=1)
     state, second = _set(state, "c2", value="6", expect=1)
-    assert isinstance(first, fleet_state.Accepted)
-    assert second == fleet_state.Conflict(
+    assert isinstance(first, fleet_commands.Accepted)
+    assert second == fleet_commands.Conflict(
         version=2, detail="expected version 1"
     )
     assert state.organisations["a"].parameters.rate == 5
@@ -73,32 +74,32 @@
 
 def test_every_faulty_value_is_named_and_nothing_is_half_applied():
     state, _ = _create(fleet_state.FleetState())
-    command = fleet_state.SetParameters(
+    command = fleet_commands.SetParameters(
         change_id="c1",
         name="a",
         assignments=(("rate", "7"), ("burst", "x"), ("colour", "red")),
     )
     state, result = fleet_state.apply(state, command)
-    assert isinstance(result, fleet_state.Rejected)
+    assert isinstance(result, fleet_commands.Rejected)
     assert [f.key for f in result.findings] == ["burst", "colour"]
     assert state.organisations["a"].parameters.rate == 100
 
 
 def test_a_withdrawn_key_never_comes_back():
     state, _ = _create(fleet_state.FleetState())
-    issue = fleet_state.IssueKey(
+    issue = fleet_commands.IssueKey(
         change_id="i", organisation="a", key_id="k", digest="d"
     )
     state, _ = fleet_state.apply(state, issue)
-    withdraw = fleet_state.WithdrawKey(
+    withdraw = fleet_commands.WithdrawKey(
         change_id="w", organisation="a", key_id="k"
     )
     state, _ = fleet_state.apply(state, withdraw)
-    again = fleet_state.IssueKey(
+    again = fleet_commands.IssueKey(
         change_id="i2", organisation="a", key_id="k2", digest="d"
     )
     _, result = fleet_state.apply(state, again)
-    assert isinstance(result, fleet_state.Rejected)
+    assert isinstance(result, fleet_commands.Rejected)
 
 
 def test_the_first_claimant_wins_and_its_resend_too():
@@ -106,28 +107,28 @@
     state, resend = _claim(state, "one")
     state, other = _claim(state, "two")
     state, misuse = _claim(state, "three", fingerprint="g")
-    assert first == resend == fleet_state.Granted()
-    assert other == fleet_state.Taken(same_request=True)
-    assert misuse == fleet_state.Taken(same_request=False)
+    assert first == resend == fleet_commands.Granted()
+    assert other == fleet_commands.Taken(same_request=True)
+    assert misuse == fleet_commands.Taken(same_request=False)
 
 
 def test_a_claim_can_be_released_only_by_its_holder():
     state, _ = _claim(fleet_state.FleetState(), "one")
     for claim_id, free in (("two", False), ("one", True)):
-        release = fleet_state.ReleaseClaim(
+        release = fleet_commands.ReleaseClaim(
             claim_id=claim_id, organisation="a", idempotency_key="k"
         )
         state, _ = fleet_state.apply(state, release)
         _, result = _claim(state, "three")
-        assert isinstance(result, fleet_state.Granted) is free
+        assert isinstance(result, fleet_commands.Granted) is free
 
 
 def test_claims_outlive_one_rotation_and_not_two():
     state, _ = _claim(fleet_state.FleetState(), "one")
-    state, _ = fleet_state.apply(state, fleet_state.RotateClaims())
-    assert isinstance(_claim(state, "two")[1], fleet_state.Taken)
-    state, _ = fleet_state.apply(state, fleet_state.RotateClaims())
-    assert isinstance(_claim(state, "two")[1], fleet_state.Granted)
+    state, _ = fleet_state.apply(state, fleet_commands.RotateClaims())
+    assert isinstance(_claim(state, "two")[1], fleet_commands.Taken)
+    state, _ = fleet_state.apply(state, fleet_commands.RotateClaims())
+    assert isinstance(_claim(state, "two")[1], fleet_commands.Granted)
 
 
 def test_a_snapshot_holds_everything():
@@ -183,7 +184,7 @@
             assert result.version == self.version
         else:
             assert result.version == self.version
-            assert isinstance(result, fleet_state.Conflict)
+            assert isinstance(result, fleet_commands.Conflict)
 
     @stateful.rule()
     def snapshot(self):
--- a/tests/test_replace_configuration.py
+++ b/tests/test_replace_configuration.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from sassafrashall import configuration
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import snapshots
 
@@ -14,7 +15,7 @@
     document = configuration.Configuration(version=version, **changes)
     return fleet_state.apply(
         state,
-        fleet_state.ReplaceConfiguration(
+        fleet_commands.ReplaceConfiguration(
             expect_version=expect,
             document=document,
             digest=f"{version}/{mark}",
@@ -24,16 +25,18 @@
 
 
 def _read(state):
-    return fleet_state.apply(state, fleet_state.ReadConfiguration())[1].text
+    return fleet_state.apply(state, fleet_commands.ReadConfiguration())[1].text
 
 
 def test_a_change_builds_on_the_version_in_force():
     state, first = _replace(fleet_state.FleetState(), 3, 0)
-    assert first == fleet_state.Accepted(revision=1, version=3)
+    assert first == fleet_commands.Accepted(revision=1, version=3)
     state, late = _replace(state, 4, 0)
-    assert late == fleet_state.Conflict(version=3, detail="builds on version 0")
+    assert late == fleet_commands.Conflict(
+        version=3, detail="builds on version 0"
+    )
     state, second = _replace(state, 9, 3)
-    assert second == fleet_state.Accepted(revision=2, version=9)
+    assert second == fleet_commands.Accepted(revision=2, version=9)
     assert _read(state) == b"9/"
 
 
@@ -41,8 +44,8 @@
     state, _ = _replace(fleet_state.FleetState(), 1, 0)
     state, won = _replace(state, 2, 1, mark="a")
     state, lost = _replace(state, 2, 1, mark="b")
-    assert isinstance(won, fleet_state.Accepted)
-    assert isinstance(lost, fleet_state.Conflict)
+    assert isinstance(won, fleet_commands.Accepted)
+    assert isinstance(lost, fleet_commands.Conflict)
     assert _read(state) == b"2/a"
 
 
@@ -58,17 +61,17 @@
 def test_a_refused_document_is_judged_anew():
     state, _ = _replace(fleet_state.FleetState(), 1, 0)
     state, refused = _replace(state, 3, 2)
-    assert isinstance(refused, fleet_state.Conflict)
+    assert isinstance(refused, fleet_commands.Conflict)
     state, _ = _replace(state, 2, 1)
     state, accepted = _replace(state, 3, 2)
-    assert isinstance(accepted, fleet_state.Accepted)
+    assert isinstance(accepted, fleet_commands.Accepted)
 
 
 def test_a_version_that_is_not_above_the_current_one_is_rejected():
     state, _ = _replace(fleet_state.FleetState(), 5, 0)
     for version in (5, 4):
         _, result = _replace(state, version, 5, mark="x")
-        assert isinstance(result, fleet_state.Rejected)
+        assert isinstance(result, fleet_commands.Rejected)
 
 
 def test_quotas_follow_the_document_and_keep_their_beginning():
@@ -123,13 +126,13 @@
         known = (version, mark) in self.history
         valid = version >= 1 and (base != current or version > current)
         if known:
-            assert isinstance(result, fleet_state.Accepted)
+            assert isinstance(result, fleet_commands.Accepted)
         elif not valid:
-            assert isinstance(result, fleet_state.Rejected)
+            assert isinstance(result, fleet_commands.Rejected)
         elif base != current:
-            assert isinstance(result, fleet_state.Conflict)
+            assert isinstance(result, fleet_commands.Conflict)
         else:
-            assert isinstance(result, fleet_state.Accepted)
+            assert isinstance(result, fleet_commands.Accepted)
             self.history.append((version, mark))
 
     @stateful.invariant()
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -7,7 +7,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import reports
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import templates
 
@@ -152,9 +152,9 @@
 def test_results(snapshot):
     finding = exceptions.Finding(source="command", key="rate", text="no number")
     results = (
-        fleet_state.Accepted(revision=3, version=2),
-        fleet_state.Conflict(version=5, detail="expected version 4"),
-        fleet_state.Rejected(findings=(finding,)),
+        fleet_commands.Accepted(revision=3, version=2),
+        fleet_commands.Conflict(version=5, detail="expected version 4"),
+        fleet_commands.Rejected(findings=(finding,)),
     )
     assert "\n\n".join(reports.result(r) for r in results) == snapshot
 
