A fault in a request's handler ends its connection

Cause, found by reading: a fiber that failed left its exchange open, so the caller waited until it gave up. Test: tests/test_stream_server.py -k fault, failed first.

--- a/src/sassafrashall/fiber.py
+++ b/src/sassafrashall/fiber.py
@@ -68,11 +68,6 @@
         """Whether the coroutine has ended."""
         return self._done
 
-    @property
-    def cancelled(self) -> bool:
-        """Whether the coroutine was given up before its end."""
-        return self._cancelled
-
     def start(self) -> None:
         """Runs the coroutine up to its first wait."""
         self._step()
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -280,8 +280,8 @@
             self._end(exchange, whole and not closes)
 
     def _on_fiber_end(self, exchange: _Exchange) -> None:
-        """A fiber that was cancelled sends nothing and ends the exchange."""
-        if exchange.fiber is not None and exchange.fiber.cancelled:
+        """Ends an exchange whose fiber failed or was cancelled."""
+        if exchange.sending is None:
             self._end(exchange, False)
 
     def _closes(self, exchange: _Exchange) -> bool:
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -127,3 +127,17 @@
             seen += data
     assert seen.startswith(b"HTTP/1.1 200") and seen.endswith(b"ok")
     assert b"connection: close" in seen
+
+
+async def test_a_fault_of_the_handler_ends_the_connection():
+    reply = mailbox.Reply()
+
+    async def handler(raw):
+        await reply.wait()
+        raise ValueError("a fault of the test")
+
+    async with _server(handler) as (stream, _):
+        await stream.send_all(REQUEST % 1)
+        await trio.sleep(0.05)
+        reply.put(None)
+        assert await stream.receive_some(100) == b""
