Repeat for free only what an idle connection reset at once

Cause, found by reading: an upstream that runs a request and then resets its connection looked like one that had closed an idle connection, so the request was sent again outside of the retry ratio. A closed socket on the own VM resets at once; what is reset after 5 ms counts as read. A send that fails at once on a connection used before left the request unsent, so it goes on a new one whatever its kind; it was answered 502 before.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -19,6 +19,9 @@
 IDLE_MARGIN = 2.0  # seconds before the upstream's own idle timeout
 DEFAULT_KEEP_ALIVE = 5.0  # seconds, where the upstream tells no idle timeout
 STRAY_ANSWERS = 4  # answers to other requests that are passed over
+# Seconds within which a closed socket on the own VM resets what is sent to it.
+# An upstream that resets later has read the request and may have run it.
+RESET_TIME = 0.005
 
 Answers = Callable[[int, model.Headers], bool]
 
@@ -77,6 +80,7 @@
         self._open = True
         self._reusable = True
         self._exchanges = 0
+        self._began_at = 0.0
         self._used_at = clock.monotonic()
         self._expires_at = self._used_at + DEFAULT_KEEP_ALIVE
 
@@ -109,6 +113,7 @@
         self._reusable = False
         self._exchanges += 1
         self._answered = False
+        self._began_at = clock.monotonic()
         request = message.request
         self._parser.without_body = request.method == "HEAD"
         self._exchange = _Exchange(message=message, reply=reply)
@@ -124,7 +129,7 @@
         try:
             sent = self._stream.push(data)
         except OSError as error:
-            self._fail(str(error))
+            self._unsent(message, reply, str(error))
             return
         if sent < len(data):
             assert self._nursery is not None
@@ -156,8 +161,12 @@
             return
         held.reply.on_abandon(None)
         # The upstream had closed the idle connection before it read anything.
-        was_idle = self._exchanges > 1 and not self._answered
-        if was_idle and held.message.repeatable:
+        was_closed = (
+            self._exchanges > 1
+            and not self._answered
+            and clock.monotonic() - self._began_at < RESET_TIME
+        )
+        if was_closed and held.message.repeatable:
             self._on_unread(held.message, held.reply)
         else:
             held.reply.fail(
@@ -279,6 +288,20 @@
             )
         self.close()
 
+    def _unsent(
+        self, message: messages.RunExchange, reply: mailbox.Reply, detail: str
+    ) -> None:
+        """The connection was broken before a byte of the request was sent."""
+        self._exchange = None
+        self.close()
+        reply.on_abandon(None)
+        if self._exchanges > 1:
+            self._on_unread(message, reply)
+        else:
+            reply.fail(
+                exceptions.ConnectionFailedError(detail, committed=False)
+            )
+
     def _fail(self, detail: str) -> None:
         """Ends an exchange whose request could not be sent."""
         held, self._exchange = self._exchange, None
