Tell an upstream what is left of the time when the request is sent

Test: tests/test_upstream_pool.py -k idle_connection, by the time that the second sending is encoded for.

--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 from typing import Protocol
 
 import trio
@@ -32,7 +33,7 @@
         """Returns the request for the upstream."""
         ...
 
-    def answers(self, request: http.RawRequest) -> upstream_connection.Answers:
+    def answers(self, request: model.Request) -> upstream_connection.Answers:
         """Returns what tells whether an answer belongs to the request."""
         ...
 
@@ -113,16 +114,15 @@
     async def _send(
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
     ) -> model.Outcome:
-        request = self._dialect.encode(call, upstream, clock.monotonic())
         response = await self._pool.ask(
             messages.RunExchange(
                 address=upstream.address,
-                request=request,
-                answers=self._dialect.answers(request),
+                encode=functools.partial(self._dialect.encode, call, upstream),
+                answers=self._dialect.answers(call.request),
                 longest_idle=messages.ANY_IDLE_TIME
                 if call.idempotent
                 else FRESH_IDLE_TIME,
-                repeatable=call.idempotent and request.rest is None,
+                repeatable=call.idempotent and call.request.rest is None,
                 deadline=call.deadline,
             )
         )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -316,7 +316,8 @@
     and with it cancels the request at the upstream.
 
     Attributes:
-      request: What to send, as `http.RawRequest`.
+      encode: Returns what to send, an `http.RawRequest`, at a monotonic time.
+        A wait for a connection would else hand on more time than is left.
       answers: Tells by status and headers whether an answer belongs to it.
       longest_idle: Seconds since its last use beyond which a connection is of
         no use.
@@ -326,7 +327,7 @@
     """
 
     address: model.Address
-    request: Any
+    encode: Callable[[float], Any]
     answers: Callable[[int, model.Headers], bool]
     longest_idle: float
     repeatable: bool
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -30,16 +30,21 @@
     """A request on a connection and what has arrived of its answer."""
 
     def __init__(
-        self, *, message: messages.RunExchange, reply: mailbox.Reply
+        self,
+        *,
+        message: messages.RunExchange,
+        request: http.RawRequest,
+        reply: mailbox.Reply,
     ) -> None:
         self.message = message
+        self.request = request
         self.reply = reply
         self.head: http1.ResponseHead | None = None
         self.parts: list[bytes] = []
         self.size = 0
         self.strays = 0
         self.is_stray = False
-        self.uploaded = message.request.rest is None
+        self.uploaded = request.rest is None
         self.upload_scope: trio.CancelScope | None = None
 
 
@@ -114,9 +119,11 @@
         self._exchanges += 1
         self._answered = False
         self._began_at = clock.monotonic()
-        request = message.request
+        request = message.encode(self._began_at)
         self._parser.without_body = request.method == "HEAD"
-        self._exchange = _Exchange(message=message, reply=reply)
+        self._exchange = _Exchange(
+            message=message, request=request, reply=reply
+        )
         reply.on_abandon(self.close)
         if request.rest is not None:
             assert self._nursery is not None
@@ -322,7 +329,8 @@
 
     async def _upload(self, exchange: _Exchange) -> None:
         """Sends a long body while the answer may already arrive."""
-        request = exchange.message.request
+        request = exchange.request
+        assert request.rest is not None
         length = model.find_header(request.headers, "content-length")
         headers = tuple(h for h in request.headers if h[0] != "content-length")
         encode = http1.encode_chunk if length is None else bytes
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -85,7 +85,9 @@
         nursery.cancel_scope.cancel()
 
 
-async def _ask(pool, upstream, name, *, repeatable=True, seconds=2.0):
+async def _ask(
+    pool, upstream, name, *, repeatable=True, seconds=2.0, sent_at=None
+):
     raw = http.RawRequest(
         method="GET",
         target="/",
@@ -94,10 +96,16 @@
         source=model.Source.PEER,
         received_at=0.0,
     )
+
+    def encode(now):
+        if sent_at is not None:
+            sent_at.append(now)
+        return raw
+
     return await pool.mailbox.ask(
         messages.RunExchange(
             address=upstream.address,
-            request=raw,
+            encode=encode,
             answers=lambda status, headers: (
                 model.find_header(headers, "request-id") == name
             ),
@@ -130,8 +138,12 @@
     monkeypatch.setattr(upstream_connection, "RESET_TIME", 5.0)
     async with _pool(_answer, _reset, _answer) as (pool, upstream):
         await _ask(pool, upstream, "a")
-        assert (await _ask(pool, upstream, "b")).body == b"ok"
+        sent_at = []
+        response = await _ask(pool, upstream, "b", sent_at=sent_at)
+        assert response.body == b"ok"
         assert upstream.requests == [b"a", b"b", b"b"]
+        # What is left of the time is told anew.
+        assert sent_at[0] < sent_at[1]
 
 
 async def test_a_reset_leaves_open_whether_the_request_ran():
