Log why each connection is closed, and how late the event loop runs

The server for callers now counts each closure by reason and by whether a request on it was left unanswered, and logs it with the request's ID, how long the connection was idle and how late the check ran; lines are bounded, unanswered requests first. Every process measures the delay of its loop as a histogram, and logs delays of half a second or more.

No decision changes.

--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -19,6 +19,7 @@
 from sassafrashall import task
 from sassafrashall.controllers import fleet_directory
 from sassafrashall.controllers import founding
+from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
 from sassafrashall.decisions import fleet_commands
@@ -79,6 +80,7 @@
             counters=self._metrics,
         )
         self._controllers: tuple[task.Controller, ...] = (
+            loop_monitor.LoopMonitor(counters=self._metrics),
             self._replica,
             self._founding,
             self._fleet_directory,
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -20,6 +20,7 @@
 from sassafrashall.controllers import admission
 from sassafrashall.controllers import connections
 from sassafrashall.controllers import control_link
+from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
 from sassafrashall.controllers import routing
@@ -60,6 +61,7 @@
         self._entry_chain = self._build_entry_chain()
         self._servers = self._build_servers()
         self._controllers: tuple[task.Controller, ...] = (
+            loop_monitor.LoopMonitor(counters=self._metrics),
             self._control_link,
             self._membership,
             self._quota,
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -9,6 +9,7 @@
 
 from sassafrashall import clock
 from sassafrashall import configuration
+from sassafrashall import connection_log
 from sassafrashall import decision_log
 from sassafrashall import events
 from sassafrashall import exceptions
@@ -21,6 +22,7 @@
 from sassafrashall import task
 from sassafrashall.controllers import admission
 from sassafrashall.controllers import control_link
+from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
 from sassafrashall.controllers import peer_links
@@ -40,6 +42,7 @@
 from sassafrashall.filters import upstream
 from sassafrashall.platform import dialect
 from sassafrashall.platform import front_end
+from sassafrashall.platform import names
 from sassafrashall.platform import node_api
 from sassafrashall.transport import http_server
 from sassafrashall.transport import ops_api
@@ -91,6 +94,7 @@
         self._entry_chain = self._build_entry_chain()
         self._build_listeners()
         self._controllers: tuple[task.Controller, ...] = (
+            loop_monitor.LoopMonitor(counters=self._metrics),
             self._control_link,
             self._membership,
             self._quota,
@@ -240,6 +244,10 @@
             handler=caller_front_end.handle,
             source=model.Source.CALLER,
             limits=self._configured_limits,
+            log=connection_log.ConnectionLog(
+                place="callers", counters=self._metrics
+            ),
+            request_id_header=names.REQUEST_ID,
         )
         self._peers = peer_server.PeerServer(
             address=listen.peers,
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -9,6 +9,7 @@
 
 from sassafrashall import clock
 from sassafrashall import configuration
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import fiber
 from sassafrashall import model
@@ -115,8 +116,12 @@
         source: model.Source,
         limits: configuration.Limits,
         spawn: Spawn,
+        log: connection_log.ConnectionLog,
+        request_id_header: str,
     ) -> None:
         self._stream = stream
+        self._log = log
+        self._request_id_header = request_id_header
         self._handler = handler
         self._source = source
         self._limits = limits
@@ -128,18 +133,45 @@
         self._reading = False
         self._expiring = False
         self._closing = False
+        # Why this side closes the connection; None while it does not.
+        self._close_reason: connection_log.Reason | None = None
+        self._close_delay = 0.0
+        # The request that ended without a complete response.
+        self._unanswered: _Exchange | None = None
 
     async def serve(self) -> None:
         """Runs until either side closes the connection."""
+        reason = connection_log.Reason.PROCESS_END
         try:
             with self._scope:
                 await self._serve_requests()
+            reason = self._close_reason or connection_log.Reason.DISCONNECT
         except (OSError, trio.ClosedResourceError):
-            pass
+            reason = self._close_reason or connection_log.Reason.DISCONNECT
         finally:
+            unanswered = self._exchange or self._unanswered
             if self._exchange is not None:
                 self._exchange.cancel()
             self._stream.close()
+            self._log_closure(reason, unanswered)
+
+    def _log_closure(
+        self, reason: connection_log.Reason, unanswered: _Exchange | None
+    ) -> None:
+        request_id = None
+        if unanswered is not None:
+            request_id = model.find_header(
+                unanswered.head.headers, self._request_id_header
+            )
+        self._log.write(
+            connection_log.Closure(
+                reason=reason,
+                unanswered=unanswered is not None,
+                request_id=request_id or "",
+                idle_s=clock.monotonic() - self._active_at,
+                delay_s=self._close_delay,
+            )
+        )
 
     def expire(self) -> None:
         """Closes the connection after its next response."""
@@ -149,23 +181,29 @@
         """Closes the connection once it is idle."""
         self._expiring = True
         if self._exchange is None and not self._parser.head_incomplete:
-            self._scope.cancel()
+            self._close(connection_log.Reason.STOP)
 
-    def check_liveness(self, now: float) -> None:
+    def check_liveness(self, now: float, delay: float) -> None:
         """Closes the connection after a disconnect or a timeout.
 
         Args:
           now: Monotonic seconds.
+          delay: Seconds by which this check runs late.
         """
         if self._exchange is not None:
             if not self._reading and self._stream.is_closed_by_peer:
-                self._scope.cancel()
+                self._close(connection_log.Reason.DISCONNECT)
             return
-        limit = self._limits.idle_timeout_s
+        self._close_delay = delay
         if self._parser.head_incomplete:
-            limit = self._limits.head_timeout_s
-        if now - self._active_at > limit:
-            self._scope.cancel()
+            if now - self._active_at > self._limits.head_timeout_s:
+                self._close(connection_log.Reason.HEAD_TIMEOUT)
+        elif now - self._active_at > self._limits.idle_timeout_s:
+            self._close(connection_log.Reason.IDLE_TIMEOUT)
+
+    def _close(self, reason: connection_log.Reason) -> None:
+        self._close_reason = self._close_reason or reason
+        self._scope.cancel()
 
     async def next_event(self) -> http1.Event | None:
         """Waits for the next event; returns None after a disconnect.
@@ -201,6 +239,7 @@
                     return
                 await self._start_request(head)
             except exceptions.ProtocolError as error:
+                self._close_reason = connection_log.Reason.BAD_INPUT
                 await self._reject_input(error)
                 return
             except exceptions.ConnectionFailedError:
@@ -239,7 +278,7 @@
         complete = await self._send_response(exchange, response, closes)
         if not rest.ended:
             await self._discard_rest(rest)
-        self._end_exchange(exchange, complete and not closes)
+        self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     async def _respond(
         self, exchange: _Exchange, request: http.RawRequest
@@ -255,7 +294,7 @@
         try:
             sent = self._stream.send_nowait(data)
         except OSError:
-            self._end_exchange(exchange, False)
+            self._end_exchange(exchange, connection_log.Reason.DISCONNECT)
             return
         if sent < len(data):
             exchange.send_scope = trio.CancelScope()
@@ -263,7 +302,7 @@
                 self._send_in_task, exchange, response, closes, data[sent:]
             )
             return
-        self._end_exchange(exchange, not closes)
+        self._end_exchange(exchange, _close_reason_after(True, closes))
 
     async def _send_in_task(
         self,
@@ -288,25 +327,29 @@
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
-            self._end_exchange(exchange, complete and not closes)
+            self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     def _on_fiber_end(self, exchange: _Exchange) -> None:
         """Ends an exchange whose fiber failed or was cancelled."""
         if exchange.send_scope is None:
-            self._end_exchange(exchange, False)
+            self._end_exchange(exchange, connection_log.Reason.HANDLER_FAILED)
 
     def _must_close(self, exchange: _Exchange) -> bool:
         return self._expiring or not exchange.head.keep_alive
 
-    def _end_exchange(self, exchange: _Exchange, keep_open: bool) -> None:
-        """Ends an exchange, and closes the connection unless `keep_open`."""
+    def _end_exchange(
+        self, exchange: _Exchange, close_reason: connection_log.Reason | None
+    ) -> None:
+        """Ends an exchange, and closes the connection if a reason is given."""
         if self._exchange is not exchange:
             return
         self._exchange = None
         self._active_at = clock.monotonic()
-        if not keep_open:
+        if close_reason is not None:
+            if close_reason is not connection_log.Reason.ANNOUNCED:
+                self._unanswered = exchange
             self._closing = True
-            self._scope.cancel()
+            self._close(close_reason)
         exchange.end()
 
     def _encode_response(
@@ -389,6 +432,20 @@
                 return
 
 
+def _close_reason_after(
+    complete: bool, closes: bool
+) -> connection_log.Reason | None:
+    """Returns why a connection is closed after a response, if it is.
+
+    Args:
+      complete: Whether the response was sent to its end.
+      closes: Whether the response announced that the connection closes.
+    """
+    if not complete:
+        return connection_log.Reason.INCOMPLETE
+    return connection_log.Reason.ANNOUNCED if closes else None
+
+
 def _content_length(headers: model.Headers) -> int | None:
     value = model.find_header(headers, "content-length")
     return int(value) if value is not None else None
@@ -404,8 +461,23 @@
         handler: Handler,
         source: model.Source,
         limits: LimitsSource,
+        log: connection_log.ConnectionLog | None = None,
+        request_id_header: str = "",
     ) -> None:
+        """Creates the server.
+
+        Args:
+          address: Where to listen.
+          handler: Handles each request.
+          source: Who sends the requests.
+          limits: Returns the limits in force.
+          log: Records why connections were closed.
+          request_id_header: Lower-case name of the header that identifies a
+            request in the log.
+        """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
+        self._log = log or connection_log.ConnectionLog(place=source.value)
+        self._request_id_header = request_id_header
         self._handler = handler
         self._source = source
         self._limits = limits
@@ -423,12 +495,15 @@
             source=self._source,
             limits=self._limits(),
             spawn=self._nursery.start_soon,
+            log=self._log,
+            request_id_header=self._request_id_header,
         )
 
     async def _sweep(self) -> None:
         """Closes connections after a disconnect or a timeout."""
         while True:
+            due = clock.monotonic() + SWEEP_INTERVAL
             await trio.sleep(SWEEP_INTERVAL)
             now = clock.monotonic()
             for connection in list(self._connections):
-                connection.check_liveness(now)
+                connection.check_liveness(now, max(0.0, now - due))
