Close an idle connection only if no input waits

Cause: the idle check and the stop decided by "no exchange in progress" and cancelled the connection's task. In the same turn of the event loop that task could already be scheduled, because a request had arrived. It then read the request and dispatched it, and the cancellation came at its next checkpoint. One late turn decides for all connections at once, hence many or none. Class: a close decided on state that lags behind input that has already arrived.

Fix: decisions/connection_lifetime.py decides from what the connection does. Such a close takes effect only if the task waits for input and the socket holds none; otherwise the input is served, after a stop as the last request of the connection. A connection that is being closed reads no further request, so one that crosses the close is not passed on.

--- /dev/null
+++ b/src/sassafrashall/decisions/connection_lifetime.py
@@ -0,0 +1,104 @@
+"""Decides when an accepted connection is closed for lack of a request.
+
+Such a decision takes effect only if no input waits: the bytes of a request may
+have arrived, although the task that reads the connection has not run since.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TypeAlias
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Idle:
+    """No request is in progress, and none has begun to arrive.
+
+    Attributes:
+      since: Monotonic seconds.
+    """
+
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReceivingHead:
+    """The head of a request has begun to arrive.
+
+    Attributes:
+      since: Monotonic seconds.
+    """
+
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Serving:
+    """A request is in progress."""
+
+
+Activity: TypeAlias = Idle | ReceivingHead | Serving
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Keep:
+    """The connection stays open."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CloseAfterResponse:
+    """The connection is closed after its next response."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CloseIdle:
+    """The connection is closed, unless input waits.
+
+    Attributes:
+      idle: Seconds since the last activity.
+    """
+
+    idle: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CloseIncompleteHead:
+    """The connection is closed, unless more input waits.
+
+    Attributes:
+      idle: Seconds since the head began to arrive.
+    """
+
+    idle: float
+
+
+Action: TypeAlias = Keep | CloseAfterResponse | CloseIdle | CloseIncompleteHead
+
+
+def on_check(
+    activity: Activity, now: float, idle_timeout: float, head_timeout: float
+) -> Action:
+    """Decides at a periodic check.
+
+    Args:
+      activity: What the connection does.
+      now: Monotonic seconds.
+      idle_timeout: Seconds without a request.
+      head_timeout: Seconds for the head of a request.
+    """
+    match activity:
+        case Idle(since=since) if now - since > idle_timeout:
+            return CloseIdle(idle=now - since)
+        case ReceivingHead(since=since) if now - since > head_timeout:
+            return CloseIncompleteHead(idle=now - since)
+        case _:
+            return Keep()
+
+
+def on_stop(activity: Activity, now: float) -> Action:
+    """Decides when the process stops serving, at `now` monotonic seconds."""
+    match activity:
+        case Idle(since=since):
+            return CloseIdle(idle=now - since)
+        case _:
+            return CloseAfterResponse()
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -13,6 +13,7 @@
 from sassafrashall import exceptions
 from sassafrashall import fiber
 from sassafrashall import model
+from sassafrashall.decisions import connection_lifetime
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
@@ -128,14 +129,19 @@
         self._spawn = spawn
         self._parser = http1.RequestParser(head_limit=limits.head_bytes)
         self._scope = trio.CancelScope()
-        self._active_at = clock.monotonic()
+        self._activity: connection_lifetime.Activity = connection_lifetime.Idle(
+            since=clock.monotonic()
+        )
         self._exchange: _Exchange | None = None
-        self._reading = False
+        # Whether all input received so far is handled, so that the task waits
+        # for more.
+        self._awaits_input = True
         self._expiring = False
         self._closing = False
         # Why this side closes the connection; None while it does not.
         self._close_reason: connection_log.Reason | None = None
         self._close_delay = 0.0
+        self._close_idle_time = 0.0
         # The request that ended without a complete response.
         self._unanswered: _Exchange | None = None
 
@@ -168,7 +174,7 @@
                 reason=reason,
                 unanswered=unanswered is not None,
                 request_id=request_id or "",
-                idle_s=clock.monotonic() - self._active_at,
+                idle_s=self._close_idle_time,
                 delay_s=self._close_delay,
             )
         )
@@ -180,8 +186,9 @@
     def stop(self) -> None:
         """Closes the connection once it is idle."""
         self._expiring = True
-        if self._exchange is None and not self._parser.head_incomplete:
-            self._close(connection_log.Reason.STOP)
+        match connection_lifetime.on_stop(self._activity, clock.monotonic()):
+            case connection_lifetime.CloseIdle(idle=idle):
+                self._close_unless_input(connection_log.Reason.STOP, idle, 0.0)
 
     def check_liveness(self, now: float, delay: float) -> None:
         """Closes the connection after a disconnect or a timeout.
@@ -191,15 +198,38 @@
           delay: Seconds by which this check runs late.
         """
         if self._exchange is not None:
-            if not self._reading and self._stream.is_closed_by_peer:
+            if not self._awaits_input and self._stream.is_closed_by_peer:
                 self._close(connection_log.Reason.DISCONNECT)
             return
-        self._close_delay = delay
-        if self._parser.head_incomplete:
-            if now - self._active_at > self._limits.head_timeout_s:
-                self._close(connection_log.Reason.HEAD_TIMEOUT)
-        elif now - self._active_at > self._limits.idle_timeout_s:
-            self._close(connection_log.Reason.IDLE_TIMEOUT)
+        action = connection_lifetime.on_check(
+            self._activity,
+            now,
+            self._limits.idle_timeout_s,
+            self._limits.head_timeout_s,
+        )
+        match action:
+            case connection_lifetime.CloseIdle(idle=idle):
+                self._close_unless_input(
+                    connection_log.Reason.IDLE_TIMEOUT, idle, delay
+                )
+            case connection_lifetime.CloseIncompleteHead(idle=idle):
+                self._close_unless_input(
+                    connection_log.Reason.HEAD_TIMEOUT, idle, delay
+                )
+
+    def _close_unless_input(
+        self, reason: connection_log.Reason, idle: float, delay: float
+    ) -> None:
+        """Closes the connection, or serves the input that has arrived.
+
+        A cancelled task runs on until its next checkpoint. If it was already
+        scheduled, it would read a request, dispatch it, and be cancelled then.
+        """
+        if self._awaits_input and self._stream.is_idle:
+            self._closing = True
+            self._close_idle_time = idle
+            self._close_delay = delay
+            self._close(reason)
 
     def _close(self, reason: connection_log.Reason) -> None:
         self._close_reason = self._close_reason or reason
@@ -215,19 +245,23 @@
             event = self._parser.next_event()
             if event is not None:
                 return event
-            head_had_started = self._parser.head_incomplete
-            self._reading = True
+            self._awaits_input = True
             data = await self._stream.receive(http.RECEIVE_SIZE)
-            self._reading = False
-            if not data:
+            self._awaits_input = False
+            if not data or self._closing:
                 return None
-            if not head_had_started:
-                self._active_at = clock.monotonic()
             if self._exchange is not None and self._exchange.fiber is not None:
                 # These bytes belong to a pipelined request, which waits for the
                 # end of this one. Nothing more is read until then.
                 await self._exchange.wait_ended()
             self._parser.feed(data)
+            if (
+                isinstance(self._activity, connection_lifetime.Idle)
+                and self._parser.head_incomplete
+            ):
+                self._activity = connection_lifetime.ReceivingHead(
+                    since=clock.monotonic()
+                )
 
     async def _serve_requests(self) -> None:
         while not self._closing:
@@ -252,6 +286,7 @@
                 exceptions.BODY_TOO_LARGE, "the body is too large"
             )
         exchange = self._exchange = _Exchange(head=head)
+        self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -344,7 +379,7 @@
         if self._exchange is not exchange:
             return
         self._exchange = None
-        self._active_at = clock.monotonic()
+        self._activity = self._activity_between_requests()
         if close_reason is not None:
             if close_reason is not connection_log.Reason.ANNOUNCED:
                 self._unanswered = exchange
@@ -352,6 +387,12 @@
             self._close(close_reason)
         exchange.end()
 
+    def _activity_between_requests(self) -> connection_lifetime.Activity:
+        now = clock.monotonic()
+        if self._parser.head_incomplete:
+            return connection_lifetime.ReceivingHead(since=now)
+        return connection_lifetime.Idle(since=now)
+
     def _encode_response(
         self, exchange: _Exchange, response: model.Response, closes: bool
     ) -> bytes:
--- /dev/null
+++ b/tests/test_connection_lifetime.py
@@ -0,0 +1,43 @@
+from sassafrashall.decisions import connection_lifetime
+
+IDLE_TIMEOUT = 15.0
+HEAD_TIMEOUT = 3.0
+
+
+def _check(activity, now):
+    return connection_lifetime.on_check(
+        activity, now, IDLE_TIMEOUT, HEAD_TIMEOUT
+    )
+
+
+def test_an_idle_connection_is_closed_after_its_timeout_only():
+    idle = connection_lifetime.Idle(since=10.0)
+    assert _check(idle, 25.0) == connection_lifetime.Keep()
+    assert _check(idle, 25.5) == connection_lifetime.CloseIdle(idle=15.5)
+
+
+def test_an_incomplete_head_is_closed_after_the_shorter_timeout():
+    receiving = connection_lifetime.ReceivingHead(since=10.0)
+    assert _check(receiving, 13.0) == connection_lifetime.Keep()
+    assert _check(receiving, 14.0) == connection_lifetime.CloseIncompleteHead(
+        idle=4.0
+    )
+
+
+def test_a_connection_that_serves_a_request_is_never_closed_by_a_check():
+    assert _check(connection_lifetime.Serving(), 1e9) == (
+        connection_lifetime.Keep()
+    )
+
+
+def test_a_stop_closes_idle_connections_and_lets_the_others_respond():
+    assert connection_lifetime.on_stop(
+        connection_lifetime.Idle(since=10.0), 12.0
+    ) == connection_lifetime.CloseIdle(idle=2.0)
+    for activity in (
+        connection_lifetime.ReceivingHead(since=10.0),
+        connection_lifetime.Serving(),
+    ):
+        assert connection_lifetime.on_stop(activity, 12.0) == (
+            connection_lifetime.CloseAfterResponse()
+        )
