Apply the limits in force to connections that are open already

What callers saw: after a configuration with a longer idle timeout, kept connections still closed after the old one, so that requests met closes that callers could not expect.

Cause: a connection took its limits once, when it was accepted.

Fix: the check passes the limits in force, and an idle connection remembers the timeout at its last response. The longer of the two applies, so that a shorter one doesn't close a connection that callers were told they could keep. The limit of a body is read for each request as well; that of a head stays the one at accept, since the parser holds it.

--- a/src/sassafrashall/decisions/connection_lifetime.py
+++ b/src/sassafrashall/decisions/connection_lifetime.py
@@ -16,9 +16,12 @@
 
     Attributes:
       since: Monotonic seconds.
+      timeout: Seconds without a request that were in force at that time, which
+        the other side counts on.
     """
 
     since: float
+    timeout: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,14 +83,19 @@
 ) -> Action:
     """Decides at a periodic check.
 
+    A longer idle timeout applies at once, a shorter one from the next response
+    on.
+
     Args:
       activity: What the connection does.
       now: Monotonic seconds.
-      idle_timeout: Seconds without a request.
-      head_timeout: Seconds for the head of a request.
+      idle_timeout: Seconds without a request, as configured now.
+      head_timeout: Seconds for the head of a request, as configured now.
     """
     match activity:
-        case Idle(since=since) if now - since > idle_timeout:
+        case Idle(since=since, timeout=timeout) if now - since > max(
+            timeout, idle_timeout
+        ):
             return CloseIdle(idle=now - since)
         case ReceivingHead(since=since) if now - since > head_timeout:
             return CloseIncompleteHead(idle=now - since)
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -115,7 +115,7 @@
         stream: sockets.Stream,
         handler: Handler,
         source: model.Source,
-        limits: configuration.Limits,
+        limits: LimitsSource,
         spawn: Spawn,
         log: connection_log.ConnectionLog,
         request_id_header: str,
@@ -127,10 +127,10 @@
         self._source = source
         self._limits = limits
         self._spawn = spawn
-        self._parser = http1.RequestParser(head_limit=limits.head_bytes)
+        self._parser = http1.RequestParser(head_limit=limits().head_bytes)
         self._scope = trio.CancelScope()
         self._activity: connection_lifetime.Activity = connection_lifetime.Idle(
-            since=clock.monotonic()
+            since=clock.monotonic(), timeout=limits().idle_timeout_s
         )
         self._exchange: _Exchange | None = None
         # Whether all input received so far is handled, so that the task waits
@@ -190,11 +190,14 @@
             case connection_lifetime.CloseIdle(idle=idle):
                 self._close_unless_input(connection_log.Reason.STOP, idle, 0.0)
 
-    def check_liveness(self, now: float, delay: float) -> None:
+    def check_liveness(
+        self, now: float, limits: configuration.Limits, delay: float
+    ) -> None:
         """Closes the connection after a disconnect or a timeout.
 
         Args:
           now: Monotonic seconds.
+          limits: The limits in force.
           delay: Seconds by which this check runs late.
         """
         if self._exchange is not None:
@@ -204,8 +207,8 @@
         action = connection_lifetime.on_check(
             self._activity,
             now,
-            self._limits.idle_timeout_s,
-            self._limits.head_timeout_s,
+            limits.idle_timeout_s,
+            limits.head_timeout_s,
         )
         match action:
             case connection_lifetime.CloseIdle(idle=idle):
@@ -281,7 +284,8 @@
 
     async def _start_request(self, head: http1.RequestHead) -> None:
         """Starts a request, and completes it as well if its body is long."""
-        if head.length is not None and head.length > self._limits.body_bytes:
+        body_limit = self._limits().body_bytes
+        if head.length is not None and head.length > body_limit:
             raise exceptions.ProtocolError(
                 exceptions.BODY_TOO_LARGE, "the body is too large"
             )
@@ -290,7 +294,7 @@
         received_at = clock.monotonic()
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        rest = _RequestBody(connection=self, limit=self._limits.body_bytes)
+        rest = _RequestBody(connection=self, limit=body_limit)
         body = await http.read_buffered_part(rest)
         request = http.RawRequest(
             method=head.method,
@@ -391,7 +395,9 @@
         now = clock.monotonic()
         if self._parser.head_incomplete:
             return connection_lifetime.ReceivingHead(since=now)
-        return connection_lifetime.Idle(since=now)
+        return connection_lifetime.Idle(
+            since=now, timeout=self._limits().idle_timeout_s
+        )
 
     def _encode_response(
         self, exchange: _Exchange, response: model.Response, closes: bool
@@ -534,7 +540,7 @@
             stream=sockets.Stream(stream=stream),
             handler=self._handler,
             source=self._source,
-            limits=self._limits(),
+            limits=self._limits,
             spawn=self._nursery.start_soon,
             log=self._log,
             request_id_header=self._request_id_header,
@@ -546,5 +552,7 @@
             due = clock.monotonic() + SWEEP_INTERVAL
             await trio.sleep(SWEEP_INTERVAL)
             now = clock.monotonic()
+            delay = max(0.0, now - due)
+            limits = self._limits()
             for connection in list(self._connections):
-                connection.check_liveness(now, max(0.0, now - due))
+                connection.check_liveness(now, limits, delay)
--- a/tests/test_connection_lifetime.py
+++ b/tests/test_connection_lifetime.py
@@ -4,6 +4,10 @@
 HEAD_TIMEOUT = 3.0
 
 
+def _idle(timeout=IDLE_TIMEOUT):
+    return connection_lifetime.Idle(since=10.0, timeout=timeout)
+
+
 def _check(activity, now):
     return connection_lifetime.on_check(
         activity, now, IDLE_TIMEOUT, HEAD_TIMEOUT
@@ -11,11 +15,23 @@
 
 
 def test_an_idle_connection_is_closed_after_its_timeout_only():
-    idle = connection_lifetime.Idle(since=10.0)
+    idle = _idle()
     assert _check(idle, 25.0) == connection_lifetime.Keep()
     assert _check(idle, 25.5) == connection_lifetime.CloseIdle(idle=15.5)
 
 
+# Guards against a close of connections that callers may still use after the
+# configured idle timeout has changed.
+def test_the_longer_of_the_idle_timeouts_before_and_after_a_change_applies():
+    for timeout in (IDLE_TIMEOUT / 3, 3 * IDLE_TIMEOUT):
+        longer = max(timeout, IDLE_TIMEOUT)
+        idle = _idle(timeout)
+        assert _check(idle, 10.0 + longer) == connection_lifetime.Keep()
+        assert _check(idle, 10.5 + longer) == connection_lifetime.CloseIdle(
+            idle=longer + 0.5
+        )
+
+
 def test_an_incomplete_head_is_closed_after_the_shorter_timeout():
     receiving = connection_lifetime.ReceivingHead(since=10.0)
     assert _check(receiving, 13.0) == connection_lifetime.Keep()
@@ -32,7 +48,7 @@
 
 def test_a_stop_closes_idle_connections_and_lets_the_others_respond():
     assert connection_lifetime.on_stop(
-        connection_lifetime.Idle(since=10.0), 12.0
+        _idle(), 12.0
     ) == connection_lifetime.CloseIdle(idle=2.0)
     for activity in (
         connection_lifetime.ReceivingHead(since=10.0),
--- a/tests/test_idle_close.py
+++ b/tests/test_idle_close.py
@@ -23,6 +23,7 @@
     """A server whose requests wait in `pending` after the first ones."""
 
     def __init__(self, *, limits):
+        self.limits = limits
         self.address = loopback.free_address()
         self.pending = []
         self.holds = False
@@ -30,7 +31,7 @@
             address=self.address,
             handler=self._handle,
             source=model.Source.CALLER,
-            limits=lambda: limits,
+            limits=lambda: self.limits,
         )
 
     async def _handle(self, raw):
@@ -128,3 +129,29 @@
         assert len(served.pending) == CONNECTIONS
         served.answer_all()
         assert await _count_answered(sockets) == CONNECTIONS
+
+
+# Guards against a close of kept connections after a configuration with a longer
+# idle timeout, which callers count on as soon as it is in force.
+async def test_a_longer_idle_timeout_applies_to_open_connections():
+    async with _kept_connections() as (served, sockets):
+        served.limits = dataclasses.replace(
+            served.limits, idle_timeout_s=10 * IDLE_TIMEOUT
+        )
+        await trio.sleep(IDLE_TIMEOUT + 3 * stream_server.SWEEP_INTERVAL)
+        _send_on_all(sockets)
+        await trio.sleep(0.1)
+        served.answer_all()
+        assert await _count_answered(sockets) == CONNECTIONS
+
+
+async def test_a_shorter_idle_timeout_applies_after_the_next_response():
+    async with _kept_connections() as (served, sockets):
+        served.holds = False
+        served.limits = dataclasses.replace(
+            served.limits, idle_timeout_s=IDLE_TIMEOUT / 3
+        )
+        _send_on_all(sockets)
+        assert await _count_answered(sockets) == CONNECTIONS
+        await trio.sleep(2 * stream_server.SWEEP_INTERVAL)
+        assert served.server.connections == 0
