Tell callers for how long they may leave a connection idle

What callers saw: a request on a connection that had been idle for nearly the timeout met its close, since responses did not say how long a connection is kept.

Fix: a response that keeps the connection carries Keep-Alive: timeout=, four fifths of the idle timeout in whole seconds, and none where that is under a second. The connection itself stays open for the whole timeout.

--- a/src/sassafrashall/decisions/connection_lifetime.py
+++ b/src/sassafrashall/decisions/connection_lifetime.py
@@ -9,6 +9,10 @@
 import dataclasses
 from typing import TypeAlias
 
+# Fraction of the idle timeout for which callers are told that they may reuse a
+# connection. The rest covers the way of a request and a late check.
+ANNOUNCED_FRACTION = 0.8
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Idle:
@@ -110,3 +114,15 @@
             return CloseIdle(idle=now - since)
         case _:
             return CloseAfterResponse()
+
+
+def announced_timeout(idle_timeout: float) -> int:
+    """Returns for how long callers may leave a connection idle.
+
+    Args:
+      idle_timeout: Seconds after which this side closes the connection.
+
+    Returns:
+      Whole seconds; 0 if the timeout is too short to announce one.
+    """
+    return int(ANNOUNCED_FRACTION * idle_timeout)
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -407,13 +407,24 @@
         length = len(response.body)
         if head_only:
             length = _content_length(response.headers) or 0
-        head = http1.encode_response_head(
-            response.status, response.headers, length, closes
-        )
+        head = self._encode_head(response, length, closes)
         if head_only or response.status in (204, 304):
             return head
         return head + response.body
 
+    def _encode_head(
+        self, response: model.Response, length: int | None, closes: bool
+    ) -> bytes:
+        headers = response.headers
+        timeout = connection_lifetime.announced_timeout(
+            self._limits().idle_timeout_s
+        )
+        if timeout and not closes:
+            headers = (*headers, ("keep-alive", f"timeout={timeout}"))
+        return http1.encode_response_head(
+            response.status, headers, length, closes
+        )
+
     async def _send_response(
         self, exchange: _Exchange, response: model.Response, closes: bool
     ) -> bool:
@@ -425,9 +436,7 @@
             )
             return True
         length = _content_length(response.headers)
-        head = http1.encode_response_head(
-            response.status, response.headers, length, closes
-        )
+        head = self._encode_head(response, length, closes)
         return await self._send_body(head, response, length is None)
 
     async def _send_body(
--- a/tests/test_connection_lifetime.py
+++ b/tests/test_connection_lifetime.py
@@ -57,3 +57,11 @@
         assert connection_lifetime.on_stop(activity, 12.0) == (
             connection_lifetime.CloseAfterResponse()
         )
+
+
+# Guards against requests that meet the close of a connection, since callers do
+# not know for how long they may reuse it.
+def test_callers_are_told_less_time_than_the_idle_timeout_in_whole_seconds():
+    assert connection_lifetime.announced_timeout(15.0) == 12
+    assert connection_lifetime.announced_timeout(3.0) == 2
+    assert connection_lifetime.announced_timeout(1.0) == 0
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -132,6 +132,21 @@
     assert b"connection: close" in received
 
 
+async def test_responses_announce_how_long_the_connection_may_stay_idle():
+    async def handler(raw):
+        return _response()
+
+    async with _server(handler) as (stream, _):
+        await stream.send_all(REQUEST % 1)
+        assert b"keep-alive: timeout=60\r\n" in await stream.receive_some(1000)
+        await stream.send_all(
+            b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        )
+        received = await stream.receive_some(1000)
+        assert b"connection: close" in received
+        assert b"keep-alive" not in received
+
+
 async def test_an_exception_of_the_handler_closes_the_connection():
     reply = mailbox.Reply()
 
