Stop connections that were accepted but have not run yet

What callers saw: a connection accepted just before the listener stopped stayed open, and its request was taken while the rest of the process was ending.

Cause: a connection entered the listener's set in the first step of its task. `close` stopped those in the set, and returned if it was empty.

Fix: the set gets the connection as it is accepted.

--- a/src/sassafrashall/transport/listener.py
+++ b/src/sassafrashall/transport/listener.py
@@ -90,15 +90,17 @@
             stream.socket.close()
             return
         assert self._nursery is not None
-        self._nursery.start_soon(self._serve, self._new_connection(stream))
+        connection = self._new_connection(stream)
+        # `close` must find it also before its task has run for the first time.
+        self._connections.add(connection)
+        if self._draining:
+            connection.expire()
+        self._nursery.start_soon(self._serve, connection)
 
     def _new_connection(self, stream: trio.SocketStream) -> _C:
         raise NotImplementedError
 
     async def _serve(self, connection: _C) -> None:
-        self._connections.add(connection)
-        if self._draining:
-            connection.expire()
         try:
             await connection.serve()
         except self._expected_errors:
--- a/tests/test_idle_close.py
+++ b/tests/test_idle_close.py
@@ -155,3 +155,23 @@
         assert await _count_answered(sockets) == CONNECTIONS
         await trio.sleep(2 * stream_server.SWEEP_INTERVAL)
         assert served.server.connections == 0
+
+
+# Guards against a connection that is accepted just before a stop, is missed by
+# it, and passes requests on while the rest of the process ends.
+@pytest.mark.parametrize("round_number", range(6))
+async def test_a_stop_ends_a_connection_whose_task_has_not_run_yet(
+    round_number,
+):
+    served = _Server(limits=configuration.Limits())
+    async with trio.open_nursery() as nursery:
+        await served.server.start(nursery)
+        accepting = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        client = await trio.open_tcp_stream(*accepting[0].socket.getsockname())
+        served.server._on_accept(await accepting[0].accept())
+        with trio.fail_after(1):
+            await served.server.close()
+            assert await client.receive_some(1) == b""
+        await client.aclose()
+        await accepting[0].aclose()
+        nursery.cancel_scope.cancel()
