A fault on one connection ends that connection, not the process

Cause: the listener passed on every exception but OSError.

Evidence: test_an_exception_on_one_connection_leaves_the_others_open ended in the exception group without this change.

Fix: the listener logs such an exception with its trace, and closes that connection only.

--- a/src/sassafrashall/transport/listener.py
+++ b/src/sassafrashall/transport/listener.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from sassafrashall import logs
 from sassafrashall import model
 
 LISTEN_BACKLOG = 1024  # connections
@@ -105,6 +106,9 @@
             await connection.serve()
         except self._expected_errors:
             pass
+        except Exception:
+            # An exception must not end the connections of other callers.
+            logs.get().exception("unhandled exception on a connection")
         finally:
             self._connections.discard(connection)
             if not self._connections:
