HTTP server: a request that has arrived is served before a close

Callers saw a connection close without an answer to a request that they had sent on it in time. On a control that is a PUT of a configuration, cancelled halfway by a stop of the process.

Cause: a stop, and the end of the wait for a request, looked only at whether a request had been parsed. Its bytes could be in the socket, in the queue in front of the parser or an incomplete head in the parser. The task that parses had been scheduled by then in some orders: it read the request, passed it to the handler, and the cancellation arrived at the handler's first checkpoint.

A connection is idle now only if no request is in progress, no byte of one has been read and the socket is not readable. Only then a stop cancels the reader and the server together, so that nothing is read and then dropped. A request of which the first bytes have arrived gets its time to be received in full (also before the end of its head, which used to count as idle), and STOP_GRACE after a stop, so that half a request does not delay the end of the process. When the wait for input ends, what has arrived by then is still taken.

--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import math
+import select
 
 import h11
 import trio
@@ -20,6 +22,7 @@
 BODY_LIMIT = 1024 * 1024  # bytes
 IDLE_TIMEOUT = 75.0  # seconds until the next request begins
 REQUEST_TIMEOUT = 10.0  # seconds to receive a whole request
+STOP_GRACE = 1.0  # seconds to receive a whole request once the server stops
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 
@@ -43,7 +46,14 @@
         self._chunk_sender, self._chunk_receiver = trio.open_memory_channel[
             bytes
         ](4)
+        self._scope = trio.CancelScope()
         self._request_scope = trio.CancelScope()
+        # Ends the wait for the next bytes.
+        self._wait_scope = trio.CancelScope()
+        # When the wait for a request or for the rest of it ends, in the time
+        # of trio.
+        self._receive_deadline = math.inf
+        # Whether a request is in progress or bytes of one have been read.
         self._busy = False
         self._stopping = False
         self._closing = False
@@ -52,19 +62,56 @@
 
     async def serve(self) -> None:
         """Serves requests until the peer disconnects or `stop` ends it."""
-        async with self._stream, trio.open_nursery() as nursery:
-            nursery.start_soon(self._read)
-            try:
-                await self._serve_requests()
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
-            nursery.cancel_scope.cancel()
+        async with self._stream:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._read)
+                    try:
+                        await self._serve_requests()
+                    except (trio.BrokenResourceError, trio.ClosedResourceError):
+                        pass
+                    nursery.cancel_scope.cancel()
 
     def stop(self) -> None:
-        """Closes the connection after the request in progress, if any."""
+        """Closes the connection once it is idle.
+
+        A request that has begun to arrive is served first, if the rest of it
+        arrives within `STOP_GRACE`.
+        """
         self._stopping = True
-        if not self._busy:
-            self._request_scope.cancel()
+        if self._is_idle:
+            # Also ends the read, so that no request is read and then dropped.
+            self._scope.cancel()
+        else:
+            self._limit_receive_time(STOP_GRACE)
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request is in progress and no byte of one has arrived."""
+        return not self._busy and not self._is_readable
+
+    @property
+    def _is_readable(self) -> bool:
+        """Whether bytes, or the end of the stream, wait in the socket."""
+        descriptor = self._stream.socket.fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
+    @property
+    def _has_queued_input(self) -> bool:
+        """Whether bytes have been read that the parser has not got yet."""
+        queue = self._chunk_receiver.statistics()
+        return bool(queue.current_buffer_used or queue.tasks_waiting_send)
+
+    def _limit_receive_time(self, seconds: float) -> None:
+        """Ends the wait for a whole request after `seconds` at the latest."""
+        self._receive_deadline = min(
+            self._receive_deadline, trio.current_time() + seconds
+        )
+        self._wait_scope.deadline = self._receive_deadline
 
     def expire(self) -> None:
         """Closes the connection after its next response."""
@@ -81,6 +128,7 @@
                 if not data:
                     self._request_scope.cancel()
                     return
+                self._busy = True
                 await self._chunk_sender.send(data)
 
     async def _receive(self) -> bytes:
@@ -108,7 +156,7 @@
         return self._protocol.send(event) or b""
 
     async def _serve_requests(self) -> None:
-        while not self._stopping:
+        while not (self._stopping and self._is_idle):
             with trio.CancelScope() as self._request_scope:
                 if not await self._serve_one():
                     return
@@ -135,57 +183,79 @@
             return False
         response = await self._handler(request)
         await self._send_response(response)
-        self._busy = False
         if self._protocol.our_state is h11.MUST_CLOSE:
             return False
         try:
             self._protocol.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        unparsed, _ = self._protocol.trailing_data
+        self._busy = bool(unparsed) or self._has_queued_input
         return True
 
     async def _receive_request(self) -> http.RawRequest | None:
         """Returns the next request; None on a disconnect or timeout."""
+        if not self._busy:
+            self._receive_deadline = trio.current_time() + IDLE_TIMEOUT
+            if not await self._feed_protocol():
+                return None
+        self._receive_deadline = trio.current_time() + REQUEST_TIMEOUT
+        if self._stopping:
+            self._limit_receive_time(STOP_GRACE)
         head: h11.Request | None = None
         received_at = 0.0
         body = bytearray()
-        with trio.move_on_after(IDLE_TIMEOUT) as timeout:
-            while True:
-                event = self._protocol.next_event()
-                match event:
-                    case h11.Request():
-                        self._busy = True
-                        self._is_head_request = event.method == b"HEAD"
-                        _check_head(event)
-                        head = event
-                        received_at = clock.monotonic()
-                        timeout.deadline = trio.current_time() + REQUEST_TIMEOUT
-                    case h11.Data():
-                        body += event.data
-                        if len(body) > BODY_LIMIT:
-                            raise exceptions.ProtocolError(
-                                exceptions.BODY_TOO_LARGE,
-                                f"body exceeds {BODY_LIMIT} bytes",
-                            )
-                    case h11.EndOfMessage():
-                        assert head is not None
-                        return self._build_request(
-                            head, bytes(body), received_at
+        while True:
+            event = self._protocol.next_event()
+            match event:
+                case h11.Request():
+                    self._is_head_request = event.method == b"HEAD"
+                    _check_head(event)
+                    head = event
+                    received_at = clock.monotonic()
+                case h11.Data():
+                    body += event.data
+                    if len(body) > BODY_LIMIT:
+                        raise exceptions.ProtocolError(
+                            exceptions.BODY_TOO_LARGE,
+                            f"body exceeds {BODY_LIMIT} bytes",
                         )
-                    case h11.ConnectionClosed():
+                case h11.EndOfMessage():
+                    assert head is not None
+                    return self._build_request(head, bytes(body), received_at)
+                case h11.ConnectionClosed():
+                    return None
+                case _:
+                    if not await self._feed_protocol():
                         return None
-                    case _:
-                        await self._feed_protocol()
-        return None
-
-    async def _feed_protocol(self) -> None:
-        if self._protocol.they_are_waiting_for_100_continue:
-            async with self._send_lock:
-                await self._stream.send_all(self._encode_informational(100))
+
+    async def _feed_protocol(self) -> bool:
+        """Passes the next bytes to the parser.
+
+        Returns:
+          Whether any arrived until the deadline.
+        """
+        with trio.CancelScope(
+            deadline=self._receive_deadline
+        ) as self._wait_scope:
+            if self._protocol.they_are_waiting_for_100_continue:
+                async with self._send_lock:
+                    await self._stream.send_all(self._encode_informational(100))
+            self._protocol.receive_data(await self._receive_chunk())
+            return True
+        # The loop may run long after the deadline, and the bytes may have been
+        # in time.
+        if not self._has_queued_input and not self._is_readable:
+            return False
+        self._protocol.receive_data(await self._receive_chunk())
+        return True
+
+    async def _receive_chunk(self) -> bytes:
+        """Returns the next bytes; none at the end of the stream."""
         try:
-            self._protocol.receive_data(await self._chunk_receiver.receive())
+            return await self._chunk_receiver.receive()
         except trio.EndOfChannel:
-            self._protocol.receive_data(b"")
+            return b""
 
     def _build_request(
         self, head: h11.Request, body: bytes, received_at: float
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 
 from bench import fleet
 import trio
@@ -57,6 +58,67 @@
     return await http_client.ClientConnection.open(address)
 
 
+def send_now(connections: list[socket.socket], data: bytes) -> None:
+    """Sends bytes on blocking sockets, without a turn of the event loop."""
+    for connection in connections:
+        connection.sendall(data)
+
+
+async def open_sockets(
+    address: model.Address, count: int
+) -> list[socket.socket]:
+    """Opens blocking sockets, for use without turns of the event loop."""
+    connections = []
+    for _ in range(count):
+        connection = await trio.to_thread.run_sync(
+            socket.create_connection, (address.host, address.port)
+        )
+        connection.settimeout(5)
+        connections.append(connection)
+    return connections
+
+
+async def receive_until_closed(connections: list[socket.socket]) -> list[bytes]:
+    """Returns what arrives on each connection until it is closed or reset."""
+
+    def receive() -> list[bytes]:
+        received = []
+        for connection in connections:
+            data = b""
+            try:
+                while chunk := connection.recv(65536):
+                    data += chunk
+            except ConnectionResetError:
+                pass
+            connection.close()
+            received.append(data)
+        return received
+
+    return await trio.to_thread.run_sync(receive)
+
+
+class SendAfterPoll(trio.abc.Instrument):
+    """Sends bytes between a poll of the sockets and the timers after it.
+
+    This is the moment in which a timeout ends a wait for input although the
+    input has arrived. Create it before the deadline, and stall the event loop
+    until after it.
+    """
+
+    def __init__(
+        self, connections: list[socket.socket], data: bytes, at: float
+    ) -> None:
+        self._connections = connections
+        self._data = data
+        self._at = at  # time of trio
+        trio.lowlevel.add_instrument(self)
+
+    def after_io_wait(self, timeout: float) -> None:
+        if trio.current_time() >= self._at:
+            trio.lowlevel.remove_instrument(self)
+            send_now(self._connections, self._data)
+
+
 class SilentRelay:
     """A TCP relay that can stop forwarding without closing a connection."""
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,3 +1,5 @@
+import time
+
 import pytest
 import trio
 
@@ -112,3 +114,111 @@
         answer = await loopback.send_and_receive(address, data)
     assert answer.count(b"x-kept: 1") == 2
     assert answer.endswith(b"\r\n\r\n")
+
+
+_CONNECTIONS = 20
+_REQUEST = b"PUT /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+
+
+async def _open_kept_connections(address):
+    """Opens connections that have each had one response."""
+    connections = await loopback.open_sockets(address, _CONNECTIONS)
+    loopback.send_now(connections, b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    def receive():
+        for connection in connections:
+            assert b"x-target: /1" in connection.recv(65536)
+
+    await trio.to_thread.run_sync(receive)
+    return connections
+
+
+def _handler(ended):
+    async def handle(raw):
+        if raw.target == "/2":
+            await trio.sleep(0.05)
+        ended.append(raw.target)
+        return await _echo(raw)
+
+    return handle
+
+
+def _assert_all_answered(received):
+    for data in received:
+        assert b"x-target: /2" in data and data.endswith(b"body")
+
+
+@pytest.mark.parametrize("turns", range(4))
+@pytest.mark.parametrize("sent", [len(_REQUEST), 5, len(_REQUEST) - 2])
+async def test_a_request_that_has_arrived_before_a_stop_is_answered(
+    turns, sent
+):
+    """Guards against a stop that closes connections with unread requests.
+
+    A request was passed to its handler and cancelled, or left unread, if its
+    bytes were in the socket, in the queue or incomplete at the stop.
+    """
+    ended = []
+    async with loopback.serve(_handler(ended)) as (address, server):
+        connections = await _open_kept_connections(address)
+        loopback.send_now(connections, _REQUEST[:sent])
+        async with trio.open_nursery() as nursery:
+            for _ in range(turns):
+                await trio.lowlevel.checkpoint()
+            nursery.start_soon(server.close)
+            for connection in list(server._connections):
+                connection.stop()
+            await trio.sleep(0.1)
+            loopback.send_now(connections, _REQUEST[sent:])
+            received = await loopback.receive_until_closed(connections)
+    _assert_all_answered(received)
+    for data in received:
+        assert b"connection: close" in data
+    assert ended.count("/2") == _CONNECTIONS
+
+
+async def test_a_stop_does_not_wait_for_an_incomplete_request(monkeypatch):
+    """Guards against a stop that a client delays by half a request."""
+    monkeypatch.setattr(http_server, "STOP_GRACE", 0.2)
+    async with loopback.serve(_echo) as (address, server):
+        connections = await _open_kept_connections(address)
+        loopback.send_now(connections, _REQUEST[:-1])
+        await trio.sleep(0.05)
+        with trio.fail_after(2):
+            await server.close()
+        received = await loopback.receive_until_closed(connections)
+    assert received == [b""] * _CONNECTIONS
+
+
+@pytest.mark.parametrize("after_poll", [False, True])
+@pytest.mark.parametrize("begun", [0, len(_REQUEST) - 2])
+async def test_a_request_that_arrives_before_a_late_timeout_is_answered(
+    monkeypatch, after_poll, begun
+):
+    """Guards against a timeout that closes connections with unread requests.
+
+    After a stall of the event loop, the input and the end of the wait for it
+    are handled in the same turn.
+    """
+    monkeypatch.setattr(http_server, "IDLE_TIMEOUT", 0.4)
+    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT", 0.4)
+    ended = []
+    async with loopback.serve(_handler(ended)) as (address, server):
+        connections = await _open_kept_connections(address)
+        if begun:
+            loopback.send_now(connections, _REQUEST[:begun])
+            await trio.sleep(0.1)
+        assert server.connections == _CONNECTIONS
+        rest = _REQUEST[begun:]
+        if after_poll:
+            loopback.SendAfterPoll(
+                connections, rest, at=trio.current_time() + 0.5
+            )
+        else:
+            loopback.send_now(connections, rest)
+        time.sleep(0.6)
+        await trio.sleep(0.2)
+        await server.close()
+        received = await loopback.receive_until_closed(connections)
+    _assert_all_answered(received)
+    assert ended.count("/2") == _CONNECTIONS
