RPC server: a call that has arrived is answered before a close

A node saw its call to a control fail with a closed connection, although the control had begun to run it, or had never read it.

Cause: a stop looked only at whether a call had been decoded. A reader that waits for its socket may have been scheduled in the turn of the stop; it then read the call and passed it to the handler, and the cancellation arrived at the handler's first checkpoint. The time-out of an idle connection did not look at the socket either, and an incomplete frame counted as idle.

A connection is idle now only if no call is in progress, no byte of one has been read and none waits in the socket; the frame with the secret counts as the beginning of a call. Calls that have begun to arrive still end with the grace period of the stop.

--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -274,6 +274,11 @@
         self._limit = limit
         self._data = bytearray()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no part of an incomplete frame is held."""
+        return not self._data
+
     def feed(self, data: bytes) -> list[Frame]:
         """Appends received bytes and returns the frames that are now complete.
 
--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -67,26 +67,42 @@
         self._clock = hybrid_clock
         self._caller: Caller | None = None
         self._scope = trio.CancelScope()
+        self._buffer = frames.FrameBuffer(limit=MESSAGE_LIMIT)
+        # Whether a call is in progress or bytes of one have been read.
         self._busy = False
         self._expiring = False
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no call is in progress and no byte of one has arrived."""
+        return not self._busy and self._stream.is_idle
+
     async def serve(self) -> None:
         """Runs until the connection ends."""
-        buffer = frames.FrameBuffer(limit=MESSAGE_LIMIT)
         try:
             with self._scope:
-                while not self._expiring:
-                    with trio.move_on_after(SERVER_IDLE_TIMEOUT) as idle:
-                        data = await self._stream.receive(http.RECEIVE_SIZE)
-                    if idle.cancelled_caught or not data:
-                        return
-                    for frame in buffer.feed(data):
+                while data := await self._receive():
+                    self._busy = True
+                    for frame in self._buffer.feed(data):
                         await self._on_frame(frame)
+                    if not self._buffer.is_empty:
+                        self._busy = True
+                    if self._expiring and self._is_idle:
+                        return
         except (trio.ClosedResourceError, exceptions.ProtocolError):
             pass
         finally:
             self._stream.close()
 
+    async def _receive(self) -> bytes:
+        """Returns the next bytes; none after a disconnect or a timeout."""
+        while True:
+            with trio.move_on_after(SERVER_IDLE_TIMEOUT):
+                return await self._stream.receive(http.RECEIVE_SIZE)
+            # Bytes may have arrived since the timeout.
+            if self._stream.is_idle:
+                return b""
+
     def expire(self) -> None:
         """Closes the connection after its next reply."""
         self._expiring = True
@@ -94,7 +110,7 @@
     def stop(self) -> None:
         """Closes the connection once it is idle."""
         self._expiring = True
-        if not self._busy:
+        if self._is_idle:
             self._scope.cancel()
 
     def abort(self) -> None:
@@ -104,6 +120,7 @@
     async def _on_frame(self, frame: frames.Frame) -> None:
         match frame:
             case frames.Identify(secret=secret):
+                # A call follows, so the connection stays busy.
                 self._caller = self._identify_caller(secret)
             case frames.RemoteCall():
                 self._busy = True
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,4 +1,5 @@
 import contextlib
+import time
 
 import pytest
 import trio
@@ -7,19 +8,25 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall import protocol
+from sassafrashall.transport import codec
+from sassafrashall.transport import frames
 from sassafrashall.transport import rpc
 from tests import loopback
 
 
-@contextlib.asynccontextmanager
-async def _server(handler):
-    address = loopback.free_address()
-    server = rpc.RpcServer(
+def _new_server(address, handler):
+    return rpc.RpcServer(
         address=address,
         handler=handler,
         secrets={"p": rpc.Caller.PROCESS, "o": rpc.Caller.OPERATOR},
         hybrid_clock=clock.HybridClock(),
     )
+
+
+@contextlib.asynccontextmanager
+async def _server(handler):
+    address = loopback.free_address()
+    server = _new_server(address, handler)
     async with trio.open_nursery() as nursery:
         await server.start(nursery)
         yield address
@@ -118,3 +125,123 @@
         assert relay.bytes_forwarded < 2 * len(text) / 5
         client.close()
         nursery.cancel_scope.cancel()
+
+
+_CONNECTIONS = 20
+_IDENTIFY = frames.encode(frames.Identify(secret="p"))
+_CALL = frames.encode(
+    frames.RemoteCall(
+        stamp=codec.format_time(clock.HybridClock().now()),
+        compressed=False,
+        data=codec.encode(protocol.Ping()),
+    )
+)
+
+
+@contextlib.asynccontextmanager
+async def _kept_connections():
+    """Serves calls on connections that have each had a reply.
+
+    Yields the server, the connections, and a list to which each call is added
+    that the handler completes from then on.
+    """
+    completed = []
+
+    async def handler(message, caller):
+        await trio.sleep(0.05)
+        completed.append(message)
+        return protocol.Ack()
+
+    address = loopback.free_address()
+    server = _new_server(address, handler)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        connections = await loopback.open_sockets(address, _CONNECTIONS)
+        loopback.send_now(connections, _IDENTIFY + _CALL)
+
+        def receive():
+            for connection in connections:
+                assert connection.recv(65536)
+
+        await trio.to_thread.run_sync(receive)
+        completed.clear()
+        yield server, connections, completed
+        nursery.cancel_scope.cancel()
+
+
+def _assert_all_answered(received):
+    for data in received:
+        (reply,) = frames.FrameBuffer().feed(data)
+        assert isinstance(reply, frames.RemoteReply)
+
+
+@pytest.mark.parametrize("turns", range(3))
+@pytest.mark.parametrize("sent", [len(_CALL), 3, len(_CALL) - 1])
+async def test_a_call_that_has_arrived_before_a_stop_is_answered(turns, sent):
+    """Guards against a stop that closes connections with unread calls.
+
+    A call was passed to the handler and cancelled, or left unread, if its bytes
+    were in the socket or incomplete at the stop.
+    """
+    async with _kept_connections() as (server, connections, completed):
+        loopback.send_now(connections, _CALL[:sent])
+        async with trio.open_nursery() as nursery:
+            for _ in range(turns):
+                await trio.lowlevel.checkpoint()
+            nursery.start_soon(server.close)
+            for connection in list(server._connections):
+                connection.stop()
+            await trio.sleep(0.1)
+            loopback.send_now(connections, _CALL[sent:])
+            received = await loopback.receive_until_closed(connections)
+    _assert_all_answered(received)
+    assert len(completed) == _CONNECTIONS
+
+
+async def test_a_call_that_follows_its_secret_after_a_stop_is_answered():
+    """Guards against a stop between the two frames that open a connection."""
+    async with _kept_connections() as (server, connections, completed):
+        loopback.send_now(connections, _IDENTIFY)
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.close)
+            await trio.sleep(0.05)
+            loopback.send_now(connections, _CALL)
+            received = await loopback.receive_until_closed(connections)
+    _assert_all_answered(received)
+
+
+async def test_an_incomplete_call_delays_a_stop_by_the_grace_period(
+    monkeypatch,
+):
+    monkeypatch.setattr(rpc, "STOP_GRACE", 0.2)
+    async with _kept_connections() as (server, connections, completed):
+        loopback.send_now(connections, _CALL[:-1])
+        await trio.sleep(0.05)
+        with trio.fail_after(2):
+            await server.close()
+        received = await loopback.receive_until_closed(connections)
+    assert received == [b""] * _CONNECTIONS
+
+
+@pytest.mark.parametrize("after_poll", [False, True])
+async def test_a_call_that_arrives_before_a_late_timeout_is_answered(
+    monkeypatch, after_poll
+):
+    """Guards against a timeout that closes connections with unread calls.
+
+    After a stall of the event loop, the input and the end of the wait for it
+    are handled in the same turn.
+    """
+    monkeypatch.setattr(rpc, "SERVER_IDLE_TIMEOUT", 0.4)
+    async with _kept_connections() as (server, connections, completed):
+        if after_poll:
+            loopback.SendAfterPoll(
+                connections, _CALL, at=trio.current_time() + 0.5
+            )
+        else:
+            loopback.send_now(connections, _CALL)
+        time.sleep(0.6)
+        received = await loopback.receive_until_closed(connections)
+    _assert_all_answered(received)
+    assert len(completed) == _CONNECTIONS
