Requests and responses that upgrade the protocol end no process

A caller that sent 'Connection: Upgrade' with any 'Upgrade' header (as HTTP clients do that offer HTTP/2), or CONNECT, ended the node: httptools raises HttpParserUpgrade for these, which is no HttpParserError, so it left the connection's task unhandled and took the nursery of all listeners along. So did an upstream that answers 101. Every request in progress lost its connection.

A request without a body is handled as any other, as RFC 9110 allows. With a body it is answered 400, since httptools ends the message at the head then and the body would be parsed as the next request. A 101 fails the exchange.

The tests in test_http1.py were seen to fail without the fix, each with HttpParserUpgrade.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -111,6 +111,8 @@
             self._head_size += len(data)
         try:
             parser.feed_data(data)  # type: ignore[attr-defined]
+        except httptools.HttpParserUpgrade as upgrade:
+            self._on_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, str(error) or type(error).__name__
@@ -118,6 +120,17 @@
         if self._in_head and self._head_size > self._head_limit:
             raise self._head_too_large()
 
+    def _on_upgrade(self, rest: bytes) -> None:
+        """Handles a message that asks for, or starts, another protocol.
+
+        Args:
+          rest: The bytes that follow the message.
+
+        Raises:
+          ProtocolError: The message can't be ignored.
+        """
+        raise NotImplementedError
+
     def _head_too_large(self) -> exceptions.ProtocolError:
         return exceptions.ProtocolError(
             exceptions.HEAD_TOO_LARGE,
@@ -177,6 +190,11 @@
         if self._head_error is not None:
             raise self._head_error
 
+    def _on_upgrade(self, rest: bytes) -> None:
+        """Ignores that a request asks for another protocol."""
+        if rest and self._head_error is None:
+            self._feed(self._parser, rest)
+
     def on_url(self, url: bytes) -> None:
         """Handles a part of the request target."""
         self._target += url
@@ -211,6 +229,15 @@
             return exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "Content-Length is no number"
             )
+        # httptools would take the body of such a request for another request.
+        if self._parser.should_upgrade() and (
+            self._encoding
+            or int(self._length or 0)
+            or self._parser.get_method() == b"CONNECT"
+        ):
+            return exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "the protocol can't be upgraded"
+            )
         return None
 
 
@@ -242,6 +269,11 @@
         """
         self._feed(self._parser, data)
 
+    def _on_upgrade(self, rest: bytes) -> None:
+        raise exceptions.ProtocolError(
+            exceptions.UPSTREAM_FAILED, "the protocol was switched"
+        )
+
     def feed_eof(self) -> None:
         """Handles an orderly close, which ends a body without a length."""
         if self._ends_with_connection and not self._in_head:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -96,6 +96,47 @@
         _parse_requests(data)
 
 
+UPGRADE = b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+
+
+# Guards against an unhandled error, which ended the whole process.
+@given(strategies.integers(0, 90))
+def test_request_to_upgrade_the_protocol_is_parsed_as_any_other(split_point):
+    data = (
+        b"GET /a HTTP/1.1\r\nHost: h\r\n" + UPGRADE + b"\r\n"
+        b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+    )
+    first, second = _merge(_parse_requests(data, (split_point,)))
+    assert (first[0].target, first[1:]) == ("/a", [b"", True])
+    assert (second[0].target, second[1:]) == ("/b", [b"", True])
+
+
+# Guards against an unhandled error, and against a body taken for a request.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"CONNECT a.example:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\n" + UPGRADE + b"Content-Length: 27\r\n"
+        b"\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\n"
+        + UPGRADE
+        + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ],
+)
+def test_upgrade_of_a_request_with_a_body_is_rejected(data):
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_requests(data)
+
+
+# Guards against an unhandled error, which ended the whole process.
+def test_response_that_switches_the_protocol_is_rejected():
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+            b"Upgrade: h2c\r\n\r\nbytes"
+        )
+
+
 def test_a_long_head_is_rejected_before_it_is_complete():
     with pytest.raises(exceptions.ProtocolError) as error:
         _parse_requests(
