A refusal that the upstream repeats refuses no other request

A request that an upstream ran could be answered 503 with the promise that it had not run, and a non-idempotent one could then be run by a second upstream: an upstream refuses a request and writes this refusal once more where the next answer on the connection is due.

- A response without an ID counts only as the first one on its connection.
On a later exchange it fails the request as one that may have run.
- A connection that got such a response is not reused.
- A request is not sent on a connection that has carried an error response to its ID.
The connection keeps up to 64 such IDs and is then replaced.
- A request without an ID gets a new connection.

Ways that were weighed: closing the connection after every refusal needs no memory, but refusals are frequent under overload and each new connection holds a slot of the upstream. Skipping a response without an ID and waiting for another one would keep the answer of a request that runs, but would hold a true refusal until the deadline. Resending at once would evade the retry budget. A true refusal on a new connection is told as before, and so is one that bears its ID.

The fake in test_a_request_that_was_not_run_is_retried_on_another_upstream now sends the Request-Id with its refusals, as the platform's upstreams do. Without it, its refusals on kept connections count as requests that may have run, whose retries cost more tokens than the test grants. What it asserts is unchanged.

Of the tests in test_upstream_pool.py these were seen to fail without the fix: the repeated refusal without an ID and with the same ID (Refuse in place of the answer), the refusal without an ID on a kept connection (told as not run), and those of a request without an ID and of the replacement (connections counted). The case with another ID passed before.

--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -48,17 +48,19 @@
     def _take_idle_connection(
         self, message: messages.UpstreamExchange
     ) -> upstream_connection.UpstreamConnection | None:
-        idle = self._idle.get(message.address)
+        idle = self._idle.get(message.address, [])
         now = clock.monotonic()
-        while idle:
-            # The connection used last is the most likely to be open still.
-            connection = idle[-1]
-            if connection.is_usable(message.max_idle, now):
-                return idle.pop()
-            if connection.is_usable(messages.NO_IDLE_LIMIT, now):
+        # The connection used last is the most likely to be open still.
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
+            if not connection.is_usable(messages.NO_IDLE_LIMIT, now):
+                del idle[index]
+                connection.close()
+            elif not connection.is_usable(message.max_idle, now):
                 # Idle for too long for this exchange, as are the older ones.
                 return None
-            idle.pop().close()
+            elif connection.can_identify(message.is_answer):
+                return idle.pop(index)
         return None
 
     async def _connect(
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -17,7 +17,6 @@
 from sassafrashall import model
 from sassafrashall.filters import slots
 from sassafrashall.transport import http
-from sassafrashall.transport import upstream_connection
 
 # A non-idempotent request is not sent on a connection that has been idle for
 # longer, since the upstream may be about to close it.
@@ -39,10 +38,8 @@
         """
         ...
 
-    def response_matcher(
-        self, request: model.Request
-    ) -> upstream_connection.ResponseMatcher:
-        """Returns a predicate that tells if a response answers `request`."""
+    def response_matcher(self, request: model.Request) -> model.ResponseMatcher:
+        """Returns what tells the response to `request` from others."""
         ...
 
     def decode(self, response: model.Response) -> model.Outcome:
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -348,8 +348,7 @@
       encode: Returns the `http.RawRequest` to send at a monotonic time, in
         seconds. It is called once there is a connection, so that the wait for
         one is not counted in the remaining time that the request states.
-      is_answer: Returns, from status and headers, whether a response is to
-        this request.
+      is_answer: Tells the response to this request from others.
       max_idle: Maximum seconds since the last use of a connection.
       may_resend: Whether to send the request again on a new connection if the
         upstream closed an idle one before the first byte of a response.
@@ -358,7 +357,7 @@
 
     address: model.Address
     encode: Callable[[float], Any]
-    is_answer: Callable[[int, model.Headers], bool]
+    is_answer: model.ResponseMatcher
     max_idle: float
     may_resend: bool
     deadline: float
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -288,6 +288,23 @@
         ...
 
 
+class ResponseMatcher(Protocol):
+    """Tells the response to one request from others on its connection."""
+
+    @property
+    def request_id(self) -> str | None:
+        """The ID of the request; None if it has none."""
+        ...
+
+    def __call__(self, status: int, headers: Headers) -> bool:
+        """Returns whether a response may be the one to the request."""
+        ...
+
+    def is_identified(self, headers: Headers) -> bool:
+        """Returns whether a response bears the ID of the request."""
+        ...
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Response:
     """A response from an upstream or a peer.
--- a/src/sassafrashall/platform/dialect.py
+++ b/src/sassafrashall/platform/dialect.py
@@ -2,12 +2,33 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from sassafrashall import exceptions
 from sassafrashall import frozen
 from sassafrashall import model
 from sassafrashall.platform import names
 from sassafrashall.transport import http
-from sassafrashall.transport import upstream_connection
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _ResponseMatcher:
+    """Matches responses by their request ID."""
+
+    request_id: str | None
+
+    def __call__(self, status: int, headers: model.Headers) -> bool:
+        answered_id = model.find_header(headers, names.REQUEST_ID)
+        if answered_id is None:
+            # An upstream may leave out the id only if it did not read the
+            # request, which it reports by an error status.
+            return status >= 400
+        return answered_id == self.request_id
+
+    def is_identified(self, headers: model.Headers) -> bool:
+        """Returns whether a response bears the ID of the request."""
+        answered_id = model.find_header(headers, names.REQUEST_ID)
+        return answered_id is not None and answered_id == self.request_id
 
 
 class UpstreamDialect:
@@ -44,21 +65,11 @@
             rest=request.rest,
         )
 
-    def response_matcher(
-        self, request: model.Request
-    ) -> upstream_connection.ResponseMatcher:
-        """Returns a predicate that tells if a response answers `request`."""
-        request_id = model.find_header(request.headers, names.REQUEST_ID)
-
-        def is_answer(status: int, headers: model.Headers) -> bool:
-            answered_id = model.find_header(headers, names.REQUEST_ID)
-            if answered_id is None:
-                # An upstream may leave out the id only if it did not read the
-                # request, which it reports by an error status.
-                return status >= 400
-            return answered_id == request_id
-
-        return is_answer
+    def response_matcher(self, request: model.Request) -> model.ResponseMatcher:
+        """Returns what tells the response to `request` from others."""
+        return _ResponseMatcher(
+            request_id=model.find_header(request.headers, names.REQUEST_ID)
+        )
 
     def decode(self, response: model.Response) -> model.Outcome:
         """Returns an answer, or a refusal if the request was not run.
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -19,15 +19,12 @@
 IDLE_MARGIN = 2.0  # seconds of the upstream's idle timeout that stay unused
 DEFAULT_KEEP_ALIVE = 5.0  # seconds, if the upstream sends no Keep-Alive timeout
 MAX_STRAY_ANSWERS = 4  # answers to other requests that are skipped
+MAX_FAILED_IDS = 64  # error responses after which a connection is replaced
 # Seconds within which the kernel resets a connection that the upstream, on the
 # same VM, had closed before the request was sent. After a later reset the
 # upstream may have read and run the request.
 IDLE_RESET_WINDOW = 0.005
 
-# Returns whether a response with this status and these headers belongs to a
-# request.
-ResponseMatcher = Callable[[int, model.Headers], bool]
-
 
 class _Exchange:
     """A request on a connection, and what has arrived of its response."""
@@ -43,6 +40,8 @@
         self.request = request
         self.reply = reply
         self.head: http1.ResponseHead | None = None
+        # Whether the response bears the ID of the request.
+        self.identified = False
         self.parts: list[bytes] = []
         self.size = 0
         self.stray_count = 0
@@ -55,7 +54,11 @@
     """Owns a socket to an upstream; its task reads for as long as it is open.
 
     An answer to another request is skipped: an upstream may send a late one
-    before the answer to the current request.
+    before the answer to the current request. It may also send an error response
+    twice. The second one must not be taken for the response to a later request,
+    since it may say that the request was not run. So a response without an ID
+    counts only as the first on its connection, and no request is sent on a
+    connection that has carried an error response to the same ID.
     """
 
     def __init__(
@@ -88,6 +91,8 @@
         self._open = True
         self._reusable = True
         self._exchange_count = 0
+        # IDs of the requests that got an error response.
+        self._failed_ids: set[str] = set()
         self._exchange_started_at = 0.0
         self._idle_since = clock.monotonic()
         self._expires_at = self._idle_since + DEFAULT_KEEP_ALIVE
@@ -119,6 +124,11 @@
             and now - self._idle_since <= max_idle
         )
 
+    def can_identify(self, is_answer: model.ResponseMatcher) -> bool:
+        """Returns whether the response to a request can't be mistaken."""
+        request_id = is_answer.request_id
+        return request_id is not None and request_id not in self._failed_ids
+
     def start_exchange(
         self, message: messages.UpstreamExchange, reply: mailbox.Reply
     ) -> None:
@@ -231,7 +241,12 @@
                     self._deliver_response(exchange)
 
     def _on_head(self, exchange: _Exchange, head: http1.ResponseHead) -> None:
-        if exchange.message.is_answer(head.status, head.headers):
+        is_answer = exchange.message.is_answer
+        if is_answer(head.status, head.headers):
+            exchange.identified = is_answer.is_identified(head.headers)
+            is_first = self._exchange_count == 1 and not exchange.stray_count
+            if not exchange.identified and not is_first:
+                raise _protocol_error("a response without a request ID")
             exchange.head = head
             return
         exchange.stray_count += 1
@@ -272,9 +287,14 @@
         self._exchange = None
         self._idle_since = clock.monotonic()
         self._expires_at = self._idle_since + _keep_alive_time(head.headers)
+        request_id = exchange.message.is_answer.request_id
+        if head.status >= 400 and request_id is not None:
+            self._failed_ids.add(request_id)
         self._reusable = (
             self._open
             and exchange.uploaded
+            and exchange.identified
+            and len(self._failed_ids) < MAX_FAILED_IDS
             and exchange.stray_count == 0
             and head.keep_alive
             and self._parser.at_boundary
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -196,15 +196,22 @@
         assert sorted(results) == [(503, "not-run"), (504, "unknown")]
 
 
+def _refuse(raw):
+    request_id = model.find_header(raw.headers, "request-id")
+    return model.Response(
+        status=503,
+        headers=(("not-executed", "1"), ("request-id", request_id)),
+        body=b"",
+    )
+
+
 async def test_a_request_that_was_not_run_is_retried_on_another_upstream():
     services = {"vm-a": "alpha", "vm-b": "beta", "vm-c": "beta"}
     async with _fleet(services=services) as fleet:
         # Retry tokens are earned by requests; a new node has none.
         for _ in range(40):
             assert (await _get(fleet)).status == 200
-        fleet.upstreams["vm-b"].answer = lambda raw: model.Response(
-            status=503, headers=(("not-executed", "1"),), body=b""
-        )
+        fleet.upstreams["vm-b"].answer = _refuse
         refusing = fleet.upstreams["vm-b"].requests
         before = len(refusing)
         with trio.fail_after(5):
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -12,11 +12,14 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import upstream_pool
+from sassafrashall.platform import dialect
 from sassafrashall.transport import http
 from sassafrashall.transport import upstream_connection
 from tests import fakes
 from tests import loopback
 
+REFUSAL = b"HTTP/1.1 503 Unavailable\r\nnot-executed: full\r\n"
+END = b"content-length: 0\r\n\r\n"
 OK = b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -33,8 +36,8 @@
         self.connections += 1
         async with stream:
             while data := await stream.receive_some(65536):
-                start = data.index(b"request-id: ") + 12
-                request_id = data[start : data.index(b"\r", start)]
+                _, _, after = data.partition(b"request-id: ")
+                request_id = after.partition(b"\r")[0]
                 self.requests.append(request_id)
                 if not await self._script.pop(0)(stream, request_id):
                     return
@@ -88,10 +91,11 @@
 async def _exchange(
     pool, upstream, request_id, *, may_resend=True, timeout=2.0, send_times=None
 ):
+    id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
         method="GET",
         target="/",
-        headers=(("host", "h"), ("request-id", request_id)),
+        headers=(("host", "h"), *id_header),
         body=b"",
         source=model.Source.PEER,
         received_at=0.0,
@@ -106,8 +110,8 @@
         messages.UpstreamExchange(
             address=upstream.address,
             encode=encode,
-            is_answer=lambda status, headers: (
-                model.find_header(headers, "request-id") == request_id
+            is_answer=dialect.UpstreamDialect().response_matcher(
+                fakes.request(headers=raw.headers)
             ),
             max_idle=messages.NO_IDLE_LIMIT,
             may_resend=may_resend,
@@ -182,6 +186,85 @@
         assert upstream.connections == 2
 
 
+def _refuse(request_id=None):
+    """Returns a script step: a refusal with an ID, or without one."""
+    refusal = REFUSAL + END
+    if request_id is not None:
+        refusal = REFUSAL + b"request-id: %b\r\n" % request_id + END
+
+    async def refuse(stream, _):
+        await stream.send_all(refusal)
+        return True
+
+    return refuse
+
+
+def _refuse_again(request_id=None):
+    """Returns a script step: the last refusal once more, then the answer."""
+
+    async def refuse_again(stream, answered_id):
+        await _refuse(request_id)(stream, b"")
+        await trio.sleep(0.05)
+        with contextlib.suppress(trio.BrokenResourceError):
+            return await _answer(stream, answered_id)
+
+    return refuse_again
+
+
+def _is_refusal(response):
+    outcome = dialect.UpstreamDialect().decode(response)
+    return isinstance(outcome, model.Refuse)
+
+
+# Guards against a request that runs and is told as not run.
+@pytest.mark.parametrize(
+    "refused_id, second_id", [(None, "b"), (b"a", "b"), (b"a", "a")]
+)
+async def test_repeated_refusal_does_not_refuse_the_next_request(
+    refused_id, second_id
+):
+    async def refuse_twice(stream, request_id):
+        await _refuse(refused_id)(stream, request_id)
+        if await stream.receive_some(65536):
+            await _refuse_again(refused_id)(stream, second_id.encode())
+        return False
+
+    async with _pool(refuse_twice, _answer) as (pool, upstream):
+        assert _is_refusal(await _exchange(pool, upstream, "a"))
+        response = await _exchange(pool, upstream, second_id)
+        assert response.body == b"ok"
+
+
+# Guards against a request that runs and is told as not run.
+async def test_refusal_without_an_id_proves_nothing_on_a_kept_connection():
+    async with _pool(_answer, _refuse_again()) as (pool, upstream):
+        await _exchange(pool, upstream, "a")
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "b")
+        assert caught.value.maybe_delivered
+
+
+# Guards against a request that runs and is told as not run.
+async def test_request_without_an_id_gets_a_connection_of_its_own():
+    async with _pool(_answer, _refuse(), _answer) as (pool, upstream):
+        await _exchange(pool, upstream, "a")
+        assert _is_refusal(await _exchange(pool, upstream, None))
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
+async def test_connection_is_reused_after_refusals_that_bear_their_id():
+    script = [
+        _refuse(b"%d" % i) for i in range(upstream_connection.MAX_FAILED_IDS)
+    ]
+    async with _pool(*script, _answer) as (pool, upstream):
+        for i in range(len(script)):
+            assert _is_refusal(await _exchange(pool, upstream, str(i)))
+        assert upstream.connections == 1
+        await _exchange(pool, upstream, "b")
+        assert upstream.connections == 2
+
+
 async def test_unresponsive_upstream_fails_at_the_deadline():
     async with _pool(_never_answer) as (pool, upstream):
         with pytest.raises(exceptions.ConnectionFailedError) as caught:
