A connection that the upstream closed is not used, however late the loop runs

Before a request was sent on a kept connection, only the connection's own clock was asked. Whether the upstream had closed it, or had sent stray bytes, was known only once the reading task had had a turn. After a pause of the event loop the request was sent on the closed connection, and the reset arrived later than IDLE_RESET_WINDOW allows: a request that no upstream had read was told as one that may have run, a non-idempotent one ended with 502. Stray bytes that had arrived before the request could be taken for its answer.

The pool now looks into the socket before it uses a connection, and discards one that is closed or has bytes waiting. What remains is a close that crosses the request on its way, for which the window stays.

test_connection_that_ended_while_the_loop_was_blocked_is_not_used was seen to fail without the change in its three cases: closed, a stray answer with the next ID, a stray refusal.

--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -59,6 +59,9 @@
             elif not connection.is_usable(message.max_idle, now):
                 # Idle for too long for this exchange, as are the older ones.
                 return None
+            elif not connection.is_intact:
+                del idle[index]
+                connection.close()
             elif connection.can_identify(message.is_answer):
                 return idle.pop(index)
         return None
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -109,6 +109,14 @@
             return float("inf")
         return self._exchange.message.deadline
 
+    @property
+    def is_intact(self) -> bool:
+        """Whether the upstream has neither closed it nor sent stray bytes.
+
+        The reading task may not have noticed that yet.
+        """
+        return self._open and self._stream.is_idle
+
     def is_usable(self, max_idle: float, now: float) -> bool:
         """Returns whether another exchange may start.
 
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -3,6 +3,8 @@
 import contextlib
 import socket
 import struct
+import threading
+import time
 
 import pytest
 import trio
@@ -135,6 +137,69 @@
         assert upstream.requests == [b"a", b"b"]
 
 
+class _ThreadedUpstream:
+    """Answers one request on each connection, then sends `extra` or closes.
+
+    It runs in a thread of its own, so that it goes on while the event loop of
+    the test is blocked.
+    """
+
+    def __init__(self, extra=b""):
+        self.address = loopback.free_address()
+        self.requests = 0
+        self._extra = extra
+        self._kept = []
+        self._listener = socket.create_server(
+            (self.address.host, self.address.port)
+        )
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            data = connection.recv(65536)
+            self.requests += 1
+            request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
+            connection.sendall(OK % request_id)
+            self._kept.append(connection)
+
+    def end_connections(self):
+        while self._kept:
+            connection = self._kept.pop()
+            if self._extra:
+                connection.sendall(self._extra)
+            else:
+                connection.close()
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.end_connections()
+
+
+# Guards against a request sent on a connection that had been closed before,
+# or that carries stray bytes, if the event loop runs late.
+@pytest.mark.parametrize("extra", [b"", OK % b"b", REFUSAL + END])
+async def test_connection_that_ended_while_the_loop_was_blocked_is_not_used(
+    extra,
+):
+    upstream = _ThreadedUpstream(extra)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    async with fakes.started(pool):
+        with trio.fail_after(5):
+            await _exchange(pool, upstream, "a", may_resend=False)
+            upstream.end_connections()
+            # The loop gets no turn in which it could notice the end.
+            time.sleep(0.1)
+            response = await _exchange(pool, upstream, "b", may_resend=False)
+            assert response.body == b"ok"
+            assert upstream.requests == 2
+    upstream.close()
+
+
 async def test_repeatable_request_is_resent_after_a_reset_while_idle(
     monkeypatch,
 ):
