An answer that arrived by the deadline is delivered by a late event loop

After a pause of the event loop the check of deadlines and the reading task run in one turn, in random order. If the check ran first, a whole answer that had arrived in time was thrown away and its connection closed: the caller got 504, and what the upstream had done was lost.

The check leaves an exchange alone once if bytes wait in its socket; the reading task takes them before the next check 0.1 s later, which ends the exchange in any case, so an upstream that sends without end gains 0.1 s.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -46,6 +46,8 @@
         self.size = 0
         self.stray_count = 0
         self.skipping_stray = False
+        # Whether the deadline has passed while bytes waited to be read.
+        self.overdue = False
         self.uploaded = request.rest is None
         self.upload_scope: trio.CancelScope | None = None
 
@@ -326,9 +328,17 @@
         )
 
     def expire_exchange(self) -> None:
-        """Fails the exchange at its deadline and closes the connection."""
-        if self._exchange is not None and self._streamed_body is None:
-            exchange, self._exchange = self._exchange, None
+        """Fails the exchange at its deadline and closes the connection.
+
+        If bytes wait in the socket, only the next call does so: an answer that
+        arrived in time may not have been read yet by a loop that runs late.
+        """
+        exchange = self._exchange
+        if exchange is not None and self._streamed_body is None:
+            if not exchange.overdue and not self.is_intact:
+                exchange.overdue = True
+                return
+            self._exchange = None
             exchange.reply.on_abandon(None)
             exchange.reply.fail(
                 exceptions.ConnectionFailedError(
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -144,10 +144,11 @@
     the test is blocked.
     """
 
-    def __init__(self, extra=b""):
+    def __init__(self, extra=b"", delay=0.0):
         self.address = loopback.free_address()
         self.requests = 0
         self._extra = extra
+        self._delay = delay
         self._kept = []
         self._listener = socket.create_server(
             (self.address.host, self.address.port)
@@ -162,6 +163,7 @@
                 return
             data = connection.recv(65536)
             self.requests += 1
+            time.sleep(self._delay)
             request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
             connection.sendall(OK % request_id)
             self._kept.append(connection)
@@ -335,3 +337,40 @@
         with pytest.raises(exceptions.ConnectionFailedError) as caught:
             await _exchange(pool, upstream, "a", timeout=0.2)
         assert caught.value.expired and caught.value.maybe_delivered
+
+
+# Guards against an answer that arrived in time and is thrown away, since the
+# event loop ran late and checked the deadlines before it read.
+async def test_answer_that_arrived_before_the_deadline_is_delivered():
+    upstream = _ThreadedUpstream(delay=0.05)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+
+    async def block_loop():
+        await trio.sleep(0.03)
+        time.sleep(0.25)
+
+    async with fakes.started(pool):
+        # The scheduler runs the two tasks in random order.
+        for _ in range(8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(block_loop)
+                response = await _exchange(pool, upstream, "a", timeout=0.2)
+                assert response.body == b"ok"
+            upstream.end_connections()
+    upstream.close()
+
+
+# Guards against a deadline that an upstream defers by sending on and on.
+async def test_response_without_end_fails_soon_after_the_deadline():
+    async def send_interim_responses(stream, request_id):
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n")
+        return False
+
+    async with _pool(send_interim_responses) as (pool, upstream):
+        began = clock.monotonic()
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "a", timeout=0.2)
+        assert caught.value.maybe_delivered
+        assert clock.monotonic() - began < 1.0
