Trailers and chunk extensions have a bound

The limit of the head did not apply, since the head had ended, and every trailer was kept as a header though nothing reads it.

The parsers of requests and responses count the bytes between the body's bytes against the limit of the head. Each byte of a body pays for 16 bytes of framing, so a body in chunks of one byte has no bound of its own. Trailers are dropped.

test_trailers_and_chunk_extensions_without_end_are_rejected was seen to fail without the change in its eight cases: no error was raised.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -20,6 +20,9 @@
 _BODILESS_STATUSES = (204, 304)
 NAME_CACHE_SIZE = 256  # entries of the cache of decoded header names
 MAX_LENGTH_DIGITS = 15  # digits of a plausible Content-Length
+# Bytes of chunk framing accepted for each byte of a body; a chunk of one byte
+# has at least five.
+FRAMING_RATIO = 16
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -94,6 +97,8 @@
         self._length = ""
         self._encoding = ""
         self._head_size = 0
+        # Bytes of chunk extensions and trailers beyond the framing ratio.
+        self._framing_size = 0
         self._in_head = True
         self._message_started = False
 
@@ -109,6 +114,8 @@
     def _feed(self, parser: object, data: bytes) -> None:
         if self._in_head:
             self._head_size += len(data)
+        else:
+            self._framing_size += len(data)
         try:
             parser.feed_data(data)  # type: ignore[attr-defined]
         except httptools.HttpParserUpgrade as upgrade:
@@ -119,6 +126,11 @@
             ) from error
         if self._in_head and self._head_size > self._head_limit:
             raise self._head_too_large()
+        if not self._in_head and self._framing_size > self._head_limit:
+            raise exceptions.ProtocolError(
+                exceptions.HEAD_TOO_LARGE,
+                f"trailers or chunk extensions exceed {self._head_limit} bytes",
+            )
 
     def _on_upgrade(self, rest: bytes) -> None:
         """Handles a message that asks for, or starts, another protocol.
@@ -143,11 +155,14 @@
         """Handles the start of a message."""
         self._headers = []
         self._length = self._encoding = ""
+        self._framing_size = 0
         self._in_head = True
         self._message_started = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a complete header."""
+        """Handles a complete header; ignores trailers."""
+        if not self._in_head:
+            return
         decoded_name = _name_cache.get(name) or _decode_name(name)
         decoded_value = value.decode("latin-1")
         if decoded_name == "content-length":
@@ -158,6 +173,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Handles bytes of the body."""
+        self._framing_size = max(
+            0, self._framing_size - FRAMING_RATIO * len(data)
+        )
         self._events.append(BodyPart(data=data))
 
     def on_message_complete(self) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -137,6 +137,48 @@
         )
 
 
+CHUNKED = b"Host: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_FRAMING = [
+    # The beginning, and what follows without end.
+    (b"2\r\nok\r\n0\r\n", b"x: a\r\n"),
+    (b"2\r\nok\r\n0\r\nx: ", b"aaaa"),
+    (b"2;", b"aaaa"),
+    (b"", b"1;" + b"a" * 100 + b"\r\nx\r\n"),
+]
+
+
+# Guards against memory and processor time spent without bound.
+@pytest.mark.parametrize("beginning, more", ENDLESS_FRAMING)
+@pytest.mark.parametrize(
+    "parser, line",
+    [
+        (http1.RequestParser, b"POST / HTTP/1.1\r\n"),
+        (http1.ResponseParser, b"HTTP/1.1 200 OK\r\n"),
+    ],
+)
+def test_trailers_and_chunk_extensions_without_end_are_rejected(
+    parser, line, beginning, more
+):
+    parser = parser(head_limit=LIMIT)
+    parser.feed(line + CHUNKED + beginning)
+    with pytest.raises(exceptions.ProtocolError) as error:
+        for _ in range(2 * LIMIT):
+            parser.feed(more)
+    assert error.value.code == exceptions.HEAD_TOO_LARGE
+
+
+@pytest.mark.parametrize("feed_size", [1, 7, 1000, 100_000])
+def test_long_body_in_chunks_of_one_byte_is_accepted(feed_size):
+    count = 4 * LIMIT
+    data = CHUNKED + b"1\r\nx\r\n" * count + b"0\r\nTrailer: a\r\n\r\n"
+    data = b"HTTP/1.1 200 OK\r\n" + data
+    (message,) = _merge(
+        _parse_responses(data, range(feed_size, len(data), feed_size))
+    )
+    assert (len(message[1]), message[2]) == (count, True)
+    assert "trailer" not in dict(message[0].headers)
+
+
 def test_a_long_head_is_rejected_before_it_is_complete():
     with pytest.raises(exceptions.ProtocolError) as error:
         _parse_requests(
