Peer calls: read what has arrived before a call or an offer expires

Callers saw: 504 for calls whose answer was there in time, all calls of a node at once or none. After a delay of the event loop the check for expired calls and the reading task are ready in the same batch of the scheduler. If the check runs first, it ends calls whose answer waits in the socket, and the other side takes a confirmation (Proceed) that arrived in time for late. 'Not run' stayed true: the offering node then never dispatches, and the caller, which had sent Proceed, counts the call as one that may have run until the refusal.

The check now reads the socket first if a call is overdue, and checks again.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -151,12 +151,22 @@
         for call in self._unopened:
             if call.message.deadline <= now:
                 call.reply.put(_deadline_exceeded(False))
-        for number, call in list(self._calls.items()):
-            if call.message.deadline <= now and call.answer_body is None:
+        if self._connection is None or not self._overdue_calls(now):
+            return
+        self._connection.read_ready()
+        for number, call in self._overdue_calls(now):
+            if number in self._calls:
                 self._cancel_call(number)
                 call.reply.on_abandon(None)
                 call.reply.put(_deadline_exceeded(call.may_have_run))
 
+    def _overdue_calls(self, now: float) -> list[tuple[int, _PendingCall]]:
+        return [
+            (number, call)
+            for number, call in self._calls.items()
+            if call.message.deadline <= now and call.answer_body is None
+        ]
+
     def _cancel_call(self, number: int) -> None:
         call = self._calls.pop(number, None)
         if call is None:
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -18,6 +18,7 @@
 # Seconds between checks for calls past their deadline. A periodic check costs
 # less than a timer for each call.
 EXPIRY_INTERVAL = 0.1
+MAX_READY_READS = 64  # more than a socket's receive buffer holds
 
 OnFrame = Callable[[frames.Frame], None]
 
@@ -31,6 +32,8 @@
         self._queue_filled = trio.Event()
         self._writing = False
         self._ended = False
+        self._buffer = frames.FrameBuffer()
+        self._on_frame: OnFrame | None = None
 
     @classmethod
     async def open(cls, address: model.Address) -> PeerConnection:
@@ -68,22 +71,43 @@
             queued, self._send_queue = self._send_queue, []
             await self._stream.send(b"".join(queued))
 
-    async def read(self, on_frame: OnFrame) -> None:
-        """Passes received frames to `on_frame` until the connection ends."""
-        buffer = frames.FrameBuffer()
+    def read_ready(self) -> None:
+        """Passes on the frames that have arrived, without waiting.
+
+        After a delay of the event loop, frames may wait in the socket that
+        arrived before a timeout that is checked now.
+        """
+        for _ in range(MAX_READY_READS):
+            if self._ended or self._on_frame is None:
+                return
+            try:
+                data = self._stream.receive_nowait(http.RECEIVE_SIZE)
+            except OSError:
+                # Nothing more has arrived, or the reading task gets the error.
+                return
+            if not data:
+                return
+            self._pass_on(data)
+
+    async def _read(self) -> None:
         while True:
             data = await self._stream.receive(http.RECEIVE_SIZE)
             if not data:
                 return
-            for frame in buffer.feed(data):
-                on_frame(frame)
+            self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        assert self._on_frame is not None
+        for frame in self._buffer.feed(data):
+            self._on_frame(frame)
 
     async def run(self, on_frame: OnFrame) -> None:
-        """Reads and writes until the connection ends, also by an error."""
+        """Passes received frames to `on_frame` until the connection ends."""
+        self._on_frame = on_frame
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.write)
-                await self.read(on_frame)
+                await self._read()
                 nursery.cancel_scope.cancel()
         except* (
             OSError,
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -38,6 +38,14 @@
         self.response_body: peer_connection.OutgoingBody | None = None
         self.response_scope: trio.CancelScope | None = None
 
+    def is_overdue(self, now: float) -> bool:
+        """Whether the call, or the confirmation of its offer, is too late."""
+        return self.deadline <= now or (
+            self.proceed is not None
+            and not self.proceed.done
+            and self.proceed_deadline <= now
+        )
+
     def cancel(self) -> None:
         """Cancels the call, or the rest of its response."""
         if self.response_scope is not None:
@@ -74,6 +82,9 @@
         The calling node ends an expired call at the same time by its own
         clock, so no frame is sent.
         """
+        if not any(call.is_overdue(now) for call in self._calls.values()):
+            return
+        self._connection.read_ready()
         for call in tuple(self._calls.values()):
             if call.deadline <= now:
                 call.cancel()
@@ -282,7 +293,7 @@
         while True:
             await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
-            for connection in self._connections:
+            for connection in tuple(self._connections):
                 connection.expire_calls(now)
 
     def _on_accept(self, accepted: trio.SocketStream) -> None:
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -74,17 +74,22 @@
             # More bytes may be there already; other tasks run first.
             await trio.lowlevel.checkpoint()
             try:
-                return self._receive_nowait(size)
+                return self.receive_nowait(size)
             except BlockingIOError:
                 pass
         while True:
             await trio.lowlevel.wait_readable(self._socket)
             try:
-                return self._receive_nowait(size)
+                return self.receive_nowait(size)
             except BlockingIOError:
                 continue
 
-    def _receive_nowait(self, size: int) -> bytes:
+    def receive_nowait(self, size: int) -> bytes:
+        """Returns the bytes that have arrived.
+
+        Raises:
+          BlockingIOError: No byte has arrived.
+        """
         data = self._socket.recv(size)
         self._drained = len(data) < size
         return data
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,6 +1,7 @@
 """Calls between nodes when the other node or the connection fails."""
 
 import contextlib
+import time
 
 import pytest
 import trio
@@ -13,6 +14,7 @@
 from sassafrashall.controllers import peer_links
 from sassafrashall.transport import frames
 from sassafrashall.transport import peer_server
+from sassafrashall.transport import sockets
 from tests import fakes
 from tests import loopback
 
@@ -75,6 +77,88 @@
         nursery.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def _scripted_peer(serve):
+    """Runs `serve` with a stream for each connection; yields the address."""
+    address = loopback.free_address()
+
+    async def serve_stream(accepted):
+        with contextlib.suppress(OSError, trio.ClosedResourceError):
+            await serve(sockets.Stream(stream=accepted))
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        nursery.start_soon(trio.serve_listeners, serve_stream, listeners)
+        yield address
+        nursery.cancel_scope.cancel()
+
+
+async def _frames_from(stream):
+    """Yields the frames that arrive on a stream."""
+    buffer = frames.FrameBuffer()
+    while data := await stream.receive(65536):
+        for frame in buffer.feed(data):
+            yield frame
+
+
+def _answer(call, body=b"ok"):
+    return frames.AnswerCall(
+        call=call,
+        status=200,
+        headers=(),
+        body=body,
+        more=False,
+        level=-1,
+        load=-1,
+    )
+
+
+def _open_call(call, **fields):
+    values = {
+        "call": call,
+        "call_id": f"c{call}",
+        "root_id": "r",
+        "service": "s",
+        "organisation": "o",
+        "caller": "t",
+        "priority": 1,
+        "remaining_ms": 5000,
+        "depth": 0,
+        "idempotent": False,
+        "confirm": True,
+        "method": "POST",
+        "target": "/",
+        "headers": (),
+        "body": b"",
+        "more": False,
+    }
+    return frames.OpenCall(**{**values, **fields})
+
+
+async def _connect_as_peer(address, secret=SECRET):
+    """Returns a stream on which the frame `Hello` has been sent."""
+    stream = await sockets.connect(address)
+    hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", secret))
+    stream.send_nowait(frames.encode(hello))
+    return stream
+
+
+@pytest.fixture(params=["in order", "reversed"])
+def scheduling(request, monkeypatch):
+    """Fixes the order in which trio runs the tasks that are ready.
+
+    It otherwise runs each batch of them in a random order.
+    """
+    core = "trio._core._run"
+    monkeypatch.setattr(f"{core}._ALLOW_DETERMINISTIC_SCHEDULING", True)
+    monkeypatch.setattr(
+        f"{core}._r.shuffle",
+        list.reverse if request.param == "reversed" else lambda batch: None,
+    )
+
+
 @contextlib.asynccontextmanager
 async def _breaking_peer(frame_type):
     """Runs a node that closes the connection on a frame of this type."""
@@ -132,24 +216,7 @@
 
     async with _peer(handler) as address:
         stream = await trio.open_tcp_stream(address.host, address.port)
-        open_call = frames.OpenCall(
-            call=1,
-            call_id="c",
-            root_id="r",
-            service="s",
-            organisation="o",
-            caller="t",
-            priority=1,
-            remaining_ms=5000,
-            depth=0,
-            idempotent=False,
-            confirm=True,
-            method="POST",
-            target="/",
-            headers=(),
-            body=b"",
-            more=False,
-        )
+        open_call = _open_call(1)
         hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", SECRET))
         await stream.send_all(frames.encode(hello) + frames.encode(open_call))
         with trio.fail_after(3):
@@ -184,3 +251,45 @@
         assert clock.monotonic() - started_at < 0.8
         with trio.fail_after(0.5):
             await ended.wait()
+
+
+# Guards against an answer that waits in the socket being lost at the deadline.
+@pytest.mark.usefixtures("scheduling")
+async def test_answer_read_late_after_a_delay_of_the_loop_is_delivered():
+    """The loop stands still from before the answer until after the deadline.
+
+    The check for expired calls and the reading task are then ready at the same
+    time, and either may run first.
+    """
+
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                stream.send_nowait(frames.encode(_answer(frame.call)))
+                time.sleep(0.6)
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        outcome = await links.mailbox.ask(_exchange(address, timeout=0.4))
+    assert isinstance(outcome, model.Answer), outcome
+
+
+# Guards against a confirmation that waits in the socket being taken for late.
+@pytest.mark.usefixtures("scheduling")
+async def test_confirmation_read_late_after_a_delay_of_the_loop_counts():
+    confirmed = []
+
+    async def handler(request):
+        confirmed.append(await request.confirm())
+        return model.Refuse(code=exceptions.SHED, detail="")
+
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        stream.send_nowait(frames.encode(_open_call(1)))
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.Offer):
+                stream.send_nowait(frames.encode(frames.Proceed(call=1)))
+                time.sleep(peer_server.PROCEED_TIMEOUT + 0.2)
+            else:
+                break
+        stream.close()
+    assert confirmed == [True]
