Peer connections: deliver the answers that arrived before a failed write

Callers saw: 502 or a retry for calls that the other node had answered, if it closed the connection while a frame to it was being written. The error of the writing task cancelled the reading task, with answers unread in the socket.

The writing task now ends by itself. The reading task still passes on what has arrived, and then gets the end of the stream. No more frames are queued for a connection that can't send.

--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -46,7 +46,12 @@
         return self._ended
 
     def send(self, frame: frames.Frame) -> None:
-        """Sends a frame now, or queues what the socket does not take."""
+        """Sends a frame now, or queues what the socket does not take.
+
+        Does nothing once the connection has ended.
+        """
+        if self._ended:
+            return
         data = frames.encode(frame)
         if self._send_queue or self._writing:
             self._send_queue.append(data)
@@ -62,14 +67,18 @@
 
     async def write(self) -> None:
         """Writes queued bytes until the connection breaks."""
-        while True:
-            if not self._send_queue:
-                self._writing = False
-                self._queue_filled = trio.Event()
-                await self._queue_filled.wait()
-            self._writing = True
-            queued, self._send_queue = self._send_queue, []
-            await self._stream.send(b"".join(queued))
+        try:
+            while True:
+                if not self._send_queue:
+                    self._writing = False
+                    self._queue_filled = trio.Event()
+                    await self._queue_filled.wait()
+                self._writing = True
+                queued, self._send_queue = self._send_queue, []
+                await self._stream.send(b"".join(queued))
+        except OSError:
+            # The reading task passes on what has arrived, then gets the error.
+            self._ended = True
 
     def read_ready(self) -> None:
         """Passes on the frames that have arrived, without waiting.
@@ -78,7 +87,7 @@
         arrived before a timeout that is checked now.
         """
         for _ in range(MAX_READY_READS):
-            if self._ended or self._on_frame is None:
+            if self._on_frame is None:
                 return
             try:
                 data = self._stream.receive_nowait(http.RECEIVE_SIZE)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -13,6 +13,7 @@
 from sassafrashall import model
 from sassafrashall.controllers import peer_links
 from sassafrashall.transport import frames
+from sassafrashall.transport import http
 from sassafrashall.transport import peer_server
 from sassafrashall.transport import sockets
 from tests import fakes
@@ -21,12 +22,12 @@
 SECRET = b"a-secret-of-the-test"
 
 
-def _exchange(address, *, confirm=False, timeout=2.0):
+def _exchange(address, *, confirm=False, timeout=2.0, body=b""):
     request = model.Request(
         method="GET",
         target="/",
         headers=(),
-        body=b"",
+        body=body,
         source=model.Source.CALLER,
         received_at=clock.monotonic(),
     )
@@ -293,3 +294,42 @@
                 break
         stream.close()
     assert confirmed == [True]
+
+
+# Guards against answers that have arrived being discarded on a failed write.
+async def test_answers_that_arrived_before_a_write_error_are_delivered(
+    monkeypatch,
+):
+    """The other node answers, and resets the connection during a long write."""
+    monkeypatch.setattr(http, "RECEIVE_SIZE", 1024)
+    body = b"x" * 4000
+
+    async def serve(stream):
+        opened = 0
+        buffer = frames.FrameBuffer()
+        while opened < 2:
+            for frame in buffer.feed(await stream.receive(1000)):
+                opened += isinstance(frame, frames.OpenCall)
+        await trio.sleep(0.1)
+        answers = (frames.encode(_answer(number, body)) for number in (1, 2))
+        stream.send_nowait(b"".join(answers))
+        # Unread bytes make the kernel reset the connection.
+        stream.close()
+
+    outcomes = []
+
+    async def send(**fields):
+        outcomes.append(await links.mailbox.ask(_exchange(address, **fields)))
+
+    async with (
+        _links() as links,
+        _scripted_peer(serve) as address,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(send)
+        await trio.sleep(0.02)
+        nursery.start_soon(send)
+        await trio.sleep(0.02)
+        nursery.start_soon(lambda: send(body=bytes(3 << 20)))
+    assert [type(o) for o in outcomes[:2]] == [model.Answer, model.Answer]
+    assert outcomes[2].run is model.RunState.UNKNOWN
