Peer links: no call is sent on a connection that is known to be closed

Callers saw: 502 for an idempotent call, which then counts as one that may have run and costs retry tokens, though the other node had closed the connection before the call was sent and could not have read it. A link took calls until its tasks had ended, and one whose end of stream waited in the socket looked like an open one. After a delay of the event loop that is every call which was read in the same moment.

A link takes calls only while its connection has not ended and the next thing to be read is not its end. Otherwise a new link is opened, as for a node that was never called.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -64,6 +64,13 @@
         self._last_number = 0
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def may_start_calls(self) -> bool:
+        """Whether the connection is open, or about to be opened."""
+        return self._connection is None or not (
+            self._connection.ended or self._connection.is_closed_by_peer
+        )
+
     async def run(self) -> None:
         """Connects, and performs calls until the connection ends."""
         try:
@@ -310,7 +317,7 @@
         match message:
             case messages.Exchange(address=address):
                 link = self._links.get(address)
-                if link is None:
+                if link is None or not link.may_start_calls:
                     link = _Link(links=self, address=address, vm=self._vm)
                     self._links[address] = link
                     self._metrics.count("peer_connections_opened")
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -45,6 +45,11 @@
         """Whether frames can no longer be sent."""
         return self._ended
 
+    @property
+    def is_closed_by_peer(self) -> bool:
+        """Whether the end of the stream is the next thing to be read."""
+        return self._stream.is_closed_by_peer
+
     def send(self, frame: frames.Frame) -> None:
         """Sends a frame now, or queues what the socket does not take.
 
@@ -99,11 +104,11 @@
             self._pass_on(data)
 
     async def _read(self) -> None:
-        while True:
-            data = await self._stream.receive(http.RECEIVE_SIZE)
-            if not data:
-                return
-            self._pass_on(data)
+        try:
+            while data := await self._stream.receive(http.RECEIVE_SIZE):
+                self._pass_on(data)
+        finally:
+            self._ended = True
 
     def _pass_on(self, data: bytes) -> None:
         assert self._on_frame is not None
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -333,3 +333,24 @@
         nursery.start_soon(lambda: send(body=bytes(3 << 20)))
     assert [type(o) for o in outcomes[:2]] == [model.Answer, model.Answer]
     assert outcomes[2].run is model.RunState.UNKNOWN
+
+
+# Guards against a call being sent on a connection that the other node closed.
+async def test_call_after_the_other_node_closed_uses_a_new_connection():
+    streams = []
+
+    async def serve(stream):
+        streams.append(stream)
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                stream.send_nowait(frames.encode(_answer(frame.call)))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        assert isinstance(
+            await links.mailbox.ask(_exchange(address)), model.Answer
+        )
+        for _ in range(3):
+            streams[-1].close()
+            outcome = await links.mailbox.ask(_exchange(address))
+            assert isinstance(outcome, model.Answer), outcome
+    assert len(streams) == 4
