Frames: an unknown run state in a refusal reads as UNKNOWN

What was seen: one refusal with a run state that this version does not know raised ValueError past the reading task, the link and the controller of all links, and ended the process with every call in it.

Such a refusal now counts as one whose call may have run, as codec.py already reads it, and ends only that call.

The test was seen to fail without the fix: ValueError: 'perhaps' is not a valid RunState.

--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -313,13 +313,17 @@
 
 
 def decode_refusal(frame: RefuseCall) -> model.Refuse:
-    """Returns the refusal in a frame; an unknown code becomes `INTERNAL`."""
+    """Returns the refusal in a frame.
+
+    An unknown code becomes `INTERNAL`, an unknown run state `UNKNOWN`.
+    """
+    is_not_run = frame.run == model.RunState.NOT_RUN
     return model.Refuse(
         code=frame.code
         if frame.code in exceptions.STATUS_BY_CODE
         else exceptions.INTERNAL,
         detail=frame.detail,
-        run=model.RunState(frame.run),
+        run=model.RunState.NOT_RUN if is_not_run else model.RunState.UNKNOWN,
         retry_after_s=frame.retry_after_s,
         level=frame.level,
         load=frame.load,
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -354,3 +354,27 @@
             outcome = await links.mailbox.ask(_exchange(address))
             assert isinstance(outcome, model.Answer), outcome
     assert len(streams) == 4
+
+
+# Guards against one invalid refusal ending the node with all its calls.
+async def test_refusal_with_an_unknown_run_state_ends_only_its_call():
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                refusal = frames.RefuseCall(
+                    call=frame.call,
+                    code=exceptions.SHED,
+                    detail="",
+                    run="perhaps",
+                    retry_after_s=0.0,
+                    level=-1,
+                    load=-1,
+                )
+                reply = refusal if frame.call == 1 else _answer(frame.call)
+                stream.send_nowait(frames.encode(reply))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        refused = await links.mailbox.ask(_exchange(address, confirm=True))
+        answered = await links.mailbox.ask(_exchange(address))
+    assert refused.run is model.RunState.UNKNOWN
+    assert isinstance(answered, model.Answer)
