Peer links: a caller's reset during an upload ends only its call

What was seen: the read of a request body raises ConnectionResetError when the caller resets its connection. In an upload to another node nothing caught it, so it ended the link, the controller of all links and the process, with every call in it.

The upload handles it like a caller that broke off; the pool of upstream connections does the same already.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -147,8 +147,13 @@
         with trio.CancelScope() as call.upload_scope:
             try:
                 await call.upload.send(rest)
-            except exceptions.SassafrashallError as error:
+            except (
+                OSError,
+                trio.ClosedResourceError,
+                exceptions.SassafrashallError,
+            ) as error:
                 self._cancel_call(number)
+                call.reply.on_abandon(None)
                 call.reply.put(
                     _refusal(exceptions.BAD_REQUEST, str(error), True)
                 )
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -22,7 +22,7 @@
 SECRET = b"a-secret-of-the-test"
 
 
-def _exchange(address, *, confirm=False, timeout=2.0, body=b""):
+def _exchange(address, *, confirm=False, timeout=2.0, body=b"", rest=None):
     request = model.Request(
         method="GET",
         target="/",
@@ -30,6 +30,7 @@
         body=body,
         source=model.Source.CALLER,
         received_at=clock.monotonic(),
+        rest=rest,
     )
     ticket = model.Ticket(
         organisation="o",
@@ -378,3 +379,39 @@
         answered = await links.mailbox.ask(_exchange(address))
     assert refused.run is model.RunState.UNKNOWN
     assert isinstance(answered, model.Answer)
+
+
+class _BrokenBody:
+    """A request body whose caller resets its connection."""
+
+    async def read(self):
+        await trio.sleep(0.1)
+        raise ConnectionResetError
+
+    async def close(self):
+        pass
+
+
+# Guards against a caller's reset during an upload ending the other calls.
+async def test_reset_of_a_caller_during_an_upload_ends_only_its_call():
+    async def handler(request):
+        assert request.rest is None or await request.confirm()
+        await mailbox.Reply().wait()
+
+    outcomes = []
+
+    async def send(**fields):
+        outcomes.append(await links.mailbox.ask(_exchange(address, **fields)))
+
+    async with (
+        _links() as links,
+        _peer(handler) as address,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(lambda: send(timeout=0.6))
+        nursery.start_soon(lambda: send(confirm=True, rest=_BrokenBody()))
+    assert [o.code for o in outcomes] == [
+        exceptions.BAD_REQUEST,
+        exceptions.DEADLINE_EXCEEDED,
+    ]
+    assert outcomes[0].run is model.RunState.UNKNOWN
