Peer server: refuse a call whose priority is unknown

What callers saw: no outcome until their deadline, then 504. The priority was decoded in the call's fiber, whose exception was logged and ended the call without a frame to the other node, though the call had certainly not run.

The call is refused as not run; the other calls of the connection go on.

The test was seen to fail without the fix: ValueError: 99 is not a valid Priority in the fiber, and one frame in place of two.

--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -158,10 +158,16 @@
             self._connection.send(frames.Offer(call=frame.call))
             return await call.proceed.wait()
 
-        request = _decode_request(
-            frame, call.request_body, confirm if frame.confirm else None
-        )
-        outcome = await error_boundary.call_handler(self._handler, request)
+        try:
+            request = _decode_request(
+                frame, call.request_body, confirm if frame.confirm else None
+            )
+        except exceptions.ProtocolError as error:
+            outcome: model.Outcome = model.Refuse(
+                code=exceptions.INTERNAL, detail=str(error)
+            )
+        else:
+            outcome = await error_boundary.call_handler(self._handler, request)
         match outcome:
             case model.Answer(response=response):
                 self._connection.send(_encode_answer(frame.call, outcome))
@@ -203,6 +209,17 @@
     rest: model.BodyReader | None,
     confirm: model.ConfirmCallback | None,
 ) -> model.Request:
+    """Returns the request of a call.
+
+    Raises:
+      ProtocolError: A field has a value that this version does not know.
+    """
+    try:
+        priority = model.Priority(frame.priority)
+    except ValueError as error:
+        raise exceptions.ProtocolError(
+            exceptions.BAD_REQUEST, str(error)
+        ) from error
     now = clock.monotonic()
     return model.Request(
         method=frame.method,
@@ -221,7 +238,7 @@
             call_id=frame.call_id,
             node="",
             service=frame.service,
-            priority=model.Priority(frame.priority),
+            priority=priority,
             remaining_ms=frame.remaining_ms,
             retries=0,
             depth=frame.depth,
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -415,3 +415,28 @@
         exceptions.DEADLINE_EXCEEDED,
     ]
     assert outcomes[0].run is model.RunState.UNKNOWN
+
+
+# Guards against a call with an invalid field getting no outcome at all.
+async def test_call_with_an_unknown_priority_is_refused_as_not_run():
+    async def handler(request):
+        return fakes.answer()
+
+    received = []
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        for call in (
+            _open_call(1, priority=99, confirm=False),
+            _open_call(2, confirm=False),
+        ):
+            stream.send_nowait(frames.encode(call))
+        with trio.move_on_after(1):
+            async for frame in _frames_from(stream):
+                received.append(frame)
+                if len(received) == 2:
+                    break
+        stream.close()
+    refusal, answer = received
+    assert isinstance(refusal, frames.RefuseCall) and refusal.call == 1
+    assert refusal.run == model.RunState.NOT_RUN
+    assert isinstance(answer, frames.AnswerCall) and answer.call == 2
