Peer connections: an invalid frame ends the connection, with a reason

What callers saw: a call that the other node had answered ended as one that may have run, if invalid bytes came in the same read: the frames before them were dropped. An exception of another kind while a frame was handled ended the process. Nothing in the log said why a connection ended, or with which calls.

Frames are passed on one by one as they are split. An invalid one, or an exception while one is handled, ends the connection with a line in the log. The end of each connection is counted and logged with its reason, and with the id of a request on it if there is one. Each call on it gets its outcome: not run only if it needed a confirmation that was not sent.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -98,6 +99,7 @@
                 self._nursery.cancel_scope.cancel()
         finally:
             self._links.on_ended(self._address, self)
+            self._log_closure()
             self._fail_calls()
 
     def start_call(self, call: _PendingCall) -> None:
@@ -256,6 +258,17 @@
         if call.upload_scope is not None:
             call.upload_scope.cancel()
 
+    def _log_closure(self) -> None:
+        assert self._connection is not None
+        calls = tuple(self._calls.values())
+        self._links.log.write(
+            connection_log.Closure(
+                reason=self._connection.end_reason,
+                unanswered=bool(calls),
+                request_id=calls[0].message.ticket.root_id if calls else "",
+            )
+        )
+
     def _fail_calls(self) -> None:
         calls, self._calls = self._calls, {}
         for call in calls.values():
@@ -301,6 +314,9 @@
         self._vm = vm
         self._secret = secret
         self._metrics = counters
+        self._log = connection_log.ConnectionLog(
+            place="links", counters=counters
+        )
         self._links: dict[model.Address, _Link] = {}
 
     @property
@@ -308,6 +324,11 @@
         """The fleet's secret."""
         return self._secret
 
+    @property
+    def log(self) -> connection_log.ConnectionLog:
+        """The log of connections that end."""
+        return self._log
+
     async def _setup(self) -> None:
         self._spawn(self._expire_calls)
 
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -253,6 +253,9 @@
             address=listen.peers,
             handler=self._run_worker_chain,
             compute_proof=lambda vm: peer_links.hello_proof(vm, self._secret),
+            log=connection_log.ConnectionLog(
+                place="peers", counters=self._metrics
+            ),
         )
         ops = ops_api.OpsApi(
             counters=self._metrics,
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import dataclasses
 import operator
 import struct
@@ -280,24 +281,31 @@
         Raises:
           ProtocolError: The bytes are not valid frames.
         """
+        return list(self.split(data))
+
+    def split(self, data: bytes) -> Iterator[Frame]:
+        """Yields the frames as `feed` does, those before invalid bytes too.
+
+        Raises:
+          ProtocolError: The next bytes are not a valid frame.
+        """
         self._data += data
-        complete: list[Frame] = []
         start = 0
-        while len(self._data) - start >= _PREFIX.size:
-            length, number = _PREFIX.unpack_from(self._data, start)
-            if length > self._limit or number >= len(_FRAME_TYPES):
-                raise exceptions.ProtocolError(
-                    exceptions.BAD_REQUEST, "not a frame"
-                )
-            end = start + _PREFIX.size + length
-            if len(self._data) < end:
-                break
-            body = bytes(self._data[start + _PREFIX.size : end])
-            complete.append(_decode_body(number, body))
-            start = end
-        if start:
+        try:
+            while len(self._data) - start >= _PREFIX.size:
+                length, number = _PREFIX.unpack_from(self._data, start)
+                if length > self._limit or number >= len(_FRAME_TYPES):
+                    raise exceptions.ProtocolError(
+                        exceptions.BAD_REQUEST, "not a frame"
+                    )
+                end = start + _PREFIX.size + length
+                if len(self._data) < end:
+                    break
+                body = bytes(self._data[start + _PREFIX.size : end])
+                start = end
+                yield _decode_body(number, body)
+        finally:
             del self._data[:start]
-        return complete
 
 
 def _decode_body(number: int, body: bytes) -> Frame:
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -7,7 +7,9 @@
 
 import trio
 
+from sassafrashall import connection_log
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.transport import frames
 from sassafrashall.transport import http
@@ -32,6 +34,8 @@
         self._queue_filled = trio.Event()
         self._writing = False
         self._ended = False
+        self._broken = False
+        self._end_reason = connection_log.Reason.PROCESS_END
         self._buffer = frames.FrameBuffer()
         self._on_frame: OnFrame | None = None
 
@@ -45,6 +49,11 @@
         """Whether frames can no longer be sent."""
         return self._ended
 
+    @property
+    def end_reason(self) -> connection_log.Reason:
+        """Why the connection ended."""
+        return self._end_reason
+
     @property
     def is_closed_by_peer(self) -> bool:
         """Whether the end of the stream is the next thing to be read."""
@@ -104,16 +113,41 @@
             self._pass_on(data)
 
     async def _read(self) -> None:
+        reason = connection_log.Reason.DISCONNECT
         try:
-            while data := await self._stream.receive(http.RECEIVE_SIZE):
+            while not self._broken:
+                data = await self._stream.receive(http.RECEIVE_SIZE)
+                if not data:
+                    break
                 self._pass_on(data)
+        except trio.Cancelled:
+            reason = connection_log.Reason.PROCESS_END
+            raise
         finally:
+            if not self._broken:
+                self._end_reason = reason
             self._ended = True
 
     def _pass_on(self, data: bytes) -> None:
+        """Passes on received frames; an invalid one ends the connection."""
         assert self._on_frame is not None
-        for frame in self._buffer.feed(data):
-            self._on_frame(frame)
+        try:
+            for frame in self._buffer.split(data):
+                self._on_frame(frame)
+        except exceptions.ProtocolError as error:
+            logs.get().warning(
+                "invalid frame from another node", extra={"reason": str(error)}
+            )
+            self._break(connection_log.Reason.BAD_INPUT)
+        except Exception:
+            # An exception must not end the calls of other connections.
+            logs.get().exception("unhandled exception in a frame's handler")
+            self._break(connection_log.Reason.HANDLER_FAILED)
+
+    def _break(self, reason: connection_log.Reason) -> None:
+        self._broken = self._ended = True
+        self._end_reason = reason
+        self._stream.close()
 
     async def run(self, on_frame: OnFrame) -> None:
         """Passes received frames to `on_frame` until the connection ends."""
@@ -123,11 +157,7 @@
                 nursery.start_soon(self.write)
                 await self._read()
                 nursery.cancel_scope.cancel()
-        except* (
-            OSError,
-            trio.ClosedResourceError,
-            exceptions.ProtocolError,
-        ):
+        except* (OSError, trio.ClosedResourceError):
             pass
         finally:
             self._ended = True
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import fiber
 from sassafrashall import mailbox
@@ -27,8 +28,9 @@
 class _ServedCall:
     """A call on a connection, handled by a fiber."""
 
-    def __init__(self, *, number: int, deadline: float) -> None:
+    def __init__(self, *, number: int, root_id: str, deadline: float) -> None:
         self.number = number
+        self.root_id = root_id
         self.deadline = deadline
         self.fiber: fiber.Fiber | None = None
         # Whether the calling node still wants the call; None before the offer.
@@ -63,8 +65,10 @@
         connection: peer_connection.PeerConnection,
         handler: error_boundary.Handler,
         compute_proof: ComputeProof,
+        log: connection_log.ConnectionLog,
     ) -> None:
         self._connection = connection
+        self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
         self._authenticated = False
@@ -98,7 +102,15 @@
                 await self._connection.run(self._on_frame)
                 self._nursery.cancel_scope.cancel()
         finally:
-            for call in tuple(self._calls.values()):
+            calls = tuple(self._calls.values())
+            self._log.write(
+                connection_log.Closure(
+                    reason=self._connection.end_reason,
+                    unanswered=bool(calls),
+                    request_id=calls[0].root_id if calls else "",
+                )
+            )
+            for call in calls:
                 call.cancel()
 
     def _on_frame(self, frame: frames.Frame) -> None:
@@ -132,6 +144,7 @@
     def _start_call(self, frame: frames.OpenCall) -> None:
         call = _ServedCall(
             number=frame.call,
+            root_id=frame.root_id,
             deadline=clock.monotonic() + frame.remaining_ms / 1000,
         )
         self._calls[frame.call] = call
@@ -281,8 +294,10 @@
         address: model.Address,
         handler: error_boundary.Handler,
         compute_proof: ComputeProof,
+        log: connection_log.ConnectionLog,
     ) -> None:
         self._address = address
+        self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
         self._connections: set[_ServedConnection] = set()
@@ -324,6 +339,7 @@
             connection=peer_connection.PeerConnection(stream=stream),
             handler=self._handler,
             compute_proof=self._compute_proof,
+            log=self._log,
         )
         self._connections.add(connection)
         try:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -7,7 +7,9 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -72,6 +74,7 @@
         address=address,
         handler=handler,
         compute_proof=lambda vm: peer_links.hello_proof(vm, secret),
+        log=connection_log.ConnectionLog(place="peers"),
     )
     async with trio.open_nursery() as nursery:
         await server.start(nursery)
@@ -440,3 +443,37 @@
     assert isinstance(refusal, frames.RefuseCall) and refusal.call == 1
     assert refusal.run == model.RunState.NOT_RUN
     assert isinstance(answer, frames.AnswerCall) and answer.call == 2
+
+
+# Guards against invalid bytes taking the answers before them along.
+async def test_invalid_bytes_end_a_connection_after_the_frames_before_them(
+    caplog,
+):
+    caplog.set_level("INFO", logger=logs.LOGGER_NAME)
+
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall) and frame.call == 3:
+                answer = frames.encode(_answer(1))
+                stream.send_nowait(answer + b"not a frame")
+
+    outcomes = {}
+
+    async def send(name, **fields):
+        exchange = _exchange(address, **fields)
+        outcomes[name] = await links.mailbox.ask(exchange)
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        with trio.fail_after(1):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send, "answered")
+                await trio.sleep(0.05)
+                nursery.start_soon(send, "sent")
+                await trio.sleep(0.05)
+                nursery.start_soon(lambda: send("not confirmed", confirm=True))
+    assert isinstance(outcomes["answered"], model.Answer)
+    assert outcomes["sent"].run is model.RunState.UNKNOWN
+    assert outcomes["not confirmed"].run is model.RunState.NOT_RUN
+    (closure,) = [r for r in caplog.records if hasattr(r, "place")]
+    assert (closure.place, closure.reason) == ("links", "bad_input")
+    assert "unanswered" in closure.message
