Peer calls: frames that contradict an earlier one end the call or connection

What callers saw: the body of a streamed answer never ended, if the other node refused the call in the middle of it or answered a second time; the caller waited until it gave up. A call with the number of one in progress took over that one's frames, such as its cancellation.

A refusal ends the body as incomplete. A second answer and a number in use mean that the stream is broken, so they end the connection.

The three tests were seen to fail without the fix: no end of the body within 1 s, and a connection that stayed open.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -201,6 +201,8 @@
                 self._on_answer(frame, call)
             case frames.RefuseCall():
                 self._end_call(frame.call, call)
+                if call.answer_body is not None:
+                    call.answer_body.fail("the other node refused the rest")
                 call.reply.put(frames.decode_refusal(frame))
             case frames.Offer():
                 self._confirm_call(frame.call, call)
@@ -230,6 +232,10 @@
             self._nursery.start_soon(self._upload, number, call, rest)
 
     def _on_answer(self, frame: frames.AnswerCall, call: _PendingCall) -> None:
+        if call.answer_body is not None:
+            raise exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "a second answer to a call"
+            )
         rest = None
         if frame.more:
             assert self._connection is not None
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -142,6 +142,10 @@
                 )
 
     def _start_call(self, frame: frames.OpenCall) -> None:
+        if frame.call in self._calls:
+            raise exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "the number of a call in progress"
+            )
         call = _ServedCall(
             number=frame.call,
             root_id=frame.root_id,
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -108,13 +108,25 @@
             yield frame
 
 
-def _answer(call, body=b"ok"):
+def _answer(call, body=b"ok", more=False):
     return frames.AnswerCall(
         call=call,
         status=200,
         headers=(),
         body=body,
-        more=False,
+        more=more,
+        level=-1,
+        load=-1,
+    )
+
+
+def _refusal(call, run=model.RunState.NOT_RUN):
+    return frames.RefuseCall(
+        call=call,
+        code=exceptions.SHED,
+        detail="",
+        run=run,
+        retry_after_s=0.0,
         level=-1,
         load=-1,
     )
@@ -365,15 +377,7 @@
     async def serve(stream):
         async for frame in _frames_from(stream):
             if isinstance(frame, frames.OpenCall):
-                refusal = frames.RefuseCall(
-                    call=frame.call,
-                    code=exceptions.SHED,
-                    detail="",
-                    run="perhaps",
-                    retry_after_s=0.0,
-                    level=-1,
-                    load=-1,
-                )
+                refusal = _refusal(frame.call, run="perhaps")
                 reply = refusal if frame.call == 1 else _answer(frame.call)
                 stream.send_nowait(frames.encode(reply))
 
@@ -477,3 +481,40 @@
     (closure,) = [r for r in caplog.records if hasattr(r, "place")]
     assert (closure.place, closure.reason) == ("links", "bad_input")
     assert "unanswered" in closure.message
+
+
+# Guards against the reader of a streamed answer waiting for ever.
+@pytest.mark.parametrize("second", [_refusal(1), _answer(1, more=True)])
+async def test_a_frame_that_contradicts_a_streamed_answer_ends_its_body(second):
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                first = _answer(1, more=True)
+                stream.send_nowait(frames.encode(first) + frames.encode(second))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        outcome = await links.mailbox.ask(_exchange(address))
+        with (
+            trio.fail_after(1),
+            pytest.raises(exceptions.ConnectionFailedError),
+        ):
+            await outcome.response.rest.read()
+
+
+# Guards against a call that takes the number of another taking its frames.
+async def test_a_number_in_use_ends_the_connection_and_cancels_its_calls():
+    ended = []
+
+    async def handler(request):
+        try:
+            await mailbox.Reply().wait()
+        finally:
+            ended.append(request)
+
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        for _ in range(2):
+            stream.send_nowait(frames.encode(_open_call(1)))
+        with trio.fail_after(1):
+            assert await stream.receive(100) == b""
+    assert len(ended) == 1
