--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -7,7 +7,9 @@
 
 import trio
 
+from sassafrashall import connection_log
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.transport import frames
 from sassafrashall.transport import http
@@ -18,6 +20,7 @@
 # Seconds between checks for calls past their deadline. A periodic check costs
 # less than a timer for each call.
 EXPIRY_INTERVAL = 0.1
+MAX_READY_READS = 64  # more than a socket's receive buffer holds
 
 OnFrame = Callable[[frames.Frame], None]
 
@@ -31,6 +34,10 @@
         self._queue_filled = trio.Event()
         self._writing = False
         self._ended = False
+        self._broken = False
+        self._end_reason = connection_log.Reason.PROCESS_END
+        self._buffer = frames.FrameBuffer()
+        self._on_frame: OnFrame | None = None
 
     @classmethod
     async def open(cls, address: model.Address) -> PeerConnection:
@@ -42,8 +49,23 @@
         """Whether frames can no longer be sent."""
         return self._ended
 
+    @property
+    def end_reason(self) -> connection_log.Reason:
+        """Why the connection ended."""
+        return self._end_reason
+
+    @property
+    def is_closed_by_peer(self) -> bool:
+        """Whether the end of the stream is the next thing to be read."""
+        return self._stream.is_closed_by_peer
+
     def send(self, frame: frames.Frame) -> None:
-        """Sends a frame now, or queues what the socket does not take."""
+        """Sends a frame now, or queues what the socket does not take.
+
+        Does nothing once the connection has ended.
+        """
+        if self._ended:
+            return
         data = frames.encode(frame)
         if self._send_queue or self._writing:
             self._send_queue.append(data)
@@ -59,37 +81,83 @@
 
     async def write(self) -> None:
         """Writes queued bytes until the connection breaks."""
-        while True:
-            if not self._send_queue:
-                self._writing = False
-                self._queue_filled = trio.Event()
-                await self._queue_filled.wait()
-            self._writing = True
-            queued, self._send_queue = self._send_queue, []
-            await self._stream.send(b"".join(queued))
-
-    async def read(self, on_frame: OnFrame) -> None:
-        """Passes received frames to `on_frame` until the connection ends."""
-        buffer = frames.FrameBuffer()
-        while True:
-            data = await self._stream.receive(http.RECEIVE_SIZE)
+        try:
+            while True:
+                if not self._send_queue:
+                    self._writing = False
+                    self._queue_filled = trio.Event()
+                    await self._queue_filled.wait()
+                self._writing = True
+                queued, self._send_queue = self._send_queue, []
+                await self._stream.send(b"".join(queued))
+        except OSError:
+            # The reading task passes on what has arrived, then gets the error.
+            self._ended = True
+
+    def read_ready(self) -> None:
+        """Passes on the frames that have arrived, without waiting.
+
+        After a delay of the event loop, frames may wait in the socket that
+        arrived before a timeout that is checked now.
+        """
+        for _ in range(MAX_READY_READS):
+            if self._on_frame is None:
+                return
+            try:
+                data = self._stream.receive_nowait(http.RECEIVE_SIZE)
+            except OSError:
+                # Nothing more has arrived, or the reading task gets the error.
+                return
             if not data:
                 return
-            for frame in buffer.feed(data):
-                on_frame(frame)
+            self._pass_on(data)
+
+    async def _read(self) -> None:
+        reason = connection_log.Reason.DISCONNECT
+        try:
+            while not self._broken:
+                data = await self._stream.receive(http.RECEIVE_SIZE)
+                if not data:
+                    break
+                self._pass_on(data)
+        except trio.Cancelled:
+            reason = connection_log.Reason.PROCESS_END
+            raise
+        finally:
+            if not self._broken:
+                self._end_reason = reason
+            self._ended = True
+
+    def _pass_on(self, data: bytes) -> None:
+        """Passes on received frames; an invalid one ends the connection."""
+        assert self._on_frame is not None
+        try:
+            for frame in self._buffer.split(data):
+                self._on_frame(frame)
+        except exceptions.ProtocolError as error:
+            logs.get().warning(
+                "invalid frame from another node", extra={"reason": str(error)}
+            )
+            self._break(connection_log.Reason.BAD_INPUT)
+        except Exception:
+            # An exception must not end the calls of other connections.
+            logs.get().exception("unhandled exception in a frame's handler")
+            self._break(connection_log.Reason.HANDLER_FAILED)
+
+    def _break(self, reason: connection_log.Reason) -> None:
+        self._broken = self._ended = True
+        self._end_reason = reason
+        self._stream.close()
 
     async def run(self, on_frame: OnFrame) -> None:
-        """Reads and writes until the connection ends, also by an error."""
+        """Passes received frames to `on_frame` until the connection ends."""
+        self._on_frame = on_frame
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.write)
-                await self.read(on_frame)
+                await self._read()
                 nursery.cancel_scope.cancel()
-        except* (
-            OSError,
-            trio.ClosedResourceError,
-            exceptions.ProtocolError,
-        ):
+        except* (OSError, trio.ClosedResourceError):
             pass
         finally:
             self._ended = True
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import fiber
 from sassafrashall import mailbox
@@ -27,8 +28,9 @@
 class _ServedCall:
     """A call on a connection, handled by a fiber."""
 
-    def __init__(self, *, number: int, deadline: float) -> None:
+    def __init__(self, *, number: int, root_id: str, deadline: float) -> None:
         self.number = number
+        self.root_id = root_id
         self.deadline = deadline
         self.fiber: fiber.Fiber | None = None
         # Whether the calling node still wants the call; None before the offer.
@@ -38,6 +40,14 @@
         self.response_body: peer_connection.OutgoingBody | None = None
         self.response_scope: trio.CancelScope | None = None
 
+    def is_overdue(self, now: float) -> bool:
+        """Whether the call, or the confirmation of its offer, is too late."""
+        return self.deadline <= now or (
+            self.proceed is not None
+            and not self.proceed.done
+            and self.proceed_deadline <= now
+        )
+
     def cancel(self) -> None:
         """Cancels the call, or the rest of its response."""
         if self.response_scope is not None:
@@ -55,8 +65,10 @@
         connection: peer_connection.PeerConnection,
         handler: error_boundary.Handler,
         compute_proof: ComputeProof,
+        log: connection_log.ConnectionLog,
     ) -> None:
         self._connection = connection
+        self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
         self._authenticated = False
@@ -74,6 +86,9 @@
         The calling node ends an expired call at the same time by its own
         clock, so no frame is sent.
         """
+        if not any(call.is_overdue(now) for call in self._calls.values()):
+            return
+        self._connection.read_ready()
         for call in tuple(self._calls.values()):
             if call.deadline <= now:
                 call.cancel()
@@ -87,7 +102,15 @@
                 await self._connection.run(self._on_frame)
                 self._nursery.cancel_scope.cancel()
         finally:
-            for call in tuple(self._calls.values()):
+            calls = tuple(self._calls.values())
+            self._log.write(
+                connection_log.Closure(
+                    reason=self._connection.end_reason,
+                    unanswered=bool(calls),
+                    request_id=calls[0].root_id if calls else "",
+                )
+            )
+            for call in calls:
                 call.cancel()
 
     def _on_frame(self, frame: frames.Frame) -> None:
@@ -119,8 +142,13 @@
                 )
 
     def _start_call(self, frame: frames.OpenCall) -> None:
+        if frame.call in self._calls:
+            raise exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "the number of a call in progress"
+            )
         call = _ServedCall(
             number=frame.call,
+            root_id=frame.root_id,
             deadline=clock.monotonic() + frame.remaining_ms / 1000,
         )
         self._calls[frame.call] = call
@@ -147,10 +175,16 @@
             self._connection.send(frames.Offer(call=frame.call))
             return await call.proceed.wait()
 
-        request = _decode_request(
-            frame, call.request_body, confirm if frame.confirm else None
-        )
-        outcome = await error_boundary.call_handler(self._handler, request)
+        try:
+            request = _decode_request(
+                frame, call.request_body, confirm if frame.confirm else None
+            )
+        except exceptions.ProtocolError as error:
+            outcome: model.Outcome = model.Refuse(
+                code=exceptions.INTERNAL, detail=str(error)
+            )
+        else:
+            outcome = await error_boundary.call_handler(self._handler, request)
         match outcome:
             case model.Answer(response=response):
                 self._connection.send(_encode_answer(frame.call, outcome))
@@ -192,6 +226,17 @@
     rest: model.BodyReader | None,
     confirm: model.ConfirmCallback | None,
 ) -> model.Request:
+    """Returns the request of a call.
+
+    Raises:
+      ProtocolError: A field has a value that this version does not know.
+    """
+    try:
+        priority = model.Priority(frame.priority)
+    except ValueError as error:
+        raise exceptions.ProtocolError(
+            exceptions.BAD_REQUEST, str(error)
+        ) from error
     now = clock.monotonic()
     return model.Request(
         method=frame.method,
@@ -210,7 +255,7 @@
             call_id=frame.call_id,
             node="",
             service=frame.service,
-            priority=model.Priority(frame.priority),
+            priority=priority,
             remaining_ms=frame.remaining_ms,
             retries=0,
             depth=frame.depth,
@@ -253,8 +298,10 @@
         address: model.Address,
         handler: error_boundary.Handler,
         compute_proof: ComputeProof,
+        log: connection_log.ConnectionLog,
     ) -> None:
         self._address = address
+        self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
         self._connections: set[_ServedConnection] = set()
@@ -282,7 +329,7 @@
         while True:
             await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
-            for connection in self._connections:
+            for connection in tuple(self._connections):
                 connection.expire_calls(now)
 
     def _on_accept(self, accepted: trio.SocketStream) -> None:
@@ -296,6 +343,7 @@
             connection=peer_connection.PeerConnection(stream=stream),
             handler=self._handler,
             compute_proof=self._compute_proof,
+            log=self._log,
         )
         self._connections.add(connection)
         try:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,32 +1,38 @@
 """Calls between nodes when the other node or the connection fails."""
 
 import contextlib
+import time
 
 import pytest
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import peer_links
 from sassafrashall.transport import frames
+from sassafrashall.transport import http
 from sassafrashall.transport import peer_server
+from sassafrashall.transport import sockets
 from tests import fakes
 from tests import loopback
 
 SECRET = b"a-secret-of-the-test"
 
 
-def _exchange(address, *, confirm=False, timeout=2.0):
+def _exchange(address, *, confirm=False, timeout=2.0, body=b"", rest=None):
     request = model.Request(
         method="GET",
         target="/",
         headers=(),
-        body=b"",
+        body=body,
         source=model.Source.CALLER,
         received_at=clock.monotonic(),
+        rest=rest,
     )
     ticket = model.Ticket(
         organisation="o",
@@ -68,6 +74,7 @@
         address=address,
         handler=handler,
         compute_proof=lambda vm: peer_links.hello_proof(vm, secret),
+        log=connection_log.ConnectionLog(place="peers"),
     )
     async with trio.open_nursery() as nursery:
         await server.start(nursery)
@@ -75,6 +82,100 @@
         nursery.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def _scripted_peer(serve):
+    """Runs `serve` with a stream for each connection; yields the address."""
+    address = loopback.free_address()
+
+    async def serve_stream(accepted):
+        with contextlib.suppress(OSError, trio.ClosedResourceError):
+            await serve(sockets.Stream(stream=accepted))
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        nursery.start_soon(trio.serve_listeners, serve_stream, listeners)
+        yield address
+        nursery.cancel_scope.cancel()
+
+
+async def _frames_from(stream):
+    """Yields the frames that arrive on a stream."""
+    buffer = frames.FrameBuffer()
+    while data := await stream.receive(65536):
+        for frame in buffer.feed(data):
+            yield frame
+
+
+def _answer(call, body=b"ok", more=False):
+    return frames.AnswerCall(
+        call=call,
+        status=200,
+        headers=(),
+        body=body,
+        more=more,
+        level=-1,
+        load=-1,
+    )
+
+
+def _refusal(call, run=model.RunState.NOT_RUN):
+    return frames.RefuseCall(
+        call=call,
+        code=exceptions.SHED,
+        detail="",
+        run=run,
+        retry_after_s=0.0,
+        level=-1,
+        load=-1,
+    )
+
+
+def _open_call(call, **fields):
+    values = {
+        "call": call,
+        "call_id": f"c{call}",
+        "root_id": "r",
+        "service": "s",
+        "organisation": "o",
+        "caller": "t",
+        "priority": 1,
+        "remaining_ms": 5000,
+        "depth": 0,
+        "idempotent": False,
+        "confirm": True,
+        "method": "POST",
+        "target": "/",
+        "headers": (),
+        "body": b"",
+        "more": False,
+    }
+    return frames.OpenCall(**{**values, **fields})
+
+
+async def _connect_as_peer(address, secret=SECRET):
+    """Returns a stream on which the frame `Hello` has been sent."""
+    stream = await sockets.connect(address)
+    hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", secret))
+    stream.send_nowait(frames.encode(hello))
+    return stream
+
+
+@pytest.fixture(params=["in order", "reversed"])
+def scheduling(request, monkeypatch):
+    """Fixes the order in which trio runs the tasks that are ready.
+
+    It otherwise runs each batch of them in a random order.
+    """
+    core = "trio._core._run"
+    monkeypatch.setattr(f"{core}._ALLOW_DETERMINISTIC_SCHEDULING", True)
+    monkeypatch.setattr(
+        f"{core}._r.shuffle",
+        list.reverse if request.param == "reversed" else lambda batch: None,
+    )
+
+
 @contextlib.asynccontextmanager
 async def _breaking_peer(frame_type):
     """Runs a node that closes the connection on a frame of this type."""
@@ -132,24 +233,7 @@
 
     async with _peer(handler) as address:
         stream = await trio.open_tcp_stream(address.host, address.port)
-        open_call = frames.OpenCall(
-            call=1,
-            call_id="c",
-            root_id="r",
-            service="s",
-            organisation="o",
-            caller="t",
-            priority=1,
-            remaining_ms=5000,
-            depth=0,
-            idempotent=False,
-            confirm=True,
-            method="POST",
-            target="/",
-            headers=(),
-            body=b"",
-            more=False,
-        )
+        open_call = _open_call(1)
         hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", SECRET))
         await stream.send_all(frames.encode(hello) + frames.encode(open_call))
         with trio.fail_after(3):
@@ -184,3 +268,253 @@
         assert clock.monotonic() - started_at < 0.8
         with trio.fail_after(0.5):
             await ended.wait()
+
+
+# Guards against an answer that waits in the socket being lost at the deadline.
+@pytest.mark.usefixtures("scheduling")
+async def test_answer_read_late_after_a_delay_of_the_loop_is_delivered():
+    """The loop stands still from before the answer until after the deadline.
+
+    The check for expired calls and the reading task are then ready at the same
+    time, and either may run first.
+    """
+
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                stream.send_nowait(frames.encode(_answer(frame.call)))
+                time.sleep(0.6)
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        outcome = await links.mailbox.ask(_exchange(address, timeout=0.4))
+    assert isinstance(outcome, model.Answer), outcome
+
+
+# Guards against a confirmation that waits in the socket being taken for late.
+@pytest.mark.usefixtures("scheduling")
+async def test_confirmation_read_late_after_a_delay_of_the_loop_counts():
+    confirmed = []
+
+    async def handler(request):
+        confirmed.append(await request.confirm())
+        return model.Refuse(code=exceptions.SHED, detail="")
+
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        stream.send_nowait(frames.encode(_open_call(1)))
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.Offer):
+                stream.send_nowait(frames.encode(frames.Proceed(call=1)))
+                time.sleep(peer_server.PROCEED_TIMEOUT + 0.2)
+            else:
+                break
+        stream.close()
+    assert confirmed == [True]
+
+
+# Guards against answers that have arrived being discarded on a failed write.
+async def test_answers_that_arrived_before_a_write_error_are_delivered(
+    monkeypatch,
+):
+    """The other node answers, and resets the connection during a long write."""
+    monkeypatch.setattr(http, "RECEIVE_SIZE", 1024)
+    body = b"x" * 4000
+
+    async def serve(stream):
+        opened = 0
+        buffer = frames.FrameBuffer()
+        while opened < 2:
+            for frame in buffer.feed(await stream.receive(1000)):
+                opened += isinstance(frame, frames.OpenCall)
+        await trio.sleep(0.1)
+        answers = (frames.encode(_answer(number, body)) for number in (1, 2))
+        stream.send_nowait(b"".join(answers))
+        # Unread bytes make the kernel reset the connection.
+        stream.close()
+
+    outcomes = []
+
+    async def send(**fields):
+        outcomes.append(await links.mailbox.ask(_exchange(address, **fields)))
+
+    async with (
+        _links() as links,
+        _scripted_peer(serve) as address,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(send)
+        await trio.sleep(0.02)
+        nursery.start_soon(send)
+        await trio.sleep(0.02)
+        nursery.start_soon(lambda: send(body=bytes(3 << 20)))
+    assert [type(o) for o in outcomes[:2]] == [model.Answer, model.Answer]
+    assert outcomes[2].run is model.RunState.UNKNOWN
+
+
+# Guards against a call being sent on a connection that the other node closed.
+async def test_call_after_the_other_node_closed_uses_a_new_connection():
+    streams = []
+
+    async def serve(stream):
+        streams.append(stream)
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                stream.send_nowait(frames.encode(_answer(frame.call)))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        assert isinstance(
+            await links.mailbox.ask(_exchange(address)), model.Answer
+        )
+        for _ in range(3):
+            streams[-1].close()
+            outcome = await links.mailbox.ask(_exchange(address))
+            assert isinstance(outcome, model.Answer), outcome
+    assert len(streams) == 4
+
+
+# Guards against one invalid refusal ending the node with all its calls.
+async def test_refusal_with_an_unknown_run_state_ends_only_its_call():
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                refusal = _refusal(frame.call, run="perhaps")
+                reply = refusal if frame.call == 1 else _answer(frame.call)
+                stream.send_nowait(frames.encode(reply))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        refused = await links.mailbox.ask(_exchange(address, confirm=True))
+        answered = await links.mailbox.ask(_exchange(address))
+    assert refused.run is model.RunState.UNKNOWN
+    assert isinstance(answered, model.Answer)
+
+
+class _BrokenBody:
+    """A request body whose caller resets its connection."""
+
+    async def read(self):
+        await trio.sleep(0.1)
+        raise ConnectionResetError
+
+    async def close(self):
+        pass
+
+
+# Guards against a caller's reset during an upload ending the other calls.
+async def test_reset_of_a_caller_during_an_upload_ends_only_its_call():
+    async def handler(request):
+        assert request.rest is None or await request.confirm()
+        await mailbox.Reply().wait()
+
+    outcomes = []
+
+    async def send(**fields):
+        outcomes.append(await links.mailbox.ask(_exchange(address, **fields)))
+
+    async with (
+        _links() as links,
+        _peer(handler) as address,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(lambda: send(timeout=0.6))
+        nursery.start_soon(lambda: send(confirm=True, rest=_BrokenBody()))
+    assert [o.code for o in outcomes] == [
+        exceptions.BAD_REQUEST,
+        exceptions.DEADLINE_EXCEEDED,
+    ]
+    assert outcomes[0].run is model.RunState.UNKNOWN
+
+
+# Guards against a call with an invalid field getting no outcome at all.
+async def test_call_with_an_unknown_priority_is_refused_as_not_run():
+    async def handler(request):
+        return fakes.answer()
+
+    received = []
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        for call in (
+            _open_call(1, priority=99, confirm=False),
+            _open_call(2, confirm=False),
+        ):
+            stream.send_nowait(frames.encode(call))
+        with trio.move_on_after(1):
+            async for frame in _frames_from(stream):
+                received.append(frame)
+                if len(received) == 2:
+                    break
+        stream.close()
+    refusal, answer = received
+    assert isinstance(refusal, frames.RefuseCall) and refusal.call == 1
+    assert refusal.run == model.RunState.NOT_RUN
+    assert isinstance(answer, frames.AnswerCall) and answer.call == 2
+
+
+# Guards against invalid bytes taking the answers before them along.
+async def test_invalid_bytes_end_a_connection_after_the_frames_before_them(
+    caplog,
+):
+    caplog.set_level("INFO", logger=logs.LOGGER_NAME)
+
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall) and frame.call == 3:
+                answer = frames.encode(_answer(1))
+                stream.send_nowait(answer + b"not a frame")
+
+    outcomes = {}
+
+    async def send(name, **fields):
+        exchange = _exchange(address, **fields)
+        outcomes[name] = await links.mailbox.ask(exchange)
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        with trio.fail_after(1):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send, "answered")
+                await trio.sleep(0.05)
+                nursery.start_soon(send, "sent")
+                await trio.sleep(0.05)
+                nursery.start_soon(lambda: send("not confirmed", confirm=True))
+    assert isinstance(outcomes["answered"], model.Answer)
+    assert outcomes["sent"].run is model.RunState.UNKNOWN
+    assert outcomes["not confirmed"].run is model.RunState.NOT_RUN
+    (closure,) = [r for r in caplog.records if hasattr(r, "place")]
+    assert (closure.place, closure.reason) == ("links", "bad_input")
+    assert "unanswered" in closure.message
+
+
+# Guards against the reader of a streamed answer waiting for ever.
+@pytest.mark.parametrize("second", [_refusal(1), _answer(1, more=True)])
+async def test_a_frame_that_contradicts_a_streamed_answer_ends_its_body(second):
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                first = _answer(1, more=True)
+                stream.send_nowait(frames.encode(first) + frames.encode(second))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        outcome = await links.mailbox.ask(_exchange(address))
+        with (
+            trio.fail_after(1),
+            pytest.raises(exceptions.ConnectionFailedError),
+        ):
+            await outcome.response.rest.read()
+
+
+# Guards against a call that takes the number of another taking its frames.
+async def test_a_number_in_use_ends_the_connection_and_cancels_its_calls():
+    ended = []
+
+    async def handler(request):
+        try:
+            await mailbox.Reply().wait()
+        finally:
+            ended.append(request)
+
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        for _ in range(2):
+            stream.send_nowait(frames.encode(_open_call(1)))
+        with trio.fail_after(1):
+            assert await stream.receive(100) == b""
+    assert len(ended) == 1
