Proofs: disable the mechanism behind "not run" under its present name

tests/mechanisms.py patched dispatch._truthful, which was renamed, so the run without the mechanism ended in an AttributeError that bench/proofs.py counted as the expected failure. It patches reconcile_run_state now, and the test fails for its own reason: NOT_RUN where UNKNOWN is due.

--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -142,7 +142,9 @@
 
 def _truth(patch):
     """A refusal says "not run" although an earlier attempt may have run."""
-    patch.setattr(dispatch, "_truthful", lambda outcome, may_have_run: outcome)
+    patch.setattr(
+        dispatch, "reconcile_run_state", lambda outcome, may_have_run: outcome
+    )
 
 
 def _budget(patch):
