--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -108,6 +108,11 @@
         test="tests/test_mailbox.py -k in_spite",
         without="taken-answers",
     ),
+    Proof(
+        promise="no request is passed on and its connection closed as idle",
+        test="tests/test_idle_close.py",
+        without="input-before-close",
+    ),
 )
 
 
--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -17,6 +17,7 @@
 from sassafrashall.decisions import retries
 from sassafrashall.filters import dispatch
 from sassafrashall.transport import codec
+from sassafrashall.transport import stream_server
 from tests import raft_simulation
 
 
@@ -183,6 +184,15 @@
     patch.setattr(mailbox.Reply, "wait", wait)
 
 
+def _input_before_close(patch):
+    """An idle connection is closed although the bytes of a request wait."""
+
+    def close(self, reason, idle, delay):
+        self._close(reason)
+
+    patch.setattr(stream_server.Connection, "_close_unless_input", close)
+
+
 DISABLE_BY_NAME = {
     "taken-answers": _taken_answers,
     "vote-sync": _vote_sync,
@@ -200,4 +210,5 @@
     "truthful-not-run": _truth,
     "retry-budget": _budget,
     "ticket-signature": _signature,
+    "input-before-close": _input_before_close,
 }
