HTTP connection pool: an exchange given to an idle connection is performed

A call between nodes could stay without an outcome until its caller gave up.

Cause: the task of a kept connection ended after its idle time-out without a look at its queue. The pool offers the connection until that task runs; an exchange that was submitted between the time-out and the task's turn stayed in the queue, where nobody performed or refused it.

The task looks into its queue after a time-out, and it is out of the pool before any other task runs.

--- a/src/sassafrashall/controllers/connections.py
+++ b/src/sassafrashall/controllers/connections.py
@@ -72,11 +72,7 @@
     async def run(self) -> None:
         """Performs exchanges until the connection cannot be reused."""
         try:
-            while True:
-                with trio.move_on_after(IDLE_TIMEOUT) as idle_scope:
-                    pending = await self._receive_channel.receive()
-                if idle_scope.cancelled_caught:
-                    break
+            while (pending := await self._next_exchange()) is not None:
                 if not await self._perform(pending):
                     break
                 self._pool.on_idle(self._address, self)
@@ -88,6 +84,20 @@
                 with trio.CancelScope(shield=True):
                     await self._connection.close()
 
+    async def _next_exchange(self) -> _PendingExchange | None:
+        """Returns the next exchange; None if there is none for too long.
+
+        Raises:
+          trio.EndOfChannel: The connection has been retired.
+        """
+        with trio.move_on_after(IDLE_TIMEOUT):
+            return await self._receive_channel.receive()
+        try:
+            # One may have been submitted since the timeout.
+            return self._receive_channel.receive_nowait()
+        except trio.WouldBlock:
+            return None
+
     async def _perform(self, pending: _PendingExchange) -> bool:
         """Performs one exchange; returns whether the connection is reusable."""
         message = pending.message
