HTTP client: a response that has arrived is read at a late time-out

A call between nodes failed as if its peer were silent, with an unknown outcome, although the response was in the socket.

Cause: the time-outs for progress and for 100 Continue end the wait without a look at the socket. When the loop runs late, bytes may have arrived between its last poll of the sockets and its timers. The same failure retires all idle connections to that peer.

The client reads what is there before it calls the peer silent. The check for readability is shared with the server and moves to the common module.

--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Iterable
 import dataclasses
+import select
+
+import trio
 
 from sassafrashall import model
 
@@ -70,6 +73,16 @@
     return b"".join(parts)
 
 
+def is_readable(stream: trio.SocketStream) -> bool:
+    """Returns whether bytes, or the end of the stream, wait to be read."""
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> model.Headers:
     """Decodes the names and values of headers."""
     return tuple(
--- a/src/sassafrashall/transport/http_client.py
+++ b/src/sassafrashall/transport/http_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import select
 
 import h11
 import trio
@@ -62,15 +61,9 @@
     @property
     def reusable(self) -> bool:
         """Whether the connection is idle and the peer has not closed it."""
-        if not self.idle:
-            return False
+        is_open = self._stream.socket.fileno() >= 0
         # An idle connection that is readable was closed by the peer.
-        descriptor = self._stream.socket.fileno()
-        if descriptor < 0:
-            return False
-        poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
-        return not poll.poll(0)
+        return self.idle and is_open and not http.is_readable(self._stream)
 
     async def exchange(
         self,
@@ -138,9 +131,11 @@
         with trio.move_on_after(CONTINUE_TIMEOUT) as scope:
             event = await self._next_event()
         if scope.cancelled_caught:
-            raise exceptions.ConnectionFailedError(
-                "peer is silent", maybe_delivered=False, unresponsive=True
-            )
+            if not http.is_readable(self._stream):
+                raise exceptions.ConnectionFailedError(
+                    "peer is silent", maybe_delivered=False, unresponsive=True
+                )
+            event = await self._next_event()
         if isinstance(event, h11.Response):
             # After a final response in place of 100, the body is not sent and
             # the connection is not reused.
@@ -173,6 +168,10 @@
             return await self._stream.receive_some(http.RECEIVE_SIZE)
         with trio.move_on_after(self._receive_timeout):
             return await self._stream.receive_some(http.RECEIVE_SIZE)
+        # The loop may run long after the timeout, and the bytes may have been
+        # in time.
+        if http.is_readable(self._stream):
+            return await self._stream.receive_some(http.RECEIVE_SIZE)
         raise exceptions.ConnectionFailedError(
             "peer is silent",
             maybe_delivered=self._maybe_delivered,
--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 import dataclasses
 import math
-import select
 
 import h11
 import trio
@@ -88,17 +87,7 @@
     @property
     def _is_idle(self) -> bool:
         """Whether no request is in progress and no byte of one has arrived."""
-        return not self._busy and not self._is_readable
-
-    @property
-    def _is_readable(self) -> bool:
-        """Whether bytes, or the end of the stream, wait in the socket."""
-        descriptor = self._stream.socket.fileno()
-        if descriptor < 0:
-            return False
-        poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
-        return bool(poll.poll(0))
+        return not self._busy and not http.is_readable(self._stream)
 
     @property
     def _has_queued_input(self) -> bool:
@@ -245,7 +234,7 @@
             return True
         # The loop may run long after the deadline, and the bytes may have been
         # in time.
-        if not self._has_queued_input and not self._is_readable:
+        if not self._has_queued_input and not http.is_readable(self._stream):
             return False
         self._protocol.receive_data(await self._receive_chunk())
         return True
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,3 +1,6 @@
+import socket
+import time
+
 import pytest
 import trio
 
@@ -113,3 +116,43 @@
         await server.close()
         await trio.sleep(0.05)
         assert not connection.reusable
+
+
+@pytest.mark.parametrize("confirm", [False, True])
+async def test_a_peer_that_responds_before_a_late_timeout_is_not_silent(
+    monkeypatch, confirm
+):
+    """Guards against a response that is dropped although it has arrived.
+
+    After a stall of the event loop, the timeout ended the wait for bytes that
+    were in the socket.
+    """
+    monkeypatch.setattr(http_client, "PROGRESS_TIMEOUT", 0.2)
+    monkeypatch.setattr(http_client, "CONTINUE_TIMEOUT", 0.2)
+    responses = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        connection = await loopback.connect(model.Address(host=host, port=port))
+        peer, _ = listener.accept()
+
+        async def exchange():
+            responses.append(
+                await connection.exchange(
+                    _request("POST", b"body"),
+                    confirm=confirm,
+                    expect_progress=True,
+                )
+            )
+
+        with peer:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(exchange)
+                await trio.sleep(0.05)
+                loopback.SendAfterPoll(
+                    [peer],
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                    at=trio.current_time() + 0.3,
+                )
+                time.sleep(0.4)
+        await connection.close()
+    assert [response.body for response in responses] == [b"ok"]
