Interim responses and answers to other requests have a bound

An upstream that sends interim responses, or the body of an answer to another request, without end kept the node's processor busy until the deadline of the request: 2.02 s and 1.57 s of a deadline of 2 s, during which every other request of the node waited.

An exchange accepts 1000 interim responses and 1 MiB before its answer begins; beyond that it fails as one that may have run. A late answer up to that size is skipped as before.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -23,6 +23,7 @@
 # Bytes of chunk framing accepted for each byte of a body; a chunk of one byte
 # has at least five.
 FRAMING_RATIO = 16
+MAX_INTERIM_RESPONSES = 1000  # before a final response
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -273,6 +274,7 @@
         self.without_body = False
         self._ends_with_connection = False
         self._is_interim = False
+        self._interim_count = 0
 
     @property
     def at_boundary(self) -> bool:
@@ -286,6 +288,10 @@
           ProtocolError: The bytes are not a valid response.
         """
         self._feed(self._parser, data)
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            raise exceptions.ProtocolError(
+                exceptions.UPSTREAM_FAILED, "too many interim responses"
+            )
 
     def _on_upgrade(self, rest: bytes) -> None:
         raise exceptions.ProtocolError(
@@ -304,7 +310,9 @@
         self._in_head = False
         self._is_interim = status < 200
         if self._is_interim:
+            self._interim_count += 1
             return
+        self._interim_count = 0
         chunked = "chunked" in self._encoding.lower()
         length = None
         if not chunked and self._length.isdigit():
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -19,6 +19,8 @@
 IDLE_MARGIN = 2.0  # seconds of the upstream's idle timeout that stay unused
 DEFAULT_KEEP_ALIVE = 5.0  # seconds, if the upstream sends no Keep-Alive timeout
 MAX_STRAY_ANSWERS = 4  # answers to other requests that are skipped
+# Bytes of interim responses and answers to other requests before an answer.
+MAX_SKIPPED_SIZE = 1024 * 1024
 MAX_FAILED_IDS = 64  # error responses after which a connection is replaced
 # Seconds within which the kernel resets a connection that the upstream, on the
 # same VM, had closed before the request was sent. After a later reset the
@@ -45,6 +47,7 @@
         self.parts: list[bytes] = []
         self.size = 0
         self.stray_count = 0
+        self.skipped_size = 0
         self.skipping_stray = False
         # Whether the deadline has passed while bytes waited to be read.
         self.overdue = False
@@ -220,6 +223,9 @@
                 self._parser.feed(data)
             else:
                 self._parser.feed_eof()
+            exchange = self._exchange
+            if exchange.head is None:
+                exchange.skipped_size += len(data)
             while (event := self._parser.next_event()) is not None:
                 self._on_event(event)
                 if self._streamed_body is not None:
@@ -230,6 +236,10 @@
                     self._on_idle(self)
             if not data or not self._open:
                 return
+            if exchange.head is None and (
+                exchange.skipped_size > MAX_SKIPPED_SIZE
+            ):
+                raise _protocol_error("too many bytes before an answer")
 
     def _on_event(self, event: http1.Event) -> None:
         exchange = self._exchange
