Controllers: no message is handled once their child tasks have ended

The children of a controller ended before its mailbox closed, and a message in between was handled and started a child in a closed nursery.

The mailbox now closes in the step that cancels the task, and with the body of the nursery if the task is cancelled from outside. A later message gets MailboxClosedError. A child that sends its last result to its own ending task does not fail the close.

The test sends a message each time that a task has ended.

--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -157,6 +157,11 @@
         self._closed = False
         self._queue: collections.deque[Envelope] = collections.deque()
 
+    @property
+    def closed(self) -> bool:
+        """Whether new messages are refused."""
+        return self._closed
+
     def tell(self, message: Any) -> None:
         """Sends a message that needs no answer."""
         self._deliver(message, NO_REPLY)
@@ -231,6 +236,8 @@
 
         Senders get `MailboxClosedError`.
         """
+        if self._closed:
+            return
         self._closed = True
         self._receiver = None
         self._send_channel.close()
--- a/src/sassafrashall/task.py
+++ b/src/sassafrashall/task.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sassafrashall import exceptions
 from sassafrashall import mailbox as mailbox_module
 
 
@@ -35,8 +36,10 @@
         await nursery.start(self._run)
 
     async def close(self) -> None:
-        """Cancels the task and its child tasks and waits for their end."""
+        """Refuses messages, cancels the task and its child tasks, and waits."""
+        # A wait for the next message must end as cancelled.
         self._scope.cancel()
+        self._mailbox.close()
         await self._ended.wait()
 
     async def _run(
@@ -45,9 +48,14 @@
         try:
             with self._scope:
                 async with trio.open_nursery() as self._children:
-                    await self._setup()
-                    task_status.started()
-                    await self._receive_messages()
+                    try:
+                        await self._setup()
+                        task_status.started()
+                        await self._receive_messages()
+                    finally:
+                        # A message after the end of the child tasks could
+                        # start no other one.
+                        self._mailbox.close()
         finally:
             self._mailbox.close()
             with trio.CancelScope(shield=True):
@@ -65,7 +73,15 @@
     def _spawn(self, function: Any, *args: Any) -> None:
         """Runs an asynchronous function in a child task."""
         assert self._children is not None
-        self._children.start_soon(function, *args)
+        self._children.start_soon(self._run_child, function, *args)
+
+    async def _run_child(self, function: Any, *args: Any) -> None:
+        try:
+            await function(*args)
+        except* exceptions.MailboxClosedError:
+            # A child task may send its result while the task is ending.
+            if not self._mailbox.closed:
+                raise
 
     async def _setup(self) -> None:
         """Opens the resources of the task, before the first message."""
--- a/tests/test_mailbox.py
+++ b/tests/test_mailbox.py
@@ -70,6 +70,60 @@
         await counter.mailbox.ask("x")
 
 
+class _Spawning(task.Controller):
+    """Starts a child task for each message."""
+
+    def _handle(self, message, reply):
+        self._spawn(trio.sleep_forever)
+        reply.put(None)
+
+
+class _SendOnTaskExit(trio.abc.Instrument):
+    """Sends a message whenever a task has ended; keeps the errors' types."""
+
+    def __init__(self, target):
+        self._target = target
+        self.errors = []
+
+    def task_exited(self, task):
+        try:
+            self._target.tell("late")
+        except Exception as error:
+            self.errors.append(type(error))
+
+
+# Guards against a message between the end of the children and of the mailbox.
+async def test_message_during_the_close_of_a_task_starts_no_child():
+    spawning = _Spawning()
+    async with fakes.started(spawning):
+        await spawning.mailbox.ask("x")
+        late = _SendOnTaskExit(spawning.mailbox)
+        trio.lowlevel.add_instrument(late)
+        await spawning.close()
+        trio.lowlevel.remove_instrument(late)
+    assert set(late.errors) == {exceptions.MailboxClosedError}
+
+
+class _Reporting(task.Controller):
+    """Has a child task that sends a message when it is cancelled."""
+
+    async def _setup(self):
+        self._spawn(self._report)
+
+    async def _report(self):
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.mailbox.tell("the end")
+
+
+async def test_child_that_sends_to_its_ending_task_does_not_fail_the_close():
+    reporting = _Reporting()
+    async with fakes.started(reporting):
+        await trio.testing.wait_all_tasks_blocked()
+    assert reporting.mailbox.closed
+
+
 async def test_messages_sent_before_the_start_are_handled():
     counter = _Counter()
     counter.mailbox.tell("early")
