Peer links: a call that waits for a connection ends with its link

What callers saw: no outcome at all, until the connection closed, for calls whose link was still connecting when the node stopped. The call has not been sent, so it is now refused as not run.

The test was seen to fail without the fix: no outcome within 1 s.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -74,17 +74,21 @@
 
     async def run(self) -> None:
         """Connects, and performs calls until the connection ends."""
+        failure = "the link was closed before there was a connection"
         try:
             self._connection = await peer_connection.PeerConnection.open(
                 self._address
             )
         except exceptions.ConnectionFailedError as error:
-            self._links.on_ended(self._address, self)
-            for call in self._unopened:
-                call.reply.put(
-                    _refusal(exceptions.PEER_UNREACHABLE, str(error), False)
-                )
+            failure = str(error)
             return
+        finally:
+            if self._connection is None:
+                self._links.on_ended(self._address, self)
+                for call in self._unopened:
+                    call.reply.put(
+                        _refusal(exceptions.PEER_UNREACHABLE, failure, False)
+                    )
         self._connection.send(
             frames.Hello(
                 vm=self._vm, proof=hello_proof(self._vm, self._links.secret)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import clock
 from sassafrashall import connection_log
@@ -518,3 +519,24 @@
         with trio.fail_after(1):
             assert await stream.receive(100) == b""
     assert len(ended) == 1
+
+
+# Guards against a call that waits for a connection getting no outcome at all.
+async def test_close_during_a_connect_reports_the_call_as_not_run(monkeypatch):
+    async def connect(address):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(sockets, "connect", connect)
+    outcomes = []
+
+    async def send():
+        exchange = _exchange(loopback.free_address())
+        outcomes.append(await links.mailbox.ask(exchange))
+
+    async with _links() as links, trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        await trio.testing.wait_all_tasks_blocked()
+        await links.close()
+        nursery.cancel_scope.deadline = trio.current_time() + 1
+    (outcome,) = outcomes
+    assert outcome.run is model.RunState.NOT_RUN
