--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak of a routed fleet of real processes on loopback."""
--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,61 @@
+"""Command line of the fault soak."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import pathlib
+import sys
+import tempfile
+
+import trio
+
+from bench.soak import planner
+from bench.soak import soak
+
+
+def main() -> int:
+    """Runs soaks; the exit status is 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="python -m bench.soak")
+    parser.add_argument("--seed", type=int, help="runs this seed only")
+    parser.add_argument(
+        "--seeds", default="1..1", metavar="A..B", help="first and last seed"
+    )
+    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--connections", type=int, default=16)
+    parser.add_argument(
+        "--seconds", type=float, default=20.0, help="length of one plan"
+    )
+    parser.add_argument(
+        "--logs", type=pathlib.Path, help="folder for the logs of each seed"
+    )
+    options = parser.parse_args()
+    first, last = map(int, options.seeds.split(".."))
+    seeds = range(first, last + 1)
+    if options.seed is not None:
+        seeds = range(options.seed, options.seed + 1)
+    broken = 0
+    for seed in seeds:
+        plan = planner.make_plan(
+            seed=seed,
+            nodes=options.nodes,
+            seconds=options.seconds,
+            connections=options.connections,
+        )
+        folder = pathlib.Path(
+            tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.logs)
+        )
+        result = trio.run(soak.Soak(plan=plan, folder=folder).run)
+        rules = collections.Counter(v.rule for v in result.violations)
+        broken += bool(rules)
+        print(
+            f"seed {seed}: {dict(rules) or 'no promise broken'}; "
+            f"{result.counts}; own delay {result.max_delay:.2f} s; {folder}",
+            flush=True,
+        )
+    print(f"{broken} of {len(seeds)} seeds broke a promise")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/soak/checker.py
@@ -0,0 +1,308 @@
+"""Judges promises by what callers and upstreams saw."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import math
+
+from bench.soak import model
+from bench.soak import operators
+
+
+class Checker:
+    """Collects observations and reports each broken promise once.
+
+    Attributes:
+      violations: The promises broken so far.
+      counts: Number of observations by their class, of answers by their status.
+    """
+
+    def __init__(
+        self,
+        *,
+        bounds: model.Bounds | None = None,
+        on_violation: Callable[[model.Violation], None] = lambda _: None,
+    ) -> None:
+        self._bounds = bounds or model.Bounds()
+        self._on_violation = on_violation
+        self._sent: dict[str, model.Sent] = {}
+        self._runs: dict[str, list[model.Ran]] = {}
+        self._answers: dict[str, model.Answered] = {}
+        self._unjudged: list[model.Closed] = []
+        self._faults: dict[int, model.FaultBegan] = {}
+        self._fault_ends: dict[int, float] = {}
+        self._started: dict[str, float] = {}
+        self._proposed: dict[int, model.Proposed] = {}
+        self._acknowledged: dict[int, float] = {}
+        self._withdrawn: dict[str, float] = {}
+        self._seen: dict[str, tuple[int, float]] = {}
+        self.violations: list[model.Violation] = []
+        self.counts: dict[str, int] = {}
+
+    def add(self, observation: model.Observation) -> None:
+        """Takes in an observation and judges what it shows at once."""
+        name = type(observation).__name__
+        if isinstance(observation, model.Answered):
+            name = str(observation.status)
+        self.counts[name] = self.counts.get(name, 0) + 1
+        match observation:
+            case model.Sent():
+                self._sent[observation.request_id] = observation
+            case model.Answered():
+                self._answers[observation.request_id] = observation
+                self._judge_answer(observation)
+            case model.Closed():
+                self._unjudged.append(observation)
+            case model.Unasked(vm=vm, at=at, data=data):
+                self._break("MIXED", at, "", vm, f"bytes not due: {data!r}")
+            case model.Ran():
+                self._judge_run(observation)
+            case model.Proposed():
+                self._proposed[observation.version] = observation
+            case model.Acknowledged(version=version, at=at):
+                self._acknowledge(version, at)
+            case model.Refused(version=version, at=at, status=status):
+                self._break(
+                    "CONFIG", at, "", "", f"r{version} refused: {status}"
+                )
+            case model.Probed():
+                self._judge_probe(observation)
+            case model.Read(vm=vm, at=at, version=version):
+                due = self._newest_acknowledged(at - self._bounds.apply)
+                if version < due:
+                    self._break(
+                        "CONFIG", at, "", vm, f"read r{version}, not r{due}"
+                    )
+            case model.FaultBegan(number=number):
+                self._faults[number] = observation
+            case model.FaultEnded(number=number, at=at):
+                self._fault_ends[number] = at
+            case model.Started(vm=vm, at=at):
+                self._started[vm] = at
+                self._seen.pop(vm, None)
+            case model.Exited():
+                self._judge_exit(observation)
+
+    def judge_closed(self, now: float) -> None:
+        """Judges the connections that closed early, once it is clear.
+
+        An upstream may begin with a request after its caller lost it; what
+        closed less than the settle time before `now` waits.
+        """
+        waiting = []
+        for closed in self._unjudged:
+            if now - closed.at > self._bounds.settle:
+                self._judge_closed(closed)
+            else:
+                waiting.append(closed)
+        self._unjudged = waiting
+
+    def judge_end(self, now: float, version: int) -> None:
+        """Judges the version that was read back at the end."""
+        due = self._newest_acknowledged(now)
+        if version < due:
+            self._break(
+                "LOST", now, "", "", f"r{version} at the end, not {due}"
+            )
+
+    def _break(
+        self, rule: str, at: float, request_id: str, node: str, detail: str
+    ) -> None:
+        violation = model.Violation(
+            rule=rule, at=at, request_id=request_id, node=node, detail=detail
+        )
+        self.violations.append(violation)
+        self._on_violation(violation)
+
+    def _faults_at(
+        self, vm: str, began: float, ended: float
+    ) -> tuple[model.FaultBegan, ...]:
+        """Returns the faults of a VM that acted in a span of time."""
+        return tuple(
+            fault
+            for number, fault in self._faults.items()
+            if fault.vm == vm
+            and fault.at <= ended
+            and self._fault_ends.get(number, math.inf) >= began
+        )
+
+    def _is_in_touch(self, vm: str, began: float, ended: float) -> bool:
+        """Whether a node and all controls ran without a fault."""
+        since = began - self._bounds.contact
+        return not any(
+            self._faults_at(name, since, ended)
+            for name in {f.vm for f in self._faults.values()}
+            if name == vm or name.startswith("control")
+        )
+
+    # --- requests ------------------------------------------------------------
+
+    def _judge_run(self, run: model.Ran) -> None:
+        if run.request_id.startswith(operators.PROBE_ID):
+            return
+        sent = self._sent.get(run.request_id)
+        runs = self._runs.setdefault(run.request_id, [])
+        runs.append(run)
+        if sent is None or (sent.target, sent.body) != (run.target, run.body):
+            self._break("UNASKED", run.at, run.request_id, run.vm, run.target)
+            return
+        if len(runs) > 1 and not sent.idempotent:
+            detail = f"ran at {[r.vm for r in runs]}"
+            self._break("TWICE", run.at, run.request_id, sent.vm, detail)
+        answer = self._answers.get(run.request_id)
+        if answer and answer.status in model.REFUSALS:
+            self._break_refused(sent, answer)
+        withdrawn_at = self._withdrawn.get(sent.key, math.inf)
+        if sent.at > withdrawn_at + self._bounds.revoke:
+            detail = f"{sent.key} ran {sent.at - withdrawn_at:.2f} s too late"
+            self._break("REVOKE", run.at, run.request_id, sent.vm, detail)
+
+    def _break_refused(self, sent: model.Sent, answer: model.Answered) -> None:
+        self._break(
+            "REFUSED",
+            answer.at,
+            sent.request_id,
+            sent.vm,
+            f"status {answer.status}, "
+            f"idempotent: {sent.idempotent}, "
+            f"ran at {[run.vm for run in self._runs[sent.request_id]]}",
+        )
+
+    def _judge_answer(self, answer: model.Answered) -> None:
+        sent = self._sent[answer.request_id]
+        runs = self._runs.get(answer.request_id, [])
+        if answer.status in model.REFUSALS and runs:
+            self._break_refused(sent, answer)
+        if answer.answered_id not in ("", answer.request_id):
+            self._break(
+                "MIXED",
+                answer.at,
+                answer.request_id,
+                sent.vm,
+                f"answer to {answer.answered_id}",
+            )
+        elif answer.status == 200 and (
+            answer.body != model.answer_body(sent.request_id, sent.size)
+            or answer.signature
+            not in {model.signature(sent.request_id, run.vm) for run in runs}
+        ):
+            self._break(
+                "MIXED",
+                answer.at,
+                answer.request_id,
+                sent.vm,
+                f"{len(answer.body)} of {sent.size} bytes, signature "
+                f"{answer.signature!r}, ran at {[run.vm for run in runs]}",
+            )
+        elif answer.status != 200 and answer.signature:
+            self._break(
+                "MIXED",
+                answer.at,
+                answer.request_id,
+                sent.vm,
+                f"status {answer.status} with {answer.signature!r}",
+            )
+
+    def _judge_closed(self, closed: model.Closed) -> None:
+        sent = self._sent[closed.request_id]
+        runs = self._runs.get(closed.request_id, [])
+        if not runs:
+            return
+        settle = self._bounds.settle
+        faults = self._faults_at(sent.vm, sent.at - settle, closed.at + 0.1)
+        rule = "LOST"
+        for fault in faults:
+            match fault.fault:
+                case model.Kill() if fault.at <= closed.at + 0.1:
+                    return
+                case model.Stop() if closed.at > fault.at + (
+                    self._bounds.grace - self._bounds.grace_end
+                ):
+                    return
+                case model.Pause():
+                    rule = "LOST_PAUSED"
+        # The end of a cut answer must show that it is cut. With no byte of
+        # it sent, the node has to answer whatever the upstream does.
+        if closed.received and not all(self._is_sound(r, closed) for r in runs):
+            return
+        self._break(
+            rule,
+            closed.at,
+            closed.request_id,
+            sent.vm,
+            f"use {sent.use} of its connection, {closed.received} bytes "
+            f"received {closed.at - sent.at:.3f} s after it was sent, ran at "
+            f"{[(run.vm, run.sound) for run in runs]}, faults "
+            f"{[fault.fault for fault in faults]}",
+        )
+
+    def _is_sound(self, run: model.Ran, closed: model.Closed) -> bool:
+        since = run.at - self._bounds.settle
+        return run.sound and not self._faults_at(run.vm, since, closed.at)
+
+    # --- configurations ------------------------------------------------------
+
+    def _acknowledge(self, version: int, at: float) -> None:
+        self._acknowledged[version] = at
+        older = self._proposed.get(version - 1)
+        if older is not None:
+            for key in older.keys - self._proposed[version].keys:
+                self._withdrawn[key] = at
+
+    def _newest_acknowledged(self, by: float) -> int:
+        return max(
+            (v for v, at in self._acknowledged.items() if at <= by), default=0
+        )
+
+    def _judge_probe(self, probe: model.Probed) -> None:
+        seen, seen_at = self._seen.get(probe.vm, (0, math.inf))
+        if probe.in_force:
+            if probe.version > seen:
+                self._seen[probe.vm] = probe.version, probe.answered_at
+            return
+        if max(self._proposed) > probe.version:
+            return  # a newer version may be in force
+        if self._started.get(probe.vm, math.inf) > probe.at:
+            return
+        if (
+            seen == probe.version
+            and probe.at > seen_at + self._bounds.rollback_slack
+        ):
+            self._break(
+                "CONFIG", probe.at, "", probe.vm, f"r{seen} is no more in force"
+            )
+        age = probe.at - self._acknowledged[probe.version]
+        if age > self._bounds.apply and self._is_in_touch(
+            probe.vm, probe.at, probe.answered_at
+        ):
+            self._break(
+                "CONFIG",
+                probe.at,
+                "",
+                probe.vm,
+                f"r{probe.version} not in force {age:.2f} s after its ack",
+            )
+
+    # --- processes -----------------------------------------------------------
+
+    def _judge_exit(self, exited: model.Exited) -> None:
+        if not exited.told:
+            self._break(
+                "FAULT", exited.at, "", exited.vm, f"exit {exited.status}"
+            )
+            return
+        for fault in self._faults_at(exited.vm, exited.at, exited.at):
+            match fault.fault:
+                case model.Stop() if not any(
+                    isinstance(other.fault, (model.Kill, model.Pause))
+                    for other in self._faults_at(exited.vm, fault.at, exited.at)
+                ):
+                    took = exited.at - fault.at
+                    if took > self._bounds.grace or exited.status != 0:
+                        self._break(
+                            "DRAIN",
+                            exited.at,
+                            "",
+                            exited.vm,
+                            f"exit {exited.status} {took:.2f} s after SIGTERM",
+                        )
--- /dev/null
+++ b/bench/soak/fleet.py
@@ -0,0 +1,240 @@
+"""The daemons of a soak, each a process that signals can reach."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import itertools
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from ruamel import yaml
+import trio
+
+from bench import fleet as bench_fleet
+from bench.soak import model as soak_model
+from sassafrashall import model
+
+POLL_INTERVAL = 0.02  # seconds between checks for processes that ended
+SECRET = "a-secret-of-the-soak"
+NODE_POLICY = {
+    "limit": "fixed",
+    "queue": "calls-first",
+    "routing": "least-loaded",
+    "retries": "arrivals",
+    "early_shed": "none",
+}
+
+
+class Daemons:
+    """Starts, signals and watches the processes of controls and nodes."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        report: Callable[[soak_model.Observation], None],
+    ) -> None:
+        self._folder = folder
+        self._report = report
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._told: set[str] = set()
+        self._numbers = itertools.count(1)
+        self._busy: set[str] = set()
+
+    @property
+    def vms(self) -> tuple[str, ...]:
+        """The VMs with a process that runs."""
+        return tuple(self._processes)
+
+    def write_control(
+        self,
+        vm: str,
+        *,
+        listen: dict[str, model.Address],
+        seeds: list[model.Address],
+    ) -> None:
+        """Writes the settings of a control."""
+        self._write(
+            vm,
+            listen,
+            seeds,
+            role="control",
+            operator_secret=f"{SECRET}-operator",
+            data_folder=str(self._folder / f"{vm}-data"),
+            routed={"first_start": True},
+        )
+
+    def write_node(
+        self,
+        vm: str,
+        *,
+        listen: dict[str, model.Address],
+        seeds: list[model.Address],
+        service: str,
+        upstream: model.Address,
+    ) -> None:
+        """Writes the settings of a node."""
+        bounds = soak_model.Bounds()
+        self._write(
+            vm,
+            listen,
+            seeds,
+            role="node",
+            policy=NODE_POLICY,
+            routed={
+                "service": service,
+                "upstream": str(upstream),
+                "strict_withdrawal": True,
+                "withdrawal": f"{bounds.revoke}s",
+                "grace": f"{bounds.grace}s",
+            },
+        )
+
+    def _write(
+        self,
+        vm: str,
+        listen: dict[str, model.Address],
+        seeds: list[model.Address],
+        **fields: object,
+    ) -> None:
+        document = {
+            "vm": vm,
+            "data_centre": "dc-a",
+            "fleet_secret": SECRET,
+            "seeds": [str(seed) for seed in seeds],
+            "listen": {name: str(value) for name, value in listen.items()},
+        }
+        path = self._folder / f"{vm}.yaml"
+        with path.open("w", encoding="utf-8") as file:
+            yaml.YAML().dump(document | fields, file)
+
+    def log_path(self, vm: str) -> pathlib.Path:
+        """Returns the path of the log of all processes of a VM."""
+        return self._folder / f"{vm}.log"
+
+    def start(self, vm: str) -> None:
+        """Starts the process of a VM."""
+        command = [sys.executable, "-m", "sassafrashall.daemon", "--settings"]
+        with self.log_path(vm).open("ab") as log:
+            self._processes[vm] = subprocess.Popen(
+                [*command, str(self._folder / f"{vm}.yaml")],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self._told.discard(vm)
+        self._report(soak_model.Started(vm=vm, at=time.monotonic()))
+
+    async def watch(self) -> None:
+        """Reports each process that ends, until cancelled."""
+        while True:
+            await trio.sleep(POLL_INTERVAL)
+            self._collect_exits()
+
+    def _collect_exits(self) -> None:
+        for vm, process in list(self._processes.items()):
+            if process.poll() is not None:
+                del self._processes[vm]
+                self._report(
+                    soak_model.Exited(
+                        vm=vm,
+                        at=time.monotonic(),
+                        status=process.returncode,
+                        told=vm in self._told,
+                    )
+                )
+
+    def _signal(self, vm: str, number: signal.Signals) -> None:
+        process = self._processes.get(vm)
+        if process is not None and process.poll() is None:
+            if number in (signal.SIGTERM, signal.SIGKILL):
+                self._told.add(vm)
+            process.send_signal(number)
+
+    def begin(self, vm: str, fault: soak_model.Fault) -> int:
+        """Reports that a fault begins and returns its number."""
+        number = next(self._numbers)
+        self._report(
+            soak_model.FaultBegan(
+                number=number, at=time.monotonic(), vm=vm, fault=fault
+            )
+        )
+        return number
+
+    def end(self, number: int) -> None:
+        """Reports that a fault ended."""
+        self._report(soak_model.FaultEnded(number=number, at=time.monotonic()))
+
+    async def hang_up(self, vm: str) -> None:
+        """Sends SIGHUP."""
+        self._signal(vm, signal.SIGHUP)
+
+    async def pause(self, fault: soak_model.Pause) -> None:
+        """Stops a process from running for some seconds."""
+        number = self.begin(fault.vm, fault)
+        process = self._processes.get(fault.vm)
+        self._signal(fault.vm, signal.SIGSTOP)
+        await trio.sleep(fault.seconds)
+        if process is self._processes.get(fault.vm):
+            self._signal(fault.vm, signal.SIGCONT)
+        self.end(number)
+
+    async def kill(self, fault: soak_model.Kill) -> None:
+        """Kills a process; starts it again unless another fault does."""
+        number = self.begin(fault.vm, fault)
+        self._signal(fault.vm, signal.SIGKILL)
+        await self._wait_exit(fault.vm)
+        if fault.vm not in self._busy:
+            self._busy.add(fault.vm)
+            await trio.sleep(fault.down)
+            self.start(fault.vm)
+            self._busy.discard(fault.vm)
+        self.end(number)
+
+    async def stop(self, fault: soak_model.Stop, *, again: bool = True) -> None:
+        """Stops a process as planned, and starts it again if `again`."""
+        if fault.vm in self._busy or fault.vm not in self._processes:
+            return
+        self._busy.add(fault.vm)
+        number = self.begin(fault.vm, fault)
+        self._signal(fault.vm, signal.SIGTERM)
+        with trio.move_on_after(soak_model.Bounds().grace):
+            await self._wait_exit(fault.vm)
+        if fault.vm in self._processes:
+            kill = self.begin(
+                fault.vm, soak_model.Kill(vm=fault.vm, down=fault.down)
+            )
+            self._signal(fault.vm, signal.SIGKILL)
+            await self._wait_exit(fault.vm)
+            self.end(kill)
+        if again:
+            await trio.sleep(fault.down)
+            self.start(fault.vm)
+        self._busy.discard(fault.vm)
+        self.end(number)
+
+    async def _wait_exit(self, vm: str) -> None:
+        while vm in self._processes:
+            await trio.sleep(POLL_INTERVAL)
+
+    def close(self) -> None:
+        """Kills every process that still runs."""
+        for vm, process in self._processes.items():
+            self._signal(vm, signal.SIGKILL)
+            process.wait()
+
+
+def last_lines(path: pathlib.Path, text: str, count: int = 5) -> list[str]:
+    """Returns the last lines of a log that contain a text."""
+    if not path.exists():
+        return []
+    lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
+    return [line for line in lines if text in line][-count:]
+
+
+def reserve(count: int) -> list[model.Address]:
+    """Returns free loopback addresses."""
+    return bench_fleet.free_addresses(count)
--- /dev/null
+++ b/bench/soak/model.py
@@ -0,0 +1,432 @@
+"""Data of the soak: its plan, its faults, and what was seen from outside."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TypeAlias
+
+REFUSALS = frozenset({408, 421, 429, 503})  # promise that nothing has run
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """Stated targets of the users' rules, all in seconds.
+
+    Attributes:
+      apply: From the acknowledgement of a configuration until it is in force.
+      contact: Time without a fault after which a process is in touch.
+      revoke: From the acknowledgement of a withdrawal until a key stops.
+      rollback_slack: Time after which a version that was seen stays in force.
+      grace: From SIGTERM to SIGKILL.
+      grace_end: Part of the grace period at whose end requests may be cut.
+      settle: Time for which the effects of a fault last at its own process.
+      route_timeout: Timeout of every route.
+    """
+
+    apply: float = 2.0
+    contact: float = 3.0
+    revoke: float = 5.0
+    rollback_slack: float = 0.25
+    grace: float = 6.0
+    grace_end: float = 1.0
+    settle: float = 1.0
+    route_timeout: float = 4.0
+
+
+# --- faults ------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pause:
+    """SIGSTOP, and SIGCONT after `seconds`."""
+
+    vm: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stop:
+    """SIGTERM, SIGKILL after the grace period, and a start after `down`."""
+
+    vm: str
+    down: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kill:
+    """SIGKILL, and a start after `down` seconds."""
+
+    vm: str
+    down: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HangUp:
+    """SIGHUP."""
+
+    vm: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeIdle:
+    """A configuration with another idle timeout, in seconds."""
+
+    idle: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplaceKey:
+    """A configuration that withdraws the oldest key and adds one."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeStorm:
+    """Configurations in quick succession, one for each idle timeout."""
+
+    idles: tuple[float, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Delay:
+    """Each piece of data is held for some seconds."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reset:
+    """Open connections are reset."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CutOneWay:
+    """Data in one direction is held until the fault ends."""
+
+    to_target: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Silence:
+    """Data in both directions is held until the fault ends."""
+
+
+LinkFault: TypeAlias = Delay | Reset | CutOneWay | Silence
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DisturbLink:
+    """A fault of the link to a control, or from a node to its upstream."""
+
+    vm: str
+    how: LinkFault
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SecondAnswer:
+    """An answer comes again where the next one is due."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RepeatedRefusal:
+    """A refusal comes again where the next answer is due."""
+
+    with_id: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CutAnswer:
+    """The connection closes after a fraction of the answer.
+
+    Attributes:
+      in_head: Whether the fraction is of the head, else of the whole answer.
+    """
+
+    in_head: bool
+    fraction: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ResetAfterRun:
+    """The request runs and its connection is reset without an answer."""
+
+
+Spoiling: TypeAlias = SecondAnswer | RepeatedRefusal | CutAnswer | ResetAfterRun
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Spoil:
+    """An upstream spoils a share of its answers for some seconds."""
+
+    vm: str
+    how: Spoiling
+    seconds: float
+
+
+Fault: TypeAlias = (
+    Pause
+    | Stop
+    | Kill
+    | HangUp
+    | ChangeIdle
+    | ReplaceKey
+    | ChangeStorm
+    | DisturbLink
+    | Spoil
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timed:
+    """A fault and when it begins, in seconds since the start of the plan."""
+
+    at: float
+    fault: Fault
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What one soak does; it follows from its seed.
+
+    Attributes:
+      idle: Idle timeout of the first configuration, in seconds.
+      groups: Groups of connections at each node, each used in step.
+      connections: Connections of a group.
+    """
+
+    seed: int
+    seconds: float
+    nodes: tuple[str, ...]
+    controls: tuple[str, ...]
+    idle: float
+    faults: tuple[Timed, ...]
+    groups: int = 3
+    connections: int = 16
+
+
+# --- observations ------------------------------------------------------------
+# Times are monotonic seconds.
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sent:
+    """A caller began to send a request.
+
+    Attributes:
+      vm: VM of the node that it was sent to.
+      use: Number of the request on its connection, from 1.
+      size: Bytes of the body of a right answer.
+    """
+
+    request_id: str
+    at: float
+    vm: str
+    use: int
+    target: str
+    idempotent: bool
+    body: bytes
+    size: int
+    key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answered:
+    """A caller got an answer that looks complete."""
+
+    request_id: str
+    at: float
+    status: int
+    answered_id: str
+    signature: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Closed:
+    """A node closed a connection on which an answer was due.
+
+    Attributes:
+      received: Bytes of the answer that had arrived.
+    """
+
+    request_id: str
+    at: float
+    received: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GaveUp:
+    """A caller got no answer in time and closed the connection."""
+
+    request_id: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unasked:
+    """Bytes arrived on a connection with no request waiting."""
+
+    vm: str
+    at: float
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ran:
+    """An upstream began to run a request.
+
+    Attributes:
+      vm: VM of the upstream.
+      sound: Whether the upstream gives a right answer.
+    """
+
+    request_id: str
+    at: float
+    vm: str
+    target: str
+    body: bytes
+    sound: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Proposed:
+    """An operator sent a configuration for the first time.
+
+    Attributes:
+      keys: The keys that it holds.
+    """
+
+    version: int
+    at: float
+    keys: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Acknowledged:
+    """A control acknowledged a configuration."""
+
+    version: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """A control refused a valid configuration."""
+
+    version: int
+    at: float
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Probed:
+    """A node was asked for the route that only one version has.
+
+    Attributes:
+      at: When the request was sent.
+      answered_at: When the answer came.
+      in_force: Whether the route was there.
+    """
+
+    vm: str
+    at: float
+    answered_at: float
+    version: int
+    in_force: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Read:
+    """A control answered a read of the configuration with a version."""
+
+    vm: str
+    at: float
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FaultBegan:
+    """A fault acts on a VM from now on; `number` identifies it."""
+
+    number: int
+    at: float
+    vm: str
+    fault: Fault
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FaultEnded:
+    """A fault no longer acts."""
+
+    number: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Started:
+    """A process was started."""
+
+    vm: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Exited:
+    """A process ended.
+
+    Attributes:
+      status: Its exit status; negative for the number of a signal.
+      told: Whether it had been sent SIGTERM or SIGKILL.
+    """
+
+    vm: str
+    at: float
+    status: int
+    told: bool
+
+
+Observation: TypeAlias = (
+    Sent
+    | Answered
+    | Closed
+    | GaveUp
+    | Unasked
+    | Ran
+    | Proposed
+    | Acknowledged
+    | Refused
+    | Probed
+    | Read
+    | FaultBegan
+    | FaultEnded
+    | Started
+    | Exited
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Violation:
+    """A promise that was broken.
+
+    Attributes:
+      rule: The promise, by the name of the users' rule. LOST_PAUSED is LOST
+        at a node that was paused.
+      node: VM at which it was seen; empty if there is none.
+    """
+
+    rule: str
+    at: float
+    request_id: str
+    node: str
+    detail: str
+
+
+def answer_body(request_id: str, size: int) -> bytes:
+    """Returns the body of a right answer, which names its request all over."""
+    unit = f"{request_id}.".encode()
+    return (unit * (size // len(unit) + 1))[:size]
+
+
+def signature(request_id: str, vm: str) -> str:
+    """Returns the signature by which an upstream marks its answers."""
+    return f"of-{request_id}-by-{vm}"
--- /dev/null
+++ b/bench/soak/operators.py
@@ -0,0 +1,223 @@
+"""The operator: changes the configuration and checks where it is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import json
+import random
+import time
+
+import trio
+
+from bench.soak import callers
+from bench.soak import model as soak_model
+from sassafrashall import model
+
+ATTEMPT_TIMEOUT = 1.0  # seconds
+RETRY_DELAY = 0.1  # seconds
+CHECK_INTERVAL = 0.5  # seconds between checks of each process
+PROBE_HOST = "probe.example"
+PROBE_ID = "probe-"  # prefix of the ids of probes
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1 << 26,
+    "header_timeout": "3000ms",
+}
+SERVICES = ("alpha", "beta")
+
+
+class Operator:
+    """Sends one configuration after the other, and knows the newest."""
+
+    def __init__(
+        self,
+        *,
+        plan: soak_model.Plan,
+        controls: dict[str, model.Address],
+        nodes: dict[str, model.Address],
+        report: Callable[[soak_model.Observation], None],
+    ) -> None:
+        self._controls = controls
+        self._nodes = nodes
+        self._report = report
+        self._random = random.Random(f"{plan.seed} operator")
+        self._version = 0
+        self._acknowledged = 0
+        self._idle = plan.idle
+        self._keys = ("key-1", "key-2", "key-3")
+        self._newest_key = len(self._keys)
+        self._turn = trio.Lock()
+
+    @property
+    def idle_timeout(self) -> float:
+        """Idle timeout of the newest acknowledged configuration, seconds."""
+        return self._idle
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """The keys in use, and those that were withdrawn last."""
+        first = max(1, self._newest_key - 4)
+        return tuple(
+            f"key-{number}" for number in range(first, self._newest_key + 1)
+        )
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no configuration waits for its acknowledgement."""
+        return self._version == self._acknowledged
+
+    async def apply(self, change: soak_model.Fault | None = None) -> None:
+        """Sends changes in turn, each until it is acknowledged."""
+        match change:
+            case soak_model.ChangeStorm(idles=idles):
+                for idle in idles:
+                    await self._change(idle=idle)
+            case soak_model.ChangeIdle(idle=idle):
+                await self._change(idle=idle)
+            case soak_model.ReplaceKey():
+                await self._change(replace_key=True)
+            case _:
+                await self._change()
+
+    async def _change(
+        self, *, idle: float | None = None, replace_key: bool = False
+    ) -> None:
+        async with self._turn:
+            keys = self._keys
+            if replace_key:
+                self._newest_key += 1
+                keys = (*keys[1:], f"key-{self._newest_key}")
+            idle = idle or self._idle
+            base = self._acknowledged
+            self._version += 1
+            body = json.dumps(_document(self._version, idle, keys)).encode()
+            self._report(
+                soak_model.Proposed(
+                    version=self._version,
+                    at=time.monotonic(),
+                    keys=frozenset(keys),
+                )
+            )
+            await self._send_until_acknowledged(base, body)
+            self._acknowledged = self._version
+            self._idle, self._keys = idle, keys
+            self._report(
+                soak_model.Acknowledged(
+                    version=self._version, at=time.monotonic()
+                )
+            )
+
+    async def _send_until_acknowledged(self, base: int, body: bytes) -> None:
+        while True:
+            vm = self._random.choice(list(self._controls))
+            status = 0
+            with trio.move_on_after(ATTEMPT_TIMEOUT):
+                status, _ = await callers.send_once(
+                    self._controls[vm],
+                    "PUT",
+                    "/-/configuration",
+                    headers=(("if-match", f"r{base}" if base else "0"),),
+                    body=body,
+                )
+            if status == 200:
+                return
+            if status in (400, 409, 412, 413, 422):
+                self._report(
+                    soak_model.Refused(
+                        version=self._version,
+                        at=time.monotonic(),
+                        status=status,
+                    )
+                )
+            await trio.sleep(RETRY_DELAY)
+
+    async def check_regularly(self) -> None:
+        """Probes every node and reads from every control, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for vm in self._nodes:
+                nursery.start_soon(self._probe_regularly, vm)
+            for vm in self._controls:
+                nursery.start_soon(self._read_regularly, vm)
+
+    async def _probe_regularly(self, vm: str) -> None:
+        while True:
+            await trio.sleep(self._random.uniform(0.5, 1.5) * CHECK_INTERVAL)
+            version, at = self._acknowledged, time.monotonic()
+            status = 0
+            with trio.move_on_after(ATTEMPT_TIMEOUT):
+                status, _ = await callers.send_once(
+                    self._nodes[vm],
+                    "GET",
+                    f"/v{version}/",
+                    headers=(
+                        ("host", PROBE_HOST),
+                        ("request-id", f"{PROBE_ID}{vm}-{at}"),
+                    ),
+                )
+            if status in (200, 404):
+                self._report(
+                    soak_model.Probed(
+                        vm=vm,
+                        at=at,
+                        answered_at=time.monotonic(),
+                        version=version,
+                        in_force=status == 200,
+                    )
+                )
+
+    async def _read_regularly(self, vm: str) -> None:
+        while True:
+            await trio.sleep(self._random.uniform(0.5, 1.5) * CHECK_INTERVAL)
+            with trio.move_on_after(ATTEMPT_TIMEOUT):
+                await self.read(vm)
+
+    async def read(self, vm: str) -> int:
+        """Reads and reports the version at a control; 0 if it isn't told."""
+        at = time.monotonic()
+        status, body = await callers.send_once(
+            self._controls[vm], "GET", "/-/configuration"
+        )
+        if status != 200:
+            return 0
+        version = int(json.loads(body)["version"].removeprefix("r"))
+        self._report(soak_model.Read(vm=vm, at=at, version=version))
+        return version
+
+
+def _document(
+    version: int, idle: float, keys: tuple[str, ...]
+) -> dict[str, object]:
+    """Returns a configuration; only it has the probe route of its version."""
+
+    def route(host: str, prefix: str, service: str, **changes: object):
+        return {
+            "host": host,
+            "path_prefix": prefix,
+            "route_type": "idempotent",
+            "timeout": f"{soak_model.Bounds().route_timeout}s",
+            "target_latency": "2s",
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+            "public": True,
+        } | changes
+
+    return {
+        "version": f"r{version}",
+        "routes": {
+            "idem": route("idem.example", "/", "alpha"),
+            "once": route(
+                "once.example", "/", "beta", route_type="non_idempotent"
+            ),
+            "keyed": route("keyed.example", "/", "beta", public=False),
+            "probe": route(PROBE_HOST, f"/v{version}/", "alpha"),
+        },
+        "services": {
+            service: {"health_path": "/health", "max_connections": 400}
+            for service in SERVICES
+        },
+        "limits": LIMITS | {"idle_timeout": f"{int(1000 * idle)}ms"},
+        "tenants": {
+            "org": {"api_keys": list(keys), "priority": 1, "rate_per_s": 0}
+        },
+    }
--- /dev/null
+++ b/bench/soak/planner.py
@@ -0,0 +1,119 @@
+"""Generates the plan of a soak from its seed."""
+
+from __future__ import annotations
+
+import random
+
+from bench.soak import model
+
+IDLE_TIMEOUTS = (1.0, 1.4, 2.0, 3.0)  # seconds
+FAULTS_PER_SECOND = 0.6
+SERIES_LENGTH = 4  # maximum number of faults in a series
+SERIES_GAP = 1.2  # maximum seconds between the faults of a series
+QUIET_END = 4.0  # seconds without new faults at the end of a plan
+
+
+def make_plan(
+    *, seed: int, nodes: int, seconds: float, connections: int = 16
+) -> model.Plan:
+    """Returns the plan that belongs to the arguments."""
+    source = random.Random(seed)
+    vms = tuple(f"node-{index}" for index in range(nodes))
+    controls = tuple(f"control-{index}" for index in range(3))
+    faults: list[model.Timed] = []
+    while len(faults) < FAULTS_PER_SECOND * seconds:
+        at = source.uniform(1.0, max(1.5, seconds - QUIET_END))
+        for _ in range(source.randint(1, SERIES_LENGTH)):
+            fault = _draw_fault(source, vms, controls)
+            faults.append(model.Timed(at=at, fault=fault))
+            at += source.uniform(0.0, SERIES_GAP)
+    return model.Plan(
+        seed=seed,
+        seconds=seconds,
+        nodes=vms,
+        controls=controls,
+        idle=source.choice(IDLE_TIMEOUTS),
+        faults=tuple(sorted(faults, key=lambda timed: timed.at)),
+        connections=connections,
+    )
+
+
+def _draw_fault(
+    source: random.Random, vms: tuple[str, ...], controls: tuple[str, ...]
+) -> model.Fault:
+    node = source.choice(vms)
+    anywhere = source.choice((*vms, source.choice(controls)))
+    down = source.uniform(0.1, 2.0)
+    match _draw_kind(source):
+        case model.Pause:
+            return model.Pause(vm=anywhere, seconds=_draw_pause(source))
+        case model.Stop:
+            return model.Stop(vm=anywhere, down=down)
+        case model.Kill:
+            return model.Kill(vm=anywhere, down=down)
+        case model.HangUp:
+            return model.HangUp(vm=anywhere)
+        case model.ChangeIdle:
+            return model.ChangeIdle(idle=source.choice(IDLE_TIMEOUTS))
+        case model.ReplaceKey:
+            return model.ReplaceKey()
+        case model.ChangeStorm:
+            idles = source.choices(IDLE_TIMEOUTS, k=source.randint(3, 8))
+            return model.ChangeStorm(idles=tuple(idles))
+        case model.DisturbLink:
+            return model.DisturbLink(
+                vm=anywhere,
+                how=_draw_link_fault(source),
+                seconds=source.uniform(0.2, 3.0),
+            )
+        case _:
+            return model.Spoil(
+                vm=node,
+                how=_draw_spoiling(source),
+                seconds=source.uniform(0.5, 3.0),
+            )
+
+
+def _draw_kind(source: random.Random) -> type[model.Fault]:
+    weights: dict[type[model.Fault], int] = {
+        model.Pause: 8,
+        model.Stop: 3,
+        model.Kill: 2,
+        model.HangUp: 1,
+        model.ChangeIdle: 4,
+        model.ReplaceKey: 1,
+        model.ChangeStorm: 1,
+        model.DisturbLink: 3,
+        model.Spoil: 3,
+    }
+    return source.choices(list(weights), list(weights.values()))[0]
+
+
+def _draw_pause(source: random.Random) -> float:
+    """Returns a moment, or a time about as long as the idle timeouts."""
+    if source.random() < 0.3:
+        return source.uniform(0.02, 0.3)
+    return source.choice(IDLE_TIMEOUTS) * source.uniform(0.4, 1.3)
+
+
+def _draw_link_fault(source: random.Random) -> model.LinkFault:
+    return source.choice(
+        (
+            model.Delay(seconds=source.uniform(0.01, 0.5)),
+            model.Reset(),
+            model.CutOneWay(to_target=source.random() < 0.5),
+            model.Silence(),
+        )
+    )
+
+
+def _draw_spoiling(source: random.Random) -> model.Spoiling:
+    return source.choice(
+        (
+            model.SecondAnswer(),
+            model.RepeatedRefusal(with_id=source.random() < 0.5),
+            model.CutAnswer(in_head=True, fraction=source.random()),
+            model.CutAnswer(in_head=False, fraction=source.random()),
+            model.ResetAfterRun(),
+        )
+    )
--- /dev/null
+++ b/bench/soak/soak.py
@@ -0,0 +1,238 @@
+"""Runs one soak: the fleet, its callers, its faults and the checks."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import time
+
+import trio
+
+from bench import fleet as bench_fleet
+from bench.soak import callers
+from bench.soak import checker
+from bench.soak import fleet
+from bench.soak import model
+from bench.soak import operators
+from bench.soak import proxy
+from bench.soak import upstreams
+
+JUDGE_INTERVAL = 0.5  # seconds
+START_TIMEOUT = 30.0  # seconds until every node is ready
+READ_BACK_TIMEOUT = 15.0  # seconds; the stated time of a recovery
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Result:
+    """What one soak found.
+
+    Attributes:
+      counts: Number of observations by the name of their class.
+      max_delay: Longest delay of the soak's own loop, in seconds.
+    """
+
+    violations: tuple[model.Violation, ...]
+    counts: dict[str, int]
+    max_delay: float
+
+
+class Soak:
+    """Owns the parts of one soak."""
+
+    def __init__(self, *, plan: model.Plan, folder: pathlib.Path) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._began = time.monotonic()
+        self._max_delay = 0.0
+        self._checker = checker.Checker(on_violation=self._record)
+        self._daemons = fleet.Daemons(folder=folder, report=self._report)
+        self._proxies: dict[str, proxy.Proxy] = {}
+        self._upstreams: dict[str, upstreams.Upstream] = {}
+        self._callers: dict[str, bench_fleet.model.Address] = {}
+        self._ready: dict[str, bench_fleet.model.Address] = {}
+        self._build()
+        self._events = (folder / "faults.jsonl").open("w", encoding="utf-8")
+
+    def _build(self) -> None:
+        plan = self._plan
+        addresses = iter(
+            bench_fleet.free_addresses(
+                4 * len(plan.controls) + 7 * len(plan.nodes)
+            )
+        )
+        operator_addresses = {}
+        listens = {}
+        seeds = []
+        for vm in plan.controls:
+            rpc, operator_addresses[vm], ops, shown = (
+                next(addresses) for _ in range(4)
+            )
+            listens[vm] = {
+                "rpc": rpc,
+                "operators": operator_addresses[vm],
+                "ops": ops,
+            }
+            seeds.append(rpc)
+            self._proxies[vm] = proxy.Proxy(listen=shown, target=rpc)
+        for vm in plan.controls:
+            self._daemons.write_control(vm, listen=listens[vm], seeds=seeds)
+        for index, vm in enumerate(plan.nodes):
+            names = ("callers", "peers", "readiness", "announcements", "ops")
+            listen = {name: next(addresses) for name in names}
+            upstream, shown = next(addresses), next(addresses)
+            service = operators.SERVICES[index % len(operators.SERVICES)]
+            self._callers[vm] = listen["callers"]
+            self._ready[vm] = listen["readiness"]
+            self._proxies[vm] = proxy.Proxy(listen=shown, target=upstream)
+            self._upstreams[vm] = upstreams.Upstream(
+                vm=vm,
+                service=service,
+                address=upstream,
+                announced=shown,
+                announce_to=listen["announcements"],
+                seed=plan.seed,
+                report=self._report,
+            )
+            self._daemons.write_node(
+                vm,
+                listen=listen,
+                seeds=[self._proxies[name].address for name in plan.controls],
+                service=service,
+                upstream=shown,
+            )
+        self._operator = operators.Operator(
+            plan=plan,
+            controls=operator_addresses,
+            nodes=self._callers,
+            report=self._report,
+        )
+
+    def _report(self, observation: model.Observation) -> None:
+        self._checker.add(observation)
+        match observation:
+            case (
+                model.FaultBegan()
+                | model.FaultEnded()
+                | model.Started()
+                | model.Exited()
+                | model.Acknowledged()
+            ):
+                self._write_event(observation)
+
+    def _write_event(self, event: model.Observation | model.Violation) -> None:
+        fields = {"kind": type(event).__name__, "wall": time.time()}
+        fields |= {key: str(value) for key, value in vars(event).items()}
+        self._events.write(json.dumps(fields) + "\n")
+
+    def _record(self, violation: model.Violation) -> None:
+        self._write_event(violation)
+        at = violation.at - self._began
+        print(
+            f"seed {self._plan.seed} at {at:.2f} s: {violation.rule} "
+            f"{violation.request_id} {violation.node}: {violation.detail}",
+            flush=True,
+        )
+        if violation.request_id and violation.node:
+            path = self._daemons.log_path(violation.node)
+            for line in fleet.last_lines(path, violation.request_id):
+                print(f"  {line}", flush=True)
+
+    async def run(self) -> Result:
+        """Runs the plan, stops the fleet and returns what was found."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                for timed in self._plan.faults:
+                    nursery.start_soon(self._inject_at, timed)
+                await trio.sleep(self._plan.seconds)
+                await self._finish()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._daemons.close()
+            self._events.close()
+        return Result(
+            violations=tuple(self._checker.violations),
+            counts=self._checker.counts,
+            max_delay=self._max_delay,
+        )
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        for part in (*self._proxies.values(), *self._upstreams.values()):
+            await part.start(nursery)
+        for vm in (*self._plan.controls, *self._plan.nodes):
+            self._daemons.start(vm)
+        nursery.start_soon(self._daemons.watch)
+        with trio.fail_after(START_TIMEOUT):
+            await self._operator.apply()
+            for address in self._ready.values():
+                while (await callers.send_once(address, "GET", "/-/readiness"))[
+                    0
+                ] != 200:
+                    await trio.sleep(0.1)
+        # The nodes learn of each other's upstreams from their heartbeats.
+        await trio.sleep(1.5)
+        self._began = time.monotonic()
+        nursery.start_soon(self._judge_regularly)
+        nursery.start_soon(self._operator.check_regularly)
+        for vm, address in self._callers.items():
+            for index in range(self._plan.groups):
+                group = callers.Group(
+                    plan=self._plan,
+                    vm=vm,
+                    index=index,
+                    address=address,
+                    idle_timeout=lambda: self._operator.idle_timeout,
+                    keys=lambda: self._operator.keys,
+                    report=self._report,
+                )
+                nursery.start_soon(group.run)
+
+    async def _judge_regularly(self) -> None:
+        while True:
+            due = time.monotonic() + JUDGE_INTERVAL
+            await trio.sleep(JUDGE_INTERVAL)
+            self._max_delay = max(self._max_delay, time.monotonic() - due)
+            self._checker.judge_closed(time.monotonic())
+
+    async def _inject_at(self, timed: model.Timed) -> None:
+        await trio.sleep(timed.at)
+        match timed.fault:
+            case model.Pause():
+                await self._daemons.pause(timed.fault)
+            case model.Stop():
+                await self._daemons.stop(timed.fault)
+            case model.Kill():
+                await self._daemons.kill(timed.fault)
+            case model.HangUp(vm=vm):
+                await self._daemons.hang_up(vm)
+            case model.DisturbLink(vm=vm, how=how, seconds=seconds):
+                number = self._daemons.begin(vm, timed.fault)
+                await self._proxies[vm].disturb(how, seconds)
+                self._daemons.end(number)
+            case model.Spoil(vm=vm, how=how, seconds=seconds):
+                await self._upstreams[vm].spoil(how, seconds)
+            case _:
+                await self._operator.apply(timed.fault)
+
+    async def _finish(self) -> None:
+        """Reads the configuration back, then stops every process."""
+        version = 0
+        with trio.move_on_after(READ_BACK_TIMEOUT):
+            while not (version and self._operator.is_settled):
+                await trio.sleep(0.2)
+                version = await self._operator.read(self._plan.controls[0])
+        self._checker.judge_end(time.monotonic(), version)
+        async with trio.open_nursery() as nursery:
+            for vm in self._plan.nodes:
+                nursery.start_soon(self._stop_for_good, vm)
+        await trio.sleep(2 * model.Bounds().settle)
+        async with trio.open_nursery() as nursery:
+            for vm in self._plan.controls:
+                nursery.start_soon(self._stop_for_good, vm)
+
+    async def _stop_for_good(self, vm: str) -> None:
+        stop = model.Stop(vm=vm, down=0.0)
+        while vm in self._daemons.vms:
+            await self._daemons.stop(stop, again=False)
+            await trio.sleep(0.1)
--- /dev/null
+++ b/bench/soak/upstreams.py
@@ -0,0 +1,198 @@
+"""Stand-in upstreams, which report what they run and may spoil answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+import json
+import random
+import time
+import urllib.parse
+
+import h11
+import trio
+
+from bench.soak import callers
+from bench.soak import model as soak_model
+from bench.soak import proxy
+from sassafrashall import model
+
+HEARTBEAT_INTERVAL = 1.0  # seconds
+SLOTS = 50
+SPOILT_SHARE = 0.3  # of the answers while an upstream spoils
+REPEAT_DELAY = 0.02  # seconds from an answer to its repetition
+
+
+class Upstream:
+    """Serves one address and announces another, that of its proxy."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        service: str,
+        address: model.Address,
+        announced: model.Address,
+        announce_to: model.Address,
+        seed: int,
+        report: Callable[[soak_model.Observation], None],
+    ) -> None:
+        self._vm = vm
+        self._service = service
+        self._address = address
+        self._announced = announced
+        self._announce_to = announce_to
+        self._random = random.Random(f"{seed} {vm}")
+        self._report = report
+        self._incarnation = f"i-{vm}"
+        self._spoiling: soak_model.Spoiling | None = None
+        self._sequence = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Binds the address, then serves and announces in `nursery`."""
+        listeners = await trio.open_tcp_listeners(
+            self._address.port, host=self._address.host
+        )
+        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+        nursery.start_soon(self._announce_periodically)
+
+    async def spoil(self, how: soak_model.Spoiling, seconds: float) -> None:
+        """Spoils a share of the answers for some seconds."""
+        self._spoiling = how
+        await trio.sleep(seconds)
+        if self._spoiling is how:
+            self._spoiling = None
+
+    async def _announce_periodically(self) -> None:
+        while True:
+            self._sequence += 1
+            body = {
+                "address": str(self._announced),
+                "born": 1000,
+                "info": {
+                    "service": self._service,
+                    "version": "v1",
+                    "zone": "z",
+                    "slots": SLOTS,
+                },
+                "status": {
+                    "state": "ready",
+                    "sequence": self._sequence,
+                    "cold_remaining": "0ms",
+                },
+            }
+            with trio.move_on_after(1.0):
+                await callers.send_once(
+                    self._announce_to,
+                    "PUT",
+                    f"/-/instances/{self._incarnation}",
+                    body=json.dumps(body).encode(),
+                )
+            await trio.sleep(HEARTBEAT_INTERVAL)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_request(stream, protocol):
+                protocol.start_next_cycle()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except h11.ProtocolError:
+            # The node closed the connection in the middle of a request.
+            pass
+        finally:
+            stream.socket.close()
+
+    async def _serve_request(
+        self, stream: trio.SocketStream, protocol: h11.Connection
+    ) -> bool:
+        """Serves one request; returns whether the connection stays open."""
+        request, body = await callers.receive_message(stream, protocol)
+        if request is None:
+            return False
+        headers = dict(request.headers)
+        request_id = headers.get(b"request-id", b"").decode()
+        target = request.target.decode()
+        instance = headers.get(b"target-instance", b"").decode()
+        if not request_id:  # a health check
+            await stream.send_all(self._encode(protocol, 200, "", b"", ""))
+            return True
+        refuses = instance not in ("", self._incarnation)
+        spoiling = None
+        if self._spoiling and self._random.random() < SPOILT_SHARE:
+            spoiling = self._spoiling
+        match spoiling:
+            case soak_model.RepeatedRefusal(with_id=with_id):
+                data = self._encode(
+                    protocol, 503, request_id if with_id else "", b"", ""
+                )
+                await stream.send_all(data)
+                await trio.sleep(REPEAT_DELAY)
+                await stream.send_all(data)
+                return True
+        if refuses:
+            await stream.send_all(
+                self._encode(protocol, 421, request_id, b"", "")
+            )
+            return True
+        self._report(
+            soak_model.Ran(
+                request_id=request_id,
+                at=time.monotonic(),
+                vm=self._vm,
+                target=target,
+                body=body,
+                sound=spoiling is None,
+            )
+        )
+        size, seconds = parse_target(target)
+        await trio.sleep(seconds)
+        answer = soak_model.answer_body(request_id, size)
+        signature = soak_model.signature(request_id, self._vm)
+        data = self._encode(protocol, 200, request_id, answer, signature)
+        match spoiling:
+            case soak_model.SecondAnswer():
+                await stream.send_all(data)
+                await trio.sleep(REPEAT_DELAY)
+                await stream.send_all(data)
+            case soak_model.CutAnswer(in_head=in_head, fraction=fraction):
+                whole = len(data) - (len(answer) if in_head else 0)
+                await stream.send_all(data[: int(whole * fraction)])
+                return False
+            case soak_model.ResetAfterRun():
+                proxy.reset(stream)
+                return False
+            case _:
+                await stream.send_all(data)
+        return True
+
+    def _encode(
+        self,
+        protocol: h11.Connection,
+        status: int,
+        request_id: str,
+        body: bytes,
+        signature: str,
+    ) -> bytes:
+        headers = [("content-length", str(len(body)))]
+        if request_id:
+            headers.append(("request-id", request_id))
+        if signature:
+            headers.append(("response-signature", signature))
+        elif status != 200:
+            headers.append(("not-executed", "1"))
+        else:
+            headers.append(("instance-id", self._incarnation))
+        response = h11.Response(status_code=status, headers=headers)
+        data = protocol.send(response) or b""
+        if body:
+            data += protocol.send(h11.Data(data=body)) or b""
+        return data + (protocol.send(h11.EndOfMessage()) or b"")
+
+
+def parse_target(target: str) -> tuple[int, float]:
+    """Returns the size of the answer in bytes and the time to run, seconds."""
+    fields = urllib.parse.parse_qs(target.partition("?")[2])
+    with contextlib.suppress(KeyError, ValueError):
+        return int(fields["size"][0]), float(fields["ms"][0]) / 1000
+    return 0, 0.0
