Two fleets on one machine no longer share a port

Each process now reserves a loopback host of its own, by a socket that stays bound, and hands out no port twice.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import dataclasses
+import functools
 import json
 import os
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -26,6 +28,8 @@
 FLEET_SECRET = "fleet-secret-for-loopback"
 OPERATOR_SECRET = "operator-secret-for-loopback"
 READY_TIMEOUT = 30.0  # seconds for `wait_ready`
+# Port that marks a loopback host as taken by one process.
+RESERVATION_PORT = 1024
 STOP_TIMEOUT = 15.0  # seconds until processes that still run are killed
 
 
@@ -59,22 +63,41 @@
     upstream: model.Address
 
 
+@functools.cache
+def _reserve_host() -> socket.socket:
+    """Returns a socket that reserves a loopback host for this process."""
+    while True:
+        numbers = (str(secrets.randbelow(254) + 1) for _ in range(3))
+        reservation = socket.socket()
+        try:
+            reservation.bind((".".join(("127", *numbers)), RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.listen()
+        return reservation
+
+
+_assigned_ports: set[int] = set()
+
+
 def free_addresses(count: int) -> list[model.Address]:
-    """Returns loopback addresses with ports that are free now.
+    """Returns loopback addresses that no other fleet of this machine gets.
 
-    Nothing reserves them afterwards: another process may bind them first.
+    Their host belongs to this process until it ends, and no two calls return
+    the same port. Outgoing connections use the host 127.0.0.1, so that their
+    ports can't be in the way either.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [
-            model.Address(host="127.0.0.1", port=sock.getsockname()[1])
-            for sock in sockets
-        ]
-    finally:
-        for sock in sockets:
-            sock.close()
+    host = _reserve_host().getsockname()[0]
+    addresses: list[model.Address] = []
+    while len(addresses) < count:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            port = sock.getsockname()[1]
+        if port not in _assigned_ports:
+            _assigned_ports.add(port)
+            addresses.append(model.Address(host=host, port=port))
+    return addresses
 
 
 class Fleet:
