--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -44,6 +44,14 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PauseAll:
+    """A pause of many processes at once, as of a machine that is busy."""
+
+    vms: tuple[str, ...]
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Stop:
     """SIGTERM, SIGKILL after the grace period, and a start after `down`."""
@@ -165,6 +173,7 @@
 
 Fault: TypeAlias = (
     Pause
+    | PauseAll
     | Stop
     | Kill
     | HangUp
