--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -64,6 +65,13 @@
         self._last_number = 0
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def may_start_calls(self) -> bool:
+        """Whether the connection is open, or about to be opened."""
+        return self._connection is None or not (
+            self._connection.ended or self._connection.is_closed_by_peer
+        )
+
     async def run(self) -> None:
         """Connects, and performs calls until the connection ends."""
         try:
@@ -91,6 +99,7 @@
                 self._nursery.cancel_scope.cancel()
         finally:
             self._links.on_ended(self._address, self)
+            self._log_closure()
             self._fail_calls()
 
     def start_call(self, call: _PendingCall) -> None:
@@ -140,8 +149,13 @@
         with trio.CancelScope() as call.upload_scope:
             try:
                 await call.upload.send(rest)
-            except exceptions.SassafrashallError as error:
+            except (
+                OSError,
+                trio.ClosedResourceError,
+                exceptions.SassafrashallError,
+            ) as error:
                 self._cancel_call(number)
+                call.reply.on_abandon(None)
                 call.reply.put(
                     _refusal(exceptions.BAD_REQUEST, str(error), True)
                 )
@@ -151,12 +165,22 @@
         for call in self._unopened:
             if call.message.deadline <= now:
                 call.reply.put(_deadline_exceeded(False))
-        for number, call in list(self._calls.items()):
-            if call.message.deadline <= now and call.answer_body is None:
+        if self._connection is None or not self._overdue_calls(now):
+            return
+        self._connection.read_ready()
+        for number, call in self._overdue_calls(now):
+            if number in self._calls:
                 self._cancel_call(number)
                 call.reply.on_abandon(None)
                 call.reply.put(_deadline_exceeded(call.may_have_run))
 
+    def _overdue_calls(self, now: float) -> list[tuple[int, _PendingCall]]:
+        return [
+            (number, call)
+            for number, call in self._calls.items()
+            if call.message.deadline <= now and call.answer_body is None
+        ]
+
     def _cancel_call(self, number: int) -> None:
         call = self._calls.pop(number, None)
         if call is None:
@@ -177,6 +201,8 @@
                 self._on_answer(frame, call)
             case frames.RefuseCall():
                 self._end_call(frame.call, call)
+                if call.answer_body is not None:
+                    call.answer_body.fail("the other node refused the rest")
                 call.reply.put(frames.decode_refusal(frame))
             case frames.Offer():
                 self._confirm_call(frame.call, call)
@@ -206,6 +232,10 @@
             self._nursery.start_soon(self._upload, number, call, rest)
 
     def _on_answer(self, frame: frames.AnswerCall, call: _PendingCall) -> None:
+        if call.answer_body is not None:
+            raise exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "a second answer to a call"
+            )
         rest = None
         if frame.more:
             assert self._connection is not None
@@ -234,6 +264,17 @@
         if call.upload_scope is not None:
             call.upload_scope.cancel()
 
+    def _log_closure(self) -> None:
+        assert self._connection is not None
+        calls = tuple(self._calls.values())
+        self._links.log.write(
+            connection_log.Closure(
+                reason=self._connection.end_reason,
+                unanswered=bool(calls),
+                request_id=calls[0].message.ticket.root_id if calls else "",
+            )
+        )
+
     def _fail_calls(self) -> None:
         calls, self._calls = self._calls, {}
         for call in calls.values():
@@ -279,6 +320,9 @@
         self._vm = vm
         self._secret = secret
         self._metrics = counters
+        self._log = connection_log.ConnectionLog(
+            place="links", counters=counters
+        )
         self._links: dict[model.Address, _Link] = {}
 
     @property
@@ -286,6 +330,11 @@
         """The fleet's secret."""
         return self._secret
 
+    @property
+    def log(self) -> connection_log.ConnectionLog:
+        """The log of connections that end."""
+        return self._log
+
     async def _setup(self) -> None:
         self._spawn(self._expire_calls)
 
@@ -300,7 +349,7 @@
         match message:
             case messages.Exchange(address=address):
                 link = self._links.get(address)
-                if link is None:
+                if link is None or not link.may_start_calls:
                     link = _Link(links=self, address=address, vm=self._vm)
                     self._links[address] = link
                     self._metrics.count("peer_connections_opened")
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import dataclasses
 import operator
 import struct
@@ -274,30 +275,42 @@
         self._limit = limit
         self._data = bytearray()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no part of an incomplete frame is held."""
+        return not self._data
+
     def feed(self, data: bytes) -> list[Frame]:
         """Appends received bytes and returns the frames that are now complete.
 
         Raises:
           ProtocolError: The bytes are not valid frames.
         """
+        return list(self.split(data))
+
+    def split(self, data: bytes) -> Iterator[Frame]:
+        """Yields the frames as `feed` does, those before invalid bytes too.
+
+        Raises:
+          ProtocolError: The next bytes are not a valid frame.
+        """
         self._data += data
-        complete: list[Frame] = []
         start = 0
-        while len(self._data) - start >= _PREFIX.size:
-            length, number = _PREFIX.unpack_from(self._data, start)
-            if length > self._limit or number >= len(_FRAME_TYPES):
-                raise exceptions.ProtocolError(
-                    exceptions.BAD_REQUEST, "not a frame"
-                )
-            end = start + _PREFIX.size + length
-            if len(self._data) < end:
-                break
-            body = bytes(self._data[start + _PREFIX.size : end])
-            complete.append(_decode_body(number, body))
-            start = end
-        if start:
+        try:
+            while len(self._data) - start >= _PREFIX.size:
+                length, number = _PREFIX.unpack_from(self._data, start)
+                if length > self._limit or number >= len(_FRAME_TYPES):
+                    raise exceptions.ProtocolError(
+                        exceptions.BAD_REQUEST, "not a frame"
+                    )
+                end = start + _PREFIX.size + length
+                if len(self._data) < end:
+                    break
+                body = bytes(self._data[start + _PREFIX.size : end])
+                start = end
+                yield _decode_body(number, body)
+        finally:
             del self._data[:start]
-        return complete
 
 
 def _decode_body(number: int, body: bytes) -> Frame:
@@ -313,13 +326,17 @@
 
 
 def decode_refusal(frame: RefuseCall) -> model.Refuse:
-    """Returns the refusal in a frame; an unknown code becomes `INTERNAL`."""
+    """Returns the refusal in a frame.
+
+    An unknown code becomes `INTERNAL`, an unknown run state `UNKNOWN`.
+    """
+    is_not_run = frame.run == model.RunState.NOT_RUN
     return model.Refuse(
         code=frame.code
         if frame.code in exceptions.STATUS_BY_CODE
         else exceptions.INTERNAL,
         detail=frame.detail,
-        run=model.RunState(frame.run),
+        run=model.RunState.NOT_RUN if is_not_run else model.RunState.UNKNOWN,
         retry_after_s=frame.retry_after_s,
         level=frame.level,
         load=frame.load,
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -3,6 +3,8 @@
 import contextlib
 import socket
 import struct
+import threading
+import time
 
 import pytest
 import trio
@@ -12,11 +14,14 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import upstream_pool
+from sassafrashall.platform import dialect
 from sassafrashall.transport import http
 from sassafrashall.transport import upstream_connection
 from tests import fakes
 from tests import loopback
 
+REFUSAL = b"HTTP/1.1 503 Unavailable\r\nnot-executed: full\r\n"
+END = b"content-length: 0\r\n\r\n"
 OK = b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -33,8 +38,8 @@
         self.connections += 1
         async with stream:
             while data := await stream.receive_some(65536):
-                start = data.index(b"request-id: ") + 12
-                request_id = data[start : data.index(b"\r", start)]
+                _, _, after = data.partition(b"request-id: ")
+                request_id = after.partition(b"\r")[0]
                 self.requests.append(request_id)
                 if not await self._script.pop(0)(stream, request_id):
                     return
@@ -88,10 +93,11 @@
 async def _exchange(
     pool, upstream, request_id, *, may_resend=True, timeout=2.0, send_times=None
 ):
+    id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
         method="GET",
         target="/",
-        headers=(("host", "h"), ("request-id", request_id)),
+        headers=(("host", "h"), *id_header),
         body=b"",
         source=model.Source.PEER,
         received_at=0.0,
@@ -106,8 +112,8 @@
         messages.UpstreamExchange(
             address=upstream.address,
             encode=encode,
-            is_answer=lambda status, headers: (
-                model.find_header(headers, "request-id") == request_id
+            is_answer=dialect.UpstreamDialect().response_matcher(
+                fakes.request(headers=raw.headers)
             ),
             max_idle=messages.NO_IDLE_LIMIT,
             may_resend=may_resend,
@@ -131,6 +137,71 @@
         assert upstream.requests == [b"a", b"b"]
 
 
+class _ThreadedUpstream:
+    """Answers one request on each connection, then sends `extra` or closes.
+
+    It runs in a thread of its own, so that it goes on while the event loop of
+    the test is blocked.
+    """
+
+    def __init__(self, extra=b"", delay=0.0):
+        self.address = loopback.free_address()
+        self.requests = 0
+        self._extra = extra
+        self._delay = delay
+        self._kept = []
+        self._listener = socket.create_server(
+            (self.address.host, self.address.port)
+        )
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            data = connection.recv(65536)
+            self.requests += 1
+            time.sleep(self._delay)
+            request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
+            connection.sendall(OK % request_id)
+            self._kept.append(connection)
+
+    def end_connections(self):
+        while self._kept:
+            connection = self._kept.pop()
+            if self._extra:
+                connection.sendall(self._extra)
+            else:
+                connection.close()
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.end_connections()
+
+
+# Guards against a request sent on a connection that had been closed before,
+# or that carries stray bytes, if the event loop runs late.
+@pytest.mark.parametrize("extra", [b"", OK % b"b", REFUSAL + END])
+async def test_connection_that_ended_while_the_loop_was_blocked_is_not_used(
+    extra,
+):
+    upstream = _ThreadedUpstream(extra)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    async with fakes.started(pool):
+        with trio.fail_after(5):
+            await _exchange(pool, upstream, "a", may_resend=False)
+            upstream.end_connections()
+            # The loop gets no turn in which it could notice the end.
+            time.sleep(0.1)
+            response = await _exchange(pool, upstream, "b", may_resend=False)
+            assert response.body == b"ok"
+            assert upstream.requests == 2
+    upstream.close()
+
+
 async def test_repeatable_request_is_resent_after_a_reset_while_idle(
     monkeypatch,
 ):
@@ -182,8 +253,124 @@
         assert upstream.connections == 2
 
 
+def _refuse(request_id=None):
+    """Returns a script step: a refusal with an ID, or without one."""
+    refusal = REFUSAL + END
+    if request_id is not None:
+        refusal = REFUSAL + b"request-id: %b\r\n" % request_id + END
+
+    async def refuse(stream, _):
+        await stream.send_all(refusal)
+        return True
+
+    return refuse
+
+
+def _refuse_again(request_id=None):
+    """Returns a script step: the last refusal once more, then the answer."""
+
+    async def refuse_again(stream, answered_id):
+        await _refuse(request_id)(stream, b"")
+        await trio.sleep(0.05)
+        with contextlib.suppress(trio.BrokenResourceError):
+            return await _answer(stream, answered_id)
+
+    return refuse_again
+
+
+def _is_refusal(response):
+    outcome = dialect.UpstreamDialect().decode(response)
+    return isinstance(outcome, model.Refuse)
+
+
+# Guards against a request that runs and is told as not run.
+@pytest.mark.parametrize(
+    "refused_id, second_id", [(None, "b"), (b"a", "b"), (b"a", "a")]
+)
+async def test_repeated_refusal_does_not_refuse_the_next_request(
+    refused_id, second_id
+):
+    async def refuse_twice(stream, request_id):
+        await _refuse(refused_id)(stream, request_id)
+        if await stream.receive_some(65536):
+            await _refuse_again(refused_id)(stream, second_id.encode())
+        return False
+
+    async with _pool(refuse_twice, _answer) as (pool, upstream):
+        assert _is_refusal(await _exchange(pool, upstream, "a"))
+        response = await _exchange(pool, upstream, second_id)
+        assert response.body == b"ok"
+
+
+# Guards against a request that runs and is told as not run.
+async def test_refusal_without_an_id_proves_nothing_on_a_kept_connection():
+    async with _pool(_answer, _refuse_again()) as (pool, upstream):
+        await _exchange(pool, upstream, "a")
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "b")
+        assert caught.value.maybe_delivered
+
+
+# Guards against a request that runs and is told as not run.
+async def test_request_without_an_id_gets_a_connection_of_its_own():
+    async with _pool(_answer, _refuse(), _answer) as (pool, upstream):
+        await _exchange(pool, upstream, "a")
+        assert _is_refusal(await _exchange(pool, upstream, None))
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
+async def test_connection_is_reused_after_refusals_that_bear_their_id():
+    script = [
+        _refuse(b"%d" % i) for i in range(upstream_connection.MAX_FAILED_IDS)
+    ]
+    async with _pool(*script, _answer) as (pool, upstream):
+        for i in range(len(script)):
+            assert _is_refusal(await _exchange(pool, upstream, str(i)))
+        assert upstream.connections == 1
+        await _exchange(pool, upstream, "b")
+        assert upstream.connections == 2
+
+
 async def test_unresponsive_upstream_fails_at_the_deadline():
     async with _pool(_never_answer) as (pool, upstream):
         with pytest.raises(exceptions.ConnectionFailedError) as caught:
             await _exchange(pool, upstream, "a", timeout=0.2)
         assert caught.value.expired and caught.value.maybe_delivered
+
+
+# Guards against an answer that arrived in time and is thrown away, since the
+# event loop ran late and checked the deadlines before it read.
+async def test_answer_that_arrived_before_the_deadline_is_delivered():
+    upstream = _ThreadedUpstream(delay=0.05)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+
+    async def block_loop():
+        await trio.sleep(0.03)
+        time.sleep(0.25)
+
+    async with fakes.started(pool):
+        # The scheduler runs the two tasks in random order.
+        for _ in range(8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(block_loop)
+                response = await _exchange(pool, upstream, "a", timeout=0.2)
+                assert response.body == b"ok"
+            upstream.end_connections()
+    upstream.close()
+
+
+# Guards against a deadline that an upstream defers by sending on and on.
+async def test_response_without_end_fails_soon_after_the_deadline():
+    async def send_interim_responses(stream, request_id):
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n")
+        return False
+
+    async with _pool(send_interim_responses) as (pool, upstream):
+        began = clock.monotonic()
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "a", timeout=0.2)
+        assert caught.value.maybe_delivered
+        assert clock.monotonic() - began < 1.0
