Log and count why the HTTP and RPC servers close connections

The end of a connection to a control, and to the monitoring, readiness and announcement listeners of a node, left no line, so a closed connection could not be told from a lost call. Both servers write each closure to the bounded log and the counter, by reason and by whether a request or call had no complete response.

An exception of a handler still closes its connection only; it is logged by the listener and counted as handler_failed, which a test checks now.

--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -98,6 +99,7 @@
                 settings.operator_secret: rpc.Caller.OPERATOR,
             },
             hybrid_clock=self._clock,
+            log=self._connection_log("rpc"),
         )
         ops = ops_api.OpsApi(
             counters=self._metrics,
@@ -108,6 +110,7 @@
             address=settings.listen.ops,
             handler=ops.handle,
             source=model.Source.CALLER,
+            log=self._connection_log("ops"),
         )
         self._operator_server: http_server.Server | None = None
         if settings.listen.operators is not None:
@@ -116,8 +119,12 @@
                 address=settings.listen.operators,
                 handler=api.handle,
                 source=model.Source.CALLER,
+                log=self._connection_log("operators"),
             )
 
+    def _connection_log(self, place: str) -> connection_log.ConnectionLog:
+        return connection_log.ConnectionLog(place=place, counters=self._metrics)
+
     async def _handle_message(self, message: Any, caller: rpc.Caller) -> Any:
         """Passes a remote message to the controller that answers it."""
         if caller is rpc.Caller.OPERATOR and not isinstance(
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -206,12 +207,24 @@
             refresh_gauges=self._refresh_metrics,
         )
         return tuple(
-            http_server.Server(address=address, handler=handler, source=source)
-            for address, handler, source in (
-                (listen.callers, callers.handle, model.Source.CALLER),
-                (listen.peers, peers.handle, model.Source.PEER),
-                (listen.local, local.handle, model.Source.LOCAL),
-                (listen.ops, ops.handle, model.Source.CALLER),
+            http_server.Server(
+                address=address,
+                handler=handler,
+                source=source,
+                log=connection_log.ConnectionLog(
+                    place=place, counters=self._metrics
+                ),
+            )
+            for place, address, handler, source in (
+                (
+                    "callers",
+                    listen.callers,
+                    callers.handle,
+                    model.Source.CALLER,
+                ),
+                ("peers", listen.peers, peers.handle, model.Source.PEER),
+                ("local", listen.local, local.handle, model.Source.LOCAL),
+                ("ops", listen.ops, ops.handle, model.Source.CALLER),
             )
         )
 
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -268,12 +268,17 @@
         )
         self._http_servers = tuple(
             http_server.Server(
-                address=address, handler=handler, source=model.Source.CALLER
+                address=address,
+                handler=handler,
+                source=model.Source.CALLER,
+                log=connection_log.ConnectionLog(
+                    place=place, counters=self._metrics
+                ),
             )
-            for address, handler in (
-                (listen.readiness, readiness.handle),
-                (listen.announcements, announcements.handle),
-                (listen.ops, ops.handle),
+            for place, address, handler in (
+                ("readiness", listen.readiness, readiness.handle),
+                ("announcements", listen.announcements, announcements.handle),
+                ("ops", listen.ops, ops.handle),
             )
         )
 
--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -11,6 +11,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.transport import codec
@@ -35,8 +36,10 @@
         stream: trio.SocketStream,
         handler: Handler,
         source: model.Source,
+        log: connection_log.ConnectionLog,
     ) -> None:
         self._stream = stream
+        self._log = log
         self._handler = handler
         self._source = source
         self._protocol = h11.Connection(
@@ -58,18 +61,43 @@
         self._closing = False
         self._is_head_request = False
         self._send_lock = trio.Lock()
+        self._active_at = clock.monotonic()
+        # Why this side closes the connection; None while it does not.
+        self._close_reason: connection_log.Reason | None = None
+        self._close_delay = 0.0
+        # Whether a request has no complete response yet.
+        self._unanswered = False
 
     async def serve(self) -> None:
         """Serves requests until the peer disconnects or `stop` ends it."""
-        async with self._stream:
-            with self._scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._read)
-                    try:
-                        await self._serve_requests()
-                    except (trio.BrokenResourceError, trio.ClosedResourceError):
-                        pass
-                    nursery.cancel_scope.cancel()
+        reason = connection_log.Reason.PROCESS_END
+        try:
+            async with self._stream:
+                await self._run()
+            reason = self._close_reason or connection_log.Reason.DISCONNECT
+        except Exception:
+            reason = connection_log.Reason.HANDLER_FAILED
+            raise
+        finally:
+            self._log.write(
+                connection_log.Closure(
+                    reason=reason,
+                    unanswered=self._unanswered,
+                    idle_s=clock.monotonic() - self._active_at,
+                    delay_s=self._close_delay,
+                )
+            )
+
+    async def _run(self) -> None:
+        """Reads and serves requests until either of the two ends."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read)
+                try:
+                    await self._serve_requests()
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+                nursery.cancel_scope.cancel()
 
     def stop(self) -> None:
         """Closes the connection once it is idle.
@@ -79,6 +107,7 @@
         """
         self._stopping = True
         if self._is_idle:
+            self._close_reason = connection_log.Reason.STOP
             # Also ends the read, so that no request is read and then dropped.
             self._scope.cancel()
         else:
@@ -151,12 +180,14 @@
                     return
             if self._request_scope.cancelled_caught:
                 return
+        self._close_reason = connection_log.Reason.STOP
 
     async def _serve_one(self) -> bool:
         """Serves one request and returns whether the connection stays open."""
         try:
             request = await self._receive_request()
         except h11.RemoteProtocolError as error:
+            self._close_reason = connection_log.Reason.BAD_INPUT
             too_large = error.error_status_hint == 431
             code = (
                 exceptions.HEAD_TOO_LARGE
@@ -166,6 +197,7 @@
             await self._reject_input(code, str(error))
             return False
         except exceptions.ProtocolError as error:
+            self._close_reason = connection_log.Reason.BAD_INPUT
             await self._reject_input(error.code, str(error))
             return False
         if request is None:
@@ -173,6 +205,7 @@
         response = await self._handler(request)
         await self._send_response(response)
         if self._protocol.our_state is h11.MUST_CLOSE:
+            self._close_reason = connection_log.Reason.ANNOUNCED
             return False
         try:
             self._protocol.start_next_cycle()
@@ -187,7 +220,9 @@
         if not self._busy:
             self._receive_deadline = trio.current_time() + IDLE_TIMEOUT
             if not await self._feed_protocol():
+                self._close_reason = connection_log.Reason.IDLE_TIMEOUT
                 return None
+            self._active_at = clock.monotonic()
         self._receive_deadline = trio.current_time() + REQUEST_TIMEOUT
         if self._stopping:
             self._limit_receive_time(STOP_GRACE)
@@ -198,6 +233,7 @@
             event = self._protocol.next_event()
             match event:
                 case h11.Request():
+                    self._unanswered = True
                     self._is_head_request = event.method == b"HEAD"
                     _check_head(event)
                     head = event
@@ -216,6 +252,7 @@
                     return None
                 case _:
                     if not await self._feed_protocol():
+                        self._close_reason = connection_log.Reason.HEAD_TIMEOUT
                         return None
 
     async def _feed_protocol(self) -> bool:
@@ -235,6 +272,7 @@
         # The loop may run long after the deadline, and the bytes may have been
         # in time.
         if not self._has_queued_input and not http.is_readable(self._stream):
+            self._close_delay = trio.current_time() - self._receive_deadline
             return False
         self._protocol.receive_data(await self._receive_chunk())
         return True
@@ -280,6 +318,8 @@
             headers.append(("connection", "close"))
         async with self._send_lock:
             await self._stream.send_all(self._encode(response, headers))
+        self._unanswered = False
+        self._active_at = clock.monotonic()
 
     def _length_headers(self, response: model.Response) -> model.Headers:
         """Returns the Content-Length header, if the status allows a body."""
@@ -331,12 +371,17 @@
         handler: Handler,
         source: model.Source,
         connection_limit: int = 4096,
+        log: connection_log.ConnectionLog | None = None,
     ) -> None:
         super().__init__(address=address, connection_limit=connection_limit)
+        self._log = log or connection_log.ConnectionLog(place=source.value)
         self._handler = handler
         self._source = source
 
     def _new_connection(self, stream: trio.SocketStream) -> ServerConnection:
         return ServerConnection(
-            stream=stream, handler=self._handler, source=self._source
+            stream=stream,
+            handler=self._handler,
+            source=self._source,
+            log=self._log,
         )
--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -17,6 +17,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import logs
 from sassafrashall import model
@@ -60,8 +61,10 @@
         handler: Handler,
         secrets: dict[str, Caller],
         hybrid_clock: clock.HybridClock,
+        log: connection_log.ConnectionLog,
     ) -> None:
         self._stream = stream
+        self._log = log
         self._handler = handler
         self._secrets = secrets
         self._clock = hybrid_clock
@@ -71,6 +74,12 @@
         # Whether a call is in progress or bytes of one have been read.
         self._busy = False
         self._expiring = False
+        self._active_at = clock.monotonic()
+        # Why this side closes the connection; None while it does not.
+        self._close_reason: connection_log.Reason | None = None
+        self._close_delay = 0.0
+        # Whether a call has no complete reply yet.
+        self._unanswered = False
 
     @property
     def _is_idle(self) -> bool:
@@ -79,28 +88,44 @@
 
     async def serve(self) -> None:
         """Runs until the connection ends."""
+        reason = connection_log.Reason.PROCESS_END
         try:
             with self._scope:
                 while data := await self._receive():
+                    self._active_at = clock.monotonic()
                     self._busy = True
                     for frame in self._buffer.feed(data):
                         await self._on_frame(frame)
                     if not self._buffer.is_empty:
                         self._busy = True
                     if self._expiring and self._is_idle:
-                        return
-        except (trio.ClosedResourceError, exceptions.ProtocolError):
-            pass
+                        self._close_reason = connection_log.Reason.STOP
+                        break
+            reason = self._close_reason or connection_log.Reason.DISCONNECT
+        except exceptions.ProtocolError:
+            reason = connection_log.Reason.BAD_INPUT
+        except (OSError, trio.ClosedResourceError):
+            reason = connection_log.Reason.DISCONNECT
         finally:
             self._stream.close()
+            self._log.write(
+                connection_log.Closure(
+                    reason=reason,
+                    unanswered=self._unanswered,
+                    idle_s=clock.monotonic() - self._active_at,
+                    delay_s=self._close_delay,
+                )
+            )
 
     async def _receive(self) -> bytes:
         """Returns the next bytes; none after a disconnect or a timeout."""
         while True:
-            with trio.move_on_after(SERVER_IDLE_TIMEOUT):
+            with trio.move_on_after(SERVER_IDLE_TIMEOUT) as timeout:
                 return await self._stream.receive(http.RECEIVE_SIZE)
             # Bytes may have arrived since the timeout.
             if self._stream.is_idle:
+                self._close_reason = connection_log.Reason.IDLE_TIMEOUT
+                self._close_delay = trio.current_time() - timeout.deadline
                 return b""
 
     def expire(self) -> None:
@@ -111,10 +136,12 @@
         """Closes the connection once it is idle."""
         self._expiring = True
         if self._is_idle:
+            self._close_reason = connection_log.Reason.STOP
             self._scope.cancel()
 
     def abort(self) -> None:
         """Closes the connection and cancels the call on it."""
+        self._close_reason = connection_log.Reason.PROCESS_END
         self._scope.cancel()
 
     async def _on_frame(self, frame: frames.Frame) -> None:
@@ -124,9 +151,12 @@
                 self._caller = self._identify_caller(secret)
             case frames.RemoteCall():
                 self._busy = True
+                self._unanswered = True
                 reply = await self._handle_call(frame)
                 await self._stream.send(frames.encode(reply))
                 self._busy = False
+                self._unanswered = False
+                self._active_at = clock.monotonic()
             case _:
                 raise exceptions.ProtocolError(
                     exceptions.BAD_REQUEST, "unexpected frame"
@@ -172,8 +202,10 @@
         handler: Handler,
         secrets: dict[str, Caller],
         hybrid_clock: clock.HybridClock,
+        log: connection_log.ConnectionLog | None = None,
     ) -> None:
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
+        self._log = log or connection_log.ConnectionLog(place="rpc")
         self._handler = handler
         self._secrets = secrets
         self._clock = hybrid_clock
@@ -204,6 +236,7 @@
             handler=self._handler,
             secrets=self._secrets,
             hybrid_clock=self._clock,
+            log=self._log,
         )
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import mailbox
@@ -22,6 +23,17 @@
     return events.EventLog(process="test", clock=clock.HybridClock())
 
 
+class ConnectionLog(connection_log.ConnectionLog):
+    """Keeps the closures that are written to it."""
+
+    def __init__(self):
+        super().__init__(place="test")
+        self.closures = []
+
+    def write(self, closure: connection_log.Closure) -> None:
+        self.closures.append(closure)
+
+
 def counters() -> metrics.Metrics:
     return metrics.Metrics(process="test", data_centre="x")
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,10 +22,12 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(handler, source=model.Source.CALLER):
+async def serve(handler, source=model.Source.CALLER, log=None):
     """Serves raw requests; yields the address and the server."""
     address = free_address()
-    server = http_server.Server(address=address, handler=handler, source=source)
+    server = http_server.Server(
+        address=address, handler=handler, source=source, log=log
+    )
     async with trio.open_nursery() as nursery:
         await server.start(nursery)
         yield address, server
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,6 +6,7 @@
 from sassafrashall import model
 from sassafrashall.transport import http
 from sassafrashall.transport import http_server
+from tests import fakes
 from tests import loopback
 
 
@@ -222,3 +223,52 @@
         received = await loopback.receive_until_closed(connections)
     _assert_all_answered(received)
     assert ended.count("/2") == _CONNECTIONS
+
+
+_GET = "GET {} HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "closure"),
+    [
+        (_GET.format("/1"), ("idle_timeout", False)),
+        ("", ("idle_timeout", False)),
+        (_GET.format("/1")[:-2], ("head_timeout", False)),
+        (_REQUEST[:-1].decode(), ("head_timeout", True)),
+        (_GET.format("/wait"), ("disconnect", True)),
+        (_GET.format("/fail"), ("handler_failed", True)),
+        ("nonsense\r\n\r\n", ("bad_input", False)),
+        (
+            "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            ("announced", False),
+        ),
+    ],
+)
+async def test_the_end_of_a_connection_is_logged(monkeypatch, data, closure):
+    monkeypatch.setattr(http_server, "IDLE_TIMEOUT", 0.2)
+    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT", 0.2)
+    log = fakes.ConnectionLog()
+
+    async def handle(raw):
+        match raw.target:
+            case "/fail":
+                raise ValueError("fault of the handler")
+            case "/wait":
+                await trio.sleep(30)
+        return await _echo(raw)
+
+    async with loopback.serve(handle, log=log) as (address, _):
+        # Disconnects after 0.5 s.
+        await loopback.send_and_receive(address, data.encode())
+        await trio.sleep(0.05)
+    assert [(c.reason, c.unanswered) for c in log.closures] == [closure]
+
+
+async def test_an_idle_connection_that_a_stop_closes_is_logged():
+    log = fakes.ConnectionLog()
+    async with loopback.serve(_echo, log=log) as (address, server):
+        connection = await loopback.connect(address)
+        await trio.sleep(0.05)
+        await server.close()
+        await connection.close()
+    assert [(c.reason, c.unanswered) for c in log.closures] == [("stop", False)]
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -11,15 +11,17 @@
 from sassafrashall.transport import codec
 from sassafrashall.transport import frames
 from sassafrashall.transport import rpc
+from tests import fakes
 from tests import loopback
 
 
-def _new_server(address, handler):
+def _new_server(address, handler, log=None):
     return rpc.RpcServer(
         address=address,
         handler=handler,
         secrets={"p": rpc.Caller.PROCESS, "o": rpc.Caller.OPERATOR},
         hybrid_clock=clock.HybridClock(),
+        log=log,
     )
 
 
@@ -245,3 +247,47 @@
         received = await loopback.receive_until_closed(connections)
     _assert_all_answered(received)
     assert len(completed) == _CONNECTIONS
+
+
+@pytest.mark.parametrize(
+    ("data", "closure"),
+    [
+        (b"", ("idle_timeout", False)),
+        (_IDENTIFY + _CALL, ("idle_timeout", False)),
+        (_IDENTIFY + _CALL * 2, ("idle_timeout", False)),
+        (b"\xff" * 20, ("bad_input", False)),
+    ],
+)
+async def test_the_end_of_a_connection_is_logged(monkeypatch, data, closure):
+    monkeypatch.setattr(rpc, "SERVER_IDLE_TIMEOUT", 0.1)
+    log = fakes.ConnectionLog()
+    address = loopback.free_address()
+    async with trio.open_nursery() as nursery:
+        await _new_server(address, _pong, log).start(nursery)
+        await loopback.send_and_receive(address, data)
+        nursery.cancel_scope.cancel()
+    assert [(c.reason, c.unanswered) for c in log.closures] == [closure]
+
+
+async def test_a_call_cut_off_at_the_end_of_the_grace_period_is_logged(
+    monkeypatch,
+):
+    monkeypatch.setattr(rpc, "STOP_GRACE", 0.1)
+    log = fakes.ConnectionLog()
+    address = loopback.free_address()
+
+    async def wait(message, caller):
+        await trio.sleep(30)
+
+    server = _new_server(address, wait, log)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        connections = await loopback.open_sockets(address, 2)
+        loopback.send_now(connections[:1], _IDENTIFY + _CALL)
+        await trio.sleep(0.05)
+        await server.close()
+        await loopback.receive_until_closed(connections)
+    assert sorted((c.reason, c.unanswered) for c in log.closures) == [
+        ("process_end", True),
+        ("stop", False),
+    ]
