RPC client: a reply that has arrived is read at a late deadline

A node whose loop ran late gave up calls to a control that had answered, closed its idle connections to it and switched to another control.

Cause: the deadline of a call ended the wait for the reply without a look at the socket. Bytes may have arrived between the last poll of the sockets and the timers, and a reply of more than one read was dropped after its first part.

The client reads what is there before it reports the deadline.

--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -279,25 +279,26 @@
         Raises:
           RpcError: The call failed or timed out; the server may have run it.
         """
-        with trio.move_on_after(timeout):
-            try:
-                return await self._call(message)
-            except (
-                OSError,
-                trio.ClosedResourceError,
-                exceptions.ConnectionFailedError,
-                exceptions.ProtocolError,
-            ) as error:
-                raise exceptions.RpcError(
-                    f"{self._address}: unavailable: {error}"
-                ) from error
-        # The idle connections may be broken too, without an error so far.
-        self._close_idle()
-        raise exceptions.RpcError(
-            f"{self._address}: deadline_exceeded: no reply in {timeout:.2f} s"
-        )
+        try:
+            return await self._call(message, trio.current_time() + timeout)
+        except trio.TooSlowError as error:
+            # The idle connections may be broken too, without an error so far.
+            self._close_idle()
+            raise exceptions.RpcError(
+                f"{self._address}: deadline_exceeded: "
+                f"no reply in {timeout:.2f} s"
+            ) from error
+        except (
+            OSError,
+            trio.ClosedResourceError,
+            exceptions.ConnectionFailedError,
+            exceptions.ProtocolError,
+        ) as error:
+            raise exceptions.RpcError(
+                f"{self._address}: unavailable: {error}"
+            ) from error
 
-    async def _call(self, message: Any) -> Any:
+    async def _call(self, message: Any, deadline: float) -> Any:
         data = codec.encode(message)
         call = frames.encode(
             frames.RemoteCall(
@@ -308,12 +309,14 @@
         )
         stream = self._take_idle()
         if stream is None:
-            stream = await sockets.connect(self._address, keepalive=False)
+            with trio.fail_at(deadline):
+                stream = await sockets.connect(self._address, keepalive=False)
             call = frames.encode(frames.Identify(secret=self._secret)) + call
         complete = False
         try:
-            await stream.send(call)
-            reply = await _receive_frame(stream)
+            with trio.fail_at(deadline):
+                await stream.send(call)
+            reply = await _receive_frame(stream, deadline)
             complete = True
         finally:
             if complete and not self._closed:
@@ -383,15 +386,29 @@
             client.close()
 
 
-async def _receive_frame(stream: sockets.Stream) -> frames.Frame:
+async def _receive_frame(
+    stream: sockets.Stream, deadline: float
+) -> frames.Frame:
     """Returns the next frame.
 
+    Args:
+      stream: The connection.
+      deadline: Time of trio.
+
     Raises:
       ProtocolError: The connection was closed or sent an invalid frame.
+      trio.TooSlowError: The deadline passed, and no more bytes have arrived.
     """
     buffer = frames.FrameBuffer(limit=MESSAGE_LIMIT)
     while True:
-        data = await stream.receive(http.RECEIVE_SIZE)
+        with trio.move_on_at(deadline) as timeout:
+            data = await stream.receive(http.RECEIVE_SIZE)
+        if timeout.cancelled_caught:
+            # The loop may run long after the deadline, and the bytes may have
+            # been in time.
+            if stream.is_idle:
+                raise trio.TooSlowError
+            data = await stream.receive(http.RECEIVE_SIZE)
         if not data:
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "the connection was closed"
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,4 +1,6 @@
 import contextlib
+import os
+import socket
 import time
 
 import pytest
@@ -291,3 +293,84 @@
         ("process_end", True),
         ("stop", False),
     ]
+
+
+@contextlib.contextmanager
+def _manual_peer():
+    """Yields a client, and a function that accepts its next connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        client = _client(model.Address(host=host, port=port))
+
+        async def accept():
+            peer, _ = await trio.to_thread.run_sync(listener.accept)
+            peer.settimeout(5)
+            await trio.to_thread.run_sync(peer.recv, 65536)
+            return peer
+
+        yield client, accept
+        client.close()
+
+
+def _encode_reply(message):
+    return frames.encode(
+        frames.RemoteReply(
+            stamp=codec.format_time(clock.HybridClock().now()),
+            compressed=False,
+            data=codec.encode(message),
+        )
+    )
+
+
+@pytest.mark.parametrize("length", [0, 100_000])
+async def test_a_reply_that_arrives_before_a_late_timeout_is_returned(length):
+    """Guards against a reply that is dropped although it has arrived.
+
+    After a stall of the event loop, the timeout ended the wait for bytes that
+    were in the socket. The caller then gave up a control that had answered.
+    """
+    result = os.urandom(length)
+    reply = protocol.CommandResult(result=result)
+    replies = []
+    with _manual_peer() as (client, accept):
+
+        async def call():
+            replies.append(await client.call(protocol.Ping(), 0.3))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            peer = await accept()
+            loopback.SendAfterPoll(
+                [peer], _encode_reply(reply), at=trio.current_time() + 0.4
+            )
+            time.sleep(0.5)
+        peer.close()
+    assert replies == [reply]
+
+
+@pytest.mark.parametrize("resets", [False, True])
+async def test_a_call_on_a_connection_that_is_being_closed_is_reported(resets):
+    """A client can't know whether the server has read the call."""
+    with _manual_peer() as (client, accept):
+        errors = []
+
+        async def call():
+            try:
+                await client.call(protocol.Ping(), 2.0)
+            except exceptions.RpcError as error:
+                errors.append(str(error))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            peer = await accept()
+            loopback.send_now([peer], _encode_reply(protocol.Ack()))
+        assert not errors
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            # The call is sent in this turn.
+            await trio.lowlevel.checkpoint()
+            await trio.lowlevel.checkpoint()
+            if not resets:
+                await trio.to_thread.run_sync(peer.recv, 65536)
+            peer.close()
+    assert len(errors) == 1 and "unavailable" in errors[0]
