Test: keep a connection before its answer is sent

test_connection_that_ended_while_the_loop_was_blocked_is_not_used failed once (the case of the stray refusal, 'no answer by the deadline'): the upstream's thread noted a connection after it had sent the answer, so the test could ask for the end of the connections before that, and none ended. The second request then waited on a connection that nobody read.

--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -167,8 +167,8 @@
             self.requests += 1
             time.sleep(self._delay)
             request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
-            connection.sendall(OK % request_id)
             self._kept.append(connection)
+            connection.sendall(OK % request_id)
 
     def end_connections(self):
         while self._kept:
