Count and log why a connection to the upstream is closed

Nothing told why a connection to the upstream ended with a request on it: a reset by the upstream, invalid bytes, the deadline or a caller that left looked the same from outside. Each closure is now counted by its reason, and written to the log with the ID of the request, the time for which the connection had been idle before it, and how late the check of the deadline ran.

Reasons that other places do not have: deadline, abandoned (nobody waits for the response any more) and retired (a later response could be mistaken). A streamed response that breaks off counts as unanswered.

The tests in test_upstream_pool.py were seen to fail without the change: no closure was counted and no line was written.

--- a/src/sassafrashall/connection_log.py
+++ b/src/sassafrashall/connection_log.py
@@ -27,6 +27,9 @@
       HANDLER_FAILED: The handler ended without a response.
       INCOMPLETE: A response could not be sent to its end.
       PROCESS_END: The process ended.
+      DEADLINE: The deadline of a request passed without a response.
+      ABANDONED: Nobody waits for the response any more.
+      RETIRED: A response on it could be taken for that to another request.
     """
 
     IDLE_TIMEOUT = "idle_timeout"
@@ -38,6 +41,9 @@
     HANDLER_FAILED = "handler_failed"
     INCOMPLETE = "incomplete"
     PROCESS_END = "process_end"
+    DEADLINE = "deadline"
+    ABANDONED = "abandoned"
+    RETIRED = "retired"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -28,6 +29,9 @@
     def __init__(self, *, counters: metrics.Metrics) -> None:
         super().__init__()
         self._metrics = counters
+        self._log = connection_log.ConnectionLog(
+            place="upstream", counters=counters
+        )
         self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._idle: dict[
             model.Address, list[upstream_connection.UpstreamConnection]
@@ -55,13 +59,13 @@
             connection = idle[index]
             if not connection.is_usable(messages.NO_IDLE_LIMIT, now):
                 del idle[index]
-                connection.close()
+                connection.close(connection_log.Reason.IDLE_TIMEOUT)
             elif not connection.is_usable(message.max_idle, now):
                 # Idle for too long for this exchange, as are the older ones.
                 return None
             elif not connection.is_intact:
                 del idle[index]
-                connection.close()
+                connection.close_broken()
             elif connection.can_identify(message.is_answer):
                 return idle.pop(index)
         return None
@@ -93,9 +97,10 @@
             address=message.address,
             on_idle=self._add_idle,
             on_resend=self._resend,
+            log=self._log,
         )
         if reply.abandoned:
-            connection.close()
+            connection.close(connection_log.Reason.ABANDONED)
             return
         self._connections.add(connection)
         try:
@@ -135,4 +140,4 @@
                 for connection in idle:
                     if not connection.is_usable(messages.NO_IDLE_LIMIT, now):
                         # Its task then ends and removes it from the list.
-                        connection.close()
+                        connection.close(connection_log.Reason.IDLE_TIMEOUT)
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -73,6 +74,7 @@
         address: model.Address,
         on_idle: Callable[[UpstreamConnection], None],
         on_resend: Callable[[messages.UpstreamExchange, mailbox.Reply], None],
+        log: connection_log.ConnectionLog,
     ) -> None:
         """Takes over a socket.
 
@@ -82,11 +84,13 @@
           on_idle: Called when another exchange may start.
           on_resend: Called with an exchange that may be resent, since the
             upstream had closed the idle connection.
+          log: Records why the connection is closed.
         """
         self._stream = stream
         self._address = address
         self._on_idle = on_idle
         self._on_resend = on_resend
+        self._log = log
         self._parser = http1.ResponseParser(head_limit=HEAD_LIMIT)
         self._exchange: _Exchange | None = None
         self._nursery: trio.Nursery | None = None
@@ -99,6 +103,7 @@
         # IDs of the requests that got an error response.
         self._failed_ids: set[str] = set()
         self._exchange_started_at = 0.0
+        self._idle_before_exchange = 0.0
         self._idle_since = clock.monotonic()
         self._expires_at = self._idle_since + DEFAULT_KEEP_ALIVE
 
@@ -150,12 +155,15 @@
         self._exchange_count += 1
         self._response_started = False
         self._exchange_started_at = clock.monotonic()
+        self._idle_before_exchange = (
+            self._exchange_started_at - self._idle_since
+        )
         request = message.encode(self._exchange_started_at)
         self._parser.without_body = request.method == "HEAD"
         self._exchange = _Exchange(
             message=message, request=request, reply=reply
         )
-        reply.on_abandon(self.close)
+        reply.on_abandon(self._close_abandoned)
         if request.rest is not None:
             assert self._nursery is not None
             self._nursery.start_soon(self._upload, self._exchange)
@@ -178,18 +186,22 @@
     ) -> None:
         """Starts an exchange and reads until the connection ends."""
         detail = "the upstream closed the connection"
+        reason = connection_log.Reason.PROCESS_END
         try:
             async with trio.open_nursery() as self._nursery:
                 self.start_exchange(message, reply)
                 await self._read()
+                reason = connection_log.Reason.DISCONNECT
                 self._nursery.cancel_scope.cancel()
         except* (OSError, trio.ClosedResourceError) as group:
             detail = str(group.exceptions[0]) or detail
+            reason = connection_log.Reason.DISCONNECT
         except* exceptions.SassafrashallError as group:
             detail = str(group.exceptions[0])
+            reason = connection_log.Reason.BAD_INPUT
             self._response_started = True
         finally:
-            self.close()
+            self.close(reason)
             self._end_exchange(detail)
 
     def _end_exchange(self, detail: str) -> None:
@@ -217,6 +229,8 @@
             data = await self._stream.receive(http.RECEIVE_SIZE)
             if self._exchange is None:
                 # The upstream closed the idle connection or sent stray bytes.
+                if data:
+                    self.close(connection_log.Reason.BAD_INPUT)
                 return
             if data:
                 self._response_started = True
@@ -286,8 +300,6 @@
         # `reply.put` may start the next exchange before it returns.
         if self._reusable:
             self._on_idle(self)
-        else:
-            self.close()
         exchange.reply.put(
             model.Response(
                 status=head.status,
@@ -299,7 +311,7 @@
     def _finish_exchange(
         self, exchange: _Exchange, head: http1.ResponseHead
     ) -> None:
-        """Ends the exchange and decides whether the connection is reusable."""
+        """Ends the exchange, and the connection unless it is reusable."""
         exchange.reply.on_abandon(None)
         # After an early response the upload ends, and so does the connection.
         if exchange.upload_scope is not None:
@@ -319,6 +331,12 @@
             and head.keep_alive
             and self._parser.at_boundary
         )
+        if not self._reusable:
+            self.close(
+                connection_log.Reason.RETIRED
+                if head.keep_alive
+                else connection_log.Reason.ANNOUNCED
+            )
 
     def _start_streaming(self, exchange: _Exchange) -> None:
         """Replies with the beginning of a body and a reader for the rest."""
@@ -348,6 +366,7 @@
             if not exchange.overdue and not self.is_intact:
                 exchange.overdue = True
                 return
+            self._close_at_deadline(exchange)
             self._exchange = None
             exchange.reply.on_abandon(None)
             exchange.reply.fail(
@@ -357,7 +376,8 @@
                     expired=True,
                 )
             )
-        self.close()
+        elif exchange is not None:
+            self._close_at_deadline(exchange)
 
     def _fail_unsent(
         self,
@@ -366,8 +386,8 @@
         detail: str,
     ) -> None:
         """Fails or resends a request of which no byte could be sent."""
+        self.close(connection_log.Reason.DISCONNECT)
         self._exchange = None
-        self.close()
         reply.on_abandon(None)
         if self._exchange_count > 1:
             self._on_resend(message, reply)
@@ -376,10 +396,12 @@
                 exceptions.ConnectionFailedError(detail, maybe_delivered=False)
             )
 
-    def _fail_exchange(self, detail: str) -> None:
+    def _fail_exchange(
+        self, detail: str, reason: connection_log.Reason
+    ) -> None:
         """Fails the exchange, whose request could not be sent completely."""
+        self.close(reason)
         exchange, self._exchange = self._exchange, None
-        self.close()
         if exchange is not None:
             exchange.reply.on_abandon(None)
             exchange.reply.fail(
@@ -392,7 +414,7 @@
         try:
             await self._stream.send(data)
         except (OSError, trio.ClosedResourceError) as error:
-            self._fail_exchange(str(error))
+            self._fail_exchange(str(error), connection_log.Reason.DISCONNECT)
 
     async def _upload(self, exchange: _Exchange) -> None:
         """Sends a long body; the response may arrive before its end."""
@@ -418,13 +440,16 @@
                 if length is None:
                     await self._stream.send(http1.LAST_CHUNK)
                 exchange.uploaded = True
-            except (
-                OSError,
-                trio.ClosedResourceError,
-                exceptions.SassafrashallError,
-            ) as error:
+            except (OSError, trio.ClosedResourceError) as error:
                 if self._exchange is exchange:
-                    self._fail_exchange(str(error))
+                    self._fail_exchange(
+                        str(error), connection_log.Reason.DISCONNECT
+                    )
+            except exceptions.SassafrashallError as error:
+                if self._exchange is exchange:
+                    self._fail_exchange(
+                        str(error), connection_log.Reason.ABANDONED
+                    )
 
     # --- streaming of long responses -----------------------------------------
 
@@ -446,13 +471,18 @@
                 self._parser.feed_eof()
                 event = self._parser.next_event()
                 if event is None:
-                    raise _protocol_error("the upstream closed the connection")
+                    raise OSError("the upstream closed the connection")
                 return event
         except (
             OSError,
             trio.ClosedResourceError,
             exceptions.ProtocolError,
         ) as error:
+            self.close(
+                connection_log.Reason.BAD_INPUT
+                if isinstance(error, exceptions.ProtocolError)
+                else connection_log.Reason.DISCONNECT
+            )
             raise exceptions.ConnectionFailedError(
                 str(error), maybe_delivered=True
             ) from error
@@ -462,16 +492,54 @@
         if complete and exchange.head is not None:
             self._finish_exchange(exchange, exchange.head)
         else:
+            self.close(connection_log.Reason.ABANDONED)
             self._exchange = None
             self._reusable = False
-            self.close()
         self._streaming_ended.set()
 
-    def close(self) -> None:
-        """Closes the socket, which also cancels a request at the upstream."""
-        if self._open:
-            self._open = False
-            self._stream.close()
+    def close_broken(self) -> None:
+        """Closes an idle connection that is not intact."""
+        self.close(
+            connection_log.Reason.DISCONNECT
+            if self._stream.is_closed_by_peer
+            else connection_log.Reason.BAD_INPUT
+        )
+
+    def close(
+        self, reason: connection_log.Reason, *, delay: float = 0.0
+    ) -> None:
+        """Closes the socket, which also cancels a request at the upstream.
+
+        Args:
+          reason: Why, for the log; only the first call counts.
+          delay: Seconds by which the check that led to it ran late.
+        """
+        if not self._open:
+            return
+        self._open = False
+        self._stream.close()
+        exchange = self._exchange
+        request_id = None
+        idle = clock.monotonic() - self._idle_since
+        if exchange is not None:
+            request_id = exchange.message.is_answer.request_id
+            idle = self._idle_before_exchange
+        self._log.write(
+            connection_log.Closure(
+                reason=reason,
+                unanswered=exchange is not None,
+                request_id=request_id or "",
+                idle_s=idle,
+                delay_s=delay,
+            )
+        )
+
+    def _close_abandoned(self) -> None:
+        self.close(connection_log.Reason.ABANDONED)
+
+    def _close_at_deadline(self, exchange: _Exchange) -> None:
+        delay = clock.monotonic() - exchange.message.deadline
+        self.close(connection_log.Reason.DEADLINE, delay=delay)
 
 
 class _ResponseBody:
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -1,6 +1,8 @@
 """Exchanges with an upstream that closes, resets, misanswers or hangs."""
 
 import contextlib
+import logging
+import re
 import socket
 import struct
 import threading
@@ -11,6 +13,7 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import upstream_pool
@@ -80,7 +83,9 @@
 @contextlib.asynccontextmanager
 async def _pool(*script):
     upstream = _FakeUpstream(script)
-    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    counters = fakes.counters()
+    pool = upstream_pool.UpstreamPool(counters=counters)
+    upstream.counters = counters
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(
             upstream.address.port, host=upstream.address.host
@@ -416,3 +421,67 @@
             await _exchange(pool, upstream, "a", timeout=0.2)
         assert caught.value.maybe_delivered
         assert clock.monotonic() - began < 1.0
+
+
+def _closures(upstream):
+    """Returns the reasons of the closures, each with its outcome."""
+    text = upstream.counters.render()[1].decode()
+    return sorted(
+        re.findall(
+            r'connections_closed.*place="upstream".*reason="(\w+)"'
+            r',unanswered="(\w+)"',
+            text,
+        )
+    )
+
+
+async def _send_garbage(stream, request_id):
+    await stream.send_all(b"garbage\r\n\r\n")
+    return True
+
+
+async def _cut_streamed_answer(stream, request_id):
+    head = OK.partition(b"content-length")[0] % request_id
+    await stream.send_all(head + b"content-length: 9999999\r\n\r\n")
+    await stream.send_all(b"a" * 2 * http.BUFFERED_BODY_LIMIT)
+    return False
+
+
+async def _read_to_the_end(pool, upstream):
+    response = await _exchange(pool, upstream, "a", timeout=0.3)
+    while response.rest is not None and await response.rest.read():
+        pass
+
+
+@pytest.mark.parametrize(
+    "step, reason, unanswered",
+    [
+        (_never_answer, "deadline", "true"),
+        (_reset, "disconnect", "true"),
+        (_send_garbage, "bad_input", "true"),
+        (_cut_streamed_answer, "disconnect", "true"),
+        (_refuse(), "retired", "false"),
+    ],
+)
+async def test_reason_of_a_closed_connection_is_counted(
+    step, reason, unanswered
+):
+    async with _pool(step) as (pool, upstream):
+        with contextlib.suppress(exceptions.ConnectionFailedError):
+            await _read_to_the_end(pool, upstream)
+        assert _closures(upstream) == [(reason, unanswered)]
+
+
+async def test_connection_closed_with_an_exchange_is_logged(
+    caplog, monkeypatch
+):
+    monkeypatch.setattr(logs.get(), "propagate", True)
+    with caplog.at_level(logging.INFO, logger=logs.LOGGER_NAME):
+        async with _pool(_answer, _never_answer) as (pool, upstream):
+            await _exchange(pool, upstream, "a")
+            await trio.sleep(0.1)
+            with trio.move_on_after(0.1):
+                await _exchange(pool, upstream, "b")
+    (record,) = (r for r in caplog.records if "unanswered" in r.message)
+    assert (record.reason, record.request_id) == ("abandoned", "b")
+    assert 100 <= record.idle_ms < 200
