A connection is not reused while bytes of a body are still to be sent

An upstream may answer before it has read a body. If the socket had not taken all of a body of up to 128 KiB, the connection became idle with the rest of it still to be sent, since only streamed bodies were followed to their end. The next request then ended the process: two tasks wait to write to one socket, and trio's BusyResourceError is handled nowhere. With a free socket in between, the next request would have been sent into the middle of that body.

The exchange now counts as uploaded only when the rest has been sent, as for a streamed body: the answer is delivered, the upload ends, and the connection is closed.

test_connection_with_unsent_bytes_of_a_body_is_not_reused was seen to fail without the change, with BusyResourceError out of the pool's nursery.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -160,13 +160,13 @@
         )
         request = message.encode(self._exchange_started_at)
         self._parser.without_body = request.method == "HEAD"
-        self._exchange = _Exchange(
+        exchange = self._exchange = _Exchange(
             message=message, request=request, reply=reply
         )
         reply.on_abandon(self._close_abandoned)
         if request.rest is not None:
             assert self._nursery is not None
-            self._nursery.start_soon(self._upload, self._exchange)
+            self._nursery.start_soon(self._upload, exchange)
             return
         head = http1.encode_request_head(
             request.method, request.target, request.headers, len(request.body)
@@ -179,7 +179,10 @@
             return
         if sent < len(data):
             assert self._nursery is not None
-            self._nursery.start_soon(self._send_remaining, data[sent:])
+            exchange.uploaded = False
+            self._nursery.start_soon(
+                self._send_remaining, exchange, data[sent:]
+            )
 
     async def run(
         self, message: messages.UpstreamExchange, reply: mailbox.Reply
@@ -410,11 +413,17 @@
 
     # --- sending of long requests --------------------------------------------
 
-    async def _send_remaining(self, data: bytes) -> None:
-        try:
-            await self._stream.send(data)
-        except (OSError, trio.ClosedResourceError) as error:
-            self._fail_exchange(str(error), connection_log.Reason.DISCONNECT)
+    async def _send_remaining(self, exchange: _Exchange, data: bytes) -> None:
+        """Sends what the socket didn't take; the response may arrive before."""
+        with trio.CancelScope() as exchange.upload_scope:
+            try:
+                await self._stream.send(data)
+                exchange.uploaded = True
+            except (OSError, trio.ClosedResourceError) as error:
+                if self._exchange is exchange:
+                    self._fail_exchange(
+                        str(error), connection_log.Reason.DISCONNECT
+                    )
 
     async def _upload(self, exchange: _Exchange) -> None:
         """Sends a long body; the response may arrive before its end."""
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -19,6 +19,7 @@
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.platform import dialect
 from sassafrashall.transport import http
+from sassafrashall.transport import sockets
 from sassafrashall.transport import upstream_connection
 from tests import fakes
 from tests import loopback
@@ -90,6 +91,11 @@
         listeners = await trio.open_tcp_listeners(
             upstream.address.port, host=upstream.address.host
         )
+        for listener in listeners:
+            # Connections inherit it.
+            listener.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, 65536
+            )
         nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
         async with fakes.started(pool):
             with trio.fail_after(5):
@@ -98,14 +104,21 @@
 
 
 async def _exchange(
-    pool, upstream, request_id, *, may_resend=True, timeout=2.0, send_times=None
+    pool,
+    upstream,
+    request_id,
+    *,
+    may_resend=True,
+    timeout=2.0,
+    send_times=None,
+    body=b"",
 ):
     id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
         method="GET",
         target="/",
         headers=(("host", "h"), *id_header),
-        body=b"",
+        body=body,
         source=model.Source.PEER,
         received_at=0.0,
     )
@@ -485,3 +498,34 @@
     (record,) = (r for r in caplog.records if "unanswered" in r.message)
     assert (record.reason, record.request_id) == ("abandoned", "b")
     assert 100 <= record.idle_ms < 200
+
+
+@pytest.fixture
+def small_buffers(monkeypatch):
+    """Lets sockets to the upstream take a few kilobytes at a time."""
+    connect = sockets.connect
+
+    async def connect_with_small_buffer(address):
+        stream = await connect(address)
+        stream._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return stream
+
+    monkeypatch.setattr(sockets, "connect", connect_with_small_buffer)
+
+
+async def _answer_before_reading(stream, request_id):
+    await stream.send_all(OK % request_id)
+    await trio.sleep(0.1)
+    return True
+
+
+# Guards against a request that is sent into the middle of an earlier body,
+# which the upstream had answered before it read all of it.
+async def test_connection_with_unsent_bytes_of_a_body_is_not_reused(
+    small_buffers,
+):
+    async with _pool(_answer_before_reading, _answer) as (pool, upstream):
+        body = b"a" * 2 * http.BUFFERED_BODY_LIMIT
+        await _exchange(pool, upstream, "a", body=body)
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
