Admission: refuse the queue when the node stops

What callers saw: a request that waited for a slot at the end of the grace period got no answer, since nothing resolved its reply once the admission controller had ended. A slot that was given back later, by a streamed answer, raised MailboxClosedError past the connection's task and failed the exit of the process.

The controller refuses its queue as not run when it ends, and a slot that outlives it is dropped.

The test was seen to fail without the fix: no answer within 1 s. The second fault was found by reading.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -101,6 +101,9 @@
         self._spawn(self._follow_upstream)
         self._spawn(self._tick_regularly)
 
+    async def _teardown(self) -> None:
+        self._shed_all(exceptions.STOPPING, "the node is stopping")
+
     async def _follow_upstream(self) -> None:
         while True:
             upstream = await self._local_upstream.wait_changed()
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -172,9 +172,14 @@
         """Frees the slot and reports how the upstream answered."""
         if not self._released:
             self._released = True
-            self._admission.tell(
-                messages.SlotReleased(latency=self._latency, shed=self._shed)
+            message = messages.SlotReleased(
+                latency=self._latency, shed=self._shed
             )
+            try:
+                self._admission.tell(message)
+            except exceptions.MailboxClosedError:
+                # A slot may outlive the controller when the process stops.
+                pass
 
 
 class _StreamedAnswer:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -120,3 +120,16 @@
         after = await controller.mailbox.ask(_admit("after"))
     assert answers[0].code == exceptions.STOPPING
     assert after.code == exceptions.NO_UPSTREAM
+
+
+# Guards against a queued request staying without an answer when a node stops.
+async def test_close_refuses_the_requests_in_the_queue():
+    async with _admission() as (controller, _), trio.open_nursery() as nursery:
+        await _fill_slots(controller)
+        answers = []
+        nursery.start_soon(_ask_into, controller, _admit("queued"), answers)
+        await trio.testing.wait_all_tasks_blocked()
+        await controller.close()
+        nursery.cancel_scope.deadline = trio.current_time() + 1
+    (answer,) = answers
+    assert answer.code == exceptions.STOPPING
