Stop of a node: pass on only what ends in time, and close in order

What callers saw: 502 for requests on connections that they kept using while the node stopped, 7 to 9 of about 550 in a test with 20 callers; with more load also closed connections. The node waited for a moment without any request. If none came before the end of the grace period, the listener for callers was not closed at all (move_on_after(0) ended before its first step), and the controllers closed one after the other while requests were still passed on.

Now, once callers and peers have had the time to learn that the node leaves, both chains pass on only calls whose deadline is before the end of the process, and refuse the others as not run (code stopping; the response closes the connection). From the first moment without a request, or at the end, nothing is passed on any more. What is still in progress then is ended first, together for the queue, the links and the upstream pool, so that each request is answered and none is tried elsewhere; then the connections close, then the controllers. A short grace period halves the delay instead of using it up.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -132,6 +132,7 @@
 
     Attributes:
       strict: Whether nodes run with `strict_withdrawal`.
+      grace: Seconds that nodes have to stop.
       nursery: Nursery of the processes; set by `running`.
       operators: Address for operators of each control.
       callers: Address for callers of each node, by VM.
@@ -139,8 +140,17 @@
       upstreams: Simulated upstream of each node, by VM.
     """
 
-    def __init__(self, *, services, controls=1, strict=True, policy=None):
+    def __init__(
+        self,
+        *,
+        services,
+        controls=1,
+        strict=True,
+        policy=None,
+        grace=6.0,
+    ):
         self._data_folders = contextlib.ExitStack()
+        self.grace = grace
         self.strict = strict
         self.policy = policy or settings.Policy(
             limit="fixed",
@@ -217,6 +227,7 @@
                     service=service,
                     upstream=upstream,
                     strict_withdrawal=self.strict,
+                    grace=settings.Duration(seconds=self.grace),
                 ),
             )
         )
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -39,6 +39,7 @@
 from sassafrashall.filters import quota
 from sassafrashall.filters import route_match
 from sassafrashall.filters import routed_dispatch
+from sassafrashall.filters import stopping
 from sassafrashall.filters import upstream
 from sassafrashall.platform import dialect
 from sassafrashall.platform import front_end
@@ -62,7 +63,9 @@
 # checks, which are one second apart, and their answers.
 LEAVE_DELAY = 2.5
 LEAVE_TIMEOUT = 1.0  # seconds to announce to a control that the node leaves
-GRACE_MARGIN = 0.4  # seconds before SIGKILL by which the process has stopped
+# Seconds before SIGKILL at which the last calls end and the process stops.
+GRACE_MARGIN = 0.4
+CLOSE_TIMEOUT = 0.2  # seconds of it for callers to receive the last answers
 DRAIN_POLL_INTERVAL = 0.05  # seconds between checks for requests in progress
 
 
@@ -89,6 +92,10 @@
         }
         self._leaving = False
         self._in_progress = 0
+        # Monotonic seconds by which the calls passed on must end.
+        self._process_end = mailbox.Published[float](
+            initial=stopping.NEVER_STOPS
+        )
         self._build_controllers()
         self._worker_chain = self._build_worker_chain()
         self._entry_chain = self._build_entry_chain()
@@ -179,6 +186,7 @@
                 deadline.DeadlineFilter(
                     default_timeout_ms=self._settings.default_timeout_ms
                 ),
+                stopping.StoppingFilter(process_end=self._process_end),
                 local_upstream.LocalUpstreamFilter(
                     admission=self._admission.mailbox,
                     admission_level=self._admission_level,
@@ -207,6 +215,7 @@
                 deadline.DeadlineFilter(
                     default_timeout_ms=settings.default_timeout_ms
                 ),
+                stopping.StoppingFilter(process_end=self._process_end),
                 *self._early_shed_filters(),
                 quota.QuotaFilter(quota=self._quota.mailbox),
                 routed_dispatch.RoutedDispatchFilter(
@@ -370,34 +379,63 @@
     async def close(self) -> None:
         """Leaves the fleet, finishes the requests in progress, then stops.
 
-        Requests that are still in progress shortly before the end of the
-        grace period are cut off.
+        Once callers and peers know that the node leaves, a request is passed
+        on only if its deadline is before the end of the grace period. Requests
+        still in progress shortly before that end are answered with a failure.
         """
         stop_at = clock.monotonic() + self._routed.grace.seconds - GRACE_MARGIN
         logs.get().info("node leaving")
         self._events.record("process.leaving")
         self._leaving = True
         self._callers.drain()
-        with trio.move_on_after(LEAVE_TIMEOUT):
-            try:
-                await self._membership.mailbox.ask(messages.Leave())
-            except exceptions.SassafrashallError as error:
-                logs.get().warning(
-                    "could not announce that the node leaves",
-                    extra={"reason": str(error)},
-                )
-        await trio.sleep(LEAVE_DELAY)
+        await self._announce_leave()
+        await trio.sleep(
+            min(LEAVE_DELAY, max(0.0, stop_at - clock.monotonic()) / 2)
+        )
+        # From now on, only calls that end in time are passed on.
+        self._process_end.publish(stop_at)
         while clock.monotonic() < stop_at and (
             self._in_progress or self._peers.busy
         ):
             await trio.sleep(DRAIN_POLL_INTERVAL)
+        self._process_end.publish(stopping.ALREADY_STOPPED)
         with trio.move_on_after(max(0.0, stop_at - clock.monotonic())):
             await self._callers.close()
+        await self._end_calls()
+        # The connections end before the controllers that they call.
+        with trio.move_on_after(CLOSE_TIMEOUT):
+            await self._callers.close()
         await self._peers.close()
         for controller in reversed(self._controllers):
             await controller.close()
         logs.get().info("node stopped")
 
+    async def _announce_leave(self) -> None:
+        with trio.move_on_after(LEAVE_TIMEOUT):
+            try:
+                await self._membership.mailbox.ask(messages.Leave())
+            except exceptions.SassafrashallError as error:
+                logs.get().warning(
+                    "could not announce that the node leaves",
+                    extra={"reason": str(error)},
+                )
+
+    async def _end_calls(self) -> None:
+        """Ends the calls in progress, so that each of them is answered."""
+        if self._in_progress:
+            logs.get().warning(
+                "requests in progress at the end of the grace period",
+                extra={"requests": self._in_progress},
+            )
+        # They close together: a call that ends must not be tried elsewhere.
+        async with trio.open_nursery() as nursery:
+            for controller in (
+                self._admission,
+                self._peer_links,
+                self._upstream_pool,
+            ):
+                nursery.start_soon(controller.close)
+
 
 def _target_ms(
     table: route_table.RouteTable | None, request: model.Request
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -1,5 +1,6 @@
 """End-to-end tests of a routed fleet in one process, over real sockets."""
 
+import collections
 import contextlib
 import json
 
@@ -8,7 +9,13 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall import routed_node
+from sassafrashall.controllers import peer_links
+from sassafrashall.transport import http
+from tests import fakes
 from tests import loopback
 
 KEYS = {"org-a": "key-of-a", "org-b": "key-of-b"}
@@ -315,6 +322,151 @@
         assert statuses == [200, 200]
 
 
+async def test_requests_at_the_end_of_the_grace_period_are_answered(
+    monkeypatch,
+):
+    """The upstream is silent, so no request ends before the node must stop."""
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.3)
+    document = routed.document(services=("beta",), timeout="30s")
+    async with _fleet(document, grace=1.5) as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.slots = 2
+        assert await upstream.announce() == 200
+        upstream.delay = 30.0
+        responses = {}
+
+        async def send_request(vm, request_id):
+            responses[request_id] = await routed.send(
+                fleet.callers[vm],
+                "GET",
+                "/x",
+                headers=(("request-id", request_id),),
+                host="beta.example",
+            )
+
+        async with trio.open_nursery() as nursery:
+            # The third request waits for a slot of the upstream.
+            for number, vm in enumerate(("vm-a", "vm-b", "vm-b")):
+                nursery.start_soon(send_request, vm, f"r{number}")
+                await trio.sleep(0.1)
+            with trio.fail_after(fleet.grace):
+                await fleet.nodes["vm-b"].close()
+        ran = {
+            model.find_header(raw.headers, "request-id")
+            for raw in upstream.requests
+        }
+    assert ran == {"r0", "r1"}
+    statuses = {name: r.status for name, r in responses.items()}
+    assert statuses == {"r0": 502, "r1": 502, "r2": 503}
+
+
+# Guards against passing a request on that the stop has to break off.
+async def test_a_stopping_node_passes_on_only_what_ends_in_time(monkeypatch):
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.3)
+    async with _fleet(grace=3.0) as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.delay = 1.5
+        record = fleet.nodes["vm-b"].membership.view.value.records["vm-a"]
+        links = peer_links.PeerLinks(
+            vm="vm-x",
+            secret=routed.SECRET.encode(),
+            counters=fakes.counters(),
+        )
+        await links.start(fleet.nursery)
+        async with trio.open_nursery() as nursery:
+            # This request keeps the node from stopping at once.
+            nursery.start_soon(_get, fleet)
+            await trio.sleep(0.1)
+            nursery.start_soon(fleet.nodes["vm-a"].close)
+            await trio.sleep(0.8)
+            upstream.delay = 0.0
+            served = await _get(fleet, ("request-deadline", "500"))
+            refused = await _get(fleet)
+            call = messages.Exchange(
+                address=record.peer_address,
+                request=fakes.request(),
+                ticket=fakes.ticket(service="alpha", remaining_ms=5000),
+                deadline=clock.monotonic() + 5.0,
+                to_upstream=False,
+                confirm=False,
+            )
+            refused_call = await links.mailbox.ask(call)
+        await links.close()
+    assert served.status == 200
+    assert refused.status == 503
+    body = json.loads(refused.body)
+    assert (body["code"], body["run"]) == ("stopping", "not-run")
+    assert model.find_header(refused.headers, "connection") == "close"
+    assert refused_call.code == exceptions.STOPPING
+    assert refused_call.run is model.RunState.NOT_RUN
+    assert len(upstream.requests) == 2
+    assert not fleet.upstreams["vm-a"].requests
+
+
+# Guards against losing requests on connections that callers keep using.
+async def test_a_stop_loses_no_request_on_kept_connections(monkeypatch):
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.3)
+    async with _fleet(grace=2.0) as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.delay = 0.02
+        address = fleet.callers["vm-a"]
+        stopped = trio.Event()
+        lost, statuses = [], collections.Counter()
+
+        async def use_kept_connections(number):
+            for count in range(10_000):
+                try:
+                    connection = await loopback.connect(address)
+                except exceptions.ConnectionFailedError:
+                    if stopped.is_set():
+                        return
+                    await trio.sleep(0.01)
+                    continue
+                request_id = f"{number}-{count}"
+                await send_until_closed(connection, request_id)
+                await connection.close()
+
+        async def send_until_closed(connection, name):
+            for count in range(10_000):
+                request_id = f"{name}-{count}"
+                try:
+                    response = await connection.exchange(
+                        _raw_request(request_id)
+                    )
+                except exceptions.ConnectionFailedError:
+                    lost.append(request_id)
+                    return
+                statuses[response.status] += 1
+                if model.find_header(response.headers, "connection") == "close":
+                    return
+
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(use_kept_connections, number)
+            await trio.sleep(0.3)
+            with trio.fail_after(fleet.grace):
+                await fleet.nodes["vm-a"].close()
+            stopped.set()
+    ran = {
+        model.find_header(raw.headers, "request-id")
+        for raw in upstream.requests
+    }
+    assert statuses[200] > 100
+    assert set(statuses) <= {200, 503}, statuses
+    assert not ran & set(lost)
+
+
+def _raw_request(request_id):
+    return http.RawRequest(
+        method="GET",
+        target="/x",
+        headers=(("host", "beta.example"), ("request-id", request_id)),
+        body=b"",
+        source=model.Source.CALLER,
+        received_at=0.0,
+    )
+
+
 @pytest.mark.parametrize(
     "head",
     [
