Peer server: refuse the calls that have arrived, then close the connections

What callers saw: calls of other nodes on kept connections to a stopping node were left unread until the process was gone, and then counted as calls that may have run.

The close handles the frames that have arrived, which the stopping node refuses as not run, and ends each connection with a reason in the log.

The test was seen to fail without the fix with either order of the scheduler: the connection stayed open.

--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -138,13 +138,14 @@
             logs.get().warning(
                 "invalid frame from another node", extra={"reason": str(error)}
             )
-            self._break(connection_log.Reason.BAD_INPUT)
+            self.close(connection_log.Reason.BAD_INPUT)
         except Exception:
             # An exception must not end the calls of other connections.
             logs.get().exception("unhandled exception in a frame's handler")
-            self._break(connection_log.Reason.HANDLER_FAILED)
+            self.close(connection_log.Reason.HANDLER_FAILED)
 
-    def _break(self, reason: connection_log.Reason) -> None:
+    def close(self, reason: connection_log.Reason) -> None:
+        """Closes the connection; bytes that have not been read are dropped."""
         self._broken = self._ended = True
         self._end_reason = reason
         self._stream.close()
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -95,6 +95,11 @@
             elif call.proceed is not None and call.proceed_deadline <= now:
                 call.proceed.put(False)
 
+    def close(self) -> None:
+        """Handles the frames that have arrived, then ends the connection."""
+        self._connection.read_ready()
+        self._connection.close(connection_log.Reason.STOP)
+
     async def serve(self) -> None:
         """Runs until the connection ends; its calls end with it."""
         try:
@@ -352,6 +357,11 @@
             self._connections.discard(connection)
 
     async def close(self) -> None:
-        """Stops accepting; connections end with the process."""
+        """Stops accepting and closes the connections; cuts calls in progress.
+
+        Calls that have arrived by then still reach the handler.
+        """
         for tcp_listener in self._listeners:
             await tcp_listener.aclose()
+        for connection in tuple(self._connections):
+            connection.close()
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -69,7 +69,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _peer(handler, secret=SECRET):
+async def _peer(handler, secret=SECRET, servers=None):
+    """Runs a node's server, which is added to `servers`; yields its address."""
     address = loopback.free_address()
     server = peer_server.PeerServer(
         address=address,
@@ -79,6 +80,8 @@
     )
     async with trio.open_nursery() as nursery:
         await server.start(nursery)
+        if servers is not None:
+            servers.append(server)
         yield address
         nursery.cancel_scope.cancel()
 
@@ -540,3 +543,21 @@
         nursery.cancel_scope.deadline = trio.current_time() + 1
     (outcome,) = outcomes
     assert outcome.run is model.RunState.NOT_RUN
+
+
+# Guards against calls being dropped unread when a node stops.
+@pytest.mark.usefixtures("scheduling")
+async def test_close_refuses_the_calls_that_have_arrived_and_disconnects():
+    async def handler(request):
+        return model.Refuse(code=exceptions.STOPPING, detail="")
+
+    servers = []
+    async with _peer(handler, servers=servers) as address:
+        stream = await _connect_as_peer(address)
+        await trio.testing.wait_all_tasks_blocked()
+        stream.send_nowait(frames.encode(_open_call(1)))
+        await servers[0].close()
+        with trio.fail_after(1):
+            received = [frame async for frame in _frames_from(stream)]
+    (refusal,) = received
+    assert (refusal.code, refusal.run) == (exceptions.STOPPING, "not-run")
