Stop of a node: close the other listeners before the controllers

What was seen: a heartbeat that reached a stopping node after its controllers had closed raised MailboxClosedError past the HTTP server and ended the process with an error instead of status 0; the listeners for heartbeats, readiness and operations stayed open until the process was gone.

They close together with the listener for callers, before the controllers.

The test was seen to fail without the fix: MailboxClosedError from the handler.

--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -65,7 +65,7 @@
 LEAVE_TIMEOUT = 1.0  # seconds to announce to a control that the node leaves
 # Seconds before SIGKILL at which the last calls end and the process stops.
 GRACE_MARGIN = 0.4
-CLOSE_TIMEOUT = 0.2  # seconds of it for callers to receive the last answers
+CLOSE_TIMEOUT = 0.2  # seconds of it for the last answers to be received
 DRAIN_POLL_INTERVAL = 0.05  # seconds between checks for requests in progress
 
 
@@ -404,7 +404,10 @@
         await self._end_calls()
         # The connections end before the controllers that they call.
         with trio.move_on_after(CLOSE_TIMEOUT):
-            await self._callers.close()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._callers.close)
+                for server in self._http_servers:
+                    nursery.start_soon(server.close)
         await self._peers.close()
         for controller in reversed(self._controllers):
             await controller.close()
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -403,6 +403,16 @@
     assert not fleet.upstreams["vm-a"].requests
 
 
+# Guards against heartbeats that are read after their controller has ended.
+async def test_a_stopped_node_takes_no_heartbeats(monkeypatch):
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.1)
+    async with _fleet() as fleet:
+        await fleet.nodes["vm-b"].close()
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await fleet.upstreams["vm-b"].announce()
+    assert not caught.value.maybe_delivered
+
+
 # Guards against losing requests on connections that callers keep using.
 async def test_a_stop_loses_no_request_on_kept_connections(monkeypatch):
     monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.3)
