Daemon: take the signals that arrive during a stop

What was seen: a second SIGTERM, or a SIGHUP, during a graceful stop killed the process by that signal in place of status 0. trio raises the signals that nobody has taken once more when the receiver closes, with the default handlers. The stop itself was complete by then, so no request was cut.

A task takes and logs the signals that arrive during the stop.

--- a/src/sassafrashall/daemon.py
+++ b/src/sassafrashall/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import gc
 import signal
@@ -111,9 +112,22 @@
                 # Addresses and secrets are fixed for the life of a process;
                 # other changes reach it from the controls.
                 logs.get().info("ignored SIGHUP, settings are not read again")
+            nursery.start_soon(_ignore_signals, signals)
             await process.close()
             nursery.cancel_scope.cancel()
 
 
+async def _ignore_signals(signals: AsyncIterator[int]) -> None:
+    """Takes the signals that arrive during a stop.
+
+    trio raises those that nobody took once more after the stop, and they would
+    then kill the process.
+    """
+    async for received in signals:
+        logs.get().info(
+            "ignored a signal, stopping", extra={"signal": received}
+        )
+
+
 if __name__ == "__main__":
     sys.exit(main())
