--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -254,8 +254,11 @@
         with trio.move_on_after(LEAVE_TIMEOUT):
             try:
                 await self._membership.mailbox.ask(messages.Leave())
-            except exceptions.SassafrashallError:
-                pass
+            except exceptions.SassafrashallError as error:
+                logs.get().warning(
+                    "could not announce that the node leaves",
+                    extra={"reason": str(error)},
+                )
         callers, peers, local, ops = self._servers
         callers.drain()
         peers.drain()
