--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -264,8 +264,9 @@
             closed.at,
             closed.request_id,
             sent.vm,
-            f"use {sent.use} of its connection, {closed.received} bytes "
-            f"received {closed.at - sent.at:.3f} s after it was sent, ran at "
+            f"use {sent.use} of its connection, which had rested "
+            f"{sent.rested:.3f} s; {closed.received} bytes received "
+            f"{closed.at - sent.at:.3f} s after it was sent, ran at "
             f"{[(run.vm, run.sound) for run in runs]}, faults "
             f"{[fault.fault for fault in faults]}",
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     values = {
         "vm": "node-0",
         "use": 2,
+        "rested": 0.5,
         "target": "/x?size=3&ms=0",
         "idempotent": False,
         "body": b"",
