--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -295,7 +295,7 @@
         self._report(await connection.exchange(sent, host))
 
     def _draw_request(
-        self, use: int, run_ms: int
+        self, connection: _Connection, run_ms: int
     ) -> tuple[str, soak_model.Sent]:
         host = self._random.choice(("idem", "once", "keyed"))
         size = self._random.choice(SIZES)
