--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import math
+import signal
 
 from bench.soak import model
 from bench.soak import operators
@@ -35,6 +36,7 @@
         self._proposed: dict[int, model.Proposed] = {}
         self._acknowledged: dict[int, float] = {}
         self._withdrawn: dict[str, float] = {}
+        self._served: dict[str, float] = {}  # time of the last answer
         self._seen: dict[str, tuple[int, float]] = {}
         self.violations: list[model.Violation] = []
         self.counts: dict[str, int] = {}
@@ -172,6 +174,7 @@
 
     def _judge_answer(self, answer: model.Answered) -> None:
         sent = self._sent[answer.request_id]
+        self._served[sent.vm] = answer.at
         runs = self._runs.get(answer.request_id, [])
         if answer.status in model.REFUSALS and runs:
             self._break_refused(sent, answer)
@@ -334,11 +337,13 @@
                 ):
                     took = exited.at - fault.at
                     # A process that has just started may not handle signals.
-                    is_new = fault.at < self._started[exited.vm] + (
-                        self._bounds.settle
+                    is_new = (
+                        self._served.get(exited.vm, -1.0)
+                        < (self._started[exited.vm])
                     )
                     if took > self._bounds.grace or not (
-                        exited.status == 0 or is_new
+                        exited.status == 0
+                        or (is_new and exited.status == -signal.SIGTERM)
                     ):
                         self._break(
                             "DRAIN",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -159,6 +159,14 @@
                 model.Exited(vm="node-0", at=6.0, status=1, told=True),
             ],
         ),
+        (
+            "DRAIN",
+            [
+                model.Started(vm="node-0", at=0.0),
+                *(_sent(), _ran(), _answered(at=10.2), _began(STOP, 10.5)),
+                model.Exited(vm="node-0", at=10.6, status=-15, told=True),
+            ],
+        ),
     ],
 )
 def test_the_checker_finds_a_broken_promise(rule, observations):
@@ -201,6 +209,11 @@
             _began(STOP, 5.0),
             model.Exited(vm="node-0", at=10.9, status=0, told=True),
         ],
+        [
+            model.Started(vm="node-0", at=4.0),
+            _began(STOP, 5.0),
+            model.Exited(vm="node-0", at=5.1, status=-15, told=True),
+        ],
     ],
 )
 def test_the_checker_allows_what_no_promise_forbids(observations):
