A connection to an upstream that is ending is not used once more

Callers got 500 (internal_error) for a request that was never sent, or 502 for one that ran. A connection that reads stray bytes while it is idle ends; its nursery runs other tasks once before it has ended, and in that moment the pool still took the connection for usable: the stray bytes had been read. A long body then failed with "Nursery is closed to new arrivals"; a short request was sent, and the connection closed on its answer.

The test failed 3 of 3 times without the change (ConnectionFailedError). The connection is now unusable as soon as its reading has ended, for whatever reason.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -181,7 +181,11 @@
         try:
             async with trio.open_nursery() as self._nursery:
                 self.start_exchange(message, reply)
-                await self._read()
+                try:
+                    await self._read()
+                finally:
+                    # Other tasks run before the nursery has ended.
+                    self._reusable = False
                 self._nursery.cancel_scope.cancel()
         except* (OSError, trio.ClosedResourceError) as group:
             detail = str(group.exceptions[0]) or detail
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -139,6 +139,28 @@
         assert upstream.requests == [b"a", b"b"]
 
 
+# A connection that had read stray bytes was used once more while it ended: the
+# request failed, with a long body by "Nursery is closed to new arrivals".
+async def test_connection_that_ends_after_stray_bytes_is_not_used():
+    # The next request comes before or after the end is noticed, by chance.
+    for _ in range(30):
+        sent = trio.Event()
+
+        async def answer_twice(stream, request_id, sent=sent):
+            await stream.send_all(OK % request_id)
+            await trio.sleep(0.01)
+            await stream.send_all(OK % request_id)
+            sent.set()
+            return True
+
+        async with _pool(answer_twice, _answer) as (pool, upstream):
+            await _exchange(pool, upstream, "r1")
+            await sent.wait()
+            response = await _exchange(pool, upstream, "r2", may_resend=False)
+        assert response.status == 200
+        assert upstream.connections == 2
+
+
 class _ThreadedUpstream:
     """Answers one request on each connection, then sends `extra` or closes.
 
