--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -208,6 +208,10 @@
                 f"status {answer.status} with {answer.signature!r}",
             )
 
+        elif answer.status == 500:
+            self._break(
+                "FAULT", answer.at, answer.request_id, sent.vm, "internal error"
+            )
         elif 400 <= answer.status < 500:
             self._judge_denial(sent, answer)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,6 +116,7 @@
         ("UNASKED", [_sent(), _ran(body=b"x")]),
         ("REVOKE", [*_versions(1, 3, keys=KEYS), _sent(key="a"), _ran()]),
         ("DENIED", [_sent(), _answered(status=404, signature="")]),
+        ("FAULT", [_sent(), _answered(status=500, signature="")]),
         ("HELD", [_sent(), model.GaveUp(request_id="r1", at=16.0)]),
         ("CONFIG", [model.Refused(version=1, at=1.0, status=412)]),
         (
