A SIGHUP while a process starts or ends no longer kills it

A node that was sent SIGHUP within the second after its start, before its event loop took over the signals, ended by signal 1, and one that had just stopped as planned ended with that status instead of 0.

What is left is the start of the interpreter.

--- a/src/sassafrashall/daemon.py
+++ b/src/sassafrashall/daemon.py
@@ -26,6 +26,8 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs `sassafrashalld` and returns its exit status."""
+    # Its default ends the process, also before and after the event loop.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = argparse.ArgumentParser(
         prog="sassafrashalld",
         description="Runs one process of the overload control layer.",
