A stop accepts the connections that have arrived

Cause: the listener closed its socket with connections in the kernel's backlog, which the kernel then resets. The same class as the idle close: what had arrived was dropped by a decision that did not look.

Fix: `close` first lets the accepting tasks take what has arrived, at most the length of the backlog, and then stops these connections like the others.

--- a/src/sassafrashall/transport/listener.py
+++ b/src/sassafrashall/transport/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import select
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -121,7 +122,12 @@
             connection.expire()
 
     async def close(self) -> None:
-        """Stops accepting, then waits until every connection has ended."""
+        """Stops accepting, then waits until every connection has ended.
+
+        Connections that have arrived by then are accepted and stopped as well;
+        with the listener, the kernel would reset them.
+        """
+        await self._accept_arrived()
         for tcp_listener in self._listeners:
             await tcp_listener.aclose()
         for connection in list(self._connections):
@@ -129,3 +135,15 @@
         while self._connections:
             self._all_closed = trio.Event()
             await self._all_closed.wait()
+
+    async def _accept_arrived(self) -> None:
+        """Lets the accepting tasks take the connections that have arrived."""
+        poll = select.poll()
+        for tcp_listener in self._listeners:
+            descriptor = tcp_listener.socket.fileno()
+            if descriptor >= 0:
+                poll.register(descriptor, select.POLLIN)
+        for _ in range(LISTEN_BACKLOG):
+            if not poll.poll(0):
+                return
+            await trio.lowlevel.checkpoint()
