Streamed responses and rejected input beside a stop or a new configuration

- A stop during a streamed response, or beside an empty line, left the connection open until its idle timeout, since the stop was tried once.
The check repeats it.
- A shorter idle timeout in force before the end of a streamed response closed the connection before the announced time.
The connection keeps the timeout that its last response announced.
- An unexpected error of a streamed body ended the process through the nursery of all connections.
It ends its connection, with a trace in the log.
- A caller that read nothing and sent garbage kept its connection for ever; the response to invalid input has a timeout now.
- A body rejected with 413 was logged as an unanswered request.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -12,6 +12,7 @@
 from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import fiber
+from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.decisions import connection_lifetime
 from sassafrashall.transport import codec
@@ -21,6 +22,7 @@
 from sassafrashall.transport import sockets
 
 LINGER_TIME = 1.0  # seconds to discard a body after an early response
+REJECT_TIMEOUT = 1.0  # seconds to send the response to invalid input
 SLOW_READER_TIMEOUT = 30.0  # seconds after which a blocked send is aborted
 SWEEP_INTERVAL = 0.2  # seconds between checks for disconnects and timeouts
 CONNECTION_LIMIT = 3000  # leaves descriptors for peers and the upstream
@@ -129,14 +131,17 @@
         self._spawn = spawn
         self._parser = http1.RequestParser(head_limit=limits().head_bytes)
         self._scope = trio.CancelScope()
+        # Seconds, as in force when the last response was sent.
+        self._idle_timeout = limits().idle_timeout_s
         self._activity: connection_lifetime.Activity = connection_lifetime.Idle(
-            since=clock.monotonic(), timeout=limits().idle_timeout_s
+            since=clock.monotonic(), timeout=self._idle_timeout
         )
         self._exchange: _Exchange | None = None
         # Whether all input received so far is handled, so that the task waits
         # for more.
         self._awaits_input = True
         self._expiring = False
+        self._stopping = False
         self._closing = False
         # Why this side closes the connection; None while it does not.
         self._close_reason: connection_log.Reason | None = None
@@ -185,10 +190,15 @@
 
     def stop(self) -> None:
         """Closes the connection once it is idle."""
-        self._expiring = True
+        self._expiring = self._stopping = True
+        self._close_if_stopped(0.0)
+
+    def _close_if_stopped(self, delay: float) -> None:
         match connection_lifetime.on_stop(self._activity, clock.monotonic()):
             case connection_lifetime.CloseIdle(idle=idle):
-                self._close_unless_input(connection_log.Reason.STOP, idle, 0.0)
+                self._close_unless_input(
+                    connection_log.Reason.STOP, idle, delay
+                )
 
     def check_liveness(
         self, now: float, limits: configuration.Limits, delay: float
@@ -204,6 +214,10 @@
             if not self._awaits_input and self._stream.is_closed_by_peer:
                 self._close(connection_log.Reason.DISCONNECT)
             return
+        if self._stopping:
+            # A response may have kept the connection, and input that began no
+            # request may have delayed the stop.
+            self._close_if_stopped(delay)
         action = connection_lifetime.on_check(
             self._activity,
             now,
@@ -365,6 +379,9 @@
                         complete = True
         except (OSError, trio.ClosedResourceError):
             pass
+        except Exception:
+            # An exception must not end the connections of other callers.
+            logs.get().exception("unhandled exception while sending a response")
         finally:
             self._end_exchange(exchange, _close_reason_after(complete, closes))
 
@@ -395,9 +412,7 @@
         now = clock.monotonic()
         if self._parser.head_incomplete:
             return connection_lifetime.ReceivingHead(since=now)
-        return connection_lifetime.Idle(
-            since=now, timeout=self._limits().idle_timeout_s
-        )
+        return connection_lifetime.Idle(since=now, timeout=self._idle_timeout)
 
     def _encode_response(
         self, exchange: _Exchange, response: model.Response, closes: bool
@@ -416,9 +431,8 @@
         self, response: model.Response, length: int | None, closes: bool
     ) -> bytes:
         headers = response.headers
-        timeout = connection_lifetime.announced_timeout(
-            self._limits().idle_timeout_s
-        )
+        self._idle_timeout = self._limits().idle_timeout_s
+        timeout = connection_lifetime.announced_timeout(self._idle_timeout)
         if timeout and not closes:
             headers = (*headers, ("keep-alive", f"timeout={timeout}"))
         return http1.encode_response_head(
@@ -473,7 +487,10 @@
         head = http1.encode_response_head(
             response.status, response.headers, len(response.body), True
         )
-        await self._stream.send(head + response.body)
+        with trio.move_on_after(REJECT_TIMEOUT):
+            await self._stream.send(head + response.body)
+            # The request has been answered, so it doesn't count as cut off.
+            self._exchange = None
 
     async def _discard_rest(self, rest: _RequestBody) -> None:
         """Discards the rest of a body, so that the caller gets the response.
