Peer links: a streamed answer ends soon after its deadline

What callers saw: the rest of a streamed answer never came, and the connection stayed open, if the other node stopped sending in the middle of it but kept its connection (a process that hangs or is suspended; the kernel still acknowledges keep-alive probes). The check for expired calls left out those with an answer.

It ends them 0.3 s after the deadline, as incomplete. The other node ends such an answer at the deadline itself, so this acts only if that node does not.

The test was seen to fail without the fix: no end within 1.5 s.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -18,6 +18,10 @@
 from sassafrashall.transport import frames
 from sassafrashall.transport import peer_connection
 
+# Seconds after the deadline of a streamed answer by which the other node, which
+# ends it at the deadline, must have said so.
+STREAM_MARGIN = 0.3
+
 
 def hello_proof(vm: str, secret: bytes) -> bytes:
     """Returns the proof in a Hello frame that `vm` knows the fleet's secret.
@@ -49,6 +53,13 @@
         self.upload_scope: trio.CancelScope | None = None
         self.answer_body: peer_connection.IncomingBody | None = None
 
+    @property
+    def expires_at(self) -> float:
+        """Monotonic seconds at which the call ends without the other node."""
+        if self.answer_body is None:
+            return self.message.deadline
+        return self.message.deadline + STREAM_MARGIN
+
 
 class _Link:
     """The connection to one node, and the calls on it; a task owns it."""
@@ -176,13 +187,16 @@
             if number in self._calls:
                 self._cancel_call(number)
                 call.reply.on_abandon(None)
-                call.reply.put(_deadline_exceeded(call.may_have_run))
+                if call.answer_body is not None:
+                    call.answer_body.fail("the other node sent no more of it")
+                else:
+                    call.reply.put(_deadline_exceeded(call.may_have_run))
 
     def _overdue_calls(self, now: float) -> list[tuple[int, _PendingCall]]:
         return [
             (number, call)
             for number, call in self._calls.items()
-            if call.message.deadline <= now and call.answer_body is None
+            if call.expires_at <= now
         ]
 
     def _cancel_call(self, number: int) -> None:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -561,3 +561,20 @@
             received = [frame async for frame in _frames_from(stream)]
     (refusal,) = received
     assert (refusal.code, refusal.run) == (exceptions.STOPPING, "not-run")
+
+
+# Guards against a streamed answer that waits for ever for a silent node.
+async def test_streamed_answer_ends_after_the_deadline_if_its_node_is_silent():
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                answer = _answer(frame.call, more=True)
+                stream.send_nowait(frames.encode(answer))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        outcome = await links.mailbox.ask(_exchange(address, timeout=0.3))
+        with (
+            trio.fail_after(1.5),
+            pytest.raises(exceptions.ConnectionFailedError),
+        ):
+            await outcome.response.rest.read()
