Test of a stop under load: no bound that depends on the machine's speed

It demanded more than 100 answers, which were 95 in one run beside two busy processes and the other tests' load. It now demands what the bound stood for: requests are served before the stop, and passed on during it. The checks for lost requests and statuses come first.

--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -454,6 +454,7 @@
             for number in range(20):
                 nursery.start_soon(use_kept_connections, number)
             await trio.sleep(0.3)
+            served_before = statuses[200]
             with trio.fail_after(fleet.grace):
                 await fleet.nodes["vm-a"].close()
             stopped.set()
@@ -461,9 +462,10 @@
         model.find_header(raw.headers, "request-id")
         for raw in upstream.requests
     }
-    assert statuses[200] > 100
-    assert set(statuses) <= {200, 503}, statuses
     assert not ran & set(lost)
+    assert set(statuses) <= {200, 503}, statuses
+    # Requests were served before the stop, and passed on during it.
+    assert 0 < served_before < statuses[200]
 
 
 def _raw_request(request_id):
