A reset at the deadline does not complete the body before it

The check now asks for the number of unread bytes, which leaves the error alone, and only if the connection is still open. Before an exchange the peek stays: the connection is idle then, and is discarded.

Seen to fail without the change, in three of three runs each: test_body_that_a_reset_ends_at_the_deadline_is_incomplete (a part was delivered), and without the check for an open connection test_abandoned_request_may_expire_in_the_same_turn (ValueError, which ended the pool).

--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import socket
+import termios
 
 import trio
 
@@ -65,6 +68,17 @@
             return False
         return False
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes wait to be read; an end or an error is none.
+
+        In contrast to the other checks, it leaves an error of the connection to
+        the next read. Without it, a reset would read as an orderly end.
+        """
+        count = array.array("i", [0])
+        fcntl.ioctl(self._socket, termios.FIONREAD, count)
+        return count[0] > 0
+
     async def receive(self, size: int) -> bytes:
         """Returns the bytes that have arrived, and waits if there are none.
 
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -366,7 +366,11 @@
         """
         exchange = self._exchange
         if exchange is not None and self._streamed_body is None:
-            if not exchange.overdue and not self.is_intact:
+            if (
+                self._open
+                and not exchange.overdue
+                and self._stream.has_unread_bytes
+            ):
                 exchange.overdue = True
                 return
             self._close_at_deadline(exchange)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -164,11 +164,12 @@
     the test is blocked.
     """
 
-    def __init__(self, extra=b"", delay=0.0):
+    def __init__(self, extra=b"", delay=0.0, answer=None):
         self.address = loopback.free_address()
         self.requests = 0
         self._extra = extra
         self._delay = delay
+        self._answer = answer or self._answer_ok
         self._kept = []
         self._listener = socket.create_server(
             (self.address.host, self.address.port)
@@ -185,8 +186,11 @@
             self.requests += 1
             time.sleep(self._delay)
             request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
-            self._kept.append(connection)
-            connection.sendall(OK % request_id)
+            self._answer(connection, request_id)
+
+    def _answer_ok(self, connection, request_id):
+        self._kept.append(connection)
+        connection.sendall(OK % request_id)
 
     def end_connections(self):
         while self._kept:
@@ -359,21 +363,22 @@
         assert caught.value.expired and caught.value.maybe_delivered
 
 
+async def _block_loop():
+    await trio.sleep(0.03)
+    time.sleep(0.25)
+
+
 # Guards against an answer that arrived in time and is thrown away, since the
 # event loop ran late and checked the deadlines before it read.
 async def test_answer_that_arrived_before_the_deadline_is_delivered():
     upstream = _ThreadedUpstream(delay=0.05)
     pool = upstream_pool.UpstreamPool(counters=fakes.counters())
 
-    async def block_loop():
-        await trio.sleep(0.03)
-        time.sleep(0.25)
-
     async with fakes.started(pool):
         # The scheduler runs the two tasks in random order.
         for _ in range(8):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(block_loop)
+                nursery.start_soon(_block_loop)
                 response = await _exchange(pool, upstream, "a", timeout=0.2)
                 assert response.body == b"ok"
             upstream.end_connections()
@@ -417,6 +422,31 @@
         assert (await _exchange(pool, upstream, "a")).body == b"ok"
 
 
+def _reset_in_the_body(connection, request_id):
+    head = OK.partition(b"content-length")[0] % request_id
+    connection.sendall(head + b"connection: close\r\n\r\na part")
+    time.sleep(0.1)
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    connection.close()
+
+
+# Guards against a part of a body that is taken for all of it: the check of the
+# deadline must not take the reset away from the reading task.
+async def test_body_that_a_reset_ends_at_the_deadline_is_incomplete():
+    upstream = _ThreadedUpstream(answer=_reset_in_the_body)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    async with fakes.started(pool):
+        # The scheduler runs the two tasks in random order.
+        for _ in range(8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_block_loop)
+                with pytest.raises(exceptions.ConnectionFailedError):
+                    await _exchange(pool, upstream, "a", timeout=0.2)
+    upstream.close()
+
+
 # Guards against a deadline that an upstream defers by sending on and on.
 async def test_response_without_end_fails_soon_after_the_deadline():
     async def send_body(stream, request_id):
@@ -529,3 +559,17 @@
         await _exchange(pool, upstream, "a", body=body)
         assert (await _exchange(pool, upstream, "b")).body == b"ok"
         assert upstream.connections == 2
+
+
+# Guards against a look into a socket that is closed already.
+async def test_abandoned_request_may_expire_in_the_same_turn():
+    async with _pool(*[_never_answer] * 8) as (pool, upstream):
+        for _ in range(8):
+            deadline = trio.current_time() + 0.2
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_block_loop)
+                with (
+                    trio.move_on_at(deadline),
+                    contextlib.suppress(exceptions.ConnectionFailedError),
+                ):
+                    await _exchange(pool, upstream, "a", timeout=0.2)
