An answer that precedes the end of its request is delivered after a failed send

An upstream may answer, or refuse, a request before it has read the body, and close the connection. If the reset had arrived when the answer was read, the sending task and the reading task ran in one turn in random order: if the sending task ran first, it failed the request as one that may have run and closed the connection with the whole answer in its socket. A true refusal became 502, an answer was lost.

A failed send now ends only the upload. The reading task gets the answer, or the end of the connection. A failed send takes the error of the reset away, so the end that is read afterwards does not complete a body without a length.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -99,6 +99,8 @@
         self._response_started = False
         self._open = True
         self._reusable = True
+        # A failed send takes the error of a reset, which then reads as an end.
+        self._send_failed = False
         self._exchange_count = 0
         # IDs of the requests that got an error response.
         self._failed_ids: set[str] = set()
@@ -238,7 +240,7 @@
             if data:
                 self._response_started = True
                 self._parser.feed(data)
-            else:
+            elif not self._send_failed:
                 self._parser.feed_eof()
             exchange = self._exchange
             if exchange.head is None:
@@ -403,11 +405,9 @@
                 exceptions.ConnectionFailedError(detail, maybe_delivered=False)
             )
 
-    def _fail_exchange(
-        self, detail: str, reason: connection_log.Reason
-    ) -> None:
-        """Fails the exchange, whose request could not be sent completely."""
-        self.close(reason)
+    def _fail_upload(self, detail: str) -> None:
+        """Fails the exchange, whose caller broke the request off."""
+        self.close(connection_log.Reason.ABANDONED)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.reply.on_abandon(None)
@@ -423,11 +423,10 @@
             try:
                 await self._stream.send(data)
                 exchange.uploaded = True
-            except (OSError, trio.ClosedResourceError) as error:
-                if self._exchange is exchange:
-                    self._fail_exchange(
-                        str(error), connection_log.Reason.DISCONNECT
-                    )
+            except (OSError, trio.ClosedResourceError):
+                # The reading task gets the response that was sent before the
+                # upstream closed, or the end of the connection.
+                self._send_failed = True
 
     async def _upload(self, exchange: _Exchange) -> None:
         """Sends a long body; the response may arrive before its end."""
@@ -453,16 +452,11 @@
                 if length is None:
                     await self._stream.send(http1.LAST_CHUNK)
                 exchange.uploaded = True
-            except (OSError, trio.ClosedResourceError) as error:
-                if self._exchange is exchange:
-                    self._fail_exchange(
-                        str(error), connection_log.Reason.DISCONNECT
-                    )
+            except (OSError, trio.ClosedResourceError):
+                self._send_failed = True
             except exceptions.SassafrashallError as error:
                 if self._exchange is exchange:
-                    self._fail_exchange(
-                        str(error), connection_log.Reason.ABANDONED
-                    )
+                    self._fail_upload(str(error))
 
     # --- streaming of long responses -----------------------------------------
 
@@ -481,7 +475,8 @@
                 if data:
                     self._parser.feed(data)
                     continue
-                self._parser.feed_eof()
+                if not self._send_failed:
+                    self._parser.feed_eof()
                 event = self._parser.next_event()
                 if event is None:
                     raise OSError("the upstream closed the connection")
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -112,6 +112,7 @@
     timeout=2.0,
     send_times=None,
     body=b"",
+    rest=None,
 ):
     id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
@@ -121,6 +122,7 @@
         body=body,
         source=model.Source.PEER,
         received_at=0.0,
+        rest=rest,
     )
 
     def encode(now):
@@ -573,3 +575,58 @@
                     contextlib.suppress(exceptions.ConnectionFailedError),
                 ):
                     await _exchange(pool, upstream, "a", timeout=0.2)
+
+
+def _answer_and_close_unread(connection, request_id):
+    time.sleep(0.1)
+    connection.sendall(OK % request_id)
+    connection.close()
+
+
+def _start_body_and_close_unread(connection, request_id):
+    time.sleep(0.1)
+    head = OK.partition(b"content-length")[0] % request_id
+    connection.sendall(head + b"connection: close\r\n\r\na part")
+    connection.close()
+
+
+class _Body:
+    """The rest of a request's body, which never ends."""
+
+    async def read(self):
+        return b"a" * http.BUFFERED_BODY_LIMIT
+
+    async def close(self):
+        pass
+
+
+# Guards against an answer that is thrown away, since the upstream closed
+# without having read the body, whose rest could not be sent.
+@pytest.mark.parametrize("rest", [None, _Body()], ids=["buffered", "streamed"])
+@pytest.mark.parametrize(
+    "answer", [_answer_and_close_unread, _start_body_and_close_unread]
+)
+async def test_answer_before_the_end_of_the_request_is_delivered(
+    small_buffers, rest, answer
+):
+    upstream = _ThreadedUpstream(answer=answer)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    body = b"a" * 2 * http.BUFFERED_BODY_LIMIT
+    bodies = set()
+    async with fakes.started(pool):
+        # The scheduler runs the reading and the sending task in random order.
+        for _ in range(8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_block_loop)
+                try:
+                    response = await _exchange(
+                        pool, upstream, "a", body=body, rest=rest
+                    )
+                    bodies.add(response.body)
+                except exceptions.ConnectionFailedError:
+                    bodies.add(None)
+    # The close with unread bytes resets the connection, which does not end a
+    # body without a length.
+    complete = answer is _answer_and_close_unread
+    assert bodies == ({b"ok"} if complete else {None})
+    upstream.close()
