Tests of late time-outs: let the clock jump instead of short time-outs

The tests shortened time-outs to 0.2 to 0.4 s and slept past them, so on a busy machine a connection could end before its test began. They keep the real time-outs now and let trio's mock clock jump over them; what is sent and checked is the same. Grace periods that must not pass in a test are longer, and waits for a state replace short sleeps. The sockets of the tests send at once, since a last part of two bytes stayed with the sender until the first was acknowledged.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -76,6 +76,8 @@
             socket.create_connection, (address.host, address.port)
         )
         connection.settimeout(5)
+        # Sends the rest of a request before the first part is acknowledged.
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connections.append(connection)
     return connections
 
@@ -99,12 +101,20 @@
     return await trio.to_thread.run_sync(receive)
 
 
+async def receive_until_end(stream: trio.SocketStream) -> bytes:
+    """Returns what arrives until the other side closes the connection."""
+    received = b""
+    while chunk := await stream.receive_some(65536):
+        received += chunk
+    return received
+
+
 class SendAfterPoll(trio.abc.Instrument):
     """Sends bytes between a poll of the sockets and the timers after it.
 
     This is the moment in which a timeout ends a wait for input although the
-    input has arrived. Create it before the deadline, and stall the event loop
-    until after it.
+    input has arrived. Create it before the deadline, and let the clock jump
+    past it.
     """
 
     def __init__(
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,8 +1,7 @@
 """Idle connections of the HTTP connection pool."""
 
-import time
-
 import trio
+import trio.testing
 
 from sassafrashall import clock
 from sassafrashall import messages
@@ -19,14 +18,14 @@
         address=address,
         request=fakes.request(headers=(("host", "a"),)),
         ticket=fakes.ticket(),
-        deadline=clock.monotonic() + 3.0,
+        deadline=clock.monotonic() + 10.0,
         to_upstream=False,
         confirm=False,
     )
 
 
 async def test_an_exchange_in_the_turn_of_an_idle_timeout_is_performed(
-    monkeypatch,
+    mock_clock,
 ):
     """Guards against an exchange that is given to a connection that ends.
 
@@ -34,7 +33,6 @@
     wake in the turn of the timeout, so that one of them almost always runs
     before the task of the connection.
     """
-    monkeypatch.setattr(connections, "IDLE_TIMEOUT", 0.3)
 
     async def handle(raw):
         return model.Response(status=200, headers=(), body=raw.body)
@@ -55,11 +53,14 @@
         fakes.started(pool),
     ):
         await pool.mailbox.ask(_exchange(address))
-        with trio.fail_after(2):
-            async with trio.open_nursery() as nursery:
-                for number in range(_SENDERS):
-                    nursery.start_soon(ask_after, 0.2 + 0.2 * (number % 2))
-                await trio.sleep(0.1)
-                time.sleep(0.5)
+        async with trio.open_nursery() as nursery:
+            for number in range(_SENDERS):
+                offset = 0.1 if number % 2 else -0.1
+                nursery.start_soon(ask_after, connections.IDLE_TIMEOUT + offset)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            mock_clock.jump(connections.IDLE_TIMEOUT + 1.0)
+            await trio.lowlevel.checkpoint()
+            mock_clock.rate = 1.0
+            nursery.cancel_scope.deadline = trio.current_time() + 5.0
     statuses = [answer.response.status for answer in answers]
     assert statuses == [200] * _SENDERS
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,8 +1,8 @@
 import socket
-import time
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import exceptions
 from sassafrashall import model
@@ -120,15 +120,14 @@
 
 @pytest.mark.parametrize("confirm", [False, True])
 async def test_a_peer_that_responds_before_a_late_timeout_is_not_silent(
-    monkeypatch, confirm
+    mock_clock, confirm
 ):
     """Guards against a response that is dropped although it has arrived.
 
     After a stall of the event loop, the timeout ended the wait for bytes that
     were in the socket.
     """
-    monkeypatch.setattr(http_client, "PROGRESS_TIMEOUT", 0.2)
-    monkeypatch.setattr(http_client, "CONTINUE_TIMEOUT", 0.2)
+    timeout = max(http_client.PROGRESS_TIMEOUT, http_client.CONTINUE_TIMEOUT)
     responses = []
     with socket.create_server(("127.0.0.1", 0)) as listener:
         host, port = listener.getsockname()
@@ -147,12 +146,12 @@
         with peer:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(exchange)
-                await trio.sleep(0.05)
+                await trio.testing.wait_all_tasks_blocked(0.01)
                 loopback.SendAfterPoll(
                     [peer],
                     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-                    at=trio.current_time() + 0.3,
+                    at=trio.current_time() + timeout,
                 )
-                time.sleep(0.4)
+                mock_clock.jump(timeout + 1.0)
         await connection.close()
     assert [response.body for response in responses] == [b"ok"]
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,7 +1,6 @@
-import time
-
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import model
 from sassafrashall.transport import http
@@ -152,13 +151,14 @@
 @pytest.mark.parametrize("turns", range(4))
 @pytest.mark.parametrize("sent", [len(_REQUEST), 5, len(_REQUEST) - 2])
 async def test_a_request_that_has_arrived_before_a_stop_is_answered(
-    turns, sent
+    monkeypatch, turns, sent
 ):
     """Guards against a stop that closes connections with unread requests.
 
     A request was passed to its handler and cancelled, or left unread, if its
     bytes were in the socket, in the queue or incomplete at the stop.
     """
+    monkeypatch.setattr(http_server, "STOP_GRACE", 30.0, raising=False)
     ended = []
     async with loopback.serve(_handler(ended)) as (address, server):
         connections = await _open_kept_connections(address)
@@ -185,7 +185,7 @@
         connections = await _open_kept_connections(address)
         loopback.send_now(connections, _REQUEST[:-1])
         await trio.sleep(0.05)
-        with trio.fail_after(2):
+        with trio.fail_after(5):
             await server.close()
         received = await loopback.receive_until_closed(connections)
     assert received == [b""] * _CONNECTIONS
@@ -194,30 +194,32 @@
 @pytest.mark.parametrize("after_poll", [False, True])
 @pytest.mark.parametrize("begun", [0, len(_REQUEST) - 2])
 async def test_a_request_that_arrives_before_a_late_timeout_is_answered(
-    monkeypatch, after_poll, begun
+    mock_clock, after_poll, begun
 ):
     """Guards against a timeout that closes connections with unread requests.
 
     After a stall of the event loop, the input and the end of the wait for it
     are handled in the same turn.
     """
-    monkeypatch.setattr(http_server, "IDLE_TIMEOUT", 0.4)
-    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT", 0.4)
+    timeout = http_server.IDLE_TIMEOUT
     ended = []
     async with loopback.serve(_handler(ended)) as (address, server):
         connections = await _open_kept_connections(address)
         if begun:
             loopback.send_now(connections, _REQUEST[:begun])
-            await trio.sleep(0.1)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            timeout = http_server.REQUEST_TIMEOUT
         assert server.connections == _CONNECTIONS
         rest = _REQUEST[begun:]
         if after_poll:
             loopback.SendAfterPoll(
-                connections, rest, at=trio.current_time() + 0.5
+                connections, rest, at=trio.current_time() + timeout
             )
         else:
             loopback.send_now(connections, rest)
-        time.sleep(0.6)
+        mock_clock.jump(timeout + 1.0)
+        await trio.lowlevel.checkpoint()
+        mock_clock.rate = 1.0
         await trio.sleep(0.2)
         await server.close()
         received = await loopback.receive_until_closed(connections)
@@ -248,27 +250,33 @@
     monkeypatch.setattr(http_server, "IDLE_TIMEOUT", 0.2)
     monkeypatch.setattr(http_server, "REQUEST_TIMEOUT", 0.2)
     log = fakes.ConnectionLog()
+    streams = []
 
     async def handle(raw):
         match raw.target:
             case "/fail":
                 raise ValueError("fault of the handler")
             case "/wait":
+                await streams[0].aclose()
                 await trio.sleep(30)
         return await _echo(raw)
 
-    async with loopback.serve(handle, log=log) as (address, _):
-        # Disconnects after 0.5 s.
-        await loopback.send_and_receive(address, data.encode())
-        await trio.sleep(0.05)
+    async with loopback.serve(handle, log=log) as (address, server):
+        streams.append(await trio.open_tcp_stream(address.host, address.port))
+        await streams[0].send_all(data.encode())
+        try:
+            await loopback.receive_until_end(streams[0])
+        except trio.ClosedResourceError:
+            pass
+        await server.close()
     assert [(c.reason, c.unanswered) for c in log.closures] == [closure]
 
 
 async def test_an_idle_connection_that_a_stop_closes_is_logged():
     log = fakes.ConnectionLog()
     async with loopback.serve(_echo, log=log) as (address, server):
-        connection = await loopback.connect(address)
-        await trio.sleep(0.05)
+        connections = await _open_kept_connections(address)
         await server.close()
-        await connection.close()
-    assert [(c.reason, c.unanswered) for c in log.closures] == [("stop", False)]
+        await loopback.receive_until_closed(connections)
+    closures = [(c.reason, c.unanswered) for c in log.closures]
+    assert closures == [("stop", False)] * _CONNECTIONS
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,10 +1,10 @@
 import contextlib
 import os
 import socket
-import time
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import clock
 from sassafrashall import exceptions
@@ -181,12 +181,15 @@
 
 @pytest.mark.parametrize("turns", range(3))
 @pytest.mark.parametrize("sent", [len(_CALL), 3, len(_CALL) - 1])
-async def test_a_call_that_has_arrived_before_a_stop_is_answered(turns, sent):
+async def test_a_call_that_has_arrived_before_a_stop_is_answered(
+    monkeypatch, turns, sent
+):
     """Guards against a stop that closes connections with unread calls.
 
     A call was passed to the handler and cancelled, or left unread, if its bytes
     were in the socket or incomplete at the stop.
     """
+    monkeypatch.setattr(rpc, "STOP_GRACE", 30.0)
     async with _kept_connections() as (server, connections, completed):
         loopback.send_now(connections, _CALL[:sent])
         async with trio.open_nursery() as nursery:
@@ -202,8 +205,11 @@
     assert len(completed) == _CONNECTIONS
 
 
-async def test_a_call_that_follows_its_secret_after_a_stop_is_answered():
+async def test_a_call_that_follows_its_secret_after_a_stop_is_answered(
+    monkeypatch,
+):
     """Guards against a stop between the two frames that open a connection."""
+    monkeypatch.setattr(rpc, "STOP_GRACE", 30.0)
     async with _kept_connections() as (server, connections, completed):
         loopback.send_now(connections, _IDENTIFY)
         await trio.sleep(0.05)
@@ -222,7 +228,7 @@
     async with _kept_connections() as (server, connections, completed):
         loopback.send_now(connections, _CALL[:-1])
         await trio.sleep(0.05)
-        with trio.fail_after(2):
+        with trio.fail_after(5):
             await server.close()
         received = await loopback.receive_until_closed(connections)
     assert received == [b""] * _CONNECTIONS
@@ -230,22 +236,25 @@
 
 @pytest.mark.parametrize("after_poll", [False, True])
 async def test_a_call_that_arrives_before_a_late_timeout_is_answered(
-    monkeypatch, after_poll
+    mock_clock, after_poll
 ):
     """Guards against a timeout that closes connections with unread calls.
 
     After a stall of the event loop, the input and the end of the wait for it
     are handled in the same turn.
     """
-    monkeypatch.setattr(rpc, "SERVER_IDLE_TIMEOUT", 0.4)
+    timeout = rpc.SERVER_IDLE_TIMEOUT
+    mock_clock.rate = 1.0
     async with _kept_connections() as (server, connections, completed):
         if after_poll:
             loopback.SendAfterPoll(
-                connections, _CALL, at=trio.current_time() + 0.5
+                connections, _CALL, at=trio.current_time() + timeout
             )
         else:
             loopback.send_now(connections, _CALL)
-        time.sleep(0.6)
+        mock_clock.jump(timeout + 1.0)
+        await trio.sleep(0.2)
+        await server.close()
         received = await loopback.receive_until_closed(connections)
     _assert_all_answered(received)
     assert len(completed) == _CONNECTIONS
@@ -259,15 +268,21 @@
         (_IDENTIFY + _CALL * 2, ("idle_timeout", False)),
         (b"\xff" * 20, ("bad_input", False)),
     ],
+    ids=["nothing", "call", "two calls", "invalid"],
 )
 async def test_the_end_of_a_connection_is_logged(monkeypatch, data, closure):
     monkeypatch.setattr(rpc, "SERVER_IDLE_TIMEOUT", 0.1)
     log = fakes.ConnectionLog()
     address = loopback.free_address()
+    server = _new_server(address, _pong, log)
     async with trio.open_nursery() as nursery:
-        await _new_server(address, _pong, log).start(nursery)
-        await loopback.send_and_receive(address, data)
-        nursery.cancel_scope.cancel()
+        await server.start(nursery)
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            if data:
+                await stream.send_all(data)
+            await loopback.receive_until_end(stream)
+        await server.close()
     assert [(c.reason, c.unanswered) for c in log.closures] == [closure]
 
 
@@ -278,7 +293,10 @@
     log = fakes.ConnectionLog()
     address = loopback.free_address()
 
+    begun = trio.Event()
+
     async def wait(message, caller):
+        begun.set()
         await trio.sleep(30)
 
     server = _new_server(address, wait, log)
@@ -286,7 +304,8 @@
         await server.start(nursery)
         connections = await loopback.open_sockets(address, 2)
         loopback.send_now(connections[:1], _IDENTIFY + _CALL)
-        await trio.sleep(0.05)
+        await begun.wait()
+        await trio.testing.wait_all_tasks_blocked(0.01)
         await server.close()
         await loopback.receive_until_closed(connections)
     assert sorted((c.reason, c.unanswered) for c in log.closures) == [
@@ -323,7 +342,9 @@
 
 
 @pytest.mark.parametrize("length", [0, 100_000])
-async def test_a_reply_that_arrives_before_a_late_timeout_is_returned(length):
+async def test_a_reply_that_arrives_before_a_late_timeout_is_returned(
+    mock_clock, length
+):
     """Guards against a reply that is dropped although it has arrived.
 
     After a stall of the event loop, the timeout ended the wait for bytes that
@@ -335,15 +356,15 @@
     with _manual_peer() as (client, accept):
 
         async def call():
-            replies.append(await client.call(protocol.Ping(), 0.3))
+            replies.append(await client.call(protocol.Ping(), 1.0))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(call)
             peer = await accept()
             loopback.SendAfterPoll(
-                [peer], _encode_reply(reply), at=trio.current_time() + 0.4
+                [peer], _encode_reply(reply), at=trio.current_time() + 1.0
             )
-            time.sleep(0.5)
+            mock_clock.jump(2.0)
         peer.close()
     assert replies == [reply]
 
@@ -356,7 +377,7 @@
 
         async def call():
             try:
-                await client.call(protocol.Ping(), 2.0)
+                await client.call(protocol.Ping(), 10.0)
             except exceptions.RpcError as error:
                 errors.append(str(error))
 
