--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     values = {
         "vm": "node-0",
         "use": 2,
+        "rested": 0.5,
         "target": "/x?size=3&ms=0",
         "idempotent": False,
         "body": b"",
@@ -115,6 +116,7 @@
         ("UNASKED", [_sent(), _ran(body=b"x")]),
         ("REVOKE", [*_versions(1, 3, keys=KEYS), _sent(key="a"), _ran()]),
         ("DENIED", [_sent(), _answered(status=404, signature="")]),
+        ("FAULT", [_sent(), _answered(status=500, signature="")]),
         ("HELD", [_sent(), model.GaveUp(request_id="r1", at=16.0)]),
         ("CONFIG", [model.Refused(version=1, at=1.0, status=412)]),
         (
@@ -158,6 +160,14 @@
                 model.Exited(vm="node-0", at=6.0, status=1, told=True),
             ],
         ),
+        (
+            "DRAIN",
+            [
+                model.Started(vm="node-0", at=0.0),
+                *(_sent(), _ran(), _answered(at=10.2), _began(STOP, 10.5)),
+                model.Exited(vm="node-0", at=10.6, status=-15, told=True),
+            ],
+        ),
     ],
 )
 def test_the_checker_finds_a_broken_promise(rule, observations):
@@ -200,6 +210,11 @@
             _began(STOP, 5.0),
             model.Exited(vm="node-0", at=10.9, status=0, told=True),
         ],
+        [
+            model.Started(vm="node-0", at=4.0),
+            _began(STOP, 5.0),
+            model.Exited(vm="node-0", at=5.1, status=-15, told=True),
+        ],
     ],
 )
 def test_the_checker_allows_what_no_promise_forbids(observations):
