--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -1,6 +1,8 @@
 """Exchanges with an upstream that closes, resets, misanswers or hangs."""
 
 import contextlib
+import logging
+import re
 import socket
 import struct
 import threading
@@ -11,11 +13,13 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.platform import dialect
 from sassafrashall.transport import http
+from sassafrashall.transport import sockets
 from sassafrashall.transport import upstream_connection
 from tests import fakes
 from tests import loopback
@@ -80,11 +84,18 @@
 @contextlib.asynccontextmanager
 async def _pool(*script):
     upstream = _FakeUpstream(script)
-    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    counters = fakes.counters()
+    pool = upstream_pool.UpstreamPool(counters=counters)
+    upstream.counters = counters
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(
             upstream.address.port, host=upstream.address.host
         )
+        for listener in listeners:
+            # Connections inherit it.
+            listener.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, 65536
+            )
         nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
         async with fakes.started(pool):
             with trio.fail_after(5):
@@ -93,14 +104,21 @@
 
 
 async def _exchange(
-    pool, upstream, request_id, *, may_resend=True, timeout=2.0, send_times=None
+    pool,
+    upstream,
+    request_id,
+    *,
+    may_resend=True,
+    timeout=2.0,
+    send_times=None,
+    body=b"",
 ):
     id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
         method="GET",
         target="/",
         headers=(("host", "h"), *id_header),
-        body=b"",
+        body=body,
         source=model.Source.PEER,
         received_at=0.0,
     )
@@ -189,8 +207,6 @@
             self.requests += 1
             time.sleep(self._delay)
             request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
-            # First, since the test may end connections as soon as it has the
-            # answer.
             self._kept.append(connection)
             connection.sendall(OK % request_id)
 
@@ -440,3 +456,98 @@
             await _exchange(pool, upstream, "a", timeout=0.2)
         assert caught.value.maybe_delivered
         assert clock.monotonic() - began < 1.0
+
+
+def _closures(upstream):
+    """Returns the reasons of the closures, each with its outcome."""
+    text = upstream.counters.render()[1].decode()
+    return sorted(
+        re.findall(
+            r'connections_closed.*place="upstream".*reason="(\w+)"'
+            r',unanswered="(\w+)"',
+            text,
+        )
+    )
+
+
+async def _send_garbage(stream, request_id):
+    await stream.send_all(b"garbage\r\n\r\n")
+    return True
+
+
+async def _cut_streamed_answer(stream, request_id):
+    head = OK.partition(b"content-length")[0] % request_id
+    await stream.send_all(head + b"content-length: 9999999\r\n\r\n")
+    await stream.send_all(b"a" * 2 * http.BUFFERED_BODY_LIMIT)
+    return False
+
+
+async def _read_to_the_end(pool, upstream):
+    response = await _exchange(pool, upstream, "a", timeout=0.3)
+    while response.rest is not None and await response.rest.read():
+        pass
+
+
+@pytest.mark.parametrize(
+    "step, reason, unanswered",
+    [
+        (_never_answer, "deadline", "true"),
+        (_reset, "disconnect", "true"),
+        (_send_garbage, "bad_input", "true"),
+        (_cut_streamed_answer, "disconnect", "true"),
+        (_refuse(), "retired", "false"),
+    ],
+)
+async def test_reason_of_a_closed_connection_is_counted(
+    step, reason, unanswered
+):
+    async with _pool(step) as (pool, upstream):
+        with contextlib.suppress(exceptions.ConnectionFailedError):
+            await _read_to_the_end(pool, upstream)
+        assert _closures(upstream) == [(reason, unanswered)]
+
+
+async def test_connection_closed_with_an_exchange_is_logged(
+    caplog, monkeypatch
+):
+    monkeypatch.setattr(logs.get(), "propagate", True)
+    with caplog.at_level(logging.INFO, logger=logs.LOGGER_NAME):
+        async with _pool(_answer, _never_answer) as (pool, upstream):
+            await _exchange(pool, upstream, "a")
+            await trio.sleep(0.1)
+            with trio.move_on_after(0.1):
+                await _exchange(pool, upstream, "b")
+    (record,) = (r for r in caplog.records if "unanswered" in r.message)
+    assert (record.reason, record.request_id) == ("abandoned", "b")
+    assert 100 <= record.idle_ms < 200
+
+
+@pytest.fixture
+def small_buffers(monkeypatch):
+    """Lets sockets to the upstream take a few kilobytes at a time."""
+    connect = sockets.connect
+
+    async def connect_with_small_buffer(address):
+        stream = await connect(address)
+        stream._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return stream
+
+    monkeypatch.setattr(sockets, "connect", connect_with_small_buffer)
+
+
+async def _answer_before_reading(stream, request_id):
+    await stream.send_all(OK % request_id)
+    await trio.sleep(0.1)
+    return True
+
+
+# Guards against a request that is sent into the middle of an earlier body,
+# which the upstream had answered before it read all of it.
+async def test_connection_with_unsent_bytes_of_a_body_is_not_reused(
+    small_buffers,
+):
+    async with _pool(_answer_before_reading, _answer) as (pool, upstream):
+        body = b"a" * 2 * http.BUFFERED_BODY_LIMIT
+        await _exchange(pool, upstream, "a", body=body)
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
