--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -19,6 +20,7 @@
 from sassafrashall import task
 from sassafrashall.controllers import fleet_directory
 from sassafrashall.controllers import founding
+from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
 from sassafrashall.decisions import fleet_commands
@@ -79,6 +81,7 @@
             counters=self._metrics,
         )
         self._controllers: tuple[task.Controller, ...] = (
+            loop_monitor.LoopMonitor(counters=self._metrics),
             self._replica,
             self._founding,
             self._fleet_directory,
@@ -96,6 +99,7 @@
                 settings.operator_secret: rpc.Caller.OPERATOR,
             },
             hybrid_clock=self._clock,
+            log=self._connection_log("rpc"),
         )
         ops = ops_api.OpsApi(
             counters=self._metrics,
@@ -106,6 +110,7 @@
             address=settings.listen.ops,
             handler=ops.handle,
             source=model.Source.CALLER,
+            log=self._connection_log("ops"),
         )
         self._operator_server: http_server.Server | None = None
         if settings.listen.operators is not None:
@@ -114,8 +119,12 @@
                 address=settings.listen.operators,
                 handler=api.handle,
                 source=model.Source.CALLER,
+                log=self._connection_log("operators"),
             )
 
+    def _connection_log(self, place: str) -> connection_log.ConnectionLog:
+        return connection_log.ConnectionLog(place=place, counters=self._metrics)
+
     async def _handle_message(self, message: Any, caller: rpc.Caller) -> Any:
         """Passes a remote message to the controller that answers it."""
         if caller is rpc.Caller.OPERATOR and not isinstance(
--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -28,6 +29,9 @@
     def __init__(self, *, counters: metrics.Metrics) -> None:
         super().__init__()
         self._metrics = counters
+        self._log = connection_log.ConnectionLog(
+            place="upstream", counters=counters
+        )
         self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._idle: dict[
             model.Address, list[upstream_connection.UpstreamConnection]
@@ -48,17 +52,22 @@
     def _take_idle_connection(
         self, message: messages.UpstreamExchange
     ) -> upstream_connection.UpstreamConnection | None:
-        idle = self._idle.get(message.address)
+        idle = self._idle.get(message.address, [])
         now = clock.monotonic()
-        while idle:
-            # The connection used last is the most likely to be open still.
-            connection = idle[-1]
-            if connection.is_usable(message.max_idle, now):
-                return idle.pop()
-            if connection.is_usable(messages.NO_IDLE_LIMIT, now):
+        # The connection used last is the most likely to be open still.
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
+            if not connection.is_usable(messages.NO_IDLE_LIMIT, now):
+                del idle[index]
+                connection.close(connection_log.Reason.IDLE_TIMEOUT)
+            elif not connection.is_usable(message.max_idle, now):
                 # Idle for too long for this exchange, as are the older ones.
                 return None
-            idle.pop().close()
+            elif not connection.is_intact:
+                del idle[index]
+                connection.close_broken()
+            elif connection.can_identify(message.is_answer):
+                return idle.pop(index)
         return None
 
     async def _connect(
@@ -88,9 +97,10 @@
             address=message.address,
             on_idle=self._add_idle,
             on_resend=self._resend,
+            log=self._log,
         )
         if reply.abandoned:
-            connection.close()
+            connection.close(connection_log.Reason.ABANDONED)
             return
         self._connections.add(connection)
         try:
@@ -130,4 +140,4 @@
                 for connection in idle:
                     if not connection.is_usable(messages.NO_IDLE_LIMIT, now):
                         # Its task then ends and removes it from the list.
-                        connection.close()
+                        connection.close(connection_log.Reason.IDLE_TIMEOUT)
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -17,7 +17,6 @@
 from sassafrashall import model
 from sassafrashall.filters import slots
 from sassafrashall.transport import http
-from sassafrashall.transport import upstream_connection
 
 # A non-idempotent request is not sent on a connection that has been idle for
 # longer, since the upstream may be about to close it.
@@ -39,10 +38,8 @@
         """
         ...
 
-    def response_matcher(
-        self, request: model.Request
-    ) -> upstream_connection.ResponseMatcher:
-        """Returns a predicate that tells if a response answers `request`."""
+    def response_matcher(self, request: model.Request) -> model.ResponseMatcher:
+        """Returns what tells the response to `request` from others."""
         ...
 
     def decode(self, response: model.Response) -> model.Outcome:
@@ -175,9 +172,14 @@
         """Frees the slot and reports how the upstream answered."""
         if not self._released:
             self._released = True
-            self._admission.tell(
-                messages.SlotReleased(latency=self._latency, shed=self._shed)
+            message = messages.SlotReleased(
+                latency=self._latency, shed=self._shed
             )
+            try:
+                self._admission.tell(message)
+            except exceptions.MailboxClosedError:
+                # A slot may outlive the controller when the process stops.
+                pass
 
 
 class _StreamedAnswer:
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import connection_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -20,6 +21,7 @@
 from sassafrashall.controllers import admission
 from sassafrashall.controllers import connections
 from sassafrashall.controllers import control_link
+from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
 from sassafrashall.controllers import routing
@@ -60,6 +62,7 @@
         self._entry_chain = self._build_entry_chain()
         self._servers = self._build_servers()
         self._controllers: tuple[task.Controller, ...] = (
+            loop_monitor.LoopMonitor(counters=self._metrics),
             self._control_link,
             self._membership,
             self._quota,
@@ -204,12 +207,24 @@
             refresh_gauges=self._refresh_metrics,
         )
         return tuple(
-            http_server.Server(address=address, handler=handler, source=source)
-            for address, handler, source in (
-                (listen.callers, callers.handle, model.Source.CALLER),
-                (listen.peers, peers.handle, model.Source.PEER),
-                (listen.local, local.handle, model.Source.LOCAL),
-                (listen.ops, ops.handle, model.Source.CALLER),
+            http_server.Server(
+                address=address,
+                handler=handler,
+                source=source,
+                log=connection_log.ConnectionLog(
+                    place=place, counters=self._metrics
+                ),
+            )
+            for place, address, handler, source in (
+                (
+                    "callers",
+                    listen.callers,
+                    callers.handle,
+                    model.Source.CALLER,
+                ),
+                ("peers", listen.peers, peers.handle, model.Source.PEER),
+                ("local", listen.local, local.handle, model.Source.LOCAL),
+                ("ops", listen.ops, ops.handle, model.Source.CALLER),
             )
         )
 
@@ -252,8 +267,11 @@
         with trio.move_on_after(LEAVE_TIMEOUT):
             try:
                 await self._membership.mailbox.ask(messages.Leave())
-            except exceptions.SassafrashallError:
-                pass
+            except exceptions.SassafrashallError as error:
+                logs.get().warning(
+                    "could not announce that the node leaves",
+                    extra={"reason": str(error)},
+                )
         callers, peers, local, ops = self._servers
         callers.drain()
         peers.drain()
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -20,6 +20,10 @@
 _BODILESS_STATUSES = (204, 304)
 NAME_CACHE_SIZE = 256  # entries of the cache of decoded header names
 MAX_LENGTH_DIGITS = 15  # digits of a plausible Content-Length
+# Bytes of chunk framing accepted for each byte of a body; a chunk of one byte
+# has at least five.
+FRAMING_RATIO = 16
+MAX_INTERIM_RESPONSES = 1000  # before a final response
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -94,6 +98,8 @@
         self._length = ""
         self._encoding = ""
         self._head_size = 0
+        # Bytes of chunk extensions and trailers beyond the framing ratio.
+        self._framing_size = 0
         self._in_head = True
         self._message_started = False
 
@@ -109,14 +115,34 @@
     def _feed(self, parser: object, data: bytes) -> None:
         if self._in_head:
             self._head_size += len(data)
+        else:
+            self._framing_size += len(data)
         try:
             parser.feed_data(data)  # type: ignore[attr-defined]
+        except httptools.HttpParserUpgrade as upgrade:
+            self._on_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, str(error) or type(error).__name__
             ) from error
         if self._in_head and self._head_size > self._head_limit:
             raise self._head_too_large()
+        if not self._in_head and self._framing_size > self._head_limit:
+            raise exceptions.ProtocolError(
+                exceptions.HEAD_TOO_LARGE,
+                f"trailers or chunk extensions exceed {self._head_limit} bytes",
+            )
+
+    def _on_upgrade(self, rest: bytes) -> None:
+        """Handles a message that asks for, or starts, another protocol.
+
+        Args:
+          rest: The bytes that follow the message.
+
+        Raises:
+          ProtocolError: The message can't be ignored.
+        """
+        raise NotImplementedError
 
     def _head_too_large(self) -> exceptions.ProtocolError:
         return exceptions.ProtocolError(
@@ -130,11 +156,14 @@
         """Handles the start of a message."""
         self._headers = []
         self._length = self._encoding = ""
+        self._framing_size = 0
         self._in_head = True
         self._message_started = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a complete header."""
+        """Handles a complete header; ignores trailers."""
+        if not self._in_head:
+            return
         decoded_name = _name_cache.get(name) or _decode_name(name)
         decoded_value = value.decode("latin-1")
         if decoded_name == "content-length":
@@ -145,6 +174,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Handles bytes of the body."""
+        self._framing_size = max(
+            0, self._framing_size - FRAMING_RATIO * len(data)
+        )
         self._events.append(BodyPart(data=data))
 
     def on_message_complete(self) -> None:
@@ -177,6 +209,11 @@
         if self._head_error is not None:
             raise self._head_error
 
+    def _on_upgrade(self, rest: bytes) -> None:
+        """Ignores that a request asks for another protocol."""
+        if rest and self._head_error is None:
+            self._feed(self._parser, rest)
+
     def on_url(self, url: bytes) -> None:
         """Handles a part of the request target."""
         self._target += url
@@ -211,6 +248,15 @@
             return exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "Content-Length is no number"
             )
+        # httptools would take the body of such a request for another request.
+        if self._parser.should_upgrade() and (
+            self._encoding
+            or int(self._length or 0)
+            or self._parser.get_method() == b"CONNECT"
+        ):
+            return exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "the protocol can't be upgraded"
+            )
         return None
 
 
@@ -228,6 +274,7 @@
         self.without_body = False
         self._ends_with_connection = False
         self._is_interim = False
+        self._interim_count = 0
 
     @property
     def at_boundary(self) -> bool:
@@ -241,6 +288,15 @@
           ProtocolError: The bytes are not a valid response.
         """
         self._feed(self._parser, data)
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            raise exceptions.ProtocolError(
+                exceptions.UPSTREAM_FAILED, "too many interim responses"
+            )
+
+    def _on_upgrade(self, rest: bytes) -> None:
+        raise exceptions.ProtocolError(
+            exceptions.UPSTREAM_FAILED, "the protocol was switched"
+        )
 
     def feed_eof(self) -> None:
         """Handles an orderly close, which ends a body without a length."""
@@ -254,7 +310,9 @@
         self._in_head = False
         self._is_interim = status < 200
         if self._is_interim:
+            self._interim_count += 1
             return
+        self._interim_count = 0
         chunked = "chunked" in self._encoding.lower()
         length = None
         if not chunked and self._length.isdigit():
--- a/src/sassafrashall/transport/listener.py
+++ b/src/sassafrashall/transport/listener.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from sassafrashall import logs
 from sassafrashall import model
 
 LISTEN_BACKLOG = 1024  # connections
@@ -90,19 +91,24 @@
             stream.socket.close()
             return
         assert self._nursery is not None
-        self._nursery.start_soon(self._serve, self._new_connection(stream))
+        connection = self._new_connection(stream)
+        # `close` must find it also before its task has run for the first time.
+        self._connections.add(connection)
+        if self._draining:
+            connection.expire()
+        self._nursery.start_soon(self._serve, connection)
 
     def _new_connection(self, stream: trio.SocketStream) -> _C:
         raise NotImplementedError
 
     async def _serve(self, connection: _C) -> None:
-        self._connections.add(connection)
-        if self._draining:
-            connection.expire()
         try:
             await connection.serve()
         except self._expected_errors:
             pass
+        except Exception:
+            # An exception must not end the connections of other callers.
+            logs.get().exception("unhandled exception on a connection")
         finally:
             self._connections.discard(connection)
             if not self._connections:
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -9,9 +9,11 @@
 
 from sassafrashall import clock
 from sassafrashall import configuration
+from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import fiber
 from sassafrashall import model
+from sassafrashall.decisions import connection_lifetime
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
@@ -113,33 +115,69 @@
         stream: sockets.Stream,
         handler: Handler,
         source: model.Source,
-        limits: configuration.Limits,
+        limits: LimitsSource,
         spawn: Spawn,
+        log: connection_log.ConnectionLog,
+        request_id_header: str,
     ) -> None:
         self._stream = stream
+        self._log = log
+        self._request_id_header = request_id_header
         self._handler = handler
         self._source = source
         self._limits = limits
         self._spawn = spawn
-        self._parser = http1.RequestParser(head_limit=limits.head_bytes)
+        self._parser = http1.RequestParser(head_limit=limits().head_bytes)
         self._scope = trio.CancelScope()
-        self._active_at = clock.monotonic()
+        self._activity: connection_lifetime.Activity = connection_lifetime.Idle(
+            since=clock.monotonic(), timeout=limits().idle_timeout_s
+        )
         self._exchange: _Exchange | None = None
-        self._reading = False
+        # Whether all input received so far is handled, so that the task waits
+        # for more.
+        self._awaits_input = True
         self._expiring = False
         self._closing = False
+        # Why this side closes the connection; None while it does not.
+        self._close_reason: connection_log.Reason | None = None
+        self._close_delay = 0.0
+        self._close_idle_time = 0.0
+        # The request that ended without a complete response.
+        self._unanswered: _Exchange | None = None
 
     async def serve(self) -> None:
         """Runs until either side closes the connection."""
+        reason = connection_log.Reason.PROCESS_END
         try:
             with self._scope:
                 await self._serve_requests()
+            reason = self._close_reason or connection_log.Reason.DISCONNECT
         except (OSError, trio.ClosedResourceError):
-            pass
+            reason = self._close_reason or connection_log.Reason.DISCONNECT
         finally:
+            unanswered = self._exchange or self._unanswered
             if self._exchange is not None:
                 self._exchange.cancel()
             self._stream.close()
+            self._log_closure(reason, unanswered)
+
+    def _log_closure(
+        self, reason: connection_log.Reason, unanswered: _Exchange | None
+    ) -> None:
+        request_id = None
+        if unanswered is not None:
+            request_id = model.find_header(
+                unanswered.head.headers, self._request_id_header
+            )
+        self._log.write(
+            connection_log.Closure(
+                reason=reason,
+                unanswered=unanswered is not None,
+                request_id=request_id or "",
+                idle_s=self._close_idle_time,
+                delay_s=self._close_delay,
+            )
+        )
 
     def expire(self) -> None:
         """Closes the connection after its next response."""
@@ -148,24 +186,57 @@
     def stop(self) -> None:
         """Closes the connection once it is idle."""
         self._expiring = True
-        if self._exchange is None and not self._parser.head_incomplete:
-            self._scope.cancel()
+        match connection_lifetime.on_stop(self._activity, clock.monotonic()):
+            case connection_lifetime.CloseIdle(idle=idle):
+                self._close_unless_input(connection_log.Reason.STOP, idle, 0.0)
 
-    def check_liveness(self, now: float) -> None:
+    def check_liveness(
+        self, now: float, limits: configuration.Limits, delay: float
+    ) -> None:
         """Closes the connection after a disconnect or a timeout.
 
         Args:
           now: Monotonic seconds.
+          limits: The limits in force.
+          delay: Seconds by which this check runs late.
         """
         if self._exchange is not None:
-            if not self._reading and self._stream.is_closed_by_peer:
-                self._scope.cancel()
+            if not self._awaits_input and self._stream.is_closed_by_peer:
+                self._close(connection_log.Reason.DISCONNECT)
             return
-        limit = self._limits.idle_timeout_s
-        if self._parser.head_incomplete:
-            limit = self._limits.head_timeout_s
-        if now - self._active_at > limit:
-            self._scope.cancel()
+        action = connection_lifetime.on_check(
+            self._activity,
+            now,
+            limits.idle_timeout_s,
+            limits.head_timeout_s,
+        )
+        match action:
+            case connection_lifetime.CloseIdle(idle=idle):
+                self._close_unless_input(
+                    connection_log.Reason.IDLE_TIMEOUT, idle, delay
+                )
+            case connection_lifetime.CloseIncompleteHead(idle=idle):
+                self._close_unless_input(
+                    connection_log.Reason.HEAD_TIMEOUT, idle, delay
+                )
+
+    def _close_unless_input(
+        self, reason: connection_log.Reason, idle: float, delay: float
+    ) -> None:
+        """Closes the connection, or serves the input that has arrived.
+
+        A cancelled task runs on until its next checkpoint. If it was already
+        scheduled, it would read a request, dispatch it, and be cancelled then.
+        """
+        if self._awaits_input and self._stream.is_idle:
+            self._closing = True
+            self._close_idle_time = idle
+            self._close_delay = delay
+            self._close(reason)
+
+    def _close(self, reason: connection_log.Reason) -> None:
+        self._close_reason = self._close_reason or reason
+        self._scope.cancel()
 
     async def next_event(self) -> http1.Event | None:
         """Waits for the next event; returns None after a disconnect.
@@ -177,19 +248,23 @@
             event = self._parser.next_event()
             if event is not None:
                 return event
-            head_had_started = self._parser.head_incomplete
-            self._reading = True
+            self._awaits_input = True
             data = await self._stream.receive(http.RECEIVE_SIZE)
-            self._reading = False
-            if not data:
+            self._awaits_input = False
+            if not data or self._closing:
                 return None
-            if not head_had_started:
-                self._active_at = clock.monotonic()
             if self._exchange is not None and self._exchange.fiber is not None:
                 # These bytes belong to a pipelined request, which waits for the
                 # end of this one. Nothing more is read until then.
                 await self._exchange.wait_ended()
             self._parser.feed(data)
+            if (
+                isinstance(self._activity, connection_lifetime.Idle)
+                and self._parser.head_incomplete
+            ):
+                self._activity = connection_lifetime.ReceivingHead(
+                    since=clock.monotonic()
+                )
 
     async def _serve_requests(self) -> None:
         while not self._closing:
@@ -201,6 +276,7 @@
                     return
                 await self._start_request(head)
             except exceptions.ProtocolError as error:
+                self._close_reason = connection_log.Reason.BAD_INPUT
                 await self._reject_input(error)
                 return
             except exceptions.ConnectionFailedError:
@@ -208,15 +284,17 @@
 
     async def _start_request(self, head: http1.RequestHead) -> None:
         """Starts a request, and completes it as well if its body is long."""
-        if head.length is not None and head.length > self._limits.body_bytes:
+        body_limit = self._limits().body_bytes
+        if head.length is not None and head.length > body_limit:
             raise exceptions.ProtocolError(
                 exceptions.BODY_TOO_LARGE, "the body is too large"
             )
         exchange = self._exchange = _Exchange(head=head)
+        self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        rest = _RequestBody(connection=self, limit=self._limits.body_bytes)
+        rest = _RequestBody(connection=self, limit=body_limit)
         body = await http.read_buffered_part(rest)
         request = http.RawRequest(
             method=head.method,
@@ -239,7 +317,7 @@
         complete = await self._send_response(exchange, response, closes)
         if not rest.ended:
             await self._discard_rest(rest)
-        self._end_exchange(exchange, complete and not closes)
+        self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     async def _respond(
         self, exchange: _Exchange, request: http.RawRequest
@@ -255,7 +333,7 @@
         try:
             sent = self._stream.send_nowait(data)
         except OSError:
-            self._end_exchange(exchange, False)
+            self._end_exchange(exchange, connection_log.Reason.DISCONNECT)
             return
         if sent < len(data):
             exchange.send_scope = trio.CancelScope()
@@ -263,7 +341,7 @@
                 self._send_in_task, exchange, response, closes, data[sent:]
             )
             return
-        self._end_exchange(exchange, not closes)
+        self._end_exchange(exchange, _close_reason_after(True, closes))
 
     async def _send_in_task(
         self,
@@ -288,27 +366,39 @@
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
-            self._end_exchange(exchange, complete and not closes)
+            self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     def _on_fiber_end(self, exchange: _Exchange) -> None:
         """Ends an exchange whose fiber failed or was cancelled."""
         if exchange.send_scope is None:
-            self._end_exchange(exchange, False)
+            self._end_exchange(exchange, connection_log.Reason.HANDLER_FAILED)
 
     def _must_close(self, exchange: _Exchange) -> bool:
         return self._expiring or not exchange.head.keep_alive
 
-    def _end_exchange(self, exchange: _Exchange, keep_open: bool) -> None:
-        """Ends an exchange, and closes the connection unless `keep_open`."""
+    def _end_exchange(
+        self, exchange: _Exchange, close_reason: connection_log.Reason | None
+    ) -> None:
+        """Ends an exchange, and closes the connection if a reason is given."""
         if self._exchange is not exchange:
             return
         self._exchange = None
-        self._active_at = clock.monotonic()
-        if not keep_open:
+        self._activity = self._activity_between_requests()
+        if close_reason is not None:
+            if close_reason is not connection_log.Reason.ANNOUNCED:
+                self._unanswered = exchange
             self._closing = True
-            self._scope.cancel()
+            self._close(close_reason)
         exchange.end()
 
+    def _activity_between_requests(self) -> connection_lifetime.Activity:
+        now = clock.monotonic()
+        if self._parser.head_incomplete:
+            return connection_lifetime.ReceivingHead(since=now)
+        return connection_lifetime.Idle(
+            since=now, timeout=self._limits().idle_timeout_s
+        )
+
     def _encode_response(
         self, exchange: _Exchange, response: model.Response, closes: bool
     ) -> bytes:
@@ -317,13 +407,24 @@
         length = len(response.body)
         if head_only:
             length = _content_length(response.headers) or 0
-        head = http1.encode_response_head(
-            response.status, response.headers, length, closes
-        )
+        head = self._encode_head(response, length, closes)
         if head_only or response.status in (204, 304):
             return head
         return head + response.body
 
+    def _encode_head(
+        self, response: model.Response, length: int | None, closes: bool
+    ) -> bytes:
+        headers = response.headers
+        timeout = connection_lifetime.announced_timeout(
+            self._limits().idle_timeout_s
+        )
+        if timeout and not closes:
+            headers = (*headers, ("keep-alive", f"timeout={timeout}"))
+        return http1.encode_response_head(
+            response.status, headers, length, closes
+        )
+
     async def _send_response(
         self, exchange: _Exchange, response: model.Response, closes: bool
     ) -> bool:
@@ -335,9 +436,7 @@
             )
             return True
         length = _content_length(response.headers)
-        head = http1.encode_response_head(
-            response.status, response.headers, length, closes
-        )
+        head = self._encode_head(response, length, closes)
         return await self._send_body(head, response, length is None)
 
     async def _send_body(
@@ -389,6 +488,20 @@
                 return
 
 
+def _close_reason_after(
+    complete: bool, closes: bool
+) -> connection_log.Reason | None:
+    """Returns why a connection is closed after a response, if it is.
+
+    Args:
+      complete: Whether the response was sent to its end.
+      closes: Whether the response announced that the connection closes.
+    """
+    if not complete:
+        return connection_log.Reason.INCOMPLETE
+    return connection_log.Reason.ANNOUNCED if closes else None
+
+
 def _content_length(headers: model.Headers) -> int | None:
     value = model.find_header(headers, "content-length")
     return int(value) if value is not None else None
@@ -404,8 +517,23 @@
         handler: Handler,
         source: model.Source,
         limits: LimitsSource,
+        log: connection_log.ConnectionLog | None = None,
+        request_id_header: str = "",
     ) -> None:
+        """Creates the server.
+
+        Args:
+          address: Where to listen.
+          handler: Handles each request.
+          source: Who sends the requests.
+          limits: Returns the limits in force.
+          log: Records why connections were closed.
+          request_id_header: Lower-case name of the header that identifies a
+            request in the log.
+        """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
+        self._log = log or connection_log.ConnectionLog(place=source.value)
+        self._request_id_header = request_id_header
         self._handler = handler
         self._source = source
         self._limits = limits
@@ -421,14 +549,19 @@
             stream=sockets.Stream(stream=stream),
             handler=self._handler,
             source=self._source,
-            limits=self._limits(),
+            limits=self._limits,
             spawn=self._nursery.start_soon,
+            log=self._log,
+            request_id_header=self._request_id_header,
         )
 
     async def _sweep(self) -> None:
         """Closes connections after a disconnect or a timeout."""
         while True:
+            due = clock.monotonic() + SWEEP_INTERVAL
             await trio.sleep(SWEEP_INTERVAL)
             now = clock.monotonic()
+            delay = max(0.0, now - due)
+            limits = self._limits()
             for connection in list(self._connections):
-                connection.check_liveness(now)
+                connection.check_liveness(now, limits, delay)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -1,22 +1,33 @@
 """Exchanges with an upstream that closes, resets, misanswers or hangs."""
 
 import contextlib
+import logging
+import re
 import socket
 import struct
+import threading
+import time
 
 import pytest
 import trio
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.controllers import upstream_pool
+from sassafrashall.platform import dialect
 from sassafrashall.transport import http
+from sassafrashall.transport import sockets
 from sassafrashall.transport import upstream_connection
 from tests import fakes
 from tests import loopback
 
+REFUSAL = b"HTTP/1.1 503 Unavailable\r\nnot-executed: full\r\n"
+END = b"content-length: 0\r\n\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+CHUNK = b"400\r\n" + b"a" * 1024 + b"\r\n"
 OK = b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -33,8 +44,8 @@
         self.connections += 1
         async with stream:
             while data := await stream.receive_some(65536):
-                start = data.index(b"request-id: ") + 12
-                request_id = data[start : data.index(b"\r", start)]
+                _, _, after = data.partition(b"request-id: ")
+                request_id = after.partition(b"\r")[0]
                 self.requests.append(request_id)
                 if not await self._script.pop(0)(stream, request_id):
                     return
@@ -73,11 +84,18 @@
 @contextlib.asynccontextmanager
 async def _pool(*script):
     upstream = _FakeUpstream(script)
-    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    counters = fakes.counters()
+    pool = upstream_pool.UpstreamPool(counters=counters)
+    upstream.counters = counters
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(
             upstream.address.port, host=upstream.address.host
         )
+        for listener in listeners:
+            # Connections inherit it.
+            listener.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, 65536
+            )
         nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
         async with fakes.started(pool):
             with trio.fail_after(5):
@@ -86,13 +104,21 @@
 
 
 async def _exchange(
-    pool, upstream, request_id, *, may_resend=True, timeout=2.0, send_times=None
+    pool,
+    upstream,
+    request_id,
+    *,
+    may_resend=True,
+    timeout=2.0,
+    send_times=None,
+    body=b"",
 ):
+    id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
         method="GET",
         target="/",
-        headers=(("host", "h"), ("request-id", request_id)),
-        body=b"",
+        headers=(("host", "h"), *id_header),
+        body=body,
         source=model.Source.PEER,
         received_at=0.0,
     )
@@ -106,8 +132,8 @@
         messages.UpstreamExchange(
             address=upstream.address,
             encode=encode,
-            is_answer=lambda status, headers: (
-                model.find_header(headers, "request-id") == request_id
+            is_answer=dialect.UpstreamDialect().response_matcher(
+                fakes.request(headers=raw.headers)
             ),
             max_idle=messages.NO_IDLE_LIMIT,
             may_resend=may_resend,
@@ -131,6 +157,93 @@
         assert upstream.requests == [b"a", b"b"]
 
 
+# A connection that had read stray bytes was used once more while it ended: the
+# request failed, with a long body by "Nursery is closed to new arrivals".
+async def test_connection_that_ends_after_stray_bytes_is_not_used():
+    # The next request comes before or after the end is noticed, by chance.
+    for _ in range(30):
+        sent = trio.Event()
+
+        async def answer_twice(stream, request_id, sent=sent):
+            await stream.send_all(OK % request_id)
+            await trio.sleep(0.01)
+            await stream.send_all(OK % request_id)
+            sent.set()
+            return True
+
+        async with _pool(answer_twice, _answer) as (pool, upstream):
+            await _exchange(pool, upstream, "r1")
+            await sent.wait()
+            response = await _exchange(pool, upstream, "r2", may_resend=False)
+        assert response.status == 200
+        assert upstream.connections == 2
+
+
+class _ThreadedUpstream:
+    """Answers one request on each connection, then sends `extra` or closes.
+
+    It runs in a thread of its own, so that it goes on while the event loop of
+    the test is blocked.
+    """
+
+    def __init__(self, extra=b"", delay=0.0):
+        self.address = loopback.free_address()
+        self.requests = 0
+        self._extra = extra
+        self._delay = delay
+        self._kept = []
+        self._listener = socket.create_server(
+            (self.address.host, self.address.port)
+        )
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            data = connection.recv(65536)
+            self.requests += 1
+            time.sleep(self._delay)
+            request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
+            self._kept.append(connection)
+            connection.sendall(OK % request_id)
+
+    def end_connections(self):
+        while self._kept:
+            connection = self._kept.pop()
+            if self._extra:
+                connection.sendall(self._extra)
+            else:
+                connection.close()
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.end_connections()
+
+
+# Guards against a request sent on a connection that had been closed before,
+# or that carries stray bytes, if the event loop runs late.
+@pytest.mark.parametrize("extra", [b"", OK % b"b", REFUSAL + END])
+async def test_connection_that_ended_while_the_loop_was_blocked_is_not_used(
+    extra,
+):
+    upstream = _ThreadedUpstream(extra)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    async with fakes.started(pool):
+        with trio.fail_after(5):
+            await _exchange(pool, upstream, "a", may_resend=False)
+            upstream.end_connections()
+            # The loop gets no turn in which it could notice the end.
+            time.sleep(0.1)
+            response = await _exchange(pool, upstream, "b", may_resend=False)
+            assert response.body == b"ok"
+            assert upstream.requests == 2
+    upstream.close()
+
+
 async def test_repeatable_request_is_resent_after_a_reset_while_idle(
     monkeypatch,
 ):
@@ -182,8 +295,259 @@
         assert upstream.connections == 2
 
 
+def _refuse(request_id=None):
+    """Returns a script step: a refusal with an ID, or without one."""
+    refusal = REFUSAL + END
+    if request_id is not None:
+        refusal = REFUSAL + b"request-id: %b\r\n" % request_id + END
+
+    async def refuse(stream, _):
+        await stream.send_all(refusal)
+        return True
+
+    return refuse
+
+
+def _refuse_again(request_id=None):
+    """Returns a script step: the last refusal once more, then the answer."""
+
+    async def refuse_again(stream, answered_id):
+        await _refuse(request_id)(stream, b"")
+        await trio.sleep(0.05)
+        with contextlib.suppress(trio.BrokenResourceError):
+            return await _answer(stream, answered_id)
+
+    return refuse_again
+
+
+def _is_refusal(response):
+    outcome = dialect.UpstreamDialect().decode(response)
+    return isinstance(outcome, model.Refuse)
+
+
+# Guards against a request that runs and is told as not run.
+@pytest.mark.parametrize(
+    "refused_id, second_id", [(None, "b"), (b"a", "b"), (b"a", "a")]
+)
+async def test_repeated_refusal_does_not_refuse_the_next_request(
+    refused_id, second_id
+):
+    async def refuse_twice(stream, request_id):
+        await _refuse(refused_id)(stream, request_id)
+        if await stream.receive_some(65536):
+            await _refuse_again(refused_id)(stream, second_id.encode())
+        return False
+
+    async with _pool(refuse_twice, _answer) as (pool, upstream):
+        assert _is_refusal(await _exchange(pool, upstream, "a"))
+        response = await _exchange(pool, upstream, second_id)
+        assert response.body == b"ok"
+
+
+# Guards against a request that runs and is told as not run.
+async def test_refusal_without_an_id_proves_nothing_on_a_kept_connection():
+    async with _pool(_answer, _refuse_again()) as (pool, upstream):
+        await _exchange(pool, upstream, "a")
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "b")
+        assert caught.value.maybe_delivered
+
+
+# Guards against a request that runs and is told as not run.
+async def test_request_without_an_id_gets_a_connection_of_its_own():
+    async with _pool(_answer, _refuse(), _answer) as (pool, upstream):
+        await _exchange(pool, upstream, "a")
+        assert _is_refusal(await _exchange(pool, upstream, None))
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
+async def test_connection_is_reused_after_refusals_that_bear_their_id():
+    script = [
+        _refuse(b"%d" % i) for i in range(upstream_connection.MAX_FAILED_IDS)
+    ]
+    async with _pool(*script, _answer) as (pool, upstream):
+        for i in range(len(script)):
+            assert _is_refusal(await _exchange(pool, upstream, str(i)))
+        assert upstream.connections == 1
+        await _exchange(pool, upstream, "b")
+        assert upstream.connections == 2
+
+
 async def test_unresponsive_upstream_fails_at_the_deadline():
     async with _pool(_never_answer) as (pool, upstream):
         with pytest.raises(exceptions.ConnectionFailedError) as caught:
             await _exchange(pool, upstream, "a", timeout=0.2)
         assert caught.value.expired and caught.value.maybe_delivered
+
+
+# Guards against an answer that arrived in time and is thrown away, since the
+# event loop ran late and checked the deadlines before it read.
+async def test_answer_that_arrived_before_the_deadline_is_delivered():
+    upstream = _ThreadedUpstream(delay=0.05)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+
+    async def block_loop():
+        await trio.sleep(0.03)
+        time.sleep(0.25)
+
+    async with fakes.started(pool):
+        # The scheduler runs the two tasks in random order.
+        for _ in range(8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(block_loop)
+                response = await _exchange(pool, upstream, "a", timeout=0.2)
+                assert response.body == b"ok"
+            upstream.end_connections()
+    upstream.close()
+
+
+# Guards against processor time spent until the deadline.
+@pytest.mark.parametrize(
+    "beginning, more",
+    [
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+        (b"", b"HTTP/1.1 102 Processing\r\nx: %b\r\n\r\n" % (b"a" * 60_000)),
+        (b"HTTP/1.1 200 OK\r\nrequest-id: b\r\n" + CHUNKED, CHUNK * 10),
+        (b"", OK % b"b" * 10),
+    ],
+)
+async def test_bytes_without_end_before_an_answer_end_the_exchange(
+    beginning, more
+):
+    async def send_on(stream, request_id):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(beginning)
+            while True:
+                await stream.send_all(more)
+        return False
+
+    async with _pool(send_on) as (pool, upstream):
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "a", timeout=3.0)
+        assert caught.value.maybe_delivered and not caught.value.expired
+
+
+async def test_interim_responses_and_a_long_stray_answer_are_skipped():
+    async def send_others_first(stream, request_id):
+        await stream.send_all(b"HTTP/1.1 102 Processing\r\n\r\n" * 500)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nrequest-id: b\r\n" + CHUNKED)
+        await stream.send_all(CHUNK * 500 + b"0\r\n\r\n")
+        return await _answer(stream, request_id)
+
+    async with _pool(send_others_first) as (pool, upstream):
+        assert (await _exchange(pool, upstream, "a")).body == b"ok"
+
+
+# Guards against a deadline that an upstream defers by sending on and on.
+async def test_response_without_end_fails_soon_after_the_deadline():
+    async def send_body(stream, request_id):
+        head = OK.partition(b"content-length")[0] % request_id
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(head + CHUNKED)
+            while True:
+                await stream.send_all(b"1\r\nx\r\n")
+                await trio.sleep(0)
+        return False
+
+    async with _pool(send_body) as (pool, upstream):
+        began = clock.monotonic()
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "a", timeout=0.2)
+        assert caught.value.maybe_delivered
+        assert clock.monotonic() - began < 1.0
+
+
+def _closures(upstream):
+    """Returns the reasons of the closures, each with its outcome."""
+    text = upstream.counters.render()[1].decode()
+    return sorted(
+        re.findall(
+            r'connections_closed.*place="upstream".*reason="(\w+)"'
+            r',unanswered="(\w+)"',
+            text,
+        )
+    )
+
+
+async def _send_garbage(stream, request_id):
+    await stream.send_all(b"garbage\r\n\r\n")
+    return True
+
+
+async def _cut_streamed_answer(stream, request_id):
+    head = OK.partition(b"content-length")[0] % request_id
+    await stream.send_all(head + b"content-length: 9999999\r\n\r\n")
+    await stream.send_all(b"a" * 2 * http.BUFFERED_BODY_LIMIT)
+    return False
+
+
+async def _read_to_the_end(pool, upstream):
+    response = await _exchange(pool, upstream, "a", timeout=0.3)
+    while response.rest is not None and await response.rest.read():
+        pass
+
+
+@pytest.mark.parametrize(
+    "step, reason, unanswered",
+    [
+        (_never_answer, "deadline", "true"),
+        (_reset, "disconnect", "true"),
+        (_send_garbage, "bad_input", "true"),
+        (_cut_streamed_answer, "disconnect", "true"),
+        (_refuse(), "retired", "false"),
+    ],
+)
+async def test_reason_of_a_closed_connection_is_counted(
+    step, reason, unanswered
+):
+    async with _pool(step) as (pool, upstream):
+        with contextlib.suppress(exceptions.ConnectionFailedError):
+            await _read_to_the_end(pool, upstream)
+        assert _closures(upstream) == [(reason, unanswered)]
+
+
+async def test_connection_closed_with_an_exchange_is_logged(
+    caplog, monkeypatch
+):
+    monkeypatch.setattr(logs.get(), "propagate", True)
+    with caplog.at_level(logging.INFO, logger=logs.LOGGER_NAME):
+        async with _pool(_answer, _never_answer) as (pool, upstream):
+            await _exchange(pool, upstream, "a")
+            await trio.sleep(0.1)
+            with trio.move_on_after(0.1):
+                await _exchange(pool, upstream, "b")
+    (record,) = (r for r in caplog.records if "unanswered" in r.message)
+    assert (record.reason, record.request_id) == ("abandoned", "b")
+    assert 100 <= record.idle_ms < 200
+
+
+@pytest.fixture
+def small_buffers(monkeypatch):
+    """Lets sockets to the upstream take a few kilobytes at a time."""
+    connect = sockets.connect
+
+    async def connect_with_small_buffer(address):
+        stream = await connect(address)
+        stream._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return stream
+
+    monkeypatch.setattr(sockets, "connect", connect_with_small_buffer)
+
+
+async def _answer_before_reading(stream, request_id):
+    await stream.send_all(OK % request_id)
+    await trio.sleep(0.1)
+    return True
+
+
+# Guards against a request that is sent into the middle of an earlier body,
+# which the upstream had answered before it read all of it.
+async def test_connection_with_unsent_bytes_of_a_body_is_not_reused(
+    small_buffers,
+):
+    async with _pool(_answer_before_reading, _answer) as (pool, upstream):
+        body = b"a" * 2 * http.BUFFERED_BODY_LIMIT
+        await _exchange(pool, upstream, "a", body=body)
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
