A stop accepts what has arrived in one step, and then stops listening

What callers saw: a node that was stopped beside callers that reconnect after each response went on to accept until its process ended; connections of the last moments were reset. Calls between nodes that waited in the backlog of a stopping node were reset as well.

Cause: the stop gave the accepting tasks turns of the event loop until no connection waited. Callers that keep connecting made that up to 1024 turns, and the end of the grace period cancelled it before the listener closed. Besides, a connection that the accepting task had taken in the same turn reached the set of connections after the stop.

Fix: an Acceptor owns the listening sockets. It accepts and passes on in the same step, and its close accepts what has arrived and closes the socket without a turn of the loop. The servers for callers, controls and nodes share it.

--- a/src/sassafrashall/transport/listener.py
+++ b/src/sassafrashall/transport/listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import select
+import socket
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -18,18 +18,74 @@
 ACCEPT_RETRY_DELAY = 0.05
 
 
-async def accept_all(
-    tcp_listener: trio.SocketListener,
-    on_accept: Callable[[trio.SocketStream], None],
-) -> None:
-    """Passes each connection to `on_accept` until the listener closes."""
-    while True:
-        try:
-            on_accept(await tcp_listener.accept())
-        except trio.ClosedResourceError:
-            return
-        except OSError:
-            await trio.sleep(ACCEPT_RETRY_DELAY)
+class Acceptor:
+    """Listens on one address and passes on the connections that arrive."""
+
+    def __init__(
+        self,
+        *,
+        address: model.Address,
+        on_accept: Callable[[trio.SocketStream], None],
+    ) -> None:
+        self._address = address
+        self._on_accept = on_accept
+        self._sockets: list[socket.socket] = []
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Binds the address and accepts in `nursery`."""
+        tcp_listeners = await trio.open_tcp_listeners(
+            self._address.port,
+            host=self._address.host,
+            backlog=LISTEN_BACKLOG,
+        )
+        for tcp_listener in tcp_listeners:
+            listening = socket.socket(fileno=tcp_listener.socket.detach())
+            listening.setblocking(False)
+            self._sockets.append(listening)
+            nursery.start_soon(self._accept, listening)
+
+    async def _accept(self, listening: socket.socket) -> None:
+        with listening:
+            while listening.fileno() >= 0:
+                try:
+                    await trio.lowlevel.wait_readable(listening)
+                except trio.ClosedResourceError:
+                    return
+                if not self._accept_arrived(listening):
+                    await trio.sleep(ACCEPT_RETRY_DELAY)
+
+    def _accept_arrived(self, listening: socket.socket) -> bool:
+        """Accepts what has arrived; returns whether that was possible."""
+        if listening.fileno() < 0:
+            return True
+        for _ in range(LISTEN_BACKLOG):
+            try:
+                accepted, _ = listening.accept()
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                logs.get().warning(
+                    "could not accept a connection",
+                    extra={"reason": str(error)},
+                )
+                return False
+            self._on_accept(
+                trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            )
+        return True
+
+    def close(self) -> None:
+        """Accepts what has arrived, then stops listening.
+
+        With the socket, the kernel would reset the connections in its backlog.
+        It takes no turn of the event loop, so callers that keep connecting
+        can't delay it.
+        """
+        for listening in self._sockets:
+            if listening.fileno() >= 0:
+                self._accept_arrived(listening)
+                trio.lowlevel.notify_closing(listening)
+                listening.close()
 
 
 class Connection(Protocol):
@@ -64,9 +120,9 @@
         self, *, address: model.Address, connection_limit: int
     ) -> None:
         self._address = address
+        self._acceptor = Acceptor(address=address, on_accept=self._on_accept)
         self._connection_limit = connection_limit
         self._connections: set[_C] = set()
-        self._listeners: list[trio.SocketListener] = []
         self._nursery: trio.Nursery | None = None
         self._all_closed = trio.Event()
         self._draining = False
@@ -79,13 +135,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address and serves in `nursery`."""
         self._nursery = nursery
-        self._listeners = await trio.open_tcp_listeners(
-            self._address.port,
-            host=self._address.host,
-            backlog=LISTEN_BACKLOG,
-        )
-        for tcp_listener in self._listeners:
-            nursery.start_soon(accept_all, tcp_listener, self._on_accept)
+        await self._acceptor.start(nursery)
 
     def _on_accept(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self._connection_limit:
@@ -124,26 +174,11 @@
     async def close(self) -> None:
         """Stops accepting, then waits until every connection has ended.
 
-        Connections that have arrived by then are accepted and stopped as well;
-        with the listener, the kernel would reset them.
+        Connections that have arrived by then are accepted and stopped as well.
         """
-        await self._accept_arrived()
-        for tcp_listener in self._listeners:
-            await tcp_listener.aclose()
+        self._acceptor.close()
         for connection in list(self._connections):
             connection.stop()
         while self._connections:
             self._all_closed = trio.Event()
             await self._all_closed.wait()
-
-    async def _accept_arrived(self) -> None:
-        """Lets the accepting tasks take the connections that have arrived."""
-        poll = select.poll()
-        for tcp_listener in self._listeners:
-            descriptor = tcp_listener.socket.fileno()
-            if descriptor >= 0:
-                poll.register(descriptor, select.POLLIN)
-        for _ in range(LISTEN_BACKLOG):
-            if not poll.poll(0):
-                return
-            await trio.lowlevel.checkpoint()
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -305,12 +305,13 @@
         compute_proof: ComputeProof,
         log: connection_log.ConnectionLog,
     ) -> None:
-        self._address = address
+        self._acceptor = listener.Acceptor(
+            address=address, on_accept=self._on_accept
+        )
         self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
         self._connections: set[_ServedConnection] = set()
-        self._listeners: list[trio.SocketListener] = []
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -321,13 +322,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address and serves in `nursery`."""
         self._nursery = nursery
-        self._listeners = await trio.open_tcp_listeners(
-            self._address.port, host=self._address.host
-        )
-        for tcp_listener in self._listeners:
-            nursery.start_soon(
-                listener.accept_all, tcp_listener, self._on_accept
-            )
+        await self._acceptor.start(nursery)
         nursery.start_soon(self._expire_calls)
 
     async def _expire_calls(self) -> None:
@@ -361,7 +356,6 @@
 
         Calls that have arrived by then still reach the handler.
         """
-        for tcp_listener in self._listeners:
-            await tcp_listener.aclose()
+        self._acceptor.close()
         for connection in tuple(self._connections):
             connection.close()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,3 +1,6 @@
+import socket
+
+import pytest
 import trio
 
 from sassafrashall.transport import listener
@@ -21,7 +24,7 @@
         """Does nothing."""
 
     def stop(self):
-        """Does nothing."""
+        self._stream.socket.close()
 
 
 class _Listener(listener.Listener):
@@ -46,3 +49,58 @@
         await other.aclose()
         await faulty.aclose()
         nursery.cancel_scope.cancel()
+
+
+class _Callers:
+    """Connects several times in each turn of the event loop, up to a limit."""
+
+    def __init__(self, address):
+        self._address = address
+        self.sockets = []
+
+    async def run(self):
+        for _ in range(600):
+            for _ in range(3):
+                connection = socket.socket()
+                connection.setblocking(False)
+                connection.connect_ex((self._address.host, self._address.port))
+                self.sockets.append(connection)
+            await trio.lowlevel.checkpoint()
+
+    def close(self):
+        for connection in self.sockets:
+            connection.close()
+
+
+# Guards against a stop that waits for a moment without a new connection: a
+# node that was stopped went on to accept until its process ended.
+async def test_a_stop_ends_beside_callers_that_keep_connecting():
+    address = loopback.free_address()
+    server = _Listener(address=address, connection_limit=4000)
+    callers = _Callers(address)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        nursery.start_soon(callers.run)
+        for _ in range(10):
+            await trio.lowlevel.checkpoint()
+        before = len(callers.sockets)
+        await server.close()
+        during = len(callers.sockets) - before
+        nursery.cancel_scope.cancel()
+    callers.close()
+    assert during < 100
+
+
+# Guards against a stop that is out of time and leaves its listener open.
+async def test_a_stop_that_is_cancelled_at_once_stops_listening():
+    address = loopback.free_address()
+    server = _Listener(address=address, connection_limit=10)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        arrived = socket.create_connection((address.host, address.port))
+        with trio.move_on_after(0):
+            await server.close()
+        with pytest.raises(OSError):
+            await trio.open_tcp_stream(address.host, address.port)
+        arrived.close()
+        nursery.cancel_scope.cancel()
