A refusal with a streamed body releases its slot

What callers saw: after upstream refusals (Not-Executed) whose body is longer than 64 KiB, the node admitted one request fewer for each, until it refused all.

Cause: the filter marked the slot as held by the streamed answer before it decoded the response. A refusal drops the response, so nobody read the body to its end or closed it: the slot was never released, and the upstream's connection stayed in use.

Evidence: test_refusal_with_a_streamed_body_releases_its_slot failed before (the body was not closed and no slot released). Found by reading.

Fix: the response is decoded first. Only an answer keeps the slot; the rest of a refusal's body is closed, which also closes the connection.

--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -134,14 +134,23 @@
                 deadline=call.deadline,
             )
         )
-        if response.rest is None:
-            self._upstream_seconds.observe(slot.record_status(response.status))
-            return self._dialect.decode(response)
-        slot.held_by_answer = True
-        body = _StreamedAnswer(
-            rest=response.rest, deadline=call.deadline, on_end=slot.release
-        )
-        return self._dialect.decode(frozen.replace(response, rest=body))
+        outcome = self._dialect.decode(response)
+        match outcome:
+            case model.Answer(response=model.Response(rest=rest) as answer) if (
+                rest is not None
+            ):
+                slot.held_by_answer = True
+                body = _StreamedAnswer(
+                    rest=rest, deadline=call.deadline, on_end=slot.release
+                )
+                return frozen.replace(
+                    outcome, response=frozen.replace(answer, rest=body)
+                )
+            case model.Refuse() if response.rest is not None:
+                # Nobody reads the rest of its body.
+                await response.rest.close()
+        self._upstream_seconds.observe(slot.record_status(response.status))
+        return outcome
 
 
 class _Slot:
--- /dev/null
+++ b/tests/test_local_upstream.py
@@ -0,0 +1,88 @@
+"""Slots that calls hold while the local upstream answers them."""
+
+import contextlib
+
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.filters import local_upstream
+from sassafrashall.platform import dialect
+from tests import fakes
+
+UPSTREAM = model.Upstream(
+    service="a",
+    address=model.Address(host="127.0.0.1", port=1),
+    slots=8,
+    connection_limit=8,
+    state=model.UpstreamState.READY,
+)
+
+
+class _Body:
+    """The rest of a streamed response; records whether it was closed."""
+
+    def __init__(self):
+        self.parts = [b"more", b""]
+        self.closed = False
+
+    async def read(self):
+        return self.parts.pop(0)
+
+    async def close(self):
+        self.closed = True
+
+
+@contextlib.asynccontextmanager
+async def _filter(response):
+    """Yields the filter and a fake of the admission controller."""
+    admission = fakes.ScriptedController(
+        lambda message: messages.Admitted(upstream=UPSTREAM)
+    )
+    pool = fakes.ScriptedController(lambda message: response)
+    async with fakes.started(admission, pool):
+        yield (
+            local_upstream.LocalUpstreamFilter(
+                admission=admission.mailbox,
+                admission_level=mailbox.Published(initial=-1),
+                upstream_load=mailbox.Published(initial=-1),
+                pool=pool.mailbox,
+                dialect=dialect.UpstreamDialect(),
+                counters=fakes.counters(),
+            ),
+            admission,
+        )
+
+
+def _released(admission):
+    return [
+        message
+        for message in admission.received
+        if isinstance(message, messages.SlotReleased)
+    ]
+
+
+def _response(status, *headers, body=None):
+    return model.Response(status=status, headers=headers, body=b"a", rest=body)
+
+
+async def test_streamed_answer_holds_its_slot_until_its_end():
+    async with _filter(_response(200, body=_Body())) as (tested, admission):
+        outcome = await tested.handle(fakes.call())
+        assert isinstance(outcome, model.Answer)
+        assert await outcome.response.rest.read() == b"more"
+        assert not _released(admission)
+        assert await outcome.response.rest.read() == b""
+        assert len(_released(admission)) == 1
+
+
+# Guards against a slot that is lost, and against an upstream that goes on
+# sending a body which nobody reads.
+async def test_refusal_with_a_streamed_body_releases_its_slot():
+    body = _Body()
+    response = _response(503, ("not-executed", "full"), body=body)
+    async with _filter(response) as (tested, admission):
+        outcome = await tested.handle(fakes.call())
+        assert isinstance(outcome, model.Refuse)
+        assert outcome.run is model.RunState.NOT_RUN
+        assert body.closed
+        assert [message.shed for message in _released(admission)] == [True]
