A streamed response that nobody reads ends at its deadline

What callers saw: nothing at once; a node kept the task, the buffers and the parser of such a connection for as long as its process ran.

Cause: at the deadline of a streamed response only the socket was closed. The connection's task waits until the reader ends the body, and a reader that was dropped never does.

Fix: the deadline ends the exchange itself. A reader that is still there gets the error of the closed socket, as before.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -390,7 +390,10 @@
                 )
             )
         elif exchange is not None:
+            # The reader gets the error, if there still is one.
             self._close_at_deadline(exchange)
+            self._exchange = None
+            self._streaming_ended.set()
 
     def _fail_unsent(
         self,
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -471,6 +471,26 @@
     upstream.close()
 
 
+# Guards against a task and a body that stay for as long as the process runs.
+async def test_streamed_response_that_nobody_reads_ends_at_the_deadline():
+    async def send_long_body(stream, request_id):
+        head = OK.partition(b"content-length")[0] % request_id
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(head + CHUNKED + CHUNK * 200)
+            await stream.receive_some(1)
+        return False
+
+    async with _pool(send_long_body) as (pool, upstream):
+        tasks = trio.lowlevel.current_statistics().tasks_living
+        response = await _exchange(pool, upstream, "a", timeout=0.2)
+        while trio.lowlevel.current_statistics().tasks_living > tasks:
+            await trio.sleep(0.01)
+        with pytest.raises(exceptions.ConnectionFailedError):
+            while await response.rest.read():
+                pass
+        await response.rest.close()
+
+
 # Guards against a deadline that an upstream defers by sending on and on.
 async def test_response_without_end_fails_soon_after_the_deadline():
     async def send_body(stream, request_id):
