A Content-Length with spaces after it frames the body

What callers saw: a 200 with an empty or short body, framed as whole, where the upstream stopped after its head or in its body and closed.

Cause: httptools passes a header's value on with the whitespace that follows it, while its own parser ignores that. "10 " was no number here, so the response was taken for one that lasts until the connection closes, and any close ended it. A request with such a header was refused with 400.

An upstream that writes its length without spaces was not affected.

Fix: the whitespace is removed, as the protocol demands (RFC 9112, 5.1).

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -165,7 +165,8 @@
         if not self._in_head:
             return
         decoded_name = _name_cache.get(name) or _decode_name(name)
-        decoded_value = value.decode("latin-1")
+        # httptools keeps the whitespace after a value.
+        decoded_value = value.decode("latin-1").rstrip(" \t")
         if decoded_name == "content-length":
             self._length = decoded_value
         elif decoded_name == "transfer-encoding":
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -29,6 +29,10 @@
     return HEAD + b"content-length: %d\r\n\r\n" % len(body), body
 
 
+def _with_padded_length(body):
+    return HEAD + b"content-length: %d \r\n\r\n" % len(body), body
+
+
 def _chunked(body):
     chunks = [
         body[start : start + CHUNK_SIZE]
@@ -44,6 +48,7 @@
 
 FRAMINGS = {
     "length": _with_length,
+    "padded length": _with_padded_length,
     "chunked": _chunked,
     "until close": _until_close,
 }
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -195,6 +195,16 @@
     ]
 
 
+# Guards against a body that is cut and taken for one that lasts until a close.
+@pytest.mark.parametrize("length", [b"5 ", b"5\t", b"5 \t ", b" \t5"])
+def test_a_length_with_spaces_around_it_is_a_length(length):
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\n" % length
+    for body, ended in ((b"abc", False), (b"abcde", True)):
+        (message,) = _merge(_parse_responses(data + body, closed=True))
+        assert (message[0].length, message[2]) == (5, ended)
+        assert not message[0].ends_with_connection
+
+
 def test_a_body_shorter_than_its_length_does_not_end():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"
     assert [m[2] for m in _merge(_parse_responses(data, closed=True))] == [
