A body with a transfer coding other than chunked is rejected

What callers saw: a 200, framed as whole, whose body was the encoded one, or one with the lines of the chunks in it. Transfer-Encoding was dropped on the way.

Cause: only the last of several Transfer-Encoding headers was looked at, and every value with "chunked" in it was taken for chunked. Without one, the response lasted until the close, whatever its coding. Requests were passed on without their coding as well.

Evidence: the five new cases of test_http1 failed before.

Fix: the values of all Transfer-Encoding headers count, and anything other than one "chunked" is an error: 400 to a caller, a failed exchange at an upstream.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -102,6 +102,8 @@
         self._framing_size = 0
         self._in_head = True
         self._message_started = False
+        # httptools hides exceptions of callbacks, so `_feed` raises it.
+        self._head_error: exceptions.ProtocolError | None = None
 
     @property
     def head_incomplete(self) -> bool:
@@ -125,6 +127,8 @@
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, str(error) or type(error).__name__
             ) from error
+        if self._head_error is not None:
+            raise self._head_error
         if self._in_head and self._head_size > self._head_limit:
             raise self._head_too_large()
         if not self._in_head and self._framing_size > self._head_limit:
@@ -144,6 +148,16 @@
         """
         raise NotImplementedError
 
+    def _check_transfer_coding(
+        self, code: str
+    ) -> exceptions.ProtocolError | None:
+        """Returns the error, with `code`, of a body that is not plain."""
+        if not self._encoding or self._encoding.lower() == "chunked":
+            return None
+        return exceptions.ProtocolError(
+            code, f"Transfer-Encoding {self._encoding!r} is not supported"
+        )
+
     def _head_too_large(self) -> exceptions.ProtocolError:
         return exceptions.ProtocolError(
             exceptions.HEAD_TOO_LARGE,
@@ -170,7 +184,8 @@
         if decoded_name == "content-length":
             self._length = decoded_value
         elif decoded_name == "transfer-encoding":
-            self._encoding = decoded_value
+            separator = ", " if self._encoding else ""
+            self._encoding += separator + decoded_value
         self._headers.append((decoded_name, decoded_value))
 
     def on_body(self, data: bytes) -> None:
@@ -198,7 +213,6 @@
         super().__init__(head_limit=head_limit)
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
-        self._head_error: exceptions.ProtocolError | None = None
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
@@ -207,8 +221,6 @@
           ProtocolError: The bytes are not a valid request.
         """
         self._feed(self._parser, data)
-        if self._head_error is not None:
-            raise self._head_error
 
     def _on_upgrade(self, rest: bytes) -> None:
         """Ignores that a request asks for another protocol."""
@@ -224,7 +236,6 @@
         target, self._target = self._target, b""
         self._head_error = self._check_head(len(target))
         if self._head_error is not None:
-            # httptools hides exceptions of callbacks, so `feed` raises it.
             return
         self._in_head = False
         self._events.append(
@@ -258,7 +269,7 @@
             return exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "the protocol can't be upgraded"
             )
-        return None
+        return self._check_transfer_coding(exceptions.BAD_REQUEST)
 
 
 class ResponseParser(_Parser):
@@ -314,7 +325,12 @@
             self._interim_count += 1
             return
         self._interim_count = 0
-        chunked = "chunked" in self._encoding.lower()
+        self._head_error = self._check_transfer_coding(
+            exceptions.UPSTREAM_FAILED
+        )
+        if self._head_error is not None:
+            return
+        chunked = bool(self._encoding)
         length = None
         if not chunked and self._length.isdigit():
             length = int(self._length)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -205,6 +205,25 @@
         assert not message[0].ends_with_connection
 
 
+TRANSFER_CODINGS = [
+    b"Transfer-Encoding: gzip\r\n",
+    b"Transfer-Encoding: gzip, chunked\r\n",
+    b"Transfer-Encoding: chunked, gzip\r\n",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    b"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+]
+
+
+# Guards against an encoded or framed body that is passed on as a plain one.
+@pytest.mark.parametrize("coding", TRANSFER_CODINGS)
+def test_a_transfer_coding_other_than_chunked_is_rejected(coding):
+    body = b"\r\n3\r\nabc\r\n0\r\n\r\n"
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(b"HTTP/1.1 200 OK\r\n" + coding + body)
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_requests(b"POST / HTTP/1.1\r\nHost: h\r\n" + coding + body)
+
+
 def test_a_body_shorter_than_its_length_does_not_end():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"
     assert [m[2] for m in _merge(_parse_responses(data, closed=True))] == [
