A response with a status below 100 is rejected

What callers saw: a 200, framed as whole, with the bytes of a response before it at the beginning of its body.

Cause: a status below 200 counted as an interim response. httptools reads a body for a status below 100, and that body was added to the answer's.

Fix: a status below 100 is an error of the upstream. An error in a head now stops httptools, so that a later message can't follow it.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -102,7 +102,7 @@
         self._framing_size = 0
         self._in_head = True
         self._message_started = False
-        # httptools hides exceptions of callbacks, so `_feed` raises it.
+        # httptools hides the exception of a callback, so `_feed` raises it.
         self._head_error: exceptions.ProtocolError | None = None
 
     @property
@@ -124,11 +124,11 @@
         except httptools.HttpParserUpgrade as upgrade:
             self._on_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
+            if self._head_error is not None:
+                raise self._head_error from error
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, str(error) or type(error).__name__
             ) from error
-        if self._head_error is not None:
-            raise self._head_error
         if self._in_head and self._head_size > self._head_limit:
             raise self._head_too_large()
         if not self._in_head and self._framing_size > self._head_limit:
@@ -224,7 +224,7 @@
 
     def _on_upgrade(self, rest: bytes) -> None:
         """Ignores that a request asks for another protocol."""
-        if rest and self._head_error is None:
+        if rest:
             self._feed(self._parser, rest)
 
     def on_url(self, url: bytes) -> None:
@@ -236,7 +236,7 @@
         target, self._target = self._target, b""
         self._head_error = self._check_head(len(target))
         if self._head_error is not None:
-            return
+            raise self._head_error
         self._in_head = False
         self._events.append(
             RequestHead(
@@ -319,6 +319,11 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head; skips interim (1xx) responses."""
         status = self._parser.get_status_code()
+        if status < 100:
+            self._head_error = exceptions.ProtocolError(
+                exceptions.UPSTREAM_FAILED, f"{status} is no status"
+            )
+            raise self._head_error
         self._in_head = False
         self._is_interim = status < 200
         if self._is_interim:
@@ -329,7 +334,7 @@
             exceptions.UPSTREAM_FAILED
         )
         if self._head_error is not None:
-            return
+            raise self._head_error
         chunked = bool(self._encoding)
         length = None
         if not chunked and self._length.isdigit():
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -224,6 +224,16 @@
         _parse_requests(b"POST / HTTP/1.1\r\nHost: h\r\n" + coding + body)
 
 
+# Guards against bytes before an answer that become part of its body.
+@pytest.mark.parametrize("status", [b"000", b"099"])
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 5\r\n"])
+def test_a_status_below_100_is_rejected(status, framing):
+    data = b"HTTP/1.1 %b None\r\n%b\r\nabcde" % (status, framing)
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(data + answer)
+
+
 def test_a_body_shorter_than_its_length_does_not_end():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"
     assert [m[2] for m in _merge(_parse_responses(data, closed=True))] == [
