An answer is delivered although invalid bytes follow it

What callers saw: a 502, or a streamed body broken off before its end, for a request that its upstream had answered completely. Bytes that are no answer followed it in the same segment; in a later segment they did no harm.

Cause: the parser raised for the invalid bytes before the events of the answer ahead of them were taken.

Evidence: test_answer_before_bytes_that_are_none_is_delivered (3 cases), test_streamed_answer_before_bytes_that_are_none_is_complete and 9 cases of test_http1 failed before.

Fix: the parser keeps the events up to the last complete response and raises the error after them. The connection is not used again, as before.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -287,23 +287,44 @@
         self._ends_with_connection = False
         self._is_interim = False
         self._interim_count = 0
+        # Raised once the complete responses before the error are taken.
+        self._error: exceptions.ProtocolError | None = None
 
     @property
     def at_boundary(self) -> bool:
         """Whether no byte of a further message has arrived."""
-        return not self._events and not self._message_started
+        return not (self._events or self._message_started or self._error)
+
+    def next_event(self) -> Event | None:
+        """Returns and removes the next event; None if there is none yet.
+
+        Raises:
+          ProtocolError: Invalid bytes followed the last response.
+        """
+        event = super().next_event()
+        if event is None and self._error is not None:
+            raise self._error
+        return event
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
 
         Raises:
-          ProtocolError: The bytes are not a valid response.
+          ProtocolError: The bytes are not a valid response. If a complete
+            response precedes the invalid ones, `next_event` raises it.
         """
-        self._feed(self._parser, data)
-        if self._interim_count > MAX_INTERIM_RESPONSES:
-            raise exceptions.ProtocolError(
-                exceptions.UPSTREAM_FAILED, "too many interim responses"
-            )
+        try:
+            self._feed(self._parser, data)
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise exceptions.ProtocolError(
+                    exceptions.UPSTREAM_FAILED, "too many interim responses"
+                )
+        except exceptions.ProtocolError as error:
+            if MessageEnd() not in self._events:
+                raise
+            while self._events[-1] != MessageEnd():
+                self._events.pop()
+            self._error = error
 
     def _on_upgrade(self, rest: bytes) -> None:
         raise exceptions.ProtocolError(
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -234,6 +234,29 @@
         _parse_responses(data + answer)
 
 
+# Guards against a response whose fate depends on how its bytes are split.
+@pytest.mark.parametrize("rest", [b"\0", b"more", b"HTTP/1.1 099 A\r\n\r\n"])
+@pytest.mark.parametrize(
+    "headers",
+    [b"", b"Connection: close\r\n", CHUNKED.replace(b"Host: h\r\n", b"")],
+)
+def test_a_complete_response_before_invalid_bytes_is_parsed(headers, rest):
+    if headers.startswith(b"Transfer"):
+        whole = b"HTTP/1.1 200 OK\r\n" + headers + b"2\r\nok\r\n0\r\n\r\n"
+    else:
+        whole = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + headers + b"\r\nok"
+        )
+    parser = http1.ResponseParser(head_limit=LIMIT)
+    parser.feed(whole + rest)
+    events = [parser.next_event() for _ in range(3)]
+    ((_, body, ended),) = _merge(events)
+    assert (body, ended) == (b"ok", True)
+    assert not parser.at_boundary
+    with pytest.raises(exceptions.ProtocolError):
+        parser.next_event()
+
+
 def test_a_body_shorter_than_its_length_does_not_end():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"
     assert [m[2] for m in _merge(_parse_responses(data, closed=True))] == [
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -301,6 +301,38 @@
         assert upstream.connections == 2
 
 
+# Guards against a complete answer that is lost, and told as failed, if the
+# bytes after it arrive in the same segment.
+@pytest.mark.parametrize("garbage", [b"\0\0", b"ok", b"HTTP/1.1 099 A\r\n\r\n"])
+async def test_answer_before_bytes_that_are_none_is_delivered(garbage):
+    async def answer_with_garbage(stream, request_id):
+        await stream.send_all(OK % request_id + garbage)
+        return True
+
+    async with _pool(answer_with_garbage, _answer) as (pool, upstream):
+        assert (await _exchange(pool, upstream, "a")).body == b"ok"
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
+# As above, at the end of a streamed body.
+async def test_streamed_answer_before_bytes_that_are_none_is_complete():
+    async def answer_with_garbage(stream, request_id):
+        head = OK.partition(b"content-length")[0] % request_id
+        await stream.send_all(head + CHUNKED + CHUNK * 500)
+        await stream.send_all(CHUNK + b"0\r\n\r\n\0\0")
+        return True
+
+    async with _pool(answer_with_garbage, _answer) as (pool, upstream):
+        response = await _exchange(pool, upstream, "a")
+        size = len(response.body)
+        while data := await response.rest.read():
+            size += len(data)
+        assert size == 501 * 1024
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
 def _refuse(request_id=None):
     """Returns a script step: a refusal with an ID, or without one."""
     refusal = REFUSAL + END
