Parts of a body that arrive together are passed on together

What callers saw: an answer in chunks of one byte kept its node's event loop busy for so long that the answer, and others, ran into their deadlines.

Cause: each chunk was sent on by a system call of its own, or as a frame to another node with a credit in return, and one read holds up to 11,000 of them. No other task ran meanwhile.

The new test counts events and failed before (1001 in place of 2).

Fix: the parser joins consecutive parts, for requests and responses.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -111,8 +111,29 @@
         return self._in_head and self._message_started
 
     def next_event(self) -> Event | None:
-        """Returns and removes the next event; None if there is none yet."""
-        return self._events.popleft() if self._events else None
+        """Returns and removes the next event; None if there is none yet.
+
+        Consecutive parts of a body are joined, since each costs a system call
+        on its way.
+        """
+        if not self._events:
+            return None
+        event = self._events.popleft()
+        if not (
+            isinstance(event, BodyPart)
+            and self._events
+            and isinstance(self._events[0], BodyPart)
+        ):
+            return event
+        parts = [event.data]
+        while self._events:
+            match self._events[0]:
+                case BodyPart(data=data):
+                    self._events.popleft()
+                    parts.append(data)
+                case _:
+                    break
+        return BodyPart(data=b"".join(parts))
 
     def _feed(self, parser: object, data: bytes) -> None:
         if self._in_head:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -179,6 +179,16 @@
     assert "trailer" not in dict(message[0].headers)
 
 
+# Guards against a system call, or a frame to another node, for every byte.
+def test_parts_of_a_body_that_arrive_together_are_joined():
+    data = CHUNKED + b"1\r\nx\r\n" * 1000
+    for end, count in ((b"", 2), (b"0\r\n\r\n", 3)):
+        response = b"HTTP/1.1 200 OK\r\n" + data + end
+        assert len(_parse_responses(response)) == count
+        request = b"POST / HTTP/1.1\r\n" + data + end
+        assert len(_parse_requests(request)) == count
+
+
 def test_a_long_head_is_rejected_before_it_is_complete():
     with pytest.raises(exceptions.ProtocolError) as error:
         _parse_requests(
