Tests of repeated refusals, end to end

A refusal that is written once more, at once, in two parts, while the connection is idle or before the next answer, with an ID or without, with status 503 or 421 and after a 100 Continue; for the same ID and another one, with short and streamed bodies, through one node and two.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,6 +1,6 @@
-"""Answers that the upstream breaks off, or never ends, seen by a caller.
+"""Answers that the upstream breaks off, repeats or never ends.
 
-Two nodes pass them on, over real sockets.
+One node or two pass them on to a caller, over real sockets.
 """
 
 import contextlib
@@ -23,6 +23,9 @@
     b"GET /x HTTP/1.1\r\nHost: beta.example\r\nRequest-Id: %b\r\n"
     b"Connection: close\r\n\r\n"
 )
+POST = REQUEST.replace(b"GET", b"POST").replace(
+    b"Connection", b"Content-Length: %d\r\nConnection"
+)
 
 
 def _with_length(body):
@@ -125,10 +128,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet():
+async def _fleet(upstream=None, **route):
     """Runs two nodes; the upstream beside `vm-b` is a raw one."""
     fleet = routed.Fleet(services={"vm-a": "alpha", "vm-b": "beta"})
-    upstream = _RawUpstream()
+    upstream = upstream or _RawUpstream()
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery, upstreams=False)
@@ -140,7 +143,7 @@
             nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
             nursery.start_soon(_announce_regularly, announced)
             await fleet.apply_configuration(
-                routed.document(services=("alpha", "beta"))
+                routed.document(services=("alpha", "beta"), **route)
             )
             yield fleet, upstream
             nursery.cancel_scope.cancel()
@@ -148,13 +151,14 @@
         fleet.close()
 
 
-async def _ask(fleet, vm, request_id=b"r1"):
+async def _ask(fleet, vm, data=REQUEST % b"r1"):
     """Returns the status and the body, or None if the answer is incomplete."""
     address = fleet.callers[vm]
     stream = await trio.open_tcp_stream(address.host, address.port)
     received = b""
     async with stream:
-        await stream.send_all(REQUEST % request_id)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
         with contextlib.suppress(trio.BrokenResourceError):
             while data := await stream.receive_some(65536):
                 received += data
@@ -235,3 +239,125 @@
             assert upstream.sent == sent
             # The buffers of the sockets on the way hold most of it.
             assert 0 < sent < 32 * 1024 * 1024
+
+
+class _RepeatingUpstream:
+    """Refuses a request, and writes that refusal once more on its connection.
+
+    Attributes:
+      refused: ID of the request to refuse; other requests run.
+      refusal: The refusal.
+      timing: When it is written once more.
+      answer: What follows the repeated refusal as the answer.
+      ran: IDs of the requests that ran.
+    """
+
+    def __init__(self):
+        self.refused = b""
+        self.refusal = b""
+        self.timing = ""
+        self.answer = b""
+        self.ran = []
+
+    async def serve(self, stream):
+        async with stream:
+            with contextlib.suppress(trio.BrokenResourceError):
+                unsent = b""
+                while request_id := await self._receive(stream):
+                    if request_id == self.refused:
+                        self.refused = b""
+                        unsent = await self._refuse(stream)
+                        continue
+                    self.ran.append(request_id)
+                    await stream.send_all(unsent)
+                    if unsent:
+                        await trio.sleep(0.02)
+                    answer = self.answer.replace(b"%b", request_id, 1)
+                    await stream.send_all(answer)
+                    # The next case begins with a connection of its own.
+                    return
+
+    async def _receive(self, stream):
+        """Reads a request and returns its ID; none at the end."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            if not (part := await stream.receive_some(65536)):
+                return b""
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        _, _, length = head.partition(b"content-length: ")
+        missing = int(length.split()[0]) - len(body) if length else 0
+        while missing > 0:
+            missing -= len(await stream.receive_some(65536))
+        return head.partition(b"request-id: ")[2].partition(b"\r")[0]
+
+    async def _refuse(self, stream):
+        """Sends the refusal; returns what is left for the next request."""
+        half = len(self.refusal) // 2
+        match self.timing:
+            case "at once":
+                await stream.send_all(self.refusal * 2)
+                return b""
+            case "in two parts":
+                await stream.send_all(self.refusal + self.refusal[:half])
+                return self.refusal[half:]
+            case "while idle":
+                await stream.send_all(self.refusal)
+                await trio.sleep(0.01)
+                await stream.send_all(self.refusal)
+                return b""
+            case _:
+                await stream.send_all(self.refusal)
+                return self.refusal
+
+
+REFUSALS = [
+    b"HTTP/1.1 503 Full\r\nnot-executed: full\r\n",
+    b"HTTP/1.1 421 Misdirected\r\nnot-executed: other\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nnot-executed: full\r\n",
+]
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+# Guards against a request that runs and is told as not run, or runs twice.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("body", [b"", LONG], ids=["short", "streamed"])
+@pytest.mark.parametrize("second_id", [b"r1", b"r2"])
+@pytest.mark.parametrize("refused_id", [None, b"r1"])
+@pytest.mark.parametrize(
+    "timing", ["at once", "in two parts", "while idle", "before the answer"]
+)
+async def test_repeated_refusal_tells_nothing_about_another_request(
+    timing, refused_id, second_id, body, vm
+):
+    upstream = _RepeatingUpstream()
+    async with _fleet(upstream, route_type="non_idempotent") as (fleet, _):
+        for refusal in REFUSALS:
+            for framing in FRAMINGS:
+                upstream.refused = b"r1"
+                upstream.refusal = refusal + b"content-length: 0\r\n"
+                if refused_id is not None:
+                    upstream.refusal += b"request-id: %b\r\n" % refused_id
+                upstream.refusal += b"\r\n"
+                upstream.timing = timing
+                upstream.answer = b"".join(FRAMINGS[framing](LONG))
+                for request_id in (b"r1", second_id):
+                    upstream.ran = []
+                    request = POST % (request_id, len(body)) + body
+                    with trio.fail_after(5):
+                        outcome = await _ask(fleet, vm, request)
+                    _check_outcome(outcome, request_id, upstream.ran)
+                assert not upstream.refused, "nothing was refused"
+                assert upstream.ran == [second_id]
+
+
+def _check_outcome(outcome, request_id, ran):
+    """Checks what a caller was told about a request that isn't idempotent."""
+    assert ran in ([], [request_id])
+    match outcome:
+        case (status, _) if status in NOT_RUN_STATUSES:
+            assert not ran, f"{status}, though it ran"
+        case (200, body):
+            assert ran and body == LONG
+        case (status, _):
+            assert status in (502, 504)
