--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -9,8 +9,21 @@
 
 from bench import routed
 import h11
+import hypothesis
+from hypothesis import strategies
 import pytest
 import trio
+import trio.testing
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.controllers import upstream_pool
+from sassafrashall.platform import dialect
+from sassafrashall.transport import http
+from tests import fakes
+from tests import loopback
 
 SHORT = b"a body that is buffered"
 LONG = bytes(range(256)) * 3000  # streamed, and longer than a peer's window
@@ -222,6 +235,22 @@
             assert await _ask(fleet, vm) == (200, body)
 
 
+# Guards against a refusal, in place of the rest of a body, that ends the body.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("refusal_id", [b"r1", b"r2"])
+async def test_a_refusal_within_a_streamed_answer_breaks_it_off(refusal_id, vm):
+    async with _fleet() as (fleet, upstream):
+        head, framed = _chunked(LONG)
+        upstream.answer = (
+            head
+            + framed[: len(framed) // 2].rpartition(b"\r\n4e20\r\n")[0]
+            + b"\r\nHTTP/1.1 503 Full\r\nnot-executed: full\r\n"
+            + b"request-id: %b\r\ncontent-length: 0\r\n\r\n" % refusal_id
+        )
+        with trio.fail_after(5):
+            assert await _ask(fleet, vm) is None
+
+
 # Guards against memory that grows with what a slow caller does not read.
 @pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
 async def test_body_without_end_waits_for_a_caller_that_reads_slowly(vm):
@@ -241,6 +270,184 @@
             assert 0 < sent < 32 * 1024 * 1024
 
 
+# Guards against memory that grows with what an upstream does not read.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_request_without_end_waits_for_an_upstream_that_does_not_read(vm):
+    async with _fleet(_DeafUpstream()) as (fleet, upstream):
+        address = fleet.callers[vm]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        sent = 0
+        async with stream:
+            await stream.send_all(
+                REQUEST.replace(b"GET", b"POST").replace(
+                    b"Connection", b"Transfer-Encoding: chunked\r\nConnection"
+                )
+                % b"r1"
+            )
+            blocked = False
+            while not blocked:
+                with trio.move_on_after(1.0) as scope:
+                    await stream.send_all(
+                        b"10000\r\n" + b"a" * 0x10000 + b"\r\n"
+                    )
+                    sent += 0x10000
+                blocked = scope.cancelled_caught
+                # The buffers of the sockets on the way hold most of it.
+                assert sent < 32 * 1024 * 1024
+        assert upstream.connections == 1
+
+
+class _DeafUpstream:
+    """Accepts connections and reads nothing.
+
+    Attributes:
+      connections: Number of connections accepted.
+    """
+
+    def __init__(self):
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        async with stream:
+            await trio.sleep_forever()
+
+
+class _UploadWithoutEnd:
+    """The rest of a request's body; its caller never sends it."""
+
+    async def read(self):
+        await trio.sleep_forever()
+
+    async def close(self):
+        pass
+
+
+async def _exchange(pool, address, method, uploading):
+    """Returns the status and the whole body of a response."""
+    headers = (("host", "h"), ("request-id", "r1"))
+    raw = http.RawRequest(
+        method=method,
+        target="/",
+        headers=headers,
+        body=b"",
+        source=model.Source.PEER,
+        received_at=0.0,
+        rest=_UploadWithoutEnd() if uploading else None,
+    )
+    response = await pool.mailbox.ask(
+        messages.UpstreamExchange(
+            address=address,
+            encode=lambda now: raw,
+            is_answer=dialect.UpstreamDialect().response_matcher(
+                fakes.request(headers=headers)
+            ),
+            max_idle=messages.NO_IDLE_LIMIT,
+            may_resend=False,
+            deadline=clock.monotonic() + 30,
+        )
+    )
+    body = response.body
+    if response.rest is not None:
+        while data := await response.rest.read():
+            body += data
+    return response.status, body
+
+
+async def _answer_in_pieces(pieces, reset, method, uploading):
+    """Returns what the pool takes for an answer; None if it fails."""
+    address = loopback.free_address()
+
+    async def serve(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(65536)
+            for piece in pieces:
+                await stream.send_all(piece)
+                await trio.testing.wait_all_tasks_blocked()
+        if reset:
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        await stream.aclose()
+
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        outcome = None
+        async with fakes.started(pool):
+            with contextlib.suppress(exceptions.ConnectionFailedError):
+                with trio.fail_after(10):
+                    outcome = await _exchange(pool, address, method, uploading)
+        nursery.cancel_scope.cancel()
+    return outcome
+
+
+def _draw_answer(draw, framing):
+    """Returns an answer: its head, its framed body, its status and its body."""
+    status = draw(strategies.sampled_from([200, 200, 503, 204, 304]))
+    method = draw(strategies.sampled_from(["GET", "GET", "GET", "HEAD"]))
+    body = draw(strategies.sampled_from([b"", b"x", SHORT, LONG[:150_000]]))
+    interim = draw(strategies.sampled_from([b"", b"HTTP/1.1 102 P\r\n\r\n"]))
+    head, framed = FRAMINGS[framing](body)
+    head = interim + head.replace(b"200 OK", b"%d X" % status)
+    head = head.replace(b"%b", b"r1")
+    if method == "HEAD" or status in (204, 304):
+        return head, b"", status, b"", method, False
+    return head, framed, status, body, method, framing == "until close"
+
+
+# Guards against any way of cutting an answer that makes it look complete.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+@hypothesis.given(
+    data=strategies.data(),
+    reset=strategies.booleans(),
+    uploading=strategies.booleans(),
+)
+def test_only_a_whole_answer_is_taken_for_one(framing, data, reset, uploading):
+    head, framed, status, body, method, until_close = _draw_answer(
+        data.draw, framing
+    )
+    whole = head + framed
+    cut = data.draw(
+        strategies.one_of(
+            strategies.just(len(whole)),
+            strategies.integers(0, min(len(whole), len(head) + 10)),
+            strategies.integers(max(0, len(whole) - 10), len(whole)),
+            strategies.integers(0, len(whole)),
+        ),
+        label="cut",
+    )
+    sent = whole[:cut]
+    if cut == len(whole) and not until_close:
+        sent += data.draw(
+            strategies.sampled_from([b"", b"\0", b"HTTP/1.1 503 A\r\n\r\n"])
+        )
+    splits = data.draw(
+        strategies.lists(strategies.integers(0, len(sent)), max_size=4)
+    )
+    bounds = [0, *sorted(splits), len(sent)]
+    pieces = [sent[a:b] for a, b in zip(bounds, bounds[1:], strict=False)]
+    outcome = trio.run(_answer_in_pieces, pieces, reset, method, uploading)
+    if until_close and cut >= len(head):
+        expected = (status, framed[: cut - len(head)])
+        must_fail, must_succeed = reset, not reset
+    else:
+        expected = (status, body)
+        must_fail = cut < len(whole)
+        must_succeed = not must_fail and not reset
+    if must_fail:
+        assert outcome is None
+    elif must_succeed:
+        assert outcome == expected
+    else:
+        # The reset may discard what has not been read.
+        assert outcome in (None, expected)
+
+
 class _RepeatingUpstream:
     """Refuses a request, and writes that refusal once more on its connection.
 
