A caller that does not read holds no slot beyond the deadline

What callers saw: 503 from the node beside an upstream, for up to 30 s, while its slots were held by callers that did not read long answers, although the upstream was free: its connections had been closed at the deadlines.

Cause: the slot was released when the reader of the streamed answer ended it. The reader of a caller's own node is blocked in a send at that time, which only the timeout for slow readers ends. Through a second node, the call ended at the deadline.

Evidence: with one slot and a route's timeout of 0.5 s, test_slot_of_a_caller_that_does_not_read_is_free_at_its_deadline[vm-b] failed before: no answer within 10 s; vm-a passed.

Fix: the connection to the upstream reports that its part in a streamed answer is over, at its end, when it is abandoned and at the deadline, and that releases the slot. A reader that is dropped no longer keeps it either.

test_streamed_answer_holds_its_slot_until_its_end now takes the end from that report in place of the reader's end.

--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import functools
 from typing import Protocol
 
@@ -132,6 +131,7 @@
                 else NON_IDEMPOTENT_MAX_IDLE,
                 may_resend=call.idempotent and call.request.rest is None,
                 deadline=call.deadline,
+                on_streamed=slot.release,
             )
         )
         outcome = self._dialect.decode(response)
@@ -140,16 +140,14 @@
                 rest is not None
             ):
                 slot.held_by_answer = True
-                body = _StreamedAnswer(
-                    rest=rest, deadline=call.deadline, on_end=slot.release
-                )
+                body = _StreamedAnswer(rest=rest, deadline=call.deadline)
                 return frozen.replace(
                     outcome, response=frozen.replace(answer, rest=body)
                 )
-            case model.Refuse() if response.rest is not None:
-                # Nobody reads the rest of its body.
-                await response.rest.close()
         self._upstream_seconds.observe(slot.record_status(response.status))
+        if response.rest is not None:
+            # Nobody reads the rest of a refusal's body.
+            await response.rest.close()
         return outcome
 
 
@@ -162,7 +160,7 @@
         self._latency = -1.0
         self._shed = False
         self._released = False
-        # Whether a streamed answer keeps the slot until its end.
+        # Whether the slot is in use until the upstream has streamed its answer.
         self.held_by_answer = False
 
     def record_status(self, status: int) -> float:
@@ -192,18 +190,11 @@
 
 
 class _StreamedAnswer:
-    """The rest of a streamed answer, which holds the slot until its end."""
+    """The rest of a streamed answer, up to the deadline."""
 
-    def __init__(
-        self,
-        *,
-        rest: model.BodyReader,
-        deadline: float,
-        on_end: Callable[[], None],
-    ) -> None:
+    def __init__(self, *, rest: model.BodyReader, deadline: float) -> None:
         self._rest = rest
         self._deadline = deadline
-        self._on_end = on_end
         self._ended = False
 
     async def read(self) -> bytes:
@@ -217,9 +208,7 @@
         remaining = max(0.0, self._deadline - clock.monotonic())
         with trio.move_on_after(remaining):
             data = await self._rest.read()
-            if not data:
-                self._ended = True
-                self._on_end()
+            self._ended = not data
             return data
         raise exceptions.ConnectionFailedError(
             "the deadline passed in the middle of the answer",
@@ -227,10 +216,9 @@
         )
 
     async def close(self) -> None:
-        """Discards the rest and frees the slot."""
+        """Discards the rest."""
         if not self._ended:
             self._ended = True
-            self._on_end()
             await self._rest.close()
 
 
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -353,6 +353,8 @@
       may_resend: Whether to send the request again on a new connection if the
         upstream closed an idle one before the first byte of a response.
       deadline: Monotonic seconds.
+      on_streamed: Called when the upstream's part in a streamed response is
+        over: at its end, when it is abandoned, or at the deadline.
     """
 
     address: model.Address
@@ -361,6 +363,7 @@
     max_idle: float
     may_resend: bool
     deadline: float
+    on_streamed: Callable[[], None] | None = None
 
 
 # --- replica -----------------------------------------------------------------
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -393,7 +393,7 @@
             # The reader gets the error, if there still is one.
             self._close_at_deadline(exchange)
             self._exchange = None
-            self._streaming_ended.set()
+            self._release_stream(exchange)
 
     def _fail_unsent(
         self,
@@ -421,6 +421,8 @@
             exchange.reply.fail(
                 exceptions.ConnectionFailedError(detail, maybe_delivered=True)
             )
+            if self._streamed_body is not None:
+                self._release_stream(exchange)
 
     # --- sending of long requests --------------------------------------------
 
@@ -510,7 +512,13 @@
             self.close(connection_log.Reason.ABANDONED)
             self._exchange = None
             self._reusable = False
+        self._release_stream(exchange)
+
+    def _release_stream(self, exchange: _Exchange) -> None:
+        """Lets the reading task go on, and tells the sender of the message."""
         self._streaming_ended.set()
+        if exchange.message.on_streamed is not None:
+            exchange.message.on_streamed()
 
     def close_broken(self) -> None:
         """Closes an idle connection that is not intact."""
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -141,7 +141,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet(upstream=None, **route):
+async def _fleet(upstream=None, *, slots=50, **route):
     """Runs two nodes; the upstream beside `vm-b` is a raw one."""
     fleet = routed.Fleet(services={"vm-a": "alpha", "vm-b": "beta"})
     upstream = upstream or _RawUpstream()
@@ -150,6 +150,7 @@
             await fleet.start(nursery, upstreams=False)
             await nursery.start(fleet.upstreams["vm-a"].run)
             announced = fleet.upstreams["vm-b"]
+            announced.slots = slots
             listeners = await trio.open_tcp_listeners(
                 announced.address.port, host=announced.address.host
             )
@@ -270,6 +271,25 @@
             assert 0 < sent < 32 * 1024 * 1024
 
 
+# Guards against slots that callers hold, long after their deadline, by not
+# reading their answers.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_slot_of_a_caller_that_does_not_read_is_free_at_its_deadline(vm):
+    async with _fleet(slots=1, timeout="500ms") as (fleet, upstream):
+        upstream.answer = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+        upstream.endless = b"10000\r\n" + b"a" * 0x10000 + b"\r\n"
+        address = fleet.callers[vm]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            await stream.send_all(REQUEST % b"r1")
+            assert await stream.receive_some(20)
+            upstream.answer = b"".join(_with_length(SHORT))
+            upstream.endless = b""
+            with trio.fail_after(10):
+                while await _ask(fleet, vm) != (200, SHORT):
+                    await trio.sleep(0.1)
+
+
 # Guards against memory that grows with what an upstream does not read.
 @pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
 async def test_request_without_end_waits_for_an_upstream_that_does_not_read(vm):
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -19,26 +19,38 @@
 
 
 class _Body:
-    """The rest of a streamed response; records whether it was closed."""
+    """The rest of a streamed response; records whether it was closed.
+
+    Attributes:
+      on_end: Called when it is closed.
+    """
 
     def __init__(self):
         self.parts = [b"more", b""]
         self.closed = False
+        self.on_end = None
 
     async def read(self):
         return self.parts.pop(0)
 
     async def close(self):
         self.closed = True
+        self.on_end()
 
 
 @contextlib.asynccontextmanager
 async def _filter(response):
-    """Yields the filter and a fake of the admission controller."""
+    """Yields the filter, and fakes of the pool and the admission controller."""
     admission = fakes.ScriptedController(
         lambda message: messages.Admitted(upstream=UPSTREAM)
     )
-    pool = fakes.ScriptedController(lambda message: response)
+
+    def respond(message):
+        if response.rest is not None:
+            response.rest.on_end = message.on_streamed
+        return response
+
+    pool = fakes.ScriptedController(respond)
     async with fakes.started(admission, pool):
         yield (
             local_upstream.LocalUpstreamFilter(
@@ -49,6 +61,7 @@
                 dialect=dialect.UpstreamDialect(),
                 counters=fakes.counters(),
             ),
+            pool,
             admission,
         )
 
@@ -66,12 +79,17 @@
 
 
 async def test_streamed_answer_holds_its_slot_until_its_end():
-    async with _filter(_response(200, body=_Body())) as (tested, admission):
+    async with _filter(_response(200, body=_Body())) as (
+        tested,
+        pool,
+        admission,
+    ):
         outcome = await tested.handle(fakes.call())
         assert isinstance(outcome, model.Answer)
         assert await outcome.response.rest.read() == b"more"
         assert not _released(admission)
-        assert await outcome.response.rest.read() == b""
+        (exchange,) = pool.received
+        exchange.on_streamed()
         assert len(_released(admission)) == 1
 
 
@@ -80,7 +98,7 @@
 async def test_refusal_with_a_streamed_body_releases_its_slot():
     body = _Body()
     response = _response(503, ("not-executed", "full"), body=body)
-    async with _filter(response) as (tested, admission):
+    async with _filter(response) as (tested, _, admission):
         outcome = await tested.handle(fakes.call())
         assert isinstance(outcome, model.Refuse)
         assert outcome.run is model.RunState.NOT_RUN
