--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -226,6 +226,20 @@
             )
 
 
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+async def test_an_answer_cut_at_any_byte_of_its_head_fails(framing, vm):
+    async with _fleet() as (fleet, upstream):
+        head, _ = FRAMINGS[framing](SHORT)
+        for position in range(len(head)):
+            upstream.answer = head[:position]
+            with trio.fail_after(5):
+                outcome = await _ask(fleet, vm)
+            assert outcome is not None and outcome[0] in (502, 504), (
+                f"{head[:position]!r} looked complete: {outcome}"
+            )
+
+
 @pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
 @pytest.mark.parametrize("body", [SHORT, LONG], ids=["buffered", "streamed"])
 @pytest.mark.parametrize("framing", FRAMINGS)
@@ -290,6 +304,23 @@
                     await trio.sleep(0.1)
 
 
+# Guards against a slot that a refusal takes for good.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_long_refusals_leave_the_slot_to_other_requests(vm):
+    async with _fleet(slots=1, max_attempts=1) as (fleet, upstream):
+        for framing in FRAMINGS:
+            head, framed = FRAMINGS[framing](LONG)
+            head = head.replace(b"200 OK", b"503 Full")
+            upstream.answer = (
+                head.replace(b"\r\n", b"\r\nnot-executed: full\r\n", 1) + framed
+            )
+            with trio.fail_after(5):
+                assert (await _ask(fleet, vm))[0] == 503
+                upstream.answer = b"".join(_with_length(SHORT))
+                while await _ask(fleet, vm) != (200, SHORT):
+                    await trio.sleep(0.1)
+
+
 # Guards against memory that grows with what an upstream does not read.
 @pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
 async def test_request_without_end_waits_for_an_upstream_that_does_not_read(vm):
