--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -94,6 +94,9 @@
     def __init__(self, *, head_limit: int) -> None:
         self._head_limit = head_limit
         self._events: collections.deque[Event] = collections.deque()
+        # Parts of a body that become one event, since each event costs a system
+        # call on its way.
+        self._body: list[bytes] = []
         self._headers: list[tuple[str, str]] = []
         self._length = ""
         self._encoding = ""
@@ -111,29 +114,14 @@
         return self._in_head and self._message_started
 
     def next_event(self) -> Event | None:
-        """Returns and removes the next event; None if there is none yet.
+        """Returns and removes the next event; None if there is none yet."""
+        self._flush_body()
+        return self._events.popleft() if self._events else None
 
-        Consecutive parts of a body are joined, since each costs a system call
-        on its way.
-        """
-        if not self._events:
-            return None
-        event = self._events.popleft()
-        if not (
-            isinstance(event, BodyPart)
-            and self._events
-            and isinstance(self._events[0], BodyPart)
-        ):
-            return event
-        parts = [event.data]
-        while self._events:
-            match self._events[0]:
-                case BodyPart(data=data):
-                    self._events.popleft()
-                    parts.append(data)
-                case _:
-                    break
-        return BodyPart(data=b"".join(parts))
+    def _flush_body(self) -> None:
+        if self._body:
+            self._events.append(BodyPart(data=b"".join(self._body)))
+            self._body.clear()
 
     def _feed(self, parser: object, data: bytes) -> None:
         if self._in_head:
@@ -214,10 +202,11 @@
         self._framing_size = max(
             0, self._framing_size - FRAMING_RATIO * len(data)
         )
-        self._events.append(BodyPart(data=data))
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Handles the end of a message."""
+        self._flush_body()
         self._events.append(MessageEnd())
         self._expect_head()
 
@@ -314,7 +303,9 @@
     @property
     def at_boundary(self) -> bool:
         """Whether no byte of a further message has arrived."""
-        return not (self._events or self._message_started or self._error)
+        return not (
+            self._events or self._body or self._message_started or self._error
+        )
 
     def next_event(self) -> Event | None:
         """Returns and removes the next event; None if there is none yet.
@@ -345,6 +336,7 @@
                 raise
             while self._events[-1] != MessageEnd():
                 self._events.pop()
+            self._body.clear()
             self._error = error
 
     def _on_upgrade(self, rest: bytes) -> None:
@@ -400,6 +392,7 @@
 
     def on_message_complete(self) -> None:
         """Handles the end of a message."""
+        self._flush_body()
         self._expect_head()
         if self._is_interim:
             self._is_interim = False
