--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -267,6 +267,51 @@
         parser.next_event()
 
 
+CONFLICTING_FRAMINGS = [
+    b"Content-Length: 2\r\nContent-Length: 5\r\n",
+    b"Content-Length: 2, 5\r\n",
+    b"Content-Length: +2\r\n",
+    b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+]
+
+
+@pytest.mark.parametrize("framing", CONFLICTING_FRAMINGS)
+def test_a_response_with_conflicting_framing_is_rejected(framing):
+    data = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n2\r\nok\r\n0\r\n\r\n"
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(data)
+
+
+BODIES = [
+    (b"", b"abcde"),
+    (b"Content-Length: 5\r\n", b"abcde"),
+    (b"Transfer-Encoding: chunked\r\n", b"5\r\nabcde\r\n0\r\n\r\n"),
+]
+
+
+@pytest.mark.parametrize("status", [b"204", b"304"])
+@pytest.mark.parametrize("framing, body", BODIES)
+def test_a_body_of_a_response_that_has_none_is_no_part_of_it(
+    framing, body, status
+):
+    parser = http1.ResponseParser(head_limit=LIMIT)
+    parser.feed(b"HTTP/1.1 %b X\r\n%b\r\n%b" % (status, framing, body))
+    events = [parser.next_event(), parser.next_event()]
+    assert [message[1:] for message in _merge(events)] == [[b"", True]]
+    assert not parser.at_boundary
+    with pytest.raises(exceptions.ProtocolError):
+        parser.next_event()
+
+
+@pytest.mark.parametrize("framing, body", BODIES)
+def test_a_body_of_an_interim_response_is_rejected(framing, body):
+    data = b"HTTP/1.1 102 Processing\r\n%b\r\n%b" % (framing, body)
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(data + answer)
+
+
 def test_a_body_shorter_than_its_length_does_not_end():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"
     assert [m[2] for m in _merge(_parse_responses(data, closed=True))] == [
