A stop does not replace the reason of a connection that is closing

What the log said: 'stop' for connections that an idle timeout had closed in the same moment.

The first reason counts, as in the server for callers.

--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -136,12 +136,17 @@
         """Closes the connection once it is idle."""
         self._expiring = True
         if self._is_idle:
-            self._close_reason = connection_log.Reason.STOP
+            # It may be closing for another reason.
+            self._close_reason = (
+                self._close_reason or connection_log.Reason.STOP
+            )
             self._scope.cancel()
 
     def abort(self) -> None:
         """Closes the connection and cancels the call on it."""
-        self._close_reason = connection_log.Reason.PROCESS_END
+        self._close_reason = (
+            self._close_reason or connection_log.Reason.PROCESS_END
+        )
         self._scope.cancel()
 
     async def _on_frame(self, frame: frames.Frame) -> None:
