A read on a socket that is closed already ends its connection, not the process

What callers saw: a node's process could end, and with it every connection of its callers, if the upstream reset a new connection before the request was sent on it, or if the rest of a streamed response was read after its connection had been closed at the deadline.

Cause: trio waits for a closed socket with a ValueError, which none of the tasks that read expects; it leaves them, and with them the nursery that all connections share. The next wait for a closed socket gets BusyResourceError.

Fix: the stream raises trio.ClosedResourceError, which its users handle.

--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -83,7 +83,14 @@
         """Returns the bytes that have arrived, and waits if there are none.
 
         At most `size` bytes are returned; none at the end of the stream.
+
+        Raises:
+          OSError: The connection is broken.
+          trio.ClosedResourceError: This side has closed it.
         """
+        if self._socket.fileno() < 0:
+            # A wait for a closed socket would raise another exception.
+            raise trio.ClosedResourceError
         if not self._drained:
             # More bytes may be there already; other tasks run first.
             await trio.lowlevel.checkpoint()
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -652,3 +652,57 @@
     complete = answer is _answer_and_close_unread
     assert bodies == ({b"ok"} if complete else {None})
     upstream.close()
+
+
+def _reset_at_once(connection):
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    connection.close()
+
+
+# Guards against the end of the process, and with it of all requests, by one
+# connection that the upstream resets before the request is sent.
+async def test_reset_of_a_new_connection_fails_only_its_request(monkeypatch):
+    connect = sockets.connect
+    address = loopback.free_address()
+    with socket.create_server((address.host, address.port)) as listening:
+
+        async def connect_and_reset(address):
+            stream = await connect(address)
+            _reset_at_once(listening.accept()[0])
+            return stream
+
+        monkeypatch.setattr(sockets, "connect", connect_and_reset)
+        pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+        async with fakes.started(pool):
+            for _ in range(2):
+                with pytest.raises(exceptions.ConnectionFailedError) as caught:
+                    await _exchange(pool, _Listening(address), "a")
+                assert not caught.value.maybe_delivered
+
+
+class _Listening:
+    """An upstream of which only the address is needed."""
+
+    def __init__(self, address):
+        self.address = address
+
+
+async def _send_part_of_a_long_body(stream, request_id):
+    head = OK.partition(b"content-length")[0] % request_id
+    await stream.send_all(head + b"content-length: 9999999\r\n\r\n")
+    await stream.send_all(b"a" * (http.BUFFERED_BODY_LIMIT + 100))
+    await trio.sleep_forever()
+
+
+# Guards against an exception that leaves the task which passes the body on: it
+# reads on a connection that was closed at the deadline.
+async def test_body_that_is_read_on_after_its_deadline_fails():
+    async with _pool(_send_part_of_a_long_body) as (pool, upstream):
+        response = await _exchange(pool, upstream, "a", timeout=0.2)
+        while not _closures(upstream):
+            await trio.sleep(0.01)
+        with pytest.raises(exceptions.ConnectionFailedError):
+            while await response.rest.read():
+                pass
