A request that waits for a connection to the upstream ends with the pool

What callers saw: at the end of a stop, a request for which a connection was just being opened got no response; its connection was cut when the node ended.

Cause: the task that connects was cancelled without answering the request's reply.

--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -83,6 +83,14 @@
         except exceptions.ConnectionFailedError as error:
             reply.fail(error)
             return
+        except trio.Cancelled:
+            reply.fail(
+                exceptions.ConnectionFailedError(
+                    "the pool was closed before there was a connection",
+                    maybe_delivered=False,
+                )
+            )
+            raise
         if stream is None:
             reply.fail(
                 exceptions.ConnectionFailedError(
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -10,6 +10,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import clock
 from sassafrashall import exceptions
@@ -706,3 +707,30 @@
         with pytest.raises(exceptions.ConnectionFailedError):
             while await response.rest.read():
                 pass
+
+
+async def _connect_never(address):
+    await trio.sleep_forever()
+
+
+# Guards against a caller that waits until its connection is cut: the pool was
+# closed at the end of a stop, before it had a connection for the request.
+async def test_request_that_waits_for_a_connection_ends_with_the_pool(
+    monkeypatch,
+):
+    monkeypatch.setattr(sockets, "connect", _connect_never)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    upstream = _Listening(loopback.free_address())
+    failures = []
+
+    async def send():
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "a")
+        failures.append(caught.value.maybe_delivered)
+
+    with trio.fail_after(5):
+        async with fakes.started(pool), trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.testing.wait_all_tasks_blocked()
+            await pool.close()
+    assert failures == [False]
