--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -102,6 +102,8 @@
         self._framing_size = 0
         self._in_head = True
         self._message_started = False
+        # httptools hides the exception of a callback, so `_feed` raises it.
+        self._head_error: exceptions.ProtocolError | None = None
 
     @property
     def head_incomplete(self) -> bool:
@@ -122,6 +124,8 @@
         except httptools.HttpParserUpgrade as upgrade:
             self._on_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
+            if self._head_error is not None:
+                raise self._head_error from error
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, str(error) or type(error).__name__
             ) from error
@@ -144,6 +148,16 @@
         """
         raise NotImplementedError
 
+    def _check_transfer_coding(
+        self, code: str
+    ) -> exceptions.ProtocolError | None:
+        """Returns the error, with `code`, of a body that is not plain."""
+        if not self._encoding or self._encoding.lower() == "chunked":
+            return None
+        return exceptions.ProtocolError(
+            code, f"Transfer-Encoding {self._encoding!r} is not supported"
+        )
+
     def _head_too_large(self) -> exceptions.ProtocolError:
         return exceptions.ProtocolError(
             exceptions.HEAD_TOO_LARGE,
@@ -165,11 +179,13 @@
         if not self._in_head:
             return
         decoded_name = _name_cache.get(name) or _decode_name(name)
-        decoded_value = value.decode("latin-1")
+        # httptools keeps the whitespace after a value.
+        decoded_value = value.decode("latin-1").rstrip(" \t")
         if decoded_name == "content-length":
             self._length = decoded_value
         elif decoded_name == "transfer-encoding":
-            self._encoding = decoded_value
+            separator = ", " if self._encoding else ""
+            self._encoding += separator + decoded_value
         self._headers.append((decoded_name, decoded_value))
 
     def on_body(self, data: bytes) -> None:
@@ -197,7 +213,6 @@
         super().__init__(head_limit=head_limit)
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
-        self._head_error: exceptions.ProtocolError | None = None
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
@@ -206,12 +221,10 @@
           ProtocolError: The bytes are not a valid request.
         """
         self._feed(self._parser, data)
-        if self._head_error is not None:
-            raise self._head_error
 
     def _on_upgrade(self, rest: bytes) -> None:
         """Ignores that a request asks for another protocol."""
-        if rest and self._head_error is None:
+        if rest:
             self._feed(self._parser, rest)
 
     def on_url(self, url: bytes) -> None:
@@ -223,8 +236,7 @@
         target, self._target = self._target, b""
         self._head_error = self._check_head(len(target))
         if self._head_error is not None:
-            # httptools hides exceptions of callbacks, so `feed` raises it.
-            return
+            raise self._head_error
         self._in_head = False
         self._events.append(
             RequestHead(
@@ -257,7 +269,7 @@
             return exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "the protocol can't be upgraded"
             )
-        return None
+        return self._check_transfer_coding(exceptions.BAD_REQUEST)
 
 
 class ResponseParser(_Parser):
@@ -275,23 +287,44 @@
         self._ends_with_connection = False
         self._is_interim = False
         self._interim_count = 0
+        # Raised once the complete responses before the error are taken.
+        self._error: exceptions.ProtocolError | None = None
 
     @property
     def at_boundary(self) -> bool:
         """Whether no byte of a further message has arrived."""
-        return not self._events and not self._message_started
+        return not (self._events or self._message_started or self._error)
+
+    def next_event(self) -> Event | None:
+        """Returns and removes the next event; None if there is none yet.
+
+        Raises:
+          ProtocolError: Invalid bytes followed the last response.
+        """
+        event = super().next_event()
+        if event is None and self._error is not None:
+            raise self._error
+        return event
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
 
         Raises:
-          ProtocolError: The bytes are not a valid response.
+          ProtocolError: The bytes are not a valid response. If a complete
+            response precedes the invalid ones, `next_event` raises it.
         """
-        self._feed(self._parser, data)
-        if self._interim_count > MAX_INTERIM_RESPONSES:
-            raise exceptions.ProtocolError(
-                exceptions.UPSTREAM_FAILED, "too many interim responses"
-            )
+        try:
+            self._feed(self._parser, data)
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise exceptions.ProtocolError(
+                    exceptions.UPSTREAM_FAILED, "too many interim responses"
+                )
+        except exceptions.ProtocolError as error:
+            if MessageEnd() not in self._events:
+                raise
+            while self._events[-1] != MessageEnd():
+                self._events.pop()
+            self._error = error
 
     def _on_upgrade(self, rest: bytes) -> None:
         raise exceptions.ProtocolError(
@@ -307,13 +340,23 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head; skips interim (1xx) responses."""
         status = self._parser.get_status_code()
+        if status < 100:
+            self._head_error = exceptions.ProtocolError(
+                exceptions.UPSTREAM_FAILED, f"{status} is no status"
+            )
+            raise self._head_error
         self._in_head = False
         self._is_interim = status < 200
         if self._is_interim:
             self._interim_count += 1
             return
         self._interim_count = 0
-        chunked = "chunked" in self._encoding.lower()
+        self._head_error = self._check_transfer_coding(
+            exceptions.UPSTREAM_FAILED
+        )
+        if self._head_error is not None:
+            raise self._head_error
+        chunked = bool(self._encoding)
         length = None
         if not chunked and self._length.isdigit():
             length = int(self._length)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -195,6 +195,68 @@
     ]
 
 
+# Guards against a body that is cut and taken for one that lasts until a close.
+@pytest.mark.parametrize("length", [b"5 ", b"5\t", b"5 \t ", b" \t5"])
+def test_a_length_with_spaces_around_it_is_a_length(length):
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\n" % length
+    for body, ended in ((b"abc", False), (b"abcde", True)):
+        (message,) = _merge(_parse_responses(data + body, closed=True))
+        assert (message[0].length, message[2]) == (5, ended)
+        assert not message[0].ends_with_connection
+
+
+TRANSFER_CODINGS = [
+    b"Transfer-Encoding: gzip\r\n",
+    b"Transfer-Encoding: gzip, chunked\r\n",
+    b"Transfer-Encoding: chunked, gzip\r\n",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    b"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+]
+
+
+# Guards against an encoded or framed body that is passed on as a plain one.
+@pytest.mark.parametrize("coding", TRANSFER_CODINGS)
+def test_a_transfer_coding_other_than_chunked_is_rejected(coding):
+    body = b"\r\n3\r\nabc\r\n0\r\n\r\n"
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(b"HTTP/1.1 200 OK\r\n" + coding + body)
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_requests(b"POST / HTTP/1.1\r\nHost: h\r\n" + coding + body)
+
+
+# Guards against bytes before an answer that become part of its body.
+@pytest.mark.parametrize("status", [b"000", b"099"])
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 5\r\n"])
+def test_a_status_below_100_is_rejected(status, framing):
+    data = b"HTTP/1.1 %b None\r\n%b\r\nabcde" % (status, framing)
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(data + answer)
+
+
+# Guards against a response whose fate depends on how its bytes are split.
+@pytest.mark.parametrize("rest", [b"\0", b"more", b"HTTP/1.1 099 A\r\n\r\n"])
+@pytest.mark.parametrize(
+    "headers",
+    [b"", b"Connection: close\r\n", CHUNKED.replace(b"Host: h\r\n", b"")],
+)
+def test_a_complete_response_before_invalid_bytes_is_parsed(headers, rest):
+    if headers.startswith(b"Transfer"):
+        whole = b"HTTP/1.1 200 OK\r\n" + headers + b"2\r\nok\r\n0\r\n\r\n"
+    else:
+        whole = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + headers + b"\r\nok"
+        )
+    parser = http1.ResponseParser(head_limit=LIMIT)
+    parser.feed(whole + rest)
+    events = [parser.next_event() for _ in range(3)]
+    ((_, body, ended),) = _merge(events)
+    assert (body, ended) == (b"ok", True)
+    assert not parser.at_boundary
+    with pytest.raises(exceptions.ProtocolError):
+        parser.next_event()
+
+
 def test_a_body_shorter_than_its_length_does_not_end():
     data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"
     assert [m[2] for m in _merge(_parse_responses(data, closed=True))] == [
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -302,6 +302,38 @@
         assert upstream.connections == 2
 
 
+# Guards against a complete answer that is lost, and told as failed, if the
+# bytes after it arrive in the same segment.
+@pytest.mark.parametrize("garbage", [b"\0\0", b"ok", b"HTTP/1.1 099 A\r\n\r\n"])
+async def test_answer_before_bytes_that_are_none_is_delivered(garbage):
+    async def answer_with_garbage(stream, request_id):
+        await stream.send_all(OK % request_id + garbage)
+        return True
+
+    async with _pool(answer_with_garbage, _answer) as (pool, upstream):
+        assert (await _exchange(pool, upstream, "a")).body == b"ok"
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
+# As above, at the end of a streamed body.
+async def test_streamed_answer_before_bytes_that_are_none_is_complete():
+    async def answer_with_garbage(stream, request_id):
+        head = OK.partition(b"content-length")[0] % request_id
+        await stream.send_all(head + CHUNKED + CHUNK * 500)
+        await stream.send_all(CHUNK + b"0\r\n\r\n\0\0")
+        return True
+
+    async with _pool(answer_with_garbage, _answer) as (pool, upstream):
+        response = await _exchange(pool, upstream, "a")
+        size = len(response.body)
+        while data := await response.rest.read():
+            size += len(data)
+        assert size == 501 * 1024
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
+        assert upstream.connections == 2
+
+
 def _refuse(request_id=None):
     """Returns a script step: a refusal with an ID, or without one."""
     refusal = REFUSAL + END
@@ -472,6 +504,26 @@
     upstream.close()
 
 
+# Guards against a task and a body that stay for as long as the process runs.
+async def test_streamed_response_that_nobody_reads_ends_at_the_deadline():
+    async def send_long_body(stream, request_id):
+        head = OK.partition(b"content-length")[0] % request_id
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(head + CHUNKED + CHUNK * 200)
+            await stream.receive_some(1)
+        return False
+
+    async with _pool(send_long_body) as (pool, upstream):
+        tasks = trio.lowlevel.current_statistics().tasks_living
+        response = await _exchange(pool, upstream, "a", timeout=0.2)
+        while trio.lowlevel.current_statistics().tasks_living > tasks:
+            await trio.sleep(0.01)
+        with pytest.raises(exceptions.ConnectionFailedError):
+            while await response.rest.read():
+                pass
+        await response.rest.close()
+
+
 # Guards against a deadline that an upstream defers by sending on and on.
 async def test_response_without_end_fails_soon_after_the_deadline():
     async def send_body(stream, request_id):
