Test of an answer at the deadline: no bound that depends on the machine's speed

test_answer_that_arrived_before_the_deadline_is_delivered failed once beside a load of 17: its request had 0.2 s, and opening the connection took longer ('the deadline passed before there was a connection'). The loop is now blocked once the upstream has read the request, the upstream answers meanwhile, and the clock jumps past the deadline, so the same turn is reached at any speed.

--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -189,11 +189,10 @@
     the test is blocked.
     """
 
-    def __init__(self, extra=b"", delay=0.0, answer=None):
+    def __init__(self, extra=b"", answer=None):
         self.address = loopback.free_address()
         self.requests = 0
         self._extra = extra
-        self._delay = delay
         self._answer = answer or self._answer_ok
         self._kept = []
         self._listener = socket.create_server(
@@ -209,7 +208,6 @@
                 return
             data = connection.recv(65536)
             self.requests += 1
-            time.sleep(self._delay)
             request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
             self._answer(connection, request_id)
 
@@ -425,20 +423,59 @@
     time.sleep(0.25)
 
 
+class _HeldAnswer:
+    """Answers while the event loop is blocked, then lets the clock jump."""
+
+    def __init__(self, monkeypatch, jump):
+        self._asked = threading.Event()
+        self._may_answer = threading.Event()
+        self._answered = threading.Event()
+        self._connections = []
+        self._jump = jump
+        self._offset = 0.0
+        now = clock.monotonic
+        monkeypatch.setattr(clock, "monotonic", lambda: now() + self._offset)
+
+    def __call__(self, connection, request_id):
+        self._asked.set()
+        self._may_answer.wait(5)
+        connection.sendall(OK % request_id)
+        self._connections.append(connection)
+        self._answered.set()
+
+    async def block_loop(self):
+        while not self._asked.is_set():
+            await trio.sleep(0.005)
+        self._may_answer.set()
+        self._answered.wait(5)
+        # The check of the deadlines becomes due as well.
+        time.sleep(1.5 * upstream_pool.SWEEP_INTERVAL)
+        self._offset += self._jump
+
+    def end_connections(self):
+        for event in (self._asked, self._may_answer, self._answered):
+            event.clear()
+        while self._connections:
+            self._connections.pop().close()
+
+
 # Guards against an answer that arrived in time and is thrown away, since the
 # event loop ran late and checked the deadlines before it read.
-async def test_answer_that_arrived_before_the_deadline_is_delivered():
-    upstream = _ThreadedUpstream(delay=0.05)
+async def test_answer_that_arrived_before_the_deadline_is_delivered(
+    monkeypatch,
+):
+    answer = _HeldAnswer(monkeypatch, jump=60.0)
+    upstream = _ThreadedUpstream(answer=answer)
     pool = upstream_pool.UpstreamPool(counters=fakes.counters())
 
     async with fakes.started(pool):
         # The scheduler runs the two tasks in random order.
         for _ in range(8):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_block_loop)
-                response = await _exchange(pool, upstream, "a", timeout=0.2)
+                nursery.start_soon(answer.block_loop)
+                response = await _exchange(pool, upstream, "a", timeout=60.0)
                 assert response.body == b"ok"
-            upstream.end_connections()
+            answer.end_connections()
     upstream.close()
 
 
