A caller's reset during an upload ends the request at the upstream

When a caller reset its connection in the middle of a long body, the node went on waiting for the upstream until the deadline, and the upstream for the rest of the body.

Cause: reading the rest of a body raised the error of the caller's connection.

Fix: the body raises ConnectionFailedError, as it does after an orderly close and as its docstring says, which ends the request.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -50,7 +50,14 @@
         """
         if self.ended:
             return b""
-        match await self._connection.next_event():
+        try:
+            event = await self._connection.next_event()
+        except (OSError, trio.ClosedResourceError) as error:
+            # An upload would take it for an error of its own connection.
+            raise exceptions.ConnectionFailedError(
+                str(error) or "the caller broke off", maybe_delivered=True
+            ) from error
+        match event:
             case http1.BodyPart(data=data):
                 self._remaining_limit -= len(data)
                 if self._remaining_limit < 0:
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -1,10 +1,13 @@
 """Disconnects, pipelining and stops while a request is in progress."""
 
 import contextlib
+import socket
+import struct
 
 import trio
 
 from sassafrashall import configuration
+from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.transport import stream_server
@@ -159,3 +162,36 @@
         await trio.sleep(0.05)
         reply.put(None)
         assert await stream.receive_some(100) == b""
+
+
+async def _reset(stream):
+    stream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    await trio.aclose_forcefully(stream)
+
+
+# Guards against an upload that is taken for one that the upstream broke off: it
+# then goes on waiting for the rest of a request whose caller has gone.
+async def test_a_reset_during_an_upload_fails_the_read_of_the_body():
+    upload_started = trio.Event()
+    failures = []
+
+    async def handler(raw):
+        upload_started.set()
+        try:
+            while await raw.rest.read():
+                pass
+        except Exception as error:
+            failures.append(error)
+        return _response()
+
+    async with _server(handler) as (stream, server):
+        await stream.send_all(b"POST / HTTP/1.1\r\nHost: h\r\n")
+        await stream.send_all(b"Content-Length: 999999\r\n\r\n" + b"a" * 99999)
+        await upload_started.wait()
+        await _reset(stream)
+        while server.connections:
+            await trio.sleep(0.01)
+    (failure,) = failures
+    assert isinstance(failure, exceptions.ConnectionFailedError)
