A disconnect is noticed after an upload that ended before its body

What was seen: nothing so far. After an upstream had begun a streamed response before it read the whole request, a caller that closed its connection was noticed only once the upstream sent more.

Cause: the connection counts as being read while a read waits, and a cancelled read left it so. The check for disconnects leaves such connections to the read.

Fix: the mark ends with the read, however that ends.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -270,8 +270,10 @@
             if event is not None:
                 return event
             self._awaits_input = True
-            data = await self._stream.receive(http.RECEIVE_SIZE)
-            self._awaits_input = False
+            try:
+                data = await self._stream.receive(http.RECEIVE_SIZE)
+            finally:
+                self._awaits_input = False
             if not data or self._closing:
                 return None
             if self._exchange is not None and self._exchange.fiber is not None:
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -195,3 +195,28 @@
             await trio.sleep(0.01)
     (failure,) = failures
     assert isinstance(failure, exceptions.ConnectionFailedError)
+
+
+# Guards against work for a caller that has gone: once an upload had ended
+# before the body did, its connection counted as one that is being read.
+async def test_a_disconnect_after_an_upload_was_cancelled_ends_the_request():
+    answered = trio.Event()
+    body = _StalledBody()
+
+    async def handler(raw):
+        size = len(raw.body)
+        while size < 99999:
+            size += len(await raw.rest.read())
+        # The response comes while the upload waits for more of the body.
+        with trio.move_on_after(0.05):
+            await raw.rest.read()
+        answered.set()
+        return _response(b"x" * 100, body)
+
+    async with _server(handler) as (stream, _):
+        await stream.send_all(b"POST / HTTP/1.1\r\nHost: h\r\n")
+        await stream.send_all(b"Content-Length: 999999\r\n\r\n" + b"a" * 99999)
+        await answered.wait()
+        await stream.receive_some(1000)
+        await stream.aclose()
+        await body.closed.wait()
