An invalid Keep-Alive timeout of an upstream no longer ends the process

What callers saw: nothing so far. A response with a Keep-Alive timeout of digits outside ASCII, or of more digits than Python converts, ended the node.

Cause: isdigit is true for text that int refuses, and a ValueError leaves the connection's task.

Evidence: two cases of the test failed with ValueError before the change.

Fix: only one to nine ASCII digits count as a timeout.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import re
 
 import trio
 
@@ -28,6 +29,8 @@
 # upstream may have read and run the request.
 IDLE_RESET_WINDOW = 0.005
 
+_TIMEOUT = re.compile(r"[0-9]{1,9}")  # seconds in a Keep-Alive header
+
 
 class _Exchange:
     """A request on a connection, and what has arrived of its response."""
@@ -602,6 +605,6 @@
         return DEFAULT_KEEP_ALIVE
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
+        if name.lower() == "timeout" and _TIMEOUT.fullmatch(seconds):
             return max(0.0, int(seconds) - IDLE_MARGIN)
     return DEFAULT_KEEP_ALIVE
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -734,3 +734,18 @@
             await trio.testing.wait_all_tasks_blocked()
             await pool.close()
     assert failures == [False]
+
+
+# Guards against the end of the process by a header of one response.
+@pytest.mark.parametrize("seconds", [b"\xb2", b"9" * 5000, b"-1", b""])
+async def test_invalid_keep_alive_timeout_is_ignored(seconds):
+    async def answer(stream, request_id):
+        head, _, body = (OK % request_id).partition(b"\r\n\r\n")
+        head += b"\r\nkeep-alive: timeout=" + seconds
+        await stream.send_all(head + b"\r\n\r\n" + body)
+        return True
+
+    async with _pool(answer, answer) as (pool, upstream):
+        for request_id in ("a", "b"):
+            assert (await _exchange(pool, upstream, request_id)).body == b"ok"
+        assert upstream.connections == 1
