A deadline of other digits than those of ASCII is refused, not cut off

What callers saw: nothing so far. A request whose deadline header held such a digit, as the superscript two of Latin-1, got a closed connection.

Cause: isdigit is true for text that int refuses.

Evidence: one case of the test failed with ValueError before the change.

Fix: isdecimal accepts only what int does; the request gets 400.

--- a/src/sassafrashall/platform/front_end.py
+++ b/src/sassafrashall/platform/front_end.py
@@ -119,7 +119,7 @@
 def _parse_timeout_ms(value: str | None) -> int | None:
     if value is None:
         return None
-    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+    if not value.isdecimal() or len(value) > MAX_DEADLINE_DIGITS:
         raise exceptions.ProtocolError(
             exceptions.BAD_REQUEST, "the deadline is not a number"
         )
--- a/src/sassafrashall/transport/front_end.py
+++ b/src/sassafrashall/transport/front_end.py
@@ -134,7 +134,7 @@
     value = model.find_header(headers, codec.DEADLINE_HEADER)
     if value is None:
         return None
-    if not value.isdigit() or len(value) > 9:
+    if not value.isdecimal() or len(value) > 9:
         raise exceptions.ProtocolError(
             exceptions.BAD_REQUEST, "X-Deadline-Ms is not a number"
         )
--- a/tests/test_front_end.py
+++ b/tests/test_front_end.py
@@ -5,6 +5,8 @@
 from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall.platform import front_end as platform
+from sassafrashall.platform import names
 from sassafrashall.transport import codec
 from sassafrashall.transport import front_end
 from sassafrashall.transport import http
@@ -114,3 +116,16 @@
         second = await loopback.send_and_receive(address, request)
     assert first.startswith(b"HTTP/1.1 500")
     assert second.startswith(b"HTTP/1.1 500")
+
+
+# Guards against a request whose connection is closed without a response: int
+# refuses some digits that isdigit accepts.
+@pytest.mark.parametrize("value", ["\xb2", "-1", "1.5", "9" * 10])
+def test_invalid_deadline_is_a_protocol_error(value):
+    platform_front_end = platform.FrontEnd(handler=None, service="alpha")
+    for front, name in (
+        (_front_end(), codec.DEADLINE_HEADER),
+        (platform_front_end, names.DEADLINE),
+    ):
+        with pytest.raises(exceptions.ProtocolError):
+            front.decode(_raw_request((name, value)))
