A replacement of a replica is accepted once its final membership is committed

After a change of the leader the tool could also say "Rejected; nothing was changed" of a replacement that the next leader finished, and "Nothing was changed" if no control answered.

Cause: the answer was tied to the entry of the joint membership. Until the final membership is committed, the lost replica is one of the outgoing voters, and with the second loss two of their three are gone. A control that was not the leader, or a leader with a change in progress, answered Rejected without knowing what had become of an earlier attempt.

Now a leader keeps the replacement until `replacements.progress`, asked with the state that is on disk, says that it is finished: the final membership, without outgoing voters, is committed. Then every majority of the voters holds an entry that is not decided by the lost replica. Other controls forward the replacement to the leader as they do with commands. Replica ids are never used again, so the old and the new one identify a replacement; Membership.previous tells a finished one from one that was never asked for. The event replica.replaced is recorded at the end too; replica.replacing marks the beginning.

The automatic replacement has the same end: it was and is carried on by the next leader, and its record was early in the same way.

The simulation decides by the product's code when a replacement is finished. It had that rule to itself, so it could not see the fault.

The tool takes the first answer now.

--- a/src/sassafrashall/api.py
+++ b/src/sassafrashall/api.py
@@ -138,24 +138,17 @@
     async def replace_replica(
         self, old_id: str, new_id: str
     ) -> fleet_commands.Result:
-        """Replaces a lost voter by a learner.
+        """Replaces a lost voter by a learner; sending it again is safe.
+
+        Once it is accepted, the lost voter counts towards no majority.
 
         Raises:
-          UnreachableError: No control answered.
+          UnreachableError: No control answered; whether the voter was replaced
+            is not known.
         """
         message = protocol.ReplaceReplica(old_id=old_id, new_id=new_id)
-        result: fleet_commands.Result | None = None
-        for client in self._clients:
-            try:
-                answer = await client.call(message, self._settings.timeout_s)
-            except exceptions.RpcError:
-                continue
-            result = codec.decode(answer.result)
-            if isinstance(result, fleet_commands.Accepted):
-                return result
-        if result is None:
-            raise UnreachableError("no control answered")
-        return result
+        answer = await self._call(message)
+        return codec.decode(answer.result)
 
     def new_key(self, change_id: str) -> str:
         """Returns the key that is issued under a change id.
--- a/src/sassafrashall/cmdline.py
+++ b/src/sassafrashall/cmdline.py
@@ -74,15 +74,19 @@
 
 
 def _unreachable_message(options: argparse.Namespace, error: Exception) -> str:
-    lines = [f"unreachable: {error}"]
     if getattr(options, "change_id", None):
-        lines.append(
+        advice = (
             "Whether the change was made is not known. Send it again with "
             f"--change-id {options.change_id}: it takes effect only once."
         )
+    elif options.noun == "replica":
+        advice = (
+            "Whether the replica was replaced is not known. Send the same "
+            "command again: it takes effect only once."
+        )
     else:
-        lines.append("Nothing was changed. Check that a control is running.")
-    return "\n".join(lines)
+        advice = "Nothing was changed. Check that a control is running."
+    return f"unreachable: {error}\n{advice}"
 
 
 # --- arguments ---------------------------------------------------------------
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -142,10 +142,8 @@
                 return await self._submit_command(message)
             case protocol.StatusQuery():
                 return await self._read_status(message)
-            case protocol.ReplaceReplica(old_id=old_id, new_id=new_id):
-                command = messages.ReplaceVoter(old_id=old_id, new_id=new_id)
-                result = await self._replica.mailbox.ask(command)
-                return protocol.CommandResult(result=codec.encode(result))
+            case protocol.ReplaceReplica():
+                return await self._replace_replica(message)
             case protocol.FoundingQuery():
                 return await self._read_founding_state()
             case protocol.JoinRequest():
@@ -174,6 +172,17 @@
         result = await self._replica.mailbox.ask(submit)
         return protocol.CommandResult(result=codec.encode(result))
 
+    async def _replace_replica(
+        self, message: protocol.ReplaceReplica
+    ) -> protocol.CommandResult:
+        replace = messages.ReplaceVoter(
+            old_id=message.old_id,
+            new_id=message.new_id,
+            forwarded=message.forwarded,
+        )
+        result = await self._replica.mailbox.ask(replace)
+        return protocol.CommandResult(result=codec.encode(result))
+
     async def status(self) -> protocol.StatusReply:
         """Returns the fleet as this control sees it."""
         return await self._read_status(protocol.StatusQuery())
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -17,6 +17,7 @@
 from sassafrashall import metrics
 from sassafrashall import protocol
 from sassafrashall import task
+from sassafrashall.controllers import pending_changes
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
@@ -63,19 +64,6 @@
     snapshot: replication.Snapshot
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _PendingProposal:
-    """A proposal whose entry has not been applied yet.
-
-    Attributes:
-      term: Of the entry; an entry of another term at its index replaced it.
-      reply: Receives the result of the command.
-    """
-
-    term: int
-    reply: mailbox.Reply
-
-
 class Replica(task.Controller):
     """Owns the log store, the consensus state and the applied state.
 
@@ -125,7 +113,7 @@
         self._clients = rpc.ClientPool(
             secret=secret, hybrid_clock=event_log.clock
         )
-        self._pending_proposals: dict[int, _PendingProposal] = {}
+        self._pending = pending_changes.PendingChanges()
         self._state = replication.State(replica_id="")
         self._fleet_state = fleet_state.FleetState()
         # Whether the log has been bootstrapped.
@@ -175,8 +163,7 @@
 
     async def _teardown(self) -> None:
         self._clients.close()
-        for pending in self._pending_proposals.values():
-            pending.reply.fail(exceptions.RpcError("the control is stopping"))
+        self._pending.fail("the control is stopping")
         await trio.to_thread.run_sync(self._store.close)
 
     # --- messages ------------------------------------------------------------
@@ -220,6 +207,13 @@
         )
         actions.extend(self._replace_lost_voter())
         await self._perform_actions(actions, replies)
+        ready = self._pending.answer_replacements(
+            self._state, self._fleet_state.revision, clock.monotonic()
+        )
+        if ready is not None:
+            await self._perform_actions(
+                list(self._begin_replacement(ready)), {}
+            )
 
     def _replace_lost_voter(self) -> tuple[replication.Action, ...]:
         """Replaces a lost voter by a learner, if one is ready."""
@@ -237,17 +231,24 @@
         if replacement is None:
             return ()
         old_id, new_id = replacement
-        new_membership = replication.replace_voter(
-            self._state.membership, old_id, new_id
-        )
-        if new_membership is None:
-            return ()
-        self._events.record("replica.replaced", detail=f"{old_id} {new_id}")
-        logs.get().info(
-            "replacing a lost control", extra={"old": old_id, "new": new_id}
+        match replacements.progress(self._state, old_id, new_id):
+            case replacements.Ready() as ready:
+                logs.get().info(
+                    "replacing a lost control",
+                    extra={"old": old_id, "new": new_id},
+                )
+                return self._begin_replacement(ready)
+        return ()
+
+    def _begin_replacement(
+        self, replacement: replacements.Ready
+    ) -> tuple[replication.Action, ...]:
+        self._events.record(
+            "replica.replacing",
+            detail=f"{replacement.old_id} {replacement.new_id}",
         )
         return self._step_consensus(
-            replication.ProposeMembership(membership=new_membership)
+            replication.ProposeMembership(membership=replacement.membership)
         )
 
     def _to_event(
@@ -283,7 +284,13 @@
                     message=replica_message, jitter=jitter, sent_at=sent_at
                 )
             case messages.ReplaceVoter():
-                return self._replace_voter(message, reply)
+                if self._state.role is replication.Role.LEADER:
+                    self._pending.add_replacement(
+                        message, reply, clock.monotonic()
+                    )
+                else:
+                    self._spawn(self._forward_command, message, reply)
+                return None
             case protocol.JoinRequest(member=member):
                 reply.put(protocol.Ack())
                 if self._state.role is not replication.Role.LEADER:
@@ -318,11 +325,11 @@
             for _, reply in proposals:
                 reply.fail(exceptions.RpcError("the leader has changed"))
             return ()
-        first_index = self._state.last_index + 1
-        for index, (_, reply) in enumerate(proposals, first_index):
-            self._pending_proposals[index] = _PendingProposal(
-                term=self._state.term, reply=reply
-            )
+        self._pending.add_proposals(
+            self._state.last_index + 1,
+            self._state.term,
+            [reply for _, reply in proposals],
+        )
         commands = tuple(command for command, _ in proposals)
         return self._step_consensus(replication.Propose(commands=commands))
 
@@ -377,16 +384,16 @@
         self.mailbox.tell(_PeerReply(message=reply, sent_at=sent_at))
 
     async def _forward_command(
-        self, message: messages.Submit, reply: mailbox.Reply
+        self,
+        message: messages.Submit | messages.ReplaceVoter,
+        reply: mailbox.Reply,
     ) -> None:
         """Forwards a command to the leader; waits if there is none yet."""
         deadline = clock.monotonic() + SUBMIT_TIMEOUT
         if message.forwarded:
             reply.fail(exceptions.RpcError("not the leader"))
             return
-        request = protocol.SubmitCommand(
-            command=codec.encode(message.command), forwarded=True
-        )
+        request = _forwarded_request(message)
         detail = "there is no leader"
         while (time_left := deadline - clock.monotonic()) > 0:
             if self._state.role is replication.Role.LEADER:
@@ -423,12 +430,9 @@
                 self._fleet_state, result = fleet_state.apply(
                     self._fleet_state, codec.decode(entry.command)
                 )
-            pending = self._pending_proposals.pop(entry.index, None)
-            if pending is not None:
-                if pending.term == entry.term:
-                    pending.reply.put(result)
-                else:
-                    pending.reply.fail(exceptions.RpcError("superseded"))
+            self._pending.answer_proposal(entry, result)
+            if self._state.role is replication.Role.LEADER:
+                self._record_replacement(entry)
             if entry.index <= self._replay_index:
                 self._replayed_revision = self._fleet_state.revision
         self._publish_view()
@@ -481,47 +485,20 @@
         if role is replication.Role.LEADER:
             self._leader_since = clock.monotonic()
         else:
-            for pending in self._pending_proposals.values():
-                pending.reply.fail(
-                    exceptions.RpcError("lost the lead; send it again")
-                )
-            self._pending_proposals.clear()
+            self._pending.fail("lost the lead; send it again")
 
     # --- membership ----------------------------------------------------------
 
-    def _replace_voter(
-        self, message: messages.ReplaceVoter, reply: mailbox.Reply
-    ) -> replication.Event | None:
-        membership = self._state.membership
-        rejection = ""
-        if self._state.role is not replication.Role.LEADER:
-            leader = self._find_leader()
-            rejection = f"ask the leader, {leader.vm if leader else 'none now'}"
-        elif not leadership.can_change_membership(self._state):
-            rejection = "another membership change is in progress"
-        elif not leadership.is_caught_up(self._state, message.new_id):
-            rejection = (
-                f"{message.new_id!r} is not a learner that has caught up"
-            )
-        new_membership = replication.replace_voter(
-            membership, message.old_id, message.new_id
-        )
-        if not rejection and new_membership is None:
-            rejection = f"{message.old_id!r} is not a voter"
-        if rejection or new_membership is None:
-            finding = exceptions.Finding(
-                source="command", key="replica", text=rejection
-            )
-            reply.put(fleet_commands.Rejected(findings=(finding,)))
-            return None
-        self._events.record(
-            "replica.replaced", detail=f"{message.old_id} {message.new_id}"
-        )
-        index = self._state.last_index + 1
-        self._pending_proposals[index] = _PendingProposal(
-            term=self._state.term, reply=reply
-        )
-        return replication.ProposeMembership(membership=new_membership)
+    def _record_replacement(self, entry: replication.Entry) -> None:
+        """Records the replacement that an applied entry finishes, if any."""
+        before = replication.membership_at(self._state, entry.index - 1)
+        if entry.membership is None or not before.outgoing:
+            return
+        old_ids = {member.replica_id for member in before.outgoing}
+        new_ids = {member.replica_id for member in before.voters}
+        old, new = " ".join(old_ids - new_ids), " ".join(new_ids - old_ids)
+        self._events.record("replica.replaced", detail=f"{old} {new}")
+        logs.get().info("replaced a control", extra={"old": old, "new": new})
 
     def _add_learner(
         self, member: replication.Member
@@ -594,3 +571,17 @@
 
 def _is_reply(message: replication.Message) -> bool:
     return isinstance(message, (replication.AppendReply, replication.VoteReply))
+
+
+def _forwarded_request(
+    message: messages.Submit | messages.ReplaceVoter,
+) -> protocol.SubmitCommand | protocol.ReplaceReplica:
+    match message:
+        case messages.Submit(command=command):
+            return protocol.SubmitCommand(
+                command=codec.encode(command), forwarded=True
+            )
+        case messages.ReplaceVoter(old_id=old_id, new_id=new_id):
+            return protocol.ReplaceReplica(
+                old_id=old_id, new_id=new_id, forwarded=True
+            )
--- a/src/sassafrashall/decisions/leadership.py
+++ b/src/sassafrashall/decisions/leadership.py
@@ -213,9 +213,10 @@
         ):
             return become_follower(state, state.term, "", 0.5, now)
         return state, ()
-    final_membership = dataclasses.replace(state.membership, outgoing=())
     entry = replication.Entry(
-        index=state.last_index + 1, term=state.term, membership=final_membership
+        index=state.last_index + 1,
+        term=state.term,
+        membership=replication.final_membership(state.membership),
     )
     return _append_entries(state, (entry,), now)
 
--- a/src/sassafrashall/decisions/replacements.py
+++ b/src/sassafrashall/decisions/replacements.py
@@ -1,12 +1,16 @@
-"""Automatic replacement of a lost voter by a learner.
+"""Replacement of a lost voter by a learner, by the leader or by an operator.
 
 A control with an empty data folder is a new replica. It joins as a learner and
 replaces a voter once it has synced all committed entries. One voter is
-replaced at a time, which needs a majority of the old voters.
+replaced at a time, which needs a majority of the old voters until the final
+membership is committed.
 """
 
 from __future__ import annotations
 
+import dataclasses
+from typing import TypeAlias
+
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import replication
 
@@ -16,6 +20,63 @@
 LEARNER_TIMEOUT = 1.0  # seconds within which a learner must have answered
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Finished:
+    """The final membership is committed; the old voter is not needed."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Undecided:
+    """A membership, or the first entry of a new leader, is not committed."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ready:
+    """The replacement can begin, with a joint membership."""
+
+    old_id: str
+    new_id: str
+    membership: replication.Membership
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Impossible:
+    """The replicas can't be exchanged as they are now."""
+
+    reason: str
+
+
+Progress: TypeAlias = Finished | Undecided | Ready | Impossible
+
+
+def progress(state: replication.State, old_id: str, new_id: str) -> Progress:
+    """Returns how far the replacement of a voter by a learner has come.
+
+    Replica ids are never used again, so the two of them identify the
+    replacement, whichever leader began it.
+
+    Args:
+      state: State of the leader.
+      old_id: Replica id of the voter.
+      new_id: Replica id of the learner.
+    """
+    if not leadership.can_change_membership(state):
+        return Undecided()
+    membership = state.membership
+    voters = {member.replica_id for member in membership.voters}
+    previous = {member.replica_id for member in membership.previous}
+    if old_id in previous - voters and new_id in voters - previous:
+        return Finished()
+    if old_id not in voters:
+        return Impossible(reason=f"{old_id!r} is not a voter")
+    joint_membership = replication.replace_voter(membership, old_id, new_id)
+    if joint_membership is None or not leadership.is_caught_up(state, new_id):
+        return Impossible(
+            reason=f"{new_id!r} is not a learner that has caught up"
+        )
+    return Ready(old_id=old_id, new_id=new_id, membership=joint_membership)
+
+
 def find_replacement(
     state: replication.State, led_since: float, now: float
 ) -> tuple[str, str] | None:
--- a/src/sassafrashall/decisions/replication.py
+++ b/src/sassafrashall/decisions/replication.py
@@ -41,11 +41,14 @@
       outgoing: The previous voters, which vote as well, during a joint change;
         otherwise empty.
       learners: Replicas that receive the log without voting.
+      previous: The voters before the last finished change, by which a
+        replacement that is asked for again is recognised.
     """
 
     voters: tuple[Member, ...] = ()
     outgoing: tuple[Member, ...] = ()
     learners: tuple[Member, ...] = ()
+    previous: tuple[Member, ...] = ()
 
     def all_members(self) -> tuple[Member, ...]:
         """Returns every member once."""
@@ -416,3 +419,10 @@
         if m.vm != member.vm and m.address != member.address
     )
     return dataclasses.replace(membership, learners=(*kept_learners, member))
+
+
+def final_membership(membership: Membership) -> Membership:
+    """Returns the membership that ends a joint change."""
+    return dataclasses.replace(
+        membership, outgoing=(), previous=membership.outgoing
+    )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -388,10 +388,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReplaceVoter:
-    """Replaces a voter by a learner; answered with Accepted or Rejected."""
+    """Replaces a voter by a learner; answered with Accepted or Rejected.
+
+    Accepted once the final membership is committed. The message may be sent
+    again: a finished replacement is accepted, and not made a second time.
+
+    Attributes:
+      forwarded: Whether another control forwarded it.
+    """
 
     old_id: str
     new_id: str
+    forwarded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -338,10 +338,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReplaceReplica:
-    """Replaces a voter by a learner."""
+    """Replaces a voter by a learner; answered like SubmitCommand."""
 
     old_id: str
     new_id: str
+    forwarded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/raft_simulation.py
+++ b/tests/raft_simulation.py
@@ -10,7 +10,7 @@
 import random
 
 from sassafrashall.decisions import consensus
-from sassafrashall.decisions import leadership
+from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
 
 TICK_INTERVAL = 0.05  # seconds of simulated time
@@ -263,29 +263,29 @@
         while self.now < end:
             leader = self.leader()
             if leader is not None and leader.state is not None:
-                membership = leader.state.membership
-                voters = {m.replica_id for m in membership.voters}
-                if new in voters and not membership.outgoing:
-                    committed = leadership.can_change_membership(leader.state)
-                    if committed:
+                match replacements.progress(leader.state, old, new):
+                    case replacements.Finished():
                         return True
-                self.propose_replacement(leader, membership, old, new)
+                    case replacements.Ready(membership=membership):
+                        self.propose_membership(leader, membership)
+                    case replacements.Impossible():
+                        self.add_learner(leader, new)
             self.step()
         return False
 
-    def propose_replacement(self, leader, membership, old, new) -> None:
-        learners = {m.replica_id for m in membership.learners}
-        voters = {m.replica_id for m in membership.voters}
-        if new not in learners | voters:
-            changed = replication.add_learner(membership, member(new))
-        elif leadership.is_caught_up(leader.state, new):
-            changed = replication.replace_voter(membership, old, new)
-        else:
-            return
-        if changed is not None:
-            self.process_event(
-                leader.name, replication.ProposeMembership(membership=changed)
-            )
+    def add_learner(self, leader: Replica, name: str) -> None:
+        membership = leader.state.membership
+        names = {m.replica_id for m in membership.all_members()}
+        if name not in names:
+            changed = replication.add_learner(membership, member(name))
+            self.propose_membership(leader, changed)
+
+    def propose_membership(
+        self, leader: Replica, membership: replication.Membership
+    ) -> None:
+        self.process_event(
+            leader.name, replication.ProposeMembership(membership=membership)
+        )
 
     def check_nothing_lost(self) -> None:
         """Checks that a leader has applied every acknowledged command."""
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -44,6 +44,15 @@
     assert "--change-id c7" in capsys.readouterr().err
 
 
+def test_an_unanswered_replacement_may_have_been_made(tmp_path, capsys):
+    """Guards against "nothing was changed" of a change that may be made."""
+    arguments = ["--settings", _write_settings(tmp_path), "replica", "replace"]
+    assert cmdline.main([*arguments, "c", "d"]) == cmdline.EXIT_UNREACHABLE
+    error = capsys.readouterr().err
+    assert "Send the same command again" in error
+    assert "Nothing was changed" not in error
+
+
 def test_settings_check(tmp_path, capsys):
     good, bad = tmp_path / "good.yaml", tmp_path / "bad.yaml"
     good.write_text(test_settings.NODE)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,6 +4,7 @@
 
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import leadership
+from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
 from tests import raft_simulation
 
@@ -66,6 +67,62 @@
     cluster.check_nothing_lost()
 
 
+def _lose_a_replica(cluster: raft_simulation.Cluster) -> str:
+    """Crashes one of the replicas and starts an empty one, named d."""
+    lost = cluster.random.choice(list(cluster.replicas))
+    cluster.replicas[lost].crash()
+    cluster.add("d")
+    return lost
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_the_leader_may_fail_once_a_replacement_is_finished(seed):
+    """Guards against replacements that are reported before the last commit.
+
+    Until then the lost replica counts among the outgoing voters.
+    """
+    cluster = raft_simulation.Cluster(seed, loss=0.1)
+    cluster.run(3.0)
+    assert cluster.commit(b"before", seconds=10.0)
+    lost = _lose_a_replica(cluster)
+    assert cluster.replace(lost, "d", seconds=30.0)
+    leader = cluster.leader()
+    leader.crash()
+    cluster.network = [
+        (due, message)
+        for due, message in cluster.network
+        if message.sender != leader.name
+    ]
+    assert cluster.commit(b"after", seconds=30.0)
+    cluster.check_nothing_lost()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_half_done_replacement_is_finished_by_the_next_leader(seed):
+    """Guards against a lost replica that stays an outgoing voter."""
+    cluster = raft_simulation.Cluster(seed, loss=0.1)
+    cluster.run(3.0)
+    lost = _lose_a_replica(cluster)
+    while not (cluster.leader() and cluster.leader().state.membership.outgoing):
+        cluster.replace(lost, "d", seconds=raft_simulation.TICK_INTERVAL)
+    cluster.run(cluster.random.random() * 0.5)
+    first = cluster.leader()
+    if first is not None:
+        first.crash()
+        cluster.run(2.0)
+        first.start(cluster.now)
+    is_committed = any(
+        entry.membership is not None and entry.membership.outgoing
+        for entry in cluster.committed.values()
+    )
+    cluster.loss = 0.0
+    cluster.run(5.0)
+    if not is_committed:
+        assert cluster.replace(lost, "d")
+    progress = replacements.progress(cluster.leader().state, lost, "d")
+    assert progress == replacements.Finished()
+
+
 def test_an_emptied_disk_does_not_vote_as_before():
     """An emptied replica must not form a majority with a stale one.
 
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from sassafrashall.decisions import replication
@@ -45,6 +46,15 @@
     assert contents.entries[-1].term == 2
 
 
+def test_a_membership_of_an_earlier_build_is_read():
+    """Guards against a field that stored memberships lack."""
+    stored = msgspec.msgpack.encode(
+        {"voters": [], "outgoing": [], "learners": []}
+    )
+    membership = msgspec.msgpack.decode(stored, type=replication.Membership)
+    assert membership == replication.Membership()
+
+
 def test_a_snapshot_replaces_the_entries_that_it_covers(tmp_path):
     store, _ = _founded_store(tmp_path)
     store.persist((replication.Append(entries=_entries(1, 5)),))
