A message in the turn of a control's stop does not end it with an exception

What was seen: once, in tests/test_replacements.py (test_accepted_changes_survive_the_loss_of_every_folder_in_turn, which stops controls), `trio.ClosedResourceError` from `Replica._receive_messages`. In a control it would be an exit with a trace at a stop that should be graceful.

Cause: since a controller closes its mailbox in the step that cancels its task. A replica that a message has woken in the same turn takes what else is queued, and `Mailbox.receive_nowait` raised for the closed channel.

It returns None now, as for an empty mailbox; the task goes on to its next checkpoint, at which it is cancelled. Only the replica takes messages in batches, the other controllers are served in the turn of the sender.

--- a/src/sassafrashall/mailbox.py
+++ b/src/sassafrashall/mailbox.py
@@ -228,7 +228,12 @@
         """Returns the next message, or None if none is queued."""
         try:
             return self._receive_channel.receive_nowait()
-        except (trio.WouldBlock, trio.EndOfChannel):
+        except (
+            trio.WouldBlock,
+            trio.EndOfChannel,
+            # Closed since the task was woken with an earlier message.
+            trio.ClosedResourceError,
+        ):
             return None
 
     def close(self) -> None:
