--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -491,8 +491,10 @@
 
     def _record_replacement(self, entry: replication.Entry) -> None:
         """Records the replacement that an applied entry finishes, if any."""
+        if entry.membership is None:
+            return
         before = replication.membership_at(self._state, entry.index - 1)
-        if entry.membership is None or not before.outgoing:
+        if not before.outgoing:
             return
         old_ids = {member.replica_id for member in before.outgoing}
         new_ids = {member.replica_id for member in before.voters}
