--- a/src/sassafrashall/decisions/replacements.py
+++ b/src/sassafrashall/decisions/replacements.py
@@ -52,8 +52,8 @@
 def progress(state: replication.State, old_id: str, new_id: str) -> Progress:
     """Returns how far the replacement of a voter by a learner has come.
 
-    Replica ids are never used again, so the two of them identify the
-    replacement, whichever leader began it.
+    A replica id belongs to one data folder for good, so the two ids identify
+    the replacement, whichever leader began it.
 
     Args:
       state: State of the leader.
