A request that can't be encoded fails alone, and does not end the process

What callers saw: nothing so far. With a tenant whose name has characters beyond Latin-1, which the checks of a configuration accept, each of its requests that needed a new connection to the upstream ended the node.

Cause: encoding the head raised UnicodeEncodeError in the connection's task, or in that of an upload, and left it.

Evidence: the test failed with UnicodeEncodeError before the change.

Fix: the head is encoded before anything is sent, and a failure is that of a request that was not sent.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -169,13 +169,16 @@
             message=message, request=request, reply=reply
         )
         reply.on_abandon(self._close_abandoned)
+        try:
+            head = _encode_head(request)
+        except UnicodeEncodeError as error:
+            # Headers of the system hold names from the configuration.
+            self._fail_unsent(message, reply, str(error))
+            return
         if request.rest is not None:
             assert self._nursery is not None
-            self._nursery.start_soon(self._upload, exchange)
+            self._nursery.start_soon(self._upload, exchange, head)
             return
-        head = http1.encode_request_head(
-            request.method, request.target, request.headers, len(request.body)
-        )
         data = head + request.body
         try:
             sent = self._stream.send_nowait(data)
@@ -435,19 +438,15 @@
                 # upstream closed, or the end of the connection.
                 self._send_failed = True
 
-    async def _upload(self, exchange: _Exchange) -> None:
-        """Sends a long body; the response may arrive before its end."""
+    async def _upload(self, exchange: _Exchange, data: bytes) -> None:
+        """Sends `data`, which is the head, and then a long body.
+
+        The response may arrive before its end.
+        """
         request = exchange.request
         assert request.rest is not None
         length = model.find_header(request.headers, "content-length")
-        headers = tuple(h for h in request.headers if h[0] != "content-length")
         encode = http1.encode_chunk if length is None else bytes
-        data = http1.encode_request_head(
-            request.method,
-            request.target,
-            headers,
-            None if length is None else int(length),
-        )
         if request.body:
             data += encode(request.body)
         with trio.CancelScope() as exchange.upload_scope:
@@ -594,6 +593,23 @@
             self._connection.end_streaming(self._exchange, complete=False)
 
 
+def _encode_head(request: http.RawRequest) -> bytes:
+    """Returns the head of a request.
+
+    Raises:
+      UnicodeEncodeError: A header has a character that HTTP can't carry.
+    """
+    headers = request.headers
+    length: int | None = len(request.body)
+    if request.rest is not None:
+        value = model.find_header(headers, "content-length")
+        length = None if value is None else int(value)
+        headers = tuple(h for h in headers if h[0] != "content-length")
+    return http1.encode_request_head(
+        request.method, request.target, headers, length
+    )
+
+
 def _protocol_error(detail: str) -> exceptions.ProtocolError:
     return exceptions.ProtocolError(exceptions.UPSTREAM_FAILED, detail)
 
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -749,3 +749,14 @@
         for request_id in ("a", "b"):
             assert (await _exchange(pool, upstream, request_id)).body == b"ok"
         assert upstream.connections == 1
+
+
+# Guards against the end of the process by one exchange: a name of a tenant may
+# have characters that no header can carry.
+async def test_request_that_cannot_be_encoded_fails_alone():
+    async with _pool(_answer, _answer) as (pool, upstream):
+        for _ in range(2):
+            with pytest.raises(exceptions.ConnectionFailedError) as caught:
+                await _exchange(pool, upstream, "\u6771")
+            assert not caught.value.maybe_delivered
+            assert (await _exchange(pool, upstream, "a")).body == b"ok"
