Quota owner: a share that is held from the start is not missed

What was seen: nothing so far. A control that became an owner in the moment in which it started lent nothing until the fleet changed once more, and nodes took the quota for unreachable.

Cause: the task that follows the fleet waits for the next change. One between the setup and its first run was missed.

Evidence: the test, which starts 16 owners, failed before the change; each start misses the change if the scheduler runs the two tasks in that order.

Fix: the task passes on the present state before it waits.

--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -72,6 +72,8 @@
         self._clients.close()
 
     async def _follow_view(self) -> None:
+        # It may have changed since the setup.
+        self.mailbox.tell(self._view.value)
         while True:
             self.mailbox.tell(await self._view.wait_changed())
 
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -1,6 +1,8 @@
 import dataclasses
 
 import immutables
+import trio
+import trio.testing
 
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -60,8 +62,8 @@
     return await _ask(tmp_path, view, message)
 
 
-async def _ask(tmp_path, view, message):
-    status = messages.ReplicaStatus(
+def _status():
+    return messages.ReplicaStatus(
         member=_member("me"),
         founded=True,
         membership=replication.Membership(),
@@ -71,7 +73,10 @@
         leader="me",
         majority_age=0.0,
     )
-    replica = fakes.ScriptedController(lambda message: status)
+
+
+async def _ask(tmp_path, view, message):
+    replica = fakes.ScriptedController(lambda message: _status())
     # The replica becomes an owner before the organisation is created.
     published = mailbox.Published(
         initial=dataclasses.replace(view, state=fleet_state.FleetState())
@@ -88,6 +93,28 @@
         return await owner.mailbox.ask(message)
 
 
+# Guards against an owner that lends nothing until the next change of the fleet:
+# it became one before the task that follows the fleet had run.
+async def test_share_that_is_held_from_the_start_is_not_missed(tmp_path):
+    borrow = protocol.Borrow(organisation="org", wanted=1, forwarded=True)
+    # The scheduler runs the two tasks in random order.
+    for _ in range(16):
+        replica = fakes.ScriptedController(lambda message: _status())
+        published = mailbox.Published(initial=messages.FleetView())
+        owner = quota_owner.QuotaOwner(
+            settings=_settings(tmp_path),
+            replica=replica.mailbox,
+            view=published,
+            event_log=fakes.event_log(),
+            counters=fakes.counters(),
+        )
+        async with fakes.started(replica, owner):
+            published.publish(_view())
+            await trio.testing.wait_all_tasks_blocked()
+            reply = await owner.mailbox.ask(borrow)
+            assert reply.wait < quota_owner.MAX_WAIT
+
+
 async def test_share_of_a_new_organisation_is_full_at_once(tmp_path):
     reply = await _borrow(tmp_path, _view())
     assert [grant.tokens for grant in reply.grants] == [3]
