Admission: an announcement at the start is not missed

What was seen: nothing so far; a node listens for announcements only after its controllers have started. An upstream announced before the task that follows it had run for the first time counted as not ready until its state changed.

Cause: that task waits for the next change.

Fix: the task passes on the present state before it waits.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -105,9 +105,11 @@
         self._shed_all(exceptions.STOPPING, "the node is stopping")
 
     async def _follow_upstream(self) -> None:
+        # It may have changed since the setup.
+        upstream = self._local_upstream.value
         while True:
-            upstream = await self._local_upstream.wait_changed()
             self.mailbox.tell(_UpstreamUpdate(upstream=upstream))
+            upstream = await self._local_upstream.wait_changed()
 
     async def _tick_regularly(self) -> None:
         while True:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -38,6 +38,26 @@
         yield controller, local
 
 
+# Guards against an upstream that goes unnoticed until its state changes again:
+# it was announced before the task that follows it had run.
+async def test_an_announcement_at_the_start_is_not_missed():
+    # The scheduler runs the two tasks in random order.
+    for _ in range(16):
+        local = mailbox.Published(initial=None)
+        controller = admission.Admission(
+            local_upstream=local,
+            admission_level=mailbox.Published(initial=-1),
+            policy=settings.Policy(limit="fixed"),
+            event_log=fakes.event_log(),
+            counters=fakes.counters(),
+        )
+        async with fakes.started(controller):
+            local.publish(READY)
+            await trio.testing.wait_all_tasks_blocked()
+            answer = await controller.mailbox.ask(_admit("first"))
+            assert isinstance(answer, messages.Admitted)
+
+
 def _admit(call_id, priority=model.Priority.NORMAL, timeout=5.0):
     return messages.Admit(
         call_id=call_id,
