Membership: an announcement that waits to be read keeps the upstream

Cause: the check of the announcement's age runs in the first turn of the loop after the delay; the announcements that arrived meanwhile are read in a later one.

Fix: an upstream counts as gone when two checks in a row found it silent. One that ends without a sign-off is noticed one heartbeat interval later than before.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -99,6 +99,8 @@
         self._directory_source = ""
         self._directory_version = 0
         self._announced_at = 0.0
+        # Whether the last check found that the upstream was silent.
+        self._found_silent = False
         self._reported_shed = 0.0
         self._load_measured_at = clock.monotonic()
         self._heartbeat_due = trio.Event()
@@ -188,8 +190,15 @@
         self._heartbeat_due.set()
 
     def _expire_announcement(self) -> None:
+        """Removes an upstream that two checks in a row found silent.
+
+        At the first one after a delay of the event loop, its announcements may
+        wait to be read.
+        """
+        was_silent = self._found_silent
         silence = clock.monotonic() - self._announced_at
-        if self._record.upstream and silence > self._announcement_ttl:
+        self._found_silent = silence > self._announcement_ttl
+        if self._record.upstream and self._found_silent and was_silent:
             self._set_upstream(None)
 
     def _compose_heartbeat(self) -> protocol.Heartbeat:
--- /dev/null
+++ b/tests/test_node_membership.py
@@ -0,0 +1,135 @@
+"""The announcements of the upstream beside an event loop that runs late."""
+
+import json
+import time
+
+import pytest
+import trio
+
+from sassafrashall import clock
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall.controllers import node_membership
+from sassafrashall.platform import names
+from sassafrashall.platform import node_api
+from tests import fakes
+from tests import loopback
+
+ANNOUNCEMENT_TTL = 60.0  # seconds
+HEARTBEAT_INTERVAL = 0.05  # seconds
+UPSTREAM = model.Address(host="127.0.0.1", port=1)
+
+
+@pytest.fixture
+def jump_clock(monkeypatch):
+    """Returns a function that lets all announcements become too old."""
+
+    def jump():
+        monotonic = clock.monotonic
+        monkeypatch.setattr(
+            clock, "monotonic", lambda: monotonic() + ANNOUNCEMENT_TTL + 1.0
+        )
+
+    return jump
+
+
+def _membership(event_log):
+    reply = protocol.HeartbeatReply(
+        directory_source="c",
+        directory_version=1,
+        complete=False,
+        entries=(),
+        revision=0,
+        organisations=(),
+        withdrawn=(),
+        majority_age=0.0,
+    )
+    link = fakes.ScriptedController(lambda message: reply)
+    membership = node_membership.NodeMembership(
+        record=model.NodeRecord(
+            vm="a",
+            data_centre="x",
+            incarnation=1,
+            counter=1,
+            peer_address=UPSTREAM,
+            ops_address=UPSTREAM,
+        ),
+        link=link.mailbox,
+        admission_level=mailbox.Published(initial=-1),
+        event_log=event_log,
+        counters=fakes.counters(),
+        announcement_ttl=ANNOUNCEMENT_TTL,
+        heartbeat_interval=HEARTBEAT_INTERVAL,
+    )
+    return link, membership
+
+
+def _announcement(sequence):
+    body = json.dumps(
+        {
+            "address": str(UPSTREAM),
+            "born": 1,
+            "info": {"service": "a", "slots": 4},
+            "status": {"state": "ready", "sequence": sequence},
+        }
+    ).encode()
+    return (
+        f"PUT {names.INSTANCES_PATH}i1 HTTP/1.1\r\nHost: h\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def _states(event_log):
+    return [event.detail for event in event_log.read("upstream.state")]
+
+
+# Guards against an upstream that counts as gone while its announcement waits to
+# be read, since the event loop stood still for longer than announcements last.
+@pytest.mark.parametrize("round_number", range(4))
+async def test_an_announcement_that_has_arrived_keeps_the_upstream(
+    round_number, jump_clock
+):
+    event_log = fakes.event_log()
+    link, membership = _membership(event_log)
+    handler = node_api.Announcements(
+        membership=membership.mailbox, upstream=UPSTREAM
+    )
+    async with (
+        fakes.started(link, membership),
+        loopback.serve(handler.handle) as (address, _),
+    ):
+        with trio.fail_after(5):
+            (client,) = await loopback.open_sockets(address, 1)
+            with client:
+                client.sendall(_announcement(1))
+                await trio.to_thread.run_sync(client.recv, 4096)
+                client.sendall(_announcement(2))
+                # The next check is due when the announcement can be read.
+                jump_clock()
+                time.sleep(2 * HEARTBEAT_INTERVAL)
+                await trio.to_thread.run_sync(client.recv, 4096)
+    assert _states(event_log) == ["ready"]
+
+
+async def test_an_upstream_without_announcements_counts_as_gone(
+    jump_clock,
+):
+    event_log = fakes.event_log()
+    link, membership = _membership(event_log)
+    async with fakes.started(link, membership):
+        with trio.fail_after(5):
+            message = messages.Announce(
+                upstream=model.Upstream(
+                    service="a",
+                    address=UPSTREAM,
+                    slots=4,
+                    connection_limit=0,
+                    state=model.UpstreamState.READY,
+                )
+            )
+            await membership.mailbox.ask(message)
+            jump_clock()
+            await membership.local_upstream.wait_changed()
+    assert _states(event_log) == ["ready", "gone"]
