A connect that a late event loop cancelled is tried once more

What callers would see: after the event loop had stood still for longer than a connect may last (1 s), nodes and upstreams to which a connection was just being opened counted as unreachable. Their requests were refused with 503 or tried elsewhere.

Cause: the timeout cancels the connect in the turn in which its success could be read, and all that wait for the connection are refused.

Fix: a connect that was cancelled late is tried once more. One that timed out in time fails as before.

--- a/src/sassafrashall/transport/http_client.py
+++ b/src/sassafrashall/transport/http_client.py
@@ -11,9 +11,9 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.transport import http
+from sassafrashall.transport import sockets
 
 RESPONSE_BODY_LIMIT = 8 * 1024 * 1024  # bytes
-CONNECT_TIMEOUT = 1.0  # seconds
 CONTINUE_TIMEOUT = 0.5  # seconds to wait for 100 Continue
 # Seconds without a byte after which a peer counts as unresponsive.
 PROGRESS_TIMEOUT = 1.0
@@ -32,16 +32,7 @@
     @classmethod
     async def open(cls, address: model.Address) -> ClientConnection:
         """Connects; raises `ConnectionFailedError` if that fails."""
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as error:
-            raise exceptions.ConnectionFailedError(
-                f"cannot connect to {address}: {error}",
-                maybe_delivered=False,
-                unresponsive=isinstance(error, trio.TooSlowError),
-            ) from error
-        return cls(stream=stream)
+        return cls(stream=await sockets.open_stream(address))
 
     @property
     def maybe_delivered(self) -> bool:
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -22,6 +22,9 @@
 KEEPALIVE_PROBES = 2  # unanswered probes until the connection is broken
 UNACKED_TIMEOUT_MS = 2000  # for the acknowledgement of sent bytes
 CONNECT_TIMEOUT = 1.0  # seconds
+# Seconds by which a connect that timed out must have been cancelled late to be
+# tried once more.
+LATE_TIMEOUT = 0.1
 
 _KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -136,6 +139,31 @@
             self._socket.close()
 
 
+async def open_stream(address: model.Address) -> trio.SocketStream:
+    """Opens a TCP connection.
+
+    Raises:
+      ConnectionFailedError: The connection was refused or timed out.
+    """
+    try:
+        with trio.move_on_after(CONNECT_TIMEOUT) as timeout:
+            return await trio.open_tcp_stream(address.host, address.port)
+        if trio.current_time() - timeout.deadline > LATE_TIMEOUT:
+            # The event loop ran late, and cancelled a connect that may have
+            # succeeded in time.
+            with trio.move_on_after(CONNECT_TIMEOUT):
+                return await trio.open_tcp_stream(address.host, address.port)
+    except OSError as error:
+        raise exceptions.ConnectionFailedError(
+            f"cannot connect to {address}: {error}", maybe_delivered=False
+        ) from error
+    raise exceptions.ConnectionFailedError(
+        f"cannot connect to {address}: no answer",
+        maybe_delivered=False,
+        unresponsive=True,
+    )
+
+
 async def connect(address: model.Address, *, keepalive: bool = True) -> Stream:
     """Connects to an address.
 
@@ -148,15 +176,7 @@
     Raises:
       ConnectionFailedError: The connection was refused or timed out.
     """
-    try:
-        with trio.fail_after(CONNECT_TIMEOUT):
-            stream = await trio.open_tcp_stream(address.host, address.port)
-    except (OSError, trio.TooSlowError) as error:
-        raise exceptions.ConnectionFailedError(
-            f"cannot connect to {address}: {error}",
-            maybe_delivered=False,
-            unresponsive=isinstance(error, trio.TooSlowError),
-        ) from error
+    stream = await open_stream(address)
     connected = Stream(stream=stream)
     if keepalive:
         connected.enable_keepalive()
