--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -5,6 +5,7 @@
 import struct
 
 import trio
+import trio.testing
 
 from sassafrashall import configuration
 from sassafrashall import exceptions
@@ -135,6 +136,31 @@
     assert b"connection: close" in received
 
 
+# Guards against a pipelined request that gets no answer: it had been read when
+# the connection between it and its predecessor counted as idle.
+async def test_a_stop_between_pipelined_requests_serves_the_second_one():
+    started = trio.Event()
+    reply = mailbox.Reply()
+
+    async def handler(raw):
+        if raw.target == "/2":
+            return _response(b"second")
+        started.set()
+        return await reply.wait()
+
+    async with _server(handler) as (stream, server):
+        await stream.send_all(REQUEST % 1 + REQUEST % 2)
+        await started.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        # The connection's task has not run since its first response.
+        reply.put(_response(b"first"))
+        (connection,) = server._connections
+        connection.stop()
+        received = await loopback.receive_until_end(stream)
+    assert received.index(b"first") < received.index(b"connection: close")
+    assert received.endswith(b"second")
+
+
 async def test_responses_announce_how_long_the_connection_may_stay_idle():
     async def handler(raw):
         return _response()
