HTTP server: a stop does not change why a connection was closed

Cause: a stop that reaches a connection while its socket is being closed set the reason once more. Before the stop of a listener took a turn of the event loop, in which the closure was logged.

Fix: the first reason counts.

--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -107,7 +107,10 @@
         """
         self._stopping = True
         if self._is_idle:
-            self._close_reason = connection_log.Reason.STOP
+            # The connection may be closing already.
+            self._close_reason = (
+                self._close_reason or connection_log.Reason.STOP
+            )
             # Also ends the read, so that no request is read and then dropped.
             self._scope.cancel()
         else:
