--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,16 +1,30 @@
-"""Answers that the upstream breaks off, or never ends, seen by a caller.
+"""Answers that the upstream breaks off, repeats or never ends.
 
-Two nodes pass them on, over real sockets.
+One node or two pass them on to a caller, over real sockets.
 """
 
 import contextlib
+import itertools
 import socket
 import struct
 
 from bench import routed
 import h11
+import hypothesis
+from hypothesis import strategies
 import pytest
 import trio
+import trio.testing
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.controllers import upstream_pool
+from sassafrashall.platform import dialect
+from sassafrashall.transport import http
+from tests import fakes
+from tests import loopback
 
 SHORT = b"a body that is buffered"
 LONG = bytes(range(256)) * 3000  # streamed, and longer than a peer's window
@@ -23,6 +37,9 @@
     b"GET /x HTTP/1.1\r\nHost: beta.example\r\nRequest-Id: %b\r\n"
     b"Connection: close\r\n\r\n"
 )
+POST = REQUEST.replace(b"GET", b"POST").replace(
+    b"Connection", b"Content-Length: %d\r\nConnection"
+)
 
 
 def _with_length(body):
@@ -125,22 +142,23 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet():
+async def _fleet(upstream=None, *, slots=50, **route):
     """Runs two nodes; the upstream beside `vm-b` is a raw one."""
     fleet = routed.Fleet(services={"vm-a": "alpha", "vm-b": "beta"})
-    upstream = _RawUpstream()
+    upstream = upstream or _RawUpstream()
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery, upstreams=False)
             await nursery.start(fleet.upstreams["vm-a"].run)
             announced = fleet.upstreams["vm-b"]
+            announced.slots = slots
             listeners = await trio.open_tcp_listeners(
                 announced.address.port, host=announced.address.host
             )
             nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
             nursery.start_soon(_announce_regularly, announced)
             await fleet.apply_configuration(
-                routed.document(services=("alpha", "beta"))
+                routed.document(services=("alpha", "beta"), **route)
             )
             yield fleet, upstream
             nursery.cancel_scope.cancel()
@@ -148,13 +166,14 @@
         fleet.close()
 
 
-async def _ask(fleet, vm, request_id=b"r1"):
+async def _ask(fleet, vm, data=REQUEST % b"r1"):
     """Returns the status and the body, or None if the answer is incomplete."""
     address = fleet.callers[vm]
     stream = await trio.open_tcp_stream(address.host, address.port)
     received = b""
     async with stream:
-        await stream.send_all(REQUEST % request_id)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
         with contextlib.suppress(trio.BrokenResourceError):
             while data := await stream.receive_some(65536):
                 received += data
@@ -208,6 +227,20 @@
             )
 
 
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+async def test_an_answer_cut_at_any_byte_of_its_head_fails(framing, vm):
+    async with _fleet() as (fleet, upstream):
+        head, _ = FRAMINGS[framing](SHORT)
+        for position in range(len(head)):
+            upstream.answer = head[:position]
+            with trio.fail_after(5):
+                outcome = await _ask(fleet, vm)
+            assert outcome is not None and outcome[0] in (502, 504), (
+                f"{head[:position]!r} looked complete: {outcome}"
+            )
+
+
 @pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
 @pytest.mark.parametrize("body", [SHORT, LONG], ids=["buffered", "streamed"])
 @pytest.mark.parametrize("framing", FRAMINGS)
@@ -218,6 +251,22 @@
             assert await _ask(fleet, vm) == (200, body)
 
 
+# Guards against a refusal, in place of the rest of a body, that ends the body.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("refusal_id", [b"r1", b"r2"])
+async def test_a_refusal_within_a_streamed_answer_breaks_it_off(refusal_id, vm):
+    async with _fleet() as (fleet, upstream):
+        head, framed = _chunked(LONG)
+        upstream.answer = (
+            head
+            + framed[: len(framed) // 2].rpartition(b"\r\n4e20\r\n")[0]
+            + b"\r\nHTTP/1.1 503 Full\r\nnot-executed: full\r\n"
+            + b"request-id: %b\r\ncontent-length: 0\r\n\r\n" % refusal_id
+        )
+        with trio.fail_after(5):
+            assert await _ask(fleet, vm) is None
+
+
 # Guards against memory that grows with what a slow caller does not read.
 @pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
 async def test_body_without_end_waits_for_a_caller_that_reads_slowly(vm):
@@ -235,3 +284,339 @@
             assert upstream.sent == sent
             # The buffers of the sockets on the way hold most of it.
             assert 0 < sent < 32 * 1024 * 1024
+
+
+# Guards against slots that callers hold, long after their deadline, by not
+# reading their answers.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_slot_of_a_caller_that_does_not_read_is_free_at_its_deadline(vm):
+    async with _fleet(slots=1, timeout="500ms") as (fleet, upstream):
+        upstream.answer = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+        upstream.endless = b"10000\r\n" + b"a" * 0x10000 + b"\r\n"
+        address = fleet.callers[vm]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            await stream.send_all(REQUEST % b"r1")
+            assert await stream.receive_some(20)
+            upstream.answer = b"".join(_with_length(SHORT))
+            upstream.endless = b""
+            with trio.fail_after(10):
+                while await _ask(fleet, vm) != (200, SHORT):
+                    await trio.sleep(0.1)
+
+
+# Guards against a slot that a refusal takes for good.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_long_refusals_leave_the_slot_to_other_requests(vm):
+    async with _fleet(slots=1, max_attempts=1) as (fleet, upstream):
+        for framing in FRAMINGS:
+            head, framed = FRAMINGS[framing](LONG)
+            head = head.replace(b"200 OK", b"503 Full")
+            upstream.answer = (
+                head.replace(b"\r\n", b"\r\nnot-executed: full\r\n", 1) + framed
+            )
+            with trio.fail_after(5):
+                assert (await _ask(fleet, vm))[0] == 503
+                upstream.answer = b"".join(_with_length(SHORT))
+                while await _ask(fleet, vm) != (200, SHORT):
+                    await trio.sleep(0.1)
+
+
+# Guards against memory that grows with what an upstream does not read.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_request_without_end_waits_for_an_upstream_that_does_not_read(vm):
+    async with _fleet(_DeafUpstream()) as (fleet, upstream):
+        address = fleet.callers[vm]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        sent = 0
+        async with stream:
+            await stream.send_all(
+                REQUEST.replace(b"GET", b"POST").replace(
+                    b"Connection", b"Transfer-Encoding: chunked\r\nConnection"
+                )
+                % b"r1"
+            )
+            blocked = False
+            while not blocked:
+                with trio.move_on_after(1.0) as scope:
+                    await stream.send_all(
+                        b"10000\r\n" + b"a" * 0x10000 + b"\r\n"
+                    )
+                    sent += 0x10000
+                blocked = scope.cancelled_caught
+                # The buffers of the sockets on the way hold most of it.
+                assert sent < 32 * 1024 * 1024
+        assert upstream.connections == 1
+
+
+class _DeafUpstream:
+    """Accepts connections and reads nothing.
+
+    Attributes:
+      connections: Number of connections accepted.
+    """
+
+    def __init__(self):
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        async with stream:
+            await trio.sleep_forever()
+
+
+class _UploadWithoutEnd:
+    """The rest of a request's body; its caller never sends it."""
+
+    async def read(self):
+        await trio.sleep_forever()
+
+    async def close(self):
+        pass
+
+
+async def _exchange(pool, address, method, uploading):
+    """Returns the status and the whole body of a response."""
+    headers = (("host", "h"), ("request-id", "r1"))
+    raw = http.RawRequest(
+        method=method,
+        target="/",
+        headers=headers,
+        body=b"",
+        source=model.Source.PEER,
+        received_at=0.0,
+        rest=_UploadWithoutEnd() if uploading else None,
+    )
+    response = await pool.mailbox.ask(
+        messages.UpstreamExchange(
+            address=address,
+            encode=lambda now: raw,
+            is_answer=dialect.UpstreamDialect().response_matcher(
+                fakes.request(headers=headers)
+            ),
+            max_idle=messages.NO_IDLE_LIMIT,
+            may_resend=False,
+            deadline=clock.monotonic() + 30,
+        )
+    )
+    body = response.body
+    if response.rest is not None:
+        while data := await response.rest.read():
+            body += data
+    return response.status, body
+
+
+async def _answer_in_pieces(pieces, reset, method, uploading):
+    """Returns what the pool takes for an answer; None if it fails."""
+    address = loopback.free_address()
+
+    async def serve(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(65536)
+            for piece in pieces:
+                await stream.send_all(piece)
+                await trio.testing.wait_all_tasks_blocked()
+        if reset:
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        await stream.aclose()
+
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        outcome = None
+        async with fakes.started(pool):
+            with contextlib.suppress(exceptions.ConnectionFailedError):
+                with trio.fail_after(10):
+                    outcome = await _exchange(pool, address, method, uploading)
+        nursery.cancel_scope.cancel()
+    return outcome
+
+
+def _draw_answer(draw, framing):
+    """Returns an answer: its head, its framed body, its status and its body."""
+    status = draw(strategies.sampled_from([200, 200, 503, 204, 304]))
+    method = draw(strategies.sampled_from(["GET", "GET", "GET", "HEAD"]))
+    body = draw(strategies.sampled_from([b"", b"x", SHORT, LONG[:150_000]]))
+    interim = draw(strategies.sampled_from([b"", b"HTTP/1.1 102 P\r\n\r\n"]))
+    head, framed = FRAMINGS[framing](body)
+    head = interim + head.replace(b"200 OK", b"%d X" % status)
+    head = head.replace(b"%b", b"r1")
+    if method == "HEAD" or status in (204, 304):
+        return head, b"", status, b"", method, False
+    return head, framed, status, body, method, framing == "until close"
+
+
+# Guards against any way of cutting an answer that makes it look complete.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+@hypothesis.given(
+    data=strategies.data(),
+    reset=strategies.booleans(),
+    uploading=strategies.booleans(),
+)
+def test_only_a_whole_answer_is_taken_for_one(framing, data, reset, uploading):
+    head, framed, status, body, method, until_close = _draw_answer(
+        data.draw, framing
+    )
+    whole = head + framed
+    cut = data.draw(
+        strategies.one_of(
+            strategies.just(len(whole)),
+            strategies.integers(0, min(len(whole), len(head) + 10)),
+            strategies.integers(max(0, len(whole) - 10), len(whole)),
+            strategies.integers(0, len(whole)),
+        ),
+        label="cut",
+    )
+    sent = whole[:cut]
+    if cut == len(whole) and not until_close:
+        sent += data.draw(
+            strategies.sampled_from([b"", b"\0", b"HTTP/1.1 503 A\r\n\r\n"])
+        )
+    splits = data.draw(
+        strategies.lists(strategies.integers(0, len(sent)), max_size=4)
+    )
+    bounds = [0, *sorted(splits), len(sent)]
+    pieces = [sent[a:b] for a, b in zip(bounds, bounds[1:], strict=False)]
+    outcome = trio.run(_answer_in_pieces, pieces, reset, method, uploading)
+    if until_close and cut >= len(head):
+        expected = (status, framed[: cut - len(head)])
+        must_fail, must_succeed = reset, not reset
+    else:
+        expected = (status, body)
+        must_fail = cut < len(whole)
+        must_succeed = not must_fail and not reset
+    if must_fail:
+        assert outcome is None
+    elif must_succeed:
+        assert outcome == expected
+    else:
+        # The reset may discard what has not been read.
+        assert outcome in (None, expected)
+
+
+class _RepeatingUpstream:
+    """Refuses a request, and writes that refusal once more on its connection.
+
+    Attributes:
+      refused: ID of the request to refuse; other requests run.
+      refusal: The refusal.
+      timing: When it is written once more.
+      answer: What follows the repeated refusal as the answer.
+      ran: IDs of the requests that ran.
+    """
+
+    def __init__(self):
+        self.refused = b""
+        self.refusal = b""
+        self.timing = ""
+        self.answer = b""
+        self.ran = []
+
+    async def serve(self, stream):
+        async with stream:
+            with contextlib.suppress(trio.BrokenResourceError):
+                unsent = b""
+                while request_id := await self._receive(stream):
+                    if request_id == self.refused:
+                        self.refused = b""
+                        unsent = await self._refuse(stream)
+                        continue
+                    self.ran.append(request_id)
+                    await stream.send_all(unsent)
+                    if unsent:
+                        await trio.sleep(0.02)
+                    answer = self.answer.replace(b"%b", request_id, 1)
+                    await stream.send_all(answer)
+                    # The next case begins with a connection of its own.
+                    return
+
+    async def _receive(self, stream):
+        """Reads a request and returns its ID; none at the end."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            if not (part := await stream.receive_some(65536)):
+                return b""
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        _, _, length = head.partition(b"content-length: ")
+        missing = int(length.split()[0]) - len(body) if length else 0
+        while missing > 0:
+            missing -= len(await stream.receive_some(65536))
+        return head.partition(b"request-id: ")[2].partition(b"\r")[0]
+
+    async def _refuse(self, stream):
+        """Sends the refusal; returns what is left for the next request."""
+        half = len(self.refusal) // 2
+        match self.timing:
+            case "at once":
+                await stream.send_all(self.refusal * 2)
+                return b""
+            case "in two parts":
+                await stream.send_all(self.refusal + self.refusal[:half])
+                return self.refusal[half:]
+            case "while idle":
+                await stream.send_all(self.refusal)
+                await trio.sleep(0.01)
+                await stream.send_all(self.refusal)
+                return b""
+            case _:
+                await stream.send_all(self.refusal)
+                return self.refusal
+
+
+REFUSALS = [
+    b"HTTP/1.1 503 Full\r\nnot-executed: full\r\n",
+    b"HTTP/1.1 421 Misdirected\r\nnot-executed: other\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nnot-executed: full\r\n",
+]
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+# Guards against a request that runs and is told as not run, or runs twice.
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("refused_id", [None, b"r1"])
+@pytest.mark.parametrize(
+    "timing", ["at once", "in two parts", "while idle", "before the answer"]
+)
+async def test_repeated_refusal_tells_nothing_about_another_request(
+    timing, refused_id, vm
+):
+    upstream = _RepeatingUpstream()
+    upstream.timing = timing
+    end = b"content-length: 0\r\n\r\n"
+    if refused_id is not None:
+        end = b"request-id: %b\r\n" % refused_id + end
+    answers = itertools.cycle(FRAMINGS.values())
+    async with _fleet(upstream, route_type="non_idempotent") as (fleet, _):
+        for refusal, second_id, body in itertools.product(
+            REFUSALS, (b"r1", b"r2"), (b"", LONG)
+        ):
+            upstream.refused = b"r1"
+            upstream.refusal = refusal + end
+            upstream.answer = b"".join(next(answers)(LONG))
+            for request_id in (b"r1", second_id):
+                upstream.ran = []
+                request = POST % (request_id, len(body)) + body
+                with trio.fail_after(5):
+                    outcome = await _ask(fleet, vm, request)
+                _check_outcome(outcome, request_id, upstream.ran)
+            assert not upstream.refused, "nothing was refused"
+            assert upstream.ran == [second_id]
+
+
+def _check_outcome(outcome, request_id, ran):
+    """Checks what a caller was told about a request that isn't idempotent."""
+    assert ran in ([], [request_id])
+    match outcome:
+        case (status, _) if status in NOT_RUN_STATUSES:
+            assert not ran, f"{status}, though it ran"
+        case (200, body):
+            assert ran and body == LONG
+        case (status, _):
+            assert status in (502, 504)
