--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -1,10 +1,14 @@
 """Disconnects, pipelining and stops while a request is in progress."""
 
 import contextlib
+import socket
+import struct
 
 import trio
+import trio.testing
 
 from sassafrashall import configuration
+from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.transport import stream_server
@@ -132,6 +136,31 @@
     assert b"connection: close" in received
 
 
+# Guards against a pipelined request that gets no answer: it had been read when
+# the connection between it and its predecessor counted as idle.
+async def test_a_stop_between_pipelined_requests_serves_the_second_one():
+    started = trio.Event()
+    reply = mailbox.Reply()
+
+    async def handler(raw):
+        if raw.target == "/2":
+            return _response(b"second")
+        started.set()
+        return await reply.wait()
+
+    async with _server(handler) as (stream, server):
+        await stream.send_all(REQUEST % 1 + REQUEST % 2)
+        await started.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        # The connection's task has not run since its first response.
+        reply.put(_response(b"first"))
+        (connection,) = server._connections
+        connection.stop()
+        received = await loopback.receive_until_end(stream)
+    assert received.index(b"first") < received.index(b"connection: close")
+    assert received.endswith(b"second")
+
+
 async def test_responses_announce_how_long_the_connection_may_stay_idle():
     async def handler(raw):
         return _response()
@@ -159,3 +188,61 @@
         await trio.sleep(0.05)
         reply.put(None)
         assert await stream.receive_some(100) == b""
+
+
+async def _reset(stream):
+    stream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    await trio.aclose_forcefully(stream)
+
+
+# Guards against an upload that is taken for one that the upstream broke off: it
+# then goes on waiting for the rest of a request whose caller has gone.
+async def test_a_reset_during_an_upload_fails_the_read_of_the_body():
+    upload_started = trio.Event()
+    failures = []
+
+    async def handler(raw):
+        upload_started.set()
+        try:
+            while await raw.rest.read():
+                pass
+        except Exception as error:
+            failures.append(error)
+        return _response()
+
+    async with _server(handler) as (stream, server):
+        await stream.send_all(b"POST / HTTP/1.1\r\nHost: h\r\n")
+        await stream.send_all(b"Content-Length: 999999\r\n\r\n" + b"a" * 99999)
+        await upload_started.wait()
+        await _reset(stream)
+        while server.connections:
+            await trio.sleep(0.01)
+    (failure,) = failures
+    assert isinstance(failure, exceptions.ConnectionFailedError)
+
+
+# Guards against work for a caller that has gone: once an upload had ended
+# before the body did, its connection counted as one that is being read.
+async def test_a_disconnect_after_an_upload_was_cancelled_ends_the_request():
+    answered = trio.Event()
+    body = _StalledBody()
+
+    async def handler(raw):
+        size = len(raw.body)
+        while size < 99999:
+            size += len(await raw.rest.read())
+        # The response comes while the upload waits for more of the body.
+        with trio.move_on_after(0.05):
+            await raw.rest.read()
+        answered.set()
+        return _response(b"x" * 100, body)
+
+    async with _server(handler) as (stream, _):
+        await stream.send_all(b"POST / HTTP/1.1\r\nHost: h\r\n")
+        await stream.send_all(b"Content-Length: 999999\r\n\r\n" + b"a" * 99999)
+        await answered.wait()
+        await stream.receive_some(1000)
+        await stream.aclose()
+        await body.closed.wait()
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -10,6 +10,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import clock
 from sassafrashall import exceptions
@@ -188,11 +189,10 @@
     the test is blocked.
     """
 
-    def __init__(self, extra=b"", delay=0.0, answer=None):
+    def __init__(self, extra=b"", answer=None):
         self.address = loopback.free_address()
         self.requests = 0
         self._extra = extra
-        self._delay = delay
         self._answer = answer or self._answer_ok
         self._kept = []
         self._listener = socket.create_server(
@@ -208,7 +208,6 @@
                 return
             data = connection.recv(65536)
             self.requests += 1
-            time.sleep(self._delay)
             request_id = data.partition(b"request-id: ")[2].partition(b"\r")[0]
             self._answer(connection, request_id)
 
@@ -424,20 +423,59 @@
     time.sleep(0.25)
 
 
+class _HeldAnswer:
+    """Answers while the event loop is blocked, then lets the clock jump."""
+
+    def __init__(self, monkeypatch, jump):
+        self._asked = threading.Event()
+        self._may_answer = threading.Event()
+        self._answered = threading.Event()
+        self._connections = []
+        self._jump = jump
+        self._offset = 0.0
+        now = clock.monotonic
+        monkeypatch.setattr(clock, "monotonic", lambda: now() + self._offset)
+
+    def __call__(self, connection, request_id):
+        self._asked.set()
+        self._may_answer.wait(5)
+        connection.sendall(OK % request_id)
+        self._connections.append(connection)
+        self._answered.set()
+
+    async def block_loop(self):
+        while not self._asked.is_set():
+            await trio.sleep(0.005)
+        self._may_answer.set()
+        self._answered.wait(5)
+        # The check of the deadlines becomes due as well.
+        time.sleep(1.5 * upstream_pool.SWEEP_INTERVAL)
+        self._offset += self._jump
+
+    def end_connections(self):
+        for event in (self._asked, self._may_answer, self._answered):
+            event.clear()
+        while self._connections:
+            self._connections.pop().close()
+
+
 # Guards against an answer that arrived in time and is thrown away, since the
 # event loop ran late and checked the deadlines before it read.
-async def test_answer_that_arrived_before_the_deadline_is_delivered():
-    upstream = _ThreadedUpstream(delay=0.05)
+async def test_answer_that_arrived_before_the_deadline_is_delivered(
+    monkeypatch,
+):
+    answer = _HeldAnswer(monkeypatch, jump=60.0)
+    upstream = _ThreadedUpstream(answer=answer)
     pool = upstream_pool.UpstreamPool(counters=fakes.counters())
 
     async with fakes.started(pool):
         # The scheduler runs the two tasks in random order.
         for _ in range(8):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_block_loop)
-                response = await _exchange(pool, upstream, "a", timeout=0.2)
+                nursery.start_soon(answer.block_loop)
+                response = await _exchange(pool, upstream, "a", timeout=60.0)
                 assert response.body == b"ok"
-            upstream.end_connections()
+            answer.end_connections()
     upstream.close()
 
 
@@ -704,3 +742,110 @@
     complete = answer is _answer_and_close_unread
     assert bodies == ({b"ok"} if complete else {None})
     upstream.close()
+
+
+def _reset_at_once(connection):
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    connection.close()
+
+
+# Guards against the end of the process, and with it of all requests, by one
+# connection that the upstream resets before the request is sent.
+async def test_reset_of_a_new_connection_fails_only_its_request(monkeypatch):
+    connect = sockets.connect
+    address = loopback.free_address()
+    with socket.create_server((address.host, address.port)) as listening:
+
+        async def connect_and_reset(address):
+            stream = await connect(address)
+            _reset_at_once(listening.accept()[0])
+            return stream
+
+        monkeypatch.setattr(sockets, "connect", connect_and_reset)
+        pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+        async with fakes.started(pool):
+            for _ in range(2):
+                with pytest.raises(exceptions.ConnectionFailedError) as caught:
+                    await _exchange(pool, _Listening(address), "a")
+                assert not caught.value.maybe_delivered
+
+
+class _Listening:
+    """An upstream of which only the address is needed."""
+
+    def __init__(self, address):
+        self.address = address
+
+
+async def _send_part_of_a_long_body(stream, request_id):
+    head = OK.partition(b"content-length")[0] % request_id
+    await stream.send_all(head + b"content-length: 9999999\r\n\r\n")
+    await stream.send_all(b"a" * (http.BUFFERED_BODY_LIMIT + 100))
+    await trio.sleep_forever()
+
+
+# Guards against an exception that leaves the task which passes the body on: it
+# reads on a connection that was closed at the deadline.
+async def test_body_that_is_read_on_after_its_deadline_fails():
+    async with _pool(_send_part_of_a_long_body) as (pool, upstream):
+        response = await _exchange(pool, upstream, "a", timeout=0.2)
+        while not _closures(upstream):
+            await trio.sleep(0.01)
+        with pytest.raises(exceptions.ConnectionFailedError):
+            while await response.rest.read():
+                pass
+
+
+async def _connect_never(address):
+    await trio.sleep_forever()
+
+
+# Guards against a caller that waits until its connection is cut: the pool was
+# closed at the end of a stop, before it had a connection for the request.
+async def test_request_that_waits_for_a_connection_ends_with_the_pool(
+    monkeypatch,
+):
+    monkeypatch.setattr(sockets, "connect", _connect_never)
+    pool = upstream_pool.UpstreamPool(counters=fakes.counters())
+    upstream = _Listening(loopback.free_address())
+    failures = []
+
+    async def send():
+        with pytest.raises(exceptions.ConnectionFailedError) as caught:
+            await _exchange(pool, upstream, "a")
+        failures.append(caught.value.maybe_delivered)
+
+    with trio.fail_after(5):
+        async with fakes.started(pool), trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.testing.wait_all_tasks_blocked()
+            await pool.close()
+    assert failures == [False]
+
+
+# Guards against the end of the process by a header of one response.
+@pytest.mark.parametrize("seconds", [b"\xb2", b"9" * 5000, b"-1", b""])
+async def test_invalid_keep_alive_timeout_is_ignored(seconds):
+    async def answer(stream, request_id):
+        head, _, body = (OK % request_id).partition(b"\r\n\r\n")
+        head += b"\r\nkeep-alive: timeout=" + seconds
+        await stream.send_all(head + b"\r\n\r\n" + body)
+        return True
+
+    async with _pool(answer, answer) as (pool, upstream):
+        for request_id in ("a", "b"):
+            assert (await _exchange(pool, upstream, request_id)).body == b"ok"
+        assert upstream.connections == 1
+
+
+# Guards against the end of the process by one exchange: a name of a tenant may
+# have characters that no header can carry.
+async def test_request_that_cannot_be_encoded_fails_alone():
+    async with _pool(_answer, _answer) as (pool, upstream):
+        for _ in range(2):
+            with pytest.raises(exceptions.ConnectionFailedError) as caught:
+                await _exchange(pool, upstream, "\u6771")
+            assert not caught.value.maybe_delivered
+            assert (await _exchange(pool, upstream, "a")).body == b"ok"
