A response before the end of an upload no longer ends the node's process

What callers saw: all connections of a node closed at once, with every request on them, as its process ended with BusyResourceError.

Cause: after a response that came before the end of a long request body, the caller's connection reads and drops the rest. The task that uploads the body is cancelled at that time, but a cancelled task that was scheduled already runs on to its next read. trio does not allow two tasks to wait for one socket and raises in the second; the uploads to upstreams and to other nodes don't expect that error. Where an answer breaks off, the upload is not even cancelled. If the connection's own task was the second, the connection closed without dropping the rest, which may reset it.

The new test's case in which the connection reads first failed with the same error before; the other case passed.

Fix: the connection takes its socket back before it drops the rest: it cancels the read in progress, waits until that has ended, and fails later ones.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -40,14 +40,48 @@
         self._connection = connection
         self._remaining_limit = limit
         self.ended = False
+        # Cancels the read of the task that uploads the body.
+        self._read_scope: trio.CancelScope | None = None
+        self._read_ended = trio.Event()
+        self._discarding = False
 
     async def read(self) -> bytes:
         """Returns the next bytes, or none at the end.
 
+        Raises:
+          ProtocolError: The body is too large or malformed.
+          ConnectionFailedError: The caller disconnected, or the request has
+            been answered.
+        """
+        if not self._discarding:
+            self._read_ended = trio.Event()
+            try:
+                with trio.CancelScope() as self._read_scope:
+                    return await self._read()
+            finally:
+                self._read_scope = None
+                self._read_ended.set()
+        raise exceptions.ConnectionFailedError(
+            "the request has been answered", maybe_delivered=True
+        )
+
+    async def discard(self) -> None:
+        """Reads up to the end, once the task that uploads the body has stopped.
+
+        Two tasks must not wait for the same socket.
+
         Raises:
           ProtocolError: The body is too large or malformed.
           ConnectionFailedError: The caller disconnected.
         """
+        self._discarding = True
+        if self._read_scope is not None:
+            self._read_scope.cancel()
+            await self._read_ended.wait()
+        while await self._read():
+            pass
+
+    async def _read(self) -> bytes:
         if self.ended:
             return b""
         try:
@@ -508,8 +542,7 @@
         """
         with trio.move_on_after(LINGER_TIME):
             try:
-                while await rest.read():
-                    pass
+                await rest.discard()
             except exceptions.SassafrashallError:
                 return
 
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 
+import pytest
 import trio
 import trio.testing
 
@@ -116,6 +117,39 @@
             assert received[head_length:] == body
 
 
+# Guards against two tasks that read from one socket, which ends the process.
+# An upload may still read the body of a request that was answered early.
+@pytest.mark.parametrize("waits_for", ["bytes", "response"])
+async def test_response_before_the_end_of_an_upload_ends_the_upload(waits_for):
+    responded, ended = trio.Event(), trio.Event()
+
+    async def upload(rest):
+        with pytest.raises(exceptions.ConnectionFailedError):
+            while await rest.read():
+                if waits_for == "response":
+                    await responded.wait()
+        ended.set()
+
+    async with trio.open_nursery() as nursery:
+
+        async def handler(raw):
+            nursery.start_soon(upload, raw.rest)
+            await trio.testing.wait_all_tasks_blocked()
+            return _response()
+
+        async with _server(handler) as (stream, _):
+            await stream.send_all(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"
+                + b"x" * 200_000
+            )
+            assert (await stream.receive_some(1000)).startswith(b"HTTP/1.1 200")
+            responded.set()
+            await ended.wait()
+            # The rest is discarded, so that no reset drops the response.
+            await stream.send_all(b"x" * 100_000)
+            assert await stream.receive_some(1000) == b""
+
+
 async def test_a_stop_completes_the_request_and_closes_the_connection():
     reply = mailbox.Reply()
 
