An exception on a connection to an upstream ends that connection only

Evidence: the test ended in the exception group before the change.

Fix: the connection logs such an exception with its trace and fails its request as one that may have run. What can raise comes before the exchange is forgotten, so that its caller gets that failure.

--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -10,6 +10,7 @@
 from sassafrashall import clock
 from sassafrashall import connection_log
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -215,6 +216,14 @@
             detail = str(group.exceptions[0])
             reason = connection_log.Reason.BAD_INPUT
             self._response_started = True
+        except* Exception:
+            # An exception must not end the requests of other callers.
+            logs.get().exception(
+                "unhandled exception on a connection to an upstream"
+            )
+            detail = "a fault inside the system; its log says more"
+            reason = connection_log.Reason.HANDLER_FAILED
+            self._response_started = True
         finally:
             self.close(reason)
             self._end_exchange(detail)
@@ -327,13 +336,14 @@
         self, exchange: _Exchange, head: http1.ResponseHead
     ) -> None:
         """Ends the exchange, and the connection unless it is reusable."""
+        keep_alive_time = _keep_alive_time(head.headers)
         exchange.reply.on_abandon(None)
         # After an early response the upload ends, and so does the connection.
         if exchange.upload_scope is not None:
             exchange.upload_scope.cancel()
         self._exchange = None
         self._idle_since = clock.monotonic()
-        self._expires_at = self._idle_since + _keep_alive_time(head.headers)
+        self._expires_at = self._idle_since + keep_alive_time
         request_id = exchange.message.is_answer.request_id
         if head.status >= 400 and request_id is not None:
             self._failed_ids.add(request_id)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -760,3 +760,14 @@
                 await _exchange(pool, upstream, "\u6771")
             assert not caught.value.maybe_delivered
             assert (await _exchange(pool, upstream, "a")).body == b"ok"
+
+
+# Guards against the end of the process by an exception on one connection.
+async def test_an_exception_on_a_connection_fails_only_its_request(monkeypatch):
+    async with _pool(_answer, _answer) as (pool, upstream):
+        with monkeypatch.context() as patch:
+            patch.setattr(upstream_connection, "_keep_alive_time", None)
+            with pytest.raises(exceptions.ConnectionFailedError) as caught:
+                await _exchange(pool, upstream, "a", timeout=0.5)
+            assert caught.value.maybe_delivered
+        assert (await _exchange(pool, upstream, "b")).body == b"ok"
