A departure counts as announced once a control has heard of it

What was seen: nothing so far. A stopping node went on as if the controls knew that it leaves, although the heartbeat that had been answered was sent before. The 2.5 s that it waits after that hide it in the usual case.

Cause: any reply to a heartbeat answered the messages that announce the departure, also the reply to a heartbeat that was under way.

Evidence: the test saw only a heartbeat without the departure before the change.

Fix: only the reply to a heartbeat that carried the departure counts.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -39,10 +39,12 @@
       reply: The answer.
       sent_at: When the heartbeat was sent, in monotonic seconds; the
         `proof_age` of the reply counts from then.
+      leaving: Whether the heartbeat said that the node leaves.
     """
 
     reply: protocol.HeartbeatReply
     sent_at: float
+    leaving: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -242,7 +244,11 @@
             try:
                 answer = await self._link.ask(call)
                 self.mailbox.tell(
-                    _HeartbeatReplied(reply=answer, sent_at=sent_at)
+                    _HeartbeatReplied(
+                        reply=answer,
+                        sent_at=sent_at,
+                        leaving=heartbeat.record.leaving,
+                    )
                 )
                 self._log_control_contact("")
             except exceptions.SassafrashallError as error:
@@ -302,9 +308,10 @@
             self._link.tell(
                 messages.ControlIsStale(majority_age=answer.majority_age)
             )
-        for reply in self._leave_replies:
-            reply.put(None)
-        self._leave_replies.clear()
+        if message.leaving:
+            for reply in self._leave_replies:
+                reply.put(None)
+            self._leave_replies.clear()
 
     def _apply_document(
         self, document: configuration.Configuration | None
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from sassafrashall import clock
 from sassafrashall import mailbox
@@ -35,7 +36,7 @@
     return jump
 
 
-def _membership(event_log):
+def _membership(event_log, answer=None):
     reply = protocol.HeartbeatReply(
         directory_source="c",
         directory_version=1,
@@ -46,7 +47,10 @@
         withdrawn=(),
         majority_age=0.0,
     )
-    link = fakes.ScriptedController(lambda message: reply)
+    if answer is None:
+        link = fakes.ScriptedController(lambda message: reply)
+    else:
+        link = fakes.ScriptedController(lambda message: answer(message, reply))
     membership = node_membership.NodeMembership(
         record=model.NodeRecord(
             vm="a",
@@ -133,3 +137,25 @@
             jump_clock()
             await membership.local_upstream.wait_changed()
     assert _states(event_log) == ["ready", "gone"]
+
+
+# Guards against a node that takes its departure for announced: the heartbeat
+# that was answered had been sent before.
+async def test_a_departure_is_announced_once_a_control_has_heard_of_it():
+    released = trio.Event()
+    told = []
+
+    async def answer(message, reply):
+        await released.wait()
+        told.append(message.message.record.leaving)
+        return reply
+
+    link, membership = _membership(fakes.event_log(), answer)
+    async with fakes.started(link, membership):
+        with trio.fail_after(5):
+            await trio.testing.wait_all_tasks_blocked()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(membership.mailbox.ask, messages.Leave())
+                await trio.testing.wait_all_tasks_blocked()
+                released.set()
+            assert told == [False, True]
