Peer server: a stop refuses calls on connections whose task has not run

What callers saw: a node that stopped while a connection of another node, with calls on it, had just arrived reset it without reading the calls. The calling node had to count unconfirmed ones as calls that may have run: 502 in place of an attempt elsewhere. Some of these connections stayed open until the process ended.

Cause: a connection entered the server's set in the first step of its task, so a stop in the same turn of the loop missed it. PeerConnection got its frame handler in run, so the stop read nothing on a connection that it did find.

Fix: the server registers a connection as it is accepted, and a PeerConnection has its frame handler from its construction on. The rest of a streamed answer is sent by a task of the server, which the end of the connection cancels as before, since an answer can now be there before the connection's own task.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -88,7 +88,7 @@
         failure = "the link was closed before there was a connection"
         try:
             self._connection = await peer_connection.PeerConnection.open(
-                self._address
+                self._address, on_frame=self._on_frame
             )
         except exceptions.ConnectionFailedError as error:
             failure = str(error)
@@ -110,7 +110,7 @@
                 for call in self._unopened:
                     self._open_call(call)
                 self._unopened.clear()
-                await self._connection.run(self._on_frame)
+                await self._connection.run()
                 self._nursery.cancel_scope.cancel()
         finally:
             self._links.on_ended(self._address, self)
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -28,8 +28,10 @@
 class PeerConnection:
     """Owns a socket; one task writes queued frames and one task reads."""
 
-    def __init__(self, *, stream: sockets.Stream) -> None:
+    def __init__(self, *, stream: sockets.Stream, on_frame: OnFrame) -> None:
+        """Creates the connection; `on_frame` gets each frame that arrives."""
         self._stream = stream
+        self._on_frame = on_frame
         self._send_queue: list[bytes] = []
         self._queue_filled = trio.Event()
         self._writing = False
@@ -37,12 +39,13 @@
         self._broken = False
         self._end_reason = connection_log.Reason.PROCESS_END
         self._buffer = frames.FrameBuffer()
-        self._on_frame: OnFrame | None = None
 
     @classmethod
-    async def open(cls, address: model.Address) -> PeerConnection:
+    async def open(
+        cls, address: model.Address, *, on_frame: OnFrame
+    ) -> PeerConnection:
         """Connects; raises `ConnectionFailedError` if that fails."""
-        return cls(stream=await sockets.connect(address))
+        return cls(stream=await sockets.connect(address), on_frame=on_frame)
 
     @property
     def ended(self) -> bool:
@@ -101,8 +104,6 @@
         arrived before a timeout that is checked now.
         """
         for _ in range(MAX_READY_READS):
-            if self._on_frame is None:
-                return
             try:
                 data = self._stream.receive_nowait(http.RECEIVE_SIZE)
             except OSError:
@@ -130,7 +131,6 @@
 
     def _pass_on(self, data: bytes) -> None:
         """Passes on received frames; an invalid one ends the connection."""
-        assert self._on_frame is not None
         try:
             for frame in self._buffer.split(data):
                 self._on_frame(frame)
@@ -150,9 +150,8 @@
         self._end_reason = reason
         self._stream.close()
 
-    async def run(self, on_frame: OnFrame) -> None:
-        """Passes received frames to `on_frame` until the connection ends."""
-        self._on_frame = on_frame
+    async def run(self) -> None:
+        """Passes on received frames until the connection ends."""
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.write)
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -23,6 +23,8 @@
 
 # Returns the keyed digest that authenticates the node of the named VM.
 ComputeProof = Callable[[str], bytes]
+# Runs an asynchronous function in a task of its own.
+Spawn = Callable[..., None]
 
 
 class _ServedCall:
@@ -62,18 +64,21 @@
     def __init__(
         self,
         *,
-        connection: peer_connection.PeerConnection,
+        stream: sockets.Stream,
         handler: error_boundary.Handler,
         compute_proof: ComputeProof,
+        spawn: Spawn,
         log: connection_log.ConnectionLog,
     ) -> None:
-        self._connection = connection
+        self._connection = peer_connection.PeerConnection(
+            stream=stream, on_frame=self._on_frame
+        )
         self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
+        self._spawn = spawn
         self._authenticated = False
         self._calls: dict[int, _ServedCall] = {}
-        self._nursery: trio.Nursery | None = None
 
     @property
     def busy(self) -> bool:
@@ -103,9 +108,7 @@
     async def serve(self) -> None:
         """Runs until the connection ends; its calls end with it."""
         try:
-            async with trio.open_nursery() as self._nursery:
-                await self._connection.run(self._on_frame)
-                self._nursery.cancel_scope.cancel()
+            await self._connection.run()
         finally:
             calls = tuple(self._calls.values())
             self._log.write(
@@ -194,12 +197,11 @@
             case model.Answer(response=response):
                 self._connection.send(_encode_answer(frame.call, outcome))
                 if response.rest is not None:
-                    assert self._nursery is not None
                     body = call.response_body = peer_connection.OutgoingBody(
                         connection=self._connection, call=frame.call
                     )
                     scope = call.response_scope = trio.CancelScope()
-                    self._nursery.start_soon(
+                    self._spawn(
                         self._send_rest, call, body, response.rest, scope
                     )
             case model.Refuse():
@@ -336,16 +338,18 @@
         stream = sockets.Stream(stream=accepted)
         stream.enable_keepalive()
         assert self._nursery is not None
-        self._nursery.start_soon(self._serve, stream)
-
-    async def _serve(self, stream: sockets.Stream) -> None:
         connection = _ServedConnection(
-            connection=peer_connection.PeerConnection(stream=stream),
+            stream=stream,
             handler=self._handler,
             compute_proof=self._compute_proof,
+            spawn=self._nursery.start_soon,
             log=self._log,
         )
+        # `close` must find it also before its task has run for the first time.
         self._connections.add(connection)
+        self._nursery.start_soon(self._serve, connection)
+
+    async def _serve(self, connection: _ServedConnection) -> None:
         try:
             await connection.serve()
         finally:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,6 +1,7 @@
 """Calls between nodes when the other node or the connection fails."""
 
 import contextlib
+import socket
 import time
 
 import pytest
@@ -578,3 +579,40 @@
             pytest.raises(exceptions.ConnectionFailedError),
         ):
             await outcome.response.rest.read()
+
+
+# Guards against calls in the backlog of a stopping node being reset unread, so
+# that the calling node must count them as calls that may have run.
+@pytest.mark.usefixtures("scheduling")
+@pytest.mark.parametrize("turns", range(4))
+async def test_close_refuses_calls_on_connections_that_have_just_arrived(turns):
+    """The stop comes from 0 to 3 turns of the loop after the connections."""
+
+    async def handler(request):
+        return model.Refuse(code=exceptions.STOPPING, detail="")
+
+    servers = []
+    hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", SECRET))
+    data = frames.encode(hello) + frames.encode(_open_call(1))
+    connections = []
+    async with _peer(handler, servers=servers) as address:
+        await trio.testing.wait_all_tasks_blocked()
+        for _ in range(3):
+            connection = socket.create_connection((address.host, address.port))
+            connection.sendall(data)
+            connections.append(connection)
+        for _ in range(turns):
+            await trio.lowlevel.checkpoint()
+        await servers[0].close()
+        await trio.testing.wait_all_tasks_blocked()
+        received = []
+        for connection in connections:
+            connection.settimeout(1)
+            buffer = frames.FrameBuffer()
+            while part := connection.recv(65536):
+                received += buffer.feed(part)
+            connection.close()
+        assert not servers[0].busy
+    assert [(r.code, r.run) for r in received] == [
+        (exceptions.STOPPING, "not-run")
+    ] * 3
