Connections between nodes: a limit for what waits to be sent

What callers saw: nothing yet. A node has 300 MB.

Cause: send queues what the socket doesn't take. A body is limited by its own window, but not the number of bodies, buffered answers and calls.

Fix: a connection that has more than 8 MiB to send is congested. Bodies wait until it is not, and calls are refused as not run, at the calling node before they are sent and at the serving node before they reach the handler, so that they can be tried elsewhere.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -128,6 +128,15 @@
         if call.reply.abandoned or call.reply.done:
             return
         assert self._connection is not None
+        if self._connection.is_congested:
+            call.reply.put(
+                _refusal(
+                    exceptions.PEER_UNREACHABLE,
+                    "the connection to the node is congested",
+                    False,
+                )
+            )
+            return
         self._last_number += 1
         number = self._last_number
         message = call.message
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -21,6 +21,9 @@
 # less than a timer for each call.
 EXPIRY_INTERVAL = 0.1
 MAX_READY_READS = 64  # more than a socket's receive buffer holds
+# Bytes that wait for the socket, above which no body is read for the connection
+# and no call starts on it.
+MAX_UNSENT = 8 * 1024 * 1024
 
 OnFrame = Callable[[frames.Frame], None]
 
@@ -33,6 +36,8 @@
         self._stream = stream
         self._on_frame = on_frame
         self._send_queue: list[bytes] = []
+        self._unsent = 0  # bytes, those that are being written included
+        self._sent = trio.Event()
         self._queue_filled = trio.Event()
         self._writing = False
         self._ended = False
@@ -57,6 +62,16 @@
         """Why the connection ended."""
         return self._end_reason
 
+    @property
+    def unsent(self) -> int:
+        """Number of bytes that the socket has not taken yet."""
+        return self._unsent
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the other node takes the bytes sent to it too slowly."""
+        return self._unsent > MAX_UNSENT and not self._ended
+
     @property
     def is_closed_by_peer(self) -> bool:
         """Whether the end of the stream is the next thing to be read."""
@@ -72,6 +87,7 @@
         data = frames.encode(frame)
         if self._send_queue or self._writing:
             self._send_queue.append(data)
+            self._unsent += len(data)
             return
         try:
             sent = self._stream.send_nowait(data)
@@ -80,8 +96,16 @@
             return
         if sent < len(data):
             self._send_queue.append(data[sent:])
+            self._unsent += len(data) - sent
             self._queue_filled.set()
 
+    async def wait_for_room(self) -> None:
+        """Waits while the connection is congested."""
+        while self.is_congested:
+            if self._sent.is_set():
+                self._sent = trio.Event()
+            await self._sent.wait()
+
     async def write(self) -> None:
         """Writes queued bytes until the connection breaks."""
         try:
@@ -92,10 +116,14 @@
                     await self._queue_filled.wait()
                 self._writing = True
                 queued, self._send_queue = self._send_queue, []
-                await self._stream.send(b"".join(queued))
+                data = b"".join(queued)
+                await self._stream.send(data)
+                self._unsent -= len(data)
+                self._sent.set()
         except OSError:
             # The reading task passes on what has arrived, then gets the error.
             self._ended = True
+            self._sent.set()
 
     def read_ready(self) -> None:
         """Passes on the frames that have arrived, without waiting.
@@ -161,6 +189,7 @@
             pass
         finally:
             self._ended = True
+            self._sent.set()
             self._stream.close()
 
 
@@ -239,6 +268,7 @@
                     self._window_widened = trio.Event()
                     await self._window_widened.wait()
                 self._window -= len(part)
+                await self._connection.wait_for_room()
                 self._connection.send(
                     frames.BodyPart(call=self._call, data=part)
                 )
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -154,6 +154,13 @@
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "the number of a call in progress"
             )
+        if self._connection.is_congested:
+            refusal = model.Refuse(
+                code=exceptions.PEER_UNREACHABLE,
+                detail="the connection to the calling node is congested",
+            )
+            self._connection.send(_encode_refusal(frame.call, refusal))
+            return
         call = _ServedCall(
             number=frame.call,
             root_id=frame.root_id,
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -18,6 +18,7 @@
 from sassafrashall.controllers import peer_links
 from sassafrashall.transport import frames
 from sassafrashall.transport import http
+from sassafrashall.transport import peer_connection
 from sassafrashall.transport import peer_server
 from sassafrashall.transport import sockets
 from tests import fakes
@@ -616,3 +617,74 @@
     assert [(r.code, r.run) for r in received] == [
         (exceptions.STOPPING, "not-run")
     ] * 3
+
+
+# Guards against calls to a node that reads nothing taking all memory.
+async def test_calls_on_a_congested_connection_are_refused_as_not_run(
+    monkeypatch,
+):
+    monkeypatch.setattr(peer_connection, "MAX_UNSENT", 4 << 20)
+    reads_on = trio.Event()
+    buffer = frames.FrameBuffer()
+
+    async def serve(stream):
+        await reads_on.wait()
+        while data := await stream.receive(65536):
+            for frame in buffer.feed(data):
+                if isinstance(frame, frames.OpenCall):
+                    await stream.send(frames.encode(_answer(frame.call)))
+
+    outcomes = []
+
+    async def send():
+        exchange = _exchange(address, timeout=5.0, body=bytes(1 << 20))
+        outcomes.append(await links.mailbox.ask(exchange))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        async with trio.open_nursery() as nursery:
+            for _ in range(40):
+                nursery.start_soon(send)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            refused = list(outcomes)
+            reads_on.set()
+        outcome = await links.mailbox.ask(_exchange(address))
+        assert isinstance(outcome, model.Answer)
+    assert refused
+    assert {(o.code, o.run) for o in refused} == {
+        (exceptions.PEER_UNREACHABLE, model.RunState.NOT_RUN)
+    }
+    answers = outcomes[len(refused) :]
+    assert {type(outcome) for outcome in answers} == {model.Answer}
+
+
+# Guards against answers to a node that reads nothing taking all memory.
+async def test_a_node_that_reads_no_answers_gets_its_calls_refused(monkeypatch):
+    monkeypatch.setattr(peer_connection, "MAX_UNSENT", 4 << 20)
+    handled = []
+
+    async def handler(request):
+        handled.append(request)
+        return model.Answer(
+            response=model.Response(status=200, headers=(), body=bytes(1 << 20))
+        )
+
+    async with _peer(handler) as address:
+        stream = await _connect_as_peer(address)
+        for number in range(1, 41):
+            call = _open_call(number, confirm=False)
+            stream.send_nowait(frames.encode(call))
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        outcomes = {}
+        with trio.fail_after(5):
+            async for frame in _frames_from(stream):
+                outcomes[frame.call] = frame
+                if len(outcomes) == 40:
+                    break
+        stream.close()
+    refused = [
+        outcome
+        for outcome in outcomes.values()
+        if isinstance(outcome, frames.RefuseCall)
+    ]
+    assert refused and len(handled) == 40 - len(refused)
+    assert {refusal.run for refusal in refused} == {model.RunState.NOT_RUN}
