Peer server: a stop sends the answers that wait

What callers saw: 502 for a request that its upstream had answered, if the node beside the upstream stopped while the answer, or its last parts, waited for the socket: the connection between the nodes ended in the middle of it.

Cause: a call counted as ended once its answer was queued, so the node didn't wait for the rest, and the close discarded the queue.

Fix: a connection with bytes to send counts as busy, and the close waits until they are sent. A stopping node gives that, and the end of its other connections, CLOSE_TIMEOUT seconds; then the connections are closed.

--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -411,9 +411,9 @@
         with trio.move_on_after(CLOSE_TIMEOUT):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._callers.close)
+                nursery.start_soon(self._peers.close)
                 for server in self._http_servers:
                     nursery.start_soon(server.close)
-        await self._peers.close()
         for controller in reversed(self._controllers):
             await controller.close()
         logs.get().info("node stopped")
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -64,13 +64,13 @@
 
     @property
     def unsent(self) -> int:
-        """Number of bytes that the socket has not taken yet."""
-        return self._unsent
+        """Number of bytes that wait to be sent."""
+        return 0 if self._ended else self._unsent
 
     @property
     def is_congested(self) -> bool:
         """Whether the other node takes the bytes sent to it too slowly."""
-        return self._unsent > MAX_UNSENT and not self._ended
+        return self.unsent > MAX_UNSENT
 
     @property
     def is_closed_by_peer(self) -> bool:
@@ -101,7 +101,14 @@
 
     async def wait_for_room(self) -> None:
         """Waits while the connection is congested."""
-        while self.is_congested:
+        await self._wait_until_sent(MAX_UNSENT)
+
+    async def flush(self) -> None:
+        """Waits until everything is sent, or the connection has ended."""
+        await self._wait_until_sent(0)
+
+    async def _wait_until_sent(self, limit: int) -> None:
+        while self.unsent > limit:
             if self._sent.is_set():
                 self._sent = trio.Event()
             await self._sent.wait()
@@ -176,6 +183,7 @@
         """Closes the connection; bytes that have not been read are dropped."""
         self._broken = self._ended = True
         self._end_reason = reason
+        self._sent.set()
         self._stream.close()
 
     async def run(self) -> None:
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -82,8 +82,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call is in progress."""
-        return bool(self._calls)
+        """Whether a call is in progress, or its answer is not sent yet."""
+        return bool(self._calls) or self._connection.unsent > 0
 
     def expire_calls(self, now: float) -> None:
         """Cancels calls past their deadline, and offers not confirmed in time.
@@ -100,9 +100,13 @@
             elif call.proceed is not None and call.proceed_deadline <= now:
                 call.proceed.put(False)
 
-    def close(self) -> None:
-        """Handles the frames that have arrived, then ends the connection."""
+    async def finish(self) -> None:
+        """Handles the frames that have arrived, and sends what waits."""
         self._connection.read_ready()
+        await self._connection.flush()
+
+    def close(self) -> None:
+        """Ends the connection, and the calls on it."""
         self._connection.close(connection_log.Reason.STOP)
 
     async def serve(self) -> None:
@@ -325,7 +329,7 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call is in progress on any connection."""
+        """Whether a call is in progress, or its answer is not sent yet."""
         return any(connection.busy for connection in self._connections)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -365,8 +369,15 @@
     async def close(self) -> None:
         """Stops accepting and closes the connections; cuts calls in progress.
 
-        Calls that have arrived by then still reach the handler.
+        Calls that have arrived by then still reach the handler, and answers
+        that wait are sent. A cancellation ends the wait for that.
         """
         self._acceptor.close()
-        for connection in tuple(self._connections):
-            connection.close()
+        connections = tuple(self._connections)
+        try:
+            async with trio.open_nursery() as nursery:
+                for connection in connections:
+                    nursery.start_soon(connection.finish)
+        finally:
+            for connection in connections:
+                connection.close()
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -688,3 +688,54 @@
     ]
     assert refused and len(handled) == 40 - len(refused)
     assert {refusal.run for refusal in refused} == {model.RunState.NOT_RUN}
+
+
+# Guards against a stop that discards answers that wait to be sent.
+async def test_close_sends_the_answers_of_calls_that_have_ended():
+    size = 3 << 20
+
+    async def handler(request):
+        return model.Answer(
+            response=model.Response(status=200, headers=(), body=bytes(size))
+        )
+
+    servers, received = [], []
+    async with _peer(handler, servers=servers) as address:
+        stream = await _connect_as_peer(address)
+        for number in range(1, 4):
+            call = _open_call(number, confirm=False)
+            stream.send_nowait(frames.encode(call))
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        assert servers[0].busy
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(servers[0].close)
+            with trio.fail_after(5):
+                async for frame in _frames_from(stream):
+                    received.append((frame.call, len(frame.body)))
+        assert not servers[0].busy
+        stream.close()
+    assert received == [(number, size) for number in range(1, 4)]
+
+
+# Guards against a stop that waits for ever for a node that reads nothing.
+async def test_close_gives_up_on_a_node_that_reads_no_answers(monkeypatch):
+    async def handler(request):
+        return model.Answer(
+            response=model.Response(status=200, headers=(), body=bytes(3 << 20))
+        )
+
+    servers = []
+    async with _peer(handler, servers=servers) as address:
+        stream = await _connect_as_peer(address)
+        for number in range(1, 5):
+            call = _open_call(number, confirm=False)
+            stream.send_nowait(frames.encode(call))
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        with trio.move_on_after(0.1) as scope:
+            await servers[0].close()
+        assert scope.cancelled_caught
+        with trio.fail_after(5), contextlib.suppress(OSError):
+            while await stream.receive(1 << 20):
+                pass
+        assert not servers[0].busy
+        stream.close()
