HTTP server: limit the time to send a response

What callers saw: nothing yet. An operator's client that reads nothing of a large response kept a control that got SIGTERM from closing its listener for controls and its controllers, until SIGKILL broke off what was in progress there. The unrouted node closes its listeners in the same order.

Cause: the send of a response had no limit, and close waits for the end of every connection.

Evidence: test_a_stop_gives_up_on_a_client_that_reads_nothing failed in both cases without the change: the close had not returned after 3 s.

Fix: a response is sent within SEND_TIMEOUT, and within STOP_GRACE once the server stops. A connection that ends so is logged as incomplete and unanswered.

--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -22,7 +22,10 @@
 BODY_LIMIT = 1024 * 1024  # bytes
 IDLE_TIMEOUT = 75.0  # seconds until the next request begins
 REQUEST_TIMEOUT = 10.0  # seconds to receive a whole request
-STOP_GRACE = 1.0  # seconds to receive a whole request once the server stops
+SEND_TIMEOUT = 30.0  # seconds to send a response
+# Seconds to receive a whole request, or to send a response, once the server
+# stops.
+STOP_GRACE = 1.0
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 
@@ -55,6 +58,8 @@
         # When the wait for a request or for the rest of it ends, in the time
         # of trio.
         self._receive_deadline = math.inf
+        # Ends the sending of a response.
+        self._send_scope = trio.CancelScope()
         # Whether a request is in progress or bytes of one have been read.
         self._busy = False
         self._stopping = False
@@ -103,7 +108,8 @@
         """Closes the connection once it is idle.
 
         A request that has begun to arrive is served first, if the rest of it
-        arrives within `STOP_GRACE`.
+        arrives within `STOP_GRACE`. So is one whose response is being sent, if
+        the peer takes the rest of it within `STOP_GRACE`.
         """
         self._stopping = True
         if self._is_idle:
@@ -112,6 +118,9 @@
             self._scope.cancel()
         else:
             self._limit_receive_time(STOP_GRACE)
+            self._send_scope.deadline = min(
+                self._send_scope.deadline, trio.current_time() + STOP_GRACE
+            )
 
     @property
     def _is_idle(self) -> bool:
@@ -203,7 +212,9 @@
         if request is None:
             return False
         response = await self._handler(request)
-        await self._send_response(response)
+        if not await self._send_response(response):
+            self._close_reason = connection_log.Reason.INCOMPLETE
+            return False
         if self._protocol.our_state is h11.MUST_CLOSE:
             self._close_reason = connection_log.Reason.ANNOUNCED
             return False
@@ -306,7 +317,8 @@
                 dataclasses.replace(response, headers=closing_headers)
             )
 
-    async def _send_response(self, response: model.Response) -> None:
+    async def _send_response(self, response: model.Response) -> bool:
+        """Sends a response and returns whether it was sent in time."""
         headers = list(http.end_to_end_headers(response.headers))
         headers.extend(self._length_headers(response))
         closes = (
@@ -316,10 +328,14 @@
         )
         if closes:
             headers.append(("connection", "close"))
-        async with self._send_lock:
-            await self._stream.send_all(self._encode(response, headers))
-        self._unanswered = False
-        self._active_at = clock.monotonic()
+        timeout = STOP_GRACE if self._stopping else SEND_TIMEOUT
+        with trio.move_on_after(timeout) as self._send_scope:
+            async with self._send_lock:
+                await self._stream.send_all(self._encode(response, headers))
+            self._unanswered = False
+            self._active_at = clock.monotonic()
+            return True
+        return False
 
     def _length_headers(self, response: model.Response) -> model.Headers:
         """Returns the Content-Length header, if the status allows a body."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -280,3 +280,34 @@
         await loopback.receive_until_closed(connections)
     closures = [(c.reason, c.unanswered) for c in log.closures]
     assert closures == [("stop", False)] * _CONNECTIONS
+
+
+# Guards against a client that reads nothing delaying a stop for ever, and with
+# it the end of the other listeners and controllers of its process.
+@pytest.mark.parametrize("sends_late", [False, True])
+async def test_a_stop_gives_up_on_a_client_that_reads_nothing(
+    monkeypatch, sends_late
+):
+    """The response is being sent when the stop comes, or only after it."""
+    monkeypatch.setattr(http_server, "STOP_GRACE", 0.1)
+    stops = trio.Event()
+
+    async def handler(raw):
+        if sends_late:
+            await stops.wait()
+        return model.Response(status=200, headers=(), body=bytes(64 << 20))
+
+    log = fakes.ConnectionLog()
+    async with loopback.serve(handler, log=log) as (address, server):
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.close)
+                await trio.testing.wait_all_tasks_blocked()
+                stops.set()
+                nursery.cancel_scope.deadline = trio.current_time() + 3
+            assert not nursery.cancel_scope.cancelled_caught
+    closures = [(c.reason, c.unanswered) for c in log.closures]
+    assert closures == [("incomplete", True)]
