Log the calls that are cancelled at a node, with the reason

What was seen: a call that a node cancelled, because the calling node gave it up, its connection ended or its deadline passed, left no line in the log of that node and no count, so that it couldn't be told from a call that never arrived.

Cause: the outcome was recorded when the filter chain returned, which it doesn't do on a cancellation.

Fix: a fiber is cancelled with a reason, which the node logs with the request's ID, ten lines a second at most, and counts in requests_cancelled. At the node where the request entered, the line of the closed connection has the reason.

The tests' frame OpenCall moved to fakes, to be used by two test files.

--- a/src/sassafrashall/decision_log.py
+++ b/src/sassafrashall/decision_log.py
@@ -14,6 +14,7 @@
 # outcome, the more lines.
 MAX_FAILED_LINES = 40
 MAX_REFUSED_LINES = 20
+MAX_CANCELLED_LINES = 10
 MAX_LATE_LINES = 10
 MAX_SERVED_LINES = 1
 SERVED_MESSAGE = "request served"
@@ -64,7 +65,23 @@
     peer_load: int
 
 
-Record: TypeAlias = Served | Ended
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cancelled:
+    """A request was cancelled, since nobody waits for its outcome any more.
+
+    Attributes:
+      step: Name of the filter chain that it passed: `entry` or `worker`.
+      reason: Why; empty if the end of its connection tells.
+      took_ms: Milliseconds since its arrival at this process.
+    """
+
+    request_id: str
+    step: str
+    reason: str
+    took_ms: float
+
+
+Record: TypeAlias = Served | Ended | Cancelled
 
 
 class DecisionLog:
@@ -121,6 +138,8 @@
             if 0 < record.target_ms < record.took_ms:
                 return "request served late", MAX_LATE_LINES
             return SERVED_MESSAGE, MAX_SERVED_LINES
+        case Cancelled():
+            return "request cancelled", MAX_CANCELLED_LINES
         case Ended(run=model.RunState.NOT_RUN):
             return "request refused", MAX_REFUSED_LINES
         case Ended():
--- a/src/sassafrashall/fiber.py
+++ b/src/sassafrashall/fiber.py
@@ -18,7 +18,10 @@
 
 
 class Cancelled(BaseException):
-    """Raised in a cancelled fiber, at the reply that it waits for."""
+    """Raised in a cancelled fiber, at the reply that it waits for.
+
+    Its text is the reason.
+    """
 
 
 class Suspension(Protocol):
@@ -65,6 +68,7 @@
         self._on_end = on_end
         self._is_running = False
         self._cancelled = False
+        self._cancel_reason = ""
         self._done = False
 
     @property
@@ -76,11 +80,12 @@
         """Runs the coroutine until its first wait."""
         self._step()
 
-    def cancel(self) -> None:
+    def cancel(self, reason: str = "") -> None:
         """Cancels the coroutine at its current or else its next wait."""
         if self._done or self._cancelled:
             return
         self._cancelled = True
+        self._cancel_reason = reason
         if not self._is_running:
             self._step()
 
@@ -98,7 +103,7 @@
         try:
             suspension = coroutine.send(None) if not self._cancelled else None
             while self._cancelled:
-                suspension = coroutine.throw(Cancelled())
+                suspension = coroutine.throw(Cancelled(self._cancel_reason))
         except (StopIteration, Cancelled):
             self._done = True
         except Exception:
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -13,6 +13,7 @@
 from sassafrashall import decision_log
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import fiber
 from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -306,14 +307,23 @@
             )
             self._record_outcome(request.request_id, "entry", request, outcome)
             return outcome
+        except (trio.Cancelled, fiber.Cancelled) as error:
+            self._record_cancel(request.request_id, "entry", request, error)
+            raise
         finally:
             self._in_progress -= 1
 
     async def _run_worker_chain(self, request: model.Request) -> model.Outcome:
-        outcome = await self._worker_chain.run(
-            model.Call(request=request, root_id="")
-        )
         assert request.ticket is not None
+        try:
+            outcome = await self._worker_chain.run(
+                model.Call(request=request, root_id="")
+            )
+        except fiber.Cancelled as error:
+            self._record_cancel(
+                request.ticket.root_id, "worker", request, error
+            )
+            raise
         self._record_outcome(request.ticket.root_id, "worker", request, outcome)
         return outcome
 
@@ -364,6 +374,23 @@
                 )
         self._decisions.write(record)
 
+    def _record_cancel(
+        self,
+        request_id: str,
+        step: str,
+        request: model.Request,
+        error: trio.Cancelled | fiber.Cancelled,
+    ) -> None:
+        self._metrics.count("requests_cancelled", step=step)
+        self._decisions.write(
+            decision_log.Cancelled(
+                request_id=request_id,
+                step=step,
+                reason=str(error) if isinstance(error, fiber.Cancelled) else "",
+                took_ms=1000 * (clock.monotonic() - request.received_at),
+            )
+        )
+
     def _refresh_metrics(self) -> None:
         view = self._membership.view.value
         self._metrics.gauge("nodes_known", len(view.records))
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -50,12 +50,12 @@
             and self.proceed_deadline <= now
         )
 
-    def cancel(self) -> None:
+    def cancel(self, reason: str) -> None:
         """Cancels the call, or the rest of its response."""
         if self.response_scope is not None:
             self.response_scope.cancel()
         elif self.fiber is not None:
-            self.fiber.cancel()
+            self.fiber.cancel(reason)
 
 
 class _ServedConnection:
@@ -96,7 +96,7 @@
         self._connection.read_ready()
         for call in tuple(self._calls.values()):
             if call.deadline <= now:
-                call.cancel()
+                call.cancel("the deadline has passed")
             elif call.proceed is not None and call.proceed_deadline <= now:
                 call.proceed.put(False)
 
@@ -123,7 +123,7 @@
                 )
             )
             for call in calls:
-                call.cancel()
+                call.cancel("the connection to the calling node has ended")
 
     def _on_frame(self, frame: frames.Frame) -> None:
         match frame:
@@ -147,7 +147,9 @@
                     call.response_body.add_credit(count)
             case frames.CancelCall(call=number):
                 if number in self._calls:
-                    self._calls[number].cancel()
+                    self._calls[number].cancel(
+                        "the calling node cancelled the call"
+                    )
             case _:
                 raise exceptions.ProtocolError(
                     exceptions.BAD_REQUEST, "unexpected frame"
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -17,6 +17,7 @@
 from sassafrashall import task
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import codec
+from sassafrashall.transport import frames
 
 
 def event_log() -> events.EventLog:
@@ -81,6 +82,28 @@
     return model.Answer(response=response, **fields)
 
 
+def open_call(call=1, **fields) -> frames.OpenCall:
+    values = {
+        "call": call,
+        "call_id": f"c{call}",
+        "root_id": "r",
+        "service": "s",
+        "organisation": "o",
+        "caller": "t",
+        "priority": 1,
+        "remaining_ms": 5000,
+        "depth": 0,
+        "idempotent": False,
+        "confirm": True,
+        "method": "POST",
+        "target": "/",
+        "headers": (),
+        "body": b"",
+        "more": False,
+    }
+    return frames.OpenCall(**{**values, **fields})
+
+
 class ScriptedController(task.Controller):
     """Answers each message with a function's result, or the error it raises.
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -138,28 +138,6 @@
     )
 
 
-def _open_call(call, **fields):
-    values = {
-        "call": call,
-        "call_id": f"c{call}",
-        "root_id": "r",
-        "service": "s",
-        "organisation": "o",
-        "caller": "t",
-        "priority": 1,
-        "remaining_ms": 5000,
-        "depth": 0,
-        "idempotent": False,
-        "confirm": True,
-        "method": "POST",
-        "target": "/",
-        "headers": (),
-        "body": b"",
-        "more": False,
-    }
-    return frames.OpenCall(**{**values, **fields})
-
-
 async def _connect_as_peer(address, secret=SECRET):
     """Returns a stream on which the frame `Hello` has been sent."""
     stream = await sockets.connect(address)
@@ -239,7 +217,7 @@
 
     async with _peer(handler) as address:
         stream = await trio.open_tcp_stream(address.host, address.port)
-        open_call = _open_call(1)
+        open_call = fakes.open_call(1)
         hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", SECRET))
         await stream.send_all(frames.encode(hello) + frames.encode(open_call))
         with trio.fail_after(3):
@@ -307,7 +285,7 @@
 
     async with _peer(handler) as address:
         stream = await _connect_as_peer(address)
-        stream.send_nowait(frames.encode(_open_call(1)))
+        stream.send_nowait(frames.encode(fakes.open_call(1)))
         async for frame in _frames_from(stream):
             if isinstance(frame, frames.Offer):
                 stream.send_nowait(frames.encode(frames.Proceed(call=1)))
@@ -439,8 +417,8 @@
     async with _peer(handler) as address:
         stream = await _connect_as_peer(address)
         for call in (
-            _open_call(1, priority=99, confirm=False),
-            _open_call(2, confirm=False),
+            fakes.open_call(1, priority=99, confirm=False),
+            fakes.open_call(2, confirm=False),
         ):
             stream.send_nowait(frames.encode(call))
         with trio.move_on_after(1):
@@ -520,7 +498,7 @@
     async with _peer(handler) as address:
         stream = await _connect_as_peer(address)
         for _ in range(2):
-            stream.send_nowait(frames.encode(_open_call(1)))
+            stream.send_nowait(frames.encode(fakes.open_call(1)))
         with trio.fail_after(1):
             assert await stream.receive(100) == b""
     assert len(ended) == 1
@@ -557,7 +535,7 @@
     async with _peer(handler, servers=servers) as address:
         stream = await _connect_as_peer(address)
         await trio.testing.wait_all_tasks_blocked()
-        stream.send_nowait(frames.encode(_open_call(1)))
+        stream.send_nowait(frames.encode(fakes.open_call(1)))
         await servers[0].close()
         with trio.fail_after(1):
             received = [frame async for frame in _frames_from(stream)]
@@ -594,7 +572,7 @@
 
     servers = []
     hello = frames.Hello(vm="x", proof=peer_links.hello_proof("x", SECRET))
-    data = frames.encode(hello) + frames.encode(_open_call(1))
+    data = frames.encode(hello) + frames.encode(fakes.open_call(1))
     connections = []
     async with _peer(handler, servers=servers) as address:
         await trio.testing.wait_all_tasks_blocked()
@@ -671,7 +649,7 @@
     async with _peer(handler) as address:
         stream = await _connect_as_peer(address)
         for number in range(1, 41):
-            call = _open_call(number, confirm=False)
+            call = fakes.open_call(number, confirm=False)
             stream.send_nowait(frames.encode(call))
         await trio.testing.wait_all_tasks_blocked(0.05)
         outcomes = {}
@@ -703,7 +681,7 @@
     async with _peer(handler, servers=servers) as address:
         stream = await _connect_as_peer(address)
         for number in range(1, 4):
-            call = _open_call(number, confirm=False)
+            call = fakes.open_call(number, confirm=False)
             stream.send_nowait(frames.encode(call))
         await trio.testing.wait_all_tasks_blocked(0.05)
         assert servers[0].busy
@@ -728,7 +706,7 @@
     async with _peer(handler, servers=servers) as address:
         stream = await _connect_as_peer(address)
         for number in range(1, 5):
-            call = _open_call(number, confirm=False)
+            call = fakes.open_call(number, confirm=False)
             stream.send_nowait(frames.encode(call))
         await trio.testing.wait_all_tasks_blocked(0.05)
         with trio.move_on_after(0.1) as scope:
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -10,11 +10,14 @@
 
 from sassafrashall import clock
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import routed_node
 from sassafrashall.controllers import peer_links
+from sassafrashall.transport import frames
 from sassafrashall.transport import http
+from sassafrashall.transport import sockets
 from tests import fakes
 from tests import loopback
 
@@ -360,6 +363,53 @@
     assert statuses == {"r0": 502, "r1": 502, "r2": 503}
 
 
+# Guards against calls that end without a line in any node's log.
+@pytest.mark.parametrize(
+    ("ends", "reason"),
+    [
+        ("caller", "the calling node cancelled the call"),
+        ("link", "the connection to the calling node has ended"),
+    ],
+)
+async def test_a_cancelled_call_is_logged_with_its_reason(caplog, ends, reason):
+    caplog.set_level("INFO", logger=logs.LOGGER_NAME)
+    async with _fleet() as fleet:
+        fleet.upstreams["vm-b"].delay = 30.0
+        record = fleet.nodes["vm-a"].membership.view.value.records["vm-b"]
+        stream = await sockets.connect(record.peer_address)
+        proof = peer_links.hello_proof("vm-x", routed.SECRET.encode())
+        hello = frames.Hello(vm="vm-x", proof=proof)
+        call = fakes.open_call(
+            service="beta",
+            root_id="r1",
+            headers=(("host", "beta.example"),),
+            confirm=False,
+        )
+        stream.send_nowait(frames.encode(hello) + frames.encode(call))
+        with trio.fail_after(2):
+            while not fleet.upstreams["vm-b"].requests:
+                await trio.sleep(0.02)
+        match ends:
+            case "caller":
+                cancel = frames.CancelCall(call=call.call)
+                stream.send_nowait(frames.encode(cancel))
+            case "link":
+                stream.close()
+        lines = []
+        with trio.move_on_after(2):
+            while not lines:
+                await trio.sleep(0.02)
+                lines = [
+                    line
+                    for line in caplog.records
+                    if line.message == "request cancelled"
+                ]
+        stream.close()
+    (line,) = lines
+    assert (line.step, line.request_id) == ("worker", "r1")
+    assert line.reason == reason
+
+
 # Guards against passing a request on that the stop has to break off.
 async def test_a_stopping_node_passes_on_only_what_ends_in_time(monkeypatch):
     monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.3)
