Node: keep an upstream whose heartbeat waits unread

What callers saw: after a node's process was paused for longer than an upstream may be silent, the node took its upstream for gone, although the upstream's heartbeats waited in the socket: the requests in its queue were refused, and it told the directory, so that the other nodes passed the upstream over until the next heartbeat.

Cause: the check for silent upstreams compares the clock with the last heartbeat that was read. After a delay of the loop, it may run before the task that reads.

Fix: an upstream is gone if it was silent at two checks in a row. Sockets are read between two checks.

The fixture that fixes the scheduler's order moved to conftest.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -99,6 +99,7 @@
         self._directory_source = ""
         self._directory_version = 0
         self._announced_at = 0.0
+        self._was_silent = False  # at the last check
         self._reported_shed = 0.0
         self._load_measured_at = clock.monotonic()
         self._heartbeat_due = trio.Event()
@@ -188,8 +189,17 @@
         self._heartbeat_due.set()
 
     def _expire_announcement(self) -> None:
+        """Takes an upstream for gone that was silent at two checks in a row.
+
+        After a delay of the event loop, an announcement may wait in a socket.
+        It is read between two checks.
+        """
         silence = clock.monotonic() - self._announced_at
-        if self._record.upstream and silence > self._announcement_ttl:
+        was_silent, self._was_silent = (
+            self._was_silent,
+            silence > self._announcement_ttl,
+        )
+        if self._record.upstream and was_silent and self._was_silent:
             self._set_upstream(None)
 
     def _compose_heartbeat(self) -> protocol.Heartbeat:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,3 +16,17 @@
     name = request.config.getoption("--without")
     if name:
         mechanisms.DISABLE_BY_NAME[name](monkeypatch)
+
+
+@pytest.fixture(params=["in order", "reversed"])
+def scheduling(request, monkeypatch):
+    """Fixes the order in which trio runs the tasks that are ready.
+
+    It otherwise runs each batch of them in a random order.
+    """
+    core = "trio._core._run"
+    monkeypatch.setattr(f"{core}._ALLOW_DETERMINISTIC_SCHEDULING", True)
+    monkeypatch.setattr(
+        f"{core}._r.shuffle",
+        list.reverse if request.param == "reversed" else lambda batch: None,
+    )
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -146,20 +146,6 @@
     return stream
 
 
-@pytest.fixture(params=["in order", "reversed"])
-def scheduling(request, monkeypatch):
-    """Fixes the order in which trio runs the tasks that are ready.
-
-    It otherwise runs each batch of them in a random order.
-    """
-    core = "trio._core._run"
-    monkeypatch.setattr(f"{core}._ALLOW_DETERMINISTIC_SCHEDULING", True)
-    monkeypatch.setattr(
-        f"{core}._r.shuffle",
-        list.reverse if request.param == "reversed" else lambda batch: None,
-    )
-
-
 @contextlib.asynccontextmanager
 async def _breaking_peer(frame_type):
     """Runs a node that closes the connection on a frame of this type."""
