Control: a late check takes no node for gone

What callers saw: after a control was paused for longer than RECORD_TTL, its next check marked every node as lapsed before it had read their heartbeats, and the reply to the first heartbeat said so. That node had no upstream for any route until the others' next heartbeats: 503 for what it was asked.

Cause: the check compares the clock with the last heartbeat that was read. In a pause, the control reads none, and nodes turn to another control.

Evidence: test_a_paused_control_waits_for_heartbeats_before_nodes_lapse failed without the change: vm-b was listed as lapsed to vm-a.

Fix: after a check that is more than 0.5 s late, nodes lapse again 1 s later at the earliest. Nodes that stay silent lapse then; without a delay, they lapse as before.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -28,6 +28,11 @@
 GOSSIP_INTERVAL = 0.5  # seconds
 GOSSIP_TIMEOUT = 0.5  # seconds
 CONTROL_TTL = 5.0  # seconds without gossip until a control counts as silent
+# Seconds by which a check for silent nodes may be late and still rely on the
+# heartbeats that were read.
+MAX_CHECK_DELAY = 0.5
+# Seconds after a later check until nodes lapse again, two heartbeats.
+LATE_CHECK_PAUSE = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -116,6 +121,9 @@
         self._loads: dict[str, model.NodeLoad | None] = {}
         self._status: messages.ReplicaStatus | None = None
         self._observed_state: fleet_state.FleetState | None = None
+        # Of the nodes that are silent, in monotonic seconds.
+        self._checked_at = float("inf")
+        self._check_paused_until = float("-inf")
 
     async def _setup(self) -> None:
         self._spawn(self._follow_replica)
@@ -129,9 +137,7 @@
             case messages.ReplicaStatus():
                 self._status = message
                 self._merge_committed_withdrawals()
-                self._directory = node_directory.expire_entries(
-                    self._directory, now
-                )
+                self._expire_entries(now)
             case protocol.Heartbeat():
                 reply.put(self._on_heartbeat(message, now))
             case protocol.Gossip():
@@ -194,6 +200,20 @@
 
     # --- heartbeats ----------------------------------------------------------
 
+    def _expire_entries(self, now: float) -> None:
+        """Marks silent nodes as lapsed.
+
+        After a delay of the event loop, heartbeats may wait in the sockets, or
+        nodes may have turned to another control for a while.
+        """
+        if now - self._checked_at > GOSSIP_INTERVAL / 2 + MAX_CHECK_DELAY:
+            self._check_paused_until = now + LATE_CHECK_PAUSE
+        self._checked_at = now
+        if now >= self._check_paused_until:
+            self._directory = node_directory.expire_entries(
+                self._directory, now
+            )
+
     def _on_heartbeat(
         self, message: protocol.Heartbeat, now: float
     ) -> protocol.HeartbeatReply:
--- /dev/null
+++ b/tests/test_fleet_directory.py
@@ -0,0 +1,131 @@
+"""What a control takes for gone when its own event loop was late."""
+
+import contextlib
+import types
+
+import pytest
+import trio
+
+from sassafrashall import clock
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall.controllers import fleet_directory
+from sassafrashall.decisions import node_directory
+from sassafrashall.decisions import replication
+from tests import fakes
+
+ADDRESS = model.Address(host="127.0.0.1", port=1)
+CHECK_INTERVAL = fleet_directory.GOSSIP_INTERVAL / 2
+MEMBER = replication.Member(
+    replica_id="c", vm="vm-c", address=str(ADDRESS), data_centre="x"
+)
+STATUS = messages.ReplicaStatus(
+    member=MEMBER,
+    founded=True,
+    membership=replication.Membership(),
+    role="follower",
+    term=1,
+    commit=1,
+    leader="",
+    majority_age=0.0,
+)
+
+
+def _heartbeat(vm):
+    return protocol.Heartbeat(
+        record=model.NodeRecord(
+            vm=vm,
+            data_centre="x",
+            incarnation=1,
+            counter=1,
+            peer_address=ADDRESS,
+            ops_address=ADDRESS,
+        ),
+        directory_source="",
+        directory_version=0,
+        withdrawn_count=0,
+    )
+
+
+class _Directory:
+    """A directory whose time and regular checks the test controls."""
+
+    def __init__(self, *, mailbox, now):
+        self._mailbox = mailbox
+        self._now = now
+
+    def run_for(self, seconds):
+        """Lets time pass, with all regular checks on time."""
+        for _ in range(round(seconds / CHECK_INTERVAL)):
+            self.pause_for(CHECK_INTERVAL)
+
+    def pause_for(self, seconds):
+        """Lets time pass without a check; the next one runs at its end."""
+        self._now[0] += seconds
+        self._mailbox.tell(STATUS)
+
+    async def heartbeat(self, vm):
+        """Returns the VMs that the reply to a heartbeat lists as lapsed."""
+        reply = await self._mailbox.ask(_heartbeat(vm))
+        return {entry.record.vm for entry in reply.entries if entry.lapsed}
+
+
+@pytest.fixture
+def now(monkeypatch):
+    """The time in seconds, in a list of one."""
+    current = [1000.0]
+    monkeypatch.setattr(clock, "monotonic", lambda: current[0])
+    return current
+
+
+@contextlib.asynccontextmanager
+async def _directory(now):
+    replica = fakes.ScriptedController(lambda message: trio.sleep_forever())
+    directory = fleet_directory.FleetDirectory(
+        settings=types.SimpleNamespace(vm="vm-c", controls=()),
+        replica=replica.mailbox,
+        view=mailbox.Published(initial=messages.FleetView()),
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+    )
+    async with fakes.started(replica), fakes.started(directory):
+        yield _Directory(mailbox=directory.mailbox, now=now)
+
+
+# Guards against a control that was paused taking all nodes for gone, whose
+# heartbeats it has not read yet, and telling so to the first that it answers.
+async def test_a_paused_control_waits_for_heartbeats_before_nodes_lapse(now):
+    async with _directory(now) as directory:
+        for vm in ("vm-a", "vm-b"):
+            await directory.heartbeat(vm)
+        directory.run_for(0.5)
+        directory.pause_for(node_directory.RECORD_TTL + 2)
+        assert await directory.heartbeat("vm-a") == set()
+        directory.run_for(0.5)
+        assert await directory.heartbeat("vm-b") == set()
+        directory.run_for(1.0)
+        assert await directory.heartbeat("vm-a") == set()
+
+
+async def test_a_node_that_stays_silent_lapses_also_after_a_pause(now):
+    async with _directory(now) as directory:
+        for vm in ("vm-a", "vm-b"):
+            await directory.heartbeat(vm)
+        directory.run_for(0.5)
+        directory.pause_for(node_directory.RECORD_TTL + 2)
+        for _ in range(4):
+            await directory.heartbeat("vm-a")
+            directory.run_for(0.5)
+        assert await directory.heartbeat("vm-a") == {"vm-b"}
+
+
+async def test_a_silent_node_lapses_in_time(now):
+    async with _directory(now) as directory:
+        for vm in ("vm-a", "vm-b"):
+            await directory.heartbeat(vm)
+        for _ in range(round(2 * node_directory.RECORD_TTL)):
+            directory.run_for(0.5)
+            await directory.heartbeat("vm-a")
+        assert await directory.heartbeat("vm-a") == {"vm-b"}
