Connections between nodes: other tasks run while overdue calls are checked

What callers saw: nothing yet.

Cause: the check for overdue calls read all input of a connection in one step, 64 reads of 64 KiB at most. That is no limit in time, nor more than a receive buffer holds, as its comment said.

Fix: the check gives way to other tasks after each read. The stop of the server still reads in one step, since it may be cancelled at its next one.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -184,14 +184,14 @@
                     _refusal(exceptions.BAD_REQUEST, str(error), True)
                 )
 
-    def expire_calls(self, now: float) -> None:
+    async def expire_calls(self, now: float) -> None:
         """Ends the calls whose deadline has passed before an answer came."""
         for call in self._unopened:
             if call.message.deadline <= now:
                 call.reply.put(_deadline_exceeded(False))
         if self._connection is None or not self._overdue_calls(now):
             return
-        self._connection.read_ready()
+        await self._connection.read_arrived()
         for number, call in self._overdue_calls(now):
             if number in self._calls:
                 self._cancel_call(number)
@@ -370,7 +370,7 @@
             await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
             for link in tuple(self._links.values()):
-                link.expire_calls(now)
+                await link.expire_calls(now)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -20,7 +20,8 @@
 # Seconds between checks for calls past their deadline. A periodic check costs
 # less than a timer for each call.
 EXPIRY_INTERVAL = 0.1
-MAX_READY_READS = 64  # more than a socket's receive buffer holds
+# Reads for the frames that have arrived, which ends beside a busy sender.
+MAX_READY_READS = 64
 # Bytes that wait for the socket, above which no body is read for the connection
 # and no call starts on it.
 MAX_UNSENT = 8 * 1024 * 1024
@@ -132,21 +133,33 @@
             self._ended = True
             self._sent.set()
 
-    def read_ready(self) -> None:
-        """Passes on the frames that have arrived, without waiting.
+    async def read_arrived(self) -> None:
+        """Passes on the frames that have arrived; other tasks run in between.
 
         After a delay of the event loop, frames may wait in the socket that
         arrived before a timeout that is checked now.
         """
         for _ in range(MAX_READY_READS):
-            try:
-                data = self._stream.receive_nowait(http.RECEIVE_SIZE)
-            except OSError:
-                # Nothing more has arrived, or the reading task gets the error.
+            if not self._read_nowait():
                 return
-            if not data:
+            await trio.lowlevel.checkpoint()
+
+    def read_ready(self) -> None:
+        """Passes on the frames that have arrived, in one step."""
+        for _ in range(MAX_READY_READS):
+            if not self._read_nowait():
                 return
+
+    def _read_nowait(self) -> bool:
+        """Reads once without waiting, and returns whether bytes were there."""
+        try:
+            data = self._stream.receive_nowait(http.RECEIVE_SIZE)
+        except OSError:
+            # Nothing more has arrived, or the reading task gets the error.
+            return False
+        if data:
             self._pass_on(data)
+        return bool(data)
 
     async def _read(self) -> None:
         reason = connection_log.Reason.DISCONNECT
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -85,7 +85,7 @@
         """Whether a call is in progress, or its answer is not sent yet."""
         return bool(self._calls) or self._connection.unsent > 0
 
-    def expire_calls(self, now: float) -> None:
+    async def expire_calls(self, now: float) -> None:
         """Cancels calls past their deadline, and offers not confirmed in time.
 
         The calling node ends an expired call at the same time by its own
@@ -93,7 +93,7 @@
         """
         if not any(call.is_overdue(now) for call in self._calls.values()):
             return
-        self._connection.read_ready()
+        await self._connection.read_arrived()
         for call in tuple(self._calls.values()):
             if call.deadline <= now:
                 call.cancel("the deadline has passed")
@@ -345,7 +345,7 @@
             await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
             for connection in tuple(self._connections):
-                connection.expire_calls(now)
+                await connection.expire_calls(now)
 
     def _on_accept(self, accepted: trio.SocketStream) -> None:
         stream = sockets.Stream(stream=accepted)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -703,3 +703,46 @@
                 pass
         assert not servers[0].busy
         stream.close()
+
+
+# Guards against other tasks standing still while all input of one node is read.
+@pytest.mark.usefixtures("scheduling")
+async def test_other_tasks_run_while_the_input_before_a_deadline_is_read(
+    monkeypatch,
+):
+    """The loop stands still until a call is overdue, while input waits."""
+    monkeypatch.setattr(http, "RECEIVE_SIZE", 1024)
+    reads = []
+    receive_nowait = sockets.Stream.receive_nowait
+
+    def count_read(stream, size):
+        reads.append(size)
+        return receive_nowait(stream, size)
+
+    monkeypatch.setattr(sockets.Stream, "receive_nowait", count_read)
+    reads_by_turn = []
+
+    async def count_reads():
+        while True:
+            before = len(reads)
+            await trio.lowlevel.checkpoint()
+            reads_by_turn.append(len(reads) - before)
+
+    async def handler(request):
+        await mailbox.Reply().wait()
+
+    async with _peer(handler) as address, trio.open_nursery() as nursery:
+        stream = await _connect_as_peer(address)
+        call = fakes.open_call(confirm=False, remaining_ms=200)
+        stream.send_nowait(frames.encode(call))
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(count_reads)
+        await trio.lowlevel.checkpoint()
+        credit = frames.encode(frames.Credit(call=2, count=1))
+        stream.send_nowait(credit * (50 * 1024 // len(credit)))
+        time.sleep(0.4)
+        await trio.sleep(0.3)
+        nursery.cancel_scope.cancel()
+        stream.close()
+    assert sum(reads_by_turn) >= 50
+    assert max(reads_by_turn) <= 3
