Peer server: limit the number of connections

What callers saw: nothing yet. A node has about 4,100 descriptors. It limits the connections of callers to 3000, but not those of other nodes, which need one each; connections that never authenticate count as well.

Evidence: test_connections_above_the_limit_are_closed_at_once failed without the change: a connection above the limit was served.

Fix: a connection above 400 is closed as it is accepted.

--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -20,6 +20,8 @@
 from sassafrashall.transport import sockets
 
 PROCEED_TIMEOUT = 1.0  # seconds that a slot is reserved until `Proceed`
+# Leaves descriptors for callers and the upstream; each node needs one.
+CONNECTION_LIMIT = 400
 
 # Returns the keyed digest that authenticates the node of the named VM.
 ComputeProof = Callable[[str], bytes]
@@ -348,6 +350,9 @@
                 await connection.expire_calls(now)
 
     def _on_accept(self, accepted: trio.SocketStream) -> None:
+        if len(self._connections) >= CONNECTION_LIMIT:
+            accepted.socket.close()
+            return
         stream = sockets.Stream(stream=accepted)
         stream.enable_keepalive()
         assert self._nursery is not None
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -746,3 +746,29 @@
         stream.close()
     assert sum(reads_by_turn) >= 50
     assert max(reads_by_turn) <= 3
+
+
+# Guards against connections of nodes taking the descriptors for callers.
+async def test_connections_above_the_limit_are_closed_at_once(monkeypatch):
+    monkeypatch.setattr(peer_server, "CONNECTION_LIMIT", 2)
+
+    async def handler(request):
+        return fakes.answer()
+
+    async def is_served():
+        stream = await _connect_as_peer(address)
+        streams.append(stream)
+        with contextlib.suppress(OSError):
+            stream.send_nowait(frames.encode(fakes.open_call(confirm=False)))
+            with trio.fail_after(1):
+                return bool(await stream.receive(65536))
+        return False
+
+    streams = []
+    async with _peer(handler) as address:
+        assert [await is_served() for _ in range(3)] == [True, True, False]
+        streams[0].close()
+        await trio.testing.wait_all_tasks_blocked()
+        assert await is_served()
+        for stream in streams:
+            stream.close()
