Tests: what a stop does with answers and requests in transfer

Each passed on without a change of code: answers that are being streamed beside a stop of the node where the request entered or of the node beside the upstream, long and short bodies that are still being sent, half a head, and a second pipelined request. The last one isn't passed on: the first response announces the close of the connection.

--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -363,6 +363,109 @@
     assert statuses == {"r0": 502, "r1": 502, "r2": 503}
 
 
+async def _read_response(stream, received=b""):
+    """Returns the status and the whole response, of bytes that may be there."""
+    while b"\r\n\r\n" not in received:
+        data = await stream.receive_some(65536)
+        assert data, received
+        received += data
+    head, _, body = received.partition(b"\r\n\r\n")
+    headers = dict(
+        line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
+    )
+    length = int(headers[b"content-length"])
+    while len(body) < length:
+        data = await stream.receive_some(65536)
+        assert data, f"{len(body)} of {length} bytes of the body"
+        body += data
+    return int(head.split()[1]), body
+
+
+# Guards against a stop that cuts answers which are being streamed.
+@pytest.mark.parametrize("stopped", ["vm-a", "vm-b"])
+async def test_a_stop_completes_a_streamed_answer(monkeypatch, stopped):
+    """The caller reads the answer only after a while of the stop."""
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.2)
+    size = 16 << 20
+    async with _fleet(grace=5.0) as fleet:
+        fleet.upstreams["vm-b"].answer = lambda raw: model.Response(
+            status=200,
+            headers=(
+                ("request-id", "r1"),
+                ("response-signature", "of-r1"),
+            ),
+            body=bytes(size),
+        )
+        address = fleet.callers["vm-a"]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(_head("GET"))
+        received = await stream.receive_some(1024)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.nodes[stopped].close)
+            await trio.sleep(0.8)
+            status, body = await _read_response(stream, received)
+        await stream.aclose()
+    assert (status, len(body)) == (200, size)
+
+
+# Guards against a stop that cuts requests which are still being received.
+@pytest.mark.parametrize(
+    ("size", "sent", "status"),
+    [
+        # A long body is passed on as it arrives, a short one once it is there.
+        (200_000, 100_000, 200),
+        (20_000, 10_000, 503),
+        (20_000, -30, 503),
+    ],
+)
+async def test_a_stop_answers_a_request_that_is_being_received(
+    monkeypatch, size, sent, status
+):
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.2)
+    request = _head("POST", f"Content-Length: {size}\r\n") + bytes(size)
+    position = len(request) - size + sent
+    async with _fleet(grace=5.0) as fleet:
+        address = fleet.callers["vm-a"]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(request[:position])
+        await trio.sleep(0.1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.nodes["vm-a"].close)
+            await trio.sleep(0.8)
+            await stream.send_all(request[position:])
+            response, body = await _read_response(stream)
+        await stream.aclose()
+        ran = len(fleet.upstreams["vm-b"].requests)
+    assert response == status, body
+    assert ran == (status == 200)
+
+
+# Guards against a stop that drops the second of two pipelined requests.
+async def test_a_stop_leaves_no_pipelined_request_half_done(monkeypatch):
+    """The second one is not passed on, since the first response closes."""
+    monkeypatch.setattr(routed_node, "LEAVE_DELAY", 0.2)
+    async with _fleet(grace=5.0) as fleet:
+        upstream = fleet.upstreams["vm-b"]
+        upstream.delay = 0.8
+        address = fleet.callers["vm-a"]
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(_head("GET") + _head("GET"))
+        await trio.sleep(0.1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.nodes["vm-a"].close)
+            status, _ = await _read_response(stream)
+        await stream.aclose()
+    assert status == 200
+    assert len(upstream.requests) == 1
+
+
+def _head(method, headers=""):
+    return (
+        f"{method} /x HTTP/1.1\r\nHost: beta.example\r\n"
+        f"Request-Id: r1\r\n{headers}\r\n"
+    ).encode()
+
+
 # Guards against calls that end without a line in any node's log.
 @pytest.mark.parametrize(
     ("ends", "reason"),
