Peer server: an exception in a streamed answer ends only its call

What callers saw: nothing yet. An exception other than ConnectionFailedError while the rest of an answer was read ended the node's process with all of its calls. No source of one is known.

Evidence: test_a_fault_in_a_streamed_answer_ends_only_its_call failed without the change: the exception left the server.

Fix: it is logged, and the calling node is told that the answer was broken off.

--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -11,6 +11,7 @@
 from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import fiber
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.transport import error_boundary
@@ -234,6 +235,10 @@
                 await body.send(rest)
         except exceptions.ConnectionFailedError:
             self._connection.send(frames.CancelCall(call=call.number))
+        except Exception:
+            # An exception must not end the calls of other nodes.
+            logs.get().exception("unhandled exception while sending a response")
+            self._connection.send(frames.CancelCall(call=call.number))
         finally:
             self._calls.pop(call.number, None)
             with trio.CancelScope(shield=True):
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -772,3 +772,41 @@
         assert await is_served()
         for stream in streams:
             stream.close()
+
+
+class _FaultyBody:
+    """The rest of an answer that fails for an unknown reason."""
+
+    def __init__(self):
+        self.closed = False
+
+    async def read(self):
+        await trio.lowlevel.checkpoint()
+        raise ValueError("a fault")
+
+    async def close(self):
+        self.closed = True
+
+
+# Guards against a fault in one streamed answer ending the node with all calls.
+async def test_a_fault_in_a_streamed_answer_ends_only_its_call():
+    body = _FaultyBody()
+
+    async def handler(request):
+        rest = body if request.body == b"faulty" else None
+        return model.Answer(
+            response=model.Response(
+                status=200, headers=(), body=b"begin", rest=rest
+            )
+        )
+
+    async with _links() as links, _peer(handler) as address:
+        faulty = await links.mailbox.ask(_exchange(address, body=b"faulty"))
+        with (
+            trio.fail_after(1),
+            pytest.raises(exceptions.ConnectionFailedError),
+        ):
+            await faulty.response.rest.read()
+        outcome = await links.mailbox.ask(_exchange(address))
+    assert isinstance(outcome, model.Answer)
+    assert body.closed
