Connect: a timeout that the event loop delayed doesn't count

What callers saw: 503 or 502 for requests of a node whose loop stood still for longer than CONNECT_TIMEOUT while it connected to an upstream or another node: the other side was taken for unreachable, and passed over, though the connection was there. Controls and nodes lost calls to each other the same way.

Cause: trio drops a connection that is there, if its timeout expires in the same turn of the event loop.

Fix: an attempt whose timeout came more than 0.1 s late is made again, twice at most. An address that doesn't react is reported as before.

--- a/src/sassafrashall/transport/http_client.py
+++ b/src/sassafrashall/transport/http_client.py
@@ -11,6 +11,7 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.transport import http
+from sassafrashall.transport import sockets
 
 RESPONSE_BODY_LIMIT = 8 * 1024 * 1024  # bytes
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -33,8 +34,7 @@
     async def open(cls, address: model.Address) -> ClientConnection:
         """Connects; raises `ConnectionFailedError` if that fails."""
         try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                stream = await trio.open_tcp_stream(address.host, address.port)
+            stream = await sockets.open_tcp_stream(address, CONNECT_TIMEOUT)
         except (OSError, trio.TooSlowError) as error:
             raise exceptions.ConnectionFailedError(
                 f"cannot connect to {address}: {error}",
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -22,6 +22,10 @@
 KEEPALIVE_PROBES = 2  # unanswered probes until the connection is broken
 UNACKED_TIMEOUT_MS = 2000  # for the acknowledgement of sent bytes
 CONNECT_TIMEOUT = 1.0  # seconds
+CONNECT_ATTEMPTS = 3  # of which all but the last ended late
+MAX_TIMEOUT_DELAY = (
+    0.1  # seconds by which a timeout may be late and still count
+)
 
 _KEEPALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -129,6 +133,26 @@
             self._socket.close()
 
 
+async def open_tcp_stream(
+    address: model.Address, timeout: float
+) -> trio.SocketStream:
+    """Connects within `timeout` seconds.
+
+    If the event loop was late, the connection may have been there in time, but
+    trio drops it. The attempt doesn't count then.
+
+    Raises:
+      OSError: The connection was refused.
+      TooSlowError: It timed out.
+    """
+    for _ in range(CONNECT_ATTEMPTS):
+        with trio.move_on_after(timeout) as scope:
+            return await trio.open_tcp_stream(address.host, address.port)
+        if trio.current_time() - scope.deadline < MAX_TIMEOUT_DELAY:
+            break
+    raise trio.TooSlowError
+
+
 async def connect(address: model.Address, *, keepalive: bool = True) -> Stream:
     """Connects to an address.
 
@@ -142,8 +166,7 @@
       ConnectionFailedError: The connection was refused or timed out.
     """
     try:
-        with trio.fail_after(CONNECT_TIMEOUT):
-            stream = await trio.open_tcp_stream(address.host, address.port)
+        stream = await open_tcp_stream(address, CONNECT_TIMEOUT)
     except (OSError, trio.TooSlowError) as error:
         raise exceptions.ConnectionFailedError(
             f"cannot connect to {address}: {error}",
