HTTP server: a stop keeps the reason of a connection that is closing

What was seen: the log named stop as the reason of a connection that had ended by its idle timeout, if the server was stopped while it was being closed.

Cause: the stop set its reason without a look at one that was set before.

Fix: the first reason stays.

--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -113,7 +113,10 @@
         """
         self._stopping = True
         if self._is_idle:
-            self._close_reason = connection_log.Reason.STOP
+            # It may be closing already, for instance after a timeout.
+            self._close_reason = (
+                self._close_reason or connection_log.Reason.STOP
+            )
             # Also ends the read, so that no request is read and then dropped.
             self._scope.cancel()
         else:
