--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -88,7 +88,7 @@
         failure = "the link was closed before there was a connection"
         try:
             self._connection = await peer_connection.PeerConnection.open(
-                self._address
+                self._address, on_frame=self._on_frame
             )
         except exceptions.ConnectionFailedError as error:
             failure = str(error)
@@ -110,7 +110,7 @@
                 for call in self._unopened:
                     self._open_call(call)
                 self._unopened.clear()
-                await self._connection.run(self._on_frame)
+                await self._connection.run()
                 self._nursery.cancel_scope.cancel()
         finally:
             self._links.on_ended(self._address, self)
@@ -128,6 +128,15 @@
         if call.reply.abandoned or call.reply.done:
             return
         assert self._connection is not None
+        if self._connection.is_congested:
+            call.reply.put(
+                _refusal(
+                    exceptions.PEER_UNREACHABLE,
+                    "the connection to the node is congested",
+                    False,
+                )
+            )
+            return
         self._last_number += 1
         number = self._last_number
         message = call.message
@@ -175,14 +184,14 @@
                     _refusal(exceptions.BAD_REQUEST, str(error), True)
                 )
 
-    def expire_calls(self, now: float) -> None:
+    async def expire_calls(self, now: float) -> None:
         """Ends the calls whose deadline has passed before an answer came."""
         for call in self._unopened:
             if call.message.deadline <= now:
                 call.reply.put(_deadline_exceeded(False))
         if self._connection is None or not self._overdue_calls(now):
             return
-        self._connection.read_ready()
+        await self._connection.read_arrived()
         for number, call in self._overdue_calls(now):
             if number in self._calls:
                 self._cancel_call(number)
@@ -361,7 +370,7 @@
             await trio.sleep(peer_connection.EXPIRY_INTERVAL)
             now = clock.monotonic()
             for link in tuple(self._links.values()):
-                link.expire_calls(now)
+                await link.expire_calls(now)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
