A read of a closed stream raises ClosedResourceError, not ValueError

What callers saw: a node's process ended with status 1, and all its requests with it.

Cause: the pool closes the connection of a streamed response at the deadline. If its reader doesn't wait for the socket at that moment, because it waits for flow-control credit or for its turn of the loop, it reads on afterwards. Stream.receive then waited for the file descriptor -1. trio raises ValueError for that. Users of a stream handle OSError and ClosedResourceError, so the exception left _send_rest of the peer server and ended the process.

Fix: receive checks whether the stream is closed before it waits. Other waits follow a system call on the same socket with no checkpoint between, which raises OSError if it is closed.

--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -83,6 +83,10 @@
         """Returns the bytes that have arrived, and waits if there are none.
 
         At most `size` bytes are returned; none at the end of the stream.
+
+        Raises:
+          OSError: The connection is broken.
+          trio.ClosedResourceError: The stream is closed at this end.
         """
         if not self._drained:
             # More bytes may be there already; other tasks run first.
@@ -92,6 +96,8 @@
             except BlockingIOError:
                 pass
         while True:
+            if self._socket.fileno() < 0:
+                raise trio.ClosedResourceError("the stream is closed")
             await trio.lowlevel.wait_readable(self._socket)
             try:
                 return self.receive_nowait(size)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -490,6 +490,26 @@
         assert clock.monotonic() - began < 1.0
 
 
+# Guards against a reader that takes its time: when it read on after the
+# deadline had closed the connection, its ValueError ended the process.
+async def test_reading_on_after_the_deadline_fails_the_response():
+    async def send_part(stream, request_id):
+        head = OK.partition(b"content-length")[0] % request_id
+        await stream.send_all(head + b"content-length: 9999999\r\n\r\n")
+        await stream.send_all(b"a" * 2 * http.BUFFERED_BODY_LIMIT)
+        await trio.sleep_forever()
+
+    async with _pool(send_part) as (pool, upstream):
+        response = await _exchange(pool, upstream, "a", timeout=0.3)
+        size = len(response.body)
+        while size < 2 * http.BUFFERED_BODY_LIMIT:
+            size += len(await response.rest.read())
+        await trio.sleep(0.6)
+        assert _closures(upstream) == [("deadline", "true")]
+        with pytest.raises(exceptions.ConnectionFailedError):
+            await response.rest.read()
+
+
 def _closures(upstream):
     """Returns the reasons of the closures, each with its outcome."""
     text = upstream.counters.render()[1].decode()
