Fault soak: storage that fails, slow callers, and a check of the recovery

New faults: all controls, or all processes, killed at the same moment; a control that loses its data folder, alone or as all others are killed; a control that can't write to files (RLIMIT_FSIZE, its log goes through a pipe). One disk is lost at a time, as the users state: the next one after 4 s without a fault of a control. One such fault comes right after the last acknowledgement. A seventh group of callers at each node sends and reads bodies of up to 500 kB in pieces.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -30,6 +30,9 @@
     parser.add_argument(
         "--logs", type=pathlib.Path, help="folder for the logs of each seed"
     )
+    parser.add_argument(
+        "--basic", action="store_true", help="no storage faults or slow callers"
+    )
     options = parser.parse_args()
     # The processes of a soak that is stopped are stopped as well.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -37,6 +40,8 @@
     seeds = range(first, last + 1)
     if options.seed is not None:
         seeds = range(options.seed, options.seed + 1)
+    if options.logs is not None:
+        options.logs.mkdir(parents=True, exist_ok=True)
     broken = 0
     for seed in seeds:
         plan = planner.make_plan(
@@ -44,6 +49,7 @@
             nodes=options.nodes,
             seconds=options.seconds,
             connections=options.connections,
+            basic=options.basic,
         )
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.logs)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 import select
+import socket
 import time
 
 import h11
@@ -23,6 +24,10 @@
 SIZES = (0, 100, 100, 100, 5000, 300_000)  # bytes of an answer's body
 BODY_SIZES = (0, 0, 0, 100, 200_000)  # bytes of a request's body
 RUN_TIMES_MS = (0, 5, 20, 20, 20, 50, 50, 50, 300, 1500)
+# Bytes of the bodies of an answer and of a request of a slow caller.
+SLOW_SIZES = ((500_000, 0), (200_000, 0), (100, 500_000), (100, 200_000))
+SLOW_DELAY = 0.05  # seconds between two pieces
+SLOW_BUFFER = 65536  # bytes of the receive buffer of a slow caller
 _TIMEOUT = soak_model.Bounds().route_timeout
 _numbers = itertools.count(1)
 _BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
@@ -82,6 +87,12 @@
     return (response.status_code if response else 0), answer
 
 
+async def is_ready(address: model.Address) -> bool:
+    """Returns whether a node says that it is ready."""
+    status, _ = await send_once(address, "GET", "/-/readiness")
+    return status == 200
+
+
 def _encode(
     protocol: h11.Connection, request: h11.Request, body: bytes
 ) -> bytes:
@@ -99,10 +110,12 @@
         *,
         address: model.Address,
         vm: str,
+        is_slow: bool,
         report: Callable[[soak_model.Observation], None],
     ) -> None:
         self._address = address
         self._vm = vm
+        self._is_slow = is_slow
         self._report = report
         self._stream: trio.SocketStream | None = None
         self._protocol = h11.Connection(h11.CLIENT)
@@ -128,6 +141,11 @@
         except (OSError, trio.TooSlowError):
             await trio.sleep(RECONNECT_DELAY)
             return False
+        if self._is_slow:
+            # Answers then wait in the node instead of in the socket.
+            self._stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER
+            )
         self._protocol = h11.Connection(h11.CLIENT)
         self.uses = 0
         return True
@@ -179,7 +197,7 @@
         try:
             with trio.fail_after(_TIMEOUT + PATIENCE):
                 try:
-                    await self._stream.send_all(data)
+                    await self._send(data)
                 except trio.BrokenResourceError:
                     pass  # An early answer may have arrived.
                 response, body = await self._receive()
@@ -212,6 +230,18 @@
             body=body,
         )
 
+    async def _send(self, data: bytes) -> None:
+        assert self._stream is not None
+        step = RECEIVE_SIZE if self._is_slow else len(data)
+        for start in range(0, len(data), step):
+            await self.rest()
+            await self._stream.send_all(data[start : start + step])
+
+    async def rest(self) -> None:
+        """Waits before the next piece if the caller is slow."""
+        if self._is_slow:
+            await trio.sleep(SLOW_DELAY)
+
     async def _receive(self) -> tuple[h11.Response, bytes]:
         stream = _Counting(stream=self._stream, connection=self)
         response, body = await receive_message(stream, self._protocol)
@@ -225,7 +255,7 @@
 
 
 class _Counting:
-    """Counts what is received from a stream."""
+    """Counts what is received from a stream, at the pace of its caller."""
 
     def __init__(
         self, *, stream: trio.SocketStream, connection: _Connection
@@ -235,6 +265,7 @@
 
     async def receive_some(self, size: int) -> bytes:
         """Returns what arrives next."""
+        await self._connection.rest()
         data = await self._stream.receive_some(size)
         self._connection.count_received(len(data))
         return data
@@ -260,8 +291,11 @@
         self._idle_timeout = idle_timeout
         self._keys = keys
         self._report = report
+        self._is_slow = index >= plan.groups
         self._connections = [
-            _Connection(address=address, vm=vm, report=report)
+            _Connection(
+                address=address, vm=vm, is_slow=self._is_slow, report=report
+            )
             for _ in range(plan.connections)
         ]
 
@@ -299,6 +333,8 @@
         size = self._random.choice(SIZES)
         request_id = f"s{self._plan.seed}-{next(_numbers)}"
         body_size = self._random.choice(BODY_SIZES)
+        if self._is_slow:
+            size, body_size = self._random.choice(SLOW_SIZES)
         return f"{host}.example", soak_model.Sent(
             request_id=request_id,
             at=time.monotonic(),
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 import itertools
 import pathlib
+import resource
+import shutil
 import signal
 import subprocess
 import sys
 import time
+from typing import IO
 
 from ruamel import yaml
 import trio
@@ -49,10 +52,14 @@
         self._folder = folder
         self._report = report
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._log_writers: list[subprocess.Popen[bytes]] = []
         self._told: set[str] = set()
         self._started_at: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._busy: set[str] = set()
+        self._control_faults: set[int] = set()
+        self._calm_since = 0.0
+        self._disk_turn = trio.Lock()
 
     @property
     def vms(self) -> tuple[str, ...]:
@@ -73,7 +80,7 @@
             seeds,
             role="control",
             operator_secret=f"{SECRET}-operator",
-            data_folder=str(self._folder / f"{vm}-data"),
+            data_folder=str(self._data_folder(vm)),
             routed={"first_start": True},
         )
 
@@ -121,14 +128,25 @@
         with path.open("w", encoding="utf-8") as file:
             yaml.YAML().dump(document | fields, file)
 
+    def end_first_start(self, vm: str) -> None:
+        """Writes the settings of a control that the fleet is founded."""
+        path = self._folder / f"{vm}.yaml"
+        text = path.read_text(encoding="utf-8")
+        path.write_text(text.replace("first_start: true", "first_start: false"))
+
+    def _data_folder(self, vm: str) -> pathlib.Path:
+        return self._folder / f"{vm}-data"
+
     def log_path(self, vm: str) -> pathlib.Path:
         """Returns the path of the log of all processes of a VM."""
         return self._folder / f"{vm}.log"
 
     def start(self, vm: str) -> None:
-        """Starts the process of a VM."""
+        """Starts the process of a VM unless one runs."""
+        if vm in self._processes:
+            return
         command = [sys.executable, str(PROGRAM), "--settings"]
-        with self.log_path(vm).open("ab") as log:
+        with self._open_log(vm) as log:
             self._processes[vm] = subprocess.Popen(
                 [*command, str(self._folder / f"{vm}.yaml")],
                 stdin=subprocess.DEVNULL,
@@ -139,6 +157,19 @@
         self._started_at[vm] = time.monotonic()
         self._report(soak_model.Started(vm=vm, at=self._started_at[vm]))
 
+    def _open_log(self, vm: str) -> IO[bytes]:
+        log = self.log_path(vm).open("ab")
+        if not vm.startswith("control"):
+            return log
+        # A limit on the files of a control doesn't apply to a pipe.
+        with log:
+            writer = subprocess.Popen(
+                ["cat"], stdin=subprocess.PIPE, stdout=log
+            )
+        self._log_writers.append(writer)
+        assert writer.stdin is not None
+        return writer.stdin
+
     async def watch(self) -> None:
         """Reports each process that ends, until cancelled."""
         while True:
@@ -168,6 +199,8 @@
     def begin(self, vm: str, fault: soak_model.Fault) -> int:
         """Reports that a fault begins and returns its number."""
         number = next(self._numbers)
+        if vm.startswith("control"):
+            self._control_faults.add(number)
         self._report(
             soak_model.FaultBegan(
                 number=number, at=time.monotonic(), vm=vm, fault=fault
@@ -177,6 +210,9 @@
 
     def end(self, number: int) -> None:
         """Reports that a fault ended."""
+        if number in self._control_faults:
+            self._control_faults.remove(number)
+            self._calm_since = time.monotonic()
         self._report(soak_model.FaultEnded(number=number, at=time.monotonic()))
 
     async def hang_up(self, vm: str) -> None:
@@ -207,6 +243,56 @@
             self._busy.discard(fault.vm)
         self.end(number)
 
+    async def lose_disk(self, fault: soak_model.LoseDisk) -> None:
+        """Kills a control and empties its folder, one control at a time."""
+        async with self._disk_turn:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._kill_and_empty, fault)
+                for vm in fault.killed:
+                    kill = soak_model.Kill(vm=vm, down=fault.down)
+                    nursery.start_soon(self.kill, kill)
+            catch_up = soak_model.Bounds().catch_up
+            while (
+                self._control_faults
+                or time.monotonic() - self._calm_since < catch_up
+            ):
+                await trio.sleep(POLL_INTERVAL)
+
+    async def wait_caught_up(self) -> None:
+        """Waits until every disk that was lost has been made up for."""
+        async with self._disk_turn:
+            pass
+
+    async def _kill_and_empty(self, fault: soak_model.LoseDisk) -> None:
+        while fault.vm in self._busy:
+            await trio.sleep(POLL_INTERVAL)
+        self._busy.add(fault.vm)
+        number = self.begin(fault.vm, fault)
+        self._signal(fault.vm, signal.SIGKILL)
+        await self._wait_exit(fault.vm)
+        shutil.rmtree(self._data_folder(fault.vm), ignore_errors=True)
+        await trio.sleep(fault.down)
+        self.start(fault.vm)
+        self._busy.discard(fault.vm)
+        self.end(number)
+
+    async def refuse_writes(self, fault: soak_model.RefuseWrites) -> None:
+        """Lets the writes of a control fail for some seconds."""
+        process = self._processes.get(fault.vm)
+        if process is None or process.poll() is not None:
+            return
+        number = self.begin(fault.vm, fault)
+        _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, most))
+        await trio.sleep(fault.seconds)
+        if process.poll() is None:
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (most, most))
+        # The failure of its last write may still end the process.
+        await trio.sleep(soak_model.Bounds().settle)
+        if fault.vm not in self._busy:
+            self.start(fault.vm)
+        self.end(number)
+
     async def stop(self, fault: soak_model.Stop, *, again: bool = True) -> None:
         """Stops a process as planned, and starts it again if `again`."""
         if fault.vm in self._busy or fault.vm not in self._processes:
@@ -238,6 +324,8 @@
         for vm, process in self._processes.items():
             self._signal(vm, signal.SIGKILL)
             process.wait()
+        for writer in self._log_writers:
+            writer.wait()
 
 
 def last_lines(path: pathlib.Path, text: str, count: int = 5) -> list[str]:
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -21,6 +21,8 @@
       grace_end: Part of the grace period at whose end requests may be cut.
       settle: Time for which the effects of a fault last at its own process.
       route_timeout: Timeout of every route.
+      catch_up: Time after which a new replica stands in for a lost one.
+      recovery: Time from the last fault until every process works again.
     """
 
     apply: float = 2.0
@@ -31,6 +33,8 @@
     grace_end: float = 1.0
     settle: float = 1.0
     route_timeout: float = 4.0
+    catch_up: float = 4.0
+    recovery: float = 15.0
 
 
 # --- faults ------------------------------------------------------------------
@@ -68,6 +72,34 @@
     down: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KillAll:
+    """A kill of many processes at the same moment, as by a loss of power."""
+
+    vms: tuple[str, ...]
+    down: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoseDisk:
+    """SIGKILL, and a start with an empty data folder after `down` seconds.
+
+    The VMs in `killed` are killed at the same moment and keep their folders.
+    """
+
+    vm: str
+    down: float
+    killed: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RefuseWrites:
+    """A process can't write to files for some seconds, as on a full disk."""
+
+    vm: str
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HangUp:
     """SIGHUP."""
@@ -176,6 +208,9 @@
     | PauseAll
     | Stop
     | Kill
+    | KillAll
+    | LoseDisk
+    | RefuseWrites
     | HangUp
     | ChangeIdle
     | ReplaceKey
@@ -200,7 +235,9 @@
     Attributes:
       idle: Idle timeout of the first configuration, in seconds.
       groups: Groups of connections at each node, each used in step.
+      slow_groups: Further groups, which send and read in small pieces.
       connections: Connections of a group.
+      final: A fault right after the last configuration was acknowledged.
     """
 
     seed: int
@@ -210,7 +247,9 @@
     idle: float
     faults: tuple[Timed, ...]
     groups: int = 6
+    slow_groups: int = 0
     connections: int = 10
+    final: Fault | None = None
 
 
 # --- observations ------------------------------------------------------------
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -61,6 +61,11 @@
             f"key-{number}" for number in range(first, self._newest_key + 1)
         )
 
+    @property
+    def acknowledged(self) -> int:
+        """The newest acknowledged version; 0 if there is none."""
+        return self._acknowledged
+
     @property
     def is_settled(self) -> bool:
         """Whether no configuration waits for its acknowledgement."""
