A cancelled read of a stream ends as cancelled beside another reader

What callers saw: a node's process ended with status 1, and all its requests with it.

Cause: the upload of a request to another node reads the request's body from the caller's connection. When the call ends early the upload is cancelled, and the connection's own task goes on to discard the rest of the body. An upload that had been woken in that turn runs on to its next checkpoint. It read on, found that the other task waited for the socket, and trio raised BusyResourceError before it looked at the cancellation. Nothing handles that exception, so it ended the process. An upload to an upstream reads bodies in the same way.

Fix: a reader that finds the socket taken ends as cancelled if it is cancelled. Two readers of which none is cancelled still get BusyResourceError.

--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -86,8 +86,11 @@
 
         Raises:
           OSError: The connection is broken.
-          trio.ClosedResourceError: The stream is closed at this end.
+          trio.ClosedResourceError: This side has closed it.
         """
+        if self._socket.fileno() < 0:
+            # A wait for a closed socket would raise another exception.
+            raise trio.ClosedResourceError
         if not self._drained:
             # More bytes may be there already; other tasks run first.
             await trio.lowlevel.checkpoint()
@@ -96,9 +99,13 @@
             except BlockingIOError:
                 pass
         while True:
-            if self._socket.fileno() < 0:
-                raise trio.ClosedResourceError("the stream is closed")
-            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                await trio.lowlevel.wait_readable(self._socket)
+            except trio.BusyResourceError:
+                # A task that was cancelled after it had been woken runs on to
+                # its next checkpoint, when another may have taken its place.
+                await trio.lowlevel.checkpoint_if_cancelled()
+                raise
             try:
                 return self.receive_nowait(size)
             except BlockingIOError:
