--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -236,8 +236,7 @@
     async def _finish(self, nursery: trio.Nursery) -> None:
         """Injects the last fault, awaits the recovery, stops all processes."""
         recovery = model.Bounds().recovery
-        final = self._plan.final
-        if final is not None:
+        if (final := self._plan.final) is not None:
             await self._daemons.wait_caught_up()
             with trio.move_on_after(recovery):
                 await self._operator.apply()
@@ -251,7 +250,11 @@
         with trio.move_on_after(recovery):
             while late or min(versions.values()) < self._operator.acknowledged:
                 await trio.sleep(0.2)
-                await self._check_recovery(versions, late)
+                if self._operator.is_settled:
+                    late.discard("operator")
+                async with trio.open_nursery() as checks:
+                    for vm in (*versions, *late - {"operator"}):
+                        checks.start_soon(self._recheck, vm, versions, late)
         self._checker.judge_end(time.monotonic(), versions, late)
         async with trio.open_nursery() as nursery:
             for vm in self._plan.nodes:
@@ -261,19 +264,15 @@
             for vm in self._plan.controls:
                 nursery.start_soon(self._stop_for_good, vm)
 
-    async def _check_recovery(
-        self, versions: dict[str, int], late: set[str]
+    async def _recheck(
+        self, vm: str, versions: dict[str, int], late: set[str]
     ) -> None:
-        """Updates the versions at the controls, and what has not recovered."""
-        if self._operator.is_settled:
-            late.discard("operator")
-        for vm in versions:
-            with trio.move_on_after(1.0):
+        """Updates the version at a control, or whether a node is late."""
+        with trio.move_on_after(1.0):
+            if vm in versions:
                 versions[vm] = await self._operator.read(vm) or versions[vm]
-        for vm in sorted(late - {"operator"}):
-            with trio.move_on_after(1.0):
-                if await callers.is_ready(self._ready[vm]):
-                    late.discard(vm)
+            elif await callers.is_ready(self._ready[vm]):
+                late.discard(vm)
 
     async def _stop_for_good(self, vm: str) -> None:
         stop = model.Stop(vm=vm, down=0.0)
