--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -102,7 +102,13 @@
             except BlockingIOError:
                 pass
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                await trio.lowlevel.wait_readable(self._socket)
+            except trio.BusyResourceError:
+                # A task that was cancelled after it had been woken runs on to
+                # its next checkpoint, when another may have taken its place.
+                await trio.lowlevel.checkpoint_if_cancelled()
+                raise
             try:
                 return self.receive_nowait(size)
             except BlockingIOError:
