Peer links: a call that ends in the turn of its offer uploads nothing

What callers saw: a node's process ended with BusyResourceError, and with it every connection of its callers, after a pause beside uploads.

Cause: the scope that cancels an upload was set by the upload's own task, in its first step. A call that ended before, as by a refusal that arrived together with the offer, had nothing to cancel. The upload then read the caller's body beside the task of the caller's connection, which discards the rest of it.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -167,10 +167,15 @@
         )
 
     async def _upload(
-        self, number: int, call: _PendingCall, rest: model.BodyReader
+        self,
+        number: int,
+        call: _PendingCall,
+        rest: model.BodyReader,
+        scope: trio.CancelScope,
     ) -> None:
         assert call.upload is not None
-        with trio.CancelScope() as call.upload_scope:
+        with scope:
+            await trio.lowlevel.checkpoint_if_cancelled()
             try:
                 await call.upload.send(rest)
             except (
@@ -256,7 +261,8 @@
             call.upload = peer_connection.OutgoingBody(
                 connection=self._connection, call=number
             )
-            self._nursery.start_soon(self._upload, number, call, rest)
+            scope = call.upload_scope = trio.CancelScope()
+            self._nursery.start_soon(self._upload, number, call, rest, scope)
 
     def _on_answer(self, frame: frames.AnswerCall, call: _PendingCall) -> None:
         if call.answer_body is not None:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -810,3 +810,33 @@
         outcome = await links.mailbox.ask(_exchange(address))
     assert isinstance(outcome, model.Answer)
     assert body.closed
+
+
+# Guards against an upload that starts after its call has ended: it read the
+# body beside the connection's own task, and the exception ended the process.
+async def test_a_call_that_is_refused_with_its_offer_uploads_nothing():
+    class Body:
+        reads = 0
+
+        async def read(self):
+            self.reads += 1
+            await trio.sleep_forever()
+
+        async def close(self):
+            pass
+
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                offer = frames.encode(frames.Offer(call=frame.call))
+                await stream.send(offer + frames.encode(_refusal(frame.call)))
+
+    body = Body()
+    async with _scripted_peer(serve) as address, _links() as links:
+        with trio.fail_after(2):
+            outcome = await links.mailbox.ask(
+                _exchange(address, confirm=True, body=b"a", rest=body)
+            )
+            assert isinstance(outcome, model.Refuse)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+    assert body.reads == 0
