One odd entry no longer silences an upstream's sign-off or can't be encoded

Cause: an announcement was taken as newer by its number alone, so that after one of another writer with a large sequence number the upstream's own ones were acknowledged and not followed, draining too. Numbers of 2**64, lone surrogates and ids with line breaks were accepted and then could not be encoded, or would have gone into headers; numbers of 400 digits raised OverflowError.

Change: documents are parsed strictly, numbers are bounded, texts that go into headers are visible ASCII, findings are cut and escaped. A run of an upstream that drains stays so, whatever the number of the announcement; after an unlikely step of the number, lower ones of the same run are followed again; a start in the future is refused; an outdated announcement of the run still shows that it goes on. An address out of range is a failed connection.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -29,6 +29,9 @@
 # Seconds since a control's last contact with a majority, above which the node
 # looks for another control.
 MAX_MAJORITY_AGE = 2.0
+# Numbers by which an upstream may advance from one announcement to the next. A
+# larger step may be the mistake of another writer.
+MAX_SEQUENCE_STEP = 16
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -52,6 +55,25 @@
     """Asks for the next heartbeat; first expires a silent upstream."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _LastAnnouncement:
+    """The numbered announcement that was applied last.
+
+    Attributes:
+      incarnation: The run of the upstream that it names.
+      started_ms: Start of that run in milliseconds.
+      sequence: Its number in that run.
+      sequence_before: The number before, if it differs by an unlikely step.
+      draining: Whether that run has announced that it is leaving.
+    """
+
+    incarnation: str = ""
+    started_ms: int = 0
+    sequence: int = -1
+    sequence_before: int | None = None
+    draining: bool = False
+
+
 class NodeMembership(task.Controller):
     """Owns the node's record and its view of the fleet.
 
@@ -86,7 +108,7 @@
         super().__init__()
         self._announcement_ttl = announcement_ttl
         self._heartbeat_interval = heartbeat_interval
-        self._last_announcement = (0, -1)
+        self._last_announcement = _LastAnnouncement()
         self._stopped_incarnation = ""
         self._controls_unreachable = False
         self._controls: tuple[replication.Member, ...] = ()
@@ -151,7 +173,6 @@
         announcement that is not newer than the last one applied, and one of a
         start that has already ended.
         """
-        announcement = (message.started_ms, message.sequence)
         if message.upstream is None:
             held_upstream = self._record.upstream
             if (
@@ -163,17 +184,54 @@
             self._stopped_incarnation = message.incarnation
             self._set_upstream(None)
             return
-        if message.sequence >= 0:
-            if announcement <= self._last_announcement:
-                return
-            if message.incarnation == self._stopped_incarnation and (
-                message.started_ms == self._last_announcement[0]
-            ):
-                return
-            self._last_announcement = announcement
+        if message.sequence >= 0 and not self._apply_number(message):
+            return
         self._announced_at = clock.monotonic()
         self._set_upstream(message.upstream)
 
+    def _apply_number(self, message: messages.Announce) -> bool:
+        """Returns whether a numbered announcement is in force, and records it.
+
+        Within one run of the upstream, leaving is final: it is followed
+        whatever its number, and no later announcement of that run undoes it.
+        """
+        assert message.upstream is not None
+        last = self._last_announcement
+        draining = message.upstream.state is model.UpstreamState.DRAINING
+        is_same_run = (message.incarnation, message.started_ms) == (
+            last.incarnation,
+            last.started_ms,
+        )
+        sequence_before = None
+        if not is_same_run:
+            if (message.started_ms, message.sequence) <= (
+                last.started_ms,
+                last.sequence,
+            ):
+                return False
+        elif message.incarnation == self._stopped_incarnation:
+            return False
+        else:
+            # Also an outdated announcement shows that the run goes on.
+            self._announced_at = clock.monotonic()
+            if last.draining and not draining:
+                return False
+            step = message.sequence - last.sequence
+            if step > MAX_SEQUENCE_STEP and last.sequence >= 0:
+                sequence_before = last.sequence
+            elif step <= 0 and not draining:
+                before = last.sequence_before
+                if before is None or message.sequence <= before:
+                    return False
+        self._last_announcement = _LastAnnouncement(
+            incarnation=message.incarnation,
+            started_ms=message.started_ms,
+            sequence=message.sequence,
+            sequence_before=sequence_before,
+            draining=draining,
+        )
+        return True
+
     def _set_upstream(self, upstream: model.Upstream | None) -> None:
         if upstream == self._record.upstream:
             return
--- a/src/sassafrashall/platform/node_api.py
+++ b/src/sassafrashall/platform/node_api.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import re
+import time
 from typing import Any
 import urllib.parse
 
@@ -23,6 +25,10 @@
     "draining": model.UpstreamState.DRAINING,
 }
 SLOTS_LIMIT = 100_000  # slots of one upstream
+# An upstream's incarnation and service are sent on in headers.
+_HEADER_TEXT = re.compile(r"[!-~]{1,256}")
+# Seconds by which the clock may be stepped back while an upstream starts.
+MAX_CLOCK_STEP = 60.0
 
 
 class Readiness:
@@ -55,11 +61,19 @@
         )
         if not path.startswith(names.INSTANCES_PATH) or not incarnation:
             return json_response(404, {})
+        if _HEADER_TEXT.fullmatch(incarnation) is None:
+            finding = exceptions.Finding(
+                source="heartbeat",
+                key="id",
+                text="must be up to 256 visible ASCII characters",
+            )
+            return findings_response(400, (finding,))
         match raw.method:
             case "PUT":
                 try:
                     message = decode(raw.body, incarnation)
                     self._check_address(message)
+                    _check_start(message)
                 except exceptions.FindingsError as error:
                     logs.get().warning(
                         "rejected an invalid heartbeat",
@@ -86,6 +100,20 @@
             raise exceptions.FindingsError((finding,))
 
 
+def _check_start(message: messages.Announce) -> None:
+    """Checks that the run of the upstream has begun.
+
+    Raises:
+      FindingsError: It begins in the future. Held, such an announcement would
+        be newer than all of a true run.
+    """
+    if message.started_ms / 1000 > time.time() + MAX_CLOCK_STEP:
+        finding = exceptions.Finding(
+            source="heartbeat", key="born", text="is in the future"
+        )
+        raise exceptions.FindingsError((finding,))
+
+
 def decode(body: bytes, incarnation: str) -> messages.Announce:
     """Returns the announcement in the body of a heartbeat.
 
@@ -105,6 +133,11 @@
     slots = reader.read_integer(info, "slots", "info.")
     if not 1 <= slots <= SLOTS_LIMIT:
         reader.add_finding("info.slots", f"not within 1 to {SLOTS_LIMIT}")
+    service = reader.read_string(info, "service", "info.")
+    if _HEADER_TEXT.fullmatch(service) is None:
+        reader.add_finding(
+            "info.service", "must be up to 256 visible ASCII characters"
+        )
     address = model.Address(host="", port=0)
     try:
         address = settings.parse_address(
@@ -114,7 +147,7 @@
         reader.add_finding("address", str(error))
     message = messages.Announce(
         upstream=model.Upstream(
-            service=reader.read_string(info, "service", "info."),
+            service=service,
             address=address,
             slots=slots,
             connection_limit=0,
--- a/src/sassafrashall/platform/values.py
+++ b/src/sassafrashall/platform/values.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-import json
 import re
 from typing import Any
 
+import msgspec
+
 from sassafrashall import exceptions
 from sassafrashall import settings
 
 _VERSION = re.compile(r"r([0-9]{1,15})")
+# Up to this number, whole numbers are exact in every JSON implementation, and
+# can be encoded for the other processes.
+MAX_NUMBER = 2**53
+MAX_FINDINGS = 200  # kept of one document
+MAX_FINDING_LENGTH = 160  # characters of each text in a finding
 
 
 class Reader:
@@ -39,16 +45,25 @@
         return tuple(self._findings)
 
     def add_finding(self, key: str, text: str) -> None:
-        """Adds a finding about the value at the dotted path `key`."""
-        self._findings.append(
-            exceptions.Finding(source=self._source, key=key, text=text)
-        )
+        """Adds a finding about the value at the dotted path `key`.
+
+        Long texts are cut, and those that can't be encoded are escaped, since
+        the finding is logged and sent back.
+        """
+        if len(self._findings) < MAX_FINDINGS:
+            self._findings.append(
+                exceptions.Finding(
+                    source=self._source,
+                    key=_printable(key),
+                    text=_printable(text),
+                )
+            )
 
     def parse_object(self, body: bytes) -> dict[str, Any]:
         """Parses `body` as a JSON object; returns an empty one if it fails."""
         try:
-            document = json.loads(body)
-        except (ValueError, RecursionError) as error:
+            document = msgspec.json.decode(body)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             self.add_finding("", f"not JSON: {error}")
             return {}
         if not isinstance(document, dict):
@@ -98,19 +113,25 @@
         if isinstance(value, bool) or not isinstance(value, int):
             self.add_finding(f"{key_prefix}{name}", "must be a whole number")
             return default or 0
+        if abs(value) > MAX_NUMBER:
+            self.add_finding(f"{key_prefix}{name}", "is too large")
+            return default or 0
         return value
 
     def read_number(
         self, parent: dict[str, Any], name: str, key_prefix: str, default: float
     ) -> float:
-        """Returns a finite number that is not negative."""
+        """Returns a number from 0 to MAX_NUMBER."""
         value = parent.get(name, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             self.add_finding(f"{key_prefix}{name}", "must be a number")
             return default
-        if not 0 <= value < float("inf"):
+        if not value >= 0:
             self.add_finding(f"{key_prefix}{name}", "must not be below 0")
             return default
+        if value > MAX_NUMBER:
+            self.add_finding(f"{key_prefix}{name}", "is too large")
+            return default
         return float(value)
 
     def read_boolean(
@@ -141,6 +162,15 @@
             return default or 0.0
 
 
+def _printable(text: str) -> str:
+    """Returns the beginning of a text, with what isn't printable escaped."""
+    text = text[:MAX_FINDING_LENGTH]
+    return "".join(
+        c if c.isprintable() else c.encode("unicode_escape").decode()
+        for c in text
+    )
+
+
 def parse_version(text: object) -> int | None:
     """Returns the number of a configuration version, or None if invalid.
 
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -31,6 +31,8 @@
 # request that may have run costs more, four hops together stay below the ratio.
 HOP_RETRY_FRACTION = 0.4
 MAX_SECRET_LENGTH = 64  # bytes; the longest key of BLAKE2b
+MAX_DURATION = 1e9  # seconds
+MAX_PORT_DIGITS = 5
 
 _T = TypeVar("_T")
 
@@ -267,9 +269,9 @@
       ValueError: The text is not valid; the message says why.
     """
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit():
+    if not separator or re.fullmatch("[0-9]+", port) is None:
         raise ValueError(f"{text!r} is not IP:PORT")
-    if not 0 < int(port) < 65536:
+    if len(port) > MAX_PORT_DIGITS or not 0 < int(port) < 65536:
         raise ValueError(f"port {port} is not within 1 to 65535")
     try:
         ipaddress.ip_address(host.strip("[]"))
@@ -287,7 +289,10 @@
     match = re.fullmatch(r"([0-9]+(?:\.[0-9]+)?)(ms|s)", text)
     if match is None:
         raise ValueError(f"{text!r} is not a number with its unit, ms or s")
-    return Duration(seconds=float(match[1]) / (1000 if match[2] == "ms" else 1))
+    seconds = float(match[1]) / (1000 if match[2] == "ms" else 1)
+    if seconds > MAX_DURATION:
+        raise ValueError(f"{text[:20]!r} is longer than {MAX_DURATION:.0f} s")
+    return Duration(seconds=seconds)
 
 
 def read(path: str, settings_type: type[_T]) -> _T:
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -159,7 +159,8 @@
             # succeeded in time.
             with trio.move_on_after(CONNECT_TIMEOUT):
                 return await trio.open_tcp_stream(address.host, address.port)
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # An address that another process sent may be out of range.
         raise exceptions.ConnectionFailedError(
             f"cannot connect to {address}: {error}", maybe_delivered=False
         ) from error
