Controls exchange the directory with all members of the log, not only with seeds

Cause: a control exchanged gossip with the controls of its settings. On the platform these are three seeds, so that a fourth control and any further one was told of no nodes but its own, and of no proof of freshness but through a seed. Nodes prefer the control of their data centre, so that those of every further data centre knew only the upstreams there: with a fifth of the slots for a fifth of the callers, all bursts there met full doors while others were idle.

Change: gossip with every member of the replicated log as well. A node that turns to another control keeps what that one does not list for 3 s, since a control that has just started knows no nodes yet.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -116,6 +116,8 @@
         self._directory = node_directory.Directory()
         self._withdrawn: frozenset[str] = frozenset()
         self._peers: dict[str, _PeerControl] = {}
+        # Controls with which a child task exchanges gossip.
+        self._gossip_partners: set[model.Address] = set()
         # By VM of the nodes that send their heartbeats to this control.
         self._heartbeat_times: dict[str, float] = {}
         self._loads: dict[str, model.NodeLoad | None] = {}
@@ -127,9 +129,7 @@
 
     async def _setup(self) -> None:
         self._spawn(self._follow_replica)
-        for control in self._settings.controls:
-            if control.address != self._settings.listen.rpc:
-                self._spawn(self._gossip_with, control)
+        self._start_gossip()
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         now = clock.monotonic()
@@ -138,6 +138,7 @@
                 self._status = message
                 self._merge_committed_withdrawals()
                 self._expire_entries(now)
+                self._start_gossip()
             case protocol.Heartbeat():
                 reply.put(self._on_heartbeat(message, now))
             case protocol.Gossip():
@@ -300,17 +301,36 @@
 
     # --- gossip --------------------------------------------------------------
 
-    async def _gossip_with(self, control: settings_module.Control) -> None:
+    def _gossip_addresses(self) -> set[model.Address]:
+        """Returns the other controls, those of the log and of the settings.
+
+        The settings may name only some of them, and some that have left.
+        """
+        members = {
+            settings_module.parse_address(member.address)
+            for member in self._view.value.members
+        }
+        configured = {control.address for control in self._settings.controls}
+        return (members | configured) - {self._settings.listen.rpc}
+
+    def _start_gossip(self) -> None:
+        """Starts to gossip with the controls that have become known."""
+        for address in self._gossip_addresses() - self._gossip_partners:
+            self._gossip_partners.add(address)
+            self._spawn(self._gossip_with, address)
+
+    async def _gossip_with(self, address: model.Address) -> None:
         client = rpc.RpcClient(
-            address=control.address,
+            address=address,
             secret=self._settings.fleet_secret,
             hybrid_clock=self._events.clock,
         )
         try:
-            while True:
-                await self._gossip_once(str(control.address), client)
+            while address in self._gossip_addresses():
+                await self._gossip_once(str(address), client)
                 await trio.sleep(GOSSIP_INTERVAL)
         finally:
+            self._gossip_partners.discard(address)
             client.close()
 
     async def _gossip_once(self, address: str, client: rpc.RpcClient) -> None:
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -29,6 +29,9 @@
 # Seconds since a control's last contact with a majority, above which the node
 # looks for another control.
 MAX_MAJORITY_AGE = 2.0
+# Seconds for which nodes stay known that the list of another control lacks. A
+# control that has just started hears of all nodes within this time.
+UNLISTED_TTL = 3.0
 # Numbers by which an upstream may advance from one announcement to the next. A
 # larger step may be the mistake of another writer.
 MAX_SEQUENCE_STEP = 16
@@ -122,6 +125,9 @@
         self._metrics = counters
         self._directory_source = ""
         self._directory_version = 0
+        # By VM of the nodes that the last list lacked: when they are forgotten,
+        # in monotonic seconds.
+        self._unlisted: dict[str, float] = {}
         self._announced_at = 0.0
         # Whether the last check found that the upstream was silent.
         self._found_silent = False
@@ -396,8 +402,21 @@
         held_records: dict[str, model.NodeRecord],
         answer: protocol.HeartbeatReply,
     ) -> dict[str, model.NodeRecord]:
-        records = {} if answer.complete else dict(held_records)
+        now = clock.monotonic()
+        if answer.complete:
+            listed = {entry.record.vm for entry in answer.entries}
+            self._unlisted = {
+                vm: self._unlisted.get(vm, now + UNLISTED_TTL)
+                for vm in held_records
+                if vm not in listed
+            }
+        records = {
+            vm: record
+            for vm, record in held_records.items()
+            if self._unlisted.get(vm, now) >= now
+        }
         for entry in answer.entries:
+            self._unlisted.pop(entry.record.vm, None)
             if entry.lapsed:
                 records.pop(entry.record.vm, None)
             else:
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -14,9 +14,12 @@
 from sassafrashall.controllers import fleet_directory
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
+from sassafrashall.transport import rpc
 from tests import fakes
+from tests import loopback
 
 ADDRESS = model.Address(host="127.0.0.1", port=1)
+SECRET = "a-secret-of-a-fleet"
 CHECK_INTERVAL = fleet_directory.GOSSIP_INTERVAL / 2
 MEMBER = replication.Member(
     replica_id="c", vm="vm-c", address=str(ADDRESS), data_centre="x"
@@ -81,12 +84,23 @@
 
 
 @contextlib.asynccontextmanager
-async def _directory(now):
-    replica = fakes.ScriptedController(lambda message: trio.sleep_forever())
+async def _directory(now, *, members=(), status=None):
+    async def answer(message):
+        if status is None:
+            await trio.sleep_forever()
+        return status
+
+    replica = fakes.ScriptedController(answer)
     directory = fleet_directory.FleetDirectory(
-        settings=types.SimpleNamespace(vm="vm-c", controls=()),
+        settings=types.SimpleNamespace(
+            vm="vm-c",
+            data_centre="x",
+            controls=(),
+            fleet_secret=SECRET,
+            listen=types.SimpleNamespace(rpc=ADDRESS, ops=ADDRESS),
+        ),
         replica=replica.mailbox,
-        view=mailbox.Published(initial=messages.FleetView()),
+        view=mailbox.Published(initial=messages.FleetView(members=members)),
         event_log=fakes.event_log(),
         counters=fakes.counters(),
     )
@@ -129,3 +143,36 @@
             directory.run_for(0.5)
             await directory.heartbeat("vm-a")
         assert await directory.heartbeat("vm-a") == {"vm-b"}
+
+
+# Guards against a data centre whose control is no seed. Its nodes would know no
+# upstreams but those of their own data centre.
+async def test_a_control_tells_its_nodes_to_members_that_are_no_seeds():
+    received = []
+
+    async def receive(message, caller):
+        received.append(message)
+        return protocol.GossipReply(source="d", control=message.control)
+
+    address = loopback.free_address()
+    server = rpc.RpcServer(
+        address=address,
+        handler=receive,
+        secrets={SECRET: rpc.Caller.PROCESS},
+        hybrid_clock=clock.HybridClock(),
+    )
+    member = replication.Member(
+        replica_id="d",
+        vm="vm-d",
+        address=str(address),
+        data_centre="y",
+    )
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        async with _directory([0.0], members=(MEMBER, member), status=STATUS):
+            with trio.fail_after(5):
+                while not received:
+                    await trio.sleep(0.01)
+        await server.close()
+        nursery.cancel_scope.cancel()
+    assert received[0].control.vm == "vm-c"
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -1,5 +1,6 @@
 """The announcements of the upstream beside an event loop that runs late."""
 
+import dataclasses
 import json
 import time
 
@@ -159,3 +160,55 @@
                 await trio.testing.wait_all_tasks_blocked()
                 released.set()
             assert told == [False, True]
+
+
+def _entry(vm):
+    record = model.NodeRecord(
+        vm=vm,
+        data_centre="x",
+        incarnation=1,
+        counter=1,
+        peer_address=UPSTREAM,
+        ops_address=UPSTREAM,
+    )
+    return protocol.DirectoryEntry(record=record)
+
+
+# Guards against requests refused for want of upstreams when the node turns to a
+# control that has just started, and has not yet heard of the other nodes.
+async def test_nodes_that_a_new_control_does_not_know_yet_stay_known(
+    monkeypatch,
+):
+    shift = [0.0]
+    monotonic = clock.monotonic
+    monkeypatch.setattr(clock, "monotonic", lambda: monotonic() + shift[0])
+    source = ["old"]
+    entries = {"old": ("vm-1", "vm-2", "vm-3"), "new": ("vm-1",)}
+
+    def answer(message, reply):
+        held = message.message.directory_source == source[0]
+        return dataclasses.replace(
+            reply,
+            directory_source=source[0],
+            complete=not held,
+            entries=()
+            if held
+            else tuple(_entry(vm) for vm in entries[source[0]]),
+        )
+
+    link, membership = _membership(fakes.event_log(), answer)
+
+    async def known(vms):
+        with trio.fail_after(5):
+            while set(membership.view.value.records) != vms:
+                await membership.view.wait_changed()
+
+    async with fakes.started(link, membership):
+        await known({"vm-1", "vm-2", "vm-3"})
+        source[0] = "new"
+        with trio.fail_after(5):
+            for _ in range(5):
+                await membership.view.wait_changed()
+        await known({"vm-1", "vm-2", "vm-3"})
+        shift[0] = node_membership.UNLISTED_TTL + 0.1
+        await known({"vm-1"})
