Requests far over a known rate are refused at once, with a wait that fits

Change: once the last answer of the owners had no tokens, only as many requests wait as were lent last, two at least; others are refused in the same turn. The wait told is the time in which the owners lend what was asked for beyond the rate in the last second, at most 2 s.

Result: of 100 requests at once over the rate, none was refused within 75 ms before, and 90 or more are now; both tests failed before.

--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 from typing import Any
 
 import trio
@@ -24,6 +25,11 @@
 MIN_RETRY_PAUSE = 0.01  # seconds, at least, after an answer without tokens
 ACCOUNT_TTL = 1.0  # seconds without a request until an account is removed
 MAX_EMPTY_ANSWERS = 8  # in a row; more do not lengthen the pause
+# Requests that wait for a token of an organisation without any; others are
+# refused at once. A few must wait, so that the node goes on asking.
+MIN_WAITING = 2
+LENT_RATE_WINDOW = 1.0  # seconds over which the rate of lent tokens is smoothed
+MAX_OVER_RATE_WAIT = 2.0  # seconds told to a request over the rate
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -76,6 +82,9 @@
         self.unreachable = False
         self.reported_at = now
         self.prefetch_again_at = 0.0
+        self.last_lent = 0  # tokens of the last answer that had any
+        self.lent_rate = 0.0  # smoothed, in tokens per second
+        self._answered_at = now
 
     @property
     def idle(self) -> bool:
@@ -84,6 +93,34 @@
             self.cache.leases or self.waiting or self.borrow_in_progress
         )
 
+    @property
+    def is_over_rate(self) -> bool:
+        """Whether a further request would wait for nothing."""
+        return self.empty_answers > 0 and len(self.waiting) >= max(
+            MIN_WAITING, self.last_lent
+        )
+
+    def record_lent(self, tokens: int, now: float) -> None:
+        """Records the number of tokens in an answer of an owner."""
+        elapsed = max(now - self._answered_at, 1e-3)
+        self._answered_at = now
+        weight = 1 - math.exp(-elapsed / LENT_RATE_WINDOW)
+        self.lent_rate += weight * (tokens / elapsed - self.lent_rate)
+        if tokens:
+            self.last_lent = tokens
+
+    def refusal(self) -> messages.TokenRefused:
+        """Returns the refusal of a request without a token.
+
+        The wait is the time in which the owners lend what was asked for beyond
+        the rate in the last second.
+        """
+        wait = self.wait
+        if self.lent_rate > 0:
+            excess = max(0.0, self.cache.demand / self.lent_rate - 1)
+            wait = max(wait, min(MAX_OVER_RATE_WAIT, excess))
+        return messages.TokenRefused(wait=wait, unreachable=self.unreachable)
+
 
 class NodeQuota(task.Controller):
     """Owns the tokens that this node has borrowed.
@@ -134,6 +171,9 @@
             if granted:
                 reply.put(messages.TokenGranted())
                 return
+        if account.is_over_rate:
+            reply.put(account.refusal())
+            return
         refuse_at = min(message.deadline, now + TOKEN_WAIT)
         account.waiting.append(
             _Waiter(refuse_at=refuse_at, deadline=message.deadline, reply=reply)
@@ -229,6 +269,9 @@
             account.prefetch_again_at = now + PREFETCH_RETRY_PAUSE
         else:
             account.wait = message.answer.wait
+            account.record_lent(
+                sum(grant.tokens for grant in message.answer.grants), now
+            )
             account.unreachable = message.answer.unreachable
             grants = message.answer.grants
             if not grants and message.prefetched:
@@ -281,11 +324,7 @@
             )
             if refuse_at > now and not account.unreachable:
                 break
-            account.waiting.popleft().reply.put(
-                messages.TokenRefused(
-                    wait=account.wait, unreachable=account.unreachable
-                )
-            )
+            account.waiting.popleft().reply.put(account.refusal())
         if account.waiting:
             self._borrow(name, account, now)
 
--- a/tests/test_node_quota.py
+++ b/tests/test_node_quota.py
@@ -144,3 +144,63 @@
     assert len(link.received) <= math.ceil(doublings) + math.ceil(
         duration * borrows_per_second
     )
+
+
+async def test_requests_far_over_a_known_rate_are_refused_at_once():
+    """Pattern: one organisation at many times its rate.
+
+    Each of its requests held memory and a timer for TOKEN_WAIT, hundreds a
+    second at a node, and its caller learned late what was known at once.
+    """
+    controls = fakes.FakeControls(wait=0.01)
+    controls.tokens = 3
+    link = fakes.ScriptedController(controls.handle)
+    quota = node_quota.NodeQuota(
+        link=link.mailbox,
+        counters=fakes.counters(),
+        borrowing_policy=decisions_quota.RELAXED,
+    )
+    refused_after = []
+
+    async def take_one():
+        asked_at = clock.monotonic()
+        if isinstance(await _take_token(quota), messages.TokenRefused):
+            refused_after.append(clock.monotonic() - asked_at)
+
+    async with fakes.started(link, quota):
+        while await _take_token(quota) == messages.TokenGranted():
+            pass
+        async with trio.open_nursery() as nursery:
+            for _ in range(100):
+                nursery.start_soon(take_one)
+        at_once = [t for t in refused_after if t < node_quota.TOKEN_WAIT / 2]
+        assert len(refused_after) == 100
+        assert len(at_once) >= 90
+        # Those that still wait find out when there are tokens again.
+        controls.tokens = 50
+        with trio.fail_after(2):
+            while await _take_token(quota) != messages.TokenGranted():
+                pass
+
+
+async def test_the_wait_told_grows_with_the_excess_over_the_rate():
+    controls = fakes.FakeControls(wait=0.01)
+    link = fakes.ScriptedController(controls.handle)
+    quota = node_quota.NodeQuota(
+        link=link.mailbox,
+        counters=fakes.counters(),
+        borrowing_policy=decisions_quota.RELAXED,
+    )
+    waits = []
+    async with fakes.started(link, quota):
+        for step in range(200):
+            if step % 10 == 0:
+                controls.tokens = 5
+            for _ in range(4):
+                # Forty asked for where five are lent.
+                answer = await _take_token(quota, timeout=0.001)
+                if isinstance(answer, messages.TokenRefused):
+                    waits.append(answer.wait)
+            await trio.sleep(0.005)
+    assert max(waits) > 0.5
+    assert max(waits) <= node_quota.MAX_OVER_RATE_WAIT
