--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -11,12 +11,14 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import frozen
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import breaker
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import routing
@@ -24,6 +26,8 @@
 
 FAIR_SHARE_THRESHOLD = 0.5  # fraction of the limit in use; see _admit
 TICK_INTERVAL = 0.02  # seconds between checks of the queue and the level
+# Load reported while the breaker is open, above that of a busy upstream.
+OPEN_BREAKER_LOAD = 4 * routing.LOAD_SCALE
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -65,6 +69,7 @@
         event_log: events.EventLog,
         counters: metrics.Metrics,
         upstream_load: mailbox.Published[int] | None = None,
+        usable_slots: mailbox.Published[int] | None = None,
     ) -> None:
         """Sets up admission; no upstream is known yet.
 
@@ -77,14 +82,19 @@
           counters: The metrics of this process.
           upstream_load: Where the load is published: slots in use and requests
             in the queue, in thousandths of the limit.
+          usable_slots: Where the number of slots that requests may take is
+            published; 0 while the upstream fails its requests.
         """
         super().__init__()
+        self._usable_slots = usable_slots
         self._published_load = upstream_load
         self._local_upstream = local_upstream
         self._upstream: model.Upstream | None = None
         self._limit_policy = policy.limit_policy()
         self._queue_policy = policy.queue_policy()
         self._shed_policy = policy.shed_policy()
+        self._breaker_policy = policy.breaker_policy()
+        self._breaker = breaker.CLOSED
         self._events = event_log
         self._metrics = counters
         self._slot_wait = counters.bound_histogram("slot_wait_seconds")
@@ -139,14 +149,24 @@
                 self._on_tick(now)
         if self._published_load is not None:
             self._published_load.publish(self._current_load())
+        if self._usable_slots is not None:
+            self._usable_slots.publish(self._count_usable_slots(now))
+
+    def _count_usable_slots(self, now: float) -> int:
+        if self._limit_state is None or not self._breaker.is_closed:
+            return 0
+        return limits.current_limit(self._limit_policy, self._limit_state, now)
 
     def _current_load(self) -> int:
         """Returns slots in use plus queue length, in thousandths of the limit.
 
-        Until an upstream has been ready, the load counts as full.
+        Until an upstream has been ready, and while it fails its requests, the
+        load counts as full.
         """
         if self._limit_state is None:
             return routing.LOAD_SCALE
+        if not self._breaker.is_closed:
+            return OPEN_BREAKER_LOAD
         demand = self._in_flight + len(self._queue.items)
         return (
             routing.LOAD_SCALE * demand // max(1, int(self._limit_state.limit))
@@ -165,6 +185,8 @@
             and previous.state is model.UpstreamState.READY
             and previous.address == upstream.address
         )
+        if previous is None or previous.incarnation != upstream.incarnation:
+            self._breaker = breaker.CLOSED
         if not already_ready or self._limit_state is None:
             self._limit_state = limits.initial_state(upstream.slots, now)
         else:
@@ -189,6 +211,13 @@
                 )
             )
             return
+        if not breaker.may_send(self._breaker, now):
+            reply.put(
+                self._refusal(
+                    exceptions.NO_UPSTREAM, "the upstream fails its requests"
+                )
+            )
+            return
         item = queues.QueuedRequest(
             item_id=message.call_id,
             organisation=message.organisation,
@@ -229,6 +258,7 @@
     ) -> None:
         assert self._upstream is not None
         self._in_flight += 1
+        self._breaker = breaker.on_sent(self._breaker)
         self._slot_wait.observe(now - item.arrived_at)
         if not isinstance(self._shed_policy, shedding.NoEarlyShed):
             self._level_state = shedding.on_dispatch(
@@ -240,12 +270,13 @@
     def _on_slot_released(
         self, message: messages.SlotReleased, now: float
     ) -> None:
+        self._update_breaker(message, now)
         if self._limit_state is not None:
             if message.shed:
                 self._limit_state = limits.on_shed(
                     self._limit_policy, self._limit_state, now
                 )
-            elif message.latency >= 0:
+            elif message.latency >= 0 and not message.failed:
                 self._limit_state = limits.on_answer(
                     self._limit_policy,
                     self._limit_state,
@@ -256,6 +287,34 @@
         self._in_flight -= 1
         self._grant_waiting(now)
 
+    def _update_breaker(
+        self, message: messages.SlotReleased, now: float
+    ) -> None:
+        previous = self._breaker
+        usual_time = self._limit_state.latency if self._limit_state else 0.0
+        failed = message.failed and breaker.is_failure(
+            self._breaker_policy,
+            timed_out=message.timed_out,
+            run_time=message.run_time,
+            usual_time=usual_time,
+        )
+        if failed or (message.latency >= 0 and not message.failed):
+            self._breaker = breaker.on_result(
+                self._breaker_policy, previous, failed=failed, now=now
+            )
+        else:
+            self._breaker = breaker.on_no_result(previous)
+        if self._breaker.openings > previous.openings:
+            self._events.record("upstream.failing")
+            self._metrics.count("breaker_openings")
+            logs.get().warning(
+                "upstream fails its requests",
+                extra={"openings": self._breaker.openings},
+            )
+        elif self._breaker.is_closed and not previous.is_closed:
+            self._events.record("upstream.recovered")
+            logs.get().info("upstream no longer fails its requests")
+
     def _grant_waiting(self, now: float) -> None:
         if self._limit_state is None or not self._queue.items:
             return
--- /dev/null
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -0,0 +1,247 @@
+"""Measures what enters the fleet at this node, and what its upstream costs."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+from typing import TypeAlias
+
+from sassafrashall import clock
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import task
+from sassafrashall.decisions import demand
+
+# Seconds in which the weight of an observation halves.
+ROOTS_HALF_LIFE = 2.0
+RUNS_HALF_LIFE = 6.0
+MIN_WEIGHT = 0.01  # weight below which an observation is dropped
+CALLS_KEPT = 256  # calls on one route from which rates are estimated
+CALLS_KEPT_FOR = 20.0  # seconds
+ESTIMATION_STEPS = 2  # for each report
+
+
+_Kind: TypeAlias = tuple[str, str]  # the route and the service of a run
+
+
+class _Runs:
+    """The observed runs of one kind at the local upstream."""
+
+    def __init__(self, *, now: float) -> None:
+        self.in_progress = 0
+        self.started = 0.0
+        self.ended = 0.0
+        self.busy_s = 0.0
+        self.exposure_s = 0.0  # decays like the other observations
+        self.total_exposure_s = 0.0
+        self._exposed_at = now
+
+    def expose(self, now: float) -> None:
+        """Adds the time for which runs have been in progress."""
+        exposure = self.in_progress * (now - self._exposed_at)
+        self.exposure_s += exposure
+        self.total_exposure_s += exposure
+        self._exposed_at = now
+
+    def decay(self, factor: float) -> None:
+        """Multiplies the weight of all observations by `factor`."""
+        self.started *= factor
+        self.ended *= factor
+        self.busy_s *= factor
+        self.exposure_s *= factor
+
+
+class _ObservedCalls:
+    """The latest calls of the local upstream on one route.
+
+    Each is kept with its time, the runs in progress, and the total exposure of
+    each kind of run by then.
+    """
+
+    def __init__(self) -> None:
+        self.rates: dict[_Kind, float] = {}
+        self._calls: collections.deque[
+            tuple[float, demand.InProgress[_Kind], dict[_Kind, float]]
+        ] = collections.deque(maxlen=CALLS_KEPT)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no recent call is known."""
+        return not self._calls
+
+    def add(self, runs: dict[_Kind, _Runs], now: float) -> None:
+        """Adds a call that is made now."""
+        in_progress = tuple(
+            (kind, run.in_progress)
+            for kind, run in runs.items()
+            if run.in_progress
+        )
+        exposures = {kind: run.total_exposure_s for kind, run in runs.items()}
+        self._calls.append((now, in_progress, exposures))
+
+    def estimate_rates(self, runs: dict[_Kind, _Runs], now: float) -> None:
+        """Updates the rates by what has been observed since."""
+        while self._calls and now - self._calls[0][0] > CALLS_KEPT_FOR:
+            self._calls.popleft()
+        if not self._calls:
+            return
+        exposed_before = self._calls[0][2]
+        exposures = {
+            kind: run.total_exposure_s - exposed_before.get(kind, 0.0)
+            for kind, run in runs.items()
+        }
+        calls = [in_progress for _, in_progress, _ in self._calls]
+        for _ in range(ESTIMATION_STEPS):
+            self.rates = demand.attribute_calls(calls, exposures, self.rates)
+
+
+class DemandMonitor(task.Controller):
+    """Owns the counts behind the demand that this node reports."""
+
+    def __init__(
+        self,
+        *,
+        local_upstream: mailbox.Published[model.Upstream | None],
+        usable_slots: mailbox.Published[int],
+    ) -> None:
+        """Creates the monitor.
+
+        Args:
+          local_upstream: The upstream on this VM, as last announced.
+          usable_slots: How many of its slots requests may take now.
+        """
+        super().__init__()
+        self._local_upstream = local_upstream
+        self._usable_slots = usable_slots
+        self._upstream_calls = mailbox.Published[bool](initial=False)
+        self._runs: dict[_Kind, _Runs] = {}
+        self._calls: dict[str, _ObservedCalls] = {}
+        # Root requests by route and priority class: those since the last
+        # report, and those before, whose weight decays.
+        self._new_roots: dict[str, list[float]] = {}
+        self._roots: dict[str, list[float]] = {}
+        self._roots_seconds = 0.0
+        self._reported_at = clock.monotonic()
+
+    @property
+    def upstream_calls(self) -> mailbox.Published[bool]:
+        """Whether the local upstream has made calls lately."""
+        return self._upstream_calls
+
+    def _handle(self, message: Any, reply: mailbox.Reply) -> None:
+        now = clock.monotonic()
+        match message:
+            case messages.RootArrived():
+                counts = self._new_roots.setdefault(
+                    message.route, [0.0] * len(model.Priority)
+                )
+                counts[message.priority] += message.weight
+            case messages.RunStarted(route=route, service=service):
+                runs = self._runs_of((route, service), now)
+                runs.expose(now)
+                runs.in_progress += 1
+                runs.started += 1
+            case messages.RunEnded(route=route, service=service):
+                runs = self._runs_of((route, service), now)
+                runs.expose(now)
+                runs.in_progress = max(0, runs.in_progress - 1)
+                runs.ended += 1
+                runs.busy_s += message.seconds
+            case messages.UpstreamCalled(route=route):
+                self._expose_all(now)
+                self._upstream_calls.publish(True)
+                self._calls.setdefault(route, _ObservedCalls()).add(
+                    self._runs, now
+                )
+            case messages.ReadDemand():
+                self._update(now)
+                reply.put(self._current_demand())
+
+    def _runs_of(self, kind: _Kind, now: float) -> _Runs:
+        runs = self._runs.get(kind)
+        if runs is None:
+            runs = self._runs[kind] = _Runs(now=now)
+        return runs
+
+    def _expose_all(self, now: float) -> None:
+        for runs in self._runs.values():
+            runs.expose(now)
+
+    def _update(self, now: float) -> None:
+        """Estimates anew, with less weight for what is older."""
+        self._expose_all(now)
+        for route, calls in list(self._calls.items()):
+            calls.estimate_rates(self._runs, now)
+            if calls.is_empty:
+                del self._calls[route]
+        self._upstream_calls.publish(bool(self._calls))
+        elapsed = max(0.0, now - self._reported_at)
+        self._reported_at = now
+        runs_factor = 0.5 ** (elapsed / RUNS_HALF_LIFE)
+        for kind, runs in list(self._runs.items()):
+            runs.decay(runs_factor)
+            if not runs.in_progress and runs.started < MIN_WEIGHT:
+                del self._runs[kind]
+        roots_factor = 0.5 ** (elapsed / ROOTS_HALF_LIFE)
+        self._roots_seconds = self._roots_seconds * roots_factor + elapsed
+        new_roots, self._new_roots = self._new_roots, {}
+        nothing = [0.0] * len(model.Priority)
+        self._roots = {
+            route: [
+                roots_factor * before + new
+                for before, new in zip(
+                    self._roots.get(route, nothing),
+                    new_roots.get(route, nothing),
+                    strict=True,
+                )
+            ]
+            for route in {**self._roots, **new_roots}
+            if route in new_roots or sum(self._roots[route]) > MIN_WEIGHT
+        }
+
+    def _current_demand(self) -> demand.Demand:
+        seconds = max(self._roots_seconds, 1e-3)
+        routes = [
+            demand.RouteDemand(
+                route=route,
+                roots=tuple(round(count / seconds, 3) for count in counts),
+            )
+            for route, counts in self._roots.items()
+        ]
+        routes += [
+            demand.RouteDemand(
+                route=kind[0],
+                service=kind[1],
+                started=round(runs.started, 3),
+                ended=round(runs.ended, 3),
+                busy_s=round(runs.busy_s, 4),
+                calls=self._calls_of(kind, runs),
+            )
+            for kind, runs in self._runs.items()
+        ]
+        upstream = self._local_upstream.value
+        services: tuple[demand.ServiceSlots, ...] = ()
+        if upstream is not None and upstream.state is model.UpstreamState.READY:
+            services = (
+                demand.ServiceSlots(
+                    service=upstream.service, slots=self._usable_slots.value
+                ),
+            )
+        return demand.Demand(routes=tuple(routes), services=services)
+
+    def _calls_of(self, kind: _Kind, runs: _Runs) -> tuple[demand.Calls, ...]:
+        # Runs in progress have not made all of their calls yet, so that what a
+        # whole run makes follows from the length of those that have ended.
+        exposure_s = runs.exposure_s
+        if runs.ended:
+            exposure_s = runs.started * runs.busy_s / runs.ended
+        counts = (
+            (route, calls.rates.get(kind, 0.0) * exposure_s)
+            for route, calls in self._calls.items()
+        )
+        return tuple(
+            demand.Calls(route=route, count=round(count, 3))
+            for route, count in counts
+            if count > MIN_WEIGHT
+        )
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -12,6 +12,7 @@
 from sassafrashall import configuration
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
@@ -19,15 +20,19 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import rpc
 
 GOSSIP_INTERVAL = 0.5  # seconds
 GOSSIP_TIMEOUT = 0.5  # seconds
 CONTROL_TTL = 5.0  # seconds without gossip until a control counts as silent
+LEVELS_LOG_INTERVAL = 1.0  # seconds between two log lines on them
+LEVELS_INTERVAL = 0.25  # seconds for which computed admission levels are reused
 # Seconds by which a check for silent nodes may be late and still rely on the
 # heartbeats that were read.
 MAX_CHECK_DELAY = 0.5
@@ -121,6 +126,12 @@
         # By VM of the nodes that send their heartbeats to this control.
         self._heartbeat_times: dict[str, float] = {}
         self._loads: dict[str, model.NodeLoad | None] = {}
+        self._demand = demand_decisions.FleetDemand()
+        self._admission_policy = settings.policy.tree_admission_policy()
+        self._route_levels: tuple[tree_admission.RouteLevel, ...] = ()
+        self._levels_computed_at = float("-inf")
+        self._calls_per_run = demand_decisions.CallsPerRun()
+        self._levels_logged_at = float("-inf")
         self._status: messages.ReplicaStatus | None = None
         self._observed_state: fleet_state.FleetState | None = None
         # Of the nodes that are silent, in monotonic seconds.
@@ -222,6 +233,9 @@
         record = message.record
         self._heartbeat_times[record.vm] = now
         self._loads[record.vm] = message.load
+        self._demand = demand_decisions.on_heartbeat(
+            self._demand, record.vm, message.demand, now
+        )
         self._merge_record(record, 0.0, now)
         complete = message.directory_source != self._directory_source
         since = 0 if complete else message.directory_version
@@ -243,8 +257,50 @@
             proof_age=now - self._confirmed_fresh_at(now),
             document=self._newer_document(message.document_version),
             controls=self._view.value.members,
+            route_levels=self._current_route_levels(now),
+            signed_off=self._sign_off_before(record),
         )
 
+    def _sign_off_before(
+        self, record: model.NodeRecord
+    ) -> model.SignOff | None:
+        """Returns the sign-off that a node reported before it restarted."""
+        entry = self._directory.entries.get(record.vm)
+        if record.signed_off is not None or entry is None:
+            return None
+        return entry.record.signed_off
+
+    def _current_route_levels(
+        self, now: float
+    ) -> tuple[tree_admission.RouteLevel, ...]:
+        if now - self._levels_computed_at >= LEVELS_INTERVAL:
+            self._levels_computed_at = now
+            self._compute_route_levels(now)
+        return self._route_levels
+
+    def _compute_route_levels(self, now: float) -> None:
+        fleet = demand_decisions.demand_of_fleet(self._demand, now)
+        self._calls_per_run = demand_decisions.hold_calls_per_run(
+            self._calls_per_run, fleet, now
+        )
+        fleet = demand_decisions.with_held_calls(fleet, self._calls_per_run)
+        levels = tree_admission.route_levels(self._admission_policy, fleet)
+        were_limited, self._route_levels = bool(self._route_levels), levels
+        if not levels and not were_limited:
+            return
+        log_due = now - self._levels_logged_at >= LEVELS_LOG_INTERVAL
+        if log_due or bool(levels) != were_limited:
+            self._levels_logged_at = now
+            logs.get().info(
+                "admission levels computed",
+                extra={
+                    "levels": {
+                        level.route: round(level.level, 2) for level in levels
+                    },
+                    "services": tree_admission.describe_loads(fleet),
+                },
+            )
+
     def _newer_document(
         self, version: int
     ) -> configuration.Configuration | None:
@@ -389,6 +445,7 @@
             withdrawn=tuple(self._withdrawn)
             if len(self._withdrawn) != peer.withdrawn
             else (),
+            demand=demand_decisions.demand_of_nodes(self._demand, now),
         )
         return gossip, self._directory.version
 
@@ -425,6 +482,9 @@
                 self._merge_record(held_entry.record, alive.age, now)
         self._withdrawn |= frozenset(message.withdrawn)
         address = message.control.rpc_address
+        self._demand = demand_decisions.on_gossip(
+            self._demand, address, message.demand, now
+        )
         peer = self._peers.get(address, _PeerControl())
         self._peers[address] = dataclasses.replace(
             peer, record=message.control, heard_at=now
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -18,10 +18,12 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import task
+from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
+from sassafrashall.decisions import tree_admission
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
@@ -32,6 +34,8 @@
 # Seconds for which nodes stay known that the list of another control lacks. A
 # control that has just started hears of all nodes within this time.
 UNLISTED_TTL = 3.0
+# Seconds that the acknowledgement of a sign-off waits for a control to know it.
+SIGN_OFF_TIMEOUT = 0.4
 # Numbers by which an upstream may advance from one announcement to the next. A
 # larger step may be the mistake of another writer.
 MAX_SEQUENCE_STEP = 16
@@ -45,17 +49,34 @@
       reply: The answer.
       sent_at: When the heartbeat was sent, in monotonic seconds; the
         `proof_age` of the reply counts from then.
-      leaving: Whether the heartbeat said that the node leaves.
+      record: The node's record in the heartbeat.
     """
 
     reply: protocol.HeartbeatReply
     sent_at: float
-    leaving: bool
+    record: model.NodeRecord
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _SignOffOverdue:
+    """No control has answered in time that it knows a sign-off.
+
+    Attributes:
+      reply: The acknowledgement that waits for it.
+    """
+
+    reply: mailbox.Reply
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _ComposeHeartbeat:
-    """Asks for the next heartbeat; first expires a silent upstream."""
+    """Asks for the next heartbeat; first expires a silent upstream.
+
+    Attributes:
+      demand: To be reported with it.
+    """
+
+    demand: demand_decisions.Demand | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -94,6 +115,8 @@
         counters: metrics.Metrics,
         announcement_ttl: float = ANNOUNCEMENT_TTL,
         heartbeat_interval: float = HEARTBEAT_INTERVAL,
+        local_upstream: mailbox.Published[model.Upstream | None] | None = None,
+        demand_monitor: mailbox.Mailbox | None = None,
     ) -> None:
         """Sets up an empty view.
 
@@ -107,6 +130,9 @@
           announcement_ttl: Seconds without an announcement after which the
             upstream counts as gone.
           heartbeat_interval: Seconds.
+          local_upstream: Where the upstream on this VM is published.
+          demand_monitor: Mailbox of the task that measures the demand to
+            report; None if it isn't measured.
         """
         super().__init__()
         self._announcement_ttl = announcement_ttl
@@ -135,9 +161,14 @@
         self._load_measured_at = clock.monotonic()
         self._heartbeat_due = trio.Event()
         self._leave_replies: list[mailbox.Reply] = []
+        self._sign_off_replies: list[mailbox.Reply] = []
         self._view = mailbox.Published[model.NodeView](initial=model.NodeView())
-        self._local_upstream = mailbox.Published[model.Upstream | None](
-            initial=None
+        self._local_upstream = local_upstream or mailbox.Published[
+            model.Upstream | None
+        ](initial=None)
+        self._demand_monitor = demand_monitor
+        self._route_levels = mailbox.Published[tree_admission.RouteLevels](
+            initial=tree_admission.RouteLevels()
         )
 
     @property
@@ -155,20 +186,35 @@
         """The routes of the fleet configuration; None before the first."""
         return self._published_table
 
+    @property
+    def route_levels(self) -> mailbox.Published[tree_admission.RouteLevels]:
+        """The admission levels of routes that the controls computed last."""
+        return self._route_levels
+
     async def _setup(self) -> None:
         self._spawn(self._send_heartbeats)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
             case messages.Announce():
+                signed_off_before = self._record.signed_off
                 self._on_announcement(message)
-                reply.put(None)
+                if self._record.signed_off == signed_off_before:
+                    reply.put(None)
+                else:
+                    self._sign_off_replies.append(reply)
+                    self._spawn(self._limit_wait, reply)
+            case _SignOffOverdue(reply=waiting):
+                waiting.put(None)
+                self._sign_off_replies = [
+                    r for r in self._sign_off_replies if not r.done
+                ]
             case messages.Leave():
                 self._update_record(leaving=True)
                 self._leave_replies.append(reply)
-            case _ComposeHeartbeat():
+            case _ComposeHeartbeat(demand=demand):
                 self._expire_announcement()
-                reply.put(self._compose_heartbeat())
+                reply.put(self._compose_heartbeat(demand))
             case _HeartbeatReplied():
                 self._on_heartbeat_reply(message)
 
@@ -189,11 +235,66 @@
                 return
             self._stopped_incarnation = message.incarnation
             self._set_upstream(None)
+            if message.incarnation:
+                last = self._last_announcement
+                is_last = message.incarnation == last.incarnation
+                self._record_sign_off(
+                    model.SignOff(
+                        incarnation=message.incarnation,
+                        started_ms=last.started_ms if is_last else 0,
+                        gone=True,
+                    )
+                )
             return
         if message.sequence >= 0 and not self._apply_number(message):
             return
         self._announced_at = clock.monotonic()
         self._set_upstream(message.upstream)
+        if message.upstream.state is model.UpstreamState.DRAINING:
+            self._record_sign_off(
+                model.SignOff(
+                    incarnation=message.incarnation,
+                    started_ms=message.started_ms,
+                    gone=False,
+                )
+            )
+
+    def _record_sign_off(self, sign_off: model.SignOff) -> None:
+        if sign_off != self._record.signed_off:
+            self._update_record(signed_off=sign_off)
+
+    async def _limit_wait(self, reply: mailbox.Reply) -> None:
+        await trio.sleep(SIGN_OFF_TIMEOUT)
+        self.mailbox.tell(_SignOffOverdue(reply=reply))
+
+    def _restore_sign_off(self, sign_off: model.SignOff) -> None:
+        """Applies a sign-off that this node knew before it restarted.
+
+        Announcements of that run that were delayed no longer count.
+        """
+        self._record_sign_off(sign_off)
+        last = self._last_announcement
+        is_last = last.incarnation == sign_off.incarnation and (
+            last.started_ms == sign_off.started_ms
+        )
+        if last.incarnation and not is_last:
+            return
+        self._last_announcement = dataclasses.replace(
+            last,
+            incarnation=sign_off.incarnation,
+            started_ms=sign_off.started_ms,
+            draining=True,
+        )
+        upstream = self._record.upstream
+        if sign_off.gone:
+            self._stopped_incarnation = sign_off.incarnation
+            self._set_upstream(None)
+        elif upstream is not None:
+            self._set_upstream(
+                dataclasses.replace(
+                    upstream, state=model.UpstreamState.DRAINING
+                )
+            )
 
     def _apply_number(self, message: messages.Announce) -> bool:
         """Returns whether a numbered announcement is in force, and records it.
@@ -267,7 +368,9 @@
         if self._record.upstream and self._found_silent and was_silent:
             self._set_upstream(None)
 
-    def _compose_heartbeat(self) -> protocol.Heartbeat:
+    def _compose_heartbeat(
+        self, demand: demand_decisions.Demand | None
+    ) -> protocol.Heartbeat:
         return protocol.Heartbeat(
             record=self._record,
             directory_source=self._directory_source,
@@ -275,6 +378,7 @@
             withdrawn_count=len(self._view.value.configuration.withdrawn),
             load=self._measure_load(),
             document_version=self._document_version(),
+            demand=demand,
         )
 
     def _document_version(self) -> int:
@@ -301,7 +405,12 @@
         while True:
             self._heartbeat_due = trio.Event()
             sent_at = clock.monotonic()
-            heartbeat = await self.mailbox.ask(_ComposeHeartbeat())
+            demand = (
+                await self._demand_monitor.ask(messages.ReadDemand())
+                if self._demand_monitor
+                else None
+            )
+            heartbeat = await self.mailbox.ask(_ComposeHeartbeat(demand=demand))
             call = messages.CallControl(
                 message=heartbeat, timeout=HEARTBEAT_TIMEOUT
             )
@@ -311,7 +420,7 @@
                     _HeartbeatReplied(
                         reply=answer,
                         sent_at=sent_at,
-                        leaving=heartbeat.record.leaving,
+                        record=heartbeat.record,
                     )
                 )
                 self._log_control_contact("")
@@ -352,6 +461,12 @@
         if answer.revision < view.configuration.revision:
             fresh_at = view.fresh_at
         self._apply_document(answer.document)
+        self._route_levels.publish(
+            tree_admission.RouteLevels(
+                levels={level.route: level for level in answer.route_levels},
+                received_at=clock.monotonic(),
+            )
+        )
         records = self._merge_records(view.records, answer)
         known_services = {
             r.upstream.service for r in records.values() if r.upstream
@@ -372,7 +487,14 @@
             self._link.tell(
                 messages.ControlIsStale(majority_age=answer.majority_age)
             )
-        if message.leaving:
+        if message.record.signed_off is not None:
+            if message.record.signed_off == self._record.signed_off:
+                for reply in self._sign_off_replies:
+                    reply.put(None)
+                self._sign_off_replies.clear()
+        elif answer.signed_off is not None and not self._record.signed_off:
+            self._restore_sign_off(answer.signed_off)
+        if message.record.leaving:
             for reply in self._leave_replies:
                 reply.put(None)
             self._leave_replies.clear()
--- /dev/null
+++ b/src/sassafrashall/decisions/demand.py
@@ -0,0 +1,319 @@
+"""What each route is asked for, costs and calls, as nodes and controls add up.
+
+A node counts the root requests that enter the fleet at it, and the runs at its
+upstream. The calls that an upstream makes carry no link to the run that makes
+them. They are attributed to the runs in progress by expectation maximisation
+for a mixture of Poisson processes, one for each route. Sums over nodes are sums
+over the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+from typing import TypeAlias
+from typing import TypeVar
+
+import immutables
+
+from sassafrashall import model
+
+_Key = TypeVar("_Key")
+
+# Weighted runs in the fleet from which on their calls are held.
+MIN_RUNS_TO_HOLD = 20.0
+HOLD_HALF_LIFE = 15.0  # seconds in which a held number halves its excess
+HELD_TTL = 120.0  # seconds for which a number is held while few runs are seen
+MAX_HOLD_FACTOR = 2.0  # multiple of the observed number that may be held
+NODE_TTL = 2.0  # seconds until the demand that a node reported is outdated
+CONTROL_TTL = (
+    3.0  # seconds until the demand that a control reported is outdated
+)
+# Seconds of runs without a call that are added to what was observed, so that
+# one call in a short time is not taken for a high rate.
+PRIOR_EXPOSURE = 1.0
+NO_ROOTS = (0.0,) * len(model.Priority)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Calls:
+    """The calls that runs of one route made on another route.
+
+    Attributes:
+      route: The route that is called.
+      count: Number of calls; recent ones weigh most.
+    """
+
+    route: str
+    count: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouteDemand:
+    """The demand for one route, and what its runs cost.
+
+    Attributes:
+      service: The service that ran it; empty if it was not run.
+      roots: Root requests per second within quota, by priority class, whether
+        they were admitted or not.
+      started: Runs that have begun; recent ones weigh most.
+      ended: Runs that have ended, weighted in the same way.
+      busy_s: Seconds for which the ended runs held a slot.
+      calls: Calls that the runs made.
+    """
+
+    route: str
+    service: str = ""
+    roots: tuple[float, ...] = NO_ROOTS
+    started: float = 0.0
+    ended: float = 0.0
+    busy_s: float = 0.0
+    calls: tuple[Calls, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceSlots:
+    """The concurrent requests that the upstreams of a service accept."""
+
+    service: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Demand:
+    """Demand and capacity of a part of the fleet."""
+
+    routes: tuple[RouteDemand, ...] = ()
+    services: tuple[ServiceSlots, ...] = ()
+
+
+def add_up(demands: Iterable[Demand]) -> Demand:
+    """Returns the demand of all parts together."""
+    slots: dict[str, int] = {}
+    parts: dict[tuple[str, str], list[RouteDemand]] = {}
+    for demand in demands:
+        for service in demand.services:
+            slots[service.service] = (
+                slots.get(service.service, 0) + service.slots
+            )
+        for route in demand.routes:
+            parts.setdefault((route.route, route.service), []).append(route)
+    return Demand(
+        routes=tuple(_add_routes(same) for same in parts.values()),
+        services=tuple(
+            ServiceSlots(service=name, slots=count)
+            for name, count in slots.items()
+        ),
+    )
+
+
+def _add_routes(parts: list[RouteDemand]) -> RouteDemand:
+    if len(parts) == 1:
+        return parts[0]
+    calls: dict[str, float] = {}
+    for part in parts:
+        for call in part.calls:
+            calls[call.route] = calls.get(call.route, 0.0) + call.count
+    return RouteDemand(
+        route=parts[0].route,
+        service=parts[0].service,
+        roots=tuple(
+            sum(rates) for rates in zip(*(p.roots for p in parts), strict=False)
+        ),
+        started=sum(part.started for part in parts),
+        ended=sum(part.ended for part in parts),
+        busy_s=sum(part.busy_s for part in parts),
+        calls=tuple(
+            Calls(route=route, count=count) for route, count in calls.items()
+        ),
+    )
+
+
+InProgress: TypeAlias = tuple[tuple[_Key, int], ...]
+
+
+def attribute_calls(
+    calls: Iterable[InProgress[_Key]],
+    exposures: Mapping[_Key, float],
+    rates: Mapping[_Key, float],
+) -> dict[_Key, float]:
+    """Returns a better estimate of the rates at which runs make calls.
+
+    Args:
+      calls: For each call, the kinds of runs that were in progress and their
+        numbers.
+      exposures: Seconds of runs of each kind while the calls were observed.
+      rates: The estimate before, in calls per second of a run; a kind that is
+        missing is as likely to call as any other.
+
+    Returns:
+      Calls per second of a run, by its kind.
+    """
+    attributed = dict.fromkeys(exposures, 0.0)
+    unknown_rate = max(rates.values(), default=0.0) or 1.0
+    for in_progress in calls:
+        weights = [
+            (key, count * rates.get(key, unknown_rate))
+            for key, count in in_progress
+            if key in attributed
+        ]
+        total = sum(weight for _, weight in weights)
+        for key, weight in weights:
+            if total > 0:
+                attributed[key] += weight / total
+    return {
+        key: count / (exposures[key] + PRIOR_EXPOSURE)
+        for key, count in attributed.items()
+    }
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeldNumber:
+    """The calls of one kind that a whole run makes.
+
+    Attributes:
+      observed_at: When enough runs were observed last, in monotonic seconds.
+    """
+
+    value: float
+    observed_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallsPerRun:
+    """The calls that a run makes if none of them fails.
+
+    Runs whose calls are refused end before they have made the others. If that
+    lowered the cost of their trees, more of them would be admitted the more
+    calls are refused. A larger number seen before is therefore held for a
+    while, and so is any number while few runs are observed.
+
+    Attributes:
+      numbers: `HeldNumber` by route and service of the run, and route of the
+        call.
+    """
+
+    numbers: immutables.Map = immutables.Map()
+
+
+def hold_calls_per_run(
+    held: CallsPerRun, demand: Demand, now: float
+) -> CallsPerRun:
+    """Updates the numbers by what was observed in the whole fleet."""
+    numbers = {
+        key: number
+        for key, number in held.numbers.items()
+        if now - number.observed_at < HELD_TTL
+    }
+    for route in demand.routes:
+        if route.started < MIN_RUNS_TO_HOLD:
+            continue
+        for call in route.calls:
+            key = (route.route, route.service, call.route)
+            observed = value = call.count / route.started
+            before = numbers.get(key)
+            if before is not None and before.value > observed:
+                elapsed = now - before.observed_at
+                excess = before.value - observed
+                excess *= 0.5 ** (elapsed / HOLD_HALF_LIFE)
+                value = min(MAX_HOLD_FACTOR * observed, observed + excess)
+            numbers[key] = HeldNumber(value=value, observed_at=now)
+    return CallsPerRun(numbers=immutables.Map(numbers))
+
+
+def with_held_calls(demand: Demand, held: CallsPerRun) -> Demand:
+    """Returns the demand with the held numbers of calls."""
+    return dataclasses.replace(
+        demand,
+        routes=tuple(
+            dataclasses.replace(route, calls=_held_calls(route, held))
+            for route in demand.routes
+        ),
+    )
+
+
+def _held_calls(route: RouteDemand, held: CallsPerRun) -> tuple[Calls, ...]:
+    calls = []
+    for call in route.calls:
+        key = (route.route, route.service, call.route)
+        number = held.numbers.get(key)
+        count = call.count
+        if number is not None:
+            count = number.value * route.started
+        calls.append(Calls(route=call.route, count=count))
+    return tuple(calls)
+
+
+# --- at a control ------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Report:
+    """Demand as reported, and when, in monotonic seconds."""
+
+    demand: Demand
+    heard_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetDemand:
+    """What a control knows of the demand in the fleet.
+
+    Attributes:
+      nodes: `_Report` by VM, of the nodes that send it their heartbeats.
+      controls: `_Report` by RPC address, of what other controls have heard from
+        their nodes.
+    """
+
+    nodes: immutables.Map = immutables.Map()
+    controls: immutables.Map = immutables.Map()
+
+
+def on_heartbeat(
+    fleet: FleetDemand, vm: str, demand: Demand | None, now: float
+) -> FleetDemand:
+    """Records what a node reported; None if its build reports nothing."""
+    if demand is None:
+        return fleet
+    report = _Report(demand=demand, heard_at=now)
+    return dataclasses.replace(fleet, nodes=fleet.nodes.set(vm, report))
+
+
+def on_gossip(
+    fleet: FleetDemand, address: str, demand: Demand | None, now: float
+) -> FleetDemand:
+    """Records what another control has heard from its nodes."""
+    if demand is None:
+        return fleet
+    report = _Report(demand=demand, heard_at=now)
+    return dataclasses.replace(
+        fleet, controls=fleet.controls.set(address, report)
+    )
+
+
+def demand_of_nodes(fleet: FleetDemand, now: float) -> Demand:
+    """Returns the demand at the nodes that report to this control."""
+    return add_up(
+        report.demand
+        for report in fleet.nodes.values()
+        if now - report.heard_at < NODE_TTL
+    )
+
+
+def demand_of_fleet(fleet: FleetDemand, now: float) -> Demand:
+    """Returns the demand at all nodes that this control hears of.
+
+    A part of the fleet that is cut off counts neither with its demand nor with
+    its slots.
+    """
+    return add_up(
+        (
+            demand_of_nodes(fleet, now),
+            *(
+                report.demand
+                for report in fleet.controls.values()
+                if now - report.heard_at < CONTROL_TTL
+            ),
+        )
+    )
--- a/src/sassafrashall/decisions/node_directory.py
+++ b/src/sassafrashall/decisions/node_directory.py
@@ -72,6 +72,11 @@
     heard_at = max(heard_at, existing.heard_at)
     revived = existing.lapsed and now - heard_at < RECORD_TTL
     if new_version > known_version or revived:
+        if record.signed_off is None:
+            # A node that restarts knows of no sign-off before.
+            record = dataclasses.replace(
+                record, signed_off=existing.record.signed_off
+            )
         return _put_record(directory, record, heard_at)
     entry = dataclasses.replace(existing, heard_at=heard_at)
     return dataclasses.replace(
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -54,7 +54,16 @@
     """
 
 
-Policy: TypeAlias = FirstInFirstOut | PriorityFair | CallsFirst
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TreesFirst(PriorityFair):
+    """Like `PriorityFair`, but nested calls go before root calls of any class.
+
+    Their roots have been admitted at the entry, by class, and hold slots
+    elsewhere while they wait.
+    """
+
+
+Policy: TypeAlias = FirstInFirstOut | PriorityFair | CallsFirst | TreesFirst
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -205,6 +214,8 @@
     match policy:
         case CallsFirst():
             return 2 * item.priority + (not item.nested)
+        case TreesFirst():
+            return int(item.priority) + len(model.Priority) * (not item.nested)
         case _:
             return int(item.priority)
 
--- /dev/null
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -0,0 +1,295 @@
+"""Admission of root requests by what their whole call tree costs.
+
+A root enters the fleet only if the narrowest service on its way has room for
+the calls of its whole tree. Refusing one of those calls later would waste the
+work done for the root until then, and fail it all the same. A root that is
+refused at the door of its own service wastes nothing, so that its own run does
+not count.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+from typing import TypeAlias
+
+import xxhash
+
+from sassafrashall import model
+from sassafrashall.decisions import demand as demand_decisions
+
+ADMIT_ALL_LEVEL = float(len(model.Priority))
+MAX_DEPTH = 9  # calls above each other in a tree
+MIN_RUNS = 0.5  # weighted runs without which nothing is known of a route
+# Calls of a kind that a run must make on average. Fewer may be calls of other
+# runs that were attributed to it.
+MIN_CALLS_PER_RUN = 0.25
+# Slot seconds that a request must take at a service to be limited by it.
+MIN_COST = 0.0005
+# Fraction that is admitted of a class that is closed, whose demand would
+# otherwise no longer be measured within quota.
+MIN_FRACTION = 0.02
+LEVELS_TTL = (
+    3.0  # seconds until levels are outdated; everything is then admitted
+)
+MIN_RETRY_AFTER = 0.5  # seconds
+MAX_RETRY_AFTER = 4.0  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AdmitAll:
+    """Admits every root request; the baseline."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NarrowestService:
+    """Admits what the narrowest service on the way of a tree has room for.
+
+    Attributes:
+      utilization: Fraction of the slots of a service that nested calls may
+        fill. The rest is for the service's own roots.
+    """
+
+    utilization: float = 0.9
+
+
+Policy: TypeAlias = AdmitAll | NarrowestService
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouteLevel:
+    """The admission level of a route.
+
+    Attributes:
+      level: Number of priority classes admitted, the last one perhaps in part:
+        1.25 admits class 0 and a quarter of class 1.
+      service: The service that limits it.
+    """
+
+    route: str
+    level: float
+    service: str
+
+
+def route_levels(
+    policy: Policy, demand: demand_decisions.Demand
+) -> tuple[RouteLevel, ...]:
+    """Returns the routes whose root requests must not all enter the fleet.
+
+    The service that needs the most thinning limits the routes that lead to it
+    first. What the others have to bear follows from the routes that remain.
+    """
+    match policy:
+        case AdmitAll():
+            return ()
+        case NarrowestService(utilization=utilization):
+            pass
+    costs = tree_costs(demand)
+    roots = _roots_by_route(demand)
+    slots = {service.service: service.slots for service in demand.services}
+    levels: dict[str, RouteLevel] = {}
+    remaining = set(slots)
+    while remaining:
+        limits = {
+            service: _service_level(
+                utilization * slots[service], service, roots, costs, levels
+            )
+            for service in remaining
+        }
+        narrowest = min(limits, key=lambda service: limits[service])
+        if limits[narrowest] >= ADMIT_ALL_LEVEL:
+            break
+        remaining.discard(narrowest)
+        for route in roots:
+            if costs.get(route, {}).get(narrowest, 0.0) >= MIN_COST:
+                levels.setdefault(
+                    route,
+                    RouteLevel(
+                        route=route, level=limits[narrowest], service=narrowest
+                    ),
+                )
+    return tuple(levels.values())
+
+
+def describe_loads(
+    demand: demand_decisions.Demand,
+) -> dict[str, dict[str, Any]]:
+    """Returns for each service its slots, and those that all trees need.
+
+    The roots per second and the slot seconds of one tree that leads there are
+    listed by route.
+    """
+    costs = tree_costs(demand)
+    needed: dict[str, float] = {}
+    for route, rates in _roots_by_route(demand).items():
+        for service, seconds in costs.get(route, {}).items():
+            _add(needed, service, sum(rates) * seconds)
+    return {
+        service.service: {
+            "slots": service.slots,
+            "needed": round(needed.get(service.service, 0.0), 1),
+            **{
+                f"{route}": (round(sum(rates), 1), round(seconds, 3))
+                for route, rates in _roots_by_route(demand).items()
+                if (seconds := costs.get(route, {}).get(service.service, 0.0))
+                >= MIN_COST
+            },
+        }
+        for service in demand.services
+    }
+
+
+def _roots_by_route(
+    demand: demand_decisions.Demand,
+) -> dict[str, tuple[float, ...]]:
+    roots: dict[str, tuple[float, ...]] = {}
+    for route in demand.routes:
+        if any(route.roots):
+            held = roots.get(route.route, demand_decisions.NO_ROOTS)
+            roots[route.route] = tuple(
+                a + b for a, b in zip(held, route.roots, strict=False)
+            )
+    return roots
+
+
+def _service_level(
+    capacity: float,
+    service: str,
+    roots: Mapping[str, tuple[float, ...]],
+    costs: Mapping[str, Mapping[str, float]],
+    levels: Mapping[str, RouteLevel],
+) -> float:
+    """Returns the level at which the admitted trees fill a service.
+
+    Args:
+      capacity: Slots that they may fill.
+      service: The service.
+      roots: Root requests per second by route and priority class.
+      costs: Slot seconds by route and service.
+      levels: The routes that other services limit already.
+    """
+    fixed = 0.0
+    loads = [0.0] * len(model.Priority)
+    for route, rates in roots.items():
+        cost = costs.get(route, {}).get(service, 0.0)
+        if cost < MIN_COST:
+            continue
+        for priority, rate in enumerate(rates):
+            held = levels.get(route)
+            if held is None:
+                loads[priority] += rate * cost
+            else:
+                fixed += rate * cost * admitted_fraction(held.level, priority)
+    room = capacity - fixed
+    for priority, load in enumerate(loads):
+        if load > room:
+            return priority + max(0.0, room) / load
+        room -= load
+    return ADMIT_ALL_LEVEL
+
+
+def tree_costs(
+    demand: demand_decisions.Demand,
+) -> dict[str, dict[str, float]]:
+    """Returns the slot seconds of all calls below a run, by route and service.
+
+    A route that is split over services costs each of them its share.
+    """
+    own_costs: dict[str, dict[str, float]] = {}
+    calls_per_run: dict[str, dict[str, float]] = {}
+    started: dict[str, float] = {}
+    for part in demand.routes:
+        started[part.route] = started.get(part.route, 0.0) + part.started
+    for part in demand.routes:
+        if not part.started or started[part.route] < MIN_RUNS:
+            continue
+        share = part.started / started[part.route]
+        own_cost = own_costs.setdefault(part.route, {})
+        if part.ended:
+            _add(own_cost, part.service, share * part.busy_s / part.ended)
+        callees = calls_per_run.setdefault(part.route, {})
+        for call in part.calls:
+            if call.count >= MIN_CALLS_PER_RUN * part.started:
+                _add(callees, call.route, call.count / started[part.route])
+    costs = own_costs
+    for _ in range(MAX_DEPTH - 1):
+        costs = {
+            route: _with_callees(own_cost, calls_per_run[route], costs)
+            for route, own_cost in own_costs.items()
+        }
+    return {
+        route: {
+            service: seconds - own_costs[route].get(service, 0.0)
+            for service, seconds in cost.items()
+        }
+        for route, cost in costs.items()
+    }
+
+
+def _with_callees(
+    own_cost: Mapping[str, float],
+    calls_per_run: Mapping[str, float],
+    costs: Mapping[str, Mapping[str, float]],
+) -> dict[str, float]:
+    """Returns a run's own cost plus what the trees below its calls cost."""
+    total = dict(own_cost)
+    for callee, count in calls_per_run.items():
+        for service, seconds in costs.get(callee, {}).items():
+            _add(total, service, count * seconds)
+    return total
+
+
+def _add(sums: dict[str, float], key: str, amount: float) -> None:
+    sums[key] = sums.get(key, 0.0) + amount
+
+
+# --- at the entry node -------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouteLevels:
+    """The levels that a control sent last.
+
+    Attributes:
+      levels: By route; a route that is missing is not limited.
+      received_at: Monotonic seconds.
+    """
+
+    levels: Mapping[str, RouteLevel] = dataclasses.field(default_factory=dict)
+    received_at: float = float("-inf")
+
+
+def level_of(known: RouteLevels, route: str, now: float) -> RouteLevel | None:
+    """Returns the level that holds for a route, or None without a limit."""
+    if now - known.received_at > LEVELS_TTL:
+        return None
+    return known.levels.get(route)
+
+
+def admitted_fraction(level: float, priority: int) -> float:
+    """Returns which fraction of a priority class a level admits."""
+    return min(1.0, max(MIN_FRACTION, level - priority))
+
+
+def admits(level: RouteLevel, priority: int, request_id: str) -> bool:
+    """Returns whether a root request may enter the fleet."""
+    fraction = admitted_fraction(level.level, priority)
+    return _uniform_hash(request_id) < fraction
+
+
+def retry_after(level: RouteLevel, priority: int, request_id: str) -> float:
+    """Returns the seconds after which a refused request may come back.
+
+    The less of a class is admitted, the later its requests come back, so that
+    returns don't add up to more than there is room for. They are spread over
+    the second half of that time.
+    """
+    fraction = admitted_fraction(level.level, priority)
+    longest = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, 1.0 / fraction))
+    # Another hash than the one that decided, which is large for all refused.
+    return longest * (0.5 + 0.5 * _uniform_hash(f"{request_id} return"))
+
+
+def _uniform_hash(text: str) -> float:
+    return xxhash.xxh32_intdigest(text) / 2**32
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import functools
 from typing import Protocol
 
@@ -20,6 +21,8 @@
 # A non-idempotent request is not sent on a connection that has been idle for
 # longer, since the upstream may be about to close it.
 NON_IDEMPOTENT_MAX_IDLE = 1.0  # seconds
+# Statuses by which an upstream says that it, or a call that it made, failed.
+_ERROR_STATUSES = (500, 504)
 
 
 class Dialect(Protocol):
@@ -62,7 +65,27 @@
         pool: mailbox.Mailbox,
         dialect: Dialect,
         counters: metrics.Metrics,
+        demand_monitor: mailbox.Mailbox,
+        upstream_calls: mailbox.Published[bool],
+        route_name: Callable[[model.Request], str],
     ) -> None:
+        """Creates the filter.
+
+        Args:
+          admission: Mailbox of the task that owns the upstream's slots.
+          admission_level: Reported with each outcome.
+          upstream_load: Reported with each outcome.
+          pool: Mailbox of the connection pool.
+          dialect: Encodes for the upstream.
+          counters: The metrics of this process.
+          demand_monitor: Mailbox of the task that counts runs.
+          upstream_calls: Whether the upstream makes calls of its own, one of
+            which may be why it answers with an error.
+          route_name: Returns the name of a request's route, or an empty text.
+        """
+        self._demand_monitor = demand_monitor
+        self._upstream_calls = upstream_calls
+        self._route_name = route_name
         self._upstream_seconds = counters.bound_histogram("upstream_seconds")
         self._admission = admission
         self._admission_level = admission_level
@@ -82,7 +105,12 @@
     async def _run_in_slot(
         self, call: model.Call, upstream: model.Upstream
     ) -> model.Outcome:
-        slot = _Slot(admission=self._admission)
+        slot = _Slot(
+            admission=self._admission,
+            demand_monitor=self._demand_monitor,
+            route=self._route_name(call.request),
+            service=call.service,
+        )
         try:
             if upstream.service != call.service:
                 return model.Refuse(
@@ -116,6 +144,8 @@
         try:
             return await self._send_to_upstream(call, upstream, slot)
         except exceptions.ConnectionFailedError as error:
+            if error.maybe_delivered:
+                slot.record_failure(timed_out=error.expired)
             return _refusal_for_error(error)
 
     async def _send_to_upstream(
@@ -145,6 +175,11 @@
                     outcome, response=frozen.replace(answer, rest=body)
                 )
         self._upstream_seconds.observe(slot.record_status(response.status))
+        if (
+            response.status in _ERROR_STATUSES
+            and not self._upstream_calls.value
+        ):
+            slot.record_failure(timed_out=response.status == 504)
         if response.rest is not None:
             # Nobody reads the rest of a refusal's body.
             await response.rest.close()
@@ -154,11 +189,24 @@
 class _Slot:
     """A slot of the upstream; only the first release has an effect."""
 
-    def __init__(self, *, admission: mailbox.Mailbox) -> None:
+    def __init__(
+        self,
+        *,
+        admission: mailbox.Mailbox,
+        demand_monitor: mailbox.Mailbox,
+        route: str,
+        service: str,
+    ) -> None:
         self._admission = admission
+        self._demand_monitor = demand_monitor
+        self._route = route
+        self._service = service
         self._started_at = clock.monotonic()
+        demand_monitor.tell(messages.RunStarted(route=route, service=service))
         self._latency = -1.0
         self._shed = False
+        self._failed = False
+        self._timed_out = False
         self._released = False
         # Whether the slot is in use until the upstream has streamed its answer.
         self.held_by_answer = False
@@ -175,15 +223,32 @@
             self._latency = latency
         return latency
 
+    def record_failure(self, *, timed_out: bool) -> None:
+        """Records that the upstream failed the request by itself."""
+        self._failed = True
+        self._timed_out = timed_out
+
     def release(self) -> None:
         """Frees the slot and reports how the upstream answered."""
         if not self._released:
             self._released = True
+            run_time = clock.monotonic() - self._started_at
             message = messages.SlotReleased(
-                latency=self._latency, shed=self._shed
+                latency=self._latency,
+                shed=self._shed,
+                failed=self._failed,
+                timed_out=self._timed_out,
+                run_time=run_time,
             )
             try:
                 self._admission.tell(message)
+                self._demand_monitor.tell(
+                    messages.RunEnded(
+                        route=self._route,
+                        service=self._service,
+                        seconds=run_time,
+                    )
+                )
             except exceptions.MailboxClosedError:
                 # A slot may outlive the controller when the process stops.
                 pass
--- a/src/sassafrashall/filters/route_match.py
+++ b/src/sassafrashall/filters/route_match.py
@@ -51,5 +51,6 @@
                 retries=route.attempts - 1,
                 deadline=request.received_at + route.timeout_s,
                 metered=not route.open,
+                route=route.name,
             )
         )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -75,6 +75,56 @@
     """The node is shutting down; answered once a control knows it."""
 
 
+# --- demand ------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RootArrived:
+    """A root request within quota enters the fleet at this node.
+
+    Attributes:
+      weight: Number of root requests for which it stands, those that admission
+        kept out among them.
+    """
+
+    route: str
+    priority: model.Priority
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunStarted:
+    """The local upstream is about to run a request of this route."""
+
+    route: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunEnded:
+    """A run for which `RunStarted` was sent has ended.
+
+    Attributes:
+      seconds: Time for which it held its slot.
+    """
+
+    route: str
+    service: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamCalled:
+    """The local upstream makes a call on this route."""
+
+    route: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadDemand:
+    """Asks for the demand observed at this node, a `demand.Demand`."""
+
+
 # --- quota -------------------------------------------------------------------
 
 
@@ -150,10 +200,17 @@
     Attributes:
       latency: Seconds until the response; negative without one.
       shed: Whether the upstream itself refused the request.
+      failed: Whether the upstream failed by itself, and not for a call that it
+        made.
+      timed_out: Whether it failed by answering nothing until the deadline.
+      run_time: Seconds for which the slot was held.
     """
 
     latency: float
     shed: bool = False
+    failed: bool = False
+    timed_out: bool = False
+    run_time: float = 0.0
 
 
 # --- running calls -----------------------------------------------------------
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -194,6 +194,21 @@
     incarnation: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SignOff:
+    """A run of an upstream that has announced that it leaves or has left.
+
+    Attributes:
+      incarnation: Identifies the run.
+      started_ms: Start of the run in milliseconds; 0 if not known.
+      gone: Whether it has left.
+    """
+
+    incarnation: str
+    started_ms: int
+    gone: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeRecord:
     """Membership record of one node and its upstream.
@@ -204,6 +219,8 @@
       counter: Incremented by the node with each change to this record.
       configuration_revision: Revision in force on the node.
       leaving: Whether the node is shutting down.
+      signed_off: The last run of its upstream that signed off. Controls keep
+        it while the node restarts.
     """
 
     vm: str
@@ -215,6 +232,7 @@
     upstream: Upstream | None = None
     configuration_revision: int = 0
     leaving: bool = False
+    signed_off: SignOff | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -404,6 +422,7 @@
       claim_id: Id of the claim granted for the idempotency key, or empty.
       attempts: Maximum number of attempts that its route allows.
       metered: Whether it draws on its organisation's quota.
+      route: Name of its route in the fleet configuration, or empty.
     """
 
     request: Request
@@ -420,6 +439,7 @@
     claim_id: str = ""
     attempts: int = 0
     metered: bool = True
+    route: str = ""
 
     def issue_ticket(
         self, *, node: str, call_id: str, retries: int, now: float
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -8,9 +8,11 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import codec
 
 
@@ -46,6 +48,8 @@
       directory_version: Version of that directory that the node holds.
       withdrawn_count: Number of withdrawn keys that the node knows.
       document_version: Version of the fleet configuration that it holds.
+      demand: What enters at the node and what its upstream runs; None from a
+        build that doesn't measure it.
     """
 
     record: model.NodeRecord
@@ -54,6 +58,7 @@
     withdrawn_count: int
     load: model.NodeLoad | None = None
     document_version: int = 0
+    demand: demand_decisions.Demand | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -67,6 +72,9 @@
       proof_age: Seconds since `revision` was last proven to be the newest one.
       document: The fleet configuration, if the node holds an older one.
       controls: The members of the replicated log, which nodes may call.
+      route_levels: The routes whose root requests are admitted in part.
+      signed_off: The last run of the node's upstream that signed off, if the
+        node didn't report one.
     """
 
     directory_source: str
@@ -80,6 +88,8 @@
     proof_age: float = 1e6
     document: configuration.Configuration | None = None
     controls: tuple[replication.Member, ...] = ()
+    route_levels: tuple[tree_admission.RouteLevel, ...] = ()
+    signed_off: model.SignOff | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -226,12 +236,14 @@
       entries: Changed records of the nodes that send heartbeats to the sender.
       alive: All nodes that send heartbeats to the sender.
       withdrawn: Digests of all withdrawn keys, if their number has changed.
+      demand: The demand at the nodes that send heartbeats to the sender.
     """
 
     control: ControlRecord
     entries: tuple[DirectoryEntry, ...]
     alive: tuple[Alive, ...]
     withdrawn: tuple[str, ...]
+    demand: demand_decisions.Demand | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -23,6 +23,7 @@
 from sassafrashall import task
 from sassafrashall.controllers import admission
 from sassafrashall.controllers import control_link
+from sassafrashall.controllers import demand_monitor
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
@@ -35,12 +36,14 @@
 from sassafrashall.filters import api_key
 from sassafrashall.filters import chain
 from sassafrashall.filters import deadline
+from sassafrashall.filters import demand
 from sassafrashall.filters import early_shed
 from sassafrashall.filters import local_upstream
 from sassafrashall.filters import quota
 from sassafrashall.filters import route_match
 from sassafrashall.filters import routed_dispatch
 from sassafrashall.filters import stopping
+from sassafrashall.filters import tree_admission
 from sassafrashall.filters import upstream
 from sassafrashall.platform import dialect
 from sassafrashall.platform import front_end
@@ -104,6 +107,7 @@
         self._controllers: tuple[task.Controller, ...] = (
             loop_monitor.LoopMonitor(counters=self._metrics),
             self._control_link,
+            self._demand_monitor,
             self._membership,
             self._quota,
             self._admission,
@@ -127,6 +131,14 @@
         )
         self._admission_level = mailbox.Published[int](initial=-1)
         self._upstream_load = mailbox.Published[int](initial=0)
+        self._local_upstream = mailbox.Published[model.Upstream | None](
+            initial=None
+        )
+        self._usable_slots = mailbox.Published[int](initial=0)
+        self._demand_monitor = demand_monitor.DemandMonitor(
+            local_upstream=self._local_upstream,
+            usable_slots=self._usable_slots,
+        )
         self._membership = node_membership.NodeMembership(
             record=self._initial_record(),
             link=self._control_link.mailbox,
@@ -135,6 +147,8 @@
             counters=self._metrics,
             announcement_ttl=ANNOUNCEMENT_TTL,
             heartbeat_interval=HEARTBEAT_INTERVAL,
+            local_upstream=self._local_upstream,
+            demand_monitor=self._demand_monitor.mailbox,
         )
         self._quota = node_quota.NodeQuota(
             link=self._control_link.mailbox,
@@ -148,6 +162,7 @@
             event_log=self._events,
             counters=self._metrics,
             upstream_load=self._upstream_load,
+            usable_slots=self._usable_slots,
         )
         self._routing = routing.Routing(
             vm=settings.vm,
@@ -195,6 +210,9 @@
                     pool=self._upstream_pool.mailbox,
                     dialect=dialect.UpstreamDialect(),
                     counters=self._metrics,
+                    demand_monitor=self._demand_monitor.mailbox,
+                    upstream_calls=self._demand_monitor.upstream_calls,
+                    route_name=self._route_name,
                 ),
             ),
         )
@@ -218,7 +236,16 @@
                 ),
                 stopping.StoppingFilter(process_end=self._process_end),
                 *self._early_shed_filters(),
+                tree_admission.TreeAdmissionFilter(
+                    levels=self._membership.route_levels,
+                    counters=self._metrics,
+                ),
                 quota.QuotaFilter(quota=self._quota.mailbox),
+                demand.DemandFilter(
+                    monitor=self._demand_monitor.mailbox,
+                    levels=self._membership.route_levels,
+                    table=table,
+                ),
                 routed_dispatch.RoutedDispatchFilter(
                     node=settings.vm,
                     routing=self._routing.mailbox,
@@ -229,6 +256,15 @@
             ),
         )
 
+    def _route_name(self, request: model.Request) -> str:
+        """Returns the name of the route of a request that may be a peer's."""
+        table = self._membership.table.value
+        host = model.find_header(request.headers, "host")
+        if table is None or host is None:
+            return ""
+        route = table.find_route(host.partition(":")[0].lower(), request.path)
+        return route.name if route else ""
+
     def _early_shed_filters(self) -> tuple[chain.Filter, ...]:
         policy = self._settings.policy.shed_policy()
         if isinstance(policy, shedding.NoEarlyShed):
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -16,12 +16,14 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall import settings_text
+from sassafrashall.decisions import breaker as breaker_policies
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import retries as retry_policies
 from sassafrashall.decisions import routing as routing_policies
 from sassafrashall.decisions import shedding
+from sassafrashall.decisions import tree_admission as tree_policies
 
 MIN_SECRET_LENGTH = 16  # bytes
 # Fraction of the tolerated overage that quota owners lend. The rest is left for
@@ -158,6 +160,8 @@
     early_shed: str = "fair-level"
     routing: str = "two-choices"
     retries: str = "budget"
+    tree_admission: str = "none"
+    breaker: str = "none"
 
     def limit_policy(self) -> limits.Policy:
         """Returns the concurrency limit policy."""
@@ -167,10 +171,7 @@
         """Returns the queue policy with its length and maximum wait."""
         if self.queue == "fifo":
             return queues.FirstInFirstOut(length=self.queue_length)
-        fair = queues.PriorityFair
-        if self.queue == "calls-first":
-            fair = queues.CallsFirst
-        return fair(
+        return FAIR_QUEUES[self.queue](
             length=self.queue_length, max_wait=self.longest_wait_ms / 1000
         )
 
@@ -178,6 +179,14 @@
         """Returns the early shedding policy."""
         return SHED_POLICIES[self.early_shed]
 
+    def tree_admission_policy(self) -> tree_policies.Policy:
+        """Returns the policy that admits roots by what their trees cost."""
+        return TREE_ADMISSION_POLICIES[self.tree_admission]
+
+    def breaker_policy(self) -> breaker_policies.Policy:
+        """Returns the policy for an upstream that fails its requests."""
+        return BREAKER_POLICIES[self.breaker]
+
     def routing_policy(self) -> routing_policies.Policy:
         """Returns the routing policy."""
         return ROUTING_POLICIES[self.routing]
@@ -193,6 +202,19 @@
     "shed": limits.ShedLimit(),
     "latency": limits.LatencyLimit(),
 }
+FAIR_QUEUES: dict[str, type[queues.PriorityFair]] = {
+    "priority-fair": queues.PriorityFair,
+    "calls-first": queues.CallsFirst,
+    "trees-first": queues.TreesFirst,
+}
+TREE_ADMISSION_POLICIES: dict[str, tree_policies.Policy] = {
+    "none": tree_policies.AdmitAll(),
+    "narrowest-service": tree_policies.NarrowestService(),
+}
+BREAKER_POLICIES: dict[str, breaker_policies.Policy] = {
+    "none": breaker_policies.NoBreaker(),
+    "consecutive-failures": breaker_policies.ConsecutiveFailures(),
+}
 SHED_POLICIES: dict[str, shedding.Policy] = {
     "none": shedding.NoEarlyShed(),
     "level": shedding.LevelShed(),
@@ -211,10 +233,12 @@
 }
 _POLICY_NAMES = {
     "limit": tuple(LIMIT_POLICIES),
-    "queue": ("fifo", "priority-fair", "calls-first"),
+    "queue": ("fifo", *FAIR_QUEUES),
     "early_shed": tuple(SHED_POLICIES),
     "routing": tuple(ROUTING_POLICIES),
     "retries": tuple(RETRY_POLICIES),
+    "tree_admission": tuple(TREE_ADMISSION_POLICIES),
+    "breaker": tuple(BREAKER_POLICIES),
 }
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,5 @@
 import contextlib
+import dataclasses
 
 import trio
 import trio.testing
@@ -153,3 +154,45 @@
         nursery.cancel_scope.deadline = trio.current_time() + 1
     (answer,) = answers
     assert answer.code == exceptions.STOPPING
+
+
+def _failing():
+    return messages.SlotReleased(
+        latency=0.7, failed=True, timed_out=True, run_time=0.7
+    )
+
+
+async def test_an_upstream_that_answers_nothing_is_not_sent_more():
+    """Pattern: one upstream takes requests and answers none of them."""
+    async with _admission(breaker="consecutive-failures") as (
+        controller,
+        local,
+    ):
+        for number in range(40):
+            answer = await controller.mailbox.ask(_admit(f"c{number}"))
+            if not isinstance(answer, messages.Admitted):
+                break
+            controller.mailbox.tell(_failing())
+        assert number == 20
+        assert answer.code == exceptions.NO_UPSTREAM
+        # Its next run starts without that history.
+        local.publish(dataclasses.replace(READY, incarnation="next"))
+        await trio.testing.wait_all_tasks_blocked()
+        answer = await controller.mailbox.ask(_admit("next"))
+        assert isinstance(answer, messages.Admitted)
+
+
+async def test_without_a_breaker_it_is_sent_all():
+    async with _admission() as (controller, _):
+        for number in range(40):
+            answer = await controller.mailbox.ask(_admit(f"c{number}"))
+            assert isinstance(answer, messages.Admitted)
+            controller.mailbox.tell(_failing())
+
+
+async def test_cancelled_requests_do_not_open_the_breaker():
+    async with _admission(breaker="consecutive-failures") as (controller, _):
+        for number in range(40):
+            answer = await controller.mailbox.ask(_admit(f"c{number}"))
+            assert isinstance(answer, messages.Admitted)
+            controller.mailbox.tell(messages.SlotReleased(latency=-1.0))
--- /dev/null
+++ b/tests/test_demand.py
@@ -0,0 +1,326 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sassafrashall import clock
+from sassafrashall import configuration
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall.controllers import demand_monitor
+from sassafrashall.decisions import demand
+from sassafrashall.decisions import route_table
+from sassafrashall.decisions import tree_admission
+from sassafrashall.filters import demand as demand_filter
+from sassafrashall.filters import tree_admission as tree_admission_filter
+from tests import fakes
+
+UPSTREAM = model.Upstream(
+    service="middle",
+    address=model.Address(host="127.0.0.1", port=1),
+    slots=8,
+    connection_limit=0,
+    state=model.UpstreamState.READY,
+)
+
+
+class _FakeClock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def fake_clock(monkeypatch):
+    fake = _FakeClock()
+    monkeypatch.setattr(clock, "monotonic", fake)
+    return fake
+
+
+def _monitor(upstream=UPSTREAM):
+    published = mailbox.Published[model.Upstream | None](initial=upstream)
+    return demand_monitor.DemandMonitor(
+        local_upstream=published, usable_slots=mailbox.Published(initial=8)
+    )
+
+
+async def test_calls_are_attributed_to_the_routes_that_make_them(fake_clock):
+    """Pattern: two routes on one service, only one of which calls on.
+
+    Counted by service alone, the calls would be charged to both, and the roots
+    of a route that needs nothing of the narrow service would be refused.
+    """
+    monitor = _monitor()
+    draw = random.Random(1)
+    events = []
+    at = 0.0
+    while at < 20.0:
+        at += draw.expovariate(12.0)
+        if draw.random() < 0.6:
+            # Four calls, 90 ms apart.
+            events += [(at, "start", "sync"), (at + 0.4, "end", "sync")]
+            events += [(at + 0.02 + 0.09 * i, "call", "feed") for i in range(4)]
+        else:
+            length = draw.expovariate(1 / 0.8)
+            events += [(at, "start", "calendar")]
+            events += [(at + length, "end", "calendar")]
+    async with fakes.started(monitor):
+        tell = monitor.mailbox.tell
+        read_at = 0.0
+        for at, kind, route in sorted(events):
+            fake_clock.now = 1000.0 + at
+            if at - read_at > 0.5:
+                read_at = at
+                await monitor.mailbox.ask(messages.ReadDemand())
+            if kind == "start":
+                tell(messages.RunStarted(route=route, service="middle"))
+            elif kind == "end":
+                tell(
+                    messages.RunEnded(
+                        route=route, service="middle", seconds=0.4
+                    )
+                )
+            else:
+                tell(messages.UpstreamCalled(route=route))
+        reported = await monitor.mailbox.ask(messages.ReadDemand())
+    by_route = {route.route: route for route in reported.routes}
+
+    def calls_per_run(name):
+        route = by_route[name]
+        return sum(call.count for call in route.calls) / route.started
+
+    assert calls_per_run("sync") == pytest.approx(4.0, rel=0.15)
+    assert calls_per_run("calendar") < 0.4
+
+
+async def test_roots_are_reported_as_a_rate(fake_clock):
+    monitor = _monitor()
+    async with fakes.started(monitor):
+        for step in range(1, 101):
+            fake_clock.now = 1000.0 + step * 0.05
+            monitor.mailbox.tell(
+                messages.RootArrived(
+                    route="view", priority=model.Priority.BULK, weight=2.0
+                )
+            )
+            if step % 10 == 0:
+                reported = await monitor.mailbox.ask(messages.ReadDemand())
+    (route,) = reported.routes
+    assert route.roots[model.Priority.BULK] == pytest.approx(40.0, rel=0.2)
+    assert route.roots[model.Priority.CRITICAL] == 0
+    assert reported.services == (
+        demand.ServiceSlots(service="middle", slots=8),
+    )
+
+
+async def test_what_ended_is_forgotten(fake_clock):
+    monitor = _monitor(upstream=None)
+    async with fakes.started(monitor):
+        monitor.mailbox.tell(
+            messages.RootArrived(
+                route="view", priority=model.Priority.BULK, weight=1.0
+            )
+        )
+        monitor.mailbox.tell(messages.RunStarted(route="r", service="middle"))
+        monitor.mailbox.tell(
+            messages.RunEnded(route="r", service="middle", seconds=1.0)
+        )
+        for _ in range(3):
+            fake_clock.now += 60.0
+            reported = await monitor.mailbox.ask(messages.ReadDemand())
+    assert reported == demand.Demand()
+
+
+def test_demand_adds_up_over_nodes():
+    one = demand.Demand(
+        routes=(
+            demand.RouteDemand(route="r", roots=(1.0, 0.0, 2.0)),
+            demand.RouteDemand(
+                route="r",
+                service="s",
+                started=1,
+                ended=1,
+                busy_s=0.5,
+                calls=(demand.Calls(route="c", count=2),),
+            ),
+        ),
+        services=(demand.ServiceSlots(service="s", slots=3),),
+    )
+    total = demand.add_up((one, one, demand.Demand()))
+    assert total.services == (demand.ServiceSlots(service="s", slots=6),)
+    assert total.routes[0].roots == (2.0, 0.0, 4.0)
+    assert total.routes[1].busy_s == 1.0
+    assert total.routes[1].calls == (demand.Calls(route="c", count=4),)
+
+
+def test_a_part_that_is_cut_off_no_longer_counts():
+    one = demand.Demand(
+        services=(demand.ServiceSlots(service="s", slots=3),),
+    )
+    fleet = demand.on_heartbeat(demand.FleetDemand(), "vm-1", one, 10.0)
+    fleet = demand.on_gossip(fleet, "control-2", one, 10.0)
+    assert demand.demand_of_fleet(fleet, 11.0).services[0].slots == 6
+    assert demand.demand_of_nodes(fleet, 11.0).services[0].slots == 3
+    fleet = demand.on_heartbeat(fleet, "vm-1", one, 13.5)
+    assert demand.demand_of_fleet(fleet, 13.5).services[0].slots == 3
+    # A build that doesn't measure it reports nothing.
+    assert demand.on_heartbeat(fleet, "vm-2", None, 13.5) is fleet
+    assert demand.on_gossip(fleet, "control-3", None, 13.5) is fleet
+
+
+def _published(level=None, at=None):
+    levels = {}
+    if level is not None:
+        levels["view"] = tree_admission.RouteLevel(
+            route="view", level=level, service="narrow"
+        )
+    return mailbox.Published(
+        initial=tree_admission.RouteLevels(
+            levels=levels,
+            received_at=clock.monotonic() if at is None else at,
+        )
+    )
+
+
+def _call(number=0, *, depth=0, priority=model.Priority.BULK):
+    return fakes.call(
+        route="view", root_id=f"root-{number}", depth=depth, priority=priority
+    )
+
+
+async def test_roots_are_refused_by_the_level_of_their_route_and_calls_never():
+    counters = fakes.counters()
+    tested = tree_admission_filter.TreeAdmissionFilter(
+        levels=_published(2.0), counters=counters
+    )
+    results = [await tested.handle(_call(n)) for n in range(200)]
+    refused = [r for r in results if isinstance(r, model.Refuse)]
+    assert len(refused) > 180
+    for refusal in refused:
+        assert refusal.run is model.RunState.NOT_RUN
+        assert refusal.retry_after_s >= tree_admission.MIN_RETRY_AFTER
+        assert "narrow" in refusal.detail
+    for n in range(200):
+        nested = await tested.handle(_call(n, depth=1))
+        urgent = await tested.handle(_call(n, priority=model.Priority.NORMAL))
+        assert isinstance(nested, model.Forward)
+        assert isinstance(urgent, model.Forward)
+
+
+async def test_levels_that_are_not_renewed_refuse_nothing():
+    tested = tree_admission_filter.TreeAdmissionFilter(
+        levels=_published(0.0, at=clock.monotonic() - 10.0),
+        counters=fakes.counters(),
+    )
+    for n in range(50):
+        assert isinstance(await tested.handle(_call(n)), model.Forward)
+
+
+def _table(*, keyed):
+    return mailbox.Published(
+        initial=route_table.compile_table(
+            configuration.Configuration(version=1, keyed=keyed)
+        )
+    )
+
+
+async def test_an_admitted_root_stands_for_those_kept_out():
+    monitor = fakes.ScriptedController(lambda message: None)
+    async with fakes.started(monitor):
+        tested = demand_filter.DemandFilter(
+            monitor=monitor.mailbox,
+            levels=_published(2.25),
+            table=_table(keyed=True),
+        )
+        await tested.handle(_call())
+        await tested.handle(_call(priority=model.Priority.CRITICAL))
+        await tested.handle(_call(depth=1))
+    assert monitor.received == [
+        messages.RootArrived(
+            route="view", priority=model.Priority.BULK, weight=4.0
+        ),
+        messages.RootArrived(
+            route="view", priority=model.Priority.CRITICAL, weight=1.0
+        ),
+        messages.UpstreamCalled(route="view"),
+    ]
+
+
+async def test_nothing_is_counted_where_roots_and_calls_look_the_same():
+    """Without keys, calls of upstreams would be limited like roots."""
+    monitor = fakes.ScriptedController(lambda message: None)
+    async with fakes.started(monitor):
+        tested = demand_filter.DemandFilter(
+            monitor=monitor.mailbox,
+            levels=_published(),
+            table=_table(keyed=False),
+        )
+        assert isinstance(await tested.handle(_call()), model.Forward)
+    assert not monitor.received
+
+
+def _tree(calls, started=100.0):
+    return demand.Demand(
+        routes=(
+            demand.RouteDemand(
+                route="r",
+                service="s",
+                started=started,
+                calls=(demand.Calls(route="c", count=calls),),
+            ),
+        )
+    )
+
+
+def _calls(held, observed):
+    (route,) = demand.with_held_calls(observed, held).routes
+    return route.calls[0].count / route.started
+
+
+def test_trees_that_are_broken_off_do_not_look_cheaper():
+    """Pattern: calls are refused, and their roots give up on the others."""
+    held = demand.hold_calls_per_run(demand.CallsPerRun(), _tree(400.0), 0.0)
+    for step in range(1, 9):
+        held = demand.hold_calls_per_run(held, _tree(200.0), step * 0.25)
+    assert _calls(held, _tree(200.0)) > 3.5
+    for step in range(9, 400):
+        held = demand.hold_calls_per_run(held, _tree(200.0), step * 0.25)
+    assert _calls(held, _tree(200.0)) < 2.2
+
+
+def test_more_calls_than_held_count_at_once():
+    held = demand.hold_calls_per_run(demand.CallsPerRun(), _tree(100.0), 0.0)
+    held = demand.hold_calls_per_run(held, _tree(400.0), 0.25)
+    assert _calls(held, _tree(400.0)) == pytest.approx(4.0)
+
+
+def test_few_runs_are_not_held():
+    few = _tree(400.0, started=10.0)
+    held = demand.hold_calls_per_run(demand.CallsPerRun(), few, 0.0)
+    assert not held.numbers
+    assert _calls(held, few) == pytest.approx(40.0)
+
+
+def test_one_call_in_a_short_time_is_no_high_rate():
+    """A node that has just started would make all trees look dear."""
+    rates = demand.attribute_calls([(("r", 1),)], {"r": 0.002}, {})
+    assert rates["r"] <= 1.0
+
+
+def test_a_held_number_stays_near_what_is_observed():
+    held = demand.hold_calls_per_run(demand.CallsPerRun(), _tree(9000.0), 0.0)
+    held = demand.hold_calls_per_run(held, _tree(200.0), 0.25)
+    assert _calls(held, _tree(200.0)) <= 4.0
+
+
+def test_a_number_is_held_while_few_runs_are_observed():
+    """Pattern: hardly any roots are admitted, so that estimates are noise."""
+    held = demand.hold_calls_per_run(demand.CallsPerRun(), _tree(400.0), 0.0)
+    few = _tree(9000.0, started=10.0)
+    for step in range(1, 40):
+        held = demand.hold_calls_per_run(held, few, step * 0.25)
+    assert _calls(held, few) == pytest.approx(4.0)
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -11,6 +11,7 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import protocol
+from sassafrashall import settings
 from sassafrashall.controllers import fleet_directory
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
@@ -98,6 +99,7 @@
             controls=(),
             fleet_secret=SECRET,
             listen=types.SimpleNamespace(rpc=ADDRESS, ops=ADDRESS),
+            policy=settings.Policy(),
         ),
         replica=replica.mailbox,
         view=mailbox.Published(initial=messages.FleetView(members=members)),
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -39,7 +39,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _filter(response):
+async def _filter(response, upstream_calls=False):
     """Yields the filter, and fakes of the pool and the admission controller."""
     admission = fakes.ScriptedController(
         lambda message: messages.Admitted(upstream=UPSTREAM)
@@ -51,7 +51,8 @@
         return response
 
     pool = fakes.ScriptedController(respond)
-    async with fakes.started(admission, pool):
+    monitor = fakes.ScriptedController(lambda message: None)
+    async with fakes.started(admission, pool, monitor):
         yield (
             local_upstream.LocalUpstreamFilter(
                 admission=admission.mailbox,
@@ -60,6 +61,9 @@
                 pool=pool.mailbox,
                 dialect=dialect.UpstreamDialect(),
                 counters=fakes.counters(),
+                demand_monitor=monitor.mailbox,
+                upstream_calls=mailbox.Published(initial=upstream_calls),
+                route_name=lambda request: "route",
             ),
             pool,
             admission,
@@ -104,3 +108,24 @@
         assert outcome.run is model.RunState.NOT_RUN
         assert body.closed
         assert [message.shed for message in _released(admission)] == [True]
+
+
+async def test_an_error_counts_against_an_upstream_that_makes_no_calls():
+    """The error of one that calls on may be that of the other service."""
+    for status, upstream_calls, failed in [
+        (500, False, True),
+        (504, False, True),
+        (500, True, False),
+        (504, True, False),
+        (200, False, False),
+        (404, False, False),
+    ]:
+        async with _filter(_response(status), upstream_calls) as (
+            tested,
+            _,
+            admission,
+        ):
+            await tested.handle(fakes.call())
+            (released,) = _released(admission)
+            assert released.failed is failed
+            assert released.timed_out is (failed and status == 504)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -136,3 +136,33 @@
     # The baseline sheds the calls, which are all of one organisation.
     _, shed = _fill(queues.PriorityFair(length=4), [*roots, *calls, urgent])
     assert {item.item_id for item in shed} > {"n1", "n2"}
+
+
+def test_calls_of_admitted_trees_go_before_roots_of_any_class():
+    """Pattern: deep narrow service in a burst.
+
+    A call has the class of its own route, not that of its root. Behind urgent
+    roots it would wait while its root holds slots at other services.
+    """
+    policy = queues.TreesFirst(length=4)
+    urgent = [
+        _item(f"u{i}", f"o{i}", priority=model.Priority.CRITICAL)
+        for i in range(3)
+    ]
+    calls = [
+        dataclasses.replace(
+            _item(f"n{i}", "", priority=model.Priority.BULK), nested=True
+        )
+        for i in range(2)
+    ]
+    important_call = dataclasses.replace(
+        _item("m", "", priority=model.Priority.NORMAL), nested=True
+    )
+    queue, shed = _fill(policy, [*urgent, *calls, important_call])
+    assert sorted(item.item_id for item in shed) == ["u1", "u2"]
+    order = [item.item_id for item in _drain(policy, queue)]
+    assert order == ["m", "n0", "n1", "u0"]
+    # The baseline sheds the calls in favour of the urgent roots.
+    baseline = queues.CallsFirst(length=4)
+    _, shed = _fill(baseline, [*urgent, *calls, important_call])
+    assert {item.item_id for item in shed} == {"n0", "n1"}
--- /dev/null
+++ b/tests/test_sign_off.py
@@ -0,0 +1,187 @@
+"""What is known of an upstream that signed off, after its node restarts."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from sassafrashall import clock
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall.controllers import node_membership
+from sassafrashall.decisions import node_directory
+from tests import fakes
+
+ADDRESS = model.Address(host="127.0.0.1", port=1)
+DRAINING = model.UpstreamState.DRAINING
+READY = model.UpstreamState.READY
+
+
+def _record(**fields):
+    values = {
+        "vm": "vm",
+        "data_centre": "dc",
+        "incarnation": 1,
+        "counter": 1,
+        "peer_address": ADDRESS,
+        "ops_address": ADDRESS,
+    }
+    return model.NodeRecord(**{**values, **fields})
+
+
+def _announcement(state, sequence, started_ms=1, incarnation="i-1"):
+    return messages.Announce(
+        upstream=model.Upstream(
+            service="s",
+            address=ADDRESS,
+            slots=4,
+            connection_limit=0,
+            state=state,
+            incarnation=incarnation,
+        ),
+        incarnation=incarnation,
+        started_ms=started_ms,
+        sequence=sequence,
+    )
+
+
+GONE = messages.Announce(upstream=None, incarnation="i-1")
+
+
+class _Control:
+    """A control that outlives the node's process."""
+
+    def __init__(self):
+        self.directory = node_directory.Directory()
+        self.answers = True
+
+    async def handle(self, message):
+        if not self.answers:
+            await trio.sleep_forever()
+        record = message.message.record
+        self.directory = node_directory.merge_record(
+            self.directory, record, 0.0, clock.monotonic()
+        )
+        held = self.directory.entries["vm"].record.signed_off
+        return protocol.HeartbeatReply(
+            directory_source="c",
+            directory_version=1,
+            complete=False,
+            entries=(),
+            revision=0,
+            organisations=(),
+            withdrawn=(),
+            majority_age=0.0,
+            signed_off=None if record.signed_off else held,
+        )
+
+
+def _node(link, incarnation):
+    return node_membership.NodeMembership(
+        record=_record(incarnation=incarnation),
+        link=link.mailbox,
+        admission_level=mailbox.Published(initial=-1),
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+        heartbeat_interval=0.02,
+    )
+
+
+def _state(membership):
+    upstream = membership.local_upstream.value
+    return upstream.state if upstream else None
+
+
+@pytest.mark.parametrize("gone", [False, True])
+async def test_a_sign_off_holds_after_the_node_is_killed_and_restarted(gone):
+    control = _Control()
+    link = fakes.ScriptedController(control.handle)
+    async with fakes.started(link):
+        with trio.fail_after(5):
+            before = _node(link, 1)
+            async with fakes.started(before):
+                ask = before.mailbox.ask
+                await ask(_announcement(READY, 4))
+                await ask(_announcement(DRAINING, 5))
+                if gone:
+                    await ask(GONE)
+                # It is killed as soon as this has been acknowledged.
+            after = _node(link, 2)
+            async with fakes.started(after):
+                while not after.view.value.fresh_at > float("-inf"):
+                    await after.view.wait_changed()
+                # Announcements that were delayed on their way.
+                for sequence in (3, 4, 9):
+                    await after.mailbox.ask(_announcement(READY, sequence))
+                assert _state(after) is not READY
+                # The next run of the upstream is another matter.
+                await after.mailbox.ask(_announcement(READY, 1, started_ms=2))
+                assert _state(after) is READY
+
+
+async def test_a_delayed_announcement_before_the_first_answer_is_undone():
+    control = _Control()
+    link = fakes.ScriptedController(control.handle)
+    async with fakes.started(link):
+        with trio.fail_after(5):
+            before = _node(link, 1)
+            async with fakes.started(before):
+                await before.mailbox.ask(_announcement(READY, 4))
+                await before.mailbox.ask(_announcement(DRAINING, 5))
+            control.answers = False
+            after = _node(link, 2)
+            async with fakes.started(after):
+                await after.mailbox.ask(_announcement(READY, 4))
+                assert _state(after) is READY
+                after.mailbox.tell(
+                    node_membership._HeartbeatReplied(
+                        reply=dataclasses.replace(
+                            _no_news(),
+                            signed_off=model.SignOff(
+                                incarnation="i-1", started_ms=1, gone=False
+                            ),
+                        ),
+                        sent_at=clock.monotonic(),
+                        record=_record(incarnation=2),
+                    )
+                )
+                assert _state(after) is DRAINING
+
+
+def _no_news():
+    return protocol.HeartbeatReply(
+        directory_source="c",
+        directory_version=1,
+        complete=False,
+        entries=(),
+        revision=0,
+        organisations=(),
+        withdrawn=(),
+        majority_age=0.0,
+    )
+
+
+async def test_without_a_control_a_sign_off_is_acknowledged_in_time():
+    """An upstream turns to another node after a second without an answer."""
+    control = _Control()
+    control.answers = False
+    link = fakes.ScriptedController(control.handle)
+    membership = _node(link, 1)
+    async with fakes.started(link, membership):
+        with trio.fail_after(0.9):
+            await membership.mailbox.ask(_announcement(DRAINING, 5))
+            assert _state(membership) is DRAINING
+
+
+def test_a_control_keeps_the_sign_off_of_a_node_that_restarts():
+    sign_off = model.SignOff(incarnation="i-1", started_ms=1, gone=True)
+    directory = node_directory.merge_record(
+        node_directory.Directory(), _record(signed_off=sign_off), 0.0, 1.0
+    )
+    for incarnation in (2, 3):
+        directory = node_directory.merge_record(
+            directory, _record(incarnation=incarnation), 0.0, 1.0
+        )
+    assert directory.entries["vm"].record.signed_off == sign_off
--- /dev/null
+++ b/tests/test_tree_admission.py
@@ -0,0 +1,217 @@
+from __future__ import annotations
+
+import pytest
+
+from sassafrashall.decisions import demand
+from sassafrashall.decisions import tree_admission
+
+POLICY = tree_admission.NarrowestService(utilization=0.8)
+
+
+def _run(route, service, *, runs, busy_s, calls=(), roots=demand.NO_ROOTS):
+    return demand.RouteDemand(
+        route=route,
+        service=service,
+        roots=roots,
+        started=runs,
+        ended=runs,
+        busy_s=busy_s,
+        calls=tuple(demand.Calls(route=name, count=n) for name, n in calls),
+    )
+
+
+def _deep_chain(view=(0.0, 0.0, 0.0), check=(0.0, 0.0, 0.0), slots=100):
+    """A view calls a ledger twice, which calls four feeds at `narrow`.
+
+    A tree holds 8 x 0.1 = 0.8 slots of `narrow` for a second; a check, itself a
+    root at `narrow`, holds 1.5.
+    """
+    return demand.Demand(
+        routes=(
+            _run("view", "wide", runs=10, busy_s=20, calls=[("ledger", 20)]),
+            demand.RouteDemand(route="view", roots=view),
+            _run("ledger", "middle", runs=5, busy_s=2, calls=[("feed", 20)]),
+            _run("feed", "narrow", runs=50, busy_s=5),
+            _run("check", "narrow", runs=4, busy_s=6),
+            demand.RouteDemand(route="check", roots=check),
+        ),
+        services=(
+            demand.ServiceSlots(service="wide", slots=10_000),
+            demand.ServiceSlots(service="middle", slots=10_000),
+            demand.ServiceSlots(service="narrow", slots=slots),
+        ),
+    )
+
+
+def _levels(demand_of_fleet, policy=POLICY):
+    return {
+        level.route: level
+        for level in tree_admission.route_levels(policy, demand_of_fleet)
+    }
+
+
+def test_a_tree_costs_the_slot_seconds_of_all_calls_below_it():
+    costs = tree_admission.tree_costs(_deep_chain())
+    assert costs["view"] == pytest.approx(
+        {"wide": 0.0, "middle": 0.8, "narrow": 0.8}
+    )
+    assert costs["check"] == pytest.approx({"narrow": 0.0})
+
+
+def test_no_route_is_limited_while_the_narrow_service_has_room():
+    assert not _levels(_deep_chain(view=(0, 0, 60.0), check=(0, 0, 20.0)))
+
+
+def test_deep_narrow_service_in_a_burst_limits_the_trees_that_lead_to_it():
+    """Pattern: deep narrow service in a burst.
+
+    The trees need 160 slots of `narrow`, and 80 of its 100 may be filled. Its
+    own roots are refused at its door, before any work is done for them.
+    """
+    levels = _levels(_deep_chain(view=(0, 0, 200.0), check=(0, 0, 400.0)))
+    assert set(levels) == {"view"}
+    assert levels["view"].level == pytest.approx(2.5)
+    assert levels["view"].service == "narrow"
+
+
+def test_a_more_urgent_class_is_admitted_whole_before_a_less_urgent_one():
+    levels = _levels(_deep_chain(view=(75.0, 0, 50.0), check=(0, 0, 0)))
+    # Class 0 takes 60 of 80 slots; 20 of the 40 for class 2 are left.
+    assert levels["view"].level == pytest.approx(2.5)
+
+
+def test_without_room_for_the_most_urgent_class_it_is_admitted_in_part():
+    levels = _levels(_deep_chain(view=(200.0, 0, 50.0)))
+    assert levels["view"].level == pytest.approx(0.5)
+
+
+def test_the_baseline_lets_all_trees_in():
+    """Each view would then fail at one of its calls, after seconds of work."""
+    fleet = _deep_chain(view=(0, 0, 200.0), check=(0, 0, 400.0))
+    assert not _levels(fleet, tree_admission.AdmitAll())
+
+
+def test_routes_that_do_not_lead_to_the_narrow_service_are_not_limited():
+    base = _deep_chain(view=(0, 0, 300.0))
+    other = _run("other", "wide", runs=5, busy_s=1, roots=(0, 0, 100.0))
+    merged = demand.add_up((base, demand.Demand(routes=(other,))))
+    assert set(_levels(merged)) == {"view"}
+
+
+def test_a_service_is_not_limited_for_demand_that_another_one_keeps_out():
+    """Of two overloaded services on one way, the narrower one limits."""
+    fleet = demand.Demand(
+        routes=(
+            _run(
+                "view",
+                "wide",
+                runs=10,
+                busy_s=10,
+                calls=[("first", 10), ("second", 10)],
+                roots=(0, 0, 100.0),
+            ),
+            _run("first", "first", runs=10, busy_s=10),
+            _run("second", "second", runs=10, busy_s=10),
+            _run(
+                "other",
+                "wide",
+                runs=10,
+                busy_s=1,
+                calls=[("first", 10)],
+                roots=(0, 0, 10.0),
+            ),
+        ),
+        services=(
+            demand.ServiceSlots(service="first", slots=100),
+            demand.ServiceSlots(service="second", slots=25),
+        ),
+    )
+    levels = _levels(fleet)
+    assert levels["view"].level == pytest.approx(2.2)
+    assert levels["view"].service == "second"
+    assert "other" not in levels
+
+
+def test_a_few_calls_that_may_be_of_other_runs_limit_nothing():
+    fleet = demand.Demand(
+        routes=(
+            _run(
+                "calendar",
+                "wide",
+                runs=10,
+                busy_s=10,
+                calls=[("feed", 2)],
+                roots=(0, 0, 1000.0),
+            ),
+            _run("feed", "narrow", runs=50, busy_s=5),
+        ),
+        services=(demand.ServiceSlots(service="narrow", slots=1),),
+    )
+    assert not _levels(fleet)
+
+
+def test_calls_in_a_circle_end():
+    fleet = demand.Demand(
+        routes=(
+            _run(
+                "a",
+                "one",
+                runs=10,
+                busy_s=1,
+                calls=[("a", 10)],
+                roots=(0, 0, 1000.0),
+            ),
+        ),
+        services=(demand.ServiceSlots(service="one", slots=1),),
+    )
+    assert tree_admission.tree_costs(fleet)["a"]["one"] == pytest.approx(0.8)
+    assert _levels(fleet)["a"].level < 3
+
+
+def test_a_service_without_upstreams_limits_nothing():
+    """Its requests are refused as without an upstream, which is true."""
+    fleet = demand.Demand(
+        routes=(_run("a", "gone", runs=10, busy_s=1, roots=(0, 0, 100.0)),)
+    )
+    assert not _levels(fleet)
+
+
+def test_the_baseline_limits_nothing():
+    policy = tree_admission.AdmitAll()
+    assert not _levels(_deep_chain(view=(0, 0, 900.0)), policy)
+
+
+def test_admitted_fraction_follows_the_level():
+    level = tree_admission.RouteLevel(route="view", level=1.25, service="s")
+    ids = [f"request-{number}" for number in range(4000)]
+    admitted = [
+        sum(tree_admission.admits(level, priority, name) for name in ids)
+        for priority in (0, 1, 2)
+    ]
+    assert admitted[0] == len(ids)
+    assert admitted[1] == pytest.approx(0.25 * len(ids), rel=0.1)
+    # A closed class is still sampled, so that its demand stays known.
+    assert 0 < admitted[2] < 0.04 * len(ids)
+
+
+def test_returns_are_later_and_more_spread_the_less_is_admitted():
+    ids = [f"request-{number}" for number in range(400)]
+
+    def waits(level):
+        held = tree_admission.RouteLevel(route="r", level=level, service="s")
+        return [tree_admission.retry_after(held, 2, name) for name in ids]
+
+    assert min(waits(2.8)) >= tree_admission.MIN_RETRY_AFTER
+    assert max(waits(2.0)) <= tree_admission.MAX_RETRY_AFTER
+    assert min(waits(2.3)) > max(waits(2.8))
+    for level in (2.8, 2.3, 2.0):
+        assert max(waits(level)) > 1.8 * min(waits(level))
+
+
+def test_outdated_levels_limit_nothing():
+    level = tree_admission.RouteLevel(route="r", level=0.5, service="s")
+    known = tree_admission.RouteLevels(levels={"r": level}, received_at=10.0)
+    assert tree_admission.level_of(known, "r", 12.0) == level
+    assert tree_admission.level_of(known, "other", 12.0) is None
+    late = 10.0 + tree_admission.LEVELS_TTL + 0.1
+    assert tree_admission.level_of(known, "r", late) is None
