Demand of removed nodes is forgotten; the log names only services that limit

Cause: reports of nodes were kept for good at a control, and the log line listed all routes. Change: what is outdated is dropped with each computation; the line is bounded to the limiting services. Tests of both.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -279,6 +279,7 @@
         return self._route_levels
 
     def _compute_route_levels(self, now: float) -> None:
+        self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
         self._calls_per_run = demand_decisions.hold_calls_per_run(
             self._calls_per_run, fleet, now
@@ -297,7 +298,9 @@
                     "levels": {
                         level.route: round(level.level, 2) for level in levels
                     },
-                    "services": tree_admission.describe_loads(fleet),
+                    "services": tree_admission.describe_loads(
+                        fleet, {level.service for level in levels}
+                    ),
                 },
             )
 
--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -292,6 +292,18 @@
     )
 
 
+def forget_outdated(fleet: FleetDemand, now: float) -> FleetDemand:
+    """Drops what is too old to be counted, such as reports of removed nodes."""
+    nodes, controls = fleet.nodes, fleet.controls
+    for vm, report in fleet.nodes.items():
+        if now - report.heard_at >= NODE_TTL:
+            nodes = nodes.delete(vm)
+    for address, report in fleet.controls.items():
+        if now - report.heard_at >= CONTROL_TTL:
+            controls = controls.delete(address)
+    return FleetDemand(nodes=nodes, controls=controls)
+
+
 def demand_of_nodes(fleet: FleetDemand, now: float) -> Demand:
     """Returns the demand at the nodes that report to this control."""
     return add_up(
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 from typing import Any
 from typing import TypeAlias
@@ -113,9 +114,9 @@
 
 
 def describe_loads(
-    demand: demand_decisions.Demand,
+    demand: demand_decisions.Demand, services: Set[str]
 ) -> dict[str, dict[str, Any]]:
-    """Returns for each service its slots, and those that all trees need.
+    """Returns the slots of services, and those that the trees need there.
 
     The roots per second and the slot seconds of one tree that leads there are
     listed by route.
@@ -137,6 +138,7 @@
             },
         }
         for service in demand.services
+        if service.service in services
     }
 
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -167,6 +167,8 @@
     assert demand.demand_of_nodes(fleet, 11.0).services[0].slots == 3
     fleet = demand.on_heartbeat(fleet, "vm-1", one, 13.5)
     assert demand.demand_of_fleet(fleet, 13.5).services[0].slots == 3
+    assert not demand.forget_outdated(fleet, 13.5).controls
+    assert set(demand.forget_outdated(fleet, 13.5).nodes) == {"vm-1"}
     # A build that doesn't measure it reports nothing.
     assert demand.on_heartbeat(fleet, "vm-2", None, 13.5) is fleet
     assert demand.on_gossip(fleet, "control-3", None, 13.5) is fleet
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -215,3 +215,10 @@
     assert tree_admission.level_of(known, "other", 12.0) is None
     late = 10.0 + tree_admission.LEVELS_TTL + 0.1
     assert tree_admission.level_of(known, "r", late) is None
+
+
+def test_the_loads_of_the_limiting_services_are_described():
+    fleet = _deep_chain(view=(0, 0, 200.0))
+    assert tree_admission.describe_loads(fleet, {"narrow"}) == {
+        "narrow": {"slots": 100, "needed": 160.0, "view": (200.0, 0.8)}
+    }
