Calls move on from full upstreams; admission by trees corrects itself

Change: at the first two upstreams a call doesn't wait for a slot while another upstream may have one free; the door answers at once with its load.

Rates of calls and lengths of runs were of different spans of time, and while few roots were admitted nothing corrected them.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -235,6 +235,9 @@
                 )
             self._grant(item, reply, now)
             return
+        if not message.may_wait:
+            reply.put(self._refusal(exceptions.SHED, "no slot is free"))
+            return
         self._ticks_needed.set()
         self._waiting_replies[item.item_id] = reply
         reply.on_abandon(
--- a/src/sassafrashall/controllers/demand_monitor.py
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -33,15 +33,15 @@
         self.started = 0.0
         self.ended = 0.0
         self.busy_s = 0.0
-        self.exposure_s = 0.0  # decays like the other observations
-        self.total_exposure_s = 0.0
+        self.calls: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
+        self.exposure_s = 0.0
         self._exposed_at = now
 
     def expose(self, now: float) -> None:
         """Adds the time for which runs have been in progress."""
-        exposure = self.in_progress * (now - self._exposed_at)
-        self.exposure_s += exposure
-        self.total_exposure_s += exposure
+        self.exposure_s += self.in_progress * (now - self._exposed_at)
         self._exposed_at = now
 
     def decay(self, factor: float) -> None:
@@ -49,17 +49,19 @@
         self.started *= factor
         self.ended *= factor
         self.busy_s *= factor
-        self.exposure_s *= factor
+        for route in self.calls:
+            self.calls[route] *= factor
 
 
 class _ObservedCalls:
-    """The latest calls of the local upstream on one route.
+    """The calls of the local upstream on one route.
 
-    Each is kept with its time, the runs in progress, and the total exposure of
-    each kind of run by then.
+    The latest are kept with their time, the runs in progress, and the exposure
+    of each kind of run by then.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, route: str) -> None:
+        self._route = route
         self.rates: dict[_Kind, float] = {}
         self._calls: collections.deque[
             tuple[float, demand.InProgress[_Kind], dict[_Kind, float]]
@@ -77,8 +79,11 @@
             for kind, run in runs.items()
             if run.in_progress
         )
-        exposures = {kind: run.total_exposure_s for kind, run in runs.items()}
+        exposures = {kind: run.exposure_s for kind, run in runs.items()}
         self._calls.append((now, in_progress, exposures))
+        fractions = demand.attribute_call(in_progress, self.rates)
+        for kind, fraction in fractions.items():
+            runs[kind].calls[self._route] += fraction
 
     def estimate_rates(self, runs: dict[_Kind, _Runs], now: float) -> None:
         """Updates the rates by what has been observed since."""
@@ -88,7 +93,7 @@
             return
         exposed_before = self._calls[0][2]
         exposures = {
-            kind: run.total_exposure_s - exposed_before.get(kind, 0.0)
+            kind: run.exposure_s - exposed_before.get(kind, 0.0)
             for kind, run in runs.items()
         }
         calls = [in_progress for _, in_progress, _ in self._calls]
@@ -151,9 +156,10 @@
             case messages.UpstreamCalled(route=route):
                 self._expose_all(now)
                 self._upstream_calls.publish(True)
-                self._calls.setdefault(route, _ObservedCalls()).add(
-                    self._runs, now
-                )
+                calls = self._calls.get(route)
+                if calls is None:
+                    calls = self._calls[route] = _ObservedCalls(route=route)
+                calls.add(self._runs, now)
             case messages.ReadDemand():
                 self._update(now)
                 reply.put(self._current_demand())
@@ -216,7 +222,11 @@
                 started=round(runs.started, 3),
                 ended=round(runs.ended, 3),
                 busy_s=round(runs.busy_s, 4),
-                calls=self._calls_of(kind, runs),
+                calls=tuple(
+                    demand.Calls(route=route, count=round(count, 3))
+                    for route, count in runs.calls.items()
+                    if count > MIN_WEIGHT
+                ),
             )
             for kind, runs in self._runs.items()
         ]
@@ -225,23 +235,13 @@
         if upstream is not None and upstream.state is model.UpstreamState.READY:
             services = (
                 demand.ServiceSlots(
-                    service=upstream.service, slots=self._usable_slots.value
+                    service=upstream.service,
+                    slots=self._usable_slots.value,
+                    busy=sum(
+                        runs.in_progress
+                        for kind, runs in self._runs.items()
+                        if kind[1] == upstream.service
+                    ),
                 ),
             )
         return demand.Demand(routes=tuple(routes), services=services)
-
-    def _calls_of(self, kind: _Kind, runs: _Runs) -> tuple[demand.Calls, ...]:
-        # Runs in progress have not made all of their calls yet, so that what a
-        # whole run makes follows from the length of those that have ended.
-        exposure_s = runs.exposure_s
-        if runs.ended:
-            exposure_s = runs.started * runs.busy_s / runs.ended
-        counts = (
-            (route, calls.rates.get(kind, 0.0) * exposure_s)
-            for route, calls in self._calls.items()
-        )
-        return tuple(
-            demand.Calls(route=route, count=round(count, 3))
-            for route, count in counts
-            if count > MIN_WEIGHT
-        )
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -131,6 +131,7 @@
         self._route_levels: tuple[tree_admission.RouteLevel, ...] = ()
         self._levels_computed_at = float("-inf")
         self._calls_per_run = demand_decisions.CallsPerRun()
+        self._corrections: dict[str, float] = {}
         self._levels_logged_at = float("-inf")
         self._status: messages.ReplicaStatus | None = None
         self._observed_state: fleet_state.FleetState | None = None
@@ -274,18 +275,28 @@
         self, now: float
     ) -> tuple[tree_admission.RouteLevel, ...]:
         if now - self._levels_computed_at >= LEVELS_INTERVAL:
+            elapsed = min(now - self._levels_computed_at, LEVELS_INTERVAL * 4)
             self._levels_computed_at = now
-            self._compute_route_levels(now)
+            self._compute_route_levels(now, elapsed)
         return self._route_levels
 
-    def _compute_route_levels(self, now: float) -> None:
+    def _compute_route_levels(self, now: float, elapsed: float) -> None:
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
         self._calls_per_run = demand_decisions.hold_calls_per_run(
             self._calls_per_run, fleet, now
         )
         fleet = demand_decisions.with_held_calls(fleet, self._calls_per_run)
-        levels = tree_admission.route_levels(self._admission_policy, fleet)
+        self._corrections = tree_admission.correct(
+            self._admission_policy,
+            self._corrections,
+            fleet,
+            {level.service for level in self._route_levels},
+            elapsed,
+        )
+        levels = tree_admission.route_levels(
+            self._admission_policy, fleet, self._corrections
+        )
         were_limited, self._route_levels = bool(self._route_levels), levels
         if not levels and not were_limited:
             return
@@ -298,6 +309,10 @@
                     "levels": {
                         level.route: round(level.level, 2) for level in levels
                     },
+                    "corrections": {
+                        service: round(factor, 2)
+                        for service, factor in self._corrections.items()
+                    },
                     "services": tree_admission.describe_loads(
                         fleet, {level.service for level in levels}
                     ),
--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -160,7 +160,9 @@
                 confirm=message.confirm,
                 method=request.method,
                 target=request.target,
-                headers=request.headers,
+                headers=request.headers
+                if request.may_wait
+                else (*request.headers, (frames.NO_WAIT_HEADER, "1")),
                 body=request.body,
                 more=request.rest is not None,
             )
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -138,9 +138,10 @@
                 self._to_candidate(record, now) for record in records
             )
         untried = tuple(c for c in usable if c.vm not in message.avoid)
+        candidates = untried or usable
         chosen = routing.choose_upstream(
             self._routing_policy,
-            untried or usable,
+            candidates,
             self._data_centre,
             (self._random.random(), self._random.random()),
             now,
@@ -152,7 +153,13 @@
         if health.ejections:
             self._health[chosen.vm] = routing.start_probe(health)
         address = self._view.value.records[chosen.vm].peer_address
-        return messages.UpstreamChoice(vm=chosen.vm, address=address)
+        return messages.UpstreamChoice(
+            vm=chosen.vm,
+            address=address,
+            may_wait=routing.may_wait(
+                self._routing_policy, chosen, candidates, len(message.avoid)
+            ),
+        )
 
     def _index_records(self, now: float) -> None:
         """Groups the records of ready upstreams by service, once per view."""
--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -74,10 +74,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServiceSlots:
-    """The concurrent requests that the upstreams of a service accept."""
+    """The slots of a service's upstreams.
+
+    Attributes:
+      slots: Concurrent requests that they accept.
+      busy: Slots in use.
+    """
 
     service: str
     slots: int
+    busy: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -91,18 +97,20 @@
 def add_up(demands: Iterable[Demand]) -> Demand:
     """Returns the demand of all parts together."""
     slots: dict[str, int] = {}
+    busy: dict[str, int] = {}
     parts: dict[tuple[str, str], list[RouteDemand]] = {}
     for demand in demands:
         for service in demand.services:
             slots[service.service] = (
                 slots.get(service.service, 0) + service.slots
             )
+            busy[service.service] = busy.get(service.service, 0) + service.busy
         for route in demand.routes:
             parts.setdefault((route.route, route.service), []).append(route)
     return Demand(
         routes=tuple(_add_routes(same) for same in parts.values()),
         services=tuple(
-            ServiceSlots(service=name, slots=count)
+            ServiceSlots(service=name, slots=count, busy=busy[name])
             for name, count in slots.items()
         ),
     )
@@ -133,6 +141,28 @@
 InProgress: TypeAlias = tuple[tuple[_Key, int], ...]
 
 
+def attribute_call(
+    in_progress: InProgress[_Key], rates: Mapping[_Key, float]
+) -> dict[_Key, float]:
+    """Returns the fractions of a call that the runs in progress have made.
+
+    The fractions add up to 1; there are none if nothing is in progress.
+
+    Args:
+      in_progress: The kinds of runs in progress and their numbers.
+      rates: Calls per second of a run, by its kind; a kind that is missing is
+        as likely to call as any other.
+    """
+    unknown_rate = max(rates.values(), default=0.0) or 1.0
+    weights = {
+        key: count * rates.get(key, unknown_rate) for key, count in in_progress
+    }
+    total = sum(weights.values())
+    if not total:
+        return {}
+    return {key: weight / total for key, weight in weights.items()}
+
+
 def attribute_calls(
     calls: Iterable[InProgress[_Key]],
     exposures: Mapping[_Key, float],
@@ -151,17 +181,10 @@
       Calls per second of a run, by its kind.
     """
     attributed = dict.fromkeys(exposures, 0.0)
-    unknown_rate = max(rates.values(), default=0.0) or 1.0
     for in_progress in calls:
-        weights = [
-            (key, count * rates.get(key, unknown_rate))
-            for key, count in in_progress
-            if key in attributed
-        ]
-        total = sum(weight for _, weight in weights)
-        for key, weight in weights:
-            if total > 0:
-                attributed[key] += weight / total
+        known = tuple(item for item in in_progress if item[0] in attributed)
+        for key, fraction in attribute_call(known, rates).items():
+            attributed[key] += fraction
     return {
         key: count / (exposures[key] + PRIOR_EXPOSURE)
         for key, count in attributed.items()
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -52,11 +52,14 @@
         centre is taken whatever the load in other data centres.
       cross_data_centre_penalty: Added to the load of an upstream in another
         data centre.
+      moves: Number of full upstreams at which a call does not wait for a slot,
+        but moves on to another one that may have one free.
     """
 
     local_max_load: float = 0.6
     data_centre_max_load: float = 0.9
     cross_data_centre_penalty: float = 0.1
+    moves: int = 0
 
 
 Policy: TypeAlias = RandomChoice | TwoChoices | LeastLoaded
@@ -205,6 +208,34 @@
             return _least_loaded(policy, candidates, data_centre, draws[0])
 
 
+def may_wait(
+    policy: Policy,
+    chosen: Candidate,
+    candidates: tuple[Candidate, ...],
+    attempts: int,
+) -> bool:
+    """Returns whether a call may wait for a slot at the chosen upstream.
+
+    What a process knows of loads is older the more processes call the same
+    upstreams. A full upstream that answers at once tells its load, and the call
+    finds a free slot elsewhere.
+
+    Args:
+      policy: The load balancing policy.
+      chosen: The upstream for this attempt.
+      candidates: The upstreams that the call has not tried.
+      attempts: Upstreams that it has tried before.
+    """
+    match policy:
+        case LeastLoaded(moves=moves) if attempts < moves:
+            return not any(
+                candidate is not chosen and _effective_load(candidate) < 1.0
+                for candidate in candidates
+            )
+        case _:
+            return True
+
+
 def _least_loaded(
     policy: LeastLoaded,
     candidates: tuple[Candidate, ...],
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
+import math
 from typing import Any
 from typing import TypeAlias
 
@@ -34,6 +35,10 @@
 LEVELS_TTL = (
     3.0  # seconds until levels are outdated; everything is then admitted
 )
+CORRECTION_RATE = 0.3  # exponential growth of a correction per second
+MAX_CORRECTION = 10.0
+# Fraction of the permitted utilization below which a service has spare slots.
+SPARE_BELOW = 0.85
 MIN_RETRY_AFTER = 0.5  # seconds
 MAX_RETRY_AFTER = 4.0  # seconds
 
@@ -73,13 +78,56 @@
     service: str
 
 
+def correct(
+    policy: Policy,
+    corrections: Mapping[str, float],
+    demand: demand_decisions.Demand,
+    limiting: Set[str],
+    elapsed: float,
+) -> dict[str, float]:
+    """Returns the factors by which services may be given more or less.
+
+    Costs and demand are estimates. If a service that limits routes has free
+    slots, more is let in, and less again while it is full.
+
+    Args:
+      policy: The policy in force.
+      corrections: The factors before; 1 for a service that is missing.
+      demand: Demand of the fleet, with the slots in use.
+      limiting: The services that limit routes now.
+      elapsed: Seconds since the last correction.
+    """
+    if not isinstance(policy, NarrowestService):
+        return {}
+    step = math.exp(CORRECTION_RATE * elapsed)
+    corrected = {}
+    for service in demand.services:
+        name = service.service
+        factor = corrections.get(name, 1.0)
+        in_use = service.busy / max(1, service.slots)
+        if name in limiting and in_use < SPARE_BELOW * policy.utilization:
+            factor = min(MAX_CORRECTION, factor * step)
+        elif name not in limiting or in_use > policy.utilization:
+            factor = max(1.0, factor / step)
+        if factor > 1.0:
+            corrected[name] = factor
+    return corrected
+
+
 def route_levels(
-    policy: Policy, demand: demand_decisions.Demand
+    policy: Policy,
+    demand: demand_decisions.Demand,
+    corrections: Mapping[str, float] | None = None,
 ) -> tuple[RouteLevel, ...]:
     """Returns the routes whose root requests must not all enter the fleet.
 
     The service that needs the most thinning limits the routes that lead to it
     first. What the others have to bear follows from the routes that remain.
+
+    Args:
+      policy: The policy in force.
+      demand: Demand of the fleet.
+      corrections: Factors for what services may be given, see `correct`.
     """
     match policy:
         case AdmitAll():
@@ -88,7 +136,11 @@
             pass
     costs = tree_costs(demand)
     roots = _roots_by_route(demand)
-    slots = {service.service: service.slots for service in demand.services}
+    slots = {
+        service.service: service.slots
+        * (corrections or {}).get(service.service, 1.0)
+        for service in demand.services
+    }
     levels: dict[str, RouteLevel] = {}
     remaining = set(slots)
     while remaining:
@@ -129,6 +181,7 @@
     return {
         service.service: {
             "slots": service.slots,
+            "busy": service.busy,
             "needed": round(needed.get(service.service, 0.0), 1),
             **{
                 f"{route}": (round(sum(rates), 1), round(seconds, 3))
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -107,6 +107,7 @@
         if choice.vm == self._node:
             request = frozen.replace(
                 call.request,
+                may_wait=choice.may_wait,
                 source=model.Source.PEER,
                 received_at=clock.monotonic(),
                 timeout_ms=ticket.remaining_ms,
@@ -120,7 +121,9 @@
         return await self._links.ask(
             messages.Exchange(
                 address=choice.address,
-                request=call.request,
+                request=call.request
+                if choice.may_wait
+                else frozen.replace(call.request, may_wait=False),
                 ticket=ticket,
                 deadline=call.deadline,
                 to_upstream=False,
--- a/src/sassafrashall/filters/slots.py
+++ b/src/sassafrashall/filters/slots.py
@@ -25,6 +25,7 @@
             nested=call.depth > 0,
             root_id=call.root_id,
             deadline=call.deadline,
+            may_wait=call.request.may_wait,
         )
     )
     match result:
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -163,6 +163,8 @@
 
     Attributes:
       nested: Whether an upstream made the call while it ran another one.
+      may_wait: Whether it may wait for a slot; else it is shed at once without
+        one.
     """
 
     call_id: str
@@ -171,6 +173,7 @@
     nested: bool
     root_id: str
     deadline: float
+    may_wait: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -291,10 +294,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamChoice:
-    """The node to which an attempt is sent."""
+    """The node to which an attempt is sent.
+
+    Attributes:
+      may_wait: Whether the call may wait for a slot there. If not, another
+        upstream may have one free.
+    """
 
     vm: str
     address: model.Address
+    may_wait: bool = True
 
 
 class AttemptResult(enum.Enum):
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -384,6 +384,7 @@
         to be buffered.
       confirm: Asks the calling node whether it still wants the request, just
         before the request is sent to an upstream.
+      may_wait: Whether it may wait for a slot of the upstream.
     """
 
     method: str
@@ -402,6 +403,7 @@
     caller: str = ""
     rest: BodyReader | None = None
     confirm: ConfirmCallback | None = None
+    may_wait: bool = True
 
     @property
     def path(self) -> str:
--- a/src/sassafrashall/platform/front_end.py
+++ b/src/sassafrashall/platform/front_end.py
@@ -7,6 +7,7 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.platform import names
+from sassafrashall.transport import codec
 from sassafrashall.transport import error_boundary
 from sassafrashall.transport import http
 
@@ -63,7 +64,9 @@
         headers = tuple(
             (name, value)
             for name, value in http.end_to_end_headers(raw.headers)
-            if name not in names.STRIPPED_HEADERS and not (key and key in value)
+            if name not in names.STRIPPED_HEADERS
+            and not name.startswith(codec.INTERNAL_PREFIX)
+            and not (key and key in value)
         )
         length = header_values.get("content-length")
         if raw.rest is not None and length is not None:
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -224,6 +224,7 @@
     "random": routing_policies.RandomChoice(),
     "two-choices": routing_policies.TwoChoices(),
     "least-loaded": routing_policies.LeastLoaded(),
+    "first-free": routing_policies.LeastLoaded(moves=2),
 }
 RETRY_POLICIES: dict[str, retry_policies.Policy] = {
     "none": retry_policies.NoRetries(),
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -19,6 +19,9 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 
+# Header of an `OpenCall` that may not wait for a slot at the other node. Nodes
+# of earlier builds take it for a header of the request.
+NO_WAIT_HEADER = "sassafrashall-no-wait"
 FRAME_LIMIT = 4 * 1024 * 1024  # bytes; request and response bodies are split
 _PREFIX = struct.Struct("!IB")  # length of the body, number of the type
 
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -265,10 +265,15 @@
             exceptions.BAD_REQUEST, str(error)
         ) from error
     now = clock.monotonic()
+    headers = frame.headers
+    may_wait = True
+    if headers and headers[-1][0] == frames.NO_WAIT_HEADER:
+        headers, may_wait = headers[:-1], False
     return model.Request(
         method=frame.method,
         target=frame.target,
-        headers=frame.headers,
+        headers=headers,
+        may_wait=may_wait,
         body=frame.body,
         source=model.Source.PEER,
         received_at=now,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -196,3 +196,17 @@
             answer = await controller.mailbox.ask(_admit(f"c{number}"))
             assert isinstance(answer, messages.Admitted)
             controller.mailbox.tell(messages.SlotReleased(latency=-1.0))
+
+
+async def test_a_call_that_may_not_wait_is_shed_at_once_without_a_free_slot():
+    async with _admission() as (controller, _):
+        for number in range(READY.slots):
+            answer = await controller.mailbox.ask(_admit(f"c{number}"))
+            assert isinstance(answer, messages.Admitted)
+        moving = dataclasses.replace(_admit("moving"), may_wait=False)
+        with trio.fail_after(1):
+            answer = await controller.mailbox.ask(moving)
+        assert answer.code == exceptions.SHED
+        controller.mailbox.tell(messages.SlotReleased(latency=0.01))
+        answer = await controller.mailbox.ask(moving)
+        assert isinstance(answer, messages.Admitted)
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -113,7 +113,7 @@
     assert route.roots[model.Priority.BULK] == pytest.approx(40.0, rel=0.2)
     assert route.roots[model.Priority.CRITICAL] == 0
     assert reported.services == (
-        demand.ServiceSlots(service="middle", slots=8),
+        demand.ServiceSlots(service="middle", slots=8, busy=0),
     )
 
 
@@ -326,3 +326,23 @@
     for step in range(1, 40):
         held = demand.hold_calls_per_run(held, few, step * 0.25)
     assert _calls(held, few) == pytest.approx(4.0)
+
+
+async def test_runs_that_grow_longer_do_not_make_more_calls(fake_clock):
+    """Pattern: the service that is called turns slow.
+
+    Runs take ten times as long, and make the same two calls each.
+    """
+    monitor = _monitor()
+    async with fakes.started(monitor):
+        tell = monitor.mailbox.tell
+        for length in [0.1] * 60 + [1.0] * 8:
+            tell(messages.RunStarted(route="r", service="middle"))
+            for _ in range(2):
+                fake_clock.now += length / 2
+                tell(messages.UpstreamCalled(route="c"))
+            tell(messages.RunEnded(route="r", service="middle", seconds=length))
+            await monitor.mailbox.ask(messages.ReadDemand())
+        reported = await monitor.mailbox.ask(messages.ReadDemand())
+    (route,) = reported.routes
+    assert route.calls[0].count / route.started == pytest.approx(2.0, rel=0.1)
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from sassafrashall.decisions import demand
@@ -220,5 +222,59 @@
 def test_the_loads_of_the_limiting_services_are_described():
     fleet = _deep_chain(view=(0, 0, 200.0))
     assert tree_admission.describe_loads(fleet, {"narrow"}) == {
-        "narrow": {"slots": 100, "needed": 160.0, "view": (200.0, 0.8)}
+        "narrow": {
+            "slots": 100,
+            "busy": 0,
+            "needed": 160.0,
+            "view": (200.0, 0.8),
+        }
     }
+
+
+def _with_busy(fleet, busy):
+    return dataclasses.replace(
+        fleet,
+        services=tuple(
+            dataclasses.replace(service, busy=busy.get(service.service, 0))
+            for service in fleet.services
+        ),
+    )
+
+
+def _corrected(busy, seconds, corrections=None, limiting=frozenset({"narrow"})):
+    corrections = corrections or {}
+    fleet = _with_busy(_deep_chain(view=(0, 0, 200.0)), {"narrow": busy})
+    for _ in range(int(seconds / 0.25)):
+        corrections = tree_admission.correct(
+            POLICY, corrections, fleet, limiting, 0.25
+        )
+    return corrections
+
+
+def test_more_is_let_in_while_the_limiting_service_has_free_slots():
+    """Pattern: costs that are taken for too high keep callers out for nothing.
+
+    Few runs then correct the estimate, and nothing but the free slots shows it.
+    """
+    fleet = _deep_chain(view=(0, 0, 200.0))
+    before = tree_admission.route_levels(POLICY, fleet)[0].level
+    corrections = _corrected(busy=20, seconds=3)
+    after = tree_admission.route_levels(POLICY, fleet, corrections)
+    assert corrections["narrow"] > 2
+    assert not after or after[0].level > before + 0.4
+    assert _corrected(20, 60)["narrow"] <= tree_admission.MAX_CORRECTION
+
+
+def test_a_correction_ends_while_the_service_is_full_or_limits_nothing():
+    held = {"narrow": 3.0}
+    assert _corrected(95, 1, held)["narrow"] < 2.5
+    assert not _corrected(95, 10, held)
+    assert not _corrected(20, 10, held, limiting=frozenset())
+    # Between the two it stays.
+    assert _corrected(75, 10, held) == held
+
+
+def test_the_baseline_corrects_nothing():
+    fleet = _deep_chain(view=(0, 0, 200.0))
+    policy = tree_admission.AdmitAll()
+    assert not tree_admission.correct(policy, {}, fleet, {"narrow"}, 1.0)
