--- a/src/sassafrashall/controllers/demand_monitor.py
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -49,8 +49,11 @@
         self.started *= factor
         self.ended *= factor
         self.busy_s *= factor
-        for route in self.calls:
-            self.calls[route] *= factor
+        for route, count in list(self.calls.items()):
+            if count > MIN_WEIGHT:
+                self.calls[route] = factor * count
+            else:
+                del self.calls[route]
 
 
 class _ObservedCalls:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -61,6 +61,34 @@
     return model.Call(**{**values, **fields})
 
 
+def node_record(**fields) -> model.NodeRecord:
+    address = model.Address(host="127.0.0.1", port=1)
+    values = {
+        "vm": "vm",
+        "data_centre": "x",
+        "incarnation": 1,
+        "counter": 1,
+        "peer_address": address,
+        "ops_address": address,
+    }
+    return model.NodeRecord(**{**values, **fields})
+
+
+def heartbeat_reply(**fields) -> protocol.HeartbeatReply:
+    """Returns the reply of a control that has no news."""
+    values = {
+        "directory_source": "c",
+        "directory_version": 1,
+        "complete": False,
+        "entries": (),
+        "revision": 0,
+        "organisations": (),
+        "withdrawn": (),
+        "majority_age": 0.0,
+    }
+    return protocol.HeartbeatReply(**{**values, **fields})
+
+
 def ticket(**fields) -> model.Ticket:
     values = {
         "organisation": "org",
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -39,14 +39,7 @@
 
 def _heartbeat(vm):
     return protocol.Heartbeat(
-        record=model.NodeRecord(
-            vm=vm,
-            data_centre="x",
-            incarnation=1,
-            counter=1,
-            peer_address=ADDRESS,
-            ops_address=ADDRESS,
-        ),
+        record=fakes.node_record(vm=vm),
         directory_source="",
         directory_version=0,
         withdrawn_count=0,
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -38,29 +38,13 @@
 
 
 def _membership(event_log, answer=None):
-    reply = protocol.HeartbeatReply(
-        directory_source="c",
-        directory_version=1,
-        complete=False,
-        entries=(),
-        revision=0,
-        organisations=(),
-        withdrawn=(),
-        majority_age=0.0,
-    )
+    reply = fakes.heartbeat_reply()
     if answer is None:
         link = fakes.ScriptedController(lambda message: reply)
     else:
         link = fakes.ScriptedController(lambda message: answer(message, reply))
     membership = node_membership.NodeMembership(
-        record=model.NodeRecord(
-            vm="a",
-            data_centre="x",
-            incarnation=1,
-            counter=1,
-            peer_address=UPSTREAM,
-            ops_address=UPSTREAM,
-        ),
+        record=fakes.node_record(vm="a"),
         link=link.mailbox,
         admission_level=mailbox.Published(initial=-1),
         event_log=event_log,
@@ -163,15 +147,7 @@
 
 
 def _entry(vm):
-    record = model.NodeRecord(
-        vm=vm,
-        data_centre="x",
-        incarnation=1,
-        counter=1,
-        peer_address=UPSTREAM,
-        ops_address=UPSTREAM,
-    )
-    return protocol.DirectoryEntry(record=record)
+    return protocol.DirectoryEntry(record=fakes.node_record(vm=vm))
 
 
 # Guards against requests refused for want of upstreams when the node turns to a
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -145,15 +145,7 @@
     except exceptions.FindingsError as error:
         _check_findings(error)
         return
-    record = model.NodeRecord(
-        vm="vm",
-        data_centre="dc",
-        incarnation=1,
-        counter=1,
-        peer_address=ADDRESS,
-        ops_address=ADDRESS,
-        upstream=message.upstream,
-    )
+    record = fakes.node_record(upstream=message.upstream)
     sent = protocol.Heartbeat(
         record=record,
         directory_source="",
@@ -240,31 +232,11 @@
         return upstream.state if upstream else None
 
 
-def _no_changes(message):
-    return protocol.HeartbeatReply(
-        directory_source="c",
-        directory_version=1,
-        complete=False,
-        entries=(),
-        revision=0,
-        organisations=(),
-        withdrawn=(),
-        majority_age=0.0,
-    )
-
-
 @pytest.fixture
 async def announcer():
-    link = fakes.ScriptedController(_no_changes)
+    link = fakes.ScriptedController(lambda message: fakes.heartbeat_reply())
     membership = node_membership.NodeMembership(
-        record=model.NodeRecord(
-            vm="vm",
-            data_centre="dc",
-            incarnation=1,
-            counter=1,
-            peer_address=ADDRESS,
-            ops_address=ADDRESS,
-        ),
+        record=fakes.node_record(),
         link=link.mailbox,
         admission_level=mailbox.Published(initial=-1),
         event_log=fakes.event_log(),
--- a/tests/test_sign_off.py
+++ b/tests/test_sign_off.py
@@ -1,7 +1,5 @@
 """What is known of an upstream that signed off, after its node restarts."""
 
-import dataclasses
-
 import pytest
 import trio
 
@@ -9,7 +7,6 @@
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
-from sassafrashall import protocol
 from sassafrashall.controllers import node_membership
 from sassafrashall.decisions import node_directory
 from tests import fakes
@@ -19,18 +16,6 @@
 READY = model.UpstreamState.READY
 
 
-def _record(**fields):
-    values = {
-        "vm": "vm",
-        "data_centre": "dc",
-        "incarnation": 1,
-        "counter": 1,
-        "peer_address": ADDRESS,
-        "ops_address": ADDRESS,
-    }
-    return model.NodeRecord(**{**values, **fields})
-
-
 def _announcement(state, sequence, started_ms=1, incarnation="i-1"):
     return messages.Announce(
         upstream=model.Upstream(
@@ -65,22 +50,14 @@
             self.directory, record, 0.0, clock.monotonic()
         )
         held = self.directory.entries["vm"].record.signed_off
-        return protocol.HeartbeatReply(
-            directory_source="c",
-            directory_version=1,
-            complete=False,
-            entries=(),
-            revision=0,
-            organisations=(),
-            withdrawn=(),
-            majority_age=0.0,
-            signed_off=None if record.signed_off else held,
+        return fakes.heartbeat_reply(
+            signed_off=None if record.signed_off else held
         )
 
 
 def _node(link, incarnation):
     return node_membership.NodeMembership(
-        record=_record(incarnation=incarnation),
+        record=fakes.node_record(incarnation=incarnation),
         link=link.mailbox,
         admission_level=mailbox.Published(initial=-1),
         event_log=fakes.event_log(),
@@ -137,32 +114,18 @@
                 assert _state(after) is READY
                 after.mailbox.tell(
                     node_membership._HeartbeatReplied(
-                        reply=dataclasses.replace(
-                            _no_news(),
+                        reply=fakes.heartbeat_reply(
                             signed_off=model.SignOff(
                                 incarnation="i-1", started_ms=1, gone=False
-                            ),
+                            )
                         ),
                         sent_at=clock.monotonic(),
-                        record=_record(incarnation=2),
+                        record=fakes.node_record(incarnation=2),
                     )
                 )
                 assert _state(after) is DRAINING
 
 
-def _no_news():
-    return protocol.HeartbeatReply(
-        directory_source="c",
-        directory_version=1,
-        complete=False,
-        entries=(),
-        revision=0,
-        organisations=(),
-        withdrawn=(),
-        majority_age=0.0,
-    )
-
-
 async def test_without_a_control_a_sign_off_is_acknowledged_in_time():
     """An upstream turns to another node after a second without an answer."""
     control = _Control()
@@ -178,10 +141,13 @@
 def test_a_control_keeps_the_sign_off_of_a_node_that_restarts():
     sign_off = model.SignOff(incarnation="i-1", started_ms=1, gone=True)
     directory = node_directory.merge_record(
-        node_directory.Directory(), _record(signed_off=sign_off), 0.0, 1.0
+        node_directory.Directory(),
+        fakes.node_record(signed_off=sign_off),
+        0.0,
+        1.0,
     )
     for incarnation in (2, 3):
         directory = node_directory.merge_record(
-            directory, _record(incarnation=incarnation), 0.0, 1.0
+            directory, fakes.node_record(incarnation=incarnation), 0.0, 1.0
         )
     assert directory.entries["vm"].record.signed_off == sign_off
