Messages nested too deep are protocol errors

Cause: msgspec raises RecursionError for them, which the codec passed on, so that it left the task of a connection as an unknown exception. Change: it becomes a ProtocolError like any message that can't be read. Three of the new cases failed before; frames of random values and random bytes already held.

--- a/src/sassafrashall/transport/codec.py
+++ b/src/sassafrashall/transport/codec.py
@@ -60,7 +60,7 @@
         )
     try:
         return msgspec.msgpack.decode(body, type=message_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise exceptions.ProtocolError(
             exceptions.BAD_REQUEST, f"{name!r}: {error}"
         ) from error
@@ -79,7 +79,7 @@
     """
     try:
         return msgspec.json.decode(data, type=value_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise exceptions.ProtocolError(
             exceptions.BAD_REQUEST, str(error)
         ) from error
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,11 +8,13 @@
 
 import copy
 import json
+import struct
 import time
 
 from bench import routed
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from sassafrashall import exceptions
@@ -25,6 +27,7 @@
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
 from sassafrashall.transport import codec
+from sassafrashall.transport import frames
 from sassafrashall.transport import http
 from sassafrashall.transport import sockets
 from tests import fakes
@@ -319,3 +322,71 @@
         assert not caught.value.maybe_delivered
     with pytest.raises(exceptions.ConnectionFailedError):
         await sockets.connect(model.Address(host="no\0host", port=1))
+
+
+DEEP = b"\x91" * 200_000 + b"\x01"  # arrays within arrays, as MessagePack
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"Ping",
+        b"Ping\0",
+        b"Ping\0\xc1",
+        b"Ping\0" + DEEP,
+        b"Ping\0\x81\xa1x" + DEEP,
+        b"Heartbeat\0\x81\xa1x" + DEEP,
+        b"\xff\xfe\0\x80",
+        b"Pong\0\x81\xacmajority_age\xcf" + b"\xff" * 8,
+    ],
+)
+def test_a_message_that_cannot_be_read_is_a_protocol_error(data):
+    """It must not end the task of the connection by another exception."""
+    try:
+        codec.decode(data)
+    except exceptions.ProtocolError:
+        pass
+
+
+def test_json_that_is_nested_too_deep_is_a_protocol_error():
+    deep = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    with pytest.raises(exceptions.ProtocolError):
+        codec.from_json(deep, protocol.Ping)
+
+
+def _frame_bytes(number, body):
+    return struct.pack("!IB", len(body), number) + body
+
+
+@_FUZZ
+@hypothesis.given(
+    strategies.integers(min_value=0, max_value=20),
+    strategies.recursive(
+        strategies.one_of(
+            strategies.none(),
+            strategies.booleans(),
+            strategies.integers(min_value=-(2**63), max_value=2**64 - 1),
+            strategies.floats(),
+            strategies.binary(max_size=8),
+            strategies.text(max_size=8),
+        ),
+        lambda inner: strategies.lists(inner, max_size=18),
+        max_leaves=40,
+    ),
+)
+def test_an_odd_frame_is_a_protocol_error(number, value):
+    data = _frame_bytes(number, msgspec.msgpack.encode(value))
+    try:
+        frames.FrameBuffer().feed(data)
+    except exceptions.ProtocolError:
+        pass
+
+
+@_FUZZ
+@hypothesis.given(strategies.binary(max_size=64))
+def test_random_bytes_are_frames_or_a_protocol_error(data):
+    try:
+        frames.FrameBuffer(limit=64).feed(data)
+    except exceptions.ProtocolError:
+        pass
