A breaker that opens lets waiting requests move on; no blame without keys

Cause: requests in the queue of an upstream whose breaker opens were still sent to it one by one; and without keys a node can't tell the calls of its upstream from requests of callers, so that an error for a call counted against it. Change: the queue is shed as not run; without keys, errors don't count. The test of the queue failed before.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -314,6 +314,9 @@
                 "upstream fails its requests",
                 extra={"openings": self._breaker.openings},
             )
+            self._shed_all(
+                exceptions.NO_UPSTREAM, "the upstream fails its requests"
+            )
         elif self._breaker.is_closed and not previous.is_closed:
             self._events.record("upstream.recovered")
             logs.get().info("upstream no longer fails its requests")
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -32,9 +32,8 @@
 # Fraction that is admitted of a class that is closed, whose demand would
 # otherwise no longer be measured within quota.
 MIN_FRACTION = 0.02
-LEVELS_TTL = (
-    3.0  # seconds until levels are outdated; everything is then admitted
-)
+# Seconds until levels are outdated. Everything is then admitted.
+LEVELS_TTL = 3.0
 CORRECTION_RATE = 0.3  # exponential growth of a correction per second
 MAX_CORRECTION = 10.0
 # Fraction of the permitted utilization below which a service has spare slots.
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -66,7 +66,7 @@
         dialect: Dialect,
         counters: metrics.Metrics,
         demand_monitor: mailbox.Mailbox,
-        upstream_calls: mailbox.Published[bool],
+        upstream_may_call: Callable[[], bool],
         route_name: Callable[[model.Request], str],
     ) -> None:
         """Creates the filter.
@@ -79,12 +79,12 @@
           dialect: Encodes for the upstream.
           counters: The metrics of this process.
           demand_monitor: Mailbox of the task that counts runs.
-          upstream_calls: Whether the upstream makes calls of its own, one of
-            which may be why it answers with an error.
+          upstream_may_call: Returns whether the upstream may make calls of its
+            own, one of which may be why it answers with an error.
           route_name: Returns the name of a request's route, or an empty text.
         """
         self._demand_monitor = demand_monitor
-        self._upstream_calls = upstream_calls
+        self._upstream_may_call = upstream_may_call
         self._route_name = route_name
         self._upstream_seconds = counters.bound_histogram("upstream_seconds")
         self._admission = admission
@@ -175,10 +175,7 @@
                     outcome, response=frozen.replace(answer, rest=body)
                 )
         self._upstream_seconds.observe(slot.record_status(response.status))
-        if (
-            response.status in _ERROR_STATUSES
-            and not self._upstream_calls.value
-        ):
+        if response.status in _ERROR_STATUSES and not self._upstream_may_call():
             slot.record_failure(timed_out=response.status == 504)
         if response.rest is not None:
             # Nobody reads the rest of a refusal's body.
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -211,7 +211,7 @@
                     dialect=dialect.UpstreamDialect(),
                     counters=self._metrics,
                     demand_monitor=self._demand_monitor.mailbox,
-                    upstream_calls=self._demand_monitor.upstream_calls,
+                    upstream_may_call=self._upstream_may_call,
                     route_name=self._route_name,
                 ),
             ),
@@ -265,6 +265,16 @@
         route = table.find_route(host.partition(":")[0].lower(), request.path)
         return route.name if route else ""
 
+    def _upstream_may_call(self) -> bool:
+        """Returns whether the local upstream may make calls of its own.
+
+        Without keys, its calls can't be told from the requests of callers.
+        """
+        table = self._membership.table.value
+        if table is None or not table.document.keyed:
+            return True
+        return self._demand_monitor.upstream_calls.value
+
     def _early_shed_filters(self) -> tuple[chain.Filter, ...]:
         policy = self._settings.policy.shed_policy()
         if isinstance(policy, shedding.NoEarlyShed):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -210,3 +210,24 @@
         controller.mailbox.tell(messages.SlotReleased(latency=0.01))
         answer = await controller.mailbox.ask(moving)
         assert isinstance(answer, messages.Admitted)
+
+
+async def test_requests_that_wait_move_on_when_the_upstream_fails():
+    async with _admission(breaker="consecutive-failures") as (controller, _):
+        answers = []
+
+        async def wait_for_slot(number):
+            answers.append(await controller.mailbox.ask(_admit(f"w{number}")))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(READY.slots):
+                await controller.mailbox.ask(_admit(f"c{number}"))
+            for number in range(30):
+                nursery.start_soon(wait_for_slot, number)
+            await trio.testing.wait_all_tasks_blocked()
+            for _ in range(20):
+                controller.mailbox.tell(_failing())
+            with trio.fail_after(1):
+                await trio.testing.wait_all_tasks_blocked()
+        refused = [a for a in answers if not isinstance(a, messages.Admitted)]
+        assert {answer.code for answer in refused} == {exceptions.NO_UPSTREAM}
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -62,7 +62,7 @@
                 dialect=dialect.UpstreamDialect(),
                 counters=fakes.counters(),
                 demand_monitor=monitor.mailbox,
-                upstream_calls=mailbox.Published(initial=upstream_calls),
+                upstream_may_call=lambda: upstream_calls,
                 route_name=lambda request: "route",
             ),
             pool,
