--- a/tests/test_first_free.py
+++ b/tests/test_first_free.py
@@ -15,9 +15,6 @@
 
 from sassafrashall.decisions import routing
 
-NODES = 60
-UPSTREAMS = 12
-SLOTS = 6
 WORK = 0.09  # seconds, at the mean
 HOP = 0.001  # seconds to be refused and move on
 KNOWN_FOR = routing.LOAD_TTL
@@ -34,17 +31,19 @@
 class _Fleet:
     """Nodes that choose by their own view, and doors with a queue each."""
 
-    def __init__(self, policy, seed):
+    def __init__(self, policy, seed, *, nodes=60, upstreams=12, slots=6):
         self._policy = policy
         self._random = random.Random(seed)
-        self._busy = [0] * UPSTREAMS
-        self._queues = [[] for _ in range(UPSTREAMS)]
-        self._loads = [{} for _ in range(NODES)]
+        self._slots = slots
+        self._busy = [0] * upstreams
+        self._queues = [[] for _ in range(upstreams)]
+        self._loads = [{} for _ in range(nodes)]
+        self.sent = 0
         self.waits = []
         self.waited_beside_a_free_slot = 0
 
     def play(self, utilization, count):
-        rate = utilization * UPSTREAMS * SLOTS / WORK
+        rate = utilization * len(self._busy) * self._slots / WORK
         events = []
         at = 0.0
         for number in range(count):
@@ -52,7 +51,7 @@
             call = _Call(
                 arrived_at=at,
                 work=self._random.expovariate(1 / WORK),
-                node=self._random.randrange(NODES),
+                node=self._random.randrange(len(self._loads)),
             )
             events.append((at, number, "send", call))
         heapq.heapify(events)
@@ -70,10 +69,10 @@
             routing.Candidate(
                 vm=str(index),
                 data_centre="x",
-                slots=SLOTS,
+                slots=self._slots,
                 load=load if now - seen_at <= KNOWN_FOR else 0.0,
             )
-            for index in range(UPSTREAMS)
+            for index in range(len(self._busy))
             if str(index) not in call.avoid
             for load, seen_at in [known.get(index, (0.0, -1e9))]
         )
@@ -88,18 +87,19 @@
             self._policy, chosen, candidates, len(call.avoid)
         )
         index = int(chosen.vm)
-        if self._busy[index] < SLOTS:
+        self.sent += 1
+        if self._busy[index] < self._slots:
             return self._start(now, index, call)
         self._loads[call.node][index] = (self._load(index), now)
         if may_wait:
-            self.waited_beside_a_free_slot += min(self._busy) < SLOTS
+            self.waited_beside_a_free_slot += min(self._busy) < self._slots
             self._queues[index].append(call)
             return []
         moved = dataclasses.replace(call, avoid=call.avoid | {chosen.vm})
         return [(now + HOP, "send", moved)]
 
     def _load(self, index):
-        return (self._busy[index] + len(self._queues[index])) / SLOTS
+        return (self._busy[index] + len(self._queues[index])) / self._slots
 
     def _start(self, now, index, call):
         self._busy[index] += 1
@@ -142,6 +142,20 @@
     )
 
 
+def test_few_busy_upstreams_are_not_asked_in_turn():
+    """Pattern: more calls than four busy upstreams can take.
+
+    Each of them has a slot free for moments. If that were taken for room, every
+    call would be sent three times, and the nodes would spend their processor
+    on it when they need it most.
+    """
+    policy = routing.LeastLoaded(moves=2)
+    for utilization in (0.97, 1.3):
+        fleet = _Fleet(policy, seed=1, nodes=16, upstreams=4, slots=21)
+        fleet.play(utilization, 8000)
+        assert fleet.sent < 1.25 * 8000
+
+
 def _candidate(vm, load):
     return routing.Candidate(vm=vm, data_centre="x", slots=4, load=load)
 
