Review: case 2 goes on reporting draining, as a worker does

Cause: the stand-in stopped its heartbeats with the sign-off, which a sound worker does not. Now it goes on.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,8 +18,10 @@
 
 
 async def sign_off(worker: standins.Worker) -> float:
-    """Reports `draining`; returns the time of the acknowledgement."""
-    worker.stop_beats()
+    """Reports `draining`, and goes on reporting it.
+
+    Returns the time of the first acknowledgement.
+    """
     worker.state = "draining"
     if await worker.send_beat(worker.announcement()) != 200:
         raise standins.CouldNotRun("`draining` was not acknowledged")
@@ -30,6 +32,7 @@
     """Signs off, serves on for a while, says DELETE and exits."""
     await sign_off(worker)
     await asyncio.sleep(DRAIN + 0.5)
+    worker.stop_beats()
     if await worker.send_delete() != 200:
         raise standins.CouldNotRun("DELETE was not acknowledged")
     await worker.end()
