--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,6 +33,15 @@
 
 async def case(fleet: standins.Fleet, trouble: bool) -> bool:
     fleet.tolerance = {"machines": 2, "zones": 1, "regions": 0}
+    fleet.bounds |= {
+        "contact": "4000ms",
+        "catch_up": "6s",
+        "drain": "2500ms",
+        "grace": "10s",
+        "config_apply": "2500ms",
+        "max_skew": "6000ms",
+        "retry_budget_slack": 209,
+    }
     for number in range(5):
         fleet.add_control(f"c-{number}", f"z{number}")
     for number in range(2):
--- a/review/5/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec python3 case.py
