Review: case 4 counts what was not served in each span

Cause: the rule excuses spans in which a part turns requests away, and the script counted over the whole run. Now each span counts, and a span with a refusal makes no case.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -54,6 +54,7 @@
     async def press(seconds: float) -> float:
         """Presses in steady state and returns the share of `beta`."""
         before = [len(worker.runs) for worker in workers]
+        sent_before = [len(client.sent) for client in clients]
         async with asyncio.TaskGroup() as group:
             for client in clients:
                 group.create_task(client.press(10, seconds, HOST, PATH))
@@ -62,7 +63,16 @@
             for worker, count in zip(workers, before, strict=True)
         ]
         share = sum(runs[2:]) / max(1, sum(runs))
-        fleet.record.write(f"{sum(runs)} runs, share of beta {share:.3f}")
+        failed = sum(
+            client.statuses[request_id] != 200
+            for client, count in zip(clients, sent_before, strict=True)
+            for request_id in list(client.sent)[count:]
+        )
+        fleet.record.write(
+            f"{sum(runs)} runs, share of beta {share:.3f}, {failed} not served"
+        )
+        if failed:
+            raise standins.CouldNotRun("a part turned requests away")
         return share
 
     weight = 0.1
@@ -74,13 +84,6 @@
         await operator.put(document("r2", 50, 50), "r1")
     await asyncio.sleep(CONFIG_APPLY + 1.0)
     shares = [await press(6), await press(6)]
-    refused = [
-        status
-        for client in clients
-        for status in client.statuses.values()
-        if status != 200
-    ]
-    fleet.record.write(f"requests not served: {len(refused)}")
     for worker in workers:
         await worker.end()
     return any(abs(share - weight) > OFF for share in shares)
