--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 
 import standins  # noqa: E402
 
-HOST, PATH = "alpha.example", "/work/x"
+HOST, PATH = "alpha.example", "/jobs/x"
 CATCH_UP = 6.0  # seconds, the bound of the large deployment
 RECOVERY = 15.0  # seconds, the bound
 CONTACT = 4.0  # seconds, the bound of the large deployment
@@ -22,7 +22,7 @@
 
 
 def document(version: str, timeout: str) -> dict:
-    route = standins.route(HOST, "/work/", service="alpha", timeout=timeout)
+    route = standins.route(HOST, "/jobs/", service="alpha", timeout=timeout)
     return standins.configuration(
         version,
         {"r-alpha": route},
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 
 DRAIN = 2.0  # seconds, the bound
 SERVES_ON = 8.0  # seconds that the worker serves after `draining`
-HOST, PATH = "alpha.example", "/work/x"
+HOST, PATH = "alpha.example", "/jobs/x"
 
 
 async def sign_off(worker: standins.Worker) -> float:
@@ -59,7 +59,7 @@
     await operator.put(
         standins.configuration(
             "r1",
-            {"r-alpha": standins.route(HOST, "/work/", service="alpha")},
+            {"r-alpha": standins.route(HOST, "/jobs/", service="alpha")},
             ("alpha", "beta"),
             {"t": {"api_keys": ["key-of-t"], "priority": 1}},
         ),
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,7 @@
 CONTACT = 3.0  # seconds, the bound
 LATE = 2.5  # seconds by which one heartbeat arrives late
 SERVES_ON = 12.0  # seconds that the worker serves after its sign-off
-HOST, PATH = "alpha.example", "/work/x"
+HOST, PATH = "alpha.example", "/jobs/x"
 
 
 async def case(fleet: standins.Fleet, trouble: bool) -> bool:
@@ -39,7 +39,7 @@
     await operator.put(
         standins.configuration(
             "r1",
-            {"r-alpha": standins.route(HOST, "/work/", service="alpha")},
+            {"r-alpha": standins.route(HOST, "/jobs/", service="alpha")},
             ("alpha", "beta"),
             {"t": {"api_keys": ["key-of-t"], "priority": 1}},
         ),
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 
 import standins  # noqa: E402
 
-HOST, PATH = "alpha.example", "/work/x"
+HOST, PATH = "alpha.example", "/jobs/x"
 CONFIG_APPLY = 2.0  # seconds, the bound
 OFF = 0.2  # by which a share may lie off its weight's
 
@@ -23,7 +23,7 @@
     ]
     return standins.configuration(
         version,
-        {"r-1": standins.route(HOST, "/work/", weighted_targets=targets)},
+        {"r-1": standins.route(HOST, "/jobs/", weighted_targets=targets)},
         ("alpha", "beta"),
         {"t": {"api_keys": ["key-of-t"], "priority": 1}},
     )
