Controls: voters follow from the losses that the settings tolerate

Cause: only the controls that the settings name, three at most, ever voted. Others joined as learners and could only take the place of one voter. With two of three voters gone no majority was left to replace them, though two learners held the whole log. The settings did not carry the tolerated losses at all.

Members are asked to join beside the founders, all of which may have been replaced.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -17,6 +17,7 @@
 from sassafrashall import model
 from sassafrashall import routed_node
 from sassafrashall import settings
+from sassafrashall.decisions import voter_placement
 from sassafrashall.transport import http
 from sassafrashall.transport import http_client
 from sassafrashall.transport import http_server
@@ -24,6 +25,7 @@
 SECRET = "a-secret-of-the-bench"
 HEARTBEAT_INTERVAL = 0.5  # seconds
 READY_TIMEOUT = 15.0  # seconds
+MAX_SEEDS = 3  # controls that the settings name
 
 
 class Upstream:
@@ -148,7 +150,9 @@
         strict=True,
         policy=None,
         grace=6.0,
+        losses=None,
     ):
+        self._losses = losses or voter_placement.Losses()
         self._data_folders = contextlib.ExitStack()
         self.grace = grace
         self.strict = strict
@@ -195,13 +199,19 @@
                 data_folder=self._data_folders.enter_context(
                     tempfile.TemporaryDirectory()
                 ),
-                routed=settings.Routed(first_start=first_start),
+                routed=settings.Routed(
+                    first_start=first_start, losses=self._losses
+                ),
             )
         )
 
     async def wipe_control(self, index, nursery):
         """Stops a control and starts it again with an empty data folder."""
         await self.controls[index].close()
+        await self.start_empty_control(index, nursery)
+
+    async def start_empty_control(self, index, nursery):
+        """Starts a control that was closed, with an empty data folder."""
         self.controls[index] = self._new_control(index, first_start=False)
         await self.controls[index].start(nursery)
 
@@ -237,12 +247,12 @@
             data_centre="dc-a",
             fleet_secret=SECRET,
             operator_secret=f"{SECRET}-operator",
-            seeds=tuple(self._rpc_addresses),
+            seeds=tuple(self._rpc_addresses[:MAX_SEEDS]),
             controls=tuple(
                 settings.Control(
                     vm=str(address), data_centre="", address=address
                 )
-                for address in self._rpc_addresses
+                for address in self._rpc_addresses[:MAX_SEEDS]
             ),
             policy=self.policy,
             **fields,
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -54,7 +54,11 @@
             folder=settings.data_folder,
             secret=settings.fleet_secret,
             claim_retention=settings.claim_retention_s,
-            replaces_lost_voters=settings.routed is not None,
+            placement=(
+                settings.routed.voter_requirements()
+                if settings.routed is not None
+                else None
+            ),
             event_log=self._events,
             counters=self._metrics,
         )
--- a/src/sassafrashall/controllers/founding.py
+++ b/src/sassafrashall/controllers/founding.py
@@ -17,6 +17,7 @@
 from sassafrashall import protocol
 from sassafrashall import task
 from sassafrashall.decisions import founding
+from sassafrashall.decisions import replication
 from sassafrashall.transport import rpc
 
 BOOTSTRAP_INTERVAL = 0.3  # seconds between attempts to bootstrap the log
@@ -26,7 +27,7 @@
 
 
 class Founding(task.Controller):
-    """Owns the calls to the founders while the replica is not a member.
+    """Owns the calls to other controls while the replica is not a member.
 
     The founders are the controls that the settings name.
     """
@@ -56,7 +57,7 @@
         self._founders = founders
         self._may_found = may_found
         self._replica = replica
-        self._other_founders = tuple(f for f in founders if f != address)
+        self._address = address
         self._clients = rpc.ClientPool(
             secret=secret, hybrid_clock=event_log.clock
         )
@@ -76,7 +77,8 @@
                 continue
             if await self._is_not_member(status):
                 await self._call_all_others(
-                    protocol.JoinRequest(member=status.member)
+                    protocol.JoinRequest(member=status.member),
+                    status.membership.all_members(),
                 )
             await trio.sleep(JOIN_INTERVAL)
 
@@ -110,7 +112,9 @@
             return True
         if status.majority_age < MAX_MAJORITY_AGE:
             return False
-        answers = await self._call_all_others(protocol.FoundingQuery())
+        answers = await self._call_all_others(
+            protocol.FoundingQuery(), status.membership.all_members()
+        )
         return any(
             answer.majority_age < MAX_MAJORITY_AGE
             and answer.membership.voters
@@ -119,9 +123,21 @@
             for answer in answers
         )
 
-    async def _call_all_others(self, message: Any) -> list[Any]:
-        """Returns the answers of the other founders that can be reached."""
+    async def _call_all_others(
+        self,
+        message: Any,
+        members: tuple[replication.Member, ...] = (),
+    ) -> list[Any]:
+        """Returns the answers of the other controls that can be reached.
+
+        Args:
+          message: The request.
+          members: Asked beside the founders, all of which may have been
+            replaced.
+        """
         answers: list[Any] = []
+        member_addresses = {member.address for member in members}
+        addresses = {*self._founders, *member_addresses} - {self._address}
 
         async def ask(client: rpc.RpcClient) -> None:
             try:
@@ -130,6 +146,6 @@
                 pass
 
         async with trio.open_nursery() as nursery:
-            for address in self._other_founders:
+            for address in sorted(addresses):
                 nursery.start_soon(ask, self._clients.get(address))
         return answers
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -24,6 +24,7 @@
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import voter_placement
 from sassafrashall.storage import log_store
 from sassafrashall.transport import codec
 from sassafrashall.transport import rpc
@@ -31,7 +32,7 @@
 
 SUBMIT_TIMEOUT = 3.0  # seconds
 JOIN_TIMEOUT = 0.5  # seconds to forward a join request to the leader
-REPLACE_INTERVAL = 0.3  # seconds between checks for a lost voter
+PLACEMENT_INTERVAL = 0.3  # seconds between checks of the voters
 LEADER_POLL_INTERVAL = 0.1  # seconds between checks for a leader
 COMPACT_AFTER = 2000  # applied entries
 COMPACT_SIZE = 4 * 1024 * 1024  # bytes of applied commands
@@ -79,7 +80,7 @@
         folder: str,
         secret: str,
         claim_retention: float,
-        replaces_lost_voters: bool,
+        placement: voter_placement.Requirements | None,
         event_log: events.EventLog,
         counters: metrics.Metrics,
     ) -> None:
@@ -93,8 +94,9 @@
           secret: The fleet's secret.
           claim_retention: Seconds between rotations of the claims. A rotation
             drops the claims that were made before the previous one.
-          replaces_lost_voters: Whether, as leader, it replaces a lost voter by
-            a learner without an operator.
+          placement: The losses that the voters tolerate. As leader, it replaces
+            lost voters and adds further ones without an operator; None leaves
+            all changes to operators.
           event_log: Records changes of role and membership.
           counters: The metrics of this process.
         """
@@ -103,8 +105,8 @@
         self._data_centre = data_centre
         self._address = address
         self._claim_retention = claim_retention
-        self._replaces_lost_voters = replaces_lost_voters
-        self._next_replacement_check_at = 0.0
+        self._placement = placement
+        self._next_placement_check_at = 0.0
         self._leader_since = 0.0
         self._events = event_log
         self._metrics = counters
@@ -205,50 +207,44 @@
         actions.extend(
             self._step_consensus(replication.Tick(jitter=self._random.random()))
         )
-        actions.extend(self._replace_lost_voter())
+        actions.extend(self._place_voters())
         await self._perform_actions(actions, replies)
         ready = self._pending.answer_replacements(
             self._state, self._fleet_state.revision, clock.monotonic()
         )
         if ready is not None:
             await self._perform_actions(
-                list(self._begin_replacement(ready)), {}
+                list(self._propose_voters(ready.membership)), {}
             )
 
-    def _replace_lost_voter(self) -> tuple[replication.Action, ...]:
-        """Replaces a lost voter by a learner, if one is ready."""
+    def _place_voters(self) -> tuple[replication.Action, ...]:
+        """Proposes other voters, if some are lost or more are needed."""
         now = clock.monotonic()
         if (
-            not self._replaces_lost_voters
+            self._placement is None
             or self._state.role is not replication.Role.LEADER
-            or now < self._next_replacement_check_at
+            or now < self._next_placement_check_at
         ):
             return ()
-        self._next_replacement_check_at = now + REPLACE_INTERVAL
-        replacement = replacements.find_replacement(
-            self._state, self._leader_since, now
+        self._next_placement_check_at = now + PLACEMENT_INTERVAL
+        membership = replacements.next_membership(
+            self._state, self._placement, self._leader_since, now
         )
-        if replacement is None:
+        if membership is None:
             return ()
-        old_id, new_id = replacement
-        match replacements.progress(self._state, old_id, new_id):
-            case replacements.Ready() as ready:
-                logs.get().info(
-                    "replacing a lost control",
-                    extra={"old": old_id, "new": new_id},
-                )
-                return self._begin_replacement(ready)
-        return ()
+        return self._propose_voters(membership)
 
-    def _begin_replacement(
-        self, replacement: replacements.Ready
+    def _propose_voters(
+        self, membership: replication.Membership
     ) -> tuple[replication.Action, ...]:
-        self._events.record(
-            "replica.replacing",
-            detail=f"{replacement.old_id} {replacement.new_id}",
+        old, new = _changed_voters(membership.outgoing, membership.voters)
+        self._events.record("replica.replacing", detail=f"{old} {new}")
+        logs.get().info(
+            "changing the voters",
+            extra={"old": old, "new": new, "voters": len(membership.voters)},
         )
         return self._step_consensus(
-            replication.ProposeMembership(membership=replacement.membership)
+            replication.ProposeMembership(membership=membership)
         )
 
     def _to_event(
@@ -490,17 +486,18 @@
     # --- membership ----------------------------------------------------------
 
     def _record_replacement(self, entry: replication.Entry) -> None:
-        """Records the replacement that an applied entry finishes, if any."""
+        """Records the change of voters that an applied entry finishes."""
         if entry.membership is None:
             return
         before = replication.membership_at(self._state, entry.index - 1)
         if not before.outgoing:
             return
-        old_ids = {member.replica_id for member in before.outgoing}
-        new_ids = {member.replica_id for member in before.voters}
-        old, new = " ".join(old_ids - new_ids), " ".join(new_ids - old_ids)
+        old, new = _changed_voters(before.outgoing, before.voters)
         self._events.record("replica.replaced", detail=f"{old} {new}")
-        logs.get().info("replaced a control", extra={"old": old, "new": new})
+        logs.get().info(
+            "changed the voters",
+            extra={"old": old, "new": new, "voters": len(before.voters)},
+        )
 
     def _add_learner(
         self, member: replication.Member
@@ -571,6 +568,19 @@
         )
 
 
+def _changed_voters(
+    before: tuple[replication.Member, ...],
+    after: tuple[replication.Member, ...],
+) -> tuple[str, str]:
+    """Returns the replica ids that were dropped and those that were added."""
+    old_ids = {member.replica_id for member in before}
+    new_ids = {member.replica_id for member in after}
+    return (
+        " ".join(sorted(old_ids - new_ids)),
+        " ".join(sorted(new_ids - old_ids)),
+    )
+
+
 def _is_reply(message: replication.Message) -> bool:
     return isinstance(message, (replication.AppendReply, replication.VoteReply))
 
--- a/src/sassafrashall/decisions/replacements.py
+++ b/src/sassafrashall/decisions/replacements.py
@@ -1,8 +1,8 @@
-"""Replacement of a lost voter by a learner, by the leader or by an operator.
+"""Changes of the voters of the log, by the leader or by an operator.
 
 A control with an empty data folder is a new replica. It joins as a learner and
-replaces a voter once it has synced all committed entries. One voter is
-replaced at a time, which needs a majority of the old voters until the final
+replaces a lost voter, or becomes a further one, once it has synced all
+committed entries. A change needs a majority of the old voters until the final
 membership is committed.
 """
 
@@ -13,6 +13,7 @@
 
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import voter_placement
 
 # Seconds without an answer after which a voter may be replaced. A control that
 # is started in place of a lost one joins within a few seconds of the loss.
@@ -77,13 +78,59 @@
     return Ready(old_id=old_id, new_id=new_id, membership=joint_membership)
 
 
-def find_replacement(
+def next_membership(
+    state: replication.State,
+    requirements: voter_placement.Requirements,
+    led_since: float,
+    now: float,
+) -> replication.Membership | None:
+    """Returns the joint membership that the leader should propose, or None.
+
+    Lost voters are replaced first. Once there is none, learners become voters
+    where the fleet then tolerates more of the required losses.
+
+    Args:
+      state: State of the leader.
+      requirements: The losses to tolerate.
+      led_since: Monotonic time at which it became leader.
+      now: Monotonic seconds.
+    """
+    pairs = find_replacements(state, led_since, now)
+    if pairs:
+        members = {m.replica_id: m for m in state.membership.all_members()}
+        new_ids = dict(pairs)
+        return replication.change_voters(
+            state.membership,
+            tuple(
+                members[new_ids.get(voter.replica_id, voter.replica_id)]
+                for voter in state.membership.voters
+            ),
+            lost_ids=frozenset(new_ids),
+        )
+    if not leadership.can_change_membership(state):
+        return None
+    voters = state.membership.voters
+    if _silent_voters(state, led_since, now, LEARNER_TIMEOUT):
+        return None
+    chosen = voter_placement.choose_voters(
+        voters,
+        _ready_learners(state, led_since, now),
+        requirements,
+        leader=state.replica_id,
+    )
+    if set(chosen) == set(voters):
+        return None
+    return replication.change_voters(state.membership, chosen)
+
+
+def find_replacements(
     state: replication.State, led_since: float, now: float
-) -> tuple[str, str] | None:
-    """Returns the replica ids of a voter to replace and of its replacement.
+) -> tuple[tuple[str, str], ...]:
+    """Returns replica ids of lost voters, each with that of its replacement.
 
-    A learner at the address of a voter replaces that voter. Otherwise it
-    replaces a voter that has not answered for VOTER_TIMEOUT.
+    A learner at the address of a voter replaces that voter. Other learners
+    replace voters that have not answered for VOTER_TIMEOUT, if possible in the
+    same data centre.
 
     Args:
       state: State of the leader.
@@ -92,28 +139,53 @@
       now: Monotonic seconds.
     """
     if not leadership.can_change_membership(state):
-        return None
-    ready_learners = [
+        return ()
+    learners = list(_ready_learners(state, led_since, now))
+    pairs: dict[str, str] = {}
+    # Only one data folder is in use at an address: the voter's is lost.
+    for learner in tuple(learners):
+        for voter in state.membership.voters:
+            if voter.address == learner.address:
+                pairs[voter.replica_id] = learner.replica_id
+                learners.remove(learner)
+    silent_voters = [
+        voter
+        for voter in _silent_voters(state, led_since, now, VOTER_TIMEOUT)
+        if voter.replica_id not in pairs
+    ]
+    for voter in silent_voters:
+        if learners:
+            learner = min(
+                learners, key=lambda m: m.data_centre != voter.data_centre
+            )
+            pairs[voter.replica_id] = learner.replica_id
+            learners.remove(learner)
+    return tuple(pairs.items())
+
+
+def _ready_learners(
+    state: replication.State, led_since: float, now: float
+) -> tuple[replication.Member, ...]:
+    """Returns the learners that are alive and hold all committed entries."""
+    return tuple(
         learner
         for learner in state.membership.learners
         if leadership.is_caught_up(state, learner.replica_id)
         and _silence(state, learner.replica_id, led_since, now)
         < LEARNER_TIMEOUT
-    ]
-    for learner in ready_learners:
-        for voter in state.membership.voters:
-            # Only one data folder is in use at an address: the voter's is lost.
-            if voter.address == learner.address:
-                return voter.replica_id, learner.replica_id
-    silent_voters = [
+    )
+
+
+def _silent_voters(
+    state: replication.State, led_since: float, now: float, timeout: float
+) -> tuple[replication.Member, ...]:
+    """Returns the other voters that have not answered for `timeout` seconds."""
+    return tuple(
         voter
         for voter in state.membership.voters
         if voter.replica_id != state.replica_id
-        and _silence(state, voter.replica_id, led_since, now) > VOTER_TIMEOUT
-    ]
-    if not ready_learners or not silent_voters:
-        return None
-    return silent_voters[0].replica_id, ready_learners[0].replica_id
+        and _silence(state, voter.replica_id, led_since, now) > timeout
+    )
 
 
 def _silence(
--- a/src/sassafrashall/decisions/replication.py
+++ b/src/sassafrashall/decisions/replication.py
@@ -408,6 +408,42 @@
     )
 
 
+def change_voters(
+    membership: Membership,
+    voters: tuple[Member, ...],
+    lost_ids: frozenset[str] = frozenset(),
+) -> Membership:
+    """Returns the joint membership that leads to other voters.
+
+    Voters that are kept keep their position, since their share of the quotas
+    goes by it; a new voter takes the position of a dropped one.
+
+    Args:
+      membership: The membership in force.
+      voters: The voters to have.
+      lost_ids: Replica ids of dropped voters that are lost. The others become
+        learners.
+    """
+    new_ids = {member.replica_id for member in voters}
+    old_ids = {member.replica_id for member in membership.voters}
+    added = [m for m in voters if m.replica_id not in old_ids]
+    placed: list[Member] = []
+    for member in membership.voters:
+        if member.replica_id in new_ids:
+            placed.append(member)
+        elif added:
+            placed.append(added.pop(0))
+    return Membership(
+        voters=(*placed, *added),
+        outgoing=membership.voters,
+        learners=tuple(
+            member
+            for member in (*membership.learners, *membership.voters)
+            if member.replica_id not in new_ids | lost_ids
+        ),
+    )
+
+
 def add_learner(membership: Membership, member: Member) -> Membership:
     """Returns the membership with a new learner.
 
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -24,6 +24,7 @@
 from sassafrashall.decisions import routing as routing_policies
 from sassafrashall.decisions import shedding
 from sassafrashall.decisions import tree_admission as tree_policies
+from sassafrashall.decisions import voter_placement
 
 MIN_SECRET_LENGTH = 16  # bytes
 # Fraction of the tolerated overage that quota owners lend. The rest is left for
@@ -113,6 +114,9 @@
         to a service, over the whole fleet.
       first_start: Whether this is the first start of the fleet; only then does
         a control with an empty data folder found it.
+      losses: What may be lost at once while the configuration can be changed;
+        decides how many controls vote, and which.
+      regions: Region by data centre.
     """
 
     service: str = ""
@@ -124,6 +128,15 @@
     quota_slack: int = 0
     retry_ratio: float = 0.2
     first_start: bool = True
+    losses: voter_placement.Losses = voter_placement.Losses()
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def voter_requirements(self) -> voter_placement.Requirements:
+        """Returns the losses that the controls have to tolerate."""
+        return voter_placement.Requirements(
+            losses=self.losses,
+            region_by_data_centre=tuple(sorted(self.regions.items())),
+        )
 
     def with_retry_ratio(
         self, policy: retry_policies.Policy
@@ -462,6 +475,8 @@
     if settings.default_timeout_ms < 1:
         faults.append(("default_timeout_ms", "must be positive"))
     faults.extend(_check_policy(settings.policy))
+    if settings.routed is not None:
+        faults.extend(_check_losses(settings.routed.losses))
     if not settings.seeds:
         faults.extend(_check_controls(settings.controls))
     elif settings.controls:
@@ -486,6 +501,14 @@
     return faults
 
 
+def _check_losses(losses: voter_placement.Losses) -> list[tuple[str, str]]:
+    return [
+        (f"routed.losses.{name}", "must not be negative")
+        for name, count in dataclasses.asdict(losses).items()
+        if count < 0
+    ]
+
+
 def _check_controls(controls: tuple[Control, ...]) -> list[tuple[str, str]]:
     if not controls:
         return [("controls", "at least one control is needed")]
--- a/tests/raft_simulation.py
+++ b/tests/raft_simulation.py
@@ -12,6 +12,7 @@
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import voter_placement
 
 TICK_INTERVAL = 0.05  # seconds of simulated time
 
@@ -72,8 +73,17 @@
 
 
 def member(name: str) -> replication.Member:
+    """Returns the member of that name.
+
+    What stands before a dot names its VM, and a letter the data centre of it,
+    so that `c1.2` is a later data folder of the VM `c1`.
+    """
+    vm = name.partition(".")[0]
     return replication.Member(
-        replica_id=name, vm=f"vm-{name}", data_centre="x", address="x"
+        replica_id=name,
+        vm=f"vm-{vm}",
+        data_centre=vm.rstrip("0123456789"),
+        address=f"at-{vm}",
     )
 
 
@@ -100,6 +110,7 @@
         self.committed: dict[int, replication.Entry] = {}
         self.acknowledged: set[bytes] = set()
         self.leaders: dict[int, str] = {}
+        self.led_since: dict[str, float] = {}
 
     def add(self, name: str) -> None:
         """Starts a replica with an empty data folder."""
@@ -181,6 +192,7 @@
                 if role is replication.Role.LEADER:
                     known = self.leaders.setdefault(term, replica.name)
                     assert known == replica.name, f"two leaders in term {term}"
+                    self.led_since[replica.name] = self.now
 
     def send(self, message: replication.Message) -> None:
         if (message.sender, message.receiver) in self.blocked_links:
@@ -280,6 +292,21 @@
             changed = replication.add_learner(membership, member(name))
             self.propose_membership(leader, changed)
 
+    def place_voters(self, requirements: voter_placement.Requirements) -> None:
+        """Lets replicas join and the leader choose voters, as controls do."""
+        leader = self.leader()
+        if leader is None or leader.state is None:
+            return
+        for name, replica in self.replicas.items():
+            link = {(name, leader.name), (leader.name, name)}
+            if replica.state is not None and not link & self.blocked_links:
+                self.add_learner(leader, name)
+        membership = replacements.next_membership(
+            leader.state, requirements, self.led_since[leader.name], self.now
+        )
+        if membership is not None:
+            self.propose_membership(leader, membership)
+
     def propose_membership(
         self, leader: Replica, membership: replication.Membership
     ) -> None:
--- a/tests/test_replace_voter.py
+++ b/tests/test_replace_voter.py
@@ -110,7 +110,7 @@
             folder=str(tmp_path),
             secret=SECRET,
             claim_retention=60.0,
-            replaces_lost_voters=False,
+            placement=None,
             event_log=self.events,
             counters=fakes.counters(),
         )
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -39,7 +39,9 @@
 
 
 def _find_replacement(state):
-    return replacements.find_replacement(state, 0.0, 100.0)
+    pairs = replacements.find_replacements(state, 0.0, 100.0)
+    assert len(pairs) <= 1
+    return pairs[0] if pairs else None
 
 
 def test_a_learner_replaces_the_voter_at_its_address():
@@ -74,8 +76,8 @@
 def test_a_new_leader_waits_for_voters_to_answer():
     new = _member("new", "at-new")
     state = _leader(new, heard={"b": -1.0, "c": -1.0, "new": 100.0})
-    assert replacements.find_replacement(state, 99.0, 100.0) is None
-    assert replacements.find_replacement(
+    assert not replacements.find_replacements(state, 99.0, 100.0)
+    assert replacements.find_replacements(
         dataclasses.replace(state), 90.0, 100.0
     )
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -16,7 +16,7 @@
         folder=str(folder),
         secret="s",
         claim_retention=60.0,
-        replaces_lost_voters=False,
+        placement=None,
         event_log=fakes.event_log(),
         counters=fakes.counters(),
     )
