Upstream runs: one state for what a node believes of its upstream

A run that began again under its id and stayed ready got no request from 8 s on.

Cause: the belief lay in pieces. _stopped_incarnation kept the id of a run for the life of the process, without its start, so that it ended all later runs under the id; and a sign-off of unknown start was compared with nothing. A run whose start was earlier, since the clock had been set back, was refused for ever as well, and a late sign-off of an earlier run under the same id ended the next one for good.

Change: decisions/upstream_runs.py holds one frozen state with pure transitions for heartbeats, sign-offs, restored sign-offs and checks. A sign-off ends one run (id and start); if the start is not known, each run under the id that started before it.

--- a/src/sassafrashall/clock.py
+++ b/src/sassafrashall/clock.py
@@ -11,6 +11,11 @@
 monotonic = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
 
+def wall_ms() -> int:
+    """Returns the VM's time of day in milliseconds, which may be set back."""
+    return time.time_ns() // 1_000_000
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
 class HybridTime:
     """A hybrid logical time stamp (Kulkarni et al., 2014).
@@ -44,7 +49,7 @@
         self._advance(remote)
 
     def _advance(self, remote: HybridTime) -> HybridTime:
-        wall = time.time_ns() // 1_000_000
+        wall = wall_ms()
         latest = max(self._last, remote)
         if wall > latest.physical_ms:
             self._last = HybridTime(physical_ms=wall)
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -24,6 +24,7 @@
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
 from sassafrashall.decisions import tree_admission
+from sassafrashall.decisions import upstream_runs
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
@@ -36,9 +37,6 @@
 UNLISTED_TTL = 3.0
 # Seconds that the acknowledgement of a sign-off waits for a control to know it.
 SIGN_OFF_TIMEOUT = 0.4
-# Numbers by which an upstream may advance from one announcement to the next. A
-# larger step may be the mistake of another writer.
-MAX_SEQUENCE_STEP = 16
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,25 +77,6 @@
     demand: demand_decisions.Demand | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _LastAnnouncement:
-    """The numbered announcement that was applied last.
-
-    Attributes:
-      incarnation: The run of the upstream that it names.
-      started_ms: Start of that run in milliseconds.
-      sequence: Its number in that run.
-      sequence_before: The number before, if it differs by an unlikely step.
-      draining: Whether that run has announced that it is leaving.
-    """
-
-    incarnation: str = ""
-    started_ms: int = 0
-    sequence: int = -1
-    sequence_before: int | None = None
-    draining: bool = False
-
-
 class NodeMembership(task.Controller):
     """Owns the node's record and its view of the fleet.
 
@@ -137,8 +116,7 @@
         super().__init__()
         self._announcement_ttl = announcement_ttl
         self._heartbeat_interval = heartbeat_interval
-        self._last_announcement = _LastAnnouncement()
-        self._stopped_incarnation = ""
+        self._runs = upstream_runs.State()
         self._controls_unreachable = False
         self._controls: tuple[replication.Member, ...] = ()
         self._published_table = mailbox.Published[
@@ -154,9 +132,6 @@
         # By VM of the nodes that the last list lacked: when they are forgotten,
         # in monotonic seconds.
         self._unlisted: dict[str, float] = {}
-        self._announced_at = 0.0
-        # Whether the last check found that the upstream was silent.
-        self._found_silent = False
         self._reported_shed = 0.0
         self._load_measured_at = clock.monotonic()
         self._heartbeat_due = trio.Event()
@@ -213,132 +188,70 @@
                 self._update_record(leaving=True)
                 self._leave_replies.append(reply)
             case _ComposeHeartbeat(demand=demand):
-                self._expire_announcement()
+                self._apply_runs(
+                    upstream_runs.on_check(
+                        self._runs, self._announcement_ttl, clock.monotonic()
+                    )
+                )
                 reply.put(self._compose_heartbeat(demand))
             case _HeartbeatReplied():
                 self._on_heartbeat_reply(message)
 
     def _on_announcement(self, message: messages.Announce) -> None:
-        """Applies an announcement of the upstream, unless it is out of date.
-
-        Out of date are the end of an earlier start of the upstream, an
-        announcement that is not newer than the last one applied, and one of a
-        start that has already ended.
-        """
-        if message.upstream is None:
-            held_upstream = self._record.upstream
-            if (
-                message.incarnation
-                and held_upstream is not None
-                and held_upstream.incarnation != message.incarnation
-            ):
-                return
-            self._stopped_incarnation = message.incarnation
-            self._set_upstream(None)
-            if message.incarnation:
-                last = self._last_announcement
-                is_last = message.incarnation == last.incarnation
-                self._record_sign_off(
-                    model.SignOff(
-                        incarnation=message.incarnation,
-                        started_ms=last.started_ms if is_last else 0,
-                        gone=True,
-                    )
+        now = clock.monotonic()
+        match message:
+            case messages.Announce(upstream=None, incarnation=""):
+                runs = upstream_runs.on_unnumbered(self._runs, None, now)
+            case messages.Announce(upstream=None, incarnation=incarnation):
+                runs = upstream_runs.on_sign_off(
+                    self._runs, incarnation, clock.wall_ms()
                 )
-            return
-        if message.sequence >= 0 and not self._apply_number(message):
-            return
-        self._announced_at = clock.monotonic()
-        self._set_upstream(message.upstream)
-        if message.upstream.state is model.UpstreamState.DRAINING:
-            self._record_sign_off(
-                model.SignOff(
-                    incarnation=message.incarnation,
-                    started_ms=message.started_ms,
-                    gone=False,
+            case messages.Announce(upstream=upstream) if message.sequence < 0:
+                runs = upstream_runs.on_unnumbered(self._runs, upstream, now)
+            case messages.Announce(upstream=upstream):
+                assert upstream is not None
+                heartbeat = upstream_runs.Heartbeat(
+                    run=upstream_runs.Run(
+                        incarnation=message.incarnation,
+                        started_ms=message.started_ms,
+                    ),
+                    sequence=message.sequence,
+                    upstream=upstream,
                 )
+                runs = upstream_runs.on_heartbeat(self._runs, heartbeat, now)
+        self._apply_runs(runs)
+
+    def _apply_runs(self, runs: upstream_runs.State) -> None:
+        """Publishes and records what differs from the beliefs before."""
+        before, self._runs = self._runs, runs
+        if runs.run != before.run and runs.run is not None:
+            logs.get().info(
+                "upstream run followed",
+                extra={
+                    "id": runs.run.incarnation,
+                    "started_ms": runs.run.started_ms,
+                },
             )
-
-    def _record_sign_off(self, sign_off: model.SignOff) -> None:
-        if sign_off != self._record.signed_off:
-            self._update_record(signed_off=sign_off)
+        if runs.successor is not None and (
+            before.successor is None
+            or runs.successor.run != before.successor.run
+        ):
+            logs.get().info(
+                "heartbeat of an earlier run, or of one that signed off",
+                extra={
+                    "id": runs.successor.run.incarnation,
+                    "started_ms": runs.successor.run.started_ms,
+                    "sequence": runs.successor.sequence,
+                },
+            )
+        self._set_upstream(runs.upstream)
+        if runs.sign_off != self._record.signed_off:
+            self._update_record(signed_off=runs.sign_off)
 
     async def _limit_wait(self, reply: mailbox.Reply) -> None:
         await trio.sleep(SIGN_OFF_TIMEOUT)
         self.mailbox.tell(_SignOffOverdue(reply=reply))
 
-    def _restore_sign_off(self, sign_off: model.SignOff) -> None:
-        """Applies a sign-off that this node knew before it restarted.
-
-        Announcements of that run that were delayed no longer count.
-        """
-        self._record_sign_off(sign_off)
-        last = self._last_announcement
-        is_last = last.incarnation == sign_off.incarnation and (
-            last.started_ms == sign_off.started_ms
-        )
-        if last.incarnation and not is_last:
-            return
-        self._last_announcement = dataclasses.replace(
-            last,
-            incarnation=sign_off.incarnation,
-            started_ms=sign_off.started_ms,
-            draining=True,
-        )
-        upstream = self._record.upstream
-        if sign_off.gone:
-            self._stopped_incarnation = sign_off.incarnation
-            self._set_upstream(None)
-        elif upstream is not None:
-            self._set_upstream(
-                dataclasses.replace(
-                    upstream, state=model.UpstreamState.DRAINING
-                )
-            )
-
-    def _apply_number(self, message: messages.Announce) -> bool:
-        """Returns whether a numbered announcement is in force, and records it.
-
-        Within one run of the upstream, leaving is final: it is followed
-        whatever its number, and no later announcement of that run undoes it.
-        """
-        assert message.upstream is not None
-        last = self._last_announcement
-        draining = message.upstream.state is model.UpstreamState.DRAINING
-        is_same_run = (message.incarnation, message.started_ms) == (
-            last.incarnation,
-            last.started_ms,
-        )
-        sequence_before = None
-        if not is_same_run:
-            if (message.started_ms, message.sequence) <= (
-                last.started_ms,
-                last.sequence,
-            ):
-                return False
-        elif message.incarnation == self._stopped_incarnation:
-            return False
-        else:
-            # Also an outdated announcement shows that the run goes on.
-            self._announced_at = clock.monotonic()
-            if last.draining and not draining:
-                return False
-            step = message.sequence - last.sequence
-            if step > MAX_SEQUENCE_STEP and last.sequence >= 0:
-                sequence_before = last.sequence
-            elif step <= 0 and not draining:
-                before = last.sequence_before
-                if before is None or message.sequence <= before:
-                    return False
-        self._last_announcement = _LastAnnouncement(
-            incarnation=message.incarnation,
-            started_ms=message.started_ms,
-            sequence=message.sequence,
-            sequence_before=sequence_before,
-            draining=draining,
-        )
-        return True
-
     def _set_upstream(self, upstream: model.Upstream | None) -> None:
         if upstream == self._record.upstream:
             return
@@ -356,18 +269,6 @@
         )
         self._heartbeat_due.set()
 
-    def _expire_announcement(self) -> None:
-        """Removes an upstream that two checks in a row found silent.
-
-        At the first one after a delay of the event loop, its announcements may
-        wait to be read.
-        """
-        was_silent = self._found_silent
-        silence = clock.monotonic() - self._announced_at
-        self._found_silent = silence > self._announcement_ttl
-        if self._record.upstream and self._found_silent and was_silent:
-            self._set_upstream(None)
-
     def _compose_heartbeat(
         self, demand: demand_decisions.Demand | None
     ) -> protocol.Heartbeat:
@@ -493,7 +394,11 @@
                     reply.put(None)
                 self._sign_off_replies.clear()
         elif answer.signed_off is not None and not self._record.signed_off:
-            self._restore_sign_off(answer.signed_off)
+            self._apply_runs(
+                upstream_runs.on_sign_off_restored(
+                    self._runs, answer.signed_off
+                )
+            )
         if message.record.leaving:
             for reply in self._leave_replies:
                 reply.put(None)
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -202,11 +202,14 @@
       incarnation: Identifies the run.
       started_ms: Start of the run in milliseconds; 0 if not known.
       gone: Whether it has left.
+      ended_ms: When it said so, in milliseconds of the VM's clock; 0 if not
+        known. A run whose start is not known began before.
     """
 
     incarnation: str
     started_ms: int
     gone: bool
+    ended_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_sign_off.py
+++ b/tests/test_sign_off.py
@@ -126,6 +126,38 @@
                 assert _state(after) is DRAINING
 
 
+# Guards against a release that keeps the ids: the first heartbeat of the next
+# run was followed, and none after it, neither `ready` nor `draining`.
+async def test_the_next_run_under_an_id_is_followed_after_a_sign_off():
+    control = _Control()
+    link = fakes.ScriptedController(control.handle)
+    membership = _node(link, 1)
+    async with fakes.started(link, membership):
+        with trio.fail_after(5):
+            ask = membership.mailbox.ask
+            await ask(_announcement(READY, 4))
+            await ask(_announcement(DRAINING, 5))
+            await ask(GONE)
+            for sequence in (1, 2, 3):
+                await ask(_announcement(READY, sequence, started_ms=2))
+            assert _state(membership) is READY
+            await ask(_announcement(DRAINING, 4, started_ms=2))
+            assert _state(membership) is DRAINING
+
+
+# Guards against a sign-off that the first heartbeat undoes, since the node has
+# just started and knows no start of the run.
+async def test_a_late_heartbeat_does_not_undo_the_first_sign_off():
+    control = _Control()
+    link = fakes.ScriptedController(control.handle)
+    membership = _node(link, 1)
+    async with fakes.started(link, membership):
+        with trio.fail_after(5):
+            await membership.mailbox.ask(GONE)
+            await membership.mailbox.ask(_announcement(READY, 9))
+            assert _state(membership) is None
+
+
 async def test_without_a_control_a_sign_off_is_acknowledged_in_time():
     """An upstream turns to another node after a second without an answer."""
     control = _Control()
