Nodes outrank the record of their process before

Cause: a node's incarnation is the time of its start. If the clock is set back by more than the node has run, and the node restarts, controls ignore its record for as long as they keep the former one, up to 30 s: its upstream gets no request.

Change: with the first answer of a control, a node raises its incarnation above that of its former record.

Evidence: test_a_node_that_starts_with_its_clock_set_back_is_heard fails without the change (5 s) and passes with it.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -368,6 +368,8 @@
                 received_at=clock.monotonic(),
             )
         )
+        if not self._directory_source:
+            self._outrank_record_before(answer)
         records = self._merge_records(view.records, answer)
         known_services = {
             r.upstream.service for r in records.values() if r.upstream
@@ -424,6 +426,27 @@
         # The next heartbeat, sent at once, reports the applied revision.
         self._update_record(configuration_revision=revision)
 
+    def _outrank_record_before(self, answer: protocol.HeartbeatReply) -> None:
+        """Raises the incarnation above that of the process before this one.
+
+        It is the time of the start, and the clock may have been set back since;
+        controls ignore a record whose incarnation is not the highest.
+        """
+        for entry in answer.entries:
+            known = entry.record
+            if (
+                known.vm == self._record.vm
+                and known.incarnation > self._record.incarnation
+            ):
+                logs.get().warning(
+                    "the clock was set back since this node ran before",
+                    extra={
+                        "incarnation": self._record.incarnation,
+                        "incarnation_before": known.incarnation,
+                    },
+                )
+                self._update_record(incarnation=known.incarnation + 1)
+
     def _merge_records(
         self,
         held_records: dict[str, model.NodeRecord],
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -14,6 +14,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall.controllers import node_membership
+from sassafrashall.decisions import node_directory
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
 from tests import fakes
@@ -188,3 +189,46 @@
         await known({"vm-1", "vm-2", "vm-3"})
         shift[0] = node_membership.UNLISTED_TTL + 0.1
         await known({"vm-1"})
+
+
+# Guards against a node that controls ignore while they keep its former record:
+# the clock of its VM was set back before it restarted.
+async def test_a_node_that_starts_with_its_clock_set_back_is_heard():
+    directory = node_directory.merge_record(
+        node_directory.Directory(),
+        fakes.node_record(vm="a", incarnation=9),
+        0.0,
+        clock.monotonic(),
+    )
+
+    def answer(message, reply):
+        nonlocal directory
+        directory = node_directory.merge_record(
+            directory, message.message.record, 0.0, clock.monotonic()
+        )
+        entries = tuple(
+            protocol.DirectoryEntry(record=entry.record)
+            for entry in directory.entries.values()
+        )
+        return dataclasses.replace(
+            reply, directory_source="c", complete=True, entries=entries
+        )
+
+    link, membership = _membership(fakes.event_log(), answer)
+    async with fakes.started(link, membership):
+        with trio.fail_after(5):
+            while directory.entries["a"].record.incarnation <= 9:
+                await membership.view.wait_changed()
+            await membership.mailbox.ask(
+                messages.Announce(
+                    upstream=model.Upstream(
+                        service="a",
+                        address=UPSTREAM,
+                        slots=4,
+                        connection_limit=0,
+                        state=model.UpstreamState.READY,
+                    )
+                )
+            )
+            while directory.entries["a"].record.upstream is None:
+                await membership.view.wait_changed()
