Routes: shares by weight hold from any change on

Cause: each node kept how many requests each target had got and compared these counts, made under other weights or for other services, with the new ones. The counts also began at 0 at each node, so that the first request at each went to the heaviest service.

--- a/src/sassafrashall/decisions/route_table.py
+++ b/src/sassafrashall/decisions/route_table.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from sassafrashall import configuration
 
+# Fractional part of the golden ratio.
+_GOLDEN_RATIO = (math.sqrt(5.0) - 1.0) / 2.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouteTable:
@@ -50,42 +54,30 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class TargetCounts:
-    """The requests sent to each target of a route.
-
-    Attributes:
-      sent: Number of requests by position of the target in the route.
-    """
-
-    sent: tuple[int, ...]
-
-
 def choose_target(
-    targets: tuple[configuration.Target, ...], counts: TargetCounts | None
-) -> tuple[str, TargetCounts | None]:
-    """Returns the service of the target furthest below its weighted share.
+    targets: tuple[configuration.Target, ...], position: float
+) -> tuple[str, float]:
+    """Returns the service for a request, by the weights of the targets.
+
+    The targets divide the interval from 0 to 1 by their weights. The positions
+    of successive requests are an additive recurrence with the golden ratio,
+    which fills each part of the interval evenly from any position on. So the
+    shares hold at once after a change of targets or weights.
 
     Args:
       targets: The weighted services of the route.
-      counts: What was returned for the last request of the route; None for the
-        first one.
+      position: In [0, 1): random for the first request of a route, so that
+        the first requests at many nodes follow the weights too; then what was
+        returned for the last request.
 
     Returns:
-      The service, and the counts to pass with the next request.
+      The service, and the position for the next request.
     """
-    if len(targets) == 1:
-        return targets[0].service, counts
-    sent = counts.sent if counts else ()
-    if len(sent) != len(targets):
-        sent = (0,) * len(targets)
-    total_requests = sum(sent) + 1
-    total_weight = sum(target.weight for target in targets) or 1
-    index = max(
-        range(len(targets)),
-        key=lambda i: (
-            targets[i].weight * total_requests / total_weight - sent[i]
-        ),
-    )
-    new_sent = tuple(n + (i == index) for i, n in enumerate(sent))
-    return targets[index].service, TargetCounts(sent=new_sent)
+    remaining = position * sum(target.weight for target in targets)
+    chosen = targets[0]
+    for target in targets:
+        if remaining < target.weight:
+            chosen = target
+            break
+        remaining -= target.weight
+    return chosen.service, (position + _GOLDEN_RATIO) % 1.0
--- a/src/sassafrashall/filters/route_match.py
+++ b/src/sassafrashall/filters/route_match.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from sassafrashall import exceptions
 from sassafrashall import frozen
 from sassafrashall import mailbox
@@ -18,7 +20,10 @@
         self, *, table: mailbox.Published[route_table.RouteTable | None]
     ) -> None:
         self._table = table
-        self._target_counts: dict[str, route_table.TargetCounts] = {}
+        self._random = random.Random()
+        # By route; see `route_table.choose_target`. They outlive changes, so
+        # that a storm of these does not begin each route anew.
+        self._positions: dict[str, float] = {}
 
     async def handle(self, call: model.Call) -> model.FilterResult:
         """Applies the route whose prefix of the path is the longest."""
@@ -36,11 +41,14 @@
                 code=exceptions.UNKNOWN_ROUTE,
                 detail="no route covers this host and path",
             )
-        service, target_counts = route_table.choose_target(
-            route.targets, self._target_counts.get(route.name)
-        )
-        if target_counts is not None:
-            self._target_counts[route.name] = target_counts
+        service = route.targets[0].service
+        if len(route.targets) > 1:
+            position = self._positions.get(route.name)
+            if position is None:
+                position = self._random.random()
+            service, self._positions[route.name] = route_table.choose_target(
+                route.targets, position
+            )
         return model.Forward(
             call=frozen.replace(
                 call,
