Answers that nobody reads are freed at once

What callers saw: nothing yet; a node grew by 26 MB with each 150 callers that left an endless answer unread, up to the memory of its machine, whose process then ends with the requests of all its callers.

Cause: an exchange refers to its reply, the reply to the response, the response to the reader of its rest, and that to the exchange; each HTTP parser and the parser of httptools refer to each other. Such circles, of some 200 KB each, are freed by the garbage collector only, which a node runs after 20,000 new objects, whatever their size.

Change: the reader lets go of its exchange at the end, the parts that have been passed on are dropped, and a parser is closed with its connection.

--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import http as http_status
+from typing import Any
 from typing import TypeAlias
 
 import httptools
@@ -107,6 +108,7 @@
         self._message_started = False
         # httptools hides the exception of a callback, so `_feed` raises it.
         self._head_error: exceptions.ProtocolError | None = None
+        self._parser: Any = None
 
     @property
     def head_incomplete(self) -> bool:
@@ -118,18 +120,32 @@
         self._flush_body()
         return self._events.popleft() if self._events else None
 
+    def close(self) -> None:
+        """Releases what has arrived and was not taken; no byte may follow.
+
+        The parser of httptools refers to this one: without this, both and the
+        bytes that they hold are freed only by the garbage collector.
+        """
+        self._parser = None
+        self._events.clear()
+        self._body.clear()
+
     def _flush_body(self) -> None:
         if self._body:
             self._events.append(BodyPart(data=b"".join(self._body)))
             self._body.clear()
 
-    def _feed(self, parser: object, data: bytes) -> None:
+    def _feed(self, parser: Any, data: bytes) -> None:
+        if parser is None:
+            raise exceptions.ProtocolError(
+                exceptions.BAD_REQUEST, "bytes on a connection that is closed"
+            )
         if self._in_head:
             self._head_size += len(data)
         else:
             self._framing_size += len(data)
         try:
-            parser.feed_data(data)  # type: ignore[attr-defined]
+            parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             self._on_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -205,6 +205,7 @@
             if self._exchange is not None:
                 self._exchange.cancel()
             self._stream.close()
+            self._parser.close()
             self._log_closure(reason, unanswered)
 
     def _log_closure(
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -227,6 +227,7 @@
         finally:
             self.close(reason)
             self._end_exchange(detail)
+            self._parser.close()
 
     def _end_exchange(self, detail: str) -> None:
         """Resends or fails the exchange in progress as the connection ends."""
@@ -370,12 +371,14 @@
             raise _protocol_error("a body without a head")
         self._streaming_ended = trio.Event()
         self._streamed_body = _ResponseBody(connection=self, exchange=exchange)
+        body = b"".join(exchange.parts)
+        exchange.parts.clear()
         exchange.reply.on_abandon(None)
         exchange.reply.put(
             model.Response(
                 status=head.status,
                 headers=head.headers,
-                body=b"".join(exchange.parts),
+                body=body,
                 rest=self._streamed_body,
             )
         )
@@ -578,14 +581,17 @@
 
 
 class _ResponseBody:
-    """The rest of a long response, read from its connection on demand."""
+    """The rest of a long response, read from its connection on demand.
+
+    The response refers to it, and its exchange to the response, so that it
+    lets go of the exchange at the end.
+    """
 
     def __init__(
         self, *, connection: UpstreamConnection, exchange: _Exchange
     ) -> None:
         self._connection = connection
-        self._exchange = exchange
-        self._ended = False
+        self._exchange: _Exchange | None = exchange
 
     async def read(self) -> bytes:
         """Returns the next bytes, or none at the end.
@@ -593,14 +599,13 @@
         Raises:
           ConnectionFailedError: The response can't be completed.
         """
-        if self._ended:
+        if self._exchange is None:
             return b""
         match await self._connection.next_event():
             case http1.BodyPart(data=data):
                 return data
             case http1.MessageEnd():
-                self._ended = True
-                self._connection.end_streaming(self._exchange, complete=True)
+                self._end(complete=True)
                 return b""
             case _:
                 raise exceptions.ConnectionFailedError(
@@ -609,9 +614,12 @@
 
     async def close(self) -> None:
         """Abandons the rest; does nothing after the end."""
-        if not self._ended:
-            self._ended = True
-            self._connection.end_streaming(self._exchange, complete=False)
+        self._end(complete=False)
+
+    def _end(self, *, complete: bool) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._connection.end_streaming(exchange, complete=complete)
 
 
 def _encode_head(request: http.RawRequest) -> bytes:
