Controls outlive a full disk

Cause: the replica's task ended with the error of the store.

Change: a write that is refused is undone in memory as well: the replica returns to the last state that is on disk, and sends nothing of the later ones. A leader steps down, since it could append nothing, and no replica campaigns before it can save its vote. At the start, the store is opened for 5 s.

--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -356,13 +356,8 @@
 
     def _judge_exit(self, exited: model.Exited) -> None:
         if not exited.told:
-            settled = exited.at - self._bounds.settle
-            if not any(
-                isinstance(fault.fault, model.RefuseWrites)
-                for fault in self._faults_at(exited.vm, settled, exited.at)
-            ):
-                detail = f"exit {exited.status}"
-                self._break("FAULT", exited.at, "", exited.vm, detail)
+            detail = f"exit {exited.status}"
+            self._break("FAULT", exited.at, "", exited.vm, detail)
             return
         for fault in self._faults_at(exited.vm, exited.at, exited.at):
             match fault.fault:
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -291,10 +291,7 @@
         await trio.sleep(fault.seconds)
         if process.poll() is None:
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (most, most))
-        # The failure of its last write may still end the process.
         await trio.sleep(soak_model.Bounds().settle)
-        if fault.vm not in self._busy:
-            self.start(fault.vm)
         self.end(number)
 
     async def stop(self, fault: soak_model.Stop, *, again: bool = True) -> None:
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -36,6 +36,8 @@
 LEADER_POLL_INTERVAL = 0.1  # seconds between checks for a leader
 COMPACT_AFTER = 2000  # applied entries
 COMPACT_SIZE = 4 * 1024 * 1024  # bytes of applied commands
+OPEN_ATTEMPTS = 10  # while the disk refuses writes at the start
+OPEN_RETRY_DELAY = 0.5  # seconds
 BATCH_LIMIT = 256  # messages whose writes share one sync to disk
 
 _PERSISTENT_ACTIONS = (
@@ -117,6 +119,9 @@
         )
         self._pending = pending_changes.PendingChanges()
         self._state = replication.State(replica_id="")
+        # The state up to which everything that has to be is on disk.
+        self._durable_state = self._state
+        self._writes_fail = False
         self._fleet_state = fleet_state.FleetState()
         # Whether the log has been bootstrapped.
         self._founded = False
@@ -135,7 +140,7 @@
         return self._view
 
     async def _setup(self) -> None:
-        contents = await trio.to_thread.run_sync(self._store.open)
+        contents = await self._open_store()
         self._founded = contents.founded
         self._state = consensus.initial_state(
             contents.replica_id,
@@ -146,11 +151,22 @@
             clock.monotonic(),
             self._random.random(),
         )
+        self._durable_state = self._state
         self._replay_index = self._state.last_index
         self._load_snapshot(contents.snapshot)
         self._publish_view()
         self._spawn(self._rotate_claims)
 
+    async def _open_store(self) -> log_store.Contents:
+        """Opens the store, once the disk has room."""
+        for _ in range(OPEN_ATTEMPTS):
+            try:
+                return await trio.to_thread.run_sync(self._store.open)
+            except log_store.WriteError as error:
+                self._note_write_failed(error)
+            await trio.sleep(OPEN_RETRY_DELAY)
+        return await trio.to_thread.run_sync(self._store.open)
+
     async def _rotate_claims(self) -> None:
         """Proposes, as leader, to drop the older generation of claims.
 
@@ -334,12 +350,21 @@
         actions: list[replication.Action],
         replies: dict[str, mailbox.Reply],
     ) -> None:
-        """Persists all that has to be, with one sync, then does the rest."""
+        """Persists all that has to be, with one sync, then does the rest.
+
+        If the disk refuses it, none of the actions is performed.
+        """
         persisted = tuple(
             a for a in actions if isinstance(a, _PERSISTENT_ACTIONS)
         )
         if persisted:
-            await trio.to_thread.run_sync(self._store.persist, persisted)
+            try:
+                await trio.to_thread.run_sync(self._store.persist, persisted)
+            except log_store.WriteError as error:
+                self._undo_unsaved(error, replies)
+                return
+            self._note_write_succeeded()
+        self._durable_state = self._state
         for action in actions:
             match action:
                 case replication.Send(message=message):
@@ -359,6 +384,43 @@
         for reply in replies.values():
             reply.fail(exceptions.RpcError("nothing to answer"))
 
+    def _undo_unsaved(
+        self, error: log_store.WriteError, replies: dict[str, mailbox.Reply]
+    ) -> None:
+        """Returns to the last state that is on disk.
+
+        Nothing of the later ones has left this process. Other replicas don't
+        wait for one that does not answer; but a leader that can't append
+        would hold up all changes, so that it makes room for another one.
+        """
+        self._note_write_failed(error)
+        for reply in replies.values():
+            reply.fail(exceptions.RpcError("the disk refuses writes"))
+        self._pending.fail("the disk refuses writes; send it again")
+        now, jitter = clock.monotonic(), self._random.random()
+        state = self._durable_state
+        if state.role is replication.Role.LEADER:
+            state, _ = leadership.become_follower(
+                state, state.term, "", jitter, now
+            )
+            self._on_role_changed(state.role, state.term)
+        self._state = self._durable_state = leadership.reset_election_timer(
+            state, jitter, now
+        )
+
+    def _note_write_failed(self, error: log_store.WriteError) -> None:
+        self._metrics.count("storage_writes_failed")
+        if not self._writes_fail:
+            logs.get().warning(
+                "the disk refuses writes", extra={"reason": str(error)}
+            )
+        self._writes_fail = True
+
+    def _note_write_succeeded(self) -> None:
+        if self._writes_fail:
+            logs.get().info("the disk takes writes again")
+        self._writes_fail = False
+
     # --- sending -------------------------------------------------------------
 
     def _send_message(self, message: replication.Message) -> None:
@@ -525,9 +587,14 @@
         if self._founded:
             return
         snapshot = replication.Snapshot(membership=membership)
-        self._store.persist(
-            (replication.SaveSnapshot(snapshot=snapshot, reset=True),)
-        )
+        try:
+            self._store.persist(
+                (replication.SaveSnapshot(snapshot=snapshot, reset=True),)
+            )
+        except log_store.WriteError as error:
+            # It is asked for again.
+            self._note_write_failed(error)
+            return
         self._founded = True
         self._state = consensus.initial_state(
             self._state.replica_id,
@@ -538,6 +605,7 @@
             clock.monotonic(),
             self._random.random(),
         )
+        self._durable_state = self._state
         self._events.record("replica.founded", detail=self._state.replica_id)
         self._publish_view()
 
--- a/src/sassafrashall/storage/log_store.py
+++ b/src/sassafrashall/storage/log_store.py
@@ -21,6 +21,8 @@
 
 LOCK_TIMEOUT = 1.0  # seconds to wait for a lock of another process
 
+# A full or faulty disk; it may have room again later.
+_WRITE_CODES = (sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR)
 _CORRUPTION_CODES = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
 # SQLite's extended result codes hold the primary code in the low byte.
 _PRIMARY_CODE_MASK = 0xFF
@@ -40,6 +42,12 @@
     code = "storage_failed"
 
 
+class WriteError(StorageError):
+    """The disk refused a write; what was saved before is intact."""
+
+    code = "storage_write_failed"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Contents:
     """What the store held when it was opened.
@@ -77,6 +85,7 @@
         """Opens or creates the store and returns what it holds.
 
         Raises:
+          WriteError: The disk refused a write.
           StorageError: The folder can't be used, or another process uses it.
         """
         try:
@@ -90,7 +99,7 @@
                 # Another process uses the folder, or the disk is full. The
                 # file itself is intact, so it is not set aside.
                 self.close()
-                raise StorageError(f"{self._folder}: {error}") from error
+                raise self._storage_error(error) from error
         except (msgspec.MsgspecError, ValueError):
             pass
         self._set_aside_damaged()
@@ -159,7 +168,8 @@
         """Saves what the actions ask for in one synced transaction.
 
         Raises:
-          StorageError: The transaction failed and nothing was saved.
+          WriteError: The disk refused a write; nothing was saved.
+          StorageError: The transaction failed for another reason.
         """
         assert self._connection is not None
         try:
@@ -168,7 +178,13 @@
                 for action in actions:
                     self._save_action(action)
         except sqlite3.Error as error:
-            raise StorageError(f"{self._folder}: {error}") from error
+            raise self._storage_error(error) from error
+
+    def _storage_error(self, error: sqlite3.Error) -> StorageError:
+        text = f"{self._folder}: {error}"
+        if _primary_code(error) in _WRITE_CODES:
+            return WriteError(text)
+        return StorageError(text)
 
     def _save_action(self, action: replication.Action) -> None:
         assert self._connection is not None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -156,6 +156,14 @@
                 model.Exited(vm="control-0", at=3.5, status=1, told=False),
             ],
         ),
+        # A full disk is no reason to end either.
+        (
+            "FAULT",
+            [
+                _began(REFUSE_WRITES, 1.0),
+                model.Exited(vm="control-0", at=1.5, status=1, told=False),
+            ],
+        ),
         (
             "DRAIN",
             [
@@ -223,10 +231,6 @@
             _began(STOP, 5.0),
             model.Exited(vm="node-0", at=10.9, status=0, told=True),
         ],
-        [
-            _began(REFUSE_WRITES, 1.0),
-            model.Exited(vm="control-0", at=1.5, status=1, told=False),
-        ],
         [
             model.Started(vm="node-0", at=4.0),
             _began(STOP, 5.0),
