Nodes leave a control without a majority in time

Cause: a node left a control 2 s after its last contact with a majority, which it learns up to 0.75 s late; its probe then waited 0.5 s for each control that was ever known, also for one that is gone for good; and only the next heartbeat, up to 0.5 s later, asked the new control. 3.75 s in sum, where 3 s are allowed.

Change: the limit is 1.2 s; a probe ends with the first fresh control; the node sends a heartbeat as soon as it has switched. 1.2 + 0.25 + 0.5 s and two calls in sum. The control in use is probed as well, and a stale one is left for another stale one only if that is fresher by 0.5 s, so that an election moves no node (decisions/control_choice.py).

--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -16,6 +16,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import replication
 from sassafrashall.transport import rpc
 
@@ -23,7 +24,6 @@
 RETRY_PAUSE = 0.1  # seconds to wait once all controls have failed
 PROBE_TIMEOUT = 0.5  # seconds
 FAILBACK_INTERVAL = 5.0  # seconds between probes of the nearest control
-MAX_MAJORITY_AGE = 2.0  # seconds; above this a control counts as stale
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -35,10 +35,12 @@
         since its last contact with a majority.
       current_age: The same age for the control in use; negative infinity if
         only a fresh control may replace it.
+      reply: Is told whether another control is in use now.
     """
 
     ages: tuple[tuple[str, float], ...]
     current_age: float
+    reply: mailbox.Reply
 
 
 class ControlLink(task.Controller):
@@ -96,10 +98,11 @@
             case messages.CallControl():
                 self._spawn(self._call, message, reply)
             case messages.ControlIsStale(majority_age=age):
-                if not self._probing:
+                if self._probing:
+                    reply.put(False)
+                else:
                     self._probing = True
-                    others = [a for a in self._addresses if a != self._current]
-                    self._spawn(self._probe, others, age)
+                    self._spawn(self._probe, self._addresses, age, reply)
             case messages.ControlsKnown(members=members):
                 self._update_members(members)
             case _Probed():
@@ -124,7 +127,7 @@
         nearest = self._addresses[0]
         if self._current != nearest and not self._probing:
             self._probing = True
-            self._spawn(self._probe, [nearest], float("-inf"))
+            self._spawn(self._probe, (nearest,), float("-inf"))
 
     async def _call(
         self, message: messages.CallControl, reply: mailbox.Reply
@@ -168,7 +171,17 @@
             "switched to another control", extra={"control": address}
         )
 
-    async def _probe(self, addresses: list[str], current_age: float) -> None:
+    async def _probe(
+        self,
+        addresses: tuple[str, ...],
+        current_age: float,
+        reply: mailbox.Reply = mailbox.NO_REPLY,
+    ) -> None:
+        """Asks controls for their contact with a majority.
+
+        It ends once the control in use, if it is asked, and a fresh one have
+        answered: others may be gone for good.
+        """
         ages: list[tuple[str, float]] = []
 
         async def ask(address: str) -> None:
@@ -176,27 +189,33 @@
                 pong = await self._clients.get(address).call(
                     protocol.Ping(), PROBE_TIMEOUT
                 )
-                ages.append((address, pong.majority_age))
             except exceptions.RpcError:
-                pass
+                return
+            ages.append((address, pong.majority_age))
+            if (
+                self._current not in addresses or self._current in dict(ages)
+            ) and not all(control_choice.is_stale(age) for _, age in ages):
+                nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
                 nursery.start_soon(ask, address)
-        self.mailbox.tell(_Probed(ages=tuple(ages), current_age=current_age))
+        self.mailbox.tell(
+            _Probed(ages=tuple(ages), current_age=current_age, reply=reply)
+        )
 
     def _on_probed(self, message: _Probed) -> None:
         self._probing = False
-        known_fresh = {
-            address for address, age in message.ages if age < MAX_MAJORITY_AGE
-        }
-        fresh_addresses = [a for a in self._addresses if a in known_fresh]
-        if fresh_addresses:
-            self._switch_to(fresh_addresses[0])
-        elif message.ages:
-            address, age = min(message.ages, key=lambda probe: probe[1])
-            if age < message.current_age:
-                self._switch_to(address)
+        before = self._current
+        self._switch_to(
+            control_choice.choose_control(
+                self._current,
+                message.current_age,
+                self._addresses,
+                dict(message.ages),
+            )
+        )
+        message.reply.put(self._current != before)
 
     async def _fail_back(self) -> None:
         """Switches back to the nearest control once it is fresh again."""
@@ -205,4 +224,4 @@
             nearest = self._addresses[0]
             if self._current != nearest and not self._probing:
                 self._probing = True
-                await self._probe([nearest], float("-inf"))
+                await self._probe((nearest,), float("-inf"))
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -18,6 +18,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import task
+from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import replication
@@ -29,9 +30,6 @@
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
 ANNOUNCEMENT_TTL = 3.0  # seconds until a silent upstream counts as gone
-# Seconds since a control's last contact with a majority, above which the node
-# looks for another control.
-MAX_MAJORITY_AGE = 2.0
 # Seconds for which nodes stay known that the list of another control lacks. A
 # control that has just started hears of all nodes within this time.
 UNLISTED_TTL = 3.0
@@ -386,10 +384,8 @@
         if answer.controls and answer.controls != self._controls:
             self._controls = answer.controls
             self._link.tell(messages.ControlsKnown(members=answer.controls))
-        if answer.majority_age > MAX_MAJORITY_AGE:
-            self._link.tell(
-                messages.ControlIsStale(majority_age=answer.majority_age)
-            )
+        if control_choice.is_stale(answer.majority_age):
+            self._spawn(self._leave_stale_control, answer.majority_age)
         if message.record.signed_off is not None:
             if message.record.signed_off == self._record.signed_off:
                 for reply in self._sign_off_replies:
@@ -406,6 +402,15 @@
                 reply.put(None)
             self._leave_replies.clear()
 
+    async def _leave_stale_control(self, majority_age: float) -> None:
+        """Looks for a control with a majority, and asks it for what is new."""
+        stale = messages.ControlIsStale(majority_age=majority_age)
+        try:
+            if await self._link.ask(stale):
+                self._heartbeat_due.set()
+        except exceptions.MailboxClosedError:
+            pass  # The process is stopping.
+
     def _apply_document(
         self, document: configuration.Configuration | None
     ) -> None:
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -31,7 +31,8 @@
 class ControlIsStale:
     """Reports that the control in use has lost its majority.
 
-    The control link then looks for a control that still has one.
+    The control link then looks for a control that still has one, and answers
+    whether it has switched to another one.
 
     Attributes:
       majority_age: Seconds since the control last had contact with a majority.
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -106,3 +106,52 @@
     async with fakes.started(link):
         with trio.fail_after(3.5), pytest.raises(exceptions.RpcError):
             await _call(link)
+
+
+async def _leave_stale(link, age):
+    return await link.mailbox.ask(messages.ControlIsStale(majority_age=age))
+
+
+# Guards against nodes that learn a change too late: the probe waited for each
+# control that was ever known, and nothing was asked of the new one for a while.
+async def test_a_fresh_control_is_taken_before_one_that_is_gone_answers(
+    nursery,
+):
+    async with (
+        _FakeControl(3.0).running() as stale,
+        _FakeControl(0.2).running() as fresh,
+        _FakeControl(0.1).running() as gone,
+    ):
+        relay = loopback.SilentRelay(gone.address)
+        await relay.start(nursery)
+        link = _link(stale.address, fresh.address, relay.address)
+        async with fakes.started(link):
+            await _call(link)
+            relay.silence()
+            with trio.fail_after(control_link.PROBE_TIMEOUT / 2):
+                assert await _leave_stale(link, 3.0)
+            assert (await _call(link)).majority_age == 0.2
+
+
+async def test_a_control_that_has_contact_again_is_kept():
+    async with (
+        _FakeControl(0.3).running() as near,
+        _FakeControl(0.1).running() as far,
+    ):
+        link = _link(near.address, far.address)
+        async with fakes.started(link):
+            await _call(link)
+            assert not await _leave_stale(link, 2.0)
+            assert (await _call(link)).majority_age == 0.3
+
+
+async def test_nodes_stay_while_all_controls_elect_a_leader():
+    async with (
+        _FakeControl(1.8).running() as near,
+        _FakeControl(1.6).running() as far,
+    ):
+        link = _link(near.address, far.address)
+        async with fakes.started(link):
+            await _call(link)
+            assert not await _leave_stale(link, 1.8)
+            assert (await _call(link)).majority_age == 1.8
