--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -33,6 +33,12 @@
     parser.add_argument(
         "--basic", action="store_true", help="no storage faults or slow callers"
     )
+    parser.add_argument(
+        "--wide",
+        action="store_true",
+        help="five controls that lose two disks at once, upstreams that "
+        "restart, changed weights",
+    )
     options = parser.parse_args()
     # The processes of a soak that is stopped are stopped as well.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -50,6 +56,7 @@
             seconds=options.seconds,
             connections=options.connections,
             basic=options.basic,
+            wide=options.wide,
         )
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.logs)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -329,7 +329,7 @@
     def _draw_request(
         self, connection: _Connection, run_ms: int
     ) -> tuple[str, soak_model.Sent]:
-        host = self._random.choice(("idem", "once", "keyed"))
+        host = self._random.choice(self._plan.hosts)
         size = self._random.choice(SIZES)
         request_id = f"s{self._plan.seed}-{next(_numbers)}"
         body_size = self._random.choice(BODY_SIZES)
@@ -346,4 +346,5 @@
             body=soak_model.answer_body(request_id, body_size),
             size=size,
             key=self._random.choice(self._keys()) if host == "keyed" else "",
+            host=host,
         )
--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -15,6 +15,9 @@
 UNPLANNED = (model.Kill, model.LoseDisk, model.Pause, model.RefuseWrites)
 
 
+MAX_SHARE_OFF = 0.2  # by which a share may miss its weight
+
+
 class Checker:
     """Collects observations and reports each broken promise once.
 
@@ -42,6 +45,8 @@
         self._proposed: dict[int, model.Proposed] = {}
         self._acknowledged: dict[int, float] = {}
         self._withdrawn: dict[str, float] = {}
+        # When the sign-off of each upstream that has left was acknowledged.
+        self._signed_off: dict[str, float] = {}
         self._served: dict[str, float] = {}  # time of the last answer
         self._seen: dict[str, tuple[int, float]] = {}
         self.violations: list[model.Violation] = []
@@ -67,6 +72,10 @@
                 self._break("MIXED", at, "", vm, f"bytes not due: {data!r}")
             case model.Ran():
                 self._judge_run(observation)
+            case model.SignedOff(vm=vm, at=at):
+                self._signed_off[vm] = at
+            case model.UpstreamStarted(vm=vm):
+                self._signed_off.pop(vm, None)
             case model.Proposed():
                 self._proposed[observation.version] = observation
             case model.Acknowledged(version=version, at=at):
@@ -133,6 +142,43 @@
         for vm in sorted(late):
             self._break("RECOVER", now, "", vm, "not recovered in time")
 
+    def runs_of(self, host: str, since: float) -> list[model.Ran]:
+        """Returns the first runs of the requests for a host sent since."""
+        return [
+            runs[0]
+            for request_id, runs in self._runs.items()
+            if runs
+            and request_id in self._sent
+            and self._sent[request_id].host == host
+            and self._sent[request_id].at >= since
+        ]
+
+    def judge_shares(
+        self,
+        host: str,
+        since: float,
+        services: Mapping[str, str],
+        weights: Mapping[str, int],
+    ) -> None:
+        """Judges the shares of the services of a host's route.
+
+        Args:
+          host: Its host.
+          since: When the weights were in force, without a fault since.
+          services: Service by VM.
+          weights: Weight by service.
+        """
+        runs = self.runs_of(host, since)
+        for service, weight in weights.items():
+            count = sum(services[run.vm] == service for run in runs)
+            share, due = (
+                count / max(1, len(runs)),
+                weight / sum(weights.values()),
+            )
+            if abs(share - due) > MAX_SHARE_OFF:
+                detail = f"{share:.2f} of {len(runs)} requests, not {due:.2f}"
+                self._break("CONFIG", since, "", service, detail)
+
     def _break(
         self, rule: str, at: float, request_id: str, node: str, detail: str
     ) -> None:
@@ -180,6 +226,14 @@
         answer = self._answers.get(run.request_id)
         if answer and answer.status in model.REFUSALS:
             self._break_refused(sent, answer)
+        left_at = self._signed_off.get(run.vm, math.inf)
+        if (
+            sent.at > left_at + self._bounds.drain
+            and self._is_in_touch(sent.vm, sent.at, run.at)
+            and self._is_in_touch(run.vm, sent.at, run.at)
+        ):
+            detail = f"{sent.at - left_at:.2f} s after the sign-off"
+            self._break("DRAIN", run.at, run.request_id, run.vm, detail)
         withdrawn_at = self._withdrawn.get(sent.key, math.inf)
         if sent.at > withdrawn_at + self._bounds.revoke:
             detail = f"{sent.key} ran {sent.at - withdrawn_at:.2f} s too late"
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import itertools
 import pathlib
 import resource
@@ -76,6 +77,7 @@
         *,
         listen: dict[str, model.Address],
         seeds: list[model.Address],
+        vm_losses: int = 1,
     ) -> None:
         """Writes the settings of a control."""
         self._write(
@@ -85,7 +87,10 @@
             role="control",
             operator_secret=f"{SECRET}-operator",
             data_folder=str(self._data_folder(vm)),
-            routed={"first_start": True},
+            routed={
+                "first_start": True,
+                "losses": {"vms": vm_losses, "data_centres": 0, "regions": 0},
+            },
         )
 
     def write_node(
@@ -251,7 +256,9 @@
         """Kills a control and empties its folder, one control at a time."""
         async with self._disk_turn:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._kill_and_empty, fault)
+                for vm in (fault.vm, *fault.also):
+                    lost = dataclasses.replace(fault, vm=vm, also=())
+                    nursery.start_soon(self._kill_and_empty, lost)
                 for vm in fault.killed:
                     kill = soak_model.Kill(vm=vm, down=fault.down)
                     nursery.start_soon(self.kill, kill)
@@ -294,6 +301,14 @@
         await trio.sleep(soak_model.Bounds().settle)
         self.end(number)
 
+    async def fill_disks(self, fault: soak_model.FillDisks) -> None:
+        """Lets the writes of controls fail, one control after the other."""
+        async with self._disk_turn:
+            for vm in fault.vms:
+                await self.refuse_writes(
+                    soak_model.RefuseWrites(vm=vm, seconds=fault.seconds)
+                )
+
     async def stop(self, fault: soak_model.Stop, *, again: bool = True) -> None:
         """Stops a process as planned, and starts it again if `again`."""
         if fault.vm in self._busy or fault.vm not in self._processes:
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -22,6 +22,8 @@
       settle: Time for which the effects of a fault last at its own process.
       route_timeout: Timeout of every route.
       catch_up: Time after which a new replica stands in for a lost one.
+      drain: From the acknowledgement of an upstream's sign-off until no
+        request reaches it any more.
       recovery: Time from the last fault until every process works again.
     """
 
@@ -34,6 +36,7 @@
     settle: float = 1.0
     route_timeout: float = 4.0
     catch_up: float = 4.0
+    drain: float = 2.0
     recovery: float = 15.0
 
 
@@ -84,12 +87,51 @@
 class LoseDisk:
     """SIGKILL, and a start with an empty data folder after `down` seconds.
 
-    The VMs in `killed` are killed at the same moment and keep their folders.
+    The VMs in `killed` are killed at the same moment and keep their folders;
+    those in `also` lose theirs.
     """
 
     vm: str
     down: float
     killed: tuple[str, ...] = ()
+    also: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FillDisks:
+    """The disks of controls are full by turns, each for some seconds."""
+
+    vms: tuple[str, ...]
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RestartUpstream:
+    """An upstream signs off, serves on, exits, and starts again under its id.
+
+    Attributes:
+      reports_draining: Whether it reports that it drains before it is gone.
+      down: Seconds from its exit to its next start.
+    """
+
+    vm: str
+    reports_draining: bool
+    down: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DelayHeartbeat:
+    """One heartbeat of an upstream arrives some seconds late."""
+
+    vm: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeWeights:
+    """A configuration with other weights of the two services of a route."""
+
+    weights: tuple[int, int]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -211,6 +253,10 @@
     | KillAll
     | LoseDisk
     | RefuseWrites
+    | FillDisks
+    | RestartUpstream
+    | DelayHeartbeat
+    | ChangeWeights
     | HangUp
     | ChangeIdle
     | ReplaceKey
@@ -238,6 +284,8 @@
       slow_groups: Further groups, which send and read in small pieces.
       connections: Connections of a group.
       final: A fault right after the last configuration was acknowledged.
+      hosts: What callers ask for.
+      vm_losses: Controls that may be lost at once.
     """
 
     seed: int
@@ -250,6 +298,8 @@
     slow_groups: int = 0
     connections: int = 10
     final: Fault | None = None
+    hosts: tuple[str, ...] = ("idem", "once", "keyed")
+    vm_losses: int = 1
 
 
 # --- observations ------------------------------------------------------------
@@ -277,6 +327,7 @@
     body: bytes
     size: int
     key: str = ""
+    host: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -338,6 +389,22 @@
     sound: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SignedOff:
+    """A node acknowledged that its upstream leaves or is gone."""
+
+    vm: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamStarted:
+    """An upstream that had left runs again."""
+
+    vm: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Proposed:
     """An operator sent a configuration for the first time.
@@ -442,6 +509,8 @@
     | GaveUp
     | Unasked
     | Ran
+    | SignedOff
+    | UpstreamStarted
     | Proposed
     | Acknowledged
     | Refused
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -46,6 +46,7 @@
         self._idle = plan.idle
         self._keys = ("key-1", "key-2", "key-3")
         self._newest_key = len(self._keys)
+        self._weights = (1, 1)
         self._turn = trio.Lock()
 
     @property
@@ -81,11 +82,17 @@
                 await self._change(idle=idle)
             case soak_model.ReplaceKey():
                 await self._change(replace_key=True)
+            case soak_model.ChangeWeights(weights=weights):
+                await self._change(weights=weights)
             case _:
                 await self._change()
 
     async def _change(
-        self, *, idle: float | None = None, replace_key: bool = False
+        self,
+        *,
+        idle: float | None = None,
+        replace_key: bool = False,
+        weights: tuple[int, int] | None = None,
     ) -> None:
         async with self._turn:
             keys = self._keys
@@ -95,7 +102,10 @@
             idle = idle or self._idle
             base = self._acknowledged
             self._version += 1
-            body = json.dumps(_document(self._version, idle, keys)).encode()
+            self._weights = weights or self._weights
+            body = json.dumps(
+                _document(self._version, idle, keys, self._weights)
+            ).encode()
             self._report(
                 soak_model.Proposed(
                     version=self._version,
@@ -190,7 +200,10 @@
 
 
 def _document(
-    version: int, idle: float, keys: tuple[str, ...]
+    version: int,
+    idle: float,
+    keys: tuple[str, ...],
+    weights: tuple[int, int],
 ) -> dict[str, object]:
     """Returns a configuration; only it has the probe route of its version."""
 
@@ -207,9 +220,16 @@
             "public": True,
         } | changes
 
+    split = route("split.example", "/", "")
+    del split["service"]
+    split["weighted_targets"] = [
+        {"service": service, "weight": weight}
+        for service, weight in zip(SERVICES, weights, strict=True)
+    ]
     return {
         "version": f"r{version}",
         "routes": {
+            "split": split,
             "idem": route("idem.example", "/", "alpha"),
             "once": route(
                 "once.example", "/", "beta", route_type="non_idempotent"
--- a/bench/soak/planner.py
+++ b/bench/soak/planner.py
@@ -6,12 +6,16 @@
 
 from bench.soak import model
 
+HOSTS = ("idem", "once", "keyed")
 IDLE_TIMEOUTS = (0.5, 0.8, 1.2, 2.0, 3.0)  # seconds
 FAULTS_PER_SECOND = 1.0
 SERIES_LENGTH = 4  # maximum number of faults in a series
 SERIES_GAP = 1.2  # maximum seconds between the faults of a series
 QUIET_END = 2.0  # seconds without new faults at the end of a plan
 STORAGE_FAULTS_PER_SECOND = 0.1
+UPSTREAM_FAULTS_PER_SECOND = 0.5
+MAX_HEARTBEAT_DELAY = 3.0  # seconds
+WIDE_CONTROLS = 5
 MAX_DOWN = 2.0  # maximum seconds from a kill to the next start
 
 
@@ -22,11 +26,19 @@
     seconds: float,
     connections: int = 10,
     basic: bool = False,
+    wide: bool = False,
 ) -> model.Plan:
-    """Returns the plan; a basic one has no storage faults or slow callers."""
+    """Returns the plan of a seed.
+
+    A basic plan has no storage faults or slow callers. In a wide one, five
+    controls bear the loss of two disks at once, upstreams leave and start
+    again, and weights change.
+    """
     source = random.Random(seed)
     vms = tuple(f"node-{index}" for index in range(nodes))
-    controls = tuple(f"control-{index}" for index in range(3))
+    controls = tuple(
+        f"control-{index}" for index in range(WIDE_CONTROLS if wide else 3)
+    )
     faults: list[model.Timed] = []
     while len(faults) < FAULTS_PER_SECOND * seconds:
         at = source.uniform(1.0, max(1.5, seconds - QUIET_END))
@@ -43,6 +55,17 @@
             fault = _draw_storage_fault(source, vms, controls)
             faults.append(model.Timed(at=at, fault=fault))
         final = _draw_storage_fault(source, vms, controls)
+    if wide:
+        source = random.Random(f"{seed} wide")
+        for _ in range(round(UPSTREAM_FAULTS_PER_SECOND * seconds)):
+            at = source.uniform(1.0, max(1.5, seconds - QUIET_END))
+            fault = _draw_upstream_fault(source, vms)
+            faults.append(model.Timed(at=at, fault=fault))
+        for _ in range(max(1, round(STORAGE_FAULTS_PER_SECOND * seconds))):
+            at = source.uniform(1.0, max(1.5, seconds - QUIET_END))
+            fault = _draw_wide_storage_fault(source, vms, controls)
+            faults.append(model.Timed(at=at, fault=fault))
+        final = _draw_wide_storage_fault(source, vms, controls)
     return model.Plan(
         seed=seed,
         seconds=seconds,
@@ -53,6 +76,8 @@
         slow_groups=0 if basic else 1,
         connections=connections,
         final=final,
+        hosts=("idem", "once", "keyed", "split") if wide else HOSTS,
+        vm_losses=2 if wide else 1,
     )
 
 
@@ -110,6 +135,42 @@
     )
 
 
+def _draw_wide_storage_fault(
+    source: random.Random, vms: tuple[str, ...], controls: tuple[str, ...]
+) -> model.Fault:
+    vm, other = source.sample(controls, k=2)
+    seconds = source.uniform(0.1, MAX_DOWN)
+    rest = tuple(name for name in (*controls, *vms) if name not in (vm, other))
+    return source.choice(
+        (
+            model.LoseDisk(vm=vm, down=seconds, also=(other,)),
+            model.LoseDisk(vm=vm, down=seconds, also=(other,), killed=rest),
+            model.FillDisks(vms=tuple(source.sample(controls, k=3)), seconds=1),
+        )
+    )
+
+
+def _draw_upstream_fault(
+    source: random.Random, vms: tuple[str, ...]
+) -> model.Fault:
+    vm = source.choice(vms)
+    return source.choice(
+        (
+            model.RestartUpstream(
+                vm=vm,
+                reports_draining=source.random() < 0.5,
+                down=source.uniform(0.1, MAX_DOWN),
+            ),
+            model.DelayHeartbeat(
+                vm=vm, seconds=source.uniform(0.5, MAX_HEARTBEAT_DELAY)
+            ),
+            model.ChangeWeights(
+                weights=(source.randint(0, 9), source.randint(1, 9))
+            ),
+        )
+    )
+
+
 def _draw_kind(source: random.Random) -> type[model.Fault]:
     weights: dict[type[model.Fault], int] = {
         model.Pause: 7,
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -21,6 +21,10 @@
 from sassafrashall import model as addresses
 
 JUDGE_INTERVAL = 0.5  # seconds
+MAX_SEEDS = 3  # controls that the settings name
+SHARE_REQUESTS = 200  # requests by which shares are judged
+SHARE_TIMEOUT = 20.0  # seconds to send them
+FINAL_WEIGHTS = (1, 3)
 START_TIMEOUT = 30.0  # seconds until every node is ready
 
 
@@ -77,7 +81,12 @@
             seeds.append(rpc)
             self._proxies[vm] = proxy.Proxy(listen=shown, target=rpc)
         for vm in plan.controls:
-            self._daemons.write_control(vm, listen=listens[vm], seeds=seeds)
+            self._daemons.write_control(
+                vm,
+                listen=listens[vm],
+                seeds=seeds[:MAX_SEEDS],
+                vm_losses=plan.vm_losses,
+            )
         for index, vm in enumerate(plan.nodes):
             names = ("callers", "peers", "readiness", "announcements", "ops")
             listen = {name: next(free) for name in names}
@@ -98,7 +107,10 @@
             self._daemons.write_node(
                 vm,
                 listen=listen,
-                seeds=[self._proxies[name].address for name in plan.controls],
+                seeds=[
+                    self._proxies[name].address
+                    for name in plan.controls[:MAX_SEEDS]
+                ],
                 service=service,
                 upstream=shown,
             )
@@ -222,6 +234,12 @@
                 await self._daemons.lose_disk(fault)
             case model.RefuseWrites():
                 await self._daemons.refuse_writes(fault)
+            case model.FillDisks():
+                await self._daemons.fill_disks(fault)
+            case model.RestartUpstream(vm=vm):
+                await self._upstreams[vm].restart(fault)
+            case model.DelayHeartbeat(vm=vm, seconds=seconds):
+                await self._upstreams[vm].delay_heartbeat(seconds)
             case model.HangUp(vm=vm):
                 await self._daemons.hang_up(vm)
             case model.DisturbLink(vm=vm, how=how, seconds=seconds):
@@ -256,6 +274,8 @@
                     for vm in (*versions, *late - {"operator"}):
                         checks.start_soon(self._recheck, vm, versions, late)
         self._checker.judge_end(time.monotonic(), versions, late)
+        if "split" in self._plan.hosts and not late:
+            await self._judge_shares()
         async with trio.open_nursery() as nursery:
             for vm in self._plan.nodes:
                 nursery.start_soon(self._stop_for_good, vm)
@@ -264,6 +284,26 @@
             for vm in self._plan.controls:
                 nursery.start_soon(self._stop_for_good, vm)
 
+    async def _judge_shares(self) -> None:
+        """Changes the weights in calm, and judges the shares from then on."""
+        await trio.sleep(2 * model.Bounds().contact)
+        await self._operator.apply(model.ChangeWeights(weights=FINAL_WEIGHTS))
+        await trio.sleep(model.Bounds().apply)
+        began = time.monotonic()
+        with trio.move_on_after(SHARE_TIMEOUT):
+            while len(self._checker.runs_of("split", began)) < SHARE_REQUESTS:
+                await trio.sleep(0.1)
+        services = {
+            vm: operators.SERVICES[index % len(operators.SERVICES)]
+            for index, vm in enumerate(self._plan.nodes)
+        }
+        self._checker.judge_shares(
+            "split",
+            began,
+            services,
+            dict(zip(operators.SERVICES, FINAL_WEIGHTS, strict=True)),
+        )
+
     async def _recheck(
         self, vm: str, versions: dict[str, int], late: set[str]
     ) -> None:
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import json
@@ -20,6 +21,8 @@
 HEARTBEAT_INTERVAL = 1.0  # seconds
 SLOTS = 50
 SPOILT_SHARE = 0.3  # of the answers while an upstream spoils
+SERVE_ON = 1.0  # seconds past the drain bound for which one that left serves
+SIGN_OFF_TIMEOUT = 4.0  # seconds after which it leaves unacknowledged
 REPEAT_DELAY = 0.02  # seconds from an answer to its repetition
 
 
@@ -47,6 +50,9 @@
         self._incarnation = f"i-{vm}"
         self._spoiling: soak_model.Spoiling | None = None
         self._sequence = 0
+        self._born_ms = 1000
+        self._state: str | None = "ready"
+        self._is_leaving = False
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address, then serves and announces in `nursery`."""
@@ -63,33 +69,89 @@
         if self._spoiling is how:
             self._spoiling = None
 
+    async def restart(self, fault: soak_model.RestartUpstream) -> None:
+        """Signs off, serves on for a while, and starts again under its id."""
+        if self._is_leaving:
+            return
+        self._is_leaving = True
+        if fault.reports_draining:
+            self._state = "draining"
+            await self._send_until_acknowledged(self._send_heartbeat)
+        else:
+            self._state = None
+            await self._send_until_acknowledged(self._send_sign_off)
+        await trio.sleep(soak_model.Bounds().drain + SERVE_ON)
+        self._state = None
+        if fault.reports_draining:
+            await self._send_sign_off()
+        await trio.sleep(fault.down)
+        # Milliseconds of the clock, as no run of it has begun before.
+        self._born_ms = max(self._born_ms + 1, int(time.time() * 1000))
+        self._sequence = 0
+        self._state = "ready"
+        self._report(
+            soak_model.UpstreamStarted(vm=self._vm, at=time.monotonic())
+        )
+        self._is_leaving = False
+
+    async def _send_until_acknowledged(
+        self, send: Callable[[], Awaitable[int]]
+    ) -> None:
+        with trio.move_on_after(SIGN_OFF_TIMEOUT):
+            while await send() != 200:
+                await trio.sleep(0.1)
+            self._report(soak_model.SignedOff(vm=self._vm, at=time.monotonic()))
+
+    async def delay_heartbeat(self, seconds: float) -> None:
+        """Sends the heartbeat that is due now some seconds late."""
+        if self._state is not None:
+            body = self._heartbeat()
+            await trio.sleep(seconds)
+            await self._send("PUT", body)
+
     async def _announce_periodically(self) -> None:
         while True:
-            self._sequence += 1
-            body = {
-                "address": str(self._announced),
-                "born": 1000,
-                "info": {
-                    "service": self._service,
-                    "version": "v1",
-                    "zone": "z",
-                    "slots": SLOTS,
-                },
-                "status": {
-                    "state": "ready",
-                    "sequence": self._sequence,
-                    "cold_remaining": "0ms",
-                },
-            }
-            with trio.move_on_after(1.0):
-                await callers.send_once(
-                    self._announce_to,
-                    "PUT",
-                    f"/-/instances/{self._incarnation}",
-                    body=json.dumps(body).encode(),
-                )
+            if self._state is not None:
+                await self._send_heartbeat()
             await trio.sleep(HEARTBEAT_INTERVAL)
 
+    async def _send_heartbeat(self) -> int:
+        return await self._send("PUT", self._heartbeat())
+
+    async def _send_sign_off(self) -> int:
+        return await self._send("DELETE", b"")
+
+    def _heartbeat(self) -> bytes:
+        self._sequence += 1
+        body = {
+            "address": str(self._announced),
+            "born": self._born_ms,
+            "info": {
+                "service": self._service,
+                "version": "v1",
+                "zone": "z",
+                "slots": SLOTS,
+            },
+            "status": {
+                "state": self._state,
+                "sequence": self._sequence,
+                "cold_remaining": "0ms",
+            },
+        }
+        return json.dumps(body).encode()
+
+    async def _send(self, method: str, body: bytes) -> int:
+        """Sends a heartbeat or sign-off; returns the status, 0 if it failed."""
+        status = 0
+        with trio.move_on_after(1.0):
+            status, _ = await callers.send_once(
+                self._announce_to,
+                method,
+                f"/-/instances/{self._incarnation}",
+                body=body,
+            )
+        return status
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         protocol = h11.Connection(h11.SERVER)
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -119,6 +119,10 @@
         ("UNASKED", [_sent(), _ran(target="/y")]),
         ("UNASKED", [_sent(), _ran(body=b"x")]),
         ("REVOKE", [*_versions(1, 3, keys=KEYS), _sent(key="a"), _ran()]),
+        (
+            "DRAIN",
+            [model.SignedOff(vm="node-1", at=7.9), _sent(), _ran()],
+        ),
         ("DENIED", [_sent(), _answered(status=404, signature="")]),
         ("FAULT", [_sent(), _answered(status=500, signature="")]),
         ("HELD", [_sent(), model.GaveUp(request_id="r1", at=16.0)]),
@@ -213,6 +217,20 @@
         [_sent(), _ran(), _began(KILL, 10.15), _closed()],
         [_began(STOP, 4.9), _sent(), _ran(), _closed()],
         [_sent(idempotent=True), _ran(), _ran(vm="node-2"), _answered()],
+        [model.SignedOff(vm="node-1", at=8.1), _sent(), _ran()],
+        [
+            model.SignedOff(vm="node-1", at=1.0),
+            model.UpstreamStarted(vm="node-1", at=9.0),
+            _sent(),
+            _ran(),
+        ],
+        [
+            model.SignedOff(vm="node-1", at=1.0),
+            _began(model.Kill(vm="node-1", down=1.0), 8.0),
+            _ended(9.0),
+            _sent(),
+            _ran(),
+        ],
         [*_versions(1, 6, keys=KEYS), _sent(key="a"), _ran(), _answered()],
         [
             model.Started(vm="node-0", at=0.0),
@@ -282,6 +300,42 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("weights", "rules"), [((1, 1), []), ((9, 1), ["CONFIG", "CONFIG"])]
+)
+def test_shares_that_miss_their_weights_are_found(weights, rules):
+    judge = checker.Checker()
+    for number in range(200):
+        request_id = f"r{number}"
+        judge.add(_sent(request_id, host="split"))
+        judge.add(_ran(request_id, vm=f"node-{number % 2}"))
+    judge.judge_shares(
+        "split",
+        5.0,
+        {"node-0": "a", "node-1": "b"},
+        dict(zip("ab", weights, strict=True)),
+    )
+    assert [violation.rule for violation in judge.violations] == rules
+
+
+def test_each_fault_of_a_wide_plan_is_planned():
+    plans = [
+        planner.make_plan(seed=seed, nodes=4, seconds=20.0, wide=True)
+        for seed in range(20)
+    ]
+    faults = [timed.fault for plan in plans for timed in plan.faults]
+    for kind in (
+        model.FillDisks,
+        model.RestartUpstream,
+        model.DelayHeartbeat,
+        model.ChangeWeights,
+    ):
+        assert any(isinstance(fault, kind) for fault in faults)
+    assert any(
+        isinstance(fault, model.LoseDisk) and fault.also for fault in faults
+    )
+
+
 def test_a_plan_follows_from_its_seed():
     plans = [
         planner.make_plan(seed=seed, nodes=4, seconds=20.0)
@@ -333,8 +387,19 @@
     await _run_soak(tmp_path, seed=seed, basic=False)
 
 
-async def _run_soak(tmp_path, *, seed, basic):
-    plan = planner.make_plan(seed=seed, nodes=4, seconds=15.0, basic=basic)
+# Two of five disks are lost at once, upstreams leave and start again under
+# their ids, heartbeats arrive late, weights change.
+@pytest.mark.parametrize("seed", [1])
+async def test_a_short_wide_soak_breaks_no_promise(
+    seed, tmp_path: pathlib.Path
+):
+    await _run_soak(tmp_path, seed=seed, basic=False, wide=True)
+
+
+async def _run_soak(tmp_path, *, seed, basic, wide=False):
+    plan = planner.make_plan(
+        seed=seed, nodes=4, seconds=15.0, basic=basic, wide=wide
+    )
     result = await soak.Soak(plan=plan, folder=tmp_path).run()
     assert not result.violations
     assert result.counts["200"] > 100
