Soak: controls cut off from each other for longer than the time of contact

It never cut a control from the other controls, nor for longer than `contact`, and counted nodes as out of touch for the whole of any fault of a control.

Change: `--cuts N` loses a control for good, then cuts one control, or up to half of five, both ways or one way, for 3.5 to 6 s, with a change each 0.33 s and a check of each node each 0.1 s. The age of each version at each node is counted and printed.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,10 +11,42 @@
 
 import trio
 
+from bench.soak import model
 from bench.soak import planner
 from bench.soak import soak
 
 
+def _make_plan(options: argparse.Namespace, seed: int) -> model.Plan:
+    if options.cuts:
+        return planner.make_cut_plan(
+            seed=seed,
+            nodes=options.nodes,
+            cuts=options.cuts,
+            controls=options.controls,
+        )
+    return planner.make_plan(
+        seed=seed,
+        nodes=options.nodes,
+        seconds=options.seconds,
+        connections=options.connections,
+        basic=options.basic,
+        wide=options.wide,
+    )
+
+
+def _describe_lateness(lateness: tuple[model.Lateness, ...]) -> str:
+    """Returns how late nodes applied configurations."""
+    if not lateness:
+        return "no configuration applied"
+    median, most = lateness[len(lateness) // 2], lateness[-1]
+    high = lateness[-len(lateness) // 100]
+    return (
+        f"applied {median.seconds:.2f} s after the acknowledgement (median), "
+        f"{high.seconds:.2f} s (p99), {most.seconds:.2f} s (maximum, "
+        f"r{most.version} at {most.vm})"
+    )
+
+
 def main() -> int:
     """Runs soaks; the exit status is 1 if a promise was broken."""
     parser = argparse.ArgumentParser(prog="python -m bench.soak")
@@ -39,6 +71,17 @@
         help="five controls that lose two disks at once, upstreams that "
         "restart, changed weights",
     )
+    parser.add_argument(
+        "--cuts",
+        type=int,
+        default=0,
+        metavar="N",
+        help="in place of other faults: N times, controls are cut off from the "
+        "others while routes change, after one was lost for good",
+    )
+    parser.add_argument(
+        "--controls", type=int, default=3, help="of plans with cuts"
+    )
     options = parser.parse_args()
     # The processes of a soak that is stopped are stopped as well.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -50,14 +93,7 @@
         options.logs.mkdir(parents=True, exist_ok=True)
     broken = 0
     for seed in seeds:
-        plan = planner.make_plan(
-            seed=seed,
-            nodes=options.nodes,
-            seconds=options.seconds,
-            connections=options.connections,
-            basic=options.basic,
-            wide=options.wide,
-        )
+        plan = _make_plan(options, seed)
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.logs)
         )
@@ -66,7 +102,8 @@
         broken += bool(rules)
         print(
             f"seed {seed}: {dict(rules) or 'no promise broken'}; "
-            f"{result.counts}; own delay {result.max_delay:.2f} s; {folder}",
+            f"{result.counts}; own delay {result.max_delay:.2f} s; "
+            f"{_describe_lateness(result.lateness)}; {folder}",
             flush=True,
         )
     print(f"{broken} of {len(seeds)} seeds broke a promise")
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -25,6 +25,8 @@
       drain: From the acknowledgement of an upstream's sign-off until no
         request reaches it any more.
       recovery: Time from the last fault until every process works again.
+      skew: Added to `apply` while the controls have not been stable for the
+        time of contact, but a majority of them is connected.
     """
 
     apply: float = 2.0
@@ -38,6 +40,7 @@
     catch_up: float = 4.0
     drain: float = 2.0
     recovery: float = 15.0
+    skew: float = 5.0
 
 
 # --- faults ------------------------------------------------------------------
@@ -105,6 +108,41 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoseControl:
+    """SIGKILL for good; an empty control starts after `down` seconds."""
+
+    vm: str
+    replacement: str
+    down: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CutControls:
+    """A minority of the controls is cut off from the others for some seconds.
+
+    Nodes and operators still reach all of them.
+
+    Attributes:
+      vms: The minority.
+      sends: Whether what it sends is lost.
+      receives: Whether what is sent to it is lost.
+    """
+
+    vms: tuple[str, ...]
+    seconds: float
+    sends: bool = True
+    receives: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeRoutes:
+    """Configurations at a fixed pace for some seconds."""
+
+    seconds: float
+    interval: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RestartUpstream:
     """An upstream signs off, serves on, exits, and starts again under its id.
@@ -254,6 +292,9 @@
     | LoseDisk
     | RefuseWrites
     | FillDisks
+    | LoseControl
+    | CutControls
+    | ChangeRoutes
     | RestartUpstream
     | DelayHeartbeat
     | ChangeWeights
@@ -286,6 +327,8 @@
       final: A fault right after the last configuration was acknowledged.
       hosts: What callers ask for.
       vm_losses: Controls that may be lost at once.
+      spares: Controls that replace others.
+      check_interval: Seconds between two checks of a process.
     """
 
     seed: int
@@ -300,6 +343,8 @@
     final: Fault | None = None
     hosts: tuple[str, ...] = ("idem", "once", "keyed")
     vm_losses: int = 1
+    spares: tuple[str, ...] = ()
+    check_interval: float = 0.5
 
 
 # --- observations ------------------------------------------------------------
@@ -540,6 +585,20 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class Lateness:
+    """How late a node applied a configuration.
+
+    Attributes:
+      seconds: From its acknowledgement until the node was first seen to apply
+        it or a later one.
+    """
+
+    seconds: float
+    vm: str
+    version: int
+
+
 def answer_body(request_id: str, size: int) -> bytes:
     """Returns the body of a right answer, which names its request all over."""
     unit = f"{request_id}.".encode()
--- a/bench/soak/planner.py
+++ b/bench/soak/planner.py
@@ -17,6 +17,11 @@
 MAX_HEARTBEAT_DELAY = 3.0  # seconds
 WIDE_CONTROLS = 5
 MAX_DOWN = 2.0  # maximum seconds from a kill to the next start
+REPLACED_AFTER = 8.0  # seconds until a control that is gone has been replaced
+CUT_SECONDS = (3.5, 6.0)  # least and most, longer than the time of contact
+CUT_GAP = (3.2, 4.5)  # seconds between two cuts, least and most
+CHANGE_INTERVAL = 0.33  # seconds between two configurations during cuts
+CUT_CHECK_INTERVAL = 0.1  # seconds between two checks of a process
 
 
 def make_plan(
@@ -81,6 +86,61 @@
     )
 
 
+def make_cut_plan(
+    *, seed: int, nodes: int, cuts: int, controls: int = 3
+) -> model.Plan:
+    """Returns a plan that cuts controls off from the others.
+
+    One control is gone for good before, and the configuration changes all the
+    while. With five controls, one or two of them are cut off.
+    """
+    source = random.Random(f"{seed} cuts")
+    vms = tuple(f"node-{index}" for index in range(nodes))
+    names = tuple(f"control-{index}" for index in range(controls))
+    spare = f"control-{controls}"
+    lost = source.choice(names[1:])
+    live = (*(name for name in names if name != lost), spare)
+    faults = [
+        model.Timed(
+            at=1.0,
+            fault=model.LoseControl(vm=lost, replacement=spare, down=1.0),
+        )
+    ]
+    at = 1.0 + REPLACED_AFTER
+    changes_at = at
+    for _ in range(cuts):
+        sends, receives = source.choice(
+            ((True, True), (True, True), (True, False), (False, True))
+        )
+        seconds = source.uniform(*CUT_SECONDS)
+        count = source.randint(1, (controls - 1) // 2)
+        fault = model.CutControls(
+            vms=tuple(source.sample(live, count)),
+            seconds=seconds,
+            sends=sends,
+            receives=receives,
+        )
+        faults.append(model.Timed(at=at, fault=fault))
+        at += seconds + source.uniform(*CUT_GAP)
+    changes = model.ChangeRoutes(
+        seconds=at - changes_at, interval=CHANGE_INTERVAL
+    )
+    faults.append(model.Timed(at=changes_at, fault=changes))
+    return model.Plan(
+        seed=seed,
+        seconds=at,
+        nodes=vms,
+        controls=names,
+        idle=IDLE_TIMEOUTS[-1],
+        faults=tuple(sorted(faults, key=lambda timed: timed.at)),
+        groups=1,
+        connections=1,
+        vm_losses=(controls - 1) // 2,
+        spares=(spare,),
+        check_interval=CUT_CHECK_INTERVAL,
+    )
+
+
 def _draw_fault(
     source: random.Random, vms: tuple[str, ...], controls: tuple[str, ...]
 ) -> model.Fault:
