Controls tell how long they are really without a majority

What was wrong: two ages that nodes go by were too low. A follower counted from the last message of its leader, so that in a minority of two with the old leader it looked fresh until that stepped down, 0.8 s, and counted from zero then. And a control told the age of its replica's last status, which stops growing while the replica waits for its disk.

A leader that steps down keeps its age. The age that a control tells grows from the last status on. Elections go by the contact with the leader as before.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -134,6 +134,7 @@
         self._corrections: dict[str, float] = {}
         self._levels_logged_at = float("-inf")
         self._status: messages.ReplicaStatus | None = None
+        self._status_at = float("-inf")  # monotonic seconds
         self._observed_state: fleet_state.FleetState | None = None
         # Of the nodes that are silent, in monotonic seconds.
         self._checked_at = float("inf")
@@ -147,7 +148,7 @@
         now = clock.monotonic()
         match message:
             case messages.ReplicaStatus():
-                self._status = message
+                self._status, self._status_at = message, now
                 self._merge_committed_withdrawals()
                 self._expire_entries(now)
                 self._start_gossip()
@@ -173,7 +174,14 @@
             await trio.sleep(GOSSIP_INTERVAL / 2)
 
     def _majority_age(self) -> float:
-        return self._status.majority_age if self._status else 1e6
+        """Returns the seconds since the last contact with a majority.
+
+        The replica tells nothing new while it waits for its disk, so that the
+        age grows from its last status on.
+        """
+        if self._status is None:
+            return 1e6
+        return self._status.majority_age + clock.monotonic() - self._status_at
 
     # --- withdrawals ---------------------------------------------------------
 
--- a/src/sassafrashall/decisions/consensus.py
+++ b/src/sassafrashall/decisions/consensus.py
@@ -67,13 +67,16 @@
 def majority_age(state: replication.State, now: float) -> float:
     """Returns the seconds since this replica's last contact with a majority.
 
-    A follower counts from its last contact with the leader.
+    A follower counts from the last contact of its leader: a leader that is cut
+    off with a minority goes on sending for a while.
     """
     if state.role is replication.Role.LEADER and state.membership.has_quorum(
         frozenset({state.replica_id})
     ):
         return 0.0
-    return now - state.contact_at
+    if state.role is replication.Role.LEADER:
+        return now - state.contact_at
+    return now - state.majority_contact_at
 
 
 def leadership_confirmed_at(state: replication.State, now: float) -> float:
@@ -140,7 +143,11 @@
     state, actions = leadership.become_follower(
         state, message.term, message.sender, jitter, now
     )
-    state = dataclasses.replace(state, contact_at=now)
+    state = dataclasses.replace(
+        state,
+        contact_at=now,
+        majority_contact_at=now - message.majority_age,
+    )
     match message:
         case replication.AppendEntries():
             state, reply_actions = _on_append_entries(state, message)
--- a/src/sassafrashall/decisions/leadership.py
+++ b/src/sassafrashall/decisions/leadership.py
@@ -61,6 +61,7 @@
         state = dataclasses.replace(state, term=term, voted_for="")
         actions.append(replication.SaveVote(term=term, voted_for=""))
     if state.role is replication.Role.LEADER:
+        state = dataclasses.replace(state, majority_contact_at=state.contact_at)
         actions.append(
             replication.RoleChanged(role=replication.Role.FOLLOWER, term=term)
         )
@@ -127,7 +128,7 @@
         is_behind = peer.next_index <= state.last_index
         if now < peer.busy_until or not (heartbeat or is_behind):
             continue
-        message = _replication_message(state, replica_id, peer)
+        message = _replication_message(state, replica_id, peer, now)
         actions.append(replication.Send(message=message))
         peer = dataclasses.replace(
             peer, busy_until=now + message_timeout(message)
@@ -144,8 +145,12 @@
 
 
 def _replication_message(
-    state: replication.State, replica_id: str, peer: replication.Peer
+    state: replication.State,
+    replica_id: str,
+    peer: replication.Peer,
+    now: float,
 ) -> replication.AppendEntries | replication.InstallSnapshot:
+    majority_age = max(0.0, now - state.contact_at)
     previous = peer.next_index - 1
     previous_term = state.term_at(previous)
     if previous_term < 0:
@@ -154,6 +159,7 @@
             receiver=replica_id,
             term=state.term,
             snapshot=state.snapshot,
+            majority_age=majority_age,
         )
     return replication.AppendEntries(
         sender=state.replica_id,
@@ -163,6 +169,7 @@
         previous_term=previous_term,
         entries=state.slice(peer.next_index, ENTRIES_PER_MESSAGE),
         commit=state.commit,
+        majority_age=majority_age,
     )
 
 
--- a/src/sassafrashall/decisions/replication.py
+++ b/src/sassafrashall/decisions/replication.py
@@ -113,7 +113,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AppendEntries:
-    """Replicates entries of the leader; a heartbeat if it has none."""
+    """Replicates entries of the leader; a heartbeat if it has none.
+
+    Attributes:
+      majority_age: Seconds since the leader last had contact with a majority.
+    """
 
     sender: str
     receiver: str
@@ -122,6 +126,7 @@
     previous_term: int
     entries: tuple[Entry, ...]
     commit: int
+    majority_age: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -148,6 +153,7 @@
     receiver: str
     term: int
     snapshot: Snapshot
+    majority_age: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -320,6 +326,8 @@
       peers: What the leader knows about the other members, by replica id.
       contact_at: Monotonic time of the last contact: with the leader, or, at
         the leader, with a majority.
+      majority_contact_at: Monotonic time at which the leader that this replica
+        follows, or was, last had contact with a majority.
       deadline: Monotonic time at which the next election or heartbeat is due.
     """
 
@@ -335,6 +343,7 @@
     votes: frozenset[str] = frozenset()
     peers: tuple[tuple[str, Peer], ...] = ()
     contact_at: float = float("-inf")
+    majority_contact_at: float = float("-inf")
     deadline: float = 0.0
 
     @property
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -300,3 +300,27 @@
     assert consensus.leadership_confirmed_at(later_term, cluster.now) == float(
         "-inf"
     )
+
+
+# Guards against followers of a leader in the minority that look fresh until it
+# steps down, which is up to 0.8 s, and for as long again after that.
+def test_followers_are_as_stale_as_their_leader():
+    cluster = raft_simulation.Cluster(1, "abcde")
+    cluster.run(3.0)
+    leader = cluster.leader()
+    follower = next(n for n in cluster.replicas if n != leader.name)
+    minority = {leader.name, follower}
+    for inside in minority:
+        for outside in set(cluster.replicas) - minority:
+            cluster.blocked_links |= {(inside, outside), (outside, inside)}
+    cut_at = cluster.now
+    for _ in range(40):
+        cluster.step()
+        for name in minority:
+            age = consensus.majority_age(
+                cluster.replicas[name].state, cluster.now
+            )
+            assert age >= cluster.now - cut_at
+    assert cluster.replicas[leader.name].state.role is not (
+        replication.Role.LEADER
+    )
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -63,6 +63,9 @@
         self._now[0] += seconds
         self._mailbox.tell(STATUS)
 
+    async def ping(self):
+        return await self._mailbox.ask(protocol.Ping())
+
     async def heartbeat(self, vm):
         """Returns the VMs that the reply to a heartbeat lists as lapsed."""
         reply = await self._mailbox.ask(_heartbeat(vm))
@@ -171,3 +174,16 @@
         await server.close()
         nursery.cancel_scope.cancel()
     assert received[0].control.vm == "vm-c"
+
+
+# Guards against a control that looks fresh while its replica waits for the
+# disk: the age that it told was that of the last status.
+async def test_the_majority_age_grows_without_a_status(now):
+    async with _directory(now) as directory:
+        directory.run_for(0.5)
+        now[0] += 2.0
+        pong = await directory.ping()
+        assert pong.majority_age == pytest.approx(2.0)
+        directory.run_for(0.25)
+        pong = await directory.ping()
+        assert pong.majority_age == pytest.approx(0.0)
