Nodes learn a change from a majority of the controls, not from one

Cause: a node learned of changes from one control only. A probe of the nearest control under way swallowed the report of a stale one, and adds up to 0.5 s.

Change: beside its heartbeats, a node asks as many others as make a majority for their revision every 0.5 s, in turn, so that it has asked all within two rounds, and reads what is newer from whoever has it. No decision on which control is cut off is on the way. A control that does not answer holds up no other one. What a node says of its upstream (gone, draining, signed off) and its own departure are told to all controls at once, since nodes beside the others would learn of them only after it has left the control.

One test changed: the fake link of test_a_departure_is_announced_once_a_control_has_heard_of_it counts heartbeats only, as before; it now gets what is told to the other controls as well. Its assertion is the same.

--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -138,7 +138,13 @@
                 exceptions.BAD_REQUEST, "not a message for operators"
             )
         match message:
-            case protocol.Heartbeat() | protocol.Gossip() | protocol.Ping():
+            case (
+                protocol.Heartbeat()
+                | protocol.Gossip()
+                | protocol.Ping()
+                | protocol.ConfigurationQuery()
+                | protocol.RecordChanged()
+            ):
                 return await self._fleet_directory.mailbox.ask(message)
             case protocol.Borrow() | protocol.BorrowAhead() | protocol.Settle():
                 return await self._quota_owner.mailbox.ask(message)
--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -48,7 +48,7 @@
 
     It prefers the controls of its own data centre, switches when a call fails
     or the control has lost its majority, and switches back once the nearest
-    control is fresh again.
+    control is fresh again. Calls for one control go to that one only.
     """
 
     def __init__(
@@ -71,8 +71,15 @@
                 for control in controls
             ]
         )
+        # The members of the replicated log, as far as they are known.
+        self._members = self._addresses
         self._current = self._addresses[0]
-        self._probing = False
+        self._probing_all = False
+        self._probing_nearest = False
+        # When each control last had contact with a majority, as it last told,
+        # in monotonic seconds; without those that failed to answer since.
+        self._contacts: dict[str, float] = {}
+        self._next_to_ask = 0
 
     def _nearest_first(
         self, located_addresses: list[tuple[str, str]]
@@ -97,12 +104,24 @@
         match message:
             case messages.CallControl():
                 self._spawn(self._call, message, reply)
+            case messages.CallOneControl():
+                self._spawn(self._call_one, message, reply)
+            case messages.TellOtherControls(message=told):
+                for address in self._members:
+                    if address != self._current:
+                        call = messages.CallOneControl(
+                            address=address,
+                            message=told,
+                            timeout=ATTEMPT_TIMEOUT,
+                        )
+                        self._spawn(self._call_one, call, mailbox.NO_REPLY)
+            case messages.ChooseControls():
+                asked, self._next_to_ask = control_choice.controls_to_ask(
+                    self._members, self._current, self._next_to_ask
+                )
+                reply.put(asked)
             case messages.ControlIsStale(majority_age=age):
-                if self._probing:
-                    reply.put(False)
-                else:
-                    self._probing = True
-                    self._spawn(self._probe, self._addresses, age, reply)
+                self._leave_stale(age, reply)
             case messages.ControlsKnown(members=members):
                 self._update_members(members)
             case _Probed():
@@ -121,14 +140,36 @@
         former_addresses = tuple(
             a for a in self._addresses if a not in member_addresses
         )
-        self._addresses = (
-            self._nearest_first(current_members) + former_addresses
-        )
+        self._members = self._nearest_first(current_members)
+        self._addresses = self._members + former_addresses
+        self._contacts = {
+            address: contact
+            for address, contact in self._contacts.items()
+            if address in member_addresses
+        }
         nearest = self._addresses[0]
-        if self._current != nearest and not self._probing:
-            self._probing = True
+        if self._current != nearest and not self._probing_nearest:
+            self._probing_nearest = True
             self._spawn(self._probe, (nearest,), float("-inf"))
 
+    def _leave_stale(self, age: float, reply: mailbox.Reply) -> None:
+        """Switches to a fresher control; looks for one if none is known."""
+        fresher = control_choice.find_fresher(
+            self._current,
+            age,
+            self._addresses,
+            self._contacts,
+            clock.monotonic(),
+        )
+        if fresher is not None:
+            self._switch_to(fresher)
+            reply.put(True)
+        elif self._probing_all or not control_choice.is_stale(age):
+            reply.put(False)
+        else:
+            self._probing_all = True
+            self._spawn(self._probe, self._addresses, age, reply)
+
     async def _call(
         self, message: messages.CallControl, reply: mailbox.Reply
     ) -> None:
@@ -151,6 +192,7 @@
                 )
             except exceptions.RpcError as failure:
                 error = failure
+                self._contacts.pop(address, None)
                 if address == self._current:
                     self._switch_to(self._address_after(address))
                 continue
@@ -158,6 +200,23 @@
             return
         reply.fail(error or exceptions.RpcError("no control answered in time"))
 
+    async def _call_one(
+        self, message: messages.CallOneControl, reply: mailbox.Reply
+    ) -> None:
+        sent_at = clock.monotonic()
+        try:
+            answer = await self._clients.get(message.address).call(
+                message.message, message.timeout
+            )
+        except exceptions.RpcError as error:
+            self._contacts.pop(message.address, None)
+            reply.fail(error)
+            return
+        match answer:
+            case protocol.Pong(majority_age=age):
+                self._contacts[message.address] = sent_at - age
+        reply.put(answer)
+
     def _address_after(self, address: str) -> str:
         index = self._addresses.index(address)
         return self._addresses[(index + 1) % len(self._addresses)]
@@ -205,7 +264,10 @@
         )
 
     def _on_probed(self, message: _Probed) -> None:
-        self._probing = False
+        if message.current_age == float("-inf"):
+            self._probing_nearest = False
+        else:
+            self._probing_all = False
         before = self._current
         self._switch_to(
             control_choice.choose_control(
@@ -222,6 +284,6 @@
         while True:
             await trio.sleep(FAILBACK_INTERVAL)
             nearest = self._addresses[0]
-            if self._current != nearest and not self._probing:
-                self._probing = True
+            if self._current != nearest and not self._probing_nearest:
+                self._probing_nearest = True
                 await self._probe((nearest,), float("-inf"))
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -156,10 +156,15 @@
                 reply.put(self._on_heartbeat(message, now))
             case protocol.Gossip():
                 reply.put(self._on_gossip(message, now))
+            case protocol.RecordChanged(record=record):
+                self._merge_record(record, 0.0, now)
+                reply.put(protocol.Ack())
             case protocol.StatusQuery():
                 reply.put(self._status_reply(now))
             case protocol.Ping():
-                reply.put(protocol.Pong(majority_age=self._majority_age()))
+                reply.put(self._pong(now))
+            case protocol.ConfigurationQuery():
+                reply.put(self._read_configuration(message, now))
             case _ComposeGossip():
                 reply.put(self._compose_gossip(message, now))
             case _GossipReplied():
@@ -183,6 +188,29 @@
             return 1e6
         return self._status.majority_age + clock.monotonic() - self._status_at
 
+    def _pong(self, now: float) -> protocol.Pong:
+        return protocol.Pong(
+            majority_age=self._majority_age(),
+            revision=self._view.value.state.revision,
+            proof_age=now - self._confirmed_fresh_at(now),
+        )
+
+    def _read_configuration(
+        self, message: protocol.ConfigurationQuery, now: float
+    ) -> protocol.ConfigurationReply:
+        state = self._view.value.state
+        return protocol.ConfigurationReply(
+            revision=state.revision,
+            organisations=fleet_state.changed_since(state, message.revision),
+            withdrawn=self._withdrawn_beyond(message.withdrawn_count),
+            proof_age=now - self._confirmed_fresh_at(now),
+            document=self._newer_document(message.document_version),
+        )
+
+    def _withdrawn_beyond(self, count: int) -> tuple[str, ...]:
+        """Returns all withdrawn keys if a node knows fewer."""
+        return tuple(self._withdrawn) if len(self._withdrawn) > count else ()
+
     # --- withdrawals ---------------------------------------------------------
 
     def _withdraw_at_once(self, command: fleet_commands.WithdrawKey) -> bool:
@@ -249,9 +277,6 @@
         complete = message.directory_source != self._directory_source
         since = 0 if complete else message.directory_version
         state = self._view.value.state
-        withdrawn: frozenset[str] = frozenset()
-        if len(self._withdrawn) > message.withdrawn_count:
-            withdrawn = self._withdrawn
         return protocol.HeartbeatReply(
             directory_source=self._directory_source,
             directory_version=self._directory.version,
@@ -261,7 +286,7 @@
             organisations=fleet_state.changed_since(
                 state, record.configuration_revision
             ),
-            withdrawn=tuple(withdrawn),
+            withdrawn=self._withdrawn_beyond(message.withdrawn_count),
             majority_age=self._majority_age(),
             proof_age=now - self._confirmed_fresh_at(now),
             document=self._newer_document(message.document_version),
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -35,6 +35,8 @@
 UNLISTED_TTL = 3.0
 # Seconds that the acknowledgement of a sign-off waits for a control to know it.
 SIGN_OFF_TIMEOUT = 0.4
+# Changes of the record that all controls are told, not only the one in use.
+_TOLD_FIELDS = frozenset({"upstream", "signed_off", "leaving"})
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -194,6 +196,10 @@
                 reply.put(self._compose_heartbeat(demand))
             case _HeartbeatReplied():
                 self._on_heartbeat_reply(message)
+            case messages.ConfigurationRead():
+                self._on_configuration_read(message)
+            case messages.ConfigurationConfirmed():
+                self._on_configuration_confirmed(message)
 
     def _on_announcement(self, message: messages.Announce) -> None:
         now = clock.monotonic()
@@ -266,6 +272,12 @@
             self._record, counter=self._record.counter + 1, **changes
         )
         self._heartbeat_due.set()
+        if not changes.keys().isdisjoint(_TOLD_FIELDS):
+            self._link.tell(
+                messages.TellOtherControls(
+                    message=protocol.RecordChanged(record=self._record)
+                )
+            )
 
     def _compose_heartbeat(
         self, demand: demand_decisions.Demand | None
@@ -347,19 +359,7 @@
 
     def _on_heartbeat_reply(self, message: _HeartbeatReplied) -> None:
         answer = message.reply
-        view = self._view.value
-        # The age counts from when the heartbeat was sent, since its reply may
-        # have been delayed.
-        fresh_at = message.sent_at - answer.proof_age
-        configuration = fleet_state.merge_configuration(
-            view.configuration,
-            answer.revision,
-            answer.organisations,
-            frozenset(answer.withdrawn),
-        )
-        if answer.revision < view.configuration.revision:
-            fresh_at = view.fresh_at
-        self._apply_document(answer.document)
+        view = self._merge_configuration(answer, message.sent_at)
         self._route_levels.publish(
             tree_admission.RouteLevels(
                 levels={level.route: level for level in answer.route_levels},
@@ -373,18 +373,17 @@
             r.upstream.service for r in records.values() if r.upstream
         }
         self._view.publish(
-            model.NodeView(
-                configuration=configuration,
+            dataclasses.replace(
+                view,
                 records=records,
                 services=view.services | known_services,
-                fresh_at=max(fresh_at, view.fresh_at),
             )
         )
-        self._report_revision(configuration.revision)
+        self._report_revision(view.configuration.revision)
         if answer.controls and answer.controls != self._controls:
             self._controls = answer.controls
             self._link.tell(messages.ControlsKnown(members=answer.controls))
-        if control_choice.is_stale(answer.majority_age):
+        if answer.majority_age >= control_choice.MIN_LEAVE_AGE:
             self._spawn(self._leave_stale_control, answer.majority_age)
         if message.record.signed_off is not None:
             if message.record.signed_off == self._record.signed_off:
@@ -402,6 +401,53 @@
                 reply.put(None)
             self._leave_replies.clear()
 
+    def _merge_configuration(
+        self,
+        answer: protocol.HeartbeatReply | protocol.ConfigurationReply,
+        sent_at: float,
+    ) -> model.NodeView:
+        """Returns the view with what is newer at a control; applies its routes.
+
+        Args:
+          answer: What the control told.
+          sent_at: When it was asked, in monotonic seconds. Its age counts from
+            then, since the answer may have been delayed.
+        """
+        view = self._view.value
+        configuration = fleet_state.merge_configuration(
+            view.configuration,
+            answer.revision,
+            answer.organisations,
+            frozenset(answer.withdrawn),
+        )
+        fresh_at = view.fresh_at
+        if answer.revision >= view.configuration.revision:
+            fresh_at = max(fresh_at, sent_at - answer.proof_age)
+        self._apply_document(answer.document)
+        return dataclasses.replace(
+            view, configuration=configuration, fresh_at=fresh_at
+        )
+
+    def _on_configuration_read(
+        self, message: messages.ConfigurationRead
+    ) -> None:
+        self._view.publish(
+            self._merge_configuration(message.reply, message.sent_at)
+        )
+        self._report_revision(self._view.value.configuration.revision)
+
+    def _on_configuration_confirmed(
+        self, message: messages.ConfigurationConfirmed
+    ) -> None:
+        view = self._view.value
+        if (
+            message.revision == view.configuration.revision
+            and message.fresh_at > view.fresh_at
+        ):
+            self._view.publish(
+                dataclasses.replace(view, fresh_at=message.fresh_at)
+            )
+
     async def _leave_stale_control(self, majority_age: float) -> None:
         """Looks for a control with a majority, and asks it for what is new."""
         stale = messages.ControlIsStale(majority_age=majority_age)
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from sassafrashall import model
+from sassafrashall import protocol
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import replication
 
@@ -27,12 +28,44 @@
     timeout: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallOneControl:
+    """Calls a given control once; answered like CallControl.
+
+    Attributes:
+      address: RPC address of the control.
+      message: A message of `protocol`.
+      timeout: Seconds.
+    """
+
+    address: str
+    message: Any
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChooseControls:
+    """Asks for the addresses of the next controls to ask for their revision."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TellOtherControls:
+    """Sends a message once to each control but the one in use.
+
+    Attributes:
+      message: A message of `protocol`.
+    """
+
+    message: Any
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ControlIsStale:
-    """Reports that the control in use has lost its majority.
+    """Reports that the control in use may have lost its majority.
 
-    The control link then looks for a control that still has one, and answers
-    whether it has switched to another one.
+    The control link switches to a control that is known to be fresher. If it
+    knows none and the control in use is stale, it looks for one. It answers
+    whether another control is in use now.
 
     Attributes:
       majority_age: Seconds since the control last had contact with a majority.
@@ -51,6 +84,33 @@
 # --- membership --------------------------------------------------------------
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationRead:
+    """A control other than the one in use told a newer configuration.
+
+    Attributes:
+      reply: What it told.
+      sent_at: When it was asked, in monotonic seconds; the `proof_age` of the
+        reply counts from then.
+    """
+
+    reply: protocol.ConfigurationReply
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationConfirmed:
+    """A control confirmed that a revision was the newest at some time.
+
+    Attributes:
+      revision: The revision.
+      fresh_at: That time, in monotonic seconds.
+    """
+
+    revision: int
+    fresh_at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Announce:
     """Announces the local upstream.
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -19,6 +19,7 @@
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.controllers import admission
+from sassafrashall.controllers import configuration_watch
 from sassafrashall.controllers import connections
 from sassafrashall.controllers import control_link
 from sassafrashall.controllers import loop_monitor
@@ -65,6 +66,7 @@
             loop_monitor.LoopMonitor(counters=self._metrics),
             self._control_link,
             self._membership,
+            self._configuration_watch,
             self._quota,
             self._admission,
             self._running_calls,
@@ -88,6 +90,14 @@
             event_log=self._events,
             counters=self._metrics,
         )
+        self._configuration_watch = configuration_watch.ConfigurationWatch(
+            link=self._control_link.mailbox,
+            membership=self._membership.mailbox,
+            view=self._membership.view,
+            table=self._membership.table,
+            interval=node_membership.HEARTBEAT_INTERVAL,
+            counters=self._metrics,
+        )
         self._quota = node_quota.NodeQuota(
             link=self._control_link.mailbox, counters=self._metrics
         )
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -261,7 +261,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ping:
-    """Asks a control when it last had contact with a majority."""
+    """Asks a control for its contact with a majority and its revision."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -270,9 +270,51 @@
 
     Attributes:
       majority_age: Seconds since the last contact with a majority.
+      revision: Fleet revision of the state that it has applied; -1 if it
+        doesn't tell.
+      proof_age: Seconds since `revision` was last proven to be the newest one.
     """
 
     majority_age: float
+    revision: int = -1
+    proof_age: float = 1e6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationQuery:
+    """Asks a control for a newer configuration than the node holds.
+
+    Attributes:
+      revision: Fleet revision that the node has applied.
+      document_version: Version of the document that it holds.
+      withdrawn_count: Number of withdrawn keys that it knows.
+    """
+
+    revision: int
+    document_version: int
+    withdrawn_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationReply:
+    """Answers ConfigurationQuery; the fields are those of HeartbeatReply."""
+
+    revision: int
+    organisations: tuple[model.Organisation, ...]
+    withdrawn: tuple[str, ...]
+    proof_age: float
+    document: configuration.Configuration | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RecordChanged:
+    """Tells a control that gets no heartbeats of a node its record.
+
+    Nodes that rely on that control learn of a sign-off while the controls are
+    cut off from each other.
+    """
+
+    record: model.NodeRecord
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -381,6 +423,9 @@
     GossipReply,
     Ping,
     Pong,
+    ConfigurationQuery,
+    ConfigurationReply,
+    RecordChanged,
     FoundingQuery,
     FoundingReply,
     JoinRequest,
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -22,6 +22,7 @@
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.controllers import admission
+from sassafrashall.controllers import configuration_watch
 from sassafrashall.controllers import control_link
 from sassafrashall.controllers import demand_monitor
 from sassafrashall.controllers import loop_monitor
@@ -109,6 +110,7 @@
             self._control_link,
             self._demand_monitor,
             self._membership,
+            self._configuration_watch,
             self._quota,
             self._admission,
             self._routing,
@@ -150,6 +152,14 @@
             local_upstream=self._local_upstream,
             demand_monitor=self._demand_monitor.mailbox,
         )
+        self._configuration_watch = configuration_watch.ConfigurationWatch(
+            link=self._control_link.mailbox,
+            membership=self._membership.mailbox,
+            view=self._membership.view,
+            table=self._membership.table,
+            interval=HEARTBEAT_INTERVAL,
+            counters=self._metrics,
+        )
         self._quota = node_quota.NodeQuota(
             link=self._control_link.mailbox,
             counters=self._metrics,
--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -9,6 +9,7 @@
 import trio
 
 from sassafrashall import mailbox
+from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import leadership
@@ -193,7 +194,17 @@
     patch.setattr(stream_server.Connection, "_close_unless_input", close)
 
 
+def _other_controls(patch):
+    """Nodes learn of changes only from the control in use."""
+    patch.setattr(
+        control_choice,
+        "controls_to_ask",
+        lambda addresses, current, start: ((), start),
+    )
+
+
 DISABLE_BY_NAME = {
+    "other-controls": _other_controls,
     "taken-answers": _taken_answers,
     "vote-sync": _vote_sync,
     "joint-quorum": _joint_quorum,
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -9,6 +9,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings
 from sassafrashall.controllers import control_link
+from sassafrashall.decisions import replication
 from sassafrashall.transport import rpc
 from tests import fakes
 from tests import loopback
@@ -155,3 +156,86 @@
             await _call(link)
             assert not await _leave_stale(link, 1.8)
             assert (await _call(link)).majority_age == 1.8
+
+
+async def _ask_one(link, address):
+    return await link.mailbox.ask(
+        messages.CallOneControl(
+            address=str(address), message=protocol.Ping(), timeout=1.0
+        )
+    )
+
+
+# Guards against a probe of all controls, and its time-outs, where what a node
+# heard from other controls tells enough.
+async def test_a_control_known_to_be_fresher_is_taken_without_a_probe():
+    async with (
+        _FakeControl(0.9).running() as near,
+        _FakeControl(0.1).running() as far,
+    ):
+        link = _link(near.address, far.address)
+        async with fakes.started(link):
+            assert not await _leave_stale(link, 0.9)
+            await _ask_one(link, far.address)
+            assert not await _leave_stale(link, 0.7)
+            assert await _leave_stale(link, 0.9)
+            assert (await _call(link)).majority_age == 0.1
+
+
+# Guards against a switch to a control that has stopped to answer since.
+async def test_a_control_that_failed_to_answer_is_not_known_to_be_fresher(
+    nursery,
+):
+    async with (
+        _FakeControl(0.9).running() as near,
+        _FakeControl(0.1).running() as far,
+    ):
+        relay = loopback.SilentRelay(far.address)
+        await relay.start(nursery)
+        link = _link(near.address, relay.address)
+        async with fakes.started(link):
+            await _ask_one(link, relay.address)
+            relay.silence()
+            with pytest.raises(exceptions.RpcError):
+                await _ask_one(link, relay.address)
+            assert not await _leave_stale(link, 0.9)
+
+
+# Guards against a report of a stale control that is lost, since the nearest
+# control was being probed for a return.
+async def test_a_stale_control_is_left_while_the_nearest_is_probed(nursery):
+    async with (
+        _FakeControl(0.1).running() as silent,
+        _FakeControl(3.0).running() as stale,
+        _FakeControl(0.1).running() as fresh,
+    ):
+        relay = loopback.SilentRelay(silent.address)
+        await relay.start(nursery)
+        link = _link(relay.address, stale.address, fresh.address)
+        async with fakes.started(link):
+            await _call(link)
+            relay.silence()
+            while (await _call(link)).majority_age != 3.0:
+                pass
+            # The nearest control is probed again, and does not answer.
+            link.mailbox.tell(
+                messages.ControlsKnown(
+                    members=tuple(
+                        _member(n, address)
+                        for n, address in enumerate(
+                            (relay.address, stale.address, fresh.address)
+                        )
+                    )
+                )
+            )
+            assert await _leave_stale(link, 3.0)
+            assert (await _call(link)).majority_age == 0.1
+
+
+def _member(number, address):
+    return replication.Member(
+        replica_id=f"r{number}",
+        vm=f"c{number}",
+        data_centre=f"d{number}",
+        address=str(address),
+    )
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -66,6 +66,14 @@
     async def ping(self):
         return await self._mailbox.ask(protocol.Ping())
 
+    async def tell_record(self, record):
+        return await self._mailbox.ask(protocol.RecordChanged(record=record))
+
+    async def records(self, vm):
+        """Returns VM and counter of the records in the reply to a heartbeat."""
+        reply = await self._mailbox.ask(_heartbeat(vm))
+        return {(e.record.vm, e.record.counter) for e in reply.entries}
+
     async def heartbeat(self, vm):
         """Returns the VMs that the reply to a heartbeat lists as lapsed."""
         reply = await self._mailbox.ask(_heartbeat(vm))
@@ -187,3 +195,11 @@
         directory.run_for(0.25)
         pong = await directory.ping()
         assert pong.majority_age == pytest.approx(0.0)
+
+
+async def test_a_record_that_its_node_tells_spreads_with_heartbeats(now):
+    async with _directory(now) as directory:
+        told = fakes.node_record(vm="vm-b", counter=7)
+        reply = await directory.tell_record(told)
+        assert reply == protocol.Ack()
+        assert await directory.records("vm-a") >= {("vm-b", 7)}
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -133,7 +133,8 @@
 
     async def answer(message, reply):
         await released.wait()
-        told.append(message.message.record.leaving)
+        if isinstance(message, messages.CallControl):
+            told.append(message.message.record.leaving)
         return reply
 
     link, membership = _membership(fakes.event_log(), answer)
