Questions to other controls are signs of life of the node

What was wrong: a control hears of the nodes that send their heartbeats to another one by gossip. Cut off from that one, it takes them for gone 2 to 3 s later, since gossip is up to 1 s old, though they reach it and ask it all the while. A node that stays beside a minority until a leader is elected, up to 2.6 s, may be dropped by the others for a moment.

Change: a ping carries VM, incarnation and counter of the node. A control that holds just this version of the record counts it as heard.

Evidence: test_a_node_that_asks_for_the_revision_does_not_lapse fails without it.

--- a/src/sassafrashall/controllers/configuration_watch.py
+++ b/src/sassafrashall/controllers/configuration_watch.py
@@ -27,7 +27,8 @@
 
     A control that is cut off, slow or behind goes on answering heartbeats. The
     node does not have to find that out to learn of a change: any other control
-    that has applied it tells it within two rounds.
+    that has applied it tells it within two rounds. The questions are signs of
+    life too, so that a cut makes no control take the node for gone.
     """
 
     def __init__(
@@ -74,7 +75,8 @@
 
     async def _ask_control(self, address: str) -> None:
         sent_at = clock.monotonic()
-        pong = await self._call(address, protocol.Ping(), ASK_TIMEOUT)
+        ping = await self._membership.ask(messages.ComposePing())
+        pong = await self._call(address, ping, ASK_TIMEOUT)
         if not isinstance(pong, protocol.Pong):
             return
         if pong.revision > self._revision:
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -162,6 +162,9 @@
             case protocol.StatusQuery():
                 reply.put(self._status_reply(now))
             case protocol.Ping():
+                self._note_alive(
+                    message.vm, message.incarnation, message.counter, 0.0, now
+                )
                 reply.put(self._pong(now))
             case protocol.ConfigurationQuery():
                 reply.put(self._read_configuration(message, now))
@@ -406,6 +409,17 @@
         if held_entry is None or held_entry.lapsed:
             self._events.record("node.joined", detail=record.vm)
 
+    def _note_alive(
+        self, vm: str, incarnation: int, counter: int, age: float, now: float
+    ) -> None:
+        """Notes a sign of life of a node whose record has not changed."""
+        held_entry = self._directory.entries.get(vm)
+        if held_entry is None:
+            return
+        held = held_entry.record
+        if (held.incarnation, held.counter) == (incarnation, counter):
+            self._merge_record(held, age, now)
+
     # --- gossip --------------------------------------------------------------
 
     def _gossip_addresses(self) -> set[model.Address]:
@@ -522,15 +536,9 @@
             self._merge_record(entry.record, entry.age, now)
         for alive in message.alive:
             self._loads[alive.vm] = alive.load
-            held_entry = self._directory.entries.get(alive.vm)
-            if held_entry is None:
-                continue
-            held_version = (
-                held_entry.record.incarnation,
-                held_entry.record.counter,
+            self._note_alive(
+                alive.vm, alive.incarnation, alive.counter, alive.age, now
             )
-            if held_version == (alive.incarnation, alive.counter):
-                self._merge_record(held_entry.record, alive.age, now)
         self._withdrawn |= frozenset(message.withdrawn)
         address = message.control.rpc_address
         self._demand = demand_decisions.on_gossip(
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -196,6 +196,15 @@
                 reply.put(self._compose_heartbeat(demand))
             case _HeartbeatReplied():
                 self._on_heartbeat_reply(message)
+            case messages.ComposePing():
+                record = self._record
+                reply.put(
+                    protocol.Ping(
+                        vm=record.vm,
+                        incarnation=record.incarnation,
+                        counter=record.counter,
+                    )
+                )
             case messages.ConfigurationRead():
                 self._on_configuration_read(message)
             case messages.ConfigurationConfirmed():
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -84,6 +84,11 @@
 # --- membership --------------------------------------------------------------
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ComposePing:
+    """Asks for the ping to send to controls other than the one in use."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigurationRead:
     """A control other than the one in use told a newer configuration.
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -261,7 +261,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ping:
-    """Asks a control for its contact with a majority and its revision."""
+    """Asks a control for its contact with a majority and its revision.
+
+    Attributes:
+      vm: VM of a node that is alive; empty if another process asks.
+      incarnation: Of the node's record.
+      counter: Of the node's record.
+    """
+
+    vm: str = ""
+    incarnation: int = 0
+    counter: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -63,8 +63,8 @@
         self._now[0] += seconds
         self._mailbox.tell(STATUS)
 
-    async def ping(self):
-        return await self._mailbox.ask(protocol.Ping())
+    async def ping(self, **fields):
+        return await self._mailbox.ask(protocol.Ping(**fields))
 
     async def tell_record(self, record):
         return await self._mailbox.ask(protocol.RecordChanged(record=record))
@@ -203,3 +203,19 @@
         reply = await directory.tell_record(told)
         assert reply == protocol.Ack()
         assert await directory.records("vm-a") >= {("vm-b", 7)}
+
+
+# Guards against nodes that a control takes for gone, since the control to which
+# they send heartbeats is cut off from it.
+@pytest.mark.parametrize(("counter", "lapsed"), [(1, set()), (9, {"vm-b"})])
+async def test_a_node_that_asks_for_the_revision_does_not_lapse(
+    now, counter, lapsed
+):
+    async with _directory(now) as directory:
+        for vm in ("vm-a", "vm-b"):
+            await directory.heartbeat(vm)
+        for _ in range(round(2 * node_directory.RECORD_TTL)):
+            directory.run_for(0.5)
+            await directory.heartbeat("vm-a")
+            await directory.ping(vm="vm-b", incarnation=1, counter=counter)
+        assert await directory.heartbeat("vm-a") == lapsed
