--- a/bench/soak/planner.py
+++ b/bench/soak/planner.py
@@ -92,9 +92,11 @@
     """Returns a plan that cuts controls off from the others.
 
     One control is gone for good before, and the configuration changes all the
-    while. With five controls, one or two of them are cut off.
+    while. With five controls, one or two of them are cut off. During each cut
+    an upstream signs off and a key is withdrawn.
     """
     source = random.Random(f"{seed} cuts")
+    others = random.Random(f"{seed} beside cuts")
     vms = tuple(f"node-{index}" for index in range(nodes))
     names = tuple(f"control-{index}" for index in range(controls))
     spare = f"control-{controls}"
@@ -120,7 +122,20 @@
             sends=sends,
             receives=receives,
         )
-        faults.append(model.Timed(at=at, fault=fault))
+        faults += [
+            model.Timed(at=at, fault=fault),
+            model.Timed(
+                at=at + others.uniform(0.0, 2.0),
+                fault=model.RestartUpstream(
+                    vm=others.choice(vms),
+                    reports_draining=others.random() < 0.5,
+                    down=others.uniform(0.1, MAX_DOWN),
+                ),
+            ),
+            model.Timed(
+                at=at + others.uniform(0.0, 2.0), fault=model.ReplaceKey()
+            ),
+        ]
         at += seconds + source.uniform(*CUT_GAP)
     changes = model.ChangeRoutes(
         seconds=at - changes_at, interval=CHANGE_INTERVAL
@@ -133,8 +148,8 @@
         controls=names,
         idle=IDLE_TIMEOUTS[-1],
         faults=tuple(sorted(faults, key=lambda timed: timed.at)),
-        groups=1,
-        connections=1,
+        groups=2,
+        connections=4,
         vm_losses=(controls - 1) // 2,
         spares=(spare,),
         check_interval=CUT_CHECK_INTERVAL,
