--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -73,7 +73,7 @@
         self._thaw_at = float("inf")
         self._added = 0
         self._crashed_at = float("-inf")
-        self.cuts = 0
+        self.faults = 0
         self.latest = 0.0
 
     @property
@@ -113,7 +113,7 @@
     def _begin_fault(self) -> float:
         """Begins a fault; returns the seconds until the next one."""
         live = self._live
-        self.cuts += 1
+        self.faults += 1
         match self._random.choice(("cut", "cut", "one way", "disk", "lose")):
             case "disk":
                 # A replica that waits for its disk does nothing else.
@@ -261,7 +261,7 @@
 def test_no_node_learns_a_change_too_late(names, seed):
     play = _Play(seed, names, node_count=2 * len(names))
     play.run(60.0)
-    assert play.cuts > 5
+    assert play.faults > 5
 
 
 # Guards against nodes that ask one control after the other, and come to the
