--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -222,7 +222,7 @@
             and self._fault_ends.get(number, math.inf) >= since
         )
 
-    def _only_cuts(self, vm: str, began: float, ended: float) -> bool:
+    def _has_only_cuts(self, vm: str, began: float, ended: float) -> bool:
         """Whether a node and all controls had no fault other than cuts."""
         since = began - self._contact - self._bounds.apply - self._bounds.skew
         return not any(
@@ -423,7 +423,7 @@
         span = probe.vm, probe.at, probe.answered_at
         skew = self._bounds.skew
         if (age > self._bounds.apply and self._is_in_touch(*span)) or (
-            age > self._bounds.apply + skew and self._only_cuts(*span)
+            age > self._bounds.apply + skew and self._has_only_cuts(*span)
         ):
             self._break(
                 "CONFIG",
