Bench of questions: only failed calls count as unanswered

Cause: the client of bench.control_questions caught every exception while it waits for the control, so that a fault of the bench itself would have read as no answer. Change: it catches RpcError, what a call raises.

--- a/bench/control_questions.py
+++ b/bench/control_questions.py
@@ -18,6 +18,7 @@
 from bench import fleet as fleet_module
 from bench.soak import fleet
 from sassafrashall import clock
+from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall.transport import codec
@@ -105,7 +106,7 @@
     async def _call(self, message):
         try:
             return await self._client.call(message, 1.0)
-        except Exception:  # the control is not up yet
+        except exceptions.RpcError:  # the control is not up yet
             return None
 
     async def _measure(self, name, rate, seconds, compose, idle=0.0) -> float:
