Configuration: accept the route type download

Cause: a document with a route of the type download was rejected as a whole with "unknown kind 'download'", so no configuration took effect and nothing was served. Change: such a route is decoded as idempotent; large responses are streamed as on any other route. Measured: the new test of the route types fails for download without the change and passes with it; tests/test_documents.py passes.

--- a/src/sassafrashall/platform/documents.py
+++ b/src/sassafrashall/platform/documents.py
@@ -11,7 +11,12 @@
 from sassafrashall.platform import values
 
 SOURCE = "configuration"
-_IDEMPOTENT_BY_ROUTE_TYPE = {"idempotent": True, "non_idempotent": False}
+# A download is an idempotent request whose response is large.
+_IDEMPOTENT_BY_ROUTE_TYPE = {
+    "idempotent": True,
+    "non_idempotent": False,
+    "download": True,
+}
 _LOWEST_PRIORITY = max(model.Priority)
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -44,6 +44,19 @@
     assert organisation.priority is model.Priority.CRITICAL
 
 
+# Guards against a configuration that is rejected as a whole, so that nothing is
+# served, since one of its routes is a download.
+@pytest.mark.parametrize(
+    ("route_type", "idempotent"),
+    [("idempotent", True), ("non_idempotent", False), ("download", True)],
+)
+def test_each_route_type_is_decoded(route_type, idempotent):
+    document = routed.document()
+    document["routes"]["r-alpha"]["route_type"] = route_type
+    (route,) = _decode(document).routes
+    assert route.idempotent is idempotent
+
+
 def test_no_key_is_needed_without_organisations():
     assert not _decode(routed.document()).keyed
 
