Routing policy expected-completion: the upstream that answers first

Upstreams of one service differ in speed by up to a factor of three, and first-free looks only at their load until one is 2.5 times slower. Nodes now estimate the run time of each upstream by route, relative to the usual time of the route, and choose by that time and by the load, whose age is taken into account. Alike upstreams are served as with first-free. The settings template is unchanged.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import random
 from typing import Any
 
 from sassafrashall import clock
 from sassafrashall import events
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import completion
 from sassafrashall.decisions import retries
 from sassafrashall.decisions import routing
 from sassafrashall.decisions import shedding
@@ -24,6 +27,24 @@
 # Seconds for which computed slowness is reused. Slowness shows over many
 # answers, so that it need not be computed for each of them.
 SLOWNESS_TTL = 0.1
+# Seconds for which a comparison of the upstreams of a service is reused.
+COMPARISON_TTL = 0.25
+# Mean load assumed for a service without a recent report.
+UNKNOWN_LOAD = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Comparison:
+    """The upstreams of one service next to each other.
+
+    Attributes:
+      made_at: Monotonic seconds.
+      usual_load: Mean of the loads that were reported lately.
+    """
+
+    made_at: float
+    times: completion.RelativeTimes
+    usual_load: float
 
 
 class Routing(task.Controller):
@@ -79,6 +100,14 @@
         self._latencies: dict[str, routing.LatencyEstimate] = {}
         # By service: when it was computed, and the slowness by VM.
         self._slowness: dict[str, tuple[float, dict[str, float]]] = {}
+        # By service: run times by VM and route, and their comparison.
+        self._run_times: dict[
+            str, dict[tuple[str, str], completion.RunTime]
+        ] = {}
+        self._comparisons: dict[str, _Comparison] = {}
+        self._seen_loads: dict[str, completion.SeenLoad] = {}
+        # By VM: calls sent since the last report of its load, and not ended.
+        self._sent_since: collections.Counter[str] = collections.Counter()
         self._indexed_view: model.NodeView | None = None
         self._by_service: dict[str, list[model.NodeRecord]] = {}
 
@@ -127,18 +156,43 @@
     ) -> messages.UpstreamChoice | None:
         self._index_records(now)
         records = self._by_service.get(message.service, [])
-        usable = tuple(
-            self._to_candidate(record, now)
+        usable = [
+            record
             for record in records
             if routing.is_usable(self._health_of(record.vm), now)
-        )
-        if not usable:
-            # With all upstreams ejected, one that failed is better than none.
-            usable = tuple(
-                self._to_candidate(record, now) for record in records
-            )
-        untried = tuple(c for c in usable if c.vm not in message.avoid)
-        candidates = untried or usable
+        ]
+        # With all upstreams ejected, one that failed is better than none.
+        usable = usable or records
+        untried = [r for r in usable if r.vm not in message.avoid]
+        match self._routing_policy:
+            case routing.ExpectedCompletion() as policy:
+                choice = self._choose_by_estimates(
+                    policy, untried or usable, message, now
+                )
+            case _:
+                choice = self._choose(
+                    tuple(
+                        self._to_candidate(record, now)
+                        for record in untried or usable
+                    ),
+                    len(message.avoid),
+                    now,
+                )
+        if choice is None:
+            return None
+        self._in_flight[choice.vm] += 1
+        self._sent_since[choice.vm] += 1
+        health = self._health_of(choice.vm)
+        if health.ejections:
+            self._health[choice.vm] = routing.start_probe(health)
+        return choice
+
+    def _choose(
+        self,
+        candidates: tuple[routing.Candidate, ...],
+        attempts: int,
+        now: float,
+    ) -> messages.UpstreamChoice | None:
         chosen = routing.choose_upstream(
             self._routing_policy,
             candidates,
@@ -148,19 +202,64 @@
         )
         if chosen is None:
             return None
-        self._in_flight[chosen.vm] += 1
-        health = self._health_of(chosen.vm)
-        if health.ejections:
-            self._health[chosen.vm] = routing.start_probe(health)
-        address = self._view.value.records[chosen.vm].peer_address
         return messages.UpstreamChoice(
             vm=chosen.vm,
-            address=address,
+            address=self._view.value.records[chosen.vm].peer_address,
             may_wait=routing.may_wait(
-                self._routing_policy, chosen, candidates, len(message.avoid)
+                self._routing_policy, chosen, candidates, attempts
             ),
         )
 
+    def _choose_by_estimates(
+        self,
+        policy: routing.ExpectedCompletion,
+        records: list[model.NodeRecord],
+        message: messages.ChooseUpstream,
+        now: float,
+    ) -> messages.UpstreamChoice | None:
+        """Returns the choice among estimated candidates.
+
+        Those of other data centres are looked at only if this one has no room,
+        which saves most of the processor time.
+        """
+        comparison = self._comparison_of(message.service, now)
+        near = tuple(
+            self._estimate(record, message.route, comparison, now)
+            for record in records
+            if record.data_centre == self._data_centre
+        )
+        if routing.has_room(policy, near):
+            choice = self._choose(near, len(message.avoid), now)
+            if choice is None or not choice.may_wait:
+                return choice
+            candidates = near + self._estimate_far(
+                records, message.route, comparison, now
+            )
+            chosen = next(c for c in near if c.vm == choice.vm)
+            return frozen.replace(
+                choice,
+                may_wait=routing.may_wait(
+                    policy, chosen, candidates, len(message.avoid)
+                ),
+            )
+        candidates = near + self._estimate_far(
+            records, message.route, comparison, now
+        )
+        return self._choose(candidates, len(message.avoid), now)
+
+    def _estimate_far(
+        self,
+        records: list[model.NodeRecord],
+        route: str,
+        comparison: _Comparison,
+        now: float,
+    ) -> tuple[routing.Candidate, ...]:
+        return tuple(
+            self._estimate(record, route, comparison, now)
+            for record in records
+            if record.data_centre != self._data_centre
+        )
+
     def _index_records(self, now: float) -> None:
         """Groups the records of ready upstreams by service, once per view."""
         view = self._view.value
@@ -184,6 +283,88 @@
             for vm, health in self._health.items()
             if vm in view.records
         }
+        self._run_times = {
+            service: kept
+            for service, run_times in self._run_times.items()
+            if (
+                kept := {
+                    key: run_time
+                    for key, run_time in run_times.items()
+                    if key[0] in view.records
+                }
+            )
+        }
+        self._seen_loads = {
+            vm: seen
+            for vm, seen in self._seen_loads.items()
+            if vm in view.records
+        }
+
+    def _estimate(
+        self,
+        record: model.NodeRecord,
+        route: str,
+        comparison: _Comparison,
+        now: float,
+    ) -> routing.Candidate:
+        assert record.upstream is not None
+        vm = record.vm
+        slots = record.upstream.slots
+        load, spread = completion.believed_load(
+            self._seen_loads.get(vm),
+            self._sent_since.get(vm, 0) / max(1, slots),
+            comparison.usual_load,
+            now,
+        )
+        return routing.Candidate(
+            vm=vm,
+            data_centre=record.data_centre,
+            slots=slots,
+            in_flight=self._in_flight.get(vm, 0),
+            load=load,
+            load_spread=spread,
+            relative_time=comparison.times.relative_time(vm, route),
+            is_local=vm == self._vm,
+        )
+
+    def _comparison_of(self, service: str, now: float) -> _Comparison:
+        """Returns the comparison of a service's upstreams, made lately."""
+        comparison = self._comparisons.get(service)
+        if (
+            comparison is not None
+            and now - comparison.made_at <= COMPARISON_TTL
+        ):
+            return comparison
+        loads = [
+            seen.load
+            for record in self._by_service.get(service, ())
+            if (seen := self._seen_loads.get(record.vm)) is not None
+            and seen.age(now) <= routing.LOAD_TTL
+        ]
+        comparison = _Comparison(
+            made_at=now,
+            times=completion.compare(self._run_times.get(service, {}), now),
+            usual_load=sum(loads) / len(loads) if loads else UNKNOWN_LOAD,
+        )
+        self._comparisons[service] = comparison
+        return comparison
+
+    def _record_run_time(
+        self, message: messages.AttemptEnded, now: float
+    ) -> None:
+        run_times = self._run_times.setdefault(message.service, {})
+        key = (message.vm, message.route)
+        before = run_times.get(key)
+        if message.result is not messages.AttemptResult.ANSWERED:
+            # The run was cut off, so that it would have taken longer.
+            times = self._comparison_of(message.service, now).times
+            usual = times.usual.get(message.route, message.run_time)
+            known = before.seconds if before is not None else usual
+            if message.run_time <= known:
+                return
+        run_times[key] = completion.update_run_time(
+            before, message.run_time, now
+        )
 
     def _to_candidate(
         self, record: model.NodeRecord, now: float
@@ -244,8 +425,18 @@
             self._latencies[message.vm] = routing.update_latency(
                 self._latencies.get(message.vm), message.latency, now
             )
+        if message.run_time >= 0:
+            self._record_run_time(message, now)
         if message.load >= 0:
             self._loads[message.vm] = (message.load, now)
+            self._seen_loads[message.vm] = completion.SeenLoad(
+                load=message.load / routing.LOAD_SCALE, seen_at=now
+            )
+            self._sent_since.pop(message.vm, None)
+        elif self._sent_since.get(message.vm, 0) > 1:
+            self._sent_since[message.vm] -= 1
+        else:
+            self._sent_since.pop(message.vm, None)
         if message.level >= 0:
             self._record_level(message, now)
         previous = self._health_of(message.vm)
--- /dev/null
+++ b/src/sassafrashall/decisions/completion.py
@@ -0,0 +1,203 @@
+"""How long a call takes at an upstream: for upstreams that differ in speed.
+
+Load: the upstreams of a service differ permanently in speed by a factor of up
+to three, some become slow for a moment, and many nodes call the same few of
+them, so that what each node knows is old.
+
+Times are compared by route, since the runs of one service mix routes of very
+different cost. The time of an upstream is expressed relative to the usual time
+of the route, which makes it known for all routes from the calls of one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+import math
+
+TIME_HALF_LIFE = 10.0  # seconds in which the weight of a run time halves
+# Calls from which on an old run time weighs no more than a new one, so that a
+# slow moment shows after a few calls.
+MAX_WEIGHT = 12.0
+# Calls that took the usual time, added to what was observed, so that a single
+# call doesn't make an upstream fast or slow.
+PRIOR_WEIGHT = 2.0
+# Ratio of run times up to which upstreams count as alike. The mean of a dozen
+# run times that vary by a half deviates by up to this much.
+NOISE_RATIO = 1.15
+MIN_USUAL_TIME = 0.001  # seconds
+# Cost of a call at an upstream whose slots are just full, relative to one that
+# is idle. As upstreams differ in speed by less than this, one with room comes
+# before a faster one without.
+FULL_COST = 2.5
+# The cost rises with this power of the load: it is flat while there is room and
+# steep where the next call may find no slot.
+LOAD_EXPONENT = 4
+LOAD_MEMORY = 1.0  # seconds in which a reported load loses most of its weight
+# Standard deviation of the load of an upstream whose last report is old.
+LOAD_SPREAD = 0.25
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunTime:
+    """The run time of one route at one upstream.
+
+    Attributes:
+      seconds: Weighted mean.
+      weight: Number of calls behind it; decays with time.
+      seen_at: Monotonic time of the last call.
+    """
+
+    seconds: float
+    weight: float
+    seen_at: float
+
+    def weight_at(self, now: float) -> float:
+        """Returns the weight that is left at a later time."""
+        age = max(0.0, now - self.seen_at)
+        return float(self.weight * 0.5 ** (age / TIME_HALF_LIFE))
+
+
+def update_run_time(
+    before: RunTime | None, seconds: float, now: float
+) -> RunTime:
+    """Adds a call that took `seconds`."""
+    if before is None:
+        return RunTime(seconds=seconds, weight=1.0, seen_at=now)
+    weight = min(MAX_WEIGHT - 1.0, before.weight_at(now)) + 1.0
+    return RunTime(
+        seconds=before.seconds + (seconds - before.seconds) / weight,
+        weight=weight,
+        seen_at=now,
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelativeTimes:
+    """How upstreams of a service compare, as of one moment.
+
+    Attributes:
+      usual: Usual run time in seconds, by route.
+      by_upstream: Run time relative to the usual one, by upstream.
+      by_route: The same for upstreams and routes with calls of their own.
+    """
+
+    usual: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    by_upstream: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    by_route: Mapping[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def relative_time(self, upstream: str, route: str) -> float:
+        """Returns the run time relative to the usual one; 1 if not known."""
+        own = self.by_route.get((upstream, route))
+        return own if own is not None else self.by_upstream.get(upstream, 1.0)
+
+
+def compare(
+    run_times: Mapping[tuple[str, str], RunTime], now: float
+) -> RelativeTimes:
+    """Compares the upstreams of one service.
+
+    Args:
+      run_times: Run times by upstream and route.
+      now: Monotonic seconds.
+    """
+    by_route: dict[str, list[tuple[float, float, str]]] = {}
+    for (upstream, route), run_time in run_times.items():
+        by_route.setdefault(route, []).append(
+            (run_time.seconds, run_time.weight_at(now), upstream)
+        )
+    usual = {
+        route: max(MIN_USUAL_TIME, _median(known))
+        for route, known in by_route.items()
+    }
+    weights: dict[str, float] = {}
+    sums: dict[str, float] = {}
+    for route, known in by_route.items():
+        for seconds, weight, upstream in known:
+            weights[upstream] = weights.get(upstream, PRIOR_WEIGHT) + weight
+            ratio = seconds / usual[route]
+            sums[upstream] = sums.get(upstream, PRIOR_WEIGHT) + weight * ratio
+    by_upstream_and_route = {}
+    for route, known in by_route.items():
+        for seconds, weight, upstream in known:
+            ratio = seconds / usual[route]
+            # What the other routes say is the prior, so that no call counts
+            # twice.
+            others = (sums[upstream] - weight * ratio) / (
+                weights[upstream] - weight
+            )
+            by_upstream_and_route[(upstream, route)] = without_noise(
+                (weight * ratio + PRIOR_WEIGHT * others)
+                / (weight + PRIOR_WEIGHT)
+            )
+    return RelativeTimes(
+        usual=usual,
+        by_upstream={
+            upstream: without_noise(total / weights[upstream])
+            for upstream, total in sums.items()
+        },
+        by_route=by_upstream_and_route,
+    )
+
+
+def _median(known: list[tuple[float, float, str]]) -> float:
+    """Returns the median of the upstreams, the lower one of two."""
+    seconds = sorted(item[0] for item in known)
+    return seconds[(len(seconds) - 1) // 2]
+
+
+def without_noise(ratio: float) -> float:
+    """Returns the ratio less what may be noise; it is 1 between alike ones."""
+    if ratio > NOISE_RATIO:
+        return ratio / NOISE_RATIO
+    return min(1.0, ratio * NOISE_RATIO)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SeenLoad:
+    """The load that the node beside an upstream reported last.
+
+    Attributes:
+      load: As a fraction of the slots; above 1 if calls wait.
+      seen_at: Monotonic seconds.
+    """
+
+    load: float
+    seen_at: float
+
+    def age(self, now: float) -> float:
+        """Returns the seconds since the report."""
+        return max(0.0, now - self.seen_at)
+
+
+def believed_load(
+    seen: SeenLoad | None, sent_since: float, usual: float, now: float
+) -> tuple[float, float]:
+    """Returns what the load may be now, and its standard deviation.
+
+    Args:
+      seen: The last report.
+      sent_since: Calls of this process sent there since the report that have
+        not ended, as a fraction of the slots.
+      usual: Mean load of the service's upstreams.
+      now: Monotonic seconds.
+    """
+    if seen is None:
+        return usual + sent_since, LOAD_SPREAD
+    known = math.exp(-seen.age(now) / LOAD_MEMORY)
+    load = known * seen.load + (1.0 - known) * usual + sent_since
+    return load, LOAD_SPREAD * (1.0 - known)
+
+
+def expected_cost(relative_time: float, load: float) -> float:
+    """Returns the expected time of a call, in usual run times.
+
+    It contains the risk of finding no free slot, and grows with the wait where
+    there is none.
+    """
+    if load >= 1.0:
+        return relative_time * FULL_COST * load
+    risk: float = max(0.0, load) ** LOAD_EXPONENT
+    return relative_time * (1.0 + (FULL_COST - 1.0) * risk)
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 from sassafrashall import frozen
+from sassafrashall.decisions import completion
 
 FAILURES_TO_EJECT = 3  # consecutive failures
 ERROR_RATE_WEIGHT = 0.1  # weight of the latest answer in the error rate
@@ -24,6 +25,9 @@
 SLOWNESS_THRESHOLD = 2.5
 MIN_SLOW_LOAD = 0.3  # minimum load assumed for a slow upstream
 LOAD_TTL = 1.0  # seconds until a load reported on an answer is stale
+# Multiplied by the index of a candidate, its fractional parts are spread evenly
+# over [0, 1), so that one random number gives each candidate its own.
+_GOLDEN_RATIO = 0.618033988749895
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -62,7 +66,31 @@
     moves: int = 0
 
 
-Policy: TypeAlias = RandomChoice | TwoChoices | LeastLoaded
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ExpectedCompletion:
+    """Takes the upstream that is expected to complete the call first.
+
+    Faster upstreams come first while they have room. Among alike ones it does
+    what `LeastLoaded` does.
+
+    Attributes:
+      local_max_load: Load up to which the upstream on this VM counts as idle.
+      local_margin: Factor by which another upstream must be expected to be
+        faster than an idle one on this VM; a call over the network costs
+        processor time of two nodes.
+      data_centre_max_load: As in `LeastLoaded`.
+      cross_data_centre_penalty: As in `LeastLoaded`.
+      moves: As in `LeastLoaded`.
+    """
+
+    local_max_load: float = 0.6
+    local_margin: float = 1.2
+    data_centre_max_load: float = 0.9
+    cross_data_centre_penalty: float = 0.1
+    moves: int = 2
+
+
+Policy: TypeAlias = RandomChoice | TwoChoices | LeastLoaded | ExpectedCompletion
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -78,6 +106,8 @@
         last reported by its node.
       is_local: Whether it is on the VM of this process.
       slowness: Ratio of its latency to the latency of its peers.
+      relative_time: Its run time for the route, relative to the usual one.
+      load_spread: Standard deviation of what `load` may be by now.
     """
 
     vm: str
@@ -88,6 +118,8 @@
     load: float = 0.0
     is_local: bool = False
     slowness: float = 1.0
+    relative_time: float = 1.0
+    load_spread: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -206,6 +238,8 @@
             return min(first, second, key=lambda c: _ramped_load(c, now))
         case LeastLoaded():
             return _least_loaded(policy, candidates, data_centre, draws[0])
+        case ExpectedCompletion():
+            return _first_to_complete(policy, candidates, data_centre, draws)
 
 
 def may_wait(
@@ -232,6 +266,14 @@
                 candidate is not chosen and _effective_load(candidate) < 1.0
                 for candidate in candidates
             )
+        case ExpectedCompletion(moves=moves) if attempts < moves:
+            bound = max(1.0, chosen.relative_time) * completion.FULL_COST
+            return not any(
+                candidate is not chosen
+                and _known_load(candidate) < 1.0
+                and candidate.relative_time < bound
+                for candidate in candidates
+            )
         case _:
             return True
 
@@ -267,6 +309,76 @@
     return rotated[min(weighted)[1]]
 
 
+def has_room(
+    policy: ExpectedCompletion, candidates: tuple[Candidate, ...]
+) -> bool:
+    """Returns whether a call needs no upstream but these."""
+    return any(
+        _known_load(candidate) <= policy.data_centre_max_load
+        and candidate.relative_time <= SLOWNESS_THRESHOLD
+        for candidate in candidates
+    )
+
+
+def _first_to_complete(
+    policy: ExpectedCompletion,
+    candidates: tuple[Candidate, ...],
+    data_centre: str,
+    draws: tuple[float, float],
+) -> Candidate:
+    # A random starting point for each call breaks ties between equal costs.
+    offset = int(draws[0] * len(candidates))
+    rotated = candidates[offset:] + candidates[:offset]
+    loads = [
+        _known_load(c) + c.load_spread * _deviation(draws[1], position)
+        if c.load_spread
+        else _known_load(c)
+        for position, c in enumerate(rotated)
+    ]
+    near = [
+        position
+        for position, c in enumerate(rotated)
+        if c.data_centre == data_centre
+    ]
+    if any(
+        loads[position] <= policy.data_centre_max_load
+        and rotated[position].relative_time <= SLOWNESS_THRESHOLD
+        for position in near
+    ):
+        eligible = near
+    else:
+        eligible = list(range(len(rotated)))
+    best = -1
+    best_cost = 0.0
+    for position in eligible:
+        candidate, load = rotated[position], loads[position]
+        if candidate.is_local:
+            if load <= policy.local_max_load:
+                load = 0.0
+        elif candidate.data_centre != data_centre:
+            load += policy.cross_data_centre_penalty
+        cost = completion.expected_cost(candidate.relative_time, load)
+        if candidate.is_local and not load:
+            cost /= policy.local_margin
+        if best < 0 or cost < best_cost:
+            best, best_cost = position, cost
+    return rotated[best]
+
+
+def _deviation(draw: float, position: int) -> float:
+    """Returns a deviation for one of the candidates.
+
+    Its mean is 0 and its standard deviation 1. Nodes that hold the same old
+    report then don't all choose the same upstream.
+    """
+    uniform = (draw + position * _GOLDEN_RATIO) % 1.0
+    return 3.4641 * (uniform - 0.5)
+
+
+def _known_load(candidate: Candidate) -> float:
+    return max(candidate.load, candidate.in_flight / max(1, candidate.slots))
+
+
 def _effective_load(candidate: Candidate) -> float:
     load = max(candidate.load, candidate.in_flight / max(1, candidate.slots))
     if candidate.slowness <= SLOWNESS_THRESHOLD:
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -7,11 +7,13 @@
 
 from sassafrashall import clock
 from sassafrashall import events
+from sassafrashall import exceptions
 from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.decisions import retries
+from sassafrashall.decisions import routing as routing_decisions
 from sassafrashall.filters import chain
 from sassafrashall.filters import dispatch
 
@@ -47,7 +49,9 @@
         while True:
             attempts += 1
             choice = await self._routing.ask(
-                messages.ChooseUpstream(service=call.service, avoid=avoid)
+                messages.ChooseUpstream(
+                    service=call.service, avoid=avoid, route=call.route
+                )
             )
             if choice is None:
                 return dispatch.reconcile_run_state(
@@ -74,12 +78,15 @@
     ) -> model.Outcome:
         attempt_result = messages.AttemptResult.INCONCLUSIVE
         level = load = -1
-        latency = -1.0
+        latency = run_time = -1.0
         started_at = clock.monotonic()
         try:
             outcome = await self._send(call, choice)
+            elapsed = clock.monotonic() - started_at
             if isinstance(outcome, model.Answer):
-                latency = clock.monotonic() - started_at
+                latency = elapsed
+            if _shows_run_time(outcome):
+                run_time = elapsed
             attempt_result = dispatch.attempt_result_of(outcome)
             level, load = outcome.level, outcome.load
         finally:
@@ -91,6 +98,8 @@
                     level=level,
                     load=load,
                     latency=latency,
+                    route=call.route,
+                    run_time=run_time,
                 )
             )
         return outcome
@@ -132,6 +141,26 @@
         )
 
 
+def _shows_run_time(outcome: model.Outcome) -> bool:
+    """Returns whether the time until the outcome is that of a run.
+
+    An upstream that fails requests at once must not seem to be fast, and one
+    that doesn't answer before the deadline took that long at least. A load of
+    1 or more means that the call may have waited for a slot.
+    """
+    match outcome:
+        case model.Answer(response=response):
+            return (
+                response.status < 400
+                and outcome.load < routing_decisions.LOAD_SCALE
+            )
+        case model.Refuse():
+            return (
+                outcome.code == exceptions.DEADLINE_EXCEEDED
+                and outcome.run is not model.RunState.NOT_RUN
+            )
+
+
 def _is_body_consumed(call: model.Call, refusal: model.Refuse) -> bool:
     """Returns whether part of a streamed body may have been sent already.
 
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -352,10 +352,12 @@
 
     Attributes:
       avoid: VMs that were already tried for this call.
+      route: Name of its route, or empty.
     """
 
     service: str
     avoid: frozenset[str]
+    route: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -400,6 +402,9 @@
       load: Requests running or queued there, in thousandths of the concurrency
         limit, or -1 if unknown.
       latency: Seconds until the response; negative without one.
+      route: Name of the call's route, or empty.
+      run_time: Seconds for which the call ran there, at least; negative if
+        the attempt says nothing about it.
     """
 
     vm: str
@@ -408,6 +413,8 @@
     level: int = -1
     load: int = -1
     latency: float = -1.0
+    route: str = ""
+    run_time: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -238,6 +238,7 @@
     "two-choices": routing_policies.TwoChoices(),
     "least-loaded": routing_policies.LeastLoaded(),
     "first-free": routing_policies.LeastLoaded(moves=2),
+    "expected-completion": routing_policies.ExpectedCompletion(),
 }
 RETRY_POLICIES: dict[str, retry_policies.Policy] = {
     "none": retry_policies.NoRetries(),
--- /dev/null
+++ b/tests/routing_simulation.py
@@ -0,0 +1,297 @@
+"""Plays the routing of calls by many nodes, without network or real time.
+
+Each node is a routing controller with its own view of loads and run times. The
+upstreams have slots, a queue, and a speed that may change.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import heapq
+import random
+
+from sassafrashall import clock
+from sassafrashall import events
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import metrics
+from sassafrashall import model
+from sassafrashall import settings
+from sassafrashall.controllers import routing
+
+SERVICE = "s"
+ROUTE = "r"
+HOP = 0.0003  # seconds one way inside a data centre
+CROSSING = 0.0012  # seconds one way between data centres
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Upstream:
+    """An upstream of the service, with the node beside it.
+
+    Attributes:
+      speed: Run times are divided by it; a function of time.
+    """
+
+    vm: str
+    data_centre: str
+    slots: int = 8
+    speed: Callable[[float], float] = lambda now: 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Call:
+    arrived_at: float
+    work: float
+    node: str
+    nested: bool = False
+    sent_at: float = 0.0
+    avoid: frozenset[str] = frozenset()
+    sends: int = 0
+    on_end: Callable[[float, str], None] | None = None
+
+
+class _Reply:
+    def __init__(self):
+        self.value = None
+
+    def put(self, value):
+        self.value = value
+
+
+class _Door:
+    """An upstream with its slots and queue."""
+
+    def __init__(self, upstream, max_queue):
+        self.upstream = upstream
+        self.busy = 0
+        self.queue = collections.deque()
+        self.max_queue = max_queue
+        self.busy_seconds = 0.0
+        self.arrivals = 0
+
+    @property
+    def load(self):
+        return 1000 * (self.busy + len(self.queue)) // self.upstream.slots
+
+
+class Fleet:
+    """Plays calls and records how they ended.
+
+    `nodes` are data centres by VM, of nodes without an upstream of the service.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstreams,
+        nodes,
+        monkeypatch,
+        policy="expected-completion",
+        seed=1,
+        work=0.09,
+        max_wait=0.25,
+        policy_settings=None,
+    ):
+        self.now = 0.0
+        monkeypatch.setattr(clock, "monotonic", lambda: self.now)
+        self._random = random.Random(seed)
+        self.work = work
+        self.doors = {
+            u.vm: _Door(u, max(2, int(u.slots * max_wait / work)))
+            for u in upstreams
+        }
+        self.data_centres = {
+            **nodes,
+            **{u.vm: u.data_centre for u in upstreams},
+        }
+        self.view = mailbox.Published[model.NodeView](
+            initial=model.NodeView(
+                records={
+                    u.vm: _record(u, index) for index, u in enumerate(upstreams)
+                }
+            )
+        )
+        names = settings.Policy(
+            routing=policy, retries="arrivals", early_shed="none"
+        )
+        if policy_settings:
+            names = dataclasses.replace(names, **policy_settings)
+        self.controllers = {
+            vm: routing.Routing(
+                vm=vm,
+                data_centre=data_centre,
+                view=self.view,
+                policy=names,
+                event_log=events.EventLog(
+                    process=vm, clock=clock.HybridClock()
+                ),
+                counters=metrics.Metrics(process=vm, data_centre=data_centre),
+                seed=seed + index,
+            )
+            for index, (vm, data_centre) in enumerate(self.data_centres.items())
+        }
+        self._sequence = 0
+        self._events = []
+        self.sent = 0
+        self.refused = 0
+        # (arrived at, seconds, data centre of the node, of the upstream)
+        self.ended = []
+
+    def schedule(self, at, action, *arguments):
+        self._sequence += 1
+        heapq.heappush(self._events, (at, self._sequence, action, arguments))
+
+    def arrivals(self, rate, seconds, nodes, start=0.0, bound=None):
+        """Schedules a Poisson process; `rate` is a function of time."""
+        bound = bound or max(rate(start + seconds * i / 50) for i in range(51))
+        at = start
+        while bound:
+            at += self._random.expovariate(bound)
+            if at >= start + seconds:
+                return
+            if self._random.random() < rate(at) / bound:
+                call = Call(
+                    arrived_at=at,
+                    work=self.work * self._random.lognormvariate(-0.08, 0.4),
+                    node=self._random.choice(nodes),
+                )
+                self.schedule(at, self.send, call)
+
+    def play(self):
+        while self._events:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        return self
+
+    def send(self, call):
+        reply = _Reply()
+        self.controllers[call.node]._handle(
+            messages.ChooseUpstream(
+                service=SERVICE, avoid=call.avoid, route=ROUTE
+            ),
+            reply,
+        )
+        choice = reply.value
+        if choice is None:
+            self.refused += 1
+            return
+        self.sent += 1
+        call.sends += 1
+        call.sent_at = self.now
+        delay = self._delay(call.node, choice.vm)
+        self.schedule(self.now + delay, self._arrive, call, choice)
+
+    def _delay(self, vm, other):
+        if vm == other:
+            return 0.0
+        same = self.data_centres[vm] == self.data_centres[other]
+        return HOP if same else CROSSING
+
+    def _arrive(self, call, choice):
+        door = self.doors[choice.vm]
+        door.arrivals += 1
+        if door.busy < door.upstream.slots:
+            self._start(call, door)
+        elif choice.may_wait and len(door.queue) < door.max_queue:
+            door.queue.append(call)
+        else:
+            delay = self._delay(call.node, choice.vm)
+            self.schedule(
+                self.now + delay, self._on_refused, call, choice.vm, door.load
+            )
+
+    def _start(self, call, door):
+        door.busy += 1
+        seconds = call.work / door.upstream.speed(self.now)
+        door.busy_seconds += seconds
+        self.schedule(self.now + seconds, self._on_run_ended, call, door)
+
+    def _on_run_ended(self, call, door):
+        door.busy -= 1
+        if door.queue:
+            self._start(door.queue.popleft(), door)
+        vm = door.upstream.vm
+        self.schedule(
+            self.now + self._delay(call.node, vm),
+            self._on_answer,
+            call,
+            vm,
+            door.load,
+        )
+
+    def _on_answer(self, call, vm, load):
+        elapsed = self.now - call.sent_at
+        self._end_attempt(call, vm, load, elapsed)
+        data_centres = (self.data_centres[call.node], self.data_centres[vm])
+        self.ended.append(
+            (call.arrived_at, self.now - call.arrived_at, *data_centres)
+        )
+        if call.on_end is not None:
+            call.on_end(self.now, vm)
+
+    def _on_refused(self, call, vm, load):
+        self._end_attempt(call, vm, load, -1.0)
+        call.avoid |= {vm}
+        if call.sends > 3:
+            self.refused += 1
+        else:
+            self.send(call)
+
+    def _end_attempt(self, call, vm, load, elapsed):
+        answered = elapsed >= 0
+        self.controllers[call.node]._handle(
+            messages.AttemptEnded(
+                vm=vm,
+                service=SERVICE,
+                result=messages.AttemptResult.ANSWERED
+                if answered
+                else messages.AttemptResult.INCONCLUSIVE,
+                load=load,
+                latency=elapsed,
+                route=ROUTE,
+                run_time=elapsed if answered and load < 1000 else -1.0,
+            ),
+            _Reply(),
+        )
+
+    def seconds(self, start=0.0, end=1e9):
+        """Returns the sorted times of the calls that arrived in a period."""
+        return sorted(s for at, s, _, _ in self.ended if start <= at < end)
+
+    def crossings(self, start=0.0, end=1e9):
+        """Returns the number of calls by data centres, where they differ."""
+        return collections.Counter(
+            (here, there)
+            for at, _, here, there in self.ended
+            if start <= at < end and here != there
+        )
+
+    def busiest_to_mean(self):
+        """Returns the ratio of slot use, busiest upstream to the mean."""
+        use = [
+            door.busy_seconds / door.upstream.slots
+            for door in self.doors.values()
+        ]
+        return max(use) / (sum(use) / len(use))
+
+
+def _record(upstream, index):
+    address = model.Address(host="127.0.0.1", port=20000 + index)
+    return model.NodeRecord(
+        vm=upstream.vm,
+        data_centre=upstream.data_centre,
+        incarnation=1,
+        counter=1,
+        peer_address=address,
+        ops_address=address,
+        upstream=model.Upstream(
+            service=SERVICE,
+            address=address,
+            slots=upstream.slots,
+            connection_limit=100,
+            state=model.UpstreamState.READY,
+        ),
+    )
