Keep the bound of a cold upstream at the node beside it

Cause: nothing limited the rate of requests to an upstream that had just started or become cold again.

Excess requests are refused as shed, not run, with the load of a full upstream, so that calls move on without a retry token. The configuration gives cold_start and cold_per_s, the settings cold_overage and cold_slack, the heartbeat cold_remaining. Without cold_start and cold_per_s nothing is counted.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -13,6 +13,7 @@
 import trio
 
 from bench import fleet
+from sassafrashall import clock
 from sassafrashall import control
 from sassafrashall import model
 from sassafrashall import routed_node
@@ -41,6 +42,8 @@
       cancelled: Number of requests cancelled while they waited.
       delay: Seconds before it answers.
       answer: Function from a request to its response; None for the default.
+      cold_remaining: Time that its heartbeats say it stays cold.
+      received_at: When each request arrived, in monotonic seconds.
     """
 
     def __init__(self, *, service, address, announce_to, slots=50):
@@ -56,6 +59,8 @@
         self.cancelled = 0
         self.delay = 0.0
         self.answer = None
+        self.cold_remaining = "0ms"
+        self.received_at = []
 
     def heartbeat(self, **changes):
         """Returns the body of the next heartbeat."""
@@ -72,7 +77,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self.sequence,
-                "cold_remaining": "0ms",
+                "cold_remaining": self.cold_remaining,
             },
         }
         return json.dumps(body | changes).encode()
@@ -96,6 +101,7 @@
     async def handle(self, raw: http.RawRequest) -> model.Response:
         """Records one request and answers it after the delay."""
         self.requests.append(raw)
+        self.received_at.append(clock.monotonic())
         request_id = model.find_header(raw.headers, "request-id") or ""
         try:
             await trio.sleep(self.delay)
@@ -135,6 +141,7 @@
     Attributes:
       strict: Whether nodes run with `strict_withdrawal`.
       grace: Seconds that nodes have to stop.
+      cold_bounds: Bounds of a cold upstream in the settings of the nodes.
       nursery: Nursery of the processes; set by `running`.
       operators: Address for operators of each control.
       callers: Address for callers of each node, by VM.
@@ -151,10 +158,12 @@
         policy=None,
         grace=6.0,
         losses=None,
+        cold_bounds=None,
     ):
         self._losses = losses or voter_placement.Losses()
         self._data_folders = contextlib.ExitStack()
         self.grace = grace
+        self.cold_bounds = cold_bounds or {}
         self.strict = strict
         self.policy = policy or settings.Policy(
             limit="fixed",
@@ -238,6 +247,7 @@
                     upstream=upstream,
                     strict_withdrawal=self.strict,
                     grace=settings.Duration(seconds=self.grace),
+                    **self.cold_bounds,
                 ),
             )
         )
--- a/src/sassafrashall/configuration.py
+++ b/src/sassafrashall/configuration.py
@@ -50,11 +50,17 @@
 
     Attributes:
       connection_limit: Connections that one upstream accepts; 0 if not set.
+      cold_start_s: Seconds for which an upstream is cold after it has started;
+        0 if it never is.
+      cold_rate: Requests per second that a cold upstream can handle; 0 if not
+        set.
     """
 
     name: str
     health_path: str = "/"
     connection_limit: int = 0
+    cold_start_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -18,7 +18,9 @@
 from sassafrashall import model
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.controllers import cold_gate as cold_gates
 from sassafrashall.decisions import breaker
+from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import routing
@@ -28,6 +30,7 @@
 TICK_INTERVAL = 0.02  # seconds between checks of the queue and the level
 # Load reported while the breaker is open, above that of a busy upstream.
 OPEN_BREAKER_LOAD = 4 * routing.LOAD_SCALE
+COLD_DETAIL = "the upstream is cold and gets no more requests now"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,6 +49,13 @@
     upstream: model.Upstream | None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _HeartbeatHeard:
+    """A heartbeat of the upstream may change whether it is cold."""
+
+    heartbeat: cold_rate.Heartbeat | None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Abandoned:
     """A caller stopped waiting for a slot."""
@@ -70,6 +80,7 @@
         counters: metrics.Metrics,
         upstream_load: mailbox.Published[int] | None = None,
         usable_slots: mailbox.Published[int] | None = None,
+        cold_gate: cold_gates.ColdGate | None = None,
     ) -> None:
         """Sets up admission; no upstream is known yet.
 
@@ -84,8 +95,10 @@
             in the queue, in thousandths of the limit.
           usable_slots: Where the number of slots that requests may take is
             published; 0 while the upstream fails its requests.
+          cold_gate: The bound of a cold upstream; None for no bound.
         """
         super().__init__()
+        self._cold_gate = cold_gate
         self._usable_slots = usable_slots
         self._published_load = upstream_load
         self._local_upstream = local_upstream
@@ -110,6 +123,8 @@
         self._published_level.publish(self._wire_level())
         self._spawn(self._follow_upstream)
         self._spawn(self._tick_regularly)
+        if self._cold_gate is not None:
+            self._spawn(self._follow_heartbeats, self._cold_gate.heartbeat)
 
     async def _teardown(self) -> None:
         self._shed_all(exceptions.STOPPING, "the node is stopping")
@@ -121,6 +136,14 @@
             self.mailbox.tell(_UpstreamUpdate(upstream=upstream))
             upstream = await self._local_upstream.wait_changed()
 
+    async def _follow_heartbeats(
+        self, published: mailbox.Published[cold_rate.Heartbeat | None]
+    ) -> None:
+        heartbeat = published.value
+        while True:
+            self.mailbox.tell(_HeartbeatHeard(heartbeat=heartbeat))
+            heartbeat = await published.wait_changed()
+
     async def _tick_regularly(self) -> None:
         while True:
             fully_open = self._level_state.level >= shedding.ADMIT_ALL_LEVEL
@@ -141,6 +164,17 @@
                 self._admit(message, reply, now)
             case messages.SlotReleased():
                 self._on_slot_released(message, now)
+            case messages.RequestSent():
+                sent = cold_rate.Sent(
+                    sent_at=message.sent_at, is_repeated=message.is_repeated
+                )
+                self._tell_cold_gate(sent, now)
+            case messages.ColdTold(remaining_s=seconds):
+                event = cold_rate.Responded(cold_remaining_s=seconds)
+                self._tell_cold_gate(event, now)
+            case _HeartbeatHeard(heartbeat=heartbeat):
+                if heartbeat is not None:
+                    self._tell_cold_gate(heartbeat, now)
             case _Abandoned(call_id=call_id):
                 self._remove_abandoned(call_id)
             case _UpstreamUpdate(upstream=upstream):
@@ -148,16 +182,29 @@
             case _Tick():
                 self._on_tick(now)
         if self._published_load is not None:
-            self._published_load.publish(self._current_load())
+            self._published_load.publish(self._current_load(now))
         if self._usable_slots is not None:
             self._usable_slots.publish(self._count_usable_slots(now))
 
+    def _tell_cold_gate(self, event: cold_rate.Event, now: float) -> None:
+        if self._cold_gate is not None:
+            self._cold_gate.on_event(event, now)
+
+    def _may_send_cold(self, now: float) -> bool:
+        """Returns whether the upstream isn't cold, or may get a request."""
+        return self._cold_gate is None or self._cold_gate.may_send(now)
+
     def _count_usable_slots(self, now: float) -> int:
         if self._limit_state is None or not self._breaker.is_closed:
             return 0
-        return limits.current_limit(self._limit_policy, self._limit_state, now)
+        limit = limits.current_limit(self._limit_policy, self._limit_state, now)
+        if self._cold_gate is None:
+            return limit
+        return self._cold_gate.usable_slots(
+            limit, self._limit_state.latency, now
+        )
 
-    def _current_load(self) -> int:
+    def _current_load(self, now: float) -> int:
         """Returns slots in use plus queue length, in thousandths of the limit.
 
         Until an upstream has been ready, and while it fails its requests, the
@@ -168,9 +215,13 @@
         if not self._breaker.is_closed:
             return OPEN_BREAKER_LOAD
         demand = self._in_flight + len(self._queue.items)
-        return (
+        load = (
             routing.LOAD_SCALE * demand // max(1, int(self._limit_state.limit))
         )
+        if self._cold_gate is None:
+            return load
+        cold_load = routing.LOAD_SCALE * self._cold_gate.used_fraction(now)
+        return max(load, int(cold_load))
 
     def _on_upstream_update(
         self, upstream: model.Upstream | None, now: float
@@ -218,6 +269,9 @@
                 )
             )
             return
+        if not self._may_send_cold(now):
+            reply.put(self._refusal(exceptions.SHED, COLD_DETAIL))
+            return
         item = queues.QueuedRequest(
             item_id=message.call_id,
             organisation=message.organisation,
@@ -268,12 +322,27 @@
                 self._level_state, item.priority, now - item.arrived_at
             )
         reply.on_abandon(None)
-        reply.put(messages.Admitted(upstream=self._upstream))
+        gate = self._cold_gate
+        if gate is None or not gate.on_granted(now):
+            reply.put(messages.Admitted(upstream=self._upstream))
+            return
+        reply.put(
+            messages.Admitted(
+                upstream=self._upstream, counted=True, cold=gate.is_cold(now)
+            )
+        )
 
     def _on_slot_released(
         self, message: messages.SlotReleased, now: float
     ) -> None:
         self._update_breaker(message, now)
+        if message.unsent:
+            self._tell_cold_gate(cold_rate.Unsent(), now)
+        if message.refused:
+            event = cold_rate.Doubted(
+                heartbeats=cold_gates.HEARTBEATS_AFTER_REFUSAL
+            )
+            self._tell_cold_gate(event, now)
         if self._limit_state is not None:
             if message.shed:
                 self._limit_state = limits.on_shed(
@@ -327,6 +396,9 @@
         self._shed_expired(now)
         limit = limits.current_limit(self._limit_policy, self._limit_state, now)
         while self._in_flight < limit:
+            if self._queue.items and not self._may_send_cold(now):
+                self._shed_all(exceptions.SHED, COLD_DETAIL)
+                return
             self._queue, item = queues.pop(self._queue_policy, self._queue)
             if item is None:
                 return
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -18,6 +18,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import task
+from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_state
@@ -96,6 +97,8 @@
         heartbeat_interval: float = HEARTBEAT_INTERVAL,
         local_upstream: mailbox.Published[model.Upstream | None] | None = None,
         demand_monitor: mailbox.Mailbox | None = None,
+        cold_heartbeat: mailbox.Published[cold_rate.Heartbeat | None]
+        | None = None,
     ) -> None:
         """Sets up an empty view.
 
@@ -112,6 +115,8 @@
           local_upstream: Where the upstream on this VM is published.
           demand_monitor: Mailbox of the task that measures the demand to
             report; None if it isn't measured.
+          cold_heartbeat: Where the newest heartbeat of the upstream is
+            published, for the bound of a cold one.
         """
         super().__init__()
         self._announcement_ttl = announcement_ttl
@@ -142,6 +147,7 @@
             model.Upstream | None
         ](initial=None)
         self._demand_monitor = demand_monitor
+        self._cold_heartbeat = cold_heartbeat
         self._route_levels = mailbox.Published[tree_admission.RouteLevels](
             initial=tree_admission.RouteLevels()
         )
@@ -232,8 +238,35 @@
                     upstream=upstream,
                 )
                 runs = upstream_runs.on_heartbeat(self._runs, heartbeat, now)
+                self._publish_cold(runs, message, now)
         self._apply_runs(runs)
 
+    def _publish_cold(
+        self, runs: upstream_runs.State, message: messages.Announce, now: float
+    ) -> None:
+        """Publishes a heartbeat, unless a newer one of its run was heard."""
+        if self._cold_heartbeat is None or runs.run is None:
+            return
+        run = upstream_runs.Run(
+            incarnation=message.incarnation, started_ms=message.started_ms
+        )
+        is_newest = run == runs.run and message.sequence == runs.sequence
+        is_repeated = (
+            run == self._runs.run and message.sequence == self._runs.sequence
+        )
+        # A run that is not believed yet may have taken the place of this one.
+        is_doubtful = runs.successor is not None and run == runs.successor.run
+        if is_doubtful or (is_newest and not is_repeated):
+            self._cold_heartbeat.publish(
+                cold_rate.Heartbeat(
+                    run=(run.incarnation, run.started_ms),
+                    sequence=message.sequence,
+                    cold_remaining_s=message.cold_remaining_s,
+                    heard_at=now,
+                    is_doubtful=is_doubtful,
+                )
+            )
+
     def _apply_runs(self, runs: upstream_runs.State) -> None:
         """Publishes and records what differs from the beliefs before."""
         before, self._runs = self._runs, runs
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import contextlib
 import functools
 from typing import Protocol
 
@@ -48,6 +49,10 @@
         """Returns the outcome that a response of the upstream stands for."""
         ...
 
+    def cold_remaining(self, response: model.Response) -> float | None:
+        """Returns the seconds for which a response says that it stays cold."""
+        ...
+
 
 class LocalUpstreamFilter:
     """Runs calls on the local upstream; the last filter of the worker chain.
@@ -97,19 +102,23 @@
         """Waits for a slot, then runs the call."""
         admitted = await slots.admit(self._admission, call)
         match admitted:
-            case messages.Admitted(upstream=upstream):
-                return await self._run_in_slot(call, upstream)
+            case messages.Admitted():
+                return await self._run_in_slot(call, admitted)
             case model.Refuse():
                 return frozen.replace(admitted, load=self._upstream_load.value)
 
     async def _run_in_slot(
-        self, call: model.Call, upstream: model.Upstream
+        self, call: model.Call, admitted: messages.Admitted
     ) -> model.Outcome:
+        upstream = admitted.upstream
         slot = _Slot(
             admission=self._admission,
             demand_monitor=self._demand_monitor,
             route=self._route_name(call.request),
             service=call.service,
+            counted=admitted.counted,
+            cold=admitted.cold,
+            streams=call.request.rest is not None,
         )
         try:
             if upstream.service != call.service:
@@ -146,24 +155,36 @@
         except exceptions.ConnectionFailedError as error:
             if error.maybe_delivered:
                 slot.record_failure(timed_out=error.expired)
+            elif isinstance(error.__cause__, OSError):
+                slot.record_refused_connection()
             return _refusal_for_error(error)
 
     async def _send_to_upstream(
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
     ) -> model.Outcome:
+        encode = functools.partial(self._dialect.encode, call, upstream)
+        # A request that was lost on an idle connection may have arrived, so
+        # none is sent twice to a cold upstream.
+        may_reuse = call.idempotent and not slot.cold
         response = await self._pool.ask(
             messages.UpstreamExchange(
                 address=upstream.address,
-                encode=functools.partial(self._dialect.encode, call, upstream),
+                encode=functools.partial(slot.encode_and_record, encode)
+                if slot.counted
+                else encode,
                 is_answer=self._dialect.response_matcher(call.request),
                 max_idle=messages.NO_IDLE_LIMIT
-                if call.idempotent
+                if may_reuse
                 else NON_IDEMPOTENT_MAX_IDLE,
-                may_resend=call.idempotent and call.request.rest is None,
+                may_resend=may_reuse and call.request.rest is None,
                 deadline=call.deadline,
                 on_streamed=slot.release,
             )
         )
+        if slot.counted:
+            remaining = self._dialect.cold_remaining(response)
+            if remaining is not None:
+                slot.tell(messages.ColdTold(remaining_s=remaining))
         outcome = self._dialect.decode(response)
         match outcome:
             case model.Answer(response=model.Response(rest=rest) as answer) if (
@@ -193,7 +214,27 @@
         demand_monitor: mailbox.Mailbox,
         route: str,
         service: str,
+        counted: bool,
+        cold: bool,
+        streams: bool,
     ) -> None:
+        """Takes over a slot.
+
+        Args:
+          admission: Mailbox of the task that owns the upstream's slots.
+          demand_monitor: Mailbox of the task that counts runs.
+          route: Name of the request's route.
+          service: Service of the upstream.
+          counted: Whether sends have to be told to `admission`.
+          cold: Whether the upstream was cold when the slot was granted.
+          streams: Whether the request has a body that is sent in parts.
+        """
+        self.counted = counted
+        self.cold = cold
+        self._streams = streams
+        self._sent_count = 0
+        self._sending = False
+        self._refused = False
         self._admission = admission
         self._demand_monitor = demand_monitor
         self._route = route
@@ -208,6 +249,31 @@
         # Whether the slot is in use until the upstream has streamed its answer.
         self.held_by_answer = False
 
+    def encode_and_record(
+        self, encode: Callable[[float], http.RawRequest], now: float
+    ) -> http.RawRequest:
+        """Encodes the request, which is sent now."""
+        self._sending = True
+        if not self._streams:
+            self._tell_sent(now)
+        return encode(now)
+
+    def _tell_sent(self, now: float) -> None:
+        message = messages.RequestSent(
+            sent_at=now, is_repeated=self._sent_count > 0
+        )
+        self._sent_count += 1
+        self.tell(message)
+
+    def tell(self, message: messages.RequestSent | messages.ColdTold) -> None:
+        """Tells the controller that owns the slots, unless it has ended."""
+        with contextlib.suppress(exceptions.MailboxClosedError):
+            self._admission.tell(message)
+
+    def record_refused_connection(self) -> None:
+        """Records that the upstream's address accepted no connection."""
+        self._refused = True
+
     def record_status(self, status: int) -> float:
         """Records the status of the answer and returns its latency.
 
@@ -229,6 +295,9 @@
         """Frees the slot and reports how the upstream answered."""
         if not self._released:
             self._released = True
+            if self._sending and not self._sent_count:
+                # A body that is sent in parts may have arrived until now.
+                self._tell_sent(clock.monotonic())
             run_time = clock.monotonic() - self._started_at
             message = messages.SlotReleased(
                 latency=self._latency,
@@ -236,6 +305,8 @@
                 failed=self._failed,
                 timed_out=self._timed_out,
                 run_time=run_time,
+                unsent=self.counted and not self._sending,
+                refused=self._refused,
             )
             try:
                 self._admission.tell(message)
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -128,12 +128,15 @@
         runs on one VM.
       sequence: Number of the announcement within the run; -1 if announcements
         are not numbered.
+      cold_remaining_s: Seconds for which the upstream stays cold; None if the
+        announcement does not tell.
     """
 
     upstream: model.Upstream | None
     incarnation: str = ""
     started_ms: int = 0
     sequence: int = -1
+    cold_remaining_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -244,9 +247,36 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Admitted:
-    """The request may be dispatched to this upstream."""
+    """The request may be dispatched to this upstream.
+
+    Attributes:
+      counted: Whether `RequestSent` has to be told when the request is sent.
+      cold: Whether the upstream is cold.
+    """
 
     upstream: model.Upstream
+    counted: bool = False
+    cold: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestSent:
+    """A counted request is sent to the upstream.
+
+    Attributes:
+      sent_at: Monotonic seconds.
+      is_repeated: Whether it is told again, since the connection was closed.
+    """
+
+    sent_at: float
+    is_repeated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ColdTold:
+    """A response of the upstream told for how many seconds it stays cold."""
+
+    remaining_s: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -273,6 +303,8 @@
         made.
       timed_out: Whether it failed by answering nothing until the deadline.
       run_time: Seconds for which the slot was held.
+      unsent: Whether the request was counted and has not been sent.
+      refused: Whether the upstream's address accepted no connection.
     """
 
     latency: float
@@ -280,6 +312,8 @@
     failed: bool = False
     timed_out: bool = False
     run_time: float = 0.0
+    unsent: bool = False
+    refused: bool = False
 
 
 # --- running calls -----------------------------------------------------------
--- a/src/sassafrashall/platform/dialect.py
+++ b/src/sassafrashall/platform/dialect.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 from sassafrashall import exceptions
 from sassafrashall import frozen
@@ -10,6 +11,8 @@
 from sassafrashall.platform import names
 from sassafrashall.transport import http
 
+_MILLISECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _ResponseMatcher:
@@ -87,3 +90,13 @@
         if length is not None:
             headers = (*headers, ("content-length", length))
         return model.Answer(response=frozen.replace(response, headers=headers))
+
+    def cold_remaining(self, response: model.Response) -> float | None:
+        """Returns the seconds for which the upstream says that it stays cold.
+
+        None if it does not say so.
+        """
+        value = model.find_header(response.headers, names.COLD_REMAINING)
+        if value is None or _MILLISECONDS.fullmatch(value) is None:
+            return None
+        return float(value) / 1000
--- a/src/sassafrashall/platform/documents.py
+++ b/src/sassafrashall/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from sassafrashall import configuration
@@ -126,9 +127,27 @@
         connection_limit=reader.read_integer(
             fields, "max_connections", key_prefix, 0
         ),
+        cold_start_s=_read_unless_zero(
+            reader.read_duration, fields, "cold_start", key_prefix
+        ),
+        cold_rate=_read_unless_zero(
+            reader.read_number, fields, "cold_per_s", key_prefix
+        ),
     )
 
 
+def _read_unless_zero(
+    read: Callable[[dict[str, Any], str, str, float], float],
+    fields: dict[str, Any],
+    name: str,
+    key_prefix: str,
+) -> float:
+    """Returns a value; 0 if it is absent, null or a plain 0."""
+    if not fields.get(name):
+        return 0.0
+    return read(fields, name, key_prefix, 0.0)
+
+
 def _decode_limits(
     reader: values.Reader, document: dict[str, Any]
 ) -> configuration.Limits:
--- a/src/sassafrashall/platform/names.py
+++ b/src/sassafrashall/platform/names.py
@@ -13,6 +13,8 @@
 INCARNATION = "target-instance"
 # Present, with any value, if the upstream did not run the request.
 NOT_RUN = "not-executed"
+# Milliseconds for which an upstream stays cold, in a health response.
+COLD_REMAINING = "cold-remaining"
 
 READINESS_PATH = "/-/readiness"
 CONFIGURATION_PATH = "/-/configuration"
--- a/src/sassafrashall/platform/node_api.py
+++ b/src/sassafrashall/platform/node_api.py
@@ -158,12 +158,27 @@
         # Start time in milliseconds; orders restarts of the upstream.
         started_ms=reader.read_integer(document, "born", "", 0),
         sequence=reader.read_integer(status, "sequence", "status."),
+        cold_remaining_s=_read_cold_remaining(status),
     )
     if reader.findings:
         raise exceptions.FindingsError(reader.findings)
     return message
 
 
+def _read_cold_remaining(status: dict[str, Any]) -> float | None:
+    """Returns the seconds for which the upstream stays cold, None if not told.
+
+    A value that is not a time is not a reason to lose the upstream.
+    """
+    value = status.get("cold_remaining")
+    if value is None:
+        return None
+    try:
+        return settings.parse_duration(str(value)).seconds
+    except ValueError:
+        return 0.0 if value == 0 else None
+
+
 def json_response(status: int, document: Any) -> model.Response:
     """Returns a response with a JSON body."""
     return model.Response(
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -22,6 +22,7 @@
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.controllers import admission
+from sassafrashall.controllers import cold_gate
 from sassafrashall.controllers import configuration_watch
 from sassafrashall.controllers import control_link
 from sassafrashall.controllers import demand_monitor
@@ -31,6 +32,7 @@
 from sassafrashall.controllers import peer_links
 from sassafrashall.controllers import routing
 from sassafrashall.controllers import upstream_pool
+from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import quota as quota_decisions
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
@@ -141,6 +143,9 @@
             local_upstream=self._local_upstream,
             usable_slots=self._usable_slots,
         )
+        cold_heartbeat = mailbox.Published[cold_rate.Heartbeat | None](
+            initial=None
+        )
         self._membership = node_membership.NodeMembership(
             record=self._initial_record(),
             link=self._control_link.mailbox,
@@ -151,6 +156,7 @@
             heartbeat_interval=HEARTBEAT_INTERVAL,
             local_upstream=self._local_upstream,
             demand_monitor=self._demand_monitor.mailbox,
+            cold_heartbeat=cold_heartbeat,
         )
         self._configuration_watch = configuration_watch.ConfigurationWatch(
             link=self._control_link.mailbox,
@@ -173,6 +179,14 @@
             counters=self._metrics,
             upstream_load=self._upstream_load,
             usable_slots=self._usable_slots,
+            cold_gate=cold_gate.ColdGate(
+                service=self._routed.service,
+                overage=self._routed.cold_overage,
+                slack=self._routed.cold_slack,
+                table=self._membership.table,
+                heartbeat=cold_heartbeat,
+                counters=self._metrics,
+            ),
         )
         self._routing = routing.Routing(
             vm=settings.vm,
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -36,6 +36,7 @@
 MAX_SECRET_LENGTH = 64  # bytes; the longest key of BLAKE2b
 MAX_DURATION = 1e9  # seconds
 MAX_PORT_DIGITS = 5
+MAX_COLD_BOUND = 1_000_000  # of `cold_overage` and `cold_slack`
 
 _T = TypeVar("_T")
 
@@ -112,6 +113,9 @@
         seconds.
       retry_ratio: Maximum number of retries that reach an upstream per request
         to a service, over the whole fleet.
+      cold_overage: Multiple of the configured rate of requests that a cold
+        upstream may get; 0 counts as 1.
+      cold_slack: Requests in a second that it may get on top of that.
       first_start: Whether this is the first start of the fleet; only then does
         a control with an empty data folder found it.
       losses: What may be lost at once while the configuration can be changed;
@@ -127,6 +131,8 @@
     quota_overage: float = 0.0
     quota_slack: int = 0
     retry_ratio: float = 0.2
+    cold_overage: float = 0.0
+    cold_slack: int = 0
     first_start: bool = True
     losses: voter_placement.Losses = voter_placement.Losses()
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -477,6 +483,7 @@
     faults.extend(_check_policy(settings.policy))
     if settings.routed is not None:
         faults.extend(_check_losses(settings.routed.losses))
+        faults.extend(_check_cold_bounds(settings.routed))
     if not settings.seeds:
         faults.extend(_check_controls(settings.controls))
     elif settings.controls:
@@ -509,6 +516,20 @@
     ]
 
 
+def _check_cold_bounds(routed: Routed) -> list[tuple[str, str]]:
+    faults = []
+    # Not a number is not below 0 either.
+    if not 0.0 <= routed.cold_overage <= MAX_COLD_BOUND:
+        faults.append(
+            ("routed.cold_overage", f"not within 0 to {MAX_COLD_BOUND}")
+        )
+    if not 0 <= routed.cold_slack <= MAX_COLD_BOUND:
+        faults.append(
+            ("routed.cold_slack", f"not within 0 to {MAX_COLD_BOUND}")
+        )
+    return faults
+
+
 def _check_controls(controls: tuple[Control, ...]) -> list[tuple[str, str]]:
     if not controls:
         return [("controls", "at least one control is needed")]
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -81,3 +81,34 @@
 )
 def test_versions_are_parsed(text, version):
     assert values.parse_version(text) == version
+
+
+# Guards against a configuration that is refused, or a bound that is missed, for
+# how the absence of a bound is written.
+@pytest.mark.parametrize(
+    ("fields", "cold_start", "rate"),
+    [
+        ({"cold_start": "6s", "cold_per_s": 4.8}, 6.0, 4.8),
+        ({"cold_start": "600ms", "cold_per_s": 4}, 0.6, 4.0),
+        ({}, 0.0, 0.0),
+        ({"cold_start": "0s", "cold_per_s": 0}, 0.0, 0.0),
+        ({"cold_start": 0, "cold_per_s": None}, 0.0, 0.0),
+    ],
+)
+def test_the_bound_of_a_cold_upstream_is_decoded(fields, cold_start, rate):
+    document = routed.document()
+    document["services"]["alpha"] |= fields
+    (service,) = _decode(document).services
+    assert service.cold_start_s == cold_start
+    assert service.cold_rate == rate
+
+
+def test_a_bound_that_is_no_time_or_number_is_a_finding():
+    document = routed.document()
+    document["services"]["alpha"] |= {"cold_start": "6", "cold_per_s": -1}
+    with pytest.raises(exceptions.FindingsError) as error:
+        _decode(document)
+    assert [finding.key for finding in error.value.findings] == [
+        "services.alpha.cold_start",
+        "services.alpha.cold_per_s",
+    ]
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -39,13 +40,24 @@
 
 
 @contextlib.asynccontextmanager
-async def _filter(response, upstream_calls=False):
-    """Yields the filter, and fakes of the pool and the admission controller."""
+async def _filter(response, upstream_calls=False, encodes=0, **admitted):
+    """Yields the filter, and fakes of the pool and the admission controller.
+
+    Args:
+      response: The response of the upstream, or the error of the exchange.
+      upstream_calls: Whether the upstream makes calls.
+      encodes: How often the pool encodes the request.
+      **admitted: Fields of the answer of the admission controller.
+    """
     admission = fakes.ScriptedController(
-        lambda message: messages.Admitted(upstream=UPSTREAM)
+        lambda message: messages.Admitted(upstream=UPSTREAM, **admitted)
     )
 
     def respond(message):
+        for number in range(encodes):
+            message.encode(100.0 + number)
+        if isinstance(response, Exception):
+            raise response
         if response.rest is not None:
             response.rest.on_end = message.on_streamed
         return response
@@ -129,3 +141,74 @@
             (released,) = _released(admission)
             assert released.failed is failed
             assert released.timed_out is (failed and status == 504)
+
+
+def _sent(admission):
+    return [
+        (message.sent_at, message.is_repeated)
+        for message in admission.received
+        if isinstance(message, messages.RequestSent)
+    ]
+
+
+# Guards against sends to a cold upstream that aren't counted: each one that the
+# pool makes is told, with its time.
+async def test_each_send_of_a_counted_request_is_told():
+    for encodes, sent in [
+        (0, []),
+        (1, [(100.0, False)]),
+        (2, [(100.0, False), (101.0, True)]),
+    ]:
+        async with _filter(_response(200), encodes=encodes, counted=True) as (
+            tested,
+            _,
+            admission,
+        ):
+            await tested.handle(fakes.call())
+            assert _sent(admission) == sent
+            (released,) = _released(admission)
+            assert released.unsent is not bool(sent)
+
+
+async def test_sends_are_not_told_without_a_bound():
+    async with _filter(_response(200), encodes=1) as (tested, _, admission):
+        await tested.handle(fakes.call())
+        assert not _sent(admission)
+        assert not _released(admission)[0].unsent
+
+
+async def test_a_request_is_not_sent_twice_to_a_cold_upstream():
+    for cold in (False, True):
+        async with _filter(_response(200), counted=True, cold=cold) as (
+            tested,
+            pool,
+            _,
+        ):
+            await tested.handle(fakes.call(idempotent=True))
+            (exchange,) = pool.received
+            assert exchange.may_resend is not cold
+
+
+async def test_a_refused_connection_is_told():
+    refused = exceptions.ConnectionFailedError("no", maybe_delivered=False)
+    refused.__cause__ = ConnectionRefusedError()
+    expired = exceptions.ConnectionFailedError(
+        "late", maybe_delivered=False, expired=True
+    )
+    for error, is_told in [(refused, True), (expired, False)]:
+        async with _filter(error) as (tested, _, admission):
+            outcome = await tested.handle(fakes.call())
+            assert outcome.run is model.RunState.NOT_RUN
+            assert _released(admission)[0].refused is is_told
+
+
+async def test_the_cold_time_in_a_response_is_told():
+    for value, told in [("2500", [2.5]), ("soon", [])]:
+        response = _response(200, ("cold-remaining", value))
+        async with _filter(response, counted=True) as (tested, _, admission):
+            await tested.handle(fakes.call())
+            assert told == [
+                message.remaining_s
+                for message in admission.received
+                if isinstance(message, messages.ColdTold)
+            ]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -390,3 +390,24 @@
         frames.FrameBuffer(limit=64).feed(data)
     except exceptions.ProtocolError:
         pass
+
+
+# Guards against an upstream that is lost for a value that was ignored before
+# there was a bound for cold upstreams.
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        ("2500ms", 2.5),
+        ("0ms", 0.0),
+        (0, 0.0),
+        (None, None),
+        ("soon", None),
+        (-1, None),
+        ([], None),
+    ],
+)
+def test_the_cold_time_of_a_heartbeat(value, seconds):
+    body = _heartbeat()
+    body["status"]["cold_remaining"] = value
+    message = node_api.decode(json.dumps(body).encode(), "i-1")
+    assert message.cold_remaining_s == seconds
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -127,3 +127,30 @@
         settings.parse(text.replace("true", "1"), "f", settings.Daemon)
     (finding,) = error.value.findings
     assert (finding.key, finding.line) == ("routed.strict_withdrawal", 17)
+
+
+COLD = """
+routed:
+  cold_overage: 1.5
+  cold_slack: 8
+"""
+
+
+def test_the_bounds_of_cold_upstreams_are_read():
+    text = NODE.replace(
+        "  local: 127.0.0.1:7002",
+        "  readiness: 127.0.0.1:7002\n  announcements: 127.0.0.1:7005",
+    )
+    parsed = settings.parse(text + COLD, "f", settings.Daemon)
+    assert parsed.routed.cold_overage == 1.5
+    assert parsed.routed.cold_slack == 8
+    parsed = settings.parse(text + "routed: {}\n", "f", settings.Daemon)
+    assert parsed.routed.cold_overage == parsed.routed.cold_slack == 0
+    for wrong in ("-1", ".nan", ".inf"):
+        bad = COLD.replace("1.5", wrong).replace("8", "-1")
+        with pytest.raises(exceptions.FindingsError) as error:
+            settings.parse(text + bad, "f", settings.Daemon)
+        assert [finding.key for finding in error.value.findings] == [
+            "routed.cold_overage",
+            "routed.cold_slack",
+        ]
