Callers: pipelined GET and HEAD requests run at the same time

Cause: a connection read its next request only after the response to the one before, so that a request of 164 ms waited behind longer ones and was held past its timeout, which counted from its start. Change: the server has a pipeline depth (default 1: as before). Up to that number of GET and HEAD requests without a body run at once; responses are sent in order. Requests of other kinds run alone. The last request that was started announces the end of the connection, and nothing is started behind it. What follows is discarded before the close, since a close with unread bytes resets the connection. The body of a request, the encoding of responses and the pipeline have modules of their own. tests/test_abandoned_answers.py counts the exchange under its new name.

--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -9,6 +9,7 @@
 
 import array
 import fcntl
+import select
 import socket
 import termios
 
@@ -63,6 +64,19 @@
         except OSError:
             return True
 
+    @property
+    def has_peer_ended(self) -> bool:
+        """Whether the other end has closed or reset the connection.
+
+        In contrast to `is_closed_by_peer`, bytes that wait to be read don't
+        hide the end.
+        """
+        if self._socket.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self._socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     @property
     def unsent(self) -> int:
         """Bytes held by a `send` that waits for the other side; 0 if none."""
@@ -156,6 +170,10 @@
         except BlockingIOError:
             return 0
 
+    def end_sending(self) -> None:
+        """Tells the other side that no further byte follows."""
+        self._socket.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Closes the socket and wakes a task that waits for it."""
         if self._socket.fileno() >= 0:
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -15,16 +15,24 @@
 from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.decisions import connection_lifetime
+from sassafrashall.decisions import pipelining
 from sassafrashall.decisions import slow_readers
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
 from sassafrashall.transport import listener
+from sassafrashall.transport import pipeline
+from sassafrashall.transport import request_body
+from sassafrashall.transport import responses
 from sassafrashall.transport import sockets
 
-LINGER_TIME = 1.0  # seconds to discard a body after an early response
+# Seconds to discard what follows a response that closes the connection: the
+# rest of a body, or further requests.
+LINGER_TIME = 1.0
+# Bytes of one read while heads are expected on a connection with pipelining; it
+# bounds the requests that are parsed ahead of those that run.
+HEAD_READ_SIZE = 4096
 REJECT_TIMEOUT = 1.0  # seconds to send the response to invalid input
-SLOW_READER_TIMEOUT = 30.0  # seconds after which a blocked send is aborted
 SWEEP_INTERVAL = 0.2  # seconds between checks for disconnects and timeouts
 CONNECTION_LIMIT = 3000  # leaves descriptors for peers and the upstream
 
@@ -34,123 +42,14 @@
 Spawn = Callable[..., None]
 
 
-class _RequestBody:
-    """The rest of a request's body, read from its connection on demand."""
-
-    def __init__(self, *, connection: Connection, limit: int) -> None:
-        self._connection = connection
-        self._remaining_limit = limit
-        self.ended = False
-        # Cancels the read of the task that uploads the body.
-        self._read_scope: trio.CancelScope | None = None
-        self._read_ended = trio.Event()
-        self._discarding = False
-
-    async def read(self) -> bytes:
-        """Returns the next bytes, or none at the end.
-
-        Raises:
-          ProtocolError: The body is too large or malformed.
-          ConnectionFailedError: The caller disconnected, or the request has
-            been answered.
-        """
-        if not self._discarding:
-            self._read_ended = trio.Event()
-            try:
-                with trio.CancelScope() as self._read_scope:
-                    return await self._read()
-            finally:
-                self._read_scope = None
-                self._read_ended.set()
-        raise exceptions.ConnectionFailedError(
-            "the request has been answered", maybe_delivered=True
-        )
-
-    async def discard(self) -> None:
-        """Reads up to the end, once the task that uploads the body has stopped.
-
-        Two tasks must not wait for the same socket.
-
-        Raises:
-          ProtocolError: The body is too large or malformed.
-          ConnectionFailedError: The caller disconnected.
-        """
-        self._discarding = True
-        if self._read_scope is not None:
-            self._read_scope.cancel()
-            await self._read_ended.wait()
-        while await self._read():
-            pass
-
-    async def _read(self) -> bytes:
-        if self.ended:
-            return b""
-        try:
-            event = await self._connection.next_event()
-        except (OSError, trio.ClosedResourceError) as error:
-            # An upload would take it for an error of its own connection.
-            raise exceptions.ConnectionFailedError(
-                str(error) or "the caller broke off", maybe_delivered=True
-            ) from error
-        match event:
-            case http1.BodyPart(data=data):
-                self._remaining_limit -= len(data)
-                if self._remaining_limit < 0:
-                    raise exceptions.ProtocolError(
-                        exceptions.BODY_TOO_LARGE, "the body is too large"
-                    )
-                return data
-            case http1.MessageEnd():
-                self.ended = True
-                return b""
-            case _:
-                raise exceptions.ConnectionFailedError(
-                    "the caller broke off", maybe_delivered=True
-                )
-
-    async def close(self) -> None:
-        """Does nothing; the connection discards what is unread."""
-
-
-class _Exchange:
-    """A request in progress, with the fiber and the task that respond to it."""
-
-    def __init__(self, *, head: http1.RequestHead) -> None:
-        self.head = head
-        self.fiber: fiber.Fiber | None = None
-        # Cancels the task that sends what would block the fiber.
-        self.send_scope: trio.CancelScope | None = None
-        self._ended = False
-        self._end_event: trio.Event | None = None
-
-    def cancel(self) -> None:
-        """Cancels the request, since nobody waits for its response."""
-        if self.fiber is not None:
-            self.fiber.cancel()
-        if self.send_scope is not None:
-            self.send_scope.cancel()
-
-    def end(self) -> None:
-        """Marks the end of the request, with or without a response."""
-        self._ended = True
-        if self._end_event is not None:
-            self._end_event.set()
-
-    async def wait_ended(self) -> None:
-        """Waits until `end` is called."""
-        if not self._ended:
-            self._end_event = self._end_event or trio.Event()
-            await self._end_event.wait()
-
-
 class Connection:
     """An accepted connection.
 
-    Its task also reads while a request is in progress, so that it detects a
+    Its task also reads while requests are in progress, so that it detects a
     disconnect at once. A fiber handles a request with a short body, up to
     `http.BUFFERED_BODY_LIMIT`. The task itself handles one with a long body and
     reads the rest on demand; the server then checks for a disconnect from time
-    to time.
+    to time. Responses are sent in the order of the requests.
     """
 
     def __init__(
@@ -163,6 +62,7 @@
         spawn: Spawn,
         log: connection_log.ConnectionLog,
         request_id_header: str,
+        requests: pipeline.Pipeline,
     ) -> None:
         self._stream = stream
         self._log = log
@@ -178,7 +78,11 @@
         self._activity: connection_lifetime.Activity = connection_lifetime.Idle(
             since=clock.monotonic(), timeout=self._idle_timeout
         )
-        self._exchange: _Exchange | None = None
+        self._pipeline = requests
+        # Monotonic seconds of the last read.
+        self._arrived_at = 0.0
+        # Raised once the requests before the invalid input are taken.
+        self._input_error: exceptions.ProtocolError | None = None
         # Whether all input received so far is handled, so that the task waits
         # for more.
         self._awaits_input = True
@@ -190,7 +94,7 @@
         self._close_delay = 0.0
         self._close_idle_time = 0.0
         # The request that ended without a complete response.
-        self._unanswered: _Exchange | None = None
+        self._unanswered: pipeline.Exchange | None = None
 
     async def serve(self) -> None:
         """Runs until either side closes the connection."""
@@ -199,18 +103,44 @@
             with self._scope:
                 await self._serve_requests()
             reason = self._close_reason or connection_log.Reason.DISCONNECT
+            if reason in (
+                connection_log.Reason.ANNOUNCED,
+                connection_log.Reason.BAD_INPUT,
+            ):
+                await self._discard_unread_input()
         except (OSError, trio.ClosedResourceError):
             reason = self._close_reason or connection_log.Reason.DISCONNECT
         finally:
-            unanswered = self._exchange or self._unanswered
-            if self._exchange is not None:
-                self._exchange.cancel()
+            unanswered = self._unanswered or self._pipeline.first
+            self._closing = True
+            for exchange in self._pipeline.clear():
+                exchange.cancel()
+                if exchange.response is not None and exchange.response.rest:
+                    self._spawn(responses.discard, exchange.response.rest)
             self._stream.close()
             self._parser.close()
+            # Its traceback refers to this connection.
+            self._input_error = None
             self._log_closure(reason, unanswered)
 
+    async def _discard_unread_input(self) -> None:
+        """Discards what follows a response that closed the connection.
+
+        A close with unread bytes would reset the connection, so that callers
+        that pipeline might lose the last responses.
+        """
+        if self._pipeline.depth == 1:
+            return
+        self._parser.close()
+        with trio.move_on_after(LINGER_TIME):
+            self._stream.end_sending()
+            while await self._stream.receive(http.RECEIVE_SIZE):
+                pass
+
     def _log_closure(
-        self, reason: connection_log.Reason, unanswered: _Exchange | None
+        self,
+        reason: connection_log.Reason,
+        unanswered: pipeline.Exchange | None,
     ) -> None:
         request_id = None
         if unanswered is not None:
@@ -253,8 +183,8 @@
           limits: The limits in force.
           delay: Seconds by which this check runs late.
         """
-        if self._exchange is not None:
-            if not self._awaits_input and self._stream.is_closed_by_peer:
+        if self._pipeline.first is not None:
+            if not self._awaits_input and self._is_disconnected():
                 self._close(connection_log.Reason.DISCONNECT)
             return
         if self._stopping:
@@ -277,12 +207,22 @@
                     connection_log.Reason.HEAD_TIMEOUT, idle, delay
                 )
 
+    def _is_disconnected(self) -> bool:
+        if self._pipeline.depth == 1 or self._pipeline.is_reading_body:
+            return self._stream.is_closed_by_peer
+        # Requests that wait unread hide the end behind them.
+        return self._stream.has_peer_ended
+
     @property
     def held(self) -> int:
         """Bytes in memory that wait for the caller to take its answer."""
         if not self._stream.unsent:
             return 0
-        return self._stream.unsent + http.STREAM_WINDOW
+        return (
+            self._stream.unsent
+            + http.STREAM_WINDOW
+            + self._pipeline.waiting_bytes
+        )
 
     def stalled_for(self, now: float) -> float:
         """Returns the seconds since the caller took a byte of its answer."""
@@ -320,55 +260,97 @@
             event = self._parser.next_event()
             if event is not None:
                 return event
+            if self._input_error is not None:
+                raise self._input_error
             self._awaits_input = True
             try:
-                data = await self._stream.receive(http.RECEIVE_SIZE)
+                data = await self._stream.receive(self._read_size())
             finally:
                 self._awaits_input = False
             if not data or self._closing:
                 return None
-            if self._exchange is not None and self._exchange.fiber is not None:
-                # These bytes belong to a pipelined request, which waits for the
-                # end of this one. Nothing more is read until then.
-                await self._exchange.wait_ended()
+            self._arrived_at = clock.monotonic()
+            if not self._pipeline.is_reading_body:
+                # These bytes belong to a request that may have to wait for
+                # others. Nothing more is read until then.
+                await self._wait_for_turn(overlaps=True)
+            self._parse(data)
+
+    def _read_size(self) -> int:
+        if self._pipeline.depth > 1 and not self._pipeline.is_reading_body:
+            return HEAD_READ_SIZE
+        return http.RECEIVE_SIZE
+
+    def _parse(self, data: bytes) -> None:
+        try:
             self._parser.feed(data)
-            if (
-                isinstance(self._activity, connection_lifetime.Idle)
-                and self._parser.head_incomplete
-            ):
-                self._activity = connection_lifetime.ReceivingHead(
-                    since=clock.monotonic()
-                )
+        except exceptions.ProtocolError as error:
+            if self._pipeline.depth == 1:
+                raise
+            # Valid requests before the invalid bytes are served.
+            self._input_error = error
+        if (
+            isinstance(self._activity, connection_lifetime.Idle)
+            and self._parser.head_incomplete
+        ):
+            self._activity = connection_lifetime.ReceivingHead(
+                since=clock.monotonic()
+            )
+
+    async def _wait_for_turn(self, *, overlaps: bool) -> None:
+        """Waits until a request may start, or the connection closes.
+
+        Args:
+          overlaps: Whether the request may run beside others.
+        """
+        while not self._closing and not self._pipeline.may_start(
+            overlaps=overlaps, expiring=self._expiring
+        ):
+            await self._pipeline.wait_for_change()
 
     async def _serve_requests(self) -> None:
         while not self._closing:
             try:
                 head = await self.next_event()
-                if self._exchange is not None and head is not None:
-                    await self._exchange.wait_ended()
-                if self._closing or not isinstance(head, http1.RequestHead):
+                if not isinstance(head, http1.RequestHead):
+                    return
+                overlaps = pipelining.may_overlap(
+                    head.method,
+                    head.length,
+                    expects=model.find_header(head.headers, "expect")
+                    is not None,
+                )
+                await self._wait_for_turn(overlaps=overlaps)
+                if self._closing:
                     return
-                await self._start_request(head)
+                await self._start_request(head, overlaps)
             except exceptions.ProtocolError as error:
-                self._close_reason = connection_log.Reason.BAD_INPUT
                 await self._reject_input(error)
                 return
             except exceptions.ConnectionFailedError:
                 return
 
-    async def _start_request(self, head: http1.RequestHead) -> None:
+    async def _start_request(
+        self, head: http1.RequestHead, overlaps: bool
+    ) -> None:
         """Starts a request, and completes it as well if its body is long."""
         body_limit = self._limits().body_bytes
         if head.length is not None and head.length > body_limit:
             raise exceptions.ProtocolError(
                 exceptions.BODY_TOO_LARGE, "the body is too large"
             )
-        exchange = self._exchange = _Exchange(head=head)
+        exchange = pipeline.Exchange(head=head, overlaps=overlaps)
+        self._pipeline.add(exchange)
         self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
+        if self._pipeline.depth > 1:
+            # The time that a request waits for others counts.
+            received_at = self._arrived_at
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        rest = _RequestBody(connection=self, limit=body_limit)
+        rest = request_body.RequestBody(
+            next_event=self.next_event, limit=body_limit
+        )
         body = await http.read_buffered_part(rest)
         request = http.RawRequest(
             method=head.method,
@@ -388,55 +370,87 @@
             return
         response = await self._handler(request)
         closes = self._must_close(exchange) or not rest.ended
-        complete = await self._send_body(
-            *self._encode_start(exchange, response, closes)
+        complete = await responses.send(
+            self._stream, *self._encode_start(exchange, response, closes)
         )
         if not rest.ended:
             await self._discard_rest(rest)
         self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     async def _respond(
-        self, exchange: _Exchange, request: http.RawRequest
+        self, exchange: pipeline.Exchange, request: http.RawRequest
     ) -> None:
-        """Handles a request in a fiber; a task sends what would block."""
-        response = await self._handler(request)
+        """Handles a request in a fiber."""
+        exchange.response = await self._handler(request)
+        exchange.streams = exchange.response.rest is not None
+
+    def _on_fiber_end(self, exchange: pipeline.Exchange) -> None:
+        exchange.handled = True
+        self._send_ready()
+
+    def _send_ready(self) -> None:
+        """Sends the responses whose turn it is."""
+        try:
+            while self._send_first():
+                pass
+        except Exception:
+            # An exception must not reach the code that delivered the reply.
+            logs.get().exception("unhandled exception while sending a response")
+            if self._pipeline.first is not None:
+                self._end_exchange(
+                    self._pipeline.first, connection_log.Reason.INCOMPLETE
+                )
+
+    def _send_first(self) -> bool:
+        """Sends the first response if it is ready; a task sends what blocks.
+
+        A fiber that failed or was cancelled has left no response, so that the
+        connection closes.
+
+        Returns:
+          Whether it has been sent to its end.
+        """
+        exchange = self._pipeline.first
+        if exchange is None or not exchange.is_ready or self._closing:
+            return False
+        response, exchange.response = exchange.response, None
+        if response is None:
+            self._end_exchange(exchange, connection_log.Reason.HANDLER_FAILED)
+            return False
         closes = self._must_close(exchange)
         data, rest, chunked = self._encode_start(exchange, response, closes)
         # What has been encoded is not held twice.
         del response
-        if rest is not None:
-            exchange.send_scope = trio.CancelScope()
-            self._spawn(
-                self._send_in_task, exchange, data, rest, chunked, closes
-            )
-            return
-        try:
-            sent = self._stream.send_nowait(data)
-        except OSError:
-            self._end_exchange(exchange, connection_log.Reason.DISCONNECT)
-            return
-        if sent < len(data):
-            exchange.send_scope = trio.CancelScope()
-            self._spawn(
-                self._send_in_task, exchange, data[sent:], None, False, closes
-            )
-            return
-        self._end_exchange(exchange, _close_reason_after(True, closes))
+        if rest is None:
+            try:
+                sent = self._stream.send_nowait(data)
+            except OSError:
+                self._end_exchange(exchange, connection_log.Reason.DISCONNECT)
+                return False
+            if sent == len(data):
+                self._end_exchange(exchange, _close_reason_after(True, closes))
+                return True
+            data = data[sent:]
+        exchange.send_scope = trio.CancelScope()
+        self._spawn(self._send_in_task, exchange, data, rest, chunked, closes)
+        return False
 
     async def _send_in_task(
         self,
-        exchange: _Exchange,
+        exchange: pipeline.Exchange,
         data: bytes,
         rest: model.BodyReader | None,
         chunked: bool,
         closes: bool,
     ) -> None:
-        """Sends a response, or what is left of it; see `_send_body`."""
+        """Sends a response, or what is left of it; see `responses.send`."""
         complete = False
         assert exchange.send_scope is not None
         try:
             with exchange.send_scope:
-                complete = await self._send_body(data, rest, chunked)
+                complete = await responses.send(
+                    self._stream, data, rest, chunked
+                )
         except (OSError, trio.ClosedResourceError):
             pass
         except Exception:
@@ -444,29 +458,34 @@
             logs.get().exception("unhandled exception while sending a response")
         finally:
             self._end_exchange(exchange, _close_reason_after(complete, closes))
+            self._send_ready()
 
-    def _on_fiber_end(self, exchange: _Exchange) -> None:
-        """Ends an exchange whose fiber failed or was cancelled."""
-        if exchange.send_scope is None:
-            self._end_exchange(exchange, connection_log.Reason.HANDLER_FAILED)
+    def _must_close(self, exchange: pipeline.Exchange) -> bool:
+        """Returns whether the connection closes after a response.
 
-    def _must_close(self, exchange: _Exchange) -> bool:
-        return self._expiring or not exchange.head.keep_alive
+        Requests behind it that have been forwarded are answered first.
+        """
+        return exchange is self._pipeline.last and (
+            self._expiring or not exchange.head.keep_alive
+        )
 
     def _end_exchange(
-        self, exchange: _Exchange, close_reason: connection_log.Reason | None
+        self,
+        exchange: pipeline.Exchange,
+        close_reason: connection_log.Reason | None,
     ) -> None:
         """Ends an exchange, and closes the connection if a reason is given."""
-        if self._exchange is not exchange:
+        if self._pipeline.first is not exchange:
             return
-        self._exchange = None
-        self._activity = self._activity_between_requests()
+        self._pipeline.remove_first()
+        if self._pipeline.first is None:
+            self._activity = self._activity_between_requests()
         if close_reason is not None:
             if close_reason is not connection_log.Reason.ANNOUNCED:
                 self._unanswered = exchange
             self._closing = True
             self._close(close_reason)
-        exchange.end()
+        self._pipeline.notify()
 
     def _activity_between_requests(self) -> connection_lifetime.Activity:
         now = clock.monotonic()
@@ -474,80 +493,32 @@
             return connection_lifetime.ReceivingHead(since=now)
         return connection_lifetime.Idle(since=now, timeout=self._idle_timeout)
 
-    def _encode_response(
-        self, exchange: _Exchange, response: model.Response, closes: bool
-    ) -> bytes:
-        """Encodes a response whose body is complete or must not be sent."""
-        head_only = exchange.head.method == "HEAD"
-        length = len(response.body)
-        if head_only:
-            length = _content_length(response.headers) or 0
-        head = self._encode_head(response, length, closes)
-        if head_only or response.status in (204, 304):
-            return head
-        return head + response.body
-
-    def _encode_head(
-        self, response: model.Response, length: int | None, closes: bool
-    ) -> bytes:
-        headers = response.headers
-        self._idle_timeout = self._limits().idle_timeout_s
-        timeout = connection_lifetime.announced_timeout(self._idle_timeout)
-        if timeout and not closes:
-            headers = (*headers, ("keep-alive", f"timeout={timeout}"))
-        return http1.encode_response_head(
-            response.status, headers, length, closes
-        )
-
     def _encode_start(
-        self, exchange: _Exchange, response: model.Response, closes: bool
+        self,
+        exchange: pipeline.Exchange,
+        response: model.Response,
+        closes: bool,
     ) -> tuple[bytes, model.BodyReader | None, bool]:
-        """Encodes a response up to the end of the body that has arrived.
-
-        Returns:
-          The bytes, the rest of the body, and whether that is sent in chunks.
-        """
-        bodiless = response.status in (204, 304)
-        if response.rest is None or bodiless or exchange.head.method == "HEAD":
-            data = self._encode_response(exchange, response, closes)
-            return data, None, False
-        length = _content_length(response.headers)
-        head = self._encode_head(response, length, closes)
-        encode = _body_encoder(length is None)
-        body = encode(response.body) if response.body else b""
-        return head + body, response.rest, length is None
-
-    async def _send_body(
-        self, data: bytes, rest: model.BodyReader | None, chunked: bool
-    ) -> bool:
-        """Sends `data` and the rest of a body.
-
-        Returns whether all of it was sent.
-        """
-        encode = _body_encoder(chunked)
-        try:
-            while data:
-                with trio.fail_after(SLOW_READER_TIMEOUT):
-                    await self._stream.send(data)
-                data = b""
-                if rest is not None and (chunk := await rest.read()):
-                    data, chunk = encode(chunk), b""
-        except (exceptions.ConnectionFailedError, trio.TooSlowError):
-            # The connection closes before the end of the body, which shows
-            # the caller that the response is incomplete.
-            return False
-        finally:
-            if rest is not None:
-                with trio.CancelScope(shield=True):
-                    await rest.close()
-        if chunked:
-            await self._stream.send(http1.LAST_CHUNK)
-        return True
+        """Encodes the start of a response; see `responses`."""
+        if closes:
+            self._pipeline.close_announced = True
+        self._idle_timeout = self._limits().idle_timeout_s
+        return responses.encode_start(
+            exchange.head.method,
+            response,
+            closes=closes,
+            idle_timeout=self._idle_timeout,
+        )
 
     async def _reject_input(self, error: exceptions.ProtocolError) -> None:
-        """Responds to invalid input, after the response in progress."""
-        if self._exchange is not None and self._exchange.fiber is not None:
-            await self._exchange.wait_ended()
+        """Responds to invalid input, after the responses in progress."""
+        while not (
+            self._pipeline.first is None or self._pipeline.is_reading_body
+        ):
+            await self._pipeline.wait_for_change()
+        if self._closing:
+            return
+        self._close_reason = connection_log.Reason.BAD_INPUT
         response = codec.encode_refusal(
             model.Refuse(code=error.code, detail=str(error))
         )
@@ -557,9 +528,9 @@
         with trio.move_on_after(REJECT_TIMEOUT):
             await self._stream.send(head + response.body)
             # The request has been answered, so it doesn't count as cut off.
-            self._exchange = None
+            self._pipeline.clear()
 
-    async def _discard_rest(self, rest: _RequestBody) -> None:
+    async def _discard_rest(self, rest: request_body.RequestBody) -> None:
         """Discards the rest of a body, so that the caller gets the response.
 
         A close with unread bytes would reset the connection.
@@ -585,15 +556,6 @@
     return connection_log.Reason.ANNOUNCED if closes else None
 
 
-def _body_encoder(chunked: bool) -> Callable[[bytes], bytes]:
-    return http1.encode_chunk if chunked else bytes
-
-
-def _content_length(headers: model.Headers) -> int | None:
-    value = model.find_header(headers, "content-length")
-    return int(value) if value is not None else None
-
-
 class Server(listener.Listener[Connection]):
     """Serves requests and streams their long bodies."""
 
@@ -606,6 +568,7 @@
         limits: LimitsSource,
         log: connection_log.ConnectionLog | None = None,
         request_id_header: str = "",
+        pipeline_depth: int = 1,
     ) -> None:
         """Creates the server.
 
@@ -617,6 +580,8 @@
           log: Records why connections were closed.
           request_id_header: Lower-case name of the header that identifies a
             request in the log.
+          pipeline_depth: Requests of one connection that may run at the same
+            time.
         """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
         self._log = log or connection_log.ConnectionLog(place=source.value)
@@ -624,6 +589,13 @@
         self._handler = handler
         self._source = source
         self._limits = limits
+        self._pipeline_depth = pipeline_depth
+        self._overlap = pipeline.Overlap()
+
+    @property
+    def overlapping(self) -> int:
+        """Number of requests that run behind another of their connection."""
+        return self._overlap.count
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address and serves in `nursery`."""
@@ -640,6 +612,9 @@
             spawn=self._nursery.start_soon,
             log=self._log,
             request_id_header=self._request_id_header,
+            requests=pipeline.Pipeline(
+                depth=self._pipeline_depth, overlap=self._overlap
+            ),
         )
 
     async def _sweep(self) -> None:
--- a/tests/test_abandoned_answers.py
+++ b/tests/test_abandoned_answers.py
@@ -17,6 +17,7 @@
 import trio
 
 from sassafrashall.transport import http1
+from sassafrashall.transport import pipeline
 from sassafrashall.transport import stream_server
 from sassafrashall.transport import upstream_connection
 
@@ -29,7 +30,7 @@
     upstream_connection._Exchange,
     upstream_connection._ResponseBody,
     stream_server.Connection,
-    stream_server._Exchange,
+    pipeline.Exchange,
     http1.RequestParser,
     http1.ResponseParser,
 )
