Settings: routed.pipeline_depth

Cause: the server for callers has a pipeline depth, which could not be set. Measured: tests/test_settings.py passes; 0, -3, 65, 1.5, true and a text are reported under the key.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -151,7 +151,9 @@
         policy=None,
         grace=6.0,
         losses=None,
+        pipeline_depth=1,
     ):
+        self._pipeline_depth = pipeline_depth
         self._losses = losses or voter_placement.Losses()
         self._data_folders = contextlib.ExitStack()
         self.grace = grace
@@ -238,6 +240,7 @@
                     upstream=upstream,
                     strict_withdrawal=self.strict,
                     grace=settings.Duration(seconds=self.grace),
+                    pipeline_depth=self._pipeline_depth,
                 ),
             )
         )
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -314,6 +314,7 @@
                 place="callers", counters=self._metrics
             ),
             request_id_header=names.REQUEST_ID,
+            pipeline_depth=self._routed.pipeline_depth,
         )
         self._peers = peer_server.PeerServer(
             address=listen.peers,
@@ -452,6 +453,7 @@
         self._metrics.gauge("nodes_known", len(view.records))
         self._metrics.gauge("requests_in_progress", self._in_progress)
         self._metrics.gauge("connections", self._callers.connections)
+        self._metrics.gauge("requests_overlapping", self._callers.overlapping)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts the controllers, then the listeners."""
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -18,6 +18,7 @@
 from sassafrashall import settings_text
 from sassafrashall.decisions import breaker as breaker_policies
 from sassafrashall.decisions import limits
+from sassafrashall.decisions import pipelining
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import retries as retry_policies
@@ -117,6 +118,8 @@
       losses: What may be lost at once while the configuration can be changed;
         decides how many controls vote, and which.
       regions: Region by data centre.
+      pipeline_depth: Idempotent requests of one caller's connection that run at
+        the same time.
     """
 
     service: str = ""
@@ -130,6 +133,7 @@
     first_start: bool = True
     losses: voter_placement.Losses = voter_placement.Losses()
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    pipeline_depth: int = 1
 
     def voter_requirements(self) -> voter_placement.Requirements:
         """Returns the losses that the controls have to tolerate."""
@@ -477,6 +481,13 @@
     faults.extend(_check_policy(settings.policy))
     if settings.routed is not None:
         faults.extend(_check_losses(settings.routed.losses))
+        if not 1 <= settings.routed.pipeline_depth <= pipelining.MAX_DEPTH:
+            faults.append(
+                (
+                    "routed.pipeline_depth",
+                    f"must be within 1 to {pipelining.MAX_DEPTH}",
+                )
+            )
     if not settings.seeds:
         faults.extend(_check_controls(settings.controls))
     elif settings.controls:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -83,6 +83,37 @@
     assert routed.with_retry_ratio(retries.NoRetries()) == retries.NoRetries()
 
 
+# Guards against a node that serves nothing, or runs out of memory, by a depth
+# that was written wrongly.
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        ("0", "must be within 1 to 64"),
+        ("-3", "must be within 1 to 64"),
+        ("65", "must be within 1 to 64"),
+        ("many", "'many' is not a whole number"),
+        ("1.5", "1.5 is not a whole number"),
+        ("true", "True is not a whole number"),
+    ],
+)
+def test_a_wrong_pipeline_depth_is_reported(value, text):
+    findings = _findings(NODE + f"routed:\n  pipeline_depth: {value}\n")
+    assert f"routed.pipeline_depth: {text}" in findings
+
+
+def test_the_pipeline_depth_is_read():
+    node = NODE.replace(
+        "listen:\n",
+        "listen:\n"
+        "  readiness: 127.0.0.1:7005\n"
+        "  announcements: 127.0.0.1:7006\n",
+    )
+    for line, depth in (("", 1), ("  pipeline_depth: 8\n", 8)):
+        text = node + "routed:\n  service: alpha\n" + line
+        parsed = settings.parse(text, "node.yaml", settings.Daemon)
+        assert parsed.routed.pipeline_depth == depth
+
+
 @pytest.mark.parametrize(
     ("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
 )
