--- a/bench/routed.py
+++ b/bench/routed.py
@@ -159,7 +159,9 @@
         grace=6.0,
         losses=None,
         cold_bounds=None,
+        pipeline_depth=1,
     ):
+        self._pipeline_depth = pipeline_depth
         self._losses = losses or voter_placement.Losses()
         self._data_folders = contextlib.ExitStack()
         self.grace = grace
@@ -248,6 +250,7 @@
                     strict_withdrawal=self.strict,
                     grace=settings.Duration(seconds=self.grace),
                     **self.cold_bounds,
+                    pipeline_depth=self._pipeline_depth,
                 ),
             )
         )
