Evacuation of a data centre

Cause: operators could not take a data centre out of use; its upstreams got requests for as long as they announced themselves.

Change: EvacuateDataCentre and EndEvacuation change a replicated set, on POST and DELETE /-/evacuation/NAME at any control. Replies to heartbeats and to reads of the configuration carry it, ordered by revision. Routing omits upstreams there, and admission beside the upstream refuses as not run, requests that wait included. With routed.evacuation in the settings, a node that starts or was suspended sends nothing to its upstream until its state is proven, for 0.6 of that time at most. At the end, upstreams count as cold until the next heartbeat. A request that was held up between controls can't undo a later one: commands carry the revision that the receiving control knew. Status and gauges show the set.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -142,6 +142,8 @@
       strict: Whether nodes run with `strict_withdrawal`.
       grace: Seconds that nodes have to stop.
       cold_bounds: Bounds of a cold upstream in the settings of the nodes.
+      data_centres: Data centre by VM of the nodes; `dc-a` for others.
+      evacuation: Seconds within which an evacuation is in force.
       nursery: Nursery of the processes; set by `running`.
       operators: Address for operators of each control.
       callers: Address for callers of each node, by VM.
@@ -159,11 +161,16 @@
         grace=6.0,
         losses=None,
         cold_bounds=None,
+        data_centres=None,
+        evacuation=0.0,
     ):
         self._losses = losses or voter_placement.Losses()
         self._data_folders = contextlib.ExitStack()
+        self._node_settings = {}
         self.grace = grace
         self.cold_bounds = cold_bounds or {}
+        self.data_centres = data_centres or {}
+        self.evacuation = evacuation
         self.strict = strict
         self.policy = policy or settings.Policy(
             limit="fixed",
@@ -209,7 +216,9 @@
                     tempfile.TemporaryDirectory()
                 ),
                 routed=settings.Routed(
-                    first_start=first_start, losses=self._losses
+                    first_start=first_start,
+                    losses=self._losses,
+                    regions=dict.fromkeys(self.data_centres.values(), "region"),
                 ),
             )
         )
@@ -231,30 +240,37 @@
         self.upstreams[vm] = Upstream(
             service=service, address=upstream, announce_to=announcements
         )
+        self._node_settings[vm] = self._daemon_settings(
+            role=settings.Role.NODE,
+            vm=vm,
+            listen=settings.Listen(
+                ops=ops,
+                callers=callers,
+                peers=peers,
+                readiness=readiness,
+                announcements=announcements,
+            ),
+            routed=settings.Routed(
+                service=service,
+                upstream=upstream,
+                strict_withdrawal=self.strict,
+                grace=settings.Duration(seconds=self.grace),
+                evacuation=settings.Duration(seconds=self.evacuation),
+                **self.cold_bounds,
+            ),
+        )
+        self.new_node(vm)
+
+    def new_node(self, vm):
+        """Creates the node of a VM; one before it has to be closed."""
         self.nodes[vm] = routed_node.RoutedNode(
-            settings=self._daemon_settings(
-                role=settings.Role.NODE,
-                vm=vm,
-                listen=settings.Listen(
-                    ops=ops,
-                    callers=callers,
-                    peers=peers,
-                    readiness=readiness,
-                    announcements=announcements,
-                ),
-                routed=settings.Routed(
-                    service=service,
-                    upstream=upstream,
-                    strict_withdrawal=self.strict,
-                    grace=settings.Duration(seconds=self.grace),
-                    **self.cold_bounds,
-                ),
-            )
+            settings=self._node_settings[vm]
         )
+        return self.nodes[vm]
 
     def _daemon_settings(self, **fields):
         return settings.Daemon(
-            data_centre="dc-a",
+            data_centre=self.data_centres.get(fields["vm"], "dc-a"),
             fleet_secret=SECRET,
             operator_secret=f"{SECRET}-operator",
             seeds=tuple(self._rpc_addresses[:MAX_SEEDS]),
@@ -296,6 +312,18 @@
             body=json.dumps(document).encode(),
         )
 
+    async def evacuate(self, data_centre, *, method="POST", at=0):
+        """Asks a control to begin or end an evacuation, returns the response.
+
+        Args:
+          data_centre: The data centre.
+          method: `POST` to begin, `DELETE` to end.
+          at: Index of the control.
+        """
+        return await send(
+            self.operators[at], method, f"/-/evacuation/{data_centre}"
+        )
+
     async def apply_configuration(self, document, *, match="0"):
         """Sends a configuration until it is accepted and every node is ready.
 
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -118,7 +118,12 @@
         )
         self._operator_server: http_server.Server | None = None
         if settings.listen.operators is not None:
-            api = operator_api.OperatorApi(replica=self._replica.mailbox)
+            regions = settings.routed.regions if settings.routed else {}
+            api = operator_api.OperatorApi(
+                replica=self._replica.mailbox,
+                view=self._replica.view,
+                data_centres=frozenset(regions),
+            )
             self._operator_server = http_server.Server(
                 address=settings.listen.operators,
                 handler=api.handle,
@@ -217,6 +222,9 @@
         view = self._replica.view.value
         self._metrics.gauge("fleet_revision", view.state.revision)
         self._metrics.gauge("claims", len(view.state.claims))
+        self._metrics.gauge(
+            "evacuated_data_centres", len(view.state.evacuations.evacuated)
+        )
         self._metrics.gauge("organisations", len(view.state.organisations))
 
     async def start(self, nursery: trio.Nursery) -> None:
--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -19,8 +19,10 @@
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.controllers import cold_gate as cold_gates
+from sassafrashall.controllers import evacuation_gate as evacuation_gates
 from sassafrashall.decisions import breaker
 from sassafrashall.decisions import cold_rate
+from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import routing
@@ -28,7 +30,8 @@
 
 FAIR_SHARE_THRESHOLD = 0.5  # fraction of the limit in use; see _admit
 TICK_INTERVAL = 0.02  # seconds between checks of the queue and the level
-# Load reported while the breaker is open, above that of a busy upstream.
+# Load reported while the breaker is open or the upstream gets no requests for
+# another reason, above that of a busy upstream.
 OPEN_BREAKER_LOAD = 4 * routing.LOAD_SCALE
 COLD_DETAIL = "the upstream is cold and gets no more requests now"
 
@@ -56,6 +59,11 @@
     heartbeat: cold_rate.Heartbeat | None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _EvacuationTick:
+    """Triggers the periodic check whether the data centre is evacuated."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Abandoned:
     """A caller stopped waiting for a slot."""
@@ -81,6 +89,7 @@
         upstream_load: mailbox.Published[int] | None = None,
         usable_slots: mailbox.Published[int] | None = None,
         cold_gate: cold_gates.ColdGate | None = None,
+        evacuation_gate: evacuation_gates.EvacuationGate | None = None,
     ) -> None:
         """Sets up admission; no upstream is known yet.
 
@@ -96,9 +105,12 @@
           usable_slots: Where the number of slots that requests may take is
             published; 0 while the upstream fails its requests.
           cold_gate: The bound of a cold upstream; None for no bound.
+          evacuation_gate: Tells whether the data centre is evacuated; None if
+            it never is.
         """
         super().__init__()
         self._cold_gate = cold_gate
+        self._evacuation_gate = evacuation_gate
         self._usable_slots = usable_slots
         self._published_load = upstream_load
         self._local_upstream = local_upstream
@@ -125,6 +137,8 @@
         self._spawn(self._tick_regularly)
         if self._cold_gate is not None:
             self._spawn(self._follow_heartbeats, self._cold_gate.heartbeat)
+        if self._evacuation_gate is not None:
+            self._spawn(self._check_evacuation)
 
     async def _teardown(self) -> None:
         self._shed_all(exceptions.STOPPING, "the node is stopping")
@@ -144,6 +158,11 @@
             self.mailbox.tell(_HeartbeatHeard(heartbeat=heartbeat))
             heartbeat = await published.wait_changed()
 
+    async def _check_evacuation(self) -> None:
+        while True:
+            self.mailbox.tell(_EvacuationTick())
+            await trio.sleep(evacuation_gates.TICK_INTERVAL)
+
     async def _tick_regularly(self) -> None:
         while True:
             fully_open = self._level_state.level >= shedding.ADMIT_ALL_LEVEL
@@ -172,6 +191,8 @@
             case messages.ColdTold(remaining_s=seconds):
                 event = cold_rate.Responded(cold_remaining_s=seconds)
                 self._tell_cold_gate(event, now)
+            case _EvacuationTick():
+                self._on_evacuation_tick(now)
             case _HeartbeatHeard(heartbeat=heartbeat):
                 if heartbeat is not None:
                     self._tell_cold_gate(heartbeat, now)
@@ -194,9 +215,28 @@
         """Returns whether the upstream isn't cold, or may get a request."""
         return self._cold_gate is None or self._cold_gate.may_send(now)
 
+    def _find_block(self, now: float) -> evacuation.Block | None:
+        gate = self._evacuation_gate
+        return gate.find_block(now) if gate is not None else None
+
+    def _on_evacuation_tick(self, now: float) -> None:
+        assert self._evacuation_gate is not None
+        if self._evacuation_gate.on_tick(now):
+            # It had no requests for a while and may have become cold.
+            self._tell_cold_gate(cold_rate.Doubted(heartbeats=1), now)
+        self._refuse_blocked(now)
+
+    def _refuse_blocked(self, now: float) -> None:
+        """Refuses the waiting requests if the upstream gets none."""
+        block = self._find_block(now)
+        if block is not None and self._queue.items:
+            self._shed_all(exceptions.NO_UPSTREAM, block.value)
+
     def _count_usable_slots(self, now: float) -> int:
         if self._limit_state is None or not self._breaker.is_closed:
             return 0
+        if self._find_block(now) is not None:
+            return 0
         limit = limits.current_limit(self._limit_policy, self._limit_state, now)
         if self._cold_gate is None:
             return limit
@@ -212,7 +252,7 @@
         """
         if self._limit_state is None:
             return routing.LOAD_SCALE
-        if not self._breaker.is_closed:
+        if not self._breaker.is_closed or self._find_block(now) is not None:
             return OPEN_BREAKER_LOAD
         demand = self._in_flight + len(self._queue.items)
         load = (
@@ -262,6 +302,11 @@
                 )
             )
             return
+        block = self._find_block(now)
+        if block is not None:
+            self._metrics.count("evacuation_refusals")
+            reply.put(self._refusal(exceptions.NO_UPSTREAM, block.value))
+            return
         if not breaker.may_send(self._breaker, now):
             reply.put(
                 self._refusal(
@@ -391,6 +436,7 @@
             logs.get().info("upstream no longer fails its requests")
 
     def _grant_waiting(self, now: float) -> None:
+        self._refuse_blocked(now)
         if self._limit_state is None or not self._queue.items:
             return
         self._shed_expired(now)
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -208,6 +208,7 @@
             withdrawn=self._withdrawn_beyond(message.withdrawn_count),
             proof_age=now - self._confirmed_fresh_at(now),
             document=self._newer_document(message.document_version),
+            evacuated=tuple(sorted(state.evacuations.evacuated)),
         )
 
     def _withdrawn_beyond(self, count: int) -> tuple[str, ...]:
@@ -296,6 +297,7 @@
             controls=self._view.value.members,
             route_levels=self._current_route_levels(now),
             signed_off=self._sign_off_before(record),
+            evacuated=tuple(sorted(state.evacuations.evacuated)),
         )
 
     def _sign_off_before(
@@ -610,4 +612,5 @@
             ),
             quotas=(),
             claims=len(state.claims) + len(state.old_claims),
+            evacuated=tuple(sorted(state.evacuations.evacuated)),
         )
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -467,9 +467,34 @@
             fresh_at = max(fresh_at, sent_at - answer.proof_age)
         self._apply_document(answer.document)
         return dataclasses.replace(
-            view, configuration=configuration, fresh_at=fresh_at
+            view,
+            configuration=configuration,
+            fresh_at=fresh_at,
+            evacuated=self._newest_evacuated(view, answer),
         )
 
+    def _newest_evacuated(
+        self,
+        view: model.NodeView,
+        answer: protocol.HeartbeatReply | protocol.ConfigurationReply,
+    ) -> frozenset[str]:
+        """Returns the evacuated data centres, unless the answer is older."""
+        if (
+            answer.evacuated is None
+            or answer.revision < view.configuration.revision
+        ):
+            return view.evacuated
+        evacuated = frozenset(answer.evacuated)
+        if evacuated != view.evacuated:
+            logs.get().info(
+                "evacuated data centres changed",
+                extra={
+                    "evacuated": sorted(evacuated),
+                    "revision": answer.revision,
+                },
+            )
+        return evacuated
+
     def _on_configuration_read(
         self, message: messages.ConfigurationRead
     ) -> None:
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -175,6 +175,8 @@
                 continue
             if upstream.state is not model.UpstreamState.READY:
                 continue
+            if record.data_centre in view.evacuated:
+                continue
             self._by_service.setdefault(upstream.service, []).append(record)
             key = (record.vm, record.incarnation)
             ready_since[key] = self._ready_since.get(key, now)
--- a/src/sassafrashall/decisions/fleet_commands.py
+++ b/src/sassafrashall/decisions/fleet_commands.py
@@ -115,6 +115,27 @@
     """Reads the fleet configuration, ordered by the log like a change."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EvacuateDataCentre:
+    """Begins the evacuation of a data centre; nothing is sent there any more.
+
+    Attributes:
+      known_revision: Fleet revision that the control which received the request
+        had applied; -1 if not known. See `evacuation.change`.
+    """
+
+    data_centre: str
+    known_revision: int = -1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndEvacuation:
+    """Ends the evacuation of a data centre; see EvacuateDataCentre."""
+
+    data_centre: str
+    known_revision: int = -1
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NoOp:
     """Changes nothing."""
@@ -130,6 +151,8 @@
     | RotateClaims
     | ReplaceConfiguration
     | ReadConfiguration
+    | EvacuateDataCentre
+    | EndEvacuation
     | NoOp
 )
 
--- a/src/sassafrashall/decisions/fleet_state.py
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -16,6 +16,7 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.decisions import document_checks
+from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import templates
 
@@ -74,6 +75,7 @@
       old_documents: The previous generation of `documents`.
       quotas: `Quota` by name for the organisations of the configuration in
         force.
+      evacuations: The data centres that are evacuated.
     """
 
     revision: int = 0
@@ -86,6 +88,7 @@
     documents: _Map = immutables.Map()
     old_documents: _Map = immutables.Map()
     quotas: _Map = immutables.Map()
+    evacuations: evacuation.Evacuations = evacuation.Evacuations()
 
     def quota(self, name: str) -> Quota | None:
         """Returns the quota of an organisation, or None if it has none.
@@ -130,10 +133,40 @@
         case fleet_commands.ReadConfiguration():
             text = state.accepted.text if state.accepted else b""
             return state, fleet_commands.CurrentConfiguration(text=text)
+        case fleet_commands.EvacuateDataCentre():
+            return _change_evacuation(state, command, begins=True)
+        case fleet_commands.EndEvacuation():
+            return _change_evacuation(state, command, begins=False)
         case _:
             return _apply_change(state, command)
 
 
+def _change_evacuation(
+    state: FleetState,
+    command: fleet_commands.EvacuateDataCentre | fleet_commands.EndEvacuation,
+    *,
+    begins: bool,
+) -> tuple[FleetState, fleet_commands.Result]:
+    evacuations, result = evacuation.change(
+        state.evacuations,
+        command.data_centre,
+        begins=begins,
+        known_revision=command.known_revision,
+        revision=state.revision + 1,
+    )
+    match result:
+        case evacuation.ChangeResult.CHANGED:
+            state = dataclasses.replace(
+                state, revision=state.revision + 1, evacuations=evacuations
+            )
+        case evacuation.ChangeResult.OUTDATED:
+            return state, fleet_commands.Conflict(
+                version=evacuations.changed[command.data_centre],
+                detail="it was received before a later change was known",
+            )
+    return state, fleet_commands.Accepted(revision=state.revision)
+
+
 def _replace_document(
     state: FleetState, command: fleet_commands.ReplaceConfiguration
 ) -> tuple[FleetState, fleet_commands.Result]:
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -73,6 +73,7 @@
         demand_monitor: mailbox.Mailbox,
         upstream_may_call: Callable[[], bool],
         route_name: Callable[[model.Request], str],
+        check_before_send: Callable[[], str] = lambda: "",
     ) -> None:
         """Creates the filter.
 
@@ -87,7 +88,10 @@
           upstream_may_call: Returns whether the upstream may make calls of its
             own, one of which may be why it answers with an error.
           route_name: Returns the name of a request's route, or an empty text.
+          check_before_send: Returns why the upstream gets no request any more;
+            empty if it does.
         """
+        self._check_before_send = check_before_send
         self._demand_monitor = demand_monitor
         self._upstream_may_call = upstream_may_call
         self._route_name = route_name
@@ -132,6 +136,9 @@
                     code=exceptions.PEER_UNREACHABLE,
                     detail="the calling node did not confirm the request",
                 )
+            block = self._check_before_send()
+            if block:
+                return model.Refuse(code=exceptions.NO_UPSTREAM, detail=block)
             outcome = await self._send_before_deadline(call, upstream, slot)
         finally:
             if not slot.held_by_answer:
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -262,12 +262,15 @@
       fresh_at: Monotonic time, in seconds, at which the configuration was
         last proven to be the newest committed one; negative infinity if
         never.
+      evacuated: The evacuated data centres, at the revision of the
+        configuration.
     """
 
     configuration: Configuration = Configuration()
     records: dict[str, NodeRecord] = dataclasses.field(default_factory=dict)
     services: frozenset[str] = frozenset()
     fresh_at: float = float("-inf")
+    evacuated: frozenset[str] = frozenset()
 
 
 # --- requests ----------------------------------------------------------------
--- a/src/sassafrashall/platform/names.py
+++ b/src/sassafrashall/platform/names.py
@@ -18,6 +18,7 @@
 
 READINESS_PATH = "/-/readiness"
 CONFIGURATION_PATH = "/-/configuration"
+EVACUATION_PATH = "/-/evacuation/"
 INSTANCES_PATH = "/-/instances/"
 
 # Headers of a caller's request that are not passed on.
--- a/src/sassafrashall/platform/operator_api.py
+++ b/src/sassafrashall/platform/operator_api.py
@@ -1,9 +1,10 @@
-"""The operator's HTTP interface to the fleet configuration, on a control."""
+"""The operators' HTTP interface to the fleet, on a control."""
 
 from __future__ import annotations
 
 import hashlib
 from typing import Any
+import urllib.parse
 
 import trio
 
@@ -23,16 +24,43 @@
 
 
 class OperatorApi:
-    """Reads and replaces the configuration through the replicated log."""
+    """Changes the fleet through the replicated log.
 
-    def __init__(self, *, replica: mailbox.Mailbox) -> None:
+    It reads and replaces the configuration, and evacuates data centres.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: mailbox.Mailbox,
+        view: mailbox.Published[messages.FleetView],
+        data_centres: frozenset[str],
+    ) -> None:
+        """Creates the interface.
+
+        Args:
+          replica: Mailbox of the task that holds the replica.
+          view: The state that this control has applied.
+          data_centres: The known data centres.
+        """
         self._replica = replica
+        self._view = view
+        self._data_centres = data_centres
 
     async def handle(self, raw: http.RawRequest) -> model.Response:
         """Serves one request of an operator."""
-        if raw.target.partition("?")[0] != names.CONFIGURATION_PATH:
+        path = raw.target.partition("?")[0]
+        is_evacuation = path.startswith(names.EVACUATION_PATH)
+        if path != names.CONFIGURATION_PATH and not is_evacuation:
             return node_api.json_response(503, {})
         try:
+            if is_evacuation:
+                return await self._change_evacuation(
+                    raw.method,
+                    urllib.parse.unquote(
+                        path.removeprefix(names.EVACUATION_PATH)
+                    ),
+                )
             match raw.method:
                 case "GET":
                     return await self._read_configuration()
@@ -99,6 +127,51 @@
             case _:
                 raise TypeError(f"unknown result {result!r}")
 
+    async def _change_evacuation(
+        self, method: str, data_centre: str
+    ) -> model.Response:
+        state = self._view.value.state
+        known = self._data_centres | state.evacuations.evacuated
+        if data_centre not in known:
+            return node_api.json_response(
+                404,
+                {
+                    "error": "unknown_data_centre",
+                    "detail": "known: " + ", ".join(sorted(known)),
+                },
+            )
+        command: fleet_commands.Command
+        match method:
+            case "POST":
+                command = fleet_commands.EvacuateDataCentre(
+                    data_centre=data_centre, known_revision=state.revision
+                )
+            case "DELETE":
+                command = fleet_commands.EndEvacuation(
+                    data_centre=data_centre, known_revision=state.revision
+                )
+            case _:
+                return node_api.json_response(405, {})
+        result = await self._submit(command)
+        logs.get().info(
+            "evacuation decided",
+            extra={
+                "data_centre": data_centre,
+                "method": method,
+                "result": type(result).__name__,
+            },
+        )
+        match result:
+            case fleet_commands.Accepted(revision=revision):
+                return node_api.json_response(200, {"revision": revision})
+            case fleet_commands.Conflict(detail=detail):
+                # This control was behind; it isn't when the operator repeats.
+                return node_api.json_response(
+                    503, {"error": "outdated", "detail": detail}
+                )
+            case _:
+                raise TypeError(f"unknown result {result!r}")
+
     async def _submit(self, command: fleet_commands.Command) -> Any:
         with trio.move_on_after(COMMIT_TIMEOUT):
             return await self._replica.ask(messages.Submit(command=command))
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -75,6 +75,8 @@
       route_levels: The routes whose root requests are admitted in part.
       signed_off: The last run of the node's upstream that signed off, if the
         node didn't report one.
+      evacuated: The evacuated data centres at `revision`; None from a build
+        that doesn't know them.
     """
 
     directory_source: str
@@ -90,6 +92,7 @@
     controls: tuple[replication.Member, ...] = ()
     route_levels: tuple[tree_admission.RouteLevel, ...] = ()
     signed_off: model.SignOff | None = None
+    evacuated: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -314,6 +317,7 @@
     withdrawn: tuple[str, ...]
     proof_age: float
     document: configuration.Configuration | None = None
+    evacuated: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -386,6 +390,7 @@
       majority_age: Seconds since it last had contact with a majority.
       leader: Replica id of the leader that it follows, or empty.
       claims: Number of claims on idempotency keys.
+      evacuated: The evacuated data centres.
     """
 
     answered_by: str
@@ -398,6 +403,7 @@
     organisations: tuple[model.Organisation, ...]
     quotas: tuple[OrganisationQuota, ...]
     claims: int
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -458,6 +464,8 @@
     fleet_commands.RotateClaims,
     fleet_commands.ReplaceConfiguration,
     fleet_commands.ReadConfiguration,
+    fleet_commands.EvacuateDataCentre,
+    fleet_commands.EndEvacuation,
     fleet_commands.CurrentConfiguration,
     fleet_commands.NoOp,
     fleet_commands.Accepted,
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -127,6 +127,16 @@
     return table(("ORGANISATION", "RULE", "ROUTE"), rows)
 
 
+def evacuation_text(status: protocol.StatusReply) -> str:
+    """Returns a sentence on the evacuated data centres; empty without any."""
+    if not status.evacuated:
+        return ""
+    return (
+        f"Evacuated: {', '.join(status.evacuated)}. Upstreams there get no "
+        "requests."
+    )
+
+
 def control_table(status: protocol.StatusReply) -> str:
     """Returns a line for each control."""
     return table(
@@ -211,6 +221,7 @@
         f"Fleet at revision {status.revision}, as seen by {status.answered_by}"
         f"; last contact with a majority {_format_age(status.majority_age)} "
         "ago.",
+        evacuation_text(status),
         control_table(status),
         node_table(status),
         organisation_list(status),
@@ -246,6 +257,12 @@
                 f"Control {member.vm} is silent. Restart it, or start one with "
                 "an empty data folder and replace it."
             )
+    for data_centre in status.evacuated:
+        advice.append(
+            f"Data centre {data_centre} is evacuated. To end that, send DELETE "
+            f"/-/evacuation/{data_centre} to the operators' address of a "
+            "control."
+        )
     rollout = api.rollout_of(status, status.revision)
     if rollout.missing:
         advice.append(
@@ -288,6 +305,7 @@
         and entry.record.upstream.state is model.UpstreamState.READY
         and not entry.lapsed
         and not entry.record.leaving
+        and entry.record.data_centre not in status.evacuated
         for entry in status.nodes
     )
 
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -26,6 +26,7 @@
 from sassafrashall.controllers import configuration_watch
 from sassafrashall.controllers import control_link
 from sassafrashall.controllers import demand_monitor
+from sassafrashall.controllers import evacuation_gate
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
@@ -171,6 +172,12 @@
             counters=self._metrics,
             borrowing_policy=quota_decisions.RELAXED,
         )
+        self._evacuation_gate = evacuation_gate.EvacuationGate(
+            data_centre=settings.data_centre,
+            bound=self._routed.evacuation.seconds,
+            view=self._membership.view,
+            counters=self._metrics,
+        )
         self._admission = admission.Admission(
             local_upstream=self._membership.local_upstream,
             admission_level=self._admission_level,
@@ -187,6 +194,7 @@
                 heartbeat=cold_heartbeat,
                 counters=self._metrics,
             ),
+            evacuation_gate=self._evacuation_gate,
         )
         self._routing = routing.Routing(
             vm=settings.vm,
@@ -237,6 +245,7 @@
                     demand_monitor=self._demand_monitor.mailbox,
                     upstream_may_call=self._upstream_may_call,
                     route_name=self._route_name,
+                    check_before_send=self._evacuation_gate.check_before_send,
                 ),
             ),
         )
@@ -464,6 +473,7 @@
     def _refresh_metrics(self) -> None:
         view = self._membership.view.value
         self._metrics.gauge("nodes_known", len(view.records))
+        self._metrics.gauge("evacuated_data_centres", len(view.evacuated))
         self._metrics.gauge("requests_in_progress", self._in_progress)
         self._metrics.gauge("connections", self._callers.connections)
 
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -116,6 +116,9 @@
       cold_overage: Multiple of the configured rate of requests that a cold
         upstream may get; 0 counts as 1.
       cold_slack: Requests in a second that it may get on top of that.
+      evacuation: Time within which the evacuation of a data centre is in force
+        everywhere; 0 if a node that starts or resumes doesn't wait for a proof
+        that it knows of the newest one.
       first_start: Whether this is the first start of the fleet; only then does
         a control with an empty data folder found it.
       losses: What may be lost at once while the configuration can be changed;
@@ -133,6 +136,7 @@
     retry_ratio: float = 0.2
     cold_overage: float = 0.0
     cold_slack: int = 0
+    evacuation: Duration = Duration(seconds=0.0)
     first_start: bool = True
     losses: voter_placement.Losses = voter_placement.Losses()
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -9,6 +9,7 @@
 
 from sassafrashall import configuration
 from sassafrashall import model
+from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import codec
@@ -27,6 +28,8 @@
       changes: Change ID and encoded result.
       documents: Digest of an accepted document and encoded result.
       quotas: Organisation and its quota.
+      evacuated: Data centres that are evacuated.
+      evacuation_changes: Data centre and fleet revision of its last change.
       old_claims, old_changes, old_documents: The previous generation of each.
     """
 
@@ -40,6 +43,8 @@
     documents: tuple[tuple[str, bytes], ...] = ()
     old_documents: tuple[tuple[str, bytes], ...] = ()
     quotas: tuple[tuple[str, fleet_state.Quota], ...] = ()
+    evacuated: tuple[str, ...] = ()
+    evacuation_changes: tuple[tuple[str, int], ...] = ()
 
 
 def encode(state: fleet_state.FleetState) -> bytes:
@@ -56,6 +61,8 @@
             documents=_encode_results(state.documents),
             old_documents=_encode_results(state.old_documents),
             quotas=tuple(state.quotas.items()),
+            evacuated=tuple(sorted(state.evacuations.evacuated)),
+            evacuation_changes=tuple(state.evacuations.changed.items()),
         )
     )
 
@@ -74,6 +81,10 @@
         documents=_decode_results(body.documents),
         old_documents=_decode_results(body.old_documents),
         quotas=immutables.Map(dict(body.quotas)),
+        evacuations=evacuation.Evacuations(
+            evacuated=frozenset(body.evacuated),
+            changed=immutables.Map(dict(body.evacuation_changes)),
+        ),
     )
 
 
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,325 @@
+"""The evacuation of a data centre, without a network."""
+
+import contextlib
+import dataclasses
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from sassafrashall import clock
+from sassafrashall import exceptions
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import protocol
+from sassafrashall import settings
+from sassafrashall.controllers import admission
+from sassafrashall.controllers import evacuation_gate
+from sassafrashall.controllers import node_membership
+from sassafrashall.controllers import routing
+from sassafrashall.decisions import evacuation
+from sassafrashall.decisions import fleet_commands
+from sassafrashall.decisions import fleet_state
+from sassafrashall.transport import codec
+from sassafrashall.transport import snapshots
+from tests import fakes
+
+BOUND = 5.0  # seconds
+START = 100.0
+UPSTREAM = model.Upstream(
+    service="a",
+    address=model.Address(host="127.0.0.1", port=1),
+    slots=1,
+    connection_limit=8,
+    state=model.UpstreamState.READY,
+)
+
+
+def _apply(state, command_type, data_centre="dc-a", known=-1):
+    return fleet_state.apply(
+        state, command_type(data_centre=data_centre, known_revision=known)
+    )
+
+
+def _begin(state, **fields):
+    return _apply(state, fleet_commands.EvacuateDataCentre, **fields)
+
+
+def _end(state, **fields):
+    return _apply(state, fleet_commands.EndEvacuation, **fields)
+
+
+# --- the replicated set ------------------------------------------------------
+
+
+def test_each_change_raises_the_revision_and_a_repeat_does_not():
+    state = fleet_state.FleetState(revision=7)
+    state, result = _begin(state)
+    assert result == fleet_commands.Accepted(revision=8)
+    state, result = _begin(state)
+    assert result == fleet_commands.Accepted(revision=8)
+    state, result = _begin(state, data_centre="dc-b")
+    assert state.evacuations.evacuated == {"dc-a", "dc-b"}
+    state, result = _end(state)
+    assert result == fleet_commands.Accepted(revision=10)
+    state, result = _end(state)
+    assert result == fleet_commands.Accepted(revision=10)
+    assert state.evacuations.evacuated == {"dc-b"}
+
+
+# Guards against an evacuation that begins again after its end: a request that
+# was held up between two controls arrives after the operator's next one.
+def test_a_request_that_was_held_up_changes_nothing():
+    state, _ = _begin(fleet_state.FleetState(revision=7), known=7)
+    state, _ = _end(state, known=8)
+    held_up, result = _begin(state, known=7)
+    assert isinstance(result, fleet_commands.Conflict)
+    assert held_up == state
+    state, result = _begin(state, known=9)
+    assert result == fleet_commands.Accepted(revision=10)
+
+
+def test_snapshots_and_log_entries_hold_it():
+    state, _ = _begin(fleet_state.FleetState())
+    state, _ = _begin(state, data_centre="dc-b")
+    state, _ = _end(state, data_centre="dc-b")
+    assert snapshots.decode(snapshots.encode(state)) == state
+    for command in (
+        fleet_commands.EvacuateDataCentre(data_centre="dc-a"),
+        fleet_commands.EndEvacuation(data_centre="dc-a", known_revision=3),
+    ):
+        assert codec.decode(codec.encode(command)) == command
+
+
+def test_a_snapshot_of_an_older_build_has_no_evacuation():
+    state, _ = _begin(fleet_state.FleetState())
+    body = msgspec.msgpack.decode(snapshots.encode(state))
+    del body["evacuated"], body["evacuation_changes"]
+    older = snapshots.decode(msgspec.msgpack.encode(body))
+    assert older.evacuations == evacuation.Evacuations()
+
+
+# --- a node that may have missed one -----------------------------------------
+
+
+def _block(state, now, *, evacuated=False, proven_at=float("-inf")):
+    return evacuation.block(
+        state, evacuated=evacuated, proven_at=proven_at, now=now
+    )
+
+
+def test_a_node_that_starts_waits_for_a_proof_but_not_for_ever():
+    state = evacuation.start(BOUND, START)
+    assert _block(state, START + 1) is evacuation.Block.UNPROVEN
+    assert _block(state, START + 1, proven_at=START + 0.5) is None
+    for step in range(30):
+        state = evacuation.on_tick(state, START + step / 10)
+    assert _block(state, START + 3.0) is None
+
+
+def test_a_node_that_resumes_needs_a_proof_of_the_time_since():
+    state = evacuation.on_tick(evacuation.start(BOUND, START), START + 1)
+    proven_at = START + 0.5
+    assert _block(state, START + 2.9, proven_at=proven_at) is None
+    # The first request may come before the first tick.
+    resumed = START + 9
+    assert _block(state, resumed, proven_at=proven_at) is not None
+    state = evacuation.on_tick(state, resumed)
+    assert _block(state, resumed + 0.5, proven_at=proven_at) is not None
+    assert _block(state, resumed + 0.5, proven_at=resumed + 0.1) is None
+
+
+# Guards against a node that stops serving while it is cut off.
+def test_a_node_that_is_cut_off_goes_on_with_what_it_knows():
+    state = evacuation.start(BOUND, START)
+    for step in range(600):
+        now = START + step / 10
+        state = evacuation.on_tick(state, now)
+        if step > 30:
+            assert _block(state, now, proven_at=START + 1) is None
+            assert (
+                _block(state, now, evacuated=True, proven_at=START + 1)
+                is evacuation.Block.EVACUATED
+            )
+
+
+def test_without_a_bound_a_node_waits_for_nothing():
+    state = evacuation.start(0.0, START)
+    assert _block(state, START) is None
+    assert _block(state, START + 60) is None
+    assert _block(state, START, evacuated=True) is evacuation.Block.EVACUATED
+
+
+# --- the node's view ---------------------------------------------------------
+
+
+@contextlib.asynccontextmanager
+async def _membership():
+    """Yields the controller, and what its control answers."""
+    answers = {"revision": 0, "evacuated": ()}
+    link = fakes.ScriptedController(
+        lambda message: (
+            fakes.heartbeat_reply(**answers)
+            if isinstance(message, messages.CallControl)
+            else None
+        )
+    )
+    controller = node_membership.NodeMembership(
+        record=fakes.node_record(),
+        link=link.mailbox,
+        admission_level=mailbox.Published(initial=-1),
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+        heartbeat_interval=0.02,
+    )
+    async with fakes.started(link, controller):
+        yield controller, answers
+
+
+def _read(revision, evacuated):
+    return messages.ConfigurationRead(
+        reply=protocol.ConfigurationReply(
+            revision=revision,
+            organisations=(),
+            withdrawn=(),
+            proof_age=0.0,
+            evacuated=evacuated,
+        ),
+        sent_at=clock.monotonic(),
+    )
+
+
+# Guards against a control that is behind, whose answer would end an evacuation
+# at the node, and against one of an older build, which doesn't tell it.
+async def test_an_older_answer_never_replaces_a_newer_one():
+    async with _membership() as (controller, answers):
+        for revision, evacuated, expected in [
+            (5, ("dc-a",), {"dc-a"}),
+            (4, (), {"dc-a"}),
+            (5, None, {"dc-a"}),
+            (6, ("dc-a", "dc-b"), {"dc-a", "dc-b"}),
+            (7, (), set()),
+        ]:
+            controller.mailbox.tell(_read(revision, evacuated))
+            await trio.sleep(0.05)
+            assert controller.view.value.evacuated == expected
+        # The heartbeats were answered at revision 0 all the time.
+        answers.update(revision=8, evacuated=("dc-a",))
+        with trio.fail_after(1):
+            while controller.view.value.evacuated != {"dc-a"}:
+                await trio.sleep(0.01)
+
+
+async def test_no_upstream_of_an_evacuated_data_centre_is_chosen():
+    records = {
+        vm: fakes.node_record(vm=vm, data_centre=data_centre, upstream=UPSTREAM)
+        for vm, data_centre in (("vm-a", "dc-a"), ("vm-b", "dc-b"))
+    }
+    view = mailbox.Published(initial=model.NodeView(records=records))
+    controller = routing.Routing(
+        vm="vm-a",
+        data_centre="dc-a",
+        view=view,
+        policy=settings.Policy(routing="first-free"),
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+        seed=1,
+    )
+    choose = messages.ChooseUpstream(service="a", avoid=frozenset())
+    async with fakes.started(controller):
+        assert (await controller.mailbox.ask(choose)).vm == "vm-a"
+        for evacuated, vm in [
+            ({"dc-a"}, "vm-b"),
+            ({"dc-a", "dc-b"}, None),
+            (set(), "vm-a"),
+        ]:
+            view.publish(
+                dataclasses.replace(view.value, evacuated=frozenset(evacuated))
+            )
+            choice = await controller.mailbox.ask(choose)
+            assert (choice and choice.vm) == vm
+
+
+# --- the upstream's door -----------------------------------------------------
+
+
+@contextlib.asynccontextmanager
+async def _admission(bound=0.0):
+    view = mailbox.Published(initial=model.NodeView())
+    load = mailbox.Published(initial=0)
+    controller = admission.Admission(
+        local_upstream=mailbox.Published(initial=UPSTREAM),
+        admission_level=mailbox.Published(initial=-1),
+        policy=settings.Policy(limit="fixed", longest_wait_ms=5000),
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+        upstream_load=load,
+        evacuation_gate=evacuation_gate.EvacuationGate(
+            data_centre="dc-a",
+            bound=bound,
+            view=view,
+            counters=fakes.counters(),
+        ),
+    )
+    async with fakes.started(controller):
+        await trio.testing.wait_all_tasks_blocked()
+        yield controller, view, load
+
+
+def _admit(call_id):
+    return messages.Admit(
+        call_id=call_id,
+        organisation="org",
+        priority=model.Priority.NORMAL,
+        nested=False,
+        root_id=call_id,
+        deadline=clock.monotonic() + 5.0,
+    )
+
+
+async def test_waiting_and_new_requests_are_refused_and_running_ones_go_on():
+    async with _admission() as (controller, view, load):
+        running = await controller.mailbox.ask(_admit("running"))
+        assert isinstance(running, messages.Admitted)
+        refused = []
+
+        async def wait():
+            refused.append(await controller.mailbox.ask(_admit("waiting")))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait)
+            await trio.testing.wait_all_tasks_blocked()
+            view.publish(model.NodeView(evacuated=frozenset({"dc-a"})))
+            with trio.fail_after(1):
+                while not refused:
+                    await trio.sleep(0.01)
+        refused.append(await controller.mailbox.ask(_admit("new")))
+        assert [r.code for r in refused] == [exceptions.NO_UPSTREAM] * 2
+        assert load.value == admission.OPEN_BREAKER_LOAD
+        controller.mailbox.tell(messages.SlotReleased(latency=0.1))
+        view.publish(model.NodeView(evacuated=frozenset({"dc-b"})))
+        again = await controller.mailbox.ask(_admit("again"))
+        assert isinstance(again, messages.Admitted)
+
+
+async def test_a_node_that_starts_sends_nothing_until_its_state_is_proven():
+    async with _admission(bound=BOUND) as (controller, view, _):
+        refused = await controller.mailbox.ask(_admit("early"))
+        assert refused.code == exceptions.NO_UPSTREAM
+        view.publish(model.NodeView(fresh_at=clock.monotonic()))
+        admitted = await controller.mailbox.ask(_admit("proven"))
+        assert isinstance(admitted, messages.Admitted)
+
+
+@pytest.mark.parametrize("method", ["heartbeat", "configuration"])
+def test_an_answer_of_an_older_build_tells_nothing(method):
+    fields = {"revision": 1, "organisations": (), "withdrawn": ()}
+    if method == "heartbeat":
+        answer = fakes.heartbeat_reply(**fields)
+    else:
+        answer = protocol.ConfigurationReply(**fields, proof_age=0.0)
+    body = msgspec.to_builtins(answer)
+    body.pop("evacuated")
+    assert msgspec.convert(body, type(answer)).evacuated is None
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -173,3 +173,9 @@
         unreachable=("node-b",),
     )
     assert reports.timeline(shown) == snapshot
+
+
+def test_an_evacuation_is_shown_with_how_to_end_it():
+    screen = reports.status_screen(_status(evacuated=("dc-a",)))
+    assert "Evacuated: dc-a." in screen
+    assert "DELETE /-/evacuation/dc-a" in screen
