Spillover: nodes compute which share of their calls leaves the data centre

Calls left a data centre at a fixed load, by what each node had seen of single upstreams, so that full data centres sent each other their load. Controls now tell nodes the slots, the load and the usual run time of each service in each data centre with the replies to heartbeats. Under expected-completion nodes derive from them a share of calls for each other data centre, where the wait here costs more than the round trip and policy.crossing_cost_ms, within the room that is left there. A call that a full upstream refused may leave at once within the same room. A data centre whose calls fail gets none for 2 s. Without summaries each call is decided as before.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -25,6 +25,7 @@
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import rpc
 
@@ -130,6 +131,7 @@
         self._admission_policy = settings.policy.tree_admission_policy()
         self._route_levels: tuple[tree_admission.RouteLevel, ...] = ()
         self._levels_computed_at = float("-inf")
+        self._rooms: tuple[spillover.Room, ...] = ()
         self._calls_per_run = demand_decisions.CallsPerRun()
         self._corrections: dict[str, float] = {}
         self._levels_logged_at = float("-inf")
@@ -296,6 +298,7 @@
             controls=self._view.value.members,
             route_levels=self._current_route_levels(now),
             signed_off=self._sign_off_before(record),
+            rooms=self._rooms,
         )
 
     def _sign_off_before(
@@ -319,6 +322,7 @@
     def _compute_route_levels(self, now: float, elapsed: float) -> None:
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
+        self._rooms = self._compute_rooms(fleet)
         self._calls_per_run = demand_decisions.hold_calls_per_run(
             self._calls_per_run, fleet, now
         )
@@ -355,6 +359,43 @@
                 },
             )
 
+    def _compute_rooms(
+        self, fleet: demand_decisions.Demand
+    ) -> tuple[spillover.Room, ...]:
+        """Returns the rooms of the ready upstreams that report their load."""
+        upstreams = []
+        for vm, entry in self._directory.entries.items():
+            upstream, load = entry.record.upstream, self._loads.get(vm)
+            if entry.lapsed or entry.record.leaving or load is None:
+                continue
+            if (
+                upstream is not None
+                and upstream.state is model.UpstreamState.READY
+                and load.load >= 0
+            ):
+                upstreams.append(
+                    (
+                        upstream.service,
+                        entry.record.data_centre,
+                        upstream.slots,
+                        load.load,
+                    )
+                )
+        ended: dict[str, float] = {}
+        busy: dict[str, float] = {}
+        for route in fleet.routes:
+            name = route.service
+            ended[name] = ended.get(name, 0.0) + route.ended
+            busy[name] = busy.get(name, 0.0) + route.busy_s
+        return spillover.add_up(
+            upstreams,
+            {
+                name: busy[name] / count
+                for name, count in ended.items()
+                if count > tree_admission.MIN_RUNS
+            },
+        )
+
     def _newer_document(
         self, version: int
     ) -> configuration.Configuration | None:
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -24,6 +24,7 @@
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
+from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.decisions import upstream_runs
 
@@ -96,6 +97,7 @@
         heartbeat_interval: float = HEARTBEAT_INTERVAL,
         local_upstream: mailbox.Published[model.Upstream | None] | None = None,
         demand_monitor: mailbox.Mailbox | None = None,
+        upstream_load: mailbox.Published[int] | None = None,
     ) -> None:
         """Sets up an empty view.
 
@@ -112,6 +114,8 @@
           local_upstream: Where the upstream on this VM is published.
           demand_monitor: Mailbox of the task that measures the demand to
             report; None if it isn't measured.
+          upstream_load: The load of the local upstream, in thousandths of its
+            slots; None if it isn't measured.
         """
         super().__init__()
         self._announcement_ttl = announcement_ttl
@@ -142,6 +146,10 @@
             model.Upstream | None
         ](initial=None)
         self._demand_monitor = demand_monitor
+        self._upstream_load = upstream_load
+        self._summary = mailbox.Published[spillover.Summary](
+            initial=spillover.Summary()
+        )
         self._route_levels = mailbox.Published[tree_admission.RouteLevels](
             initial=tree_admission.RouteLevels()
         )
@@ -166,6 +174,11 @@
         """The admission levels of routes that the controls computed last."""
         return self._route_levels
 
+    @property
+    def summary(self) -> mailbox.Published[spillover.Summary]:
+        """The loads of the services in each data centre, as told last."""
+        return self._summary
+
     async def _setup(self) -> None:
         self._spawn(self._send_heartbeats)
 
@@ -319,6 +332,7 @@
             if level < 0
             else level / shedding.LEVEL_SCALE,
             shed_per_second=round(rate, 1),
+            load=self._upstream_load.value if self._upstream_load else -1,
         )
 
     async def _send_heartbeats(self) -> None:
@@ -375,6 +389,9 @@
                 received_at=clock.monotonic(),
             )
         )
+        self._summary.publish(
+            spillover.summarize(answer.rooms, clock.monotonic())
+        )
         if not self._directory_source:
             self._outrank_record_before(answer)
         records = self._merge_records(view.records, answer)
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 import random
 from typing import Any
 
 from sassafrashall import clock
 from sassafrashall import events
-from sassafrashall import frozen
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
@@ -20,6 +21,7 @@
 from sassafrashall.decisions import retries
 from sassafrashall.decisions import routing
 from sassafrashall.decisions import shedding
+from sassafrashall.decisions import spillover
 
 # Seconds after which an admission level that did not change is published again,
 # so that it does not count as outdated.
@@ -31,6 +33,7 @@
 COMPARISON_TTL = 0.25
 # Mean load assumed for a service without a recent report.
 UNKNOWN_LOAD = 0.5
+SMOOTHING = 0.05  # weight of the latest call in means by route
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -40,11 +43,17 @@
     Attributes:
       made_at: Monotonic seconds.
       usual_load: Mean of the loads that were reported lately.
+      loads: Load by data centre; empty if not known.
+      rooms_known: Whether the load of this data centre is known.
+      run_s: Usual run time of the service in seconds; 0 if not known.
     """
 
     made_at: float
     times: completion.RelativeTimes
     usual_load: float
+    loads: dict[str, float]
+    rooms_known: bool
+    run_s: float
 
 
 class Routing(task.Controller):
@@ -65,8 +74,35 @@
         counters: metrics.Metrics,
         seed: int,
         retry_policy: retries.Policy | None = None,
+        summary: mailbox.Published[spillover.Summary] | None = None,
     ) -> None:
+        """Creates the controller.
+
+        Args:
+          vm: The VM of this node.
+          data_centre: Its data centre.
+          view: The fleet as this node sees it.
+          policy: Selects the policies.
+          event_log: Records ejections.
+          counters: The metrics of this process.
+          seed: Of the random numbers.
+          retry_policy: Replaces the one that `policy` selects.
+          summary: The loads of the data centres; None if nobody tells them.
+        """
         super().__init__()
+        self._policy = policy
+        self._summary = summary or mailbox.Published[spillover.Summary](
+            initial=spillover.Summary()
+        )
+        # By service.
+        self._shares: dict[str, spillover.Shares] = {}
+        self._flows: dict[str, spillover.Flow] = {}
+        # By data centre.
+        self._reaches: dict[str, spillover.Reach] = {}
+        # By route: mean size of the responses, and mean time of the calls that
+        # stay in this data centre.
+        self._response_sizes: dict[str, float] = {}
+        self._near_times: dict[str, float] = {}
         self._vm = vm
         self._data_centre = data_centre
         self._view = view
@@ -163,13 +199,11 @@
         ]
         # With all upstreams ejected, one that failed is better than none.
         usable = usable or records
-        untried = [r for r in usable if r.vm not in message.avoid]
         match self._routing_policy:
             case routing.ExpectedCompletion() as policy:
-                choice = self._choose_by_estimates(
-                    policy, untried or usable, message, now
-                )
+                choice = self._choose_by_estimates(policy, usable, message, now)
             case _:
+                untried = [r for r in usable if r.vm not in message.avoid]
                 choice = self._choose(
                     tuple(
                         self._to_candidate(record, now)
@@ -213,52 +247,249 @@
     def _choose_by_estimates(
         self,
         policy: routing.ExpectedCompletion,
-        records: list[model.NodeRecord],
+        usable: list[model.NodeRecord],
         message: messages.ChooseUpstream,
         now: float,
     ) -> messages.UpstreamChoice | None:
         """Returns the choice among estimated candidates.
 
-        Those of other data centres are looked at only if this one has no room,
+        Those of other data centres are looked at only if calls leave this one,
         which saves most of the processor time.
         """
         comparison = self._comparison_of(message.service, now)
-        near = tuple(
-            self._estimate(record, message.route, comparison, now)
-            for record in records
-            if record.data_centre == self._data_centre
-        )
-        if routing.has_room(policy, near):
-            choice = self._choose(near, len(message.avoid), now)
-            if choice is None or not choice.may_wait:
-                return choice
-            candidates = near + self._estimate_far(
-                records, message.route, comparison, now
+        attempts = len(message.avoid)
+
+        def estimate(
+            records: Iterable[model.NodeRecord],
+        ) -> tuple[routing.Candidate, ...]:
+            return tuple(
+                self._estimate(record, message.route, comparison, now)
+                for record in records
             )
-            chosen = next(c for c in near if c.vm == choice.vm)
-            return frozen.replace(
-                choice,
-                may_wait=routing.may_wait(
-                    policy, chosen, candidates, len(message.avoid)
-                ),
+
+        untried = [r for r in usable if r.vm not in message.avoid]
+        near_records = [
+            r for r in untried if r.data_centre == self._data_centre
+        ]
+        far_records = [r for r in untried if r.data_centre != self._data_centre]
+        near = estimate(near_records)
+        if not comparison.rooms_known:
+            # Without the loads of the data centres, each call is decided by
+            # what this node has seen of the upstreams.
+            if routing.has_room(policy, near):
+                return self._choose(near, attempts, now)
+            everywhere = near + estimate(far_records)
+            return self._choose(everywhere or estimate(usable), attempts, now)
+        if not message.avoid:
+            self._flows[message.service] = spillover.on_call(
+                self._flow_of(message.service),
+                self._shares.get(message.service, spillover.NO_SHARES),
+                now,
             )
-        candidates = near + self._estimate_far(
-            records, message.route, comparison, now
+        if near:
+            there, cause = None, "share"
+            is_full = routing.are_full(policy, near)
+            if message.avoid:
+                if is_full and attempts < policy.moves:
+                    there = self._overflow_to(message, near, comparison)
+                    cause = "overflow"
+            elif not routing.is_free_here(policy, near):
+                there = self._leave_for(message)
+            if there is not None:
+                far = estimate(r for r in far_records if r.data_centre == there)
+                choice = self._choose(far, attempts, now)
+                if choice is not None:
+                    self._count_crossing(message.service, cause, there)
+                    # It doesn't wait where it takes room from others.
+                    return dataclasses.replace(
+                        choice, may_wait=attempts >= policy.moves
+                    )
+            choice = self._choose(near, attempts, now)
+            if (
+                choice is not None
+                and not message.avoid
+                and is_full
+                and self._overflow_to(message, near, comparison) is not None
+            ):
+                # If it is full indeed, the call leaves with the next attempt.
+                return dataclasses.replace(choice, may_wait=False)
+            return choice
+        tried = estimate(
+            r for r in usable if r.data_centre == self._data_centre
         )
-        return self._choose(candidates, len(message.avoid), now)
+        if tried and routing.are_full(policy, tried):
+            # A full data centre elsewhere would only refuse the call too.
+            far_records = [
+                r
+                for r in far_records
+                if comparison.loads.get(r.data_centre, 0.0)
+                < spillover.ACCEPT_LOAD
+            ]
+        choice = self._choose(estimate(far_records), attempts, now)
+        if choice is not None:
+            there = self._view.value.records[choice.vm].data_centre
+            self._count_crossing(
+                message.service, "refused" if tried else "no-upstream", there
+            )
+            return choice
+        return self._choose(tried or estimate(usable), attempts, now)
 
-    def _estimate_far(
+    def _leave_for(self, message: messages.ChooseUpstream) -> str | None:
+        """Returns the data centre that a call goes to; None if it stays."""
+        shares = self._shares.get(message.service, spillover.NO_SHARES)
+        if not shares.by_data_centre:
+            return None
+        there = shares.pick(self._random.random())
+        if there is None or not self._is_worth_its_size(message, there):
+            return None
+        return there
+
+    def _overflow_to(
         self,
-        records: list[model.NodeRecord],
-        route: str,
+        message: messages.ChooseUpstream,
+        near: tuple[routing.Candidate, ...],
         comparison: _Comparison,
-        now: float,
-    ) -> tuple[routing.Candidate, ...]:
-        return tuple(
-            self._estimate(record, route, comparison, now)
-            for record in records
+    ) -> str | None:
+        """Returns where a call may go that finds this data centre full."""
+        there = self._flow_of(message.service).best_credit()
+        if there is None:
+            return None
+        wait = routing.shortest_wait(near) * comparison.run_s
+        reach = self._reach_of(there)
+        cost = self._policy.crossing_cost_ms / 1000
+        if wait <= cost + (reach.round_trip or spillover.ROUND_TRIP):
+            return None
+        return there if self._is_worth_its_size(message, there) else None
+
+    def _is_worth_its_size(
+        self, message: messages.ChooseUpstream, there: str
+    ) -> bool:
+        return spillover.pays(
+            self._shares.get(message.service, spillover.NO_SHARES),
+            there,
+            self._policy.crossing_cost_ms / 1000,
+            message.size + self._response_sizes.get(message.route, 0.0),
+        )
+
+    def _flow_of(self, service: str) -> spillover.Flow:
+        return self._flows.get(service, spillover.Flow())
+
+    def _count_crossing(self, service: str, cause: str, there: str) -> None:
+        self._metrics.count("calls_sent_out", cause=cause, to=there)
+        self._flows[service] = spillover.on_sent(self._flow_of(service), there)
+
+    def _update_shares(
+        self, service: str, rooms: dict[str, spillover.Room], now: float
+    ) -> None:
+        before = self._shares.get(service, spillover.NO_SHARES)
+        near_loads = [
+            seen.load
+            for record in self._by_service.get(service, ())
+            if record.data_centre == self._data_centre
+            and (seen := self._seen_loads.get(record.vm)) is not None
+            and seen.age(now) <= routing.LOAD_TTL
+        ]
+        open_to = frozenset(
+            record.data_centre
+            for record in self._by_service.get(service, ())
             if record.data_centre != self._data_centre
+            and routing.is_usable(self._health_of(record.vm), now)
+            and self._reach_of(record.data_centre).blocked_until <= now
+        )
+        situation = spillover.Situation(
+            here=self._data_centre,
+            service=service,
+            summary=self._summary.value,
+            open_to=open_to,
+            round_trips={
+                name: reach.round_trip
+                for name, reach in self._reaches.items()
+                if reach.round_trip
+            },
+            crossing_cost_s=self._policy.crossing_cost_ms / 1000,
+            sent=self._flow_of(service).fractions(),
+            seen_load=sum(near_loads) / len(near_loads) if near_loads else -1.0,
         )
+        after = spillover.update(before, situation, now)
+        self._shares[service] = after
+        self._log_shares(service, before, after, rooms)
+
+    def _log_shares(
+        self,
+        service: str,
+        before: spillover.Shares,
+        after: spillover.Shares,
+        rooms: dict[str, spillover.Room],
+    ) -> None:
+        """Logs when calls begin or cease to leave the data centre."""
+        if before.total or after.total:
+            self._metrics.gauge("share_sent_out", after.total, service=service)
+        if bool(before.total) == bool(after.total):
+            return
+        logs.get().info(
+            "calls leave the data centre"
+            if after.total
+            else "calls stay in the data centre again",
+            extra={
+                "service": service,
+                "shares": {
+                    name: round(share, 3)
+                    for name, share in after.by_data_centre.items()
+                },
+                "loads": {
+                    name: round(room.load, 2) for name, room in rooms.items()
+                },
+            },
+        )
+
+    def _reach_of(self, data_centre: str) -> spillover.Reach:
+        return self._reaches.get(data_centre, spillover.Reach())
+
+    def _observe_data_centre(
+        self, message: messages.AttemptEnded, now: float
+    ) -> None:
+        """Records what an attempt says about its data centre."""
+        record = self._view.value.records.get(message.vm)
+        if record is None:
+            return
+        name = record.data_centre
+        answered = message.result is messages.AttemptResult.ANSWERED
+        if answered and message.route:
+            size = self._response_sizes.get(message.route, float(message.size))
+            size += SMOOTHING * (message.size - size)
+            self._response_sizes[message.route] = size
+        if name == self._data_centre:
+            if answered and message.latency >= 0:
+                usual = self._near_times.get(message.route, message.latency)
+                usual += SMOOTHING * (message.latency - usual)
+                self._near_times[message.route] = usual
+            return
+        if answered and message.latency >= 0:
+            usual = self._near_times.get(message.route, message.latency)
+            saved = usual - message.latency
+            self._metrics.count(
+                "crossing_seconds",
+                abs(saved),
+                result="saved" if saved >= 0 else "lost",
+            )
+        if not answered:
+            self._flows[message.service] = spillover.on_returned(
+                self._flow_of(message.service), name
+            )
+        failed = message.result is messages.AttemptResult.CONNECTION_FAILED
+        before = self._reach_of(name)
+        after = spillover.on_attempt(
+            before, failed=failed, round_trip=message.round_trip, now=now
+        )
+        self._reaches[name] = after
+        if after.blocked_until > before.blocked_until:
+            self._shares = {
+                service: shares.without(name)
+                for service, shares in self._shares.items()
+            }
+            logs.get().warning(
+                "calls to a data centre fail", extra={"data_centre": name}
+            )
 
     def _index_records(self, now: float) -> None:
         """Groups the records of ready upstreams by service, once per view."""
@@ -341,7 +572,13 @@
             if (seen := self._seen_loads.get(record.vm)) is not None
             and seen.age(now) <= routing.LOAD_TTL
         ]
+        rooms = self._summary.value.rooms_of(service, now)
+        if rooms:
+            self._update_shares(service, rooms, now)
         comparison = _Comparison(
+            loads={name: room.load for name, room in rooms.items()},
+            rooms_known=bool(rooms),
+            run_s=max((room.run_s for room in rooms.values()), default=0.0),
             made_at=now,
             times=completion.compare(self._run_times.get(service, {}), now),
             usual_load=sum(loads) / len(loads) if loads else UNKNOWN_LOAD,
@@ -439,6 +676,7 @@
             self._sent_since.pop(message.vm, None)
         if message.level >= 0:
             self._record_level(message, now)
+        self._observe_data_centre(message, now)
         previous = self._health_of(message.vm)
         match message.result:
             case messages.AttemptResult.INCONCLUSIVE:
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -78,8 +78,10 @@
       local_margin: Factor by which another upstream must be expected to be
         faster than an idle one on this VM; a call over the network costs
         processor time of two nodes.
-      data_centre_max_load: As in `LeastLoaded`.
+      data_centre_max_load: As in `LeastLoaded`, as long as the loads of the
+        data centres are not known.
       cross_data_centre_penalty: As in `LeastLoaded`.
+      crossing_cost_s: Seconds that leaving the data centre must save.
       moves: As in `LeastLoaded`.
     """
 
@@ -87,6 +89,7 @@
     local_margin: float = 1.2
     data_centre_max_load: float = 0.9
     cross_data_centre_penalty: float = 0.1
+    crossing_cost_s: float = 0.0
     moves: int = 2
 
 
@@ -266,11 +269,13 @@
                 candidate is not chosen and _effective_load(candidate) < 1.0
                 for candidate in candidates
             )
-        case ExpectedCompletion(moves=moves) if attempts < moves:
+        case ExpectedCompletion(moves=moves, data_centre_max_load=max_load) if (
+            attempts < moves
+        ):
             bound = max(1.0, chosen.relative_time) * completion.FULL_COST
             return not any(
                 candidate is not chosen
-                and _known_load(candidate) < 1.0
+                and _known_load(candidate) <= max_load
                 and candidate.relative_time < bound
                 for candidate in candidates
             )
@@ -309,6 +314,35 @@
     return rotated[min(weighted)[1]]
 
 
+def is_free_here(
+    policy: ExpectedCompletion, candidates: tuple[Candidate, ...]
+) -> bool:
+    """Returns whether the upstream on this VM has room."""
+    return any(
+        candidate.is_local and _known_load(candidate) <= policy.local_max_load
+        for candidate in candidates
+    )
+
+
+def are_full(
+    policy: ExpectedCompletion, candidates: tuple[Candidate, ...]
+) -> bool:
+    """Returns whether none of the upstreams is known to have a free slot."""
+    return all(
+        _known_load(candidate) > policy.data_centre_max_load
+        for candidate in candidates
+    )
+
+
+def shortest_wait(candidates: tuple[Candidate, ...]) -> float:
+    """Returns the shortest expected wait for a slot, in usual run times."""
+    return min(
+        candidate.relative_time
+        * max(0.0, _known_load(candidate) - 1.0 + 1.0 / max(1, candidate.slots))
+        for candidate in candidates
+    )
+
+
 def has_room(
     policy: ExpectedCompletion, candidates: tuple[Candidate, ...]
 ) -> bool:
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -50,7 +50,10 @@
             attempts += 1
             choice = await self._routing.ask(
                 messages.ChooseUpstream(
-                    service=call.service, avoid=avoid, route=call.route
+                    service=call.service,
+                    avoid=avoid,
+                    route=call.route,
+                    size=len(call.request.body),
                 )
             )
             if choice is None:
@@ -78,13 +81,17 @@
     ) -> model.Outcome:
         attempt_result = messages.AttemptResult.INCONCLUSIVE
         level = load = -1
-        latency = run_time = -1.0
+        latency = run_time = round_trip = -1.0
+        size = 0
         started_at = clock.monotonic()
         try:
             outcome = await self._send(call, choice)
             elapsed = clock.monotonic() - started_at
             if isinstance(outcome, model.Answer):
                 latency = elapsed
+                size = len(outcome.response.body)
+            elif outcome.code == exceptions.SHED and not choice.may_wait:
+                round_trip = elapsed
             if _shows_run_time(outcome):
                 run_time = elapsed
             attempt_result = dispatch.attempt_result_of(outcome)
@@ -100,6 +107,8 @@
                     latency=latency,
                     route=call.route,
                     run_time=run_time,
+                    round_trip=round_trip,
+                    size=size,
                 )
             )
         return outcome
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -353,11 +353,13 @@
     Attributes:
       avoid: VMs that were already tried for this call.
       route: Name of its route, or empty.
+      size: Bytes of the request's body, as far as it has been received.
     """
 
     service: str
     avoid: frozenset[str]
     route: str = ""
+    size: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -405,6 +407,9 @@
       route: Name of the call's route, or empty.
       run_time: Seconds for which the call ran there, at least; negative if
         the attempt says nothing about it.
+      round_trip: Seconds until a refusal that no wait for a slot delayed;
+        negative without one.
+      size: Bytes of the response's body, as far as it has been received.
     """
 
     vm: str
@@ -415,6 +420,8 @@
     latency: float = -1.0
     route: str = ""
     run_time: float = -1.0
+    round_trip: float = -1.0
+    size: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -246,10 +246,13 @@
       level: Admission level of its upstream.
       shed_per_second: Rate of requests refused because of load, both those
         that entered the fleet here and those for its own upstream.
+      load: Requests running or queued at its upstream, in thousandths of the
+        concurrency limit, or -1 if unknown.
     """
 
     level: float
     shed_per_second: float
+    load: int = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -12,6 +12,7 @@
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import codec
 
@@ -75,6 +76,7 @@
       route_levels: The routes whose root requests are admitted in part.
       signed_off: The last run of the node's upstream that signed off, if the
         node didn't report one.
+      rooms: Slots and loads of the services in each data centre.
     """
 
     directory_source: str
@@ -90,6 +92,7 @@
     controls: tuple[replication.Member, ...] = ()
     route_levels: tuple[tree_admission.RouteLevel, ...] = ()
     signed_off: model.SignOff | None = None
+    rooms: tuple[spillover.Room, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -151,6 +151,7 @@
             heartbeat_interval=HEARTBEAT_INTERVAL,
             local_upstream=self._local_upstream,
             demand_monitor=self._demand_monitor.mailbox,
+            upstream_load=self._upstream_load,
         )
         self._configuration_watch = configuration_watch.ConfigurationWatch(
             link=self._control_link.mailbox,
@@ -185,6 +186,7 @@
             retry_policy=self._routed.with_retry_ratio(
                 settings.policy.retry_policy()
             ),
+            summary=self._membership.summary,
         )
         self._peer_links = peer_links.PeerLinks(
             vm=settings.vm, secret=self._secret, counters=self._metrics
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -164,6 +164,11 @@
 
     The simplest policies, such as `none`, `fifo` and `random`, are baselines
     for comparison.
+
+    Attributes:
+      crossing_cost_ms: Milliseconds of a caller's time that leaving the data
+        centre must save, besides the round trip. Twice a round trip between
+        data centres, so that a call that crosses clearly gains by it.
     """
 
     limit: str = "shed"
@@ -175,6 +180,7 @@
     retries: str = "budget"
     tree_admission: str = "none"
     breaker: str = "none"
+    crossing_cost_ms: int = 5
 
     def limit_policy(self) -> limits.Policy:
         """Returns the concurrency limit policy."""
@@ -202,7 +208,13 @@
 
     def routing_policy(self) -> routing_policies.Policy:
         """Returns the routing policy."""
-        return ROUTING_POLICIES[self.routing]
+        match ROUTING_POLICIES[self.routing]:
+            case routing_policies.ExpectedCompletion() as policy:
+                return dataclasses.replace(
+                    policy, crossing_cost_s=self.crossing_cost_ms / 1000
+                )
+            case policy:
+                return policy
 
     def retry_policy(self) -> retry_policies.Policy:
         """Returns the retry policy."""
@@ -496,7 +508,7 @@
                     f"unknown policy {value!r}; known: {', '.join(known)}",
                 )
             )
-    for name in ("queue_length", "longest_wait_ms"):
+    for name in ("queue_length", "longest_wait_ms", "crossing_cost_ms"):
         if getattr(policy, name) < 0:
             faults.append((f"policy.{name}", "must not be negative"))
     return faults
--- a/tests/routing_simulation.py
+++ b/tests/routing_simulation.py
@@ -20,11 +20,15 @@
 from sassafrashall import model
 from sassafrashall import settings
 from sassafrashall.controllers import routing
+from sassafrashall.decisions import spillover
 
 SERVICE = "s"
 ROUTE = "r"
 HOP = 0.0003  # seconds one way inside a data centre
 CROSSING = 0.0012  # seconds one way between data centres
+SUMMARY_INTERVAL = 0.5  # seconds
+SUMMARY_DELAY = 0.5  # seconds from the measurement to the nodes
+LAPSE_TIME = 2.0  # seconds until a silent data centre leaves the summaries
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -94,6 +98,7 @@
         work=0.09,
         max_wait=0.25,
         policy_settings=None,
+        with_summaries=True,
     ):
         self.now = 0.0
         monkeypatch.setattr(clock, "monotonic", lambda: self.now)
@@ -114,6 +119,15 @@
                 }
             )
         )
+        self.data_centre_names = sorted(set(self.data_centres.values()))
+        self.summaries = {
+            name: mailbox.Published[spillover.Summary](
+                initial=spillover.Summary()
+            )
+            for name in self.data_centre_names
+        }
+        # Data centres cut off from the others, and since when.
+        self.cut_off = {}
         names = settings.Policy(
             routing=policy, retries="arrivals", early_shed="none"
         )
@@ -130,6 +144,7 @@
                 ),
                 counters=metrics.Metrics(process=vm, data_centre=data_centre),
                 seed=seed + index,
+                summary=self.summaries[data_centre],
             )
             for index, (vm, data_centre) in enumerate(self.data_centres.items())
         }
@@ -139,9 +154,17 @@
         self.refused = 0
         # (arrived at, seconds, data centre of the node, of the upstream)
         self.ended = []
+        # (sent at, data centre of the node, of the upstream), of all attempts
+        self.attempts = []
+        self.unreachable = 0
+        if with_summaries:
+            self._last_arrival = 0.0
+            self.schedule(0.0, self._summarize)
 
     def schedule(self, at, action, *arguments):
         self._sequence += 1
+        if action == self.send:
+            self._last_arrival = max(at, getattr(self, "_last_arrival", 0.0))
         heapq.heappush(self._events, (at, self._sequence, action, arguments))
 
     def arrivals(self, rate, seconds, nodes, start=0.0, bound=None):
@@ -166,6 +189,31 @@
             action(*arguments)
         return self
 
+    def _summarize(self):
+        for here in self.data_centre_names:
+            rooms = spillover.add_up(
+                (
+                    (SERVICE, d.upstream.data_centre, d.upstream.slots, d.load)
+                    for d in self.doors.values()
+                    if self._is_connected(here, d.upstream.data_centre)
+                    or self.now - self._cut_at(here, d.upstream.data_centre)
+                    < LAPSE_TIME
+                ),
+                {SERVICE: self.work},
+            )
+            self.schedule(self.now + SUMMARY_DELAY, self._publish, here, rooms)
+        if self.now < self._last_arrival:
+            self.schedule(self.now + SUMMARY_INTERVAL, self._summarize)
+
+    def _publish(self, here, rooms):
+        self.summaries[here].publish(spillover.summarize(rooms, self.now))
+
+    def _is_connected(self, here, there):
+        return here == there or not {here, there} & set(self.cut_off)
+
+    def _cut_at(self, here, there):
+        return max(self.cut_off.get(name, -1e9) for name in (here, there))
+
     def send(self, call):
         reply = _Reply()
         self.controllers[call.node]._handle(
@@ -182,6 +230,14 @@
         call.sends += 1
         call.sent_at = self.now
         delay = self._delay(call.node, choice.vm)
+        here, there = (self.data_centres[v] for v in (call.node, choice.vm))
+        self.attempts.append((self.now, here, there))
+        if not self._is_connected(here, there):
+            self.unreachable += 1
+            self.schedule(
+                self.now + delay, self._on_unreachable, call, choice.vm
+            )
+            return
         self.schedule(self.now + delay, self._arrive, call, choice)
 
     def _delay(self, vm, other):
@@ -240,15 +296,25 @@
         else:
             self.send(call)
 
-    def _end_attempt(self, call, vm, load, elapsed):
+    def _on_unreachable(self, call, vm):
+        self._end_attempt(
+            call, vm, -1, -1.0, messages.AttemptResult.CONNECTION_FAILED
+        )
+        call.avoid |= {vm}
+        self.send(call)
+
+    def _end_attempt(self, call, vm, load, elapsed, result=None):
         answered = elapsed >= 0
         self.controllers[call.node]._handle(
             messages.AttemptEnded(
                 vm=vm,
                 service=SERVICE,
-                result=messages.AttemptResult.ANSWERED
-                if answered
-                else messages.AttemptResult.INCONCLUSIVE,
+                result=result
+                or (
+                    messages.AttemptResult.ANSWERED
+                    if answered
+                    else messages.AttemptResult.INCONCLUSIVE
+                ),
                 load=load,
                 latency=elapsed,
                 route=ROUTE,
@@ -269,6 +335,24 @@
             if start <= at < end and here != there
         )
 
+    def crossing_share(self, here, start=0.0, end=1e9):
+        """Returns the fraction of a data centre's attempts that left it."""
+        sent = [
+            t for at, h, t in self.attempts if h == here and start <= at < end
+        ]
+        return sum(there != here for there in sent) / max(1, len(sent))
+
+    def load_of(self, data_centre):
+        """Returns the load of a data centre's upstreams now."""
+        doors = [
+            d
+            for d in self.doors.values()
+            if d.upstream.data_centre == data_centre
+        ]
+        return sum(d.load * d.upstream.slots for d in doors) / sum(
+            1000 * d.upstream.slots for d in doors
+        )
+
     def busiest_to_mean(self):
         """Returns the ratio of slot use, busiest upstream to the mean."""
         use = [
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -13,8 +13,10 @@
 from sassafrashall import protocol
 from sassafrashall import settings
 from sassafrashall.controllers import fleet_directory
+from sassafrashall.decisions import demand
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import spillover
 from sassafrashall.transport import rpc
 from tests import fakes
 from tests import loopback
@@ -69,6 +71,9 @@
     async def tell_record(self, record):
         return await self._mailbox.ask(protocol.RecordChanged(record=record))
 
+    async def send(self, heartbeat):
+        return await self._mailbox.ask(heartbeat)
+
     async def records(self, vm):
         """Returns VM and counter of the records in the reply to a heartbeat."""
         reply = await self._mailbox.ask(_heartbeat(vm))
@@ -219,3 +224,53 @@
             await directory.heartbeat("vm-a")
             await directory.ping(vm="vm-b", incarnation=1, counter=counter)
         assert await directory.heartbeat("vm-a") == lapsed
+
+
+def _loaded(vm, data_centre, load, state=model.UpstreamState.READY):
+    upstream = model.Upstream(
+        service="s",
+        address=ADDRESS,
+        slots=10,
+        connection_limit=0,
+        state=state,
+    )
+    return protocol.Heartbeat(
+        record=fakes.node_record(
+            vm=vm, data_centre=data_centre, upstream=upstream
+        ),
+        directory_source="",
+        directory_version=0,
+        withdrawn_count=0,
+        load=model.NodeLoad(level=3.0, shed_per_second=0.0, load=load),
+        demand=demand.Demand(
+            routes=(
+                demand.RouteDemand(
+                    route="r", service="s", ended=20.0, busy_s=2.0
+                ),
+            )
+        ),
+    )
+
+
+# Guards against nodes that know nothing of the load of other data centres, or
+# take an upstream for room that is drained or doesn't tell its load.
+async def test_heartbeats_are_told_the_load_of_each_data_centre(now):
+    async with _directory(now) as directory:
+        for heartbeat in (
+            _loaded("vm-a", "x", 500),
+            _loaded("vm-b", "x", 1500),
+            _loaded("vm-c", "y", 250),
+            _loaded("vm-d", "y", 0, model.UpstreamState.DRAINING),
+            _loaded("vm-e", "y", -1),
+        ):
+            await directory.send(heartbeat)
+        now[0] += 0.3
+        reply = await directory.send(_loaded("vm-a", "x", 500))
+    assert set(reply.rooms) == {
+        spillover.Room(
+            service="s", data_centre="x", slots=20, load=1.0, run_s=0.1
+        ),
+        spillover.Room(
+            service="s", data_centre="y", slots=10, load=0.25, run_s=0.1
+        ),
+    }
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -14,6 +14,7 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import routed_node
+from sassafrashall import settings
 from sassafrashall.controllers import peer_links
 from sassafrashall.transport import frames
 from sassafrashall.transport import http
@@ -672,3 +673,25 @@
             b"Content-Length: 1001\r\n\r\n",
         )
         assert answer.startswith(b"HTTP/1.1 413 ")
+
+
+# Guards against shares that are never computed, since the loads of the data
+# centres don't reach the nodes.
+async def test_nodes_learn_the_load_of_each_service():
+    policy = settings.Policy(
+        limit="fixed",
+        routing="expected-completion",
+        retries="arrivals",
+        early_shed="none",
+    )
+    async with _fleet(policy=policy) as fleet:
+        summary = fleet.nodes["vm-a"].membership.summary
+        with trio.fail_after(5):
+            while True:
+                assert (await _get(fleet)).status == 200
+                rooms = {r.service: r for r in summary.value.rooms.values()}
+                if "beta" in rooms and rooms["beta"].run_s > 0:
+                    break
+                await trio.sleep(0.05)
+    assert rooms["beta"].slots > 0
+    assert 0 <= rooms["beta"].load <= 1
