--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -12,6 +12,7 @@
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import codec
 
@@ -77,6 +78,7 @@
         node didn't report one.
       evacuated: The evacuated data centres at `revision`; None from a build
         that doesn't know them.
+      rooms: Slots and loads of the services in each data centre.
     """
 
     directory_source: str
@@ -93,6 +95,7 @@
     route_levels: tuple[tree_admission.RouteLevel, ...] = ()
     signed_off: model.SignOff | None = None
     evacuated: tuple[str, ...] | None = None
+    rooms: tuple[spillover.Room, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
