Upstreams that fail part of their calls are avoided by expected-completion

An upstream that answers 500 at once has the lowest load and draws most calls, and 500 ejects none. Nodes now keep the fraction of failed calls for each upstream, by the results of calls only, and compare it with that of its peers; what exceeds theirs by more than chance raises the cost of a call. If all fail alike, none is avoided. The estimate decays, so that a recovered upstream gets more calls step by step. Ejection is unchanged.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -42,6 +42,8 @@
 
     Attributes:
       made_at: Monotonic seconds.
+      times: How their run times compare.
+      failure_costs: By VM, for those that fail more calls than others.
       usual_load: Mean of the loads that were reported lately.
       loads: Load by data centre; empty if not known.
       rooms_known: Whether the load of this data centre is known.
@@ -50,6 +52,7 @@
 
     made_at: float
     times: completion.RelativeTimes
+    failure_costs: dict[str, float]
     usual_load: float
     loads: dict[str, float]
     rooms_known: bool
@@ -137,9 +140,9 @@
         # By service: when it was computed, and the slowness by VM.
         self._slowness: dict[str, tuple[float, dict[str, float]]] = {}
         # By service: run times by VM and route, and their comparison.
-        self._run_times: dict[
-            str, dict[tuple[str, str], completion.RunTime]
-        ] = {}
+        self._run_times: dict[str, dict[tuple[str, str], completion.Mean]] = {}
+        # By service and VM: failures of calls, each 1 or 0.
+        self._failures: dict[str, dict[str, completion.Mean]] = {}
         self._comparisons: dict[str, _Comparison] = {}
         self._seen_loads: dict[str, completion.SeenLoad] = {}
         # By VM: calls sent since the last report of its load, and not ended.
@@ -525,6 +528,12 @@
                 }
             )
         }
+        self._failures = {
+            service: {
+                vm: mean for vm, mean in failures.items() if vm in view.records
+            }
+            for service, failures in self._failures.items()
+        }
         self._seen_loads = {
             vm: seen
             for vm, seen in self._seen_loads.items()
@@ -554,7 +563,8 @@
             in_flight=self._in_flight.get(vm, 0),
             load=load,
             load_spread=spread,
-            relative_time=comparison.times.relative_time(vm, route),
+            relative_time=comparison.times.relative_time(vm, route)
+            * comparison.failure_costs.get(vm, 1.0),
             is_local=vm == self._vm,
         )
 
@@ -581,6 +591,9 @@
             run_s=max((room.run_s for room in rooms.values()), default=0.0),
             made_at=now,
             times=completion.compare(self._run_times.get(service, {}), now),
+            failure_costs=completion.failure_costs(
+                self._failures.get(service, {}), now
+            ),
             usual_load=sum(loads) / len(loads) if loads else UNKNOWN_LOAD,
         )
         self._comparisons[service] = comparison
@@ -596,12 +609,10 @@
             # The run was cut off, so that it would have taken longer.
             times = self._comparison_of(message.service, now).times
             usual = times.usual.get(message.route, message.run_time)
-            known = before.seconds if before is not None else usual
+            known = before.value if before is not None else usual
             if message.run_time <= known:
                 return
-        run_times[key] = completion.update_run_time(
-            before, message.run_time, now
-        )
+        run_times[key] = completion.update_mean(before, message.run_time, now)
 
     def _to_candidate(
         self, record: model.NodeRecord, now: float
@@ -664,6 +675,14 @@
             )
         if message.run_time >= 0:
             self._record_run_time(message, now)
+        if message.failed is not None:
+            failures = self._failures.setdefault(message.service, {})
+            failures[message.vm] = completion.update_mean(
+                failures.get(message.vm),
+                float(message.failed),
+                now,
+                completion.FAILURES_WEIGHT,
+            )
         if message.load >= 0:
             self._loads[message.vm] = (message.load, now)
             self._seen_loads[message.vm] = completion.SeenLoad(
--- a/src/sassafrashall/decisions/completion.py
+++ b/src/sassafrashall/decisions/completion.py
@@ -25,6 +25,12 @@
 # Ratio of run times up to which upstreams count as alike. The mean of a dozen
 # run times that vary by a half deviates by up to this much.
 NOISE_RATIO = 1.15
+# Calls behind a fraction of failures. With fewer, chance moves it by more than
+# `FAILURE_NOISE`.
+FAILURES_WEIGHT = 30.0
+FAILURE_NOISE = 0.1  # excess over the peers that counts as chance
+# Cost of a failure in run times: it is lost, or repeated under a scarce budget.
+FAILURE_COST = 4.0
 MIN_USUAL_TIME = 0.001  # seconds
 # Cost of a call at an upstream whose slots are just full, relative to one that
 # is idle. As upstreams differ in speed by less than this, one with room comes
@@ -39,16 +45,16 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class RunTime:
-    """The run time of one route at one upstream.
+class Mean:
+    """What calls to one upstream showed, the latest weighted most.
 
     Attributes:
-      seconds: Weighted mean.
+      value: Weighted mean of their run times in seconds, or of their failures.
       weight: Number of calls behind it; decays with time.
       seen_at: Monotonic time of the last call.
     """
 
-    seconds: float
+    value: float
     weight: float
     seen_at: float
 
@@ -58,15 +64,18 @@
         return float(self.weight * 0.5 ** (age / TIME_HALF_LIFE))
 
 
-def update_run_time(
-    before: RunTime | None, seconds: float, now: float
-) -> RunTime:
-    """Adds a call that took `seconds`."""
+def update_mean(
+    before: Mean | None,
+    value: float,
+    now: float,
+    max_weight: float = MAX_WEIGHT,
+) -> Mean:
+    """Adds the value that a call showed."""
     if before is None:
-        return RunTime(seconds=seconds, weight=1.0, seen_at=now)
-    weight = min(MAX_WEIGHT - 1.0, before.weight_at(now)) + 1.0
-    return RunTime(
-        seconds=before.seconds + (seconds - before.seconds) / weight,
+        return Mean(value=value, weight=1.0, seen_at=now)
+    weight = min(max_weight - 1.0, before.weight_at(now)) + 1.0
+    return Mean(
+        value=before.value + (value - before.value) / weight,
         weight=weight,
         seen_at=now,
     )
@@ -95,7 +104,7 @@
 
 
 def compare(
-    run_times: Mapping[tuple[str, str], RunTime], now: float
+    run_times: Mapping[tuple[str, str], Mean], now: float
 ) -> RelativeTimes:
     """Compares the upstreams of one service.
 
@@ -106,7 +115,7 @@
     by_route: dict[str, list[tuple[float, float, str]]] = {}
     for (upstream, route), run_time in run_times.items():
         by_route.setdefault(route, []).append(
-            (run_time.seconds, run_time.weight_at(now), upstream)
+            (run_time.value, run_time.weight_at(now), upstream)
         )
     usual = {
         route: max(MIN_USUAL_TIME, _median(known))
@@ -155,6 +164,39 @@
     return min(1.0, ratio * NOISE_RATIO)
 
 
+def failure_costs(failures: Mapping[str, Mean], now: float) -> dict[str, float]:
+    """Returns the factors by which failures raise the cost of a call.
+
+    An upstream that fails part of its calls at once has a low load and would
+    draw more of them. A failure may also be that of a service further down, so
+    that an upstream is compared with its peers. If all fail alike, none is
+    avoided.
+
+    Args:
+      failures: Failures by upstream of one service, each 1 or 0.
+      now: Monotonic seconds.
+    """
+    weights = {name: mean.weight_at(now) for name, mean in failures.items()}
+    total = sum(weights.values())
+    failed = sum(weights[name] * failures[name].value for name in failures)
+    if not failed:
+        return {}
+    costs = {}
+    for name, mean in failures.items():
+        weight = weights[name]
+        others = total - weight
+        if others < 1.0:
+            continue  # There is nothing to compare it with.
+        usual = (failed - weight * mean.value) / others
+        rate = (weight * mean.value + PRIOR_WEIGHT * usual) / (
+            weight + PRIOR_WEIGHT
+        )
+        excess = rate - usual - FAILURE_NOISE
+        if excess > 0.0:
+            costs[name] = min(FULL_COST, 1.0 + FAILURE_COST * excess)
+    return costs
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeenLoad:
     """The load that the node beside an upstream reported last.
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -83,6 +83,7 @@
         level = load = -1
         latency = run_time = round_trip = -1.0
         size = 0
+        failed = None
         started_at = clock.monotonic()
         try:
             outcome = await self._send(call, choice)
@@ -92,6 +93,7 @@
                 size = len(outcome.response.body)
             elif outcome.code == exceptions.SHED and not choice.may_wait:
                 round_trip = elapsed
+            failed = _is_failure(outcome)
             if _shows_run_time(outcome):
                 run_time = elapsed
             attempt_result = dispatch.attempt_result_of(outcome)
@@ -107,6 +109,7 @@
                     latency=latency,
                     route=call.route,
                     run_time=run_time,
+                    failed=failed,
                     round_trip=round_trip,
                     size=size,
                 )
@@ -150,6 +153,29 @@
         )
 
 
+def _is_failure(outcome: model.Outcome) -> bool | None:
+    """Returns whether an upstream failed the call; None if it is not known.
+
+    A refusal by the upstream costs a retry, and one before the request was
+    sent to it doesn't tell.
+    """
+    match outcome:
+        case model.Answer(response=response):
+            return response.status >= 500
+        case model.Refuse(code=exceptions.UPSTREAM_REFUSED):
+            return True
+        case model.Refuse(run=model.RunState.NOT_RUN):
+            return None
+        case model.Refuse(
+            code=exceptions.UPSTREAM_FAILED
+            | exceptions.UPSTREAM_SILENT
+            | exceptions.DEADLINE_EXCEEDED
+        ):
+            return True
+        case _:
+            return None
+
+
 def _shows_run_time(outcome: model.Outcome) -> bool:
     """Returns whether the time until the outcome is that of a run.
 
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -407,6 +407,8 @@
       route: Name of the call's route, or empty.
       run_time: Seconds for which the call ran there, at least; negative if
         the attempt says nothing about it.
+      failed: Whether the upstream failed the call, perhaps for a service
+        further down; None if the attempt doesn't tell.
       round_trip: Seconds until a refusal that no wait for a slot delayed;
         negative without one.
       size: Bytes of the response's body, as far as it has been received.
@@ -420,6 +422,7 @@
     latency: float = -1.0
     route: str = ""
     run_time: float = -1.0
+    failed: bool | None = None
     round_trip: float = -1.0
     size: int = 0
 
--- a/tests/routing_simulation.py
+++ b/tests/routing_simulation.py
@@ -26,6 +26,7 @@
 ROUTE = "r"
 HOP = 0.0003  # seconds one way inside a data centre
 CROSSING = 0.0012  # seconds one way between data centres
+FAILURE_TIME = 0.001  # seconds until an upstream answers with an error
 SUMMARY_INTERVAL = 0.5  # seconds
 SUMMARY_DELAY = 0.5  # seconds from the measurement to the nodes
 LAPSE_TIME = 2.0  # seconds until a silent data centre leaves the summaries
@@ -37,12 +38,15 @@
 
     Attributes:
       speed: Run times are divided by it; a function of time.
+      failing: Fraction of its calls that it answers with an error at once; a
+        function of time.
     """
 
     vm: str
     data_centre: str
     slots: int = 8
     speed: Callable[[float], float] = lambda now: 1.0
+    failing: Callable[[float], float] = lambda now: 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -157,6 +161,8 @@
         # (sent at, data centre of the node, of the upstream), of all attempts
         self.attempts = []
         self.unreachable = 0
+        # (arrived at, upstream) of the calls that an upstream failed
+        self.failures = []
         if with_summaries:
             self._last_arrival = 0.0
             self.schedule(0.0, self._summarize)
@@ -262,10 +268,15 @@
     def _start(self, call, door):
         door.busy += 1
         seconds = call.work / door.upstream.speed(self.now)
+        failed = self._random.random() < door.upstream.failing(self.now)
+        if failed:
+            seconds = FAILURE_TIME
         door.busy_seconds += seconds
-        self.schedule(self.now + seconds, self._on_run_ended, call, door)
+        self.schedule(
+            self.now + seconds, self._on_run_ended, call, door, failed
+        )
 
-    def _on_run_ended(self, call, door):
+    def _on_run_ended(self, call, door, failed):
         door.busy -= 1
         if door.queue:
             self._start(door.queue.popleft(), door)
@@ -276,11 +287,15 @@
             call,
             vm,
             door.load,
+            failed,
         )
 
-    def _on_answer(self, call, vm, load):
+    def _on_answer(self, call, vm, load, failed):
         elapsed = self.now - call.sent_at
-        self._end_attempt(call, vm, load, elapsed)
+        self._end_attempt(call, vm, load, elapsed, failed=failed)
+        if failed:
+            self.failures.append((call.arrived_at, vm))
+            return
         data_centres = (self.data_centres[call.node], self.data_centres[vm])
         self.ended.append(
             (call.arrived_at, self.now - call.arrived_at, *data_centres)
@@ -303,7 +318,7 @@
         call.avoid |= {vm}
         self.send(call)
 
-    def _end_attempt(self, call, vm, load, elapsed, result=None):
+    def _end_attempt(self, call, vm, load, elapsed, result=None, failed=None):
         answered = elapsed >= 0
         self.controllers[call.node]._handle(
             messages.AttemptEnded(
@@ -318,7 +333,10 @@
                 load=load,
                 latency=elapsed,
                 route=ROUTE,
-                run_time=elapsed if answered and load < 1000 else -1.0,
+                run_time=elapsed
+                if answered and not failed and load < 1000
+                else -1.0,
+                failed=failed,
             ),
             _Reply(),
         )
--- a/tests/test_completion.py
+++ b/tests/test_completion.py
@@ -15,7 +15,7 @@
 
 def _run_times(times, weight=12.0, seen_at=0.0):
     return {
-        key: completion.RunTime(seconds=s, weight=weight, seen_at=seen_at)
+        key: completion.Mean(value=s, weight=weight, seen_at=seen_at)
         for key, s in times.items()
     }
 
@@ -45,7 +45,7 @@
 
 
 def test_one_call_does_not_make_an_upstream_slow():
-    once = completion.update_run_time(None, 0.3, 0.0)
+    once = completion.update_mean(None, 0.3, 0.0)
     known = _run_times({("u0", "a"): 0.1, ("u1", "a"): 0.1})
     times = completion.compare({**known, ("u2", "a"): once}, 0.0)
     assert times.relative_time("u2", "a") < 1.6
@@ -54,9 +54,9 @@
 def test_a_slow_moment_shows_after_a_few_calls_and_is_forgotten():
     """Guards against an upstream that is never called again."""
     known = _run_times({("u0", "a"): 0.1, ("u1", "a"): 0.1})
-    slow = completion.RunTime(seconds=0.1, weight=12.0, seen_at=0.0)
+    slow = completion.Mean(value=0.1, weight=12.0, seen_at=0.0)
     for _ in range(4):
-        slow = completion.update_run_time(slow, 0.5, 0.1)
+        slow = completion.update_mean(slow, 0.5, 0.1)
     times = completion.compare({**known, ("u2", "a"): slow}, 0.1)
     assert times.relative_time("u2", "a") > 1.6
     # Without calls, its weight decays and the estimate returns to the usual.
