Queue urgency-first: calls are served by the class of their root

Change: new queue policy urgency-first. The node beside the calling upstream gives a nested call the most urgent class among the runs in progress that may make calls of its route; the class and the time left to a root's target latency travel with the ticket. Inside a class nested calls go before roots, then organisations share as before, and the response that is due first goes first. Requests that would miss their target go after those that can meet it. A call that has to wait and can't finish by its deadline is refused at once as not run. Between nodes the class is a header, since older builds take no further fields of a frame. Settings without the policy serve as before.

Not measured under load yet.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -225,6 +225,8 @@
             nested=message.nested,
             arrived_at=now,
             deadline=message.deadline,
+            urgency=message.urgency,
+            due=message.due,
         )
         limit = limits.current_limit(self._limit_policy, self._limit_state, now)
         if self._in_flight < limit and not self._queue.items:
@@ -238,13 +240,28 @@
         if not message.may_wait:
             reply.put(self._refusal(exceptions.SHED, "no slot is free"))
             return
-        self._ticks_needed.set()
         self._waiting_replies[item.item_id] = reply
+        finish_at = now + self._limit_state.base_latency
+        if not queues.can_finish(
+            self._queue_policy,
+            self._queue,
+            item,
+            limit=limit,
+            latency=self._limit_state.latency,
+            finish_at=finish_at,
+        ):
+            self._shed(
+                item,
+                exceptions.DEADLINE_EXCEEDED,
+                "no time is left to wait for a slot and run the request",
+            )
+            return
+        self._ticks_needed.set()
         reply.on_abandon(
             lambda: self.mailbox.tell(_Abandoned(call_id=item.item_id))
         )
         self._queue, shed = queues.push(
-            self._effective_queue_policy(limit), self._queue, item
+            self._effective_queue_policy(limit), self._queue, item, finish_at
         )
         for shed_item in shed:
             self._shed(shed_item, exceptions.SHED, "the queue is full")
@@ -326,8 +343,11 @@
             return
         self._shed_expired(now)
         limit = limits.current_limit(self._limit_policy, self._limit_state, now)
+        finish_at = now + self._limit_state.base_latency
         while self._in_flight < limit:
-            self._queue, item = queues.pop(self._queue_policy, self._queue)
+            self._queue, item = queues.pop(
+                self._queue_policy, self._queue, finish_at
+            )
             if item is None:
                 return
             reply = self._waiting_replies.pop(item.item_id)
--- a/src/sassafrashall/controllers/demand_monitor.py
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -30,6 +30,8 @@
 
     def __init__(self, *, now: float) -> None:
         self.in_progress = 0
+        # Runs in progress by the class of their root.
+        self._urgencies = [0] * len(model.Priority)
         self.started = 0.0
         self.ended = 0.0
         self.busy_s = 0.0
@@ -39,6 +41,26 @@
         self.exposure_s = 0.0
         self._exposed_at = now
 
+    @property
+    def urgencies(self) -> list[model.Priority]:
+        """The classes of the roots of the runs in progress."""
+        return [p for p in model.Priority if self._urgencies[p]]
+
+    def begin(self, urgency: model.Priority, now: float) -> None:
+        """Counts a run that begins."""
+        self.expose(now)
+        self.in_progress += 1
+        self.started += 1
+        self._urgencies[urgency] += 1
+
+    def end(self, urgency: model.Priority, seconds: float, now: float) -> None:
+        """Counts the end of a run, which held a slot for `seconds`."""
+        self.expose(now)
+        self.in_progress = max(0, self.in_progress - 1)
+        self.ended += 1
+        self.busy_s += seconds
+        self._urgencies[urgency] = max(0, self._urgencies[urgency] - 1)
+
     def expose(self, now: float) -> None:
         """Adds the time for which runs have been in progress."""
         self.exposure_s += self.in_progress * (now - self._exposed_at)
@@ -147,15 +169,10 @@
                 counts[message.priority] += message.weight
             case messages.RunStarted(route=route, service=service):
                 runs = self._runs_of((route, service), now)
-                runs.expose(now)
-                runs.in_progress += 1
-                runs.started += 1
+                runs.begin(message.urgency, now)
             case messages.RunEnded(route=route, service=service):
                 runs = self._runs_of((route, service), now)
-                runs.expose(now)
-                runs.in_progress = max(0, runs.in_progress - 1)
-                runs.ended += 1
-                runs.busy_s += message.seconds
+                runs.end(message.urgency, message.seconds, now)
             case messages.UpstreamCalled(route=route):
                 self._expose_all(now)
                 self._upstream_calls.publish(True)
@@ -163,10 +180,19 @@
                 if calls is None:
                     calls = self._calls[route] = _ObservedCalls(route=route)
                 calls.add(self._runs, now)
+                reply.put(self._urgency_of_call(route))
             case messages.ReadDemand():
                 self._update(now)
                 reply.put(self._current_demand())
 
+    def _urgency_of_call(self, route: str) -> model.Priority | None:
+        return demand.most_urgent(
+            runs.urgencies
+            for runs in self._runs.values()
+            if runs.in_progress
+            and demand.may_call(runs.started, runs.calls.get(route, 0.0))
+        )
+
     def _runs_of(self, kind: _Kind, now: float) -> _Runs:
         runs = self._runs.get(kind)
         if runs is None:
--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -160,9 +160,7 @@
                 confirm=message.confirm,
                 method=request.method,
                 target=request.target,
-                headers=request.headers
-                if request.may_wait
-                else (*request.headers, (frames.NO_WAIT_HEADER, "1")),
+                headers=frames.encode_context(request, ticket),
                 body=request.body,
                 more=request.rest is not None,
             )
--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -33,6 +33,11 @@
 # Seconds of runs without a call that are added to what was observed, so that
 # one call in a short time is not taken for a high rate.
 PRIOR_EXPOSURE = 1.0
+# Weighted runs of a kind from which on the calls that it makes are known.
+MIN_RUNS_TO_JUDGE = 3.0
+# Calls of a kind that a run must make on average. Fewer may be calls of other
+# runs that were attributed to it.
+MIN_CALLS_PER_RUN = 0.25
 NO_ROOTS = (0.0,) * len(model.Priority)
 
 
@@ -191,6 +196,39 @@
     }
 
 
+def may_call(started: float, calls: float) -> bool:
+    """Returns whether runs of a kind are taken to make calls on a route.
+
+    Args:
+      started: Weighted number of runs of the kind.
+      calls: Weighted number of their calls on the route.
+    """
+    return started < MIN_RUNS_TO_JUDGE or calls >= MIN_CALLS_PER_RUN * started
+
+
+def most_urgent(
+    callers: Iterable[Iterable[model.Priority]],
+) -> model.Priority | None:
+    """Returns the class that a call of the local upstream is given.
+
+    Calls carry no link to the run that makes them. Among the runs that may
+    have made one, the most urgent decides: an urgent root must not wait behind
+    others, and the roots in front of which a call goes by mistake are few as
+    long as urgent runs are.
+
+    Args:
+      callers: For each kind of run that may have made the call, the classes of
+        the roots of its runs in progress.
+
+    Returns:
+      The class, or None if no such run is in progress.
+    """
+    return min(
+        (urgency for urgencies in callers for urgency in urgencies),
+        default=None,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HeldNumber:
     """The calls of one kind that a whole run makes.
--- a/src/sassafrashall/decisions/queues.py
+++ b/src/sassafrashall/decisions/queues.py
@@ -63,7 +63,21 @@
     """
 
 
-Policy: TypeAlias = FirstInFirstOut | PriorityFair | CallsFirst | TreesFirst
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UrgencyFirst(PriorityFair):
+    """Like `CallsFirst`, with the class of the root, and least slack first.
+
+    A nested call counts with the class of the root for which it is made, so
+    that it neither delays roots of a more urgent class nor waits behind those
+    of a less urgent one. Of an organisation's requests in a class, the one
+    whose response is due first is served first. Those that would be late go
+    last, since serving them first would make the others late too.
+    """
+
+
+Policy: TypeAlias = (
+    FirstInFirstOut | PriorityFair | CallsFirst | TreesFirst | UrgencyFirst
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,6 +89,9 @@
         it is running.
       arrived_at: Monotonic seconds.
       deadline: Monotonic seconds.
+      urgency: Class of the root for which the request is made; None if it is
+        not known.
+      due: Monotonic time at which its response is worth less; 0 if not known.
     """
 
     item_id: str
@@ -83,6 +100,8 @@
     nested: bool = False
     arrived_at: float
     deadline: float
+    urgency: model.Priority | None = None
+    due: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -121,9 +140,20 @@
 
 
 def push(
-    policy: Policy, queue: Queue, item: QueuedRequest
+    policy: Policy,
+    queue: Queue,
+    item: QueuedRequest,
+    finish_at: float = float("-inf"),
 ) -> tuple[Queue, tuple[QueuedRequest, ...]]:
-    """Adds an item and returns the items that are shed to make room."""
+    """Adds an item and returns the items that are shed to make room.
+
+    Args:
+      policy: The policy in force.
+      queue: The queue before.
+      item: The item to add.
+      finish_at: Earliest monotonic time at which a request that starts now is
+        finished.
+    """
     items = (*queue.items, item)
     match policy:
         case FirstInFirstOut(length=length):
@@ -133,12 +163,21 @@
         case PriorityFair(length=length):
             if len(items) <= length:
                 return frozen.replace(queue, items=items), ()
-            victim = _choose_victim(policy, items)
+            victim = _choose_victim(policy, items, finish_at)
             return remove(frozen.replace(queue, items=items), victim), (victim,)
 
 
-def pop(policy: Policy, queue: Queue) -> tuple[Queue, QueuedRequest | None]:
-    """Removes and returns the item to serve next, or None if empty."""
+def pop(
+    policy: Policy, queue: Queue, finish_at: float = float("-inf")
+) -> tuple[Queue, QueuedRequest | None]:
+    """Removes and returns the item to serve next, or None if empty.
+
+    Args:
+      policy: The policy in force.
+      queue: The queue before.
+      finish_at: Earliest monotonic time at which a request that starts now is
+        finished.
+    """
     if not queue.items:
         return queue, None
     match policy:
@@ -147,7 +186,37 @@
                 queue.items[0]
             )
         case PriorityFair():
-            return _pop_fairest(policy, queue)
+            return _pop_fairest(policy, queue, finish_at)
+
+
+def can_finish(
+    policy: Policy,
+    queue: Queue,
+    item: QueuedRequest,
+    *,
+    limit: int,
+    latency: float,
+    finish_at: float,
+) -> bool:
+    """Returns whether an item that has to wait may finish by its deadline.
+
+    Args:
+      policy: The policy in force.
+      queue: The queue without the item.
+      item: An item that finds no free slot.
+      limit: Requests that the upstream may process at once.
+      latency: Seconds that a request takes there.
+      finish_at: Earliest monotonic time at which a request that starts now is
+        finished.
+    """
+    match policy:
+        case UrgencyFirst():
+            rank = _rank(policy, item)
+            ahead = sum(_rank(policy, other) < rank for other in queue.items)
+            wait = latency * ahead / max(1, limit)
+            return item.deadline >= finish_at + wait
+        case _:
+            return True
 
 
 def remove_expired(
@@ -214,14 +283,34 @@
     match policy:
         case CallsFirst():
             return 2 * item.priority + (not item.nested)
+        case UrgencyFirst():
+            urgency = item.priority if item.urgency is None else item.urgency
+            return 2 * urgency + (not item.nested)
         case TreesFirst():
             return int(item.priority) + len(model.Priority) * (not item.nested)
         case _:
             return int(item.priority)
 
 
+def _service_order(
+    policy: Policy, item: QueuedRequest, finish_at: float
+) -> tuple[bool, float]:
+    """Returns the key of the order inside a rank and an organisation.
+
+    Items with equal keys are served in order of arrival.
+    """
+    match policy:
+        case UrgencyFirst():
+            due = item.deadline
+            if item.due:
+                due = min(due, item.due)
+            return due < finish_at, due
+        case _:
+            return False, 0.0
+
+
 def _choose_victim(
-    policy: Policy, items: tuple[QueuedRequest, ...]
+    policy: Policy, items: tuple[QueuedRequest, ...], finish_at: float
 ) -> QueuedRequest:
     last_rank = max(_rank(policy, item) for item in items)
     candidates = [item for item in items if _rank(policy, item) == last_rank]
@@ -231,22 +320,33 @@
             waiting_counts.get(item.organisation, 0) + 1
         )
     most_waiting = max(waiting_counts.values())
-    return next(
-        item
-        for item in reversed(candidates)
-        if waiting_counts[item.organisation] == most_waiting
+    # Of equal items, `max` returns the first one, which is the newest here.
+    return max(
+        (
+            item
+            for item in reversed(candidates)
+            if waiting_counts[item.organisation] == most_waiting
+        ),
+        key=lambda item: _service_order(policy, item, finish_at),
     )
 
 
-def _pop_fairest(policy: Policy, queue: Queue) -> tuple[Queue, QueuedRequest]:
+def _pop_fairest(
+    policy: Policy, queue: Queue, finish_at: float
+) -> tuple[Queue, QueuedRequest]:
     first_rank = min(_rank(policy, item) for item in queue.items)
     finish_times = dict(queue.finish_times)
-    oldest_items: dict[str, QueuedRequest] = {}
+    heads: dict[str, QueuedRequest] = {}
     for item in queue.items:
-        if _rank(policy, item) == first_rank:
-            oldest_items.setdefault(item.organisation, item)
+        if _rank(policy, item) != first_rank:
+            continue
+        head = heads.setdefault(item.organisation, item)
+        if _service_order(policy, item, finish_at) < _service_order(
+            policy, head, finish_at
+        ):
+            heads[item.organisation] = item
     item = min(
-        oldest_items.values(),
+        heads.values(),
         key=lambda head: finish_times.get((first_rank, head.organisation), 0.0),
     )
     return _charge_organisation(policy, remove(queue, item), item), item
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -24,9 +24,6 @@
 ADMIT_ALL_LEVEL = float(len(model.Priority))
 MAX_DEPTH = 9  # calls above each other in a tree
 MIN_RUNS = 0.5  # weighted runs without which nothing is known of a route
-# Calls of a kind that a run must make on average. Fewer may be calls of other
-# runs that were attributed to it.
-MIN_CALLS_PER_RUN = 0.25
 # Slot seconds that a request must take at a service to be limited by it.
 MIN_COST = 0.0005
 # Fraction that is admitted of a class that is closed, whose demand would
@@ -264,7 +261,7 @@
             _add(own_cost, part.service, share * part.busy_s / part.ended)
         callees = calls_per_run.setdefault(part.route, {})
         for call in part.calls:
-            if call.count >= MIN_CALLS_PER_RUN * part.started:
+            if call.count >= demand_decisions.MIN_CALLS_PER_RUN * part.started:
                 _add(callees, call.route, call.count / started[part.route])
     costs = own_costs
     for _ in range(MAX_DEPTH - 1):
--- a/src/sassafrashall/filters/demand.py
+++ b/src/sassafrashall/filters/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sassafrashall import clock
+from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -11,7 +12,9 @@
 
 
 class DemandFilter:
-    """Reports the calls that pass it; it refuses none.
+    """Reports the calls that pass it, and sets the class of their root.
+
+    It refuses none.
 
     It stands behind the filters that refuse root requests. A request that
     passes stands for those of its route and class that the admission level kept
@@ -24,6 +27,7 @@
         monitor: mailbox.Mailbox,
         levels: mailbox.Published[tree_admission.RouteLevels],
         table: mailbox.Published[route_table.RouteTable | None],
+        estimates_urgency: bool = False,
     ) -> None:
         """Creates the filter.
 
@@ -32,7 +36,10 @@
           levels: The admission levels in force.
           table: The route table. Without keys in its document, roots can't be
             told from nested calls, and nothing is reported.
+          estimates_urgency: Whether to set the class of the root. That of a
+            nested call is estimated from the runs in progress.
         """
+        self._estimates_urgency = estimates_urgency
         self._monitor = monitor
         self._levels = levels
         self._table = table
@@ -43,7 +50,11 @@
         if table is None or not table.document.keyed:
             return model.Forward(call=call)
         if call.depth:
-            self._monitor.tell(messages.UpstreamCalled(route=call.route))
+            called = messages.UpstreamCalled(route=call.route)
+            if self._estimates_urgency:
+                urgency = await self._monitor.ask(called)
+                return model.Forward(call=frozen.replace(call, urgency=urgency))
+            self._monitor.tell(called)
         else:
             weight = 1.0
             level = tree_admission.level_of(
@@ -58,4 +69,6 @@
                     route=call.route, priority=call.priority, weight=weight
                 )
             )
+            if self._estimates_urgency:
+                call = frozen.replace(call, urgency=call.priority)
         return model.Forward(call=call)
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -110,6 +110,7 @@
             demand_monitor=self._demand_monitor,
             route=self._route_name(call.request),
             service=call.service,
+            urgency=call.priority if call.urgency is None else call.urgency,
         )
         try:
             if upstream.service != call.service:
@@ -193,13 +194,17 @@
         demand_monitor: mailbox.Mailbox,
         route: str,
         service: str,
+        urgency: model.Priority,
     ) -> None:
         self._admission = admission
         self._demand_monitor = demand_monitor
         self._route = route
         self._service = service
         self._started_at = clock.monotonic()
-        demand_monitor.tell(messages.RunStarted(route=route, service=service))
+        self._urgency = urgency
+        demand_monitor.tell(
+            messages.RunStarted(route=route, service=service, urgency=urgency)
+        )
         self._latency = -1.0
         self._shed = False
         self._failed = False
@@ -244,6 +249,7 @@
                         route=self._route,
                         service=self._service,
                         seconds=run_time,
+                        urgency=self._urgency,
                     )
                 )
             except exceptions.MailboxClosedError:
--- a/src/sassafrashall/filters/route_match.py
+++ b/src/sassafrashall/filters/route_match.py
@@ -60,5 +60,8 @@
                 deadline=request.received_at + route.timeout_s,
                 metered=not route.open,
                 route=route.name,
+                due=request.received_at + route.target_latency_s
+                if route.target_latency_s
+                else 0.0,
             )
         )
--- a/src/sassafrashall/filters/slots.py
+++ b/src/sassafrashall/filters/slots.py
@@ -26,6 +26,8 @@
             root_id=call.root_id,
             deadline=call.deadline,
             may_wait=call.request.may_wait,
+            urgency=call.urgency,
+            due=call.due,
         )
     )
     match result:
--- a/src/sassafrashall/filters/upstream.py
+++ b/src/sassafrashall/filters/upstream.py
@@ -35,6 +35,10 @@
                 idempotent=ticket.idempotent,
                 retries=ticket.retries,
                 depth=ticket.depth,
+                urgency=ticket.urgency,
+                due=call.request.received_at + ticket.due_ms / 1000
+                if ticket.due_ms
+                else 0.0,
             )
         )
 
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -160,10 +160,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RunStarted:
-    """The local upstream is about to run a request of this route."""
+    """The local upstream is about to run a request of this route.
+
+    Attributes:
+      urgency: Class of the root of the call tree.
+    """
 
     route: str
     service: str
+    urgency: model.Priority = model.Priority.NORMAL
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -172,16 +177,22 @@
 
     Attributes:
       seconds: Time for which it held its slot.
+      urgency: As in `RunStarted`.
     """
 
     route: str
     service: str
     seconds: float
+    urgency: model.Priority = model.Priority.NORMAL
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamCalled:
-    """The local upstream makes a call on this route."""
+    """The local upstream makes a call on this route.
+
+    Answered with the most urgent class among the roots of the runs that may
+    have made it, or None if no such run is known.
+    """
 
     route: str
 
@@ -231,6 +242,8 @@
       nested: Whether an upstream made the call while it ran another one.
       may_wait: Whether it may wait for a slot; else it is shed at once without
         one.
+      urgency: Class of the root of the call tree; None if it is not known.
+      due: Monotonic time at which the response is worth less; 0 if not known.
     """
 
     call_id: str
@@ -240,6 +253,8 @@
     root_id: str
     deadline: float
     may_wait: bool = True
+    urgency: model.Priority | None = None
+    due: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -352,6 +352,9 @@
       remaining_ms: Milliseconds left until the deadline when it was issued.
       retries: Retry tokens transferred with it.
       depth: Number of calls above this one in the call tree.
+      urgency: Class of the root of the call tree; None if it is not known.
+      due_ms: Milliseconds left until the response is worth less when it was
+        issued, at least 1; 0 if not known.
     """
 
     organisation: str
@@ -364,6 +367,8 @@
     retries: int
     depth: int
     idempotent: bool
+    urgency: Priority | None = None
+    due_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -428,6 +433,8 @@
       attempts: Maximum number of attempts that its route allows.
       metered: Whether it draws on its organisation's quota.
       route: Name of its route in the fleet configuration, or empty.
+      urgency: Class of the root of the call tree; None if it is not known.
+      due: Monotonic time at which the response is worth less; 0 if not known.
     """
 
     request: Request
@@ -445,6 +452,8 @@
     attempts: int = 0
     metered: bool = True
     route: str = ""
+    urgency: Priority | None = None
+    due: float = 0.0
 
     def issue_ticket(
         self, *, node: str, call_id: str, retries: int, now: float
@@ -468,6 +477,11 @@
             retries=retries,
             depth=self.depth,
             idempotent=self.idempotent,
+            urgency=self.urgency,
+            # The target latency of a nested call is not that of its root.
+            due_ms=max(1, int((self.due - now) * 1000))
+            if self.due and not self.depth
+            else 0,
         )
 
 
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -31,6 +31,7 @@
 from sassafrashall.controllers import peer_links
 from sassafrashall.controllers import routing
 from sassafrashall.controllers import upstream_pool
+from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota as quota_decisions
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
@@ -255,6 +256,9 @@
                     monitor=self._demand_monitor.mailbox,
                     levels=self._membership.route_levels,
                     table=table,
+                    estimates_urgency=isinstance(
+                        settings.policy.queue_policy(), queues.UrgencyFirst
+                    ),
                 ),
                 routed_dispatch.RoutedDispatchFilter(
                     node=settings.vm,
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -219,6 +219,7 @@
     "priority-fair": queues.PriorityFair,
     "calls-first": queues.CallsFirst,
     "trees-first": queues.TreesFirst,
+    "urgency-first": queues.UrgencyFirst,
 }
 TREE_ADMISSION_POLICIES: dict[str, tree_policies.Policy] = {
     "none": tree_policies.AdmitAll(),
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -22,6 +22,9 @@
 # Header of an `OpenCall` that may not wait for a slot at the other node. Nodes
 # of earlier builds take it for a header of the request.
 NO_WAIT_HEADER = "sassafrashall-no-wait"
+# The class of the root and `Ticket.due_ms`. A header, since the fields of a
+# frame are fixed and an older build takes no further ones.
+URGENCY_HEADER = "sassafrashall-urgency"
 FRAME_LIMIT = 4 * 1024 * 1024  # bytes; request and response bodies are split
 _PREFIX = struct.Struct("!IB")  # length of the body, number of the type
 
@@ -328,6 +331,59 @@
     )
 
 
+def encode_context(
+    request: model.Request, ticket: model.Ticket
+) -> model.Headers:
+    """Returns the headers of a request, followed by those for the node."""
+    headers = request.headers
+    if ticket.urgency is not None:
+        value = f"{int(ticket.urgency)} {ticket.due_ms}"
+        headers = (*headers, (URGENCY_HEADER, value))
+    if not request.may_wait:
+        headers = (*headers, (NO_WAIT_HEADER, "1"))
+    return headers
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """What the headers for the node say.
+
+    Attributes:
+      headers: The headers of the request.
+      urgency: As in `model.Ticket`.
+      due_ms: As in `model.Ticket`.
+      may_wait: As in `model.Request`.
+    """
+
+    headers: model.Headers
+    urgency: model.Priority | None = None
+    due_ms: int = 0
+    may_wait: bool = True
+
+
+def decode_context(headers: model.Headers) -> Context:
+    """Returns what `encode_context` has encoded.
+
+    An urgency that this version can't read counts as unknown.
+    """
+    may_wait = True
+    if headers and headers[-1][0] == NO_WAIT_HEADER:
+        headers, may_wait = headers[:-1], False
+    if not headers or headers[-1][0] != URGENCY_HEADER:
+        return Context(headers=headers, may_wait=may_wait)
+    headers, value = headers[:-1], headers[-1][1]
+    try:
+        urgency, due_ms = value.split(" ")
+        return Context(
+            headers=headers,
+            urgency=model.Priority(int(urgency)),
+            due_ms=max(0, int(due_ms)),
+            may_wait=may_wait,
+        )
+    except ValueError:
+        return Context(headers=headers, may_wait=may_wait)
+
+
 def decode_refusal(frame: RefuseCall) -> model.Refuse:
     """Returns the refusal in a frame.
 
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -265,15 +265,12 @@
             exceptions.BAD_REQUEST, str(error)
         ) from error
     now = clock.monotonic()
-    headers = frame.headers
-    may_wait = True
-    if headers and headers[-1][0] == frames.NO_WAIT_HEADER:
-        headers, may_wait = headers[:-1], False
+    context = frames.decode_context(frame.headers)
     return model.Request(
         method=frame.method,
         target=frame.target,
-        headers=headers,
-        may_wait=may_wait,
+        headers=context.headers,
+        may_wait=context.may_wait,
         body=frame.body,
         source=model.Source.PEER,
         received_at=now,
@@ -292,6 +289,8 @@
             retries=0,
             depth=frame.depth,
             idempotent=frame.idempotent,
+            urgency=context.urgency,
+            due_ms=context.due_ms,
         ),
     )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -231,3 +231,47 @@
                 await trio.testing.wait_all_tasks_blocked()
         refused = [a for a in answers if not isinstance(a, messages.Admitted)]
         assert {answer.code for answer in refused} == {exceptions.NO_UPSTREAM}
+
+
+async def test_a_call_that_can_no_longer_finish_is_refused_at_once():
+    """Guards against calls that are held although they can't be answered.
+
+    The node that makes the call learns at once that it has not run, and may
+    still send it to another upstream.
+    """
+    async with _admission(queue="urgency-first") as (controller, _):
+        await _fill_slots(controller)
+        # From now on, the upstream is known to take at least 100 ms.
+        controller.mailbox.tell(messages.SlotReleased(latency=0.1, shed=False))
+        await _fill_slots(controller, 1)
+        with trio.fail_after(0.04):
+            answer = await controller.mailbox.ask(_admit("late", timeout=0.05))
+        assert isinstance(answer, messages.Shed)
+        assert answer.code == exceptions.DEADLINE_EXCEEDED
+
+
+async def test_a_call_is_served_by_the_class_of_its_root():
+    async with _admission(queue="urgency-first") as (controller, _):
+        await _fill_slots(controller)
+        order = []
+
+        async def ask(message):
+            await controller.mailbox.ask(message)
+            order.append(message.call_id)
+
+        async with trio.open_nursery() as nursery:
+            for call_id, urgency in (
+                ("normal", model.Priority.NORMAL),
+                ("critical", model.Priority.CRITICAL),
+            ):
+                message = dataclasses.replace(
+                    _admit(call_id), nested=True, urgency=urgency
+                )
+                nursery.start_soon(ask, message)
+                await trio.testing.wait_all_tasks_blocked()
+            for _ in range(2):
+                controller.mailbox.tell(
+                    messages.SlotReleased(latency=0.01, shed=False)
+                )
+                await trio.testing.wait_all_tasks_blocked()
+        assert order == ["critical", "normal"]
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -346,3 +346,76 @@
         reported = await monitor.mailbox.ask(messages.ReadDemand())
     (route,) = reported.routes
     assert route.calls[0].count / route.started == pytest.approx(2.0, rel=0.1)
+
+
+async def _urgency_of_call(monitor, route):
+    return await monitor.mailbox.ask(messages.UpstreamCalled(route=route))
+
+
+async def _run(monitor, route, urgency, *, calls=()):
+    """Runs a request to its end, with the calls that it makes."""
+    fields = {"route": route, "service": "middle", "urgency": urgency}
+    monitor.mailbox.tell(messages.RunStarted(**fields))
+    for called in calls:
+        await _urgency_of_call(monitor, called)
+    monitor.mailbox.tell(messages.RunEnded(seconds=0.1, **fields))
+
+
+async def test_a_call_has_the_class_of_the_most_urgent_run_that_may_make_it(
+    fake_clock,
+):
+    """Pattern: urgent and other roots on one service, whose calls look alike.
+
+    Guards against calls of an urgent root that wait like those of others, and
+    against calls that are urgent only because of runs that make no calls.
+    """
+    monitor = _monitor()
+    async with fakes.started(monitor):
+        assert await _urgency_of_call(monitor, "feed") is None
+        for _ in range(8):
+            fake_clock.now += 1.0
+            await _run(
+                monitor, "sync", model.Priority.BULK, calls=("feed", "feed")
+            )
+            await _run(monitor, "check", model.Priority.CRITICAL)
+        for route, urgency in (
+            ("sync", model.Priority.BULK),
+            ("check", model.Priority.CRITICAL),
+        ):
+            monitor.mailbox.tell(
+                messages.RunStarted(
+                    route=route, service="middle", urgency=urgency
+                )
+            )
+        # The run of "check" makes no calls.
+        assert await _urgency_of_call(monitor, "feed") is model.Priority.BULK
+        urgent = {
+            "route": "sync",
+            "service": "middle",
+            "urgency": model.Priority.CRITICAL,
+        }
+        monitor.mailbox.tell(messages.RunStarted(**urgent))
+        assert (
+            await _urgency_of_call(monitor, "feed") is model.Priority.CRITICAL
+        )
+        monitor.mailbox.tell(messages.RunEnded(seconds=0.1, **urgent))
+        assert await _urgency_of_call(monitor, "feed") is model.Priority.BULK
+
+
+async def test_the_class_of_the_root_is_set_only_if_the_queue_uses_it():
+    monitor = fakes.ScriptedController(lambda message: model.Priority.CRITICAL)
+    async with fakes.started(monitor):
+        for estimates, of_nested, of_root in (
+            (False, None, None),
+            (True, model.Priority.CRITICAL, model.Priority.BULK),
+        ):
+            tested = demand_filter.DemandFilter(
+                monitor=monitor.mailbox,
+                levels=_published(),
+                table=_table(keyed=True),
+                estimates_urgency=estimates,
+            )
+            nested = await tested.handle(_call(depth=1))
+            root = await tested.handle(_call())
+            assert nested.call.urgency is of_nested
+            assert root.call.urgency is of_root
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -3,7 +3,9 @@
 import pytest
 
 from sassafrashall import exceptions
+from sassafrashall import model
 from sassafrashall.transport import frames
+from tests import fakes
 
 FRAMES = (
     frames.Hello(vm="vm", proof=b"p"),
@@ -73,3 +75,45 @@
 def test_a_frame_over_the_limit_is_rejected():
     with pytest.raises(exceptions.ProtocolError):
         frames.FrameBuffer().feed(b"\xff\xff\xff\xff\x00")
+
+
+def _ticket(**fields):
+    values = {
+        "organisation": "o",
+        "root_id": "r",
+        "call_id": "c",
+        "node": "n",
+        "service": "s",
+        "priority": model.Priority.NORMAL,
+        "remaining_ms": 100,
+        "retries": 0,
+        "depth": 0,
+        "idempotent": True,
+    }
+    return model.Ticket(**{**values, **fields})
+
+
+@pytest.mark.parametrize("may_wait", [True, False])
+@pytest.mark.parametrize("urgency", [None, *model.Priority])
+def test_the_context_of_a_call_is_passed_and_its_headers_are_kept(
+    urgency, may_wait
+):
+    headers = (("a", "b"), ("c", "d"))
+    request = fakes.request(headers=headers, may_wait=may_wait)
+    ticket = _ticket(urgency=urgency, due_ms=0 if urgency is None else 350)
+    context = frames.decode_context(frames.encode_context(request, ticket))
+    assert context == frames.Context(
+        headers=headers,
+        urgency=urgency,
+        due_ms=ticket.due_ms,
+        may_wait=may_wait,
+    )
+
+
+# Guards against calls that fail between nodes of different builds.
+@pytest.mark.parametrize("value", ["", "0", "7 1", "x 1", "1 x", "1 2 3"])
+def test_an_unreadable_urgency_counts_as_unknown(value):
+    context = frames.decode_context(
+        (("a", "b"), (frames.URGENCY_HEADER, value))
+    )
+    assert context == frames.Context(headers=(("a", "b"),))
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -166,3 +166,155 @@
     baseline = queues.CallsFirst(length=4)
     _, shed = _fill(baseline, [*urgent, *calls, important_call])
     assert {item.item_id for item in shed} == {"n0", "n1"}
+
+
+def _call(name, urgency, **fields):
+    return dataclasses.replace(
+        _item(name, "", **fields), nested=True, urgency=urgency
+    )
+
+
+def test_a_root_of_the_most_urgent_class_goes_before_calls_of_other_trees():
+    """Pattern: narrow service below trees, with urgent roots of its own.
+
+    Guards against urgent roots that wait, and are shed, behind the calls of
+    less urgent trees, of which there are eight for each of these.
+    """
+    policy = queues.UrgencyFirst(length=6)
+    calls = [
+        _call(f"n{i}", model.Priority.NORMAL, priority=model.Priority.CRITICAL)
+        for i in range(5)
+    ]
+    urgent = [
+        _item(f"u{i}", f"o{i}", priority=model.Priority.CRITICAL)
+        for i in range(3)
+    ]
+    queue, shed = _fill(policy, [*calls, *urgent])
+    assert [item.item_id for item in shed] == ["n4", "n3"]
+    order = [item.item_id for item in _drain(policy, queue)]
+    assert order == ["u0", "u1", "u2", "n0", "n1", "n2"]
+    # The baseline sheds the urgent roots.
+    _, shed = _fill(queues.TreesFirst(length=6), [*calls, *urgent])
+    assert {item.item_id for item in shed} == {"u2", "u1"}
+
+
+def test_a_call_of_an_urgent_tree_goes_before_roots_of_its_class():
+    """Guards against the loss of the work done for an urgent root so far."""
+    policy = queues.UrgencyFirst(length=8)
+    items = [
+        _item("root", "a", priority=model.Priority.CRITICAL),
+        _call("call", model.Priority.CRITICAL, priority=model.Priority.BULK),
+        _call("unknown", None, priority=model.Priority.BULK),
+    ]
+    queue, _ = _fill(policy, items)
+    order = [item.item_id for item in _drain(policy, queue)]
+    assert order == ["call", "root", "unknown"]
+
+
+def _due(name, due, deadline=9.0):
+    return dataclasses.replace(_item(name, deadline=deadline), due=due)
+
+
+def test_the_response_that_is_due_first_is_served_first():
+    """Guards against responses that miss a target which others could spare."""
+    policy = queues.UrgencyFirst(length=8)
+    items = [
+        _due("later", 3.0),
+        _due("late", 1.0),
+        _due("soon", 2.0),
+        _due("by-deadline", 0.0, deadline=2.5),
+    ]
+    queue, _ = _fill(policy, items)
+    order = []
+    while queue.items:
+        queue, item = queues.pop(policy, queue, 1.5)
+        order.append(item.item_id)
+    assert order == ["soon", "by-deadline", "later", "late"]
+
+
+def test_what_would_be_served_last_is_shed_first():
+    policy = queues.UrgencyFirst(length=2)
+    queue, _ = _fill(policy, [_due("later", 3.0), _due("soon", 2.0)])
+    queue, shed = queues.push(policy, queue, _due("middle", 2.5), 0.5)
+    assert [item.item_id for item in shed] == ["later"]
+    queue, shed = queues.push(policy, queue, _due("late", 0.4), 0.5)
+    assert [item.item_id for item in shed] == ["late"]
+
+
+def test_organisations_of_a_class_share_whatever_their_slack():
+    """Pattern: one organisation sends many times its usual rate."""
+    policy = queues.UrgencyFirst(length=16)
+    items = [
+        dataclasses.replace(_item(f"a{i}", "a"), due=1.0) for i in range(4)
+    ]
+    items += [
+        dataclasses.replace(_item(f"b{i}", "b"), due=5.0) for i in range(2)
+    ]
+    queue, _ = _fill(policy, items)
+    order = [item.item_id for item in _drain(policy, queue)]
+    assert order == ["a0", "b0", "a1", "b1", "a2", "a3"]
+
+
+def test_a_call_that_would_wait_past_its_deadline_is_recognised():
+    policy = queues.UrgencyFirst(length=64)
+    urgent = [
+        _item(f"u{i}", priority=model.Priority.CRITICAL) for i in range(8)
+    ]
+    queue, _ = _fill(policy, urgent)
+
+    def can_finish(deadline, **fields):
+        return queues.can_finish(
+            policy,
+            queue,
+            _item("n", deadline=deadline, **fields),
+            limit=4,
+            latency=0.1,
+            finish_at=1.0,
+        )
+
+    assert not can_finish(1.1)
+    assert can_finish(1.3)
+    assert can_finish(1.1, priority=model.Priority.CRITICAL)
+    assert not can_finish(0.9, priority=model.Priority.CRITICAL)
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a", "b", ""]),
+            st.sampled_from(model.Priority),
+            st.booleans(),
+            st.sampled_from([None, *model.Priority]),
+            st.floats(0.0, 4.0),
+        ),
+        max_size=30,
+    )
+)
+def test_by_urgency_every_request_is_served_or_shed_exactly_once(arrivals):
+    policy = queues.UrgencyFirst(length=8)
+    items = [
+        dataclasses.replace(
+            _item(f"i{number}", organisation, priority),
+            nested=nested,
+            urgency=urgency,
+            due=due,
+        )
+        for number, (organisation, priority, nested, urgency, due) in enumerate(
+            arrivals
+        )
+    ]
+    queue, shed = queues.Queue(), []
+    for item in items:
+        queue, victims = queues.push(policy, queue, item, 2.0)
+        shed += victims
+    served = []
+    while queue.items:
+        queue, item = queues.pop(policy, queue, 2.0)
+        served.append(item)
+    ids = [item.item_id for item in (*served, *shed)]
+    assert sorted(ids) == sorted(item.item_id for item in items)
+    urgencies = [
+        item.priority if item.urgency is None else item.urgency
+        for item in served
+    ]
+    assert urgencies == sorted(urgencies)
