Tree admission measured-capacity: a service that sheds gets fewer trees

Cause: the correction of narrowest-service never goes below 1, so a service that sheds or has lost upstreams is given as many trees as its slots announce. Each tree makes eight calls to the narrow service and fails if one is refused.

Change: nodes report the nested calls that their upstream completes (in ServiceSlots) and those of their upstream that no other upstream took (Sheds, a list of its own, since the callers of a service have none of its slots), as rates with a half-life of 0.5 s. The new policy lowers the factor of a service that refuses over 1% of its calls by the fraction served, to the power of the seconds over the feedback delay, down to what it completes and to a quarter of its slots. A limiting service gets back 10% a second. The calls that count as completed are nested ones, at the cost of nested calls alone.

Result: in the test that plays the loop with outcomes 0.75 s old, a service that completes half of what its slots announce is given at most 1.15 times that from 1.25 s after its first refusals are known, and never less than 0.99; narrowest-service gives it twice as much. With the growth of 0.3 a second a third too much was admitted after each recovery, hence 0.1. Not measured under load yet.

--- a/src/sassafrashall/controllers/demand_monitor.py
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -16,6 +16,8 @@
 # Seconds in which the weight of an observation halves.
 ROOTS_HALF_LIFE = 2.0
 RUNS_HALF_LIFE = 6.0
+# A loss of capacity must show within the interval of two reports.
+OUTCOMES_HALF_LIFE = 0.5
 MIN_WEIGHT = 0.01  # weight below which an observation is dropped
 CALLS_KEPT = 256  # calls on one route from which rates are estimated
 CALLS_KEPT_FOR = 20.0  # seconds
@@ -126,6 +128,43 @@
             self.rates = demand.attribute_calls(calls, exposures, self.rates)
 
 
+class _Outcomes:
+    """Outcomes of nested calls per second; recent ones weigh most."""
+
+    def __init__(self) -> None:
+        self._new: collections.Counter[str] = collections.Counter()
+        self._counts: dict[str, float] = {}
+        self._seconds = 0.0
+
+    def rates(self) -> dict[str, float]:
+        """Returns the rates by service, as of the last update."""
+        seconds = max(self._seconds, 1e-3)
+        return {
+            service: round(count / seconds, 2)
+            for service, count in self._counts.items()
+        }
+
+    def count(self, service: str) -> None:
+        """Counts a call to a service."""
+        self._new[service] += 1
+
+    def update(self, elapsed: float) -> None:
+        """Takes in what was counted within the last `elapsed` seconds."""
+        factor = 0.5 ** (elapsed / OUTCOMES_HALF_LIFE)
+        self._seconds = self._seconds * factor + elapsed
+        counts = {
+            service: factor * self._counts.get(service, 0.0)
+            + self._new[service]
+            for service in {**self._new, **self._counts}
+        }
+        self._counts = {
+            service: count
+            for service, count in counts.items()
+            if count > MIN_WEIGHT
+        }
+        self._new.clear()
+
+
 class DemandMonitor(task.Controller):
     """Owns the counts behind the demand that this node reports."""
 
@@ -152,6 +191,8 @@
         self._new_roots: dict[str, list[float]] = {}
         self._roots: dict[str, list[float]] = {}
         self._roots_seconds = 0.0
+        self._completions = _Outcomes()  # at the local upstream
+        self._sheds = _Outcomes()  # of calls that the local upstream made
         self._reported_at = clock.monotonic()
 
     @property
@@ -173,6 +214,10 @@
             case messages.RunEnded(route=route, service=service):
                 runs = self._runs_of((route, service), now)
                 runs.end(message.urgency, message.seconds, now)
+                if message.completed:
+                    self._completions.count(service)
+            case messages.CallRejected(service=service):
+                self._sheds.count(service)
             case messages.UpstreamCalled(route=route):
                 self._expose_all(now)
                 self._upstream_calls.publish(True)
@@ -213,6 +258,8 @@
         self._upstream_calls.publish(bool(self._calls))
         elapsed = max(0.0, now - self._reported_at)
         self._reported_at = now
+        self._completions.update(elapsed)
+        self._sheds.update(elapsed)
         runs_factor = 0.5 ** (elapsed / RUNS_HALF_LIFE)
         for kind, runs in list(self._runs.items()):
             runs.decay(runs_factor)
@@ -271,6 +318,16 @@
                         for kind, runs in self._runs.items()
                         if kind[1] == upstream.service
                     ),
+                    completions=self._completions.rates().get(
+                        upstream.service, 0.0
+                    ),
                 ),
             )
-        return demand.Demand(routes=tuple(routes), services=services)
+        return demand.Demand(
+            routes=tuple(routes),
+            services=services,
+            sheds=tuple(
+                demand.Sheds(service=service, per_second=rate)
+                for service, rate in self._sheds.rates().items()
+            ),
+        )
--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -84,11 +84,28 @@
     Attributes:
       slots: Concurrent requests that they accept.
       busy: Slots in use.
+      completions: Nested calls that they complete per second.
     """
 
     service: str
     slots: int
     busy: int = 0
+    completions: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sheds:
+    """The nested calls that a service has refused for lack of capacity.
+
+    They are counted where they were made: a call that one upstream refuses and
+    another one completes is none of them.
+
+    Attributes:
+      per_second: Refused calls per second.
+    """
+
+    service: str
+    per_second: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -97,12 +114,15 @@
 
     routes: tuple[RouteDemand, ...] = ()
     services: tuple[ServiceSlots, ...] = ()
+    sheds: tuple[Sheds, ...] = ()
 
 
 def add_up(demands: Iterable[Demand]) -> Demand:
     """Returns the demand of all parts together."""
     slots: dict[str, int] = {}
     busy: dict[str, int] = {}
+    completions: dict[str, float] = {}
+    sheds: dict[str, float] = {}
     parts: dict[tuple[str, str], list[RouteDemand]] = {}
     for demand in demands:
         for service in demand.services:
@@ -110,14 +130,27 @@
                 slots.get(service.service, 0) + service.slots
             )
             busy[service.service] = busy.get(service.service, 0) + service.busy
+            completions[service.service] = (
+                completions.get(service.service, 0.0) + service.completions
+            )
+        for shed in demand.sheds:
+            sheds[shed.service] = sheds.get(shed.service, 0.0) + shed.per_second
         for route in demand.routes:
             parts.setdefault((route.route, route.service), []).append(route)
     return Demand(
         routes=tuple(_add_routes(same) for same in parts.values()),
         services=tuple(
-            ServiceSlots(service=name, slots=count, busy=busy[name])
+            ServiceSlots(
+                service=name,
+                slots=count,
+                busy=busy[name],
+                completions=completions[name],
+            )
             for name, count in slots.items()
         ),
+        sheds=tuple(
+            Sheds(service=name, per_second=rate) for name, rate in sheds.items()
+        ),
     )
 
 
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -32,7 +32,22 @@
 # Seconds until levels are outdated. Everything is then admitted.
 LEVELS_TTL = 3.0
 CORRECTION_RATE = 0.3  # exponential growth of a correction per second
+# Growth per second of what a limiting service is given that refused calls
+# before. Too much is noticed `FEEDBACK_DELAY` later: at 0.3, a third more than
+# the service can take was admitted each time.
+RECOVERY_RATE = 0.1
 MAX_CORRECTION = 10.0
+# A service that refuses calls whatever the load would otherwise be given less
+# and less. Upstreams that are gone are missing from the slots already.
+MIN_CORRECTION = 0.25
+# Fraction of the calls to a service that may be refused. A tree makes eight
+# calls to a narrow service, and fails if one of them is refused.
+SHED_TOLERANCE = 0.01
+# Seconds from a change of the admitted trees until its effect is known: the
+# heartbeat of a node to a control and back, 0.5 s each at most, the interval of
+# the computation, 0.25 s, and the trees in progress. A correction that is
+# repeated sooner overshoots.
+FEEDBACK_DELAY = 1.0
 # Fraction of the permitted utilization below which a service has spare slots.
 SPARE_BELOW = 0.85
 MIN_RETRY_AFTER = 0.5  # seconds
@@ -56,7 +71,16 @@
     utilization: float = 0.9
 
 
-Policy: TypeAlias = AdmitAll | NarrowestService
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MeasuredCapacity(NarrowestService):
+    """Like `NarrowestService`, with the capacity as measured.
+
+    A service that refuses calls, because its upstreams shed, are slow or are
+    gone, is given fewer trees than its announced slots would carry.
+    """
+
+
+Policy: TypeAlias = AdmitAll | NarrowestService | MeasuredCapacity
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -84,7 +108,8 @@
     """Returns the factors by which services may be given more or less.
 
     Costs and demand are estimates. If a service that limits routes has free
-    slots, more is let in, and less again while it is full.
+    slots, more is let in, and less again while it is full. If it refuses
+    calls, `MeasuredCapacity` lets in less, down to what the service completes.
 
     Args:
       policy: The policy in force.
@@ -96,20 +121,54 @@
     if not isinstance(policy, NarrowestService):
         return {}
     step = math.exp(CORRECTION_RATE * elapsed)
+    sheds = {shed.service: shed.per_second for shed in demand.sheds}
+    costs = _call_costs(demand) if isinstance(policy, MeasuredCapacity) else {}
     corrected = {}
     for service in demand.services:
         name = service.service
         factor = corrections.get(name, 1.0)
         in_use = service.busy / max(1, service.slots)
-        if name in limiting and in_use < SPARE_BELOW * policy.utilization:
-            factor = min(MAX_CORRECTION, factor * step)
+        calls = service.completions + sheds.get(name, 0.0)
+        served = service.completions / calls if calls else 1.0
+        if isinstance(policy, MeasuredCapacity) and (
+            served < 1.0 - SHED_TOLERANCE
+        ):
+            completed = service.completions * costs.get(name, 0.0)
+            floor = completed / max(1.0, policy.utilization * service.slots)
+            lowered = factor * max(MIN_CORRECTION, served) ** (
+                elapsed / FEEDBACK_DELAY
+            )
+            factor = min(factor, max(MIN_CORRECTION, floor, lowered))
+        elif name in limiting and in_use < SPARE_BELOW * policy.utilization:
+            growth = step
+            if factor < 1.0:
+                growth = math.exp(RECOVERY_RATE * elapsed)
+            factor = min(MAX_CORRECTION, factor * growth)
+        elif factor < 1.0 and name not in limiting:
+            factor = min(1.0, factor * step)
         elif name not in limiting or in_use > policy.utilization:
-            factor = max(1.0, factor / step)
-        if factor > 1.0:
+            factor = max(min(1.0, factor), factor / step)
+        if factor != 1.0:
             corrected[name] = factor
     return corrected
 
 
+def _call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
+    """Returns the slot seconds of a nested call at each service, on average."""
+    called = {call.route for route in demand.routes for call in route.calls}
+    busy: dict[str, float] = {}
+    ended: dict[str, float] = {}
+    for route in demand.routes:
+        if route.route in called:
+            _add(busy, route.service, route.busy_s)
+            _add(ended, route.service, route.ended)
+    return {
+        service: seconds / ended[service]
+        for service, seconds in busy.items()
+        if ended[service]
+    }
+
+
 def route_levels(
     policy: Policy,
     demand: demand_decisions.Demand,
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -111,6 +111,7 @@
             route=self._route_name(call.request),
             service=call.service,
             urgency=call.priority if call.urgency is None else call.urgency,
+            nested=call.depth > 0,
         )
         try:
             if upstream.service != call.service:
@@ -195,6 +196,7 @@
         route: str,
         service: str,
         urgency: model.Priority,
+        nested: bool,
     ) -> None:
         self._admission = admission
         self._demand_monitor = demand_monitor
@@ -202,6 +204,7 @@
         self._service = service
         self._started_at = clock.monotonic()
         self._urgency = urgency
+        self._nested = nested
         demand_monitor.tell(
             messages.RunStarted(route=route, service=service, urgency=urgency)
         )
@@ -250,6 +253,9 @@
                         service=self._service,
                         seconds=run_time,
                         urgency=self._urgency,
+                        completed=self._nested
+                        and self._latency >= 0
+                        and not self._failed,
                     )
                 )
             except exceptions.MailboxClosedError:
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -7,6 +7,7 @@
 
 from sassafrashall import clock
 from sassafrashall import events
+from sassafrashall import exceptions
 from sassafrashall import frozen
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -15,6 +16,15 @@
 from sassafrashall.filters import chain
 from sassafrashall.filters import dispatch
 
+# Refusals that say that a service has less capacity than it is asked for.
+_CAPACITY_CODES = (
+    exceptions.SHED,
+    exceptions.NO_UPSTREAM,
+    exceptions.DEADLINE_EXCEEDED,
+    exceptions.RETRIES_EXHAUSTED,
+    exceptions.UPSTREAM_REFUSED,
+)
+
 
 class RoutedDispatchFilter:
     """Dispatches calls to upstreams; the last filter of the entry chain."""
@@ -27,7 +37,19 @@
         links: mailbox.Mailbox,
         local: chain.Chain,
         event_log: events.EventLog,
+        demand_monitor: mailbox.Mailbox,
     ) -> None:
+        """Creates the filter.
+
+        Args:
+          node: VM of this node.
+          routing: Mailbox of the task that chooses upstreams.
+          links: Mailbox of the task that sends calls to other nodes.
+          local: The chain that runs calls on the local upstream.
+          event_log: Records retries.
+          demand_monitor: Mailbox of the task that counts rejected calls.
+        """
+        self._demand_monitor = demand_monitor
         self._node = node
         self._routing = routing
         self._links = links
@@ -40,6 +62,17 @@
 
     async def handle(self, call: model.Call) -> model.Outcome:
         """Makes attempts until one succeeds or no retry is allowed."""
+        outcome = await self._dispatch(call)
+        match outcome:
+            case model.Refuse(run=model.RunState.NOT_RUN, code=code) if (
+                call.depth and code in _CAPACITY_CODES
+            ):
+                self._demand_monitor.tell(
+                    messages.CallRejected(service=call.service)
+                )
+        return outcome
+
+    async def _dispatch(self, call: model.Call) -> model.Outcome:
         self._routing.tell(messages.FirstAttempt(service=call.service))
         attempts = 0
         avoid: frozenset[str] = frozenset()
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -178,12 +178,21 @@
     Attributes:
       seconds: Time for which it held its slot.
       urgency: As in `RunStarted`.
+      completed: Whether it was a nested call that the upstream answered.
     """
 
     route: str
     service: str
     seconds: float
     urgency: model.Priority = model.Priority.NORMAL
+    completed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallRejected:
+    """A call of the local upstream was refused for lack of capacity."""
+
+    service: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -266,6 +266,7 @@
                     links=self._peer_links.mailbox,
                     local=self._worker_chain,
                     event_log=self._events,
+                    demand_monitor=self._demand_monitor.mailbox,
                 ),
             ),
         )
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -224,6 +224,7 @@
 TREE_ADMISSION_POLICIES: dict[str, tree_policies.Policy] = {
     "none": tree_policies.AdmitAll(),
     "narrowest-service": tree_policies.NarrowestService(),
+    "measured-capacity": tree_policies.MeasuredCapacity(),
 }
 BREAKER_POLICIES: dict[str, breaker_policies.Policy] = {
     "none": breaker_policies.NoBreaker(),
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -14,6 +14,7 @@
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import tree_admission
 from sassafrashall.filters import demand as demand_filter
+from sassafrashall.filters import routed_dispatch
 from sassafrashall.filters import tree_admission as tree_admission_filter
 from tests import fakes
 
@@ -419,3 +420,59 @@
             root = await tested.handle(_call())
             assert nested.call.urgency is of_nested
             assert root.call.urgency is of_root
+
+
+async def test_outcomes_of_nested_calls_are_reported_as_rates(fake_clock):
+    """Pattern: a narrow service sheds; its callers report what they lose.
+
+    Guards against a loss of capacity that shows only seconds later.
+    """
+    monitor = _monitor()
+
+    async def report(completed, rejected):
+        fake_clock.now += 0.5
+        for _ in range(completed):
+            fields = {"route": "feed", "service": "middle"}
+            monitor.mailbox.tell(messages.RunStarted(**fields))
+            monitor.mailbox.tell(
+                messages.RunEnded(seconds=0.1, completed=True, **fields)
+            )
+        for _ in range(rejected):
+            monitor.mailbox.tell(messages.CallRejected(service="narrow"))
+        return await monitor.mailbox.ask(messages.ReadDemand())
+
+    async with fakes.started(monitor):
+        for _ in range(8):
+            before = await report(100, 0)
+        after = await report(100, 50)
+        for _ in range(20):
+            later = await report(0, 0)
+    assert before.services[0].completions == pytest.approx(200.0, rel=0.01)
+    assert not before.sheds
+    (sheds,) = after.sheds
+    assert sheds.service == "narrow"
+    assert sheds.per_second == pytest.approx(50.0, rel=0.05)
+    assert later.services[0].completions < 1.0
+    assert not later.sheds
+    (sheds,) = demand.add_up((after, before, after)).sheds
+    assert sheds.per_second == pytest.approx(100.0, rel=0.05)
+
+
+@pytest.mark.parametrize("depth", [0, 1])
+async def test_a_nested_call_that_no_upstream_takes_is_counted(depth):
+    """A root that is refused has wasted nothing, so it is not counted."""
+    monitor = fakes.ScriptedController(lambda message: None)
+    # No upstream can be chosen.
+    choices = fakes.ScriptedController(lambda message: None)
+    async with fakes.started(monitor, choices):
+        tested = routed_dispatch.RoutedDispatchFilter(
+            node="vm",
+            routing=choices.mailbox,
+            links=choices.mailbox,
+            local=None,
+            event_log=fakes.event_log(),
+            demand_monitor=monitor.mailbox,
+        )
+        outcome = await tested.handle(fakes.call(depth=depth))
+    assert isinstance(outcome, model.Refuse)
+    assert monitor.received == [messages.CallRejected(service="a")] * depth
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -278,3 +278,110 @@
     fleet = _deep_chain(view=(0, 0, 200.0))
     policy = tree_admission.AdmitAll()
     assert not tree_admission.correct(policy, {}, fleet, {"narrow"}, 1.0)
+
+
+MEASURED = tree_admission.MeasuredCapacity(utilization=0.8)
+
+
+def _with_outcomes(fleet, completions, sheds, busy=0):
+    return dataclasses.replace(
+        fleet,
+        services=tuple(
+            dataclasses.replace(service, completions=completions, busy=busy)
+            if service.service == "narrow"
+            else service
+            for service in fleet.services
+        ),
+        sheds=(demand.Sheds(service="narrow", per_second=sheds),),
+    )
+
+
+def _admitted_calls(policy, roots, capacity, seconds):
+    """Plays a control and a narrow service that refuses calls over `capacity`.
+
+    Returns the calls of admitted trees, by step of 0.25 s. What the control
+    knows of the outcomes is 0.75 s old.
+    """
+    fleet = _deep_chain(view=(0, roots, 0))
+    corrections, levels, calls = {}, (), []
+    for step in range(int(seconds / 0.25)):
+        level = next((lv.level for lv in levels if lv.route == "view"), 3.0)
+        calls.append(8 * roots * tree_admission.admitted_fraction(level, 1))
+        arrived = calls[step - 3] if step >= 3 else 0.0
+        completed = min(arrived, capacity)
+        # Each completed call holds a slot for 0.1 s.
+        known = _with_outcomes(
+            fleet, completed, arrived - completed, int(0.1 * completed)
+        )
+        corrections = tree_admission.correct(
+            policy, corrections, known, {lv.service for lv in levels}, 0.25
+        )
+        levels = tree_admission.route_levels(policy, known, corrections)
+    return calls
+
+
+def test_a_service_that_sheds_is_given_what_it_completes():
+    """Pattern: one kind of upstream sheds half of its calls.
+
+    Guards against trees that are admitted by announced slots: each makes eight
+    calls, and nearly all of them fail if half of the calls do.
+    """
+    calls = _admitted_calls(MEASURED, roots=200.0, capacity=400.0, seconds=20)
+    # One second after its first refusals are known, it is given little more
+    # than it completes, and from then on neither much more nor much less.
+    assert max(calls[8:]) < 1.15 * 400.0
+    assert min(calls) >= 0.99 * 400.0
+    baseline = _admitted_calls(POLICY, roots=200.0, capacity=400.0, seconds=20)
+    assert min(baseline) >= 0.99 * 800.0
+
+
+def test_a_service_that_no_longer_sheds_is_given_its_slots_again():
+    held = {"narrow": 0.4}
+    fleet = _with_outcomes(_deep_chain(view=(0, 200.0, 0)), 300.0, 0.0, busy=30)
+    for limiting, seconds in (({"narrow"}, 10), (frozenset(), 4)):
+        corrections = held
+        for _ in range(4 * seconds):
+            corrections = tree_admission.correct(
+                MEASURED, corrections, fleet, limiting, 0.25
+            )
+        assert corrections.get("narrow", 1.0) >= 1.0
+
+
+def test_a_few_refused_calls_lower_nothing():
+    fleet = _with_outcomes(_deep_chain(view=(0, 200.0, 0)), 800.0, 4.0, busy=75)
+    assert not tree_admission.correct(MEASURED, {}, fleet, {"narrow"}, 1.0)
+
+
+def test_refusals_that_do_not_end_leave_a_part_of_the_slots():
+    """Pattern: an upstream sheds half of its calls whatever the load.
+
+    Guards against a service that is given less and less, and in the end
+    nothing.
+    """
+    corrections = {}
+    for step in range(80):
+        calls = 800.0 * 0.9**step
+        fleet = _with_outcomes(
+            _deep_chain(view=(0, 200.0, 0)), calls / 2, calls / 2
+        )
+        corrections = tree_admission.correct(
+            MEASURED, corrections, fleet, {"narrow"}, 0.25
+        )
+    assert corrections == {"narrow": tree_admission.MIN_CORRECTION}
+
+
+def test_the_runs_of_urgent_roots_do_not_count_as_cost_of_calls():
+    """Guards against a floor above what the service completes.
+
+    A check, a root at the narrow service, holds a slot for 15 times as long as
+    a call.
+    """
+    fleet = _with_outcomes(
+        _deep_chain(view=(0, 200.0, 0), check=(2.0, 0, 0)), 200.0, 600.0
+    )
+    corrections = {}
+    for _ in range(16):
+        corrections = tree_admission.correct(
+            MEASURED, corrections, fleet, {"narrow"}, 0.25
+        )
+    assert corrections["narrow"] == pytest.approx(0.25)
