--- a/src/sassafrashall/controllers/demand_monitor.py
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -16,6 +16,8 @@
 # Seconds in which the weight of an observation halves.
 ROOTS_HALF_LIFE = 2.0
 RUNS_HALF_LIFE = 6.0
+# A loss of capacity must show within the interval of two reports.
+OUTCOMES_HALF_LIFE = 0.5
 MIN_WEIGHT = 0.01  # weight below which an observation is dropped
 CALLS_KEPT = 256  # calls on one route from which rates are estimated
 CALLS_KEPT_FOR = 20.0  # seconds
@@ -30,6 +32,8 @@
 
     def __init__(self, *, now: float) -> None:
         self.in_progress = 0
+        # Runs in progress by the class of their root.
+        self._urgencies = [0] * len(model.Priority)
         self.started = 0.0
         self.ended = 0.0
         self.busy_s = 0.0
@@ -39,6 +43,26 @@
         self.exposure_s = 0.0
         self._exposed_at = now
 
+    @property
+    def urgencies(self) -> list[model.Priority]:
+        """The classes of the roots of the runs in progress."""
+        return [p for p in model.Priority if self._urgencies[p]]
+
+    def begin(self, urgency: model.Priority, now: float) -> None:
+        """Counts a run that begins."""
+        self.expose(now)
+        self.in_progress += 1
+        self.started += 1
+        self._urgencies[urgency] += 1
+
+    def end(self, urgency: model.Priority, seconds: float, now: float) -> None:
+        """Counts the end of a run, which held a slot for `seconds`."""
+        self.expose(now)
+        self.in_progress = max(0, self.in_progress - 1)
+        self.ended += 1
+        self.busy_s += seconds
+        self._urgencies[urgency] = max(0, self._urgencies[urgency] - 1)
+
     def expose(self, now: float) -> None:
         """Adds the time for which runs have been in progress."""
         self.exposure_s += self.in_progress * (now - self._exposed_at)
@@ -104,6 +128,43 @@
             self.rates = demand.attribute_calls(calls, exposures, self.rates)
 
 
+class _Outcomes:
+    """Outcomes of nested calls per second; recent ones weigh most."""
+
+    def __init__(self) -> None:
+        self._new: collections.Counter[str] = collections.Counter()
+        self._counts: dict[str, float] = {}
+        self._seconds = 0.0
+
+    def rates(self) -> dict[str, float]:
+        """Returns the rates by service, as of the last update."""
+        seconds = max(self._seconds, 1e-3)
+        return {
+            service: round(count / seconds, 2)
+            for service, count in self._counts.items()
+        }
+
+    def count(self, service: str) -> None:
+        """Counts a call to a service."""
+        self._new[service] += 1
+
+    def update(self, elapsed: float) -> None:
+        """Takes in what was counted within the last `elapsed` seconds."""
+        factor = 0.5 ** (elapsed / OUTCOMES_HALF_LIFE)
+        self._seconds = self._seconds * factor + elapsed
+        counts = {
+            service: factor * self._counts.get(service, 0.0)
+            + self._new[service]
+            for service in {**self._new, **self._counts}
+        }
+        self._counts = {
+            service: count
+            for service, count in counts.items()
+            if count > MIN_WEIGHT
+        }
+        self._new.clear()
+
+
 class DemandMonitor(task.Controller):
     """Owns the counts behind the demand that this node reports."""
 
@@ -130,6 +191,8 @@
         self._new_roots: dict[str, list[float]] = {}
         self._roots: dict[str, list[float]] = {}
         self._roots_seconds = 0.0
+        self._completions = _Outcomes()  # at the local upstream
+        self._sheds = _Outcomes()  # of calls that the local upstream made
         self._reported_at = clock.monotonic()
 
     @property
@@ -147,15 +210,14 @@
                 counts[message.priority] += message.weight
             case messages.RunStarted(route=route, service=service):
                 runs = self._runs_of((route, service), now)
-                runs.expose(now)
-                runs.in_progress += 1
-                runs.started += 1
+                runs.begin(message.urgency, now)
             case messages.RunEnded(route=route, service=service):
                 runs = self._runs_of((route, service), now)
-                runs.expose(now)
-                runs.in_progress = max(0, runs.in_progress - 1)
-                runs.ended += 1
-                runs.busy_s += message.seconds
+                runs.end(message.urgency, message.seconds, now)
+                if message.completed:
+                    self._completions.count(service)
+            case messages.CallRejected(service=service):
+                self._sheds.count(service)
             case messages.UpstreamCalled(route=route):
                 self._expose_all(now)
                 self._upstream_calls.publish(True)
@@ -163,10 +225,19 @@
                 if calls is None:
                     calls = self._calls[route] = _ObservedCalls(route=route)
                 calls.add(self._runs, now)
+                reply.put(self._urgency_of_call(route))
             case messages.ReadDemand():
                 self._update(now)
                 reply.put(self._current_demand())
 
+    def _urgency_of_call(self, route: str) -> model.Priority | None:
+        return demand.most_urgent(
+            runs.urgencies
+            for runs in self._runs.values()
+            if runs.in_progress
+            and demand.may_call(runs.started, runs.calls.get(route, 0.0))
+        )
+
     def _runs_of(self, kind: _Kind, now: float) -> _Runs:
         runs = self._runs.get(kind)
         if runs is None:
@@ -187,6 +258,8 @@
         self._upstream_calls.publish(bool(self._calls))
         elapsed = max(0.0, now - self._reported_at)
         self._reported_at = now
+        self._completions.update(elapsed)
+        self._sheds.update(elapsed)
         runs_factor = 0.5 ** (elapsed / RUNS_HALF_LIFE)
         for kind, runs in list(self._runs.items()):
             runs.decay(runs_factor)
@@ -245,6 +318,16 @@
                         for kind, runs in self._runs.items()
                         if kind[1] == upstream.service
                     ),
+                    completions=self._completions.rates().get(
+                        upstream.service, 0.0
+                    ),
                 ),
             )
-        return demand.Demand(routes=tuple(routes), services=services)
+        return demand.Demand(
+            routes=tuple(routes),
+            services=services,
+            sheds=tuple(
+                demand.Sheds(service=service, per_second=rate)
+                for service, rate in self._sheds.rates().items()
+            ),
+        )
--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -33,6 +33,11 @@
 # Seconds of runs without a call that are added to what was observed, so that
 # one call in a short time is not taken for a high rate.
 PRIOR_EXPOSURE = 1.0
+# Weighted runs of a kind from which on the calls that it makes are known.
+MIN_RUNS_TO_JUDGE = 3.0
+# Calls of a kind that a run must make on average. Fewer may be calls of other
+# runs that were attributed to it.
+MIN_CALLS_PER_RUN = 0.25
 NO_ROOTS = (0.0,) * len(model.Priority)
 
 
@@ -79,11 +84,28 @@
     Attributes:
       slots: Concurrent requests that they accept.
       busy: Slots in use.
+      completions: Nested calls that they complete per second.
     """
 
     service: str
     slots: int
     busy: int = 0
+    completions: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sheds:
+    """The nested calls that a service has refused for lack of capacity.
+
+    They are counted where they were made: a call that one upstream refuses and
+    another one completes is none of them.
+
+    Attributes:
+      per_second: Refused calls per second.
+    """
+
+    service: str
+    per_second: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -92,12 +114,15 @@
 
     routes: tuple[RouteDemand, ...] = ()
     services: tuple[ServiceSlots, ...] = ()
+    sheds: tuple[Sheds, ...] = ()
 
 
 def add_up(demands: Iterable[Demand]) -> Demand:
     """Returns the demand of all parts together."""
     slots: dict[str, int] = {}
     busy: dict[str, int] = {}
+    completions: dict[str, float] = {}
+    sheds: dict[str, float] = {}
     parts: dict[tuple[str, str], list[RouteDemand]] = {}
     for demand in demands:
         for service in demand.services:
@@ -105,14 +130,27 @@
                 slots.get(service.service, 0) + service.slots
             )
             busy[service.service] = busy.get(service.service, 0) + service.busy
+            completions[service.service] = (
+                completions.get(service.service, 0.0) + service.completions
+            )
+        for shed in demand.sheds:
+            sheds[shed.service] = sheds.get(shed.service, 0.0) + shed.per_second
         for route in demand.routes:
             parts.setdefault((route.route, route.service), []).append(route)
     return Demand(
         routes=tuple(_add_routes(same) for same in parts.values()),
         services=tuple(
-            ServiceSlots(service=name, slots=count, busy=busy[name])
+            ServiceSlots(
+                service=name,
+                slots=count,
+                busy=busy[name],
+                completions=completions[name],
+            )
             for name, count in slots.items()
         ),
+        sheds=tuple(
+            Sheds(service=name, per_second=rate) for name, rate in sheds.items()
+        ),
     )
 
 
@@ -191,6 +229,39 @@
     }
 
 
+def may_call(started: float, calls: float) -> bool:
+    """Returns whether runs of a kind are taken to make calls on a route.
+
+    Args:
+      started: Weighted number of runs of the kind.
+      calls: Weighted number of their calls on the route.
+    """
+    return started < MIN_RUNS_TO_JUDGE or calls >= MIN_CALLS_PER_RUN * started
+
+
+def most_urgent(
+    callers: Iterable[Iterable[model.Priority]],
+) -> model.Priority | None:
+    """Returns the class that a call of the local upstream is given.
+
+    Calls carry no link to the run that makes them. Among the runs that may
+    have made one, the most urgent decides: an urgent root must not wait behind
+    others, and the roots in front of which a call goes by mistake are few as
+    long as urgent runs are.
+
+    Args:
+      callers: For each kind of run that may have made the call, the classes of
+        the roots of its runs in progress.
+
+    Returns:
+      The class, or None if no such run is in progress.
+    """
+    return min(
+        (urgency for urgencies in callers for urgency in urgencies),
+        default=None,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HeldNumber:
     """The calls of one kind that a whole run makes.
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -123,6 +123,8 @@
             counted=admitted.counted,
             cold=admitted.cold,
             streams=call.request.rest is not None,
+            urgency=call.priority if call.urgency is None else call.urgency,
+            nested=call.depth > 0,
         )
         try:
             if upstream.service != call.service:
@@ -224,6 +226,8 @@
         counted: bool,
         cold: bool,
         streams: bool,
+        urgency: model.Priority,
+        nested: bool,
     ) -> None:
         """Takes over a slot.
 
@@ -235,6 +239,8 @@
           counted: Whether sends have to be told to `admission`.
           cold: Whether the upstream was cold when the slot was granted.
           streams: Whether the request has a body that is sent in parts.
+          urgency: Class of the root of the call tree.
+          nested: Whether an upstream made the call.
         """
         self.counted = counted
         self.cold = cold
@@ -247,7 +253,11 @@
         self._route = route
         self._service = service
         self._started_at = clock.monotonic()
-        demand_monitor.tell(messages.RunStarted(route=route, service=service))
+        self._urgency = urgency
+        self._nested = nested
+        demand_monitor.tell(
+            messages.RunStarted(route=route, service=service, urgency=urgency)
+        )
         self._latency = -1.0
         self._shed = False
         self._failed = False
@@ -322,6 +332,10 @@
                         route=self._route,
                         service=self._service,
                         seconds=run_time,
+                        urgency=self._urgency,
+                        completed=self._nested
+                        and self._latency >= 0
+                        and not self._failed,
                     )
                 )
             except exceptions.MailboxClosedError:
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -34,6 +34,7 @@
 from sassafrashall.controllers import routing
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.decisions import cold_rate
+from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota as quota_decisions
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
@@ -280,6 +281,9 @@
                     monitor=self._demand_monitor.mailbox,
                     levels=self._membership.route_levels,
                     table=table,
+                    estimates_urgency=isinstance(
+                        settings.policy.queue_policy(), queues.UrgencyFirst
+                    ),
                 ),
                 routed_dispatch.RoutedDispatchFilter(
                     node=settings.vm,
@@ -287,6 +291,7 @@
                     links=self._peer_links.mailbox,
                     local=self._worker_chain,
                     event_log=self._events,
+                    demand_monitor=self._demand_monitor.mailbox,
                 ),
             ),
         )
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -245,10 +245,12 @@
     "priority-fair": queues.PriorityFair,
     "calls-first": queues.CallsFirst,
     "trees-first": queues.TreesFirst,
+    "urgency-first": queues.UrgencyFirst,
 }
 TREE_ADMISSION_POLICIES: dict[str, tree_policies.Policy] = {
     "none": tree_policies.AdmitAll(),
     "narrowest-service": tree_policies.NarrowestService(),
+    "measured-capacity": tree_policies.MeasuredCapacity(),
 }
 BREAKER_POLICIES: dict[str, breaker_policies.Policy] = {
     "none": breaker_policies.NoBreaker(),
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -14,6 +14,7 @@
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import tree_admission
 from sassafrashall.filters import demand as demand_filter
+from sassafrashall.filters import routed_dispatch
 from sassafrashall.filters import tree_admission as tree_admission_filter
 from tests import fakes
 
@@ -346,3 +347,132 @@
         reported = await monitor.mailbox.ask(messages.ReadDemand())
     (route,) = reported.routes
     assert route.calls[0].count / route.started == pytest.approx(2.0, rel=0.1)
+
+
+async def _urgency_of_call(monitor, route):
+    return await monitor.mailbox.ask(messages.UpstreamCalled(route=route))
+
+
+async def _run(monitor, route, urgency, *, calls=()):
+    """Runs a request to its end, with the calls that it makes."""
+    fields = {"route": route, "service": "middle", "urgency": urgency}
+    monitor.mailbox.tell(messages.RunStarted(**fields))
+    for called in calls:
+        await _urgency_of_call(monitor, called)
+    monitor.mailbox.tell(messages.RunEnded(seconds=0.1, **fields))
+
+
+async def test_a_call_has_the_class_of_the_most_urgent_run_that_may_make_it(
+    fake_clock,
+):
+    """Pattern: urgent and other roots on one service, whose calls look alike.
+
+    Guards against calls of an urgent root that wait like those of others, and
+    against calls that are urgent only because of runs that make no calls.
+    """
+    monitor = _monitor()
+    async with fakes.started(monitor):
+        assert await _urgency_of_call(monitor, "feed") is None
+        for _ in range(8):
+            fake_clock.now += 1.0
+            await _run(
+                monitor, "sync", model.Priority.BULK, calls=("feed", "feed")
+            )
+            await _run(monitor, "check", model.Priority.CRITICAL)
+        for route, urgency in (
+            ("sync", model.Priority.BULK),
+            ("check", model.Priority.CRITICAL),
+        ):
+            monitor.mailbox.tell(
+                messages.RunStarted(
+                    route=route, service="middle", urgency=urgency
+                )
+            )
+        # The run of "check" makes no calls.
+        assert await _urgency_of_call(monitor, "feed") is model.Priority.BULK
+        urgent = {
+            "route": "sync",
+            "service": "middle",
+            "urgency": model.Priority.CRITICAL,
+        }
+        monitor.mailbox.tell(messages.RunStarted(**urgent))
+        assert (
+            await _urgency_of_call(monitor, "feed") is model.Priority.CRITICAL
+        )
+        monitor.mailbox.tell(messages.RunEnded(seconds=0.1, **urgent))
+        assert await _urgency_of_call(monitor, "feed") is model.Priority.BULK
+
+
+async def test_the_class_of_the_root_is_set_only_if_the_queue_uses_it():
+    monitor = fakes.ScriptedController(lambda message: model.Priority.CRITICAL)
+    async with fakes.started(monitor):
+        for estimates, of_nested, of_root in (
+            (False, None, None),
+            (True, model.Priority.CRITICAL, model.Priority.BULK),
+        ):
+            tested = demand_filter.DemandFilter(
+                monitor=monitor.mailbox,
+                levels=_published(),
+                table=_table(keyed=True),
+                estimates_urgency=estimates,
+            )
+            nested = await tested.handle(_call(depth=1))
+            root = await tested.handle(_call())
+            assert nested.call.urgency is of_nested
+            assert root.call.urgency is of_root
+
+
+async def test_outcomes_of_nested_calls_are_reported_as_rates(fake_clock):
+    """Pattern: a narrow service sheds; its callers report what they lose.
+
+    Guards against a loss of capacity that shows only seconds later.
+    """
+    monitor = _monitor()
+
+    async def report(completed, rejected):
+        fake_clock.now += 0.5
+        for _ in range(completed):
+            fields = {"route": "feed", "service": "middle"}
+            monitor.mailbox.tell(messages.RunStarted(**fields))
+            monitor.mailbox.tell(
+                messages.RunEnded(seconds=0.1, completed=True, **fields)
+            )
+        for _ in range(rejected):
+            monitor.mailbox.tell(messages.CallRejected(service="narrow"))
+        return await monitor.mailbox.ask(messages.ReadDemand())
+
+    async with fakes.started(monitor):
+        for _ in range(8):
+            before = await report(100, 0)
+        after = await report(100, 50)
+        for _ in range(20):
+            later = await report(0, 0)
+    assert before.services[0].completions == pytest.approx(200.0, rel=0.01)
+    assert not before.sheds
+    (sheds,) = after.sheds
+    assert sheds.service == "narrow"
+    assert sheds.per_second == pytest.approx(50.0, rel=0.05)
+    assert later.services[0].completions < 1.0
+    assert not later.sheds
+    (sheds,) = demand.add_up((after, before, after)).sheds
+    assert sheds.per_second == pytest.approx(100.0, rel=0.05)
+
+
+@pytest.mark.parametrize("depth", [0, 1])
+async def test_a_nested_call_that_no_upstream_takes_is_counted(depth):
+    """A root that is refused has wasted nothing, so it is not counted."""
+    monitor = fakes.ScriptedController(lambda message: None)
+    # No upstream can be chosen.
+    choices = fakes.ScriptedController(lambda message: None)
+    async with fakes.started(monitor, choices):
+        tested = routed_dispatch.RoutedDispatchFilter(
+            node="vm",
+            routing=choices.mailbox,
+            links=choices.mailbox,
+            local=None,
+            event_log=fakes.event_log(),
+            demand_monitor=monitor.mailbox,
+        )
+        outcome = await tested.handle(fakes.call(depth=depth))
+    assert isinstance(outcome, model.Refuse)
+    assert monitor.received == [messages.CallRejected(service="a")] * depth
