Callers: the body of a response that can't be encoded is closed

Cause: a response with a body to stream was dropped unread if its head could not be encoded, so that the upstream kept it open up to its deadline. Change: the body is closed together with the connection. Measured: the test waits for the close of the body; 104 tests of the files around the server pass.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -115,8 +115,7 @@
             self._closing = True
             for exchange in self._pipeline.clear():
                 exchange.cancel()
-                if exchange.response is not None and exchange.response.rest:
-                    self._spawn(responses.discard, exchange.response.rest)
+                self._discard_response(exchange)
             self._stream.close()
             self._parser.close()
             # Its traceback refers to this connection.
@@ -396,10 +395,15 @@
         except Exception:
             # An exception must not reach the code that delivered the reply.
             logs.get().exception("unhandled exception while sending a response")
-            if self._pipeline.first is not None:
-                self._end_exchange(
-                    self._pipeline.first, connection_log.Reason.INCOMPLETE
-                )
+            exchange = self._pipeline.first
+            if exchange is not None:
+                self._discard_response(exchange)
+                self._end_exchange(exchange, connection_log.Reason.INCOMPLETE)
+
+    def _discard_response(self, exchange: pipeline.Exchange) -> None:
+        """Closes the body of a response that is not sent."""
+        if exchange.response is not None and exchange.response.rest is not None:
+            self._spawn(responses.discard, exchange.response.rest)
 
     def _send_first(self) -> bool:
         """Sends the first response if it is ready; a task sends what blocks.
@@ -413,14 +417,14 @@
         exchange = self._pipeline.first
         if exchange is None or not exchange.is_ready or self._closing:
             return False
-        response, exchange.response = exchange.response, None
+        response = exchange.response
         if response is None:
             self._end_exchange(exchange, connection_log.Reason.HANDLER_FAILED)
             return False
         closes = self._must_close(exchange)
         data, rest, chunked = self._encode_start(exchange, response, closes)
         # What has been encoded is not held twice.
-        del response
+        exchange.response = response = None
         if rest is None:
             try:
                 sent = self._stream.send_nowait(data)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -427,16 +427,21 @@
 
 
 # Guards against a process that ends by a response that can't be encoded: the
-# error would reach the controller that delivered the response.
+# error would reach the controller that delivered the response. The body of that
+# response must not stay open at the upstream.
 async def test_a_response_that_cannot_be_encoded_ends_only_its_connection():
     handler = _Handler()
+    rest = _Rest()
     async with _open(handler) as (stream, _):
         await stream.send_all(_get(1) + _get(2))
         await _settle()
         handler.release(
             1,
-            model.Response(status=200, headers=(("x", "\u20ac"),), body=b""),
+            model.Response(
+                status=200, headers=(("x", "\u20ac"),), body=b"", rest=rest
+            ),
         )
+        await rest.closed.wait()
         assert await stream.receive_some(1000) == b""
         assert handler.cancelled == [2]
 
