Controls tell nodes how fast each upstream is

A node learnt the run times of upstreams from its own calls only, so that the more nodes called, the later each of them knew. From the runs that nodes report anyway, a control computes the run time of each upstream relative to the usual one of its routes, and tells at most 64 of them in a reply to a heartbeat, in turn in larger fleets. Nodes take them as the prior of their own estimate, in which a slow moment shows sooner. A data centre whose calls wait may also use more of the reserve of others, up to a load of 1.05; calls of others take only free slots there.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -20,6 +20,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import completion
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
@@ -33,6 +34,10 @@
 GOSSIP_TIMEOUT = 0.5  # seconds
 CONTROL_TTL = 5.0  # seconds without gossip until a control counts as silent
 LEVELS_LOG_INTERVAL = 1.0  # seconds between two log lines on them
+# Relative run times told in a reply to a heartbeat. In larger fleets a node
+# gets those of all upstreams over several replies.
+MAX_RELATIVE_TIMES = 64
+MIN_DEVIATION = 0.05  # of a relative run time from 1, to be told
 LEVELS_INTERVAL = 0.25  # seconds for which computed admission levels are reused
 # Seconds by which a check for silent nodes may be late and still rely on the
 # heartbeats that were read.
@@ -132,6 +137,12 @@
         self._route_levels: tuple[tree_admission.RouteLevel, ...] = ()
         self._levels_computed_at = float("-inf")
         self._rooms: tuple[spillover.Room, ...] = ()
+        self._usual_times: dict[str, float] = {}  # seconds by route
+        self._relative_times: list[tuple[str, float]] = []  # by VM
+        # VMs whose relative run time has once been told. It is told on, so that
+        # nodes learn when it is the usual one again.
+        self._told_vms: set[str] = set()
+        self._next_told = 0  # index of the first for the next reply
         self._calls_per_run = demand_decisions.CallsPerRun()
         self._corrections: dict[str, float] = {}
         self._levels_logged_at = float("-inf")
@@ -274,7 +285,7 @@
         self._metrics.count("heartbeats")
         record = message.record
         self._heartbeat_times[record.vm] = now
-        self._loads[record.vm] = message.load
+        self._loads[record.vm] = self._with_relative_time(message)
         self._demand = demand_decisions.on_heartbeat(
             self._demand, record.vm, message.demand, now
         )
@@ -299,6 +310,7 @@
             route_levels=self._current_route_levels(now),
             signed_off=self._sign_off_before(record),
             rooms=self._rooms,
+            relative_times=self._tell_relative_times(),
         )
 
     def _sign_off_before(
@@ -383,6 +395,23 @@
                 )
         ended: dict[str, float] = {}
         busy: dict[str, float] = {}
+        self._usual_times = {
+            route.route: route.busy_s / route.ended
+            for route in fleet.routes
+            if route.ended > tree_admission.MIN_RUNS
+        }
+        self._relative_times = [
+            (vm, load.relative_time)
+            for vm, load in self._loads.items()
+            if load is not None
+            and (
+                vm in self._told_vms
+                or abs(load.relative_time - 1.0) >= MIN_DEVIATION
+            )
+            and (entry := self._directory.entries.get(vm)) is not None
+            and not entry.lapsed
+        ]
+        self._told_vms = {vm for vm, _ in self._relative_times}
         for route in fleet.routes:
             name = route.service
             ended[name] = ended.get(name, 0.0) + route.ended
@@ -396,6 +425,32 @@
             },
         )
 
+    def _with_relative_time(
+        self, message: protocol.Heartbeat
+    ) -> model.NodeLoad | None:
+        if message.load is None or message.demand is None:
+            return message.load
+        relative_time = completion.relative_time_of_runs(
+            (
+                (route.route, route.ended, route.busy_s)
+                for route in message.demand.routes
+            ),
+            self._usual_times,
+        )
+        return dataclasses.replace(
+            message.load, relative_time=round(relative_time, 2)
+        )
+
+    def _tell_relative_times(self) -> dict[str, float]:
+        """Returns some of the relative run times, the others later."""
+        times = self._relative_times
+        if len(times) <= MAX_RELATIVE_TIMES:
+            return dict(times)
+        first = self._next_told % len(times)
+        self._next_told = first + MAX_RELATIVE_TIMES
+        told = times[first : first + MAX_RELATIVE_TIMES]
+        return dict(told + times[: MAX_RELATIVE_TIMES - len(told)])
+
     def _newer_document(
         self, version: int
     ) -> configuration.Configuration | None:
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -389,12 +389,23 @@
                 received_at=clock.monotonic(),
             )
         )
-        self._summary.publish(
-            spillover.summarize(answer.rooms, clock.monotonic())
-        )
         if not self._directory_source:
             self._outrank_record_before(answer)
         records = self._merge_records(view.records, answer)
+        self._summary.publish(
+            spillover.summarize(
+                answer.rooms,
+                clock.monotonic(),
+                {
+                    vm: relative_time
+                    for vm, relative_time in {
+                        **self._summary.value.relative_times,
+                        **answer.relative_times,
+                    }.items()
+                    if vm in records
+                },
+            )
+        )
         known_services = {
             r.upstream.service for r in records.values() if r.upstream
         }
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -326,9 +326,13 @@
                 r
                 for r in far_records
                 if comparison.loads.get(r.data_centre, 0.0)
-                < spillover.ACCEPT_LOAD
+                < spillover.MAX_ACCEPT_LOAD
             ]
         choice = self._choose(estimate(far_records), attempts, now)
+        if choice is not None and tried:
+            choice = dataclasses.replace(
+                choice, may_wait=attempts >= policy.moves
+            )
         if choice is not None:
             there = self._view.value.records[choice.vm].data_centre
             self._count_crossing(
@@ -590,7 +594,11 @@
             rooms_known=bool(rooms),
             run_s=max((room.run_s for room in rooms.values()), default=0.0),
             made_at=now,
-            times=completion.compare(self._run_times.get(service, {}), now),
+            times=completion.compare(
+                self._run_times.get(service, {}),
+                now,
+                self._told_times(service),
+            ),
             failure_costs=completion.failure_costs(
                 self._failures.get(service, {}), now
             ),
@@ -599,6 +607,19 @@
         self._comparisons[service] = comparison
         return comparison
 
+    def _told_times(self, service: str) -> dict[str, float] | None:
+        """Returns the relative run times that the controls told.
+
+        They tell of no upstream whose run time is the usual one.
+        """
+        told = self._summary.value.relative_times
+        if not told:
+            return None
+        return {
+            record.vm: told.get(record.vm, 1.0)
+            for record in self._by_service.get(service, ())
+        }
+
     def _record_run_time(
         self, message: messages.AttemptEnded, now: float
     ) -> None:
--- a/src/sassafrashall/decisions/completion.py
+++ b/src/sassafrashall/decisions/completion.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import math
@@ -22,6 +23,9 @@
 # Calls that took the usual time, added to what was observed, so that a single
 # call doesn't make an upstream fast or slow.
 PRIOR_WEIGHT = 2.0
+# The same where the controls have told the relative time of an upstream, which
+# all calls to it have shown, and not only those of this node.
+TOLD_WEIGHT = 6.0
 # Ratio of run times up to which upstreams count as alike. The mean of a dozen
 # run times that vary by a half deviates by up to this much.
 NOISE_RATIO = 1.15
@@ -103,15 +107,42 @@
         return own if own is not None else self.by_upstream.get(upstream, 1.0)
 
 
+def relative_time_of_runs(
+    runs: Iterable[tuple[str, float, float]], usual: Mapping[str, float]
+) -> float:
+    """Returns the run time at an upstream relative to the usual one.
+
+    Args:
+      runs: Route, number of runs and their seconds in total.
+      usual: Usual run time by route, in seconds.
+    """
+    expected = taken = count = 0.0
+    for route, number, seconds in runs:
+        if usual.get(route, 0.0) > 0.0:
+            expected += number * usual[route]
+            taken += seconds
+            count += number
+    if not count:
+        return 1.0
+    prior = PRIOR_WEIGHT * expected / count
+    return (taken + prior) / (expected + prior)
+
+
 def compare(
-    run_times: Mapping[tuple[str, str], Mean], now: float
+    run_times: Mapping[tuple[str, str], Mean],
+    now: float,
+    told: Mapping[str, float] | None = None,
 ) -> RelativeTimes:
     """Compares the upstreams of one service.
 
     Args:
       run_times: Run times by upstream and route.
       now: Monotonic seconds.
+      told: Relative times by upstream as the controls told them, of all
+        upstreams of the service; None if they told none.
     """
+    prior = _relative_to_median(told) if told else {}
+    prior_weight = TOLD_WEIGHT if prior else PRIOR_WEIGHT
     by_route: dict[str, list[tuple[float, float, str]]] = {}
     for (upstream, route), run_time in run_times.items():
         by_route.setdefault(route, []).append(
@@ -121,13 +152,13 @@
         route: max(MIN_USUAL_TIME, _median(known))
         for route, known in by_route.items()
     }
-    weights: dict[str, float] = {}
-    sums: dict[str, float] = {}
+    weights = dict.fromkeys(prior, prior_weight)
+    sums = {upstream: prior_weight * ratio for upstream, ratio in prior.items()}
     for route, known in by_route.items():
         for seconds, weight, upstream in known:
-            weights[upstream] = weights.get(upstream, PRIOR_WEIGHT) + weight
+            weights[upstream] = weights.get(upstream, prior_weight) + weight
             ratio = seconds / usual[route]
-            sums[upstream] = sums.get(upstream, PRIOR_WEIGHT) + weight * ratio
+            sums[upstream] = sums.get(upstream, prior_weight) + weight * ratio
     by_upstream_and_route = {}
     for route, known in by_route.items():
         for seconds, weight, upstream in known:
@@ -138,8 +169,8 @@
                 weights[upstream] - weight
             )
             by_upstream_and_route[(upstream, route)] = without_noise(
-                (weight * ratio + PRIOR_WEIGHT * others)
-                / (weight + PRIOR_WEIGHT)
+                (weight * ratio + prior_weight * others)
+                / (weight + prior_weight)
             )
     return RelativeTimes(
         usual=usual,
@@ -151,6 +182,13 @@
     )
 
 
+def _relative_to_median(told: Mapping[str, float]) -> dict[str, float]:
+    """Returns the ratios by the measure of this node's own comparison."""
+    ratios = sorted(told.values())
+    median = max(0.01, ratios[(len(ratios) - 1) // 2])
+    return {upstream: ratio / median for upstream, ratio in told.items()}
+
+
 def _median(known: list[tuple[float, float, str]]) -> float:
     """Returns the median of the upstreams, the lower one of two."""
     seconds = sorted(item[0] for item in known)
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -25,6 +25,9 @@
 SLOWNESS_THRESHOLD = 2.5
 MIN_SLOW_LOAD = 0.3  # minimum load assumed for a slow upstream
 LOAD_TTL = 1.0  # seconds until a load reported on an answer is stale
+# Load up to which an upstream counts as having a free slot. It is below 1, as
+# the believed load of a full one soon returns towards that of its peers.
+FREE_SLOT_LOAD = 0.95
 # Multiplied by the index of a candidate, its fractional parts are spread evenly
 # over [0, 1), so that one random number gives each candidate its own.
 _GOLDEN_RATIO = 0.618033988749895
@@ -269,13 +272,11 @@
                 candidate is not chosen and _effective_load(candidate) < 1.0
                 for candidate in candidates
             )
-        case ExpectedCompletion(moves=moves, data_centre_max_load=max_load) if (
-            attempts < moves
-        ):
+        case ExpectedCompletion(moves=moves) if attempts < moves:
             bound = max(1.0, chosen.relative_time) * completion.FULL_COST
             return not any(
                 candidate is not chosen
-                and _known_load(candidate) <= max_load
+                and _known_load(candidate) <= FREE_SLOT_LOAD
                 and candidate.relative_time < bound
                 for candidate in candidates
             )
--- a/src/sassafrashall/decisions/spillover.py
+++ b/src/sassafrashall/decisions/spillover.py
@@ -6,8 +6,8 @@
 
 Each node computes, for each service that it calls, the shares of its calls that
 go to other data centres. As the summaries are the same for all nodes, so are
-the shares. A data centre sends calls out only above `SEND_LOAD` and gets calls
-only below `ACCEPT_LOAD`, so that two never swap load.
+the shares. A data centre sends calls out only above `SEND_LOAD`, and to those
+whose load is well below its own (`accept_load`), so that two never swap load.
 
 The shares follow lasting demand. Within the room that the summaries show, a
 call that is refused by a full upstream here may leave as well, so that a burst
@@ -24,8 +24,12 @@
 # Load of a service's slots from which on calls may leave the data centre.
 SEND_LOAD = 0.9
 # Load up to which a data centre gets the calls of others; the rest is for
-# bursts of its own callers.
+# bursts of its own callers. The more calls wait at the sender, the more of that
+# it gives up, as calls are soon refused there. Calls of others take only slots
+# that are free, so that those that wait for one keep their turn.
 ACCEPT_LOAD = 0.8
+MAX_ACCEPT_LOAD = 1.05
+ACCEPT_SLOPE = 0.3  # of the load at the sender that exceeds 1
 SHARE_TIME = 0.5  # seconds in which a share covers most of a change
 MIN_SHARE = 0.005  # a smaller share counts as none
 MAX_SHARE = 0.95  # keeps the own load measurable
@@ -45,6 +49,15 @@
 MAX_CREDIT = 4.0  # calls that may leave at once
 
 
+def accept_load(sender_load: float) -> float:
+    """Returns up to which load others take calls of a data centre.
+
+    It is below `sender_load` wherever calls are sent.
+    """
+    excess = max(0.0, sender_load - 1.0)
+    return min(MAX_ACCEPT_LOAD, ACCEPT_LOAD + ACCEPT_SLOPE * excess)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Room:
     """The upstreams of a service in one data centre.
@@ -79,12 +92,17 @@
 
     Attributes:
       rooms: By service and data centre.
+      relative_times: Run times relative to the usual ones, by VM, of the
+        upstreams of which the controls have told.
       received_at: Monotonic seconds.
     """
 
     rooms: Mapping[tuple[str, str], Room] = dataclasses.field(
         default_factory=dict
     )
+    relative_times: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     received_at: float = float("-inf")
 
     def rooms_of(self, service: str, now: float) -> dict[str, Room]:
@@ -98,10 +116,15 @@
         }
 
 
-def summarize(rooms: Iterable[Room], received_at: float) -> Summary:
+def summarize(
+    rooms: Iterable[Room],
+    received_at: float,
+    relative_times: Mapping[str, float] | None = None,
+) -> Summary:
     """Returns the summary of all rooms."""
     return Summary(
         rooms={(room.service, room.data_centre): room for room in rooms},
+        relative_times=relative_times or {},
         received_at=received_at,
     )
 
@@ -306,7 +329,7 @@
         )
         # What we send is in its load already. What is free is divided among
         # the data centres that may send.
-        more = room.slots * (ACCEPT_LOAD - room.load)
+        more = room.slots * (accept_load(home.load) - room.load)
         if more > 0.0:
             more /= max(1, senders)
         count = situation.sent.get(name, 0.0) * offered + more
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -248,11 +248,14 @@
         that entered the fleet here and those for its own upstream.
       load: Requests running or queued at its upstream, in thousandths of the
         concurrency limit, or -1 if unknown.
+      relative_time: Run time there relative to the usual one of the fleet, by
+        route, as the control computes it to which the node sends heartbeats.
     """
 
     level: float
     shed_per_second: float
     load: int = -1
+    relative_time: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -77,6 +77,8 @@
       signed_off: The last run of the node's upstream that signed off, if the
         node didn't report one.
       rooms: Slots and loads of the services in each data centre.
+      relative_times: By VM, `model.NodeLoad.relative_time` of some upstreams. A
+        reply holds a bounded number of them, the next one others.
     """
 
     directory_source: str
@@ -93,6 +95,7 @@
     route_levels: tuple[tree_admission.RouteLevel, ...] = ()
     signed_off: model.SignOff | None = None
     rooms: tuple[spillover.Room, ...] = ()
+    relative_times: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
