Routing: fewer log lines on shares, bounded run times, streamed sizes

A share that comes and goes around its threshold could log four lines a second; it logs at most one a second and service. Run times of routes that are no longer called are forgotten after about a minute, so that changes of the configuration leave nothing behind.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -33,6 +33,9 @@
 COMPARISON_TTL = 0.25
 # Mean load assumed for a service without a recent report.
 UNKNOWN_LOAD = 0.5
+SHARES_LOG_INTERVAL = 1.0  # seconds between two log lines on a service
+# Weight below which the run time of a route at an upstream is forgotten.
+MIN_WEIGHT = 0.01
 SMOOTHING = 0.05  # weight of the latest call in means by route
 
 
@@ -100,6 +103,8 @@
         # By service.
         self._shares: dict[str, spillover.Shares] = {}
         self._flows: dict[str, spillover.Flow] = {}
+        # When it was last logged whether calls leave, and whether they did.
+        self._shares_logged: dict[str, tuple[float, bool]] = {}
         # By data centre.
         self._reaches: dict[str, spillover.Reach] = {}
         # By route: mean size of the responses, and mean time of the calls that
@@ -419,7 +424,7 @@
         )
         after = spillover.update(before, situation, now)
         self._shares[service] = after
-        self._log_shares(service, before, after, rooms)
+        self._log_shares(service, before, after, rooms, now)
 
     def _log_shares(
         self,
@@ -427,15 +432,21 @@
         before: spillover.Shares,
         after: spillover.Shares,
         rooms: dict[str, spillover.Room],
+        now: float,
     ) -> None:
         """Logs when calls begin or cease to leave the data centre."""
         if before.total or after.total:
             self._metrics.gauge("share_sent_out", after.total, service=service)
-        if bool(before.total) == bool(after.total):
+        leaves = bool(after.total)
+        logged_at, logged = self._shares_logged.get(
+            service, (float("-inf"), False)
+        )
+        if leaves == logged or now - logged_at < SHARES_LOG_INTERVAL:
             return
+        self._shares_logged[service] = (now, leaves)
         logs.get().info(
             "calls leave the data centre"
-            if after.total
+            if leaves
             else "calls stay in the data centre again",
             extra={
                 "service": service,
@@ -529,6 +540,7 @@
                     key: run_time
                     for key, run_time in run_times.items()
                     if key[0] in view.records
+                    and run_time.weight_at(now) > MIN_WEIGHT
                 }
             )
         }
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -17,6 +17,10 @@
 from sassafrashall.filters import chain
 from sassafrashall.filters import dispatch
 
+# Bytes assumed for the part of a response that is streamed. It is at least that
+# of a response that is too long to be held, and makes such calls stay near.
+STREAMED_SIZE = 1024 * 1024
+
 
 class RoutedDispatchFilter:
     """Dispatches calls to upstreams; the last filter of the entry chain."""
@@ -91,6 +95,8 @@
             if isinstance(outcome, model.Answer):
                 latency = elapsed
                 size = len(outcome.response.body)
+                if outcome.response.rest is not None:
+                    size += STREAMED_SIZE
             elif outcome.code == exceptions.SHED and not choice.may_wait:
                 round_trip = elapsed
             failed = _is_failure(outcome)
