Usual run times are kept by route and service

Services that share a route by weight overwrote each other's usual run time at the control, so that all upstreams of one counted as fast or slow. Found by reading; the test has two such services with run times of 100 and 400 ms, for which nothing is told now.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 import dataclasses
 import time
 from typing import Any
@@ -137,7 +138,8 @@
         self._route_levels: tuple[tree_admission.RouteLevel, ...] = ()
         self._levels_computed_at = float("-inf")
         self._rooms: tuple[spillover.Room, ...] = ()
-        self._usual_times: dict[str, float] = {}  # seconds by route
+        # Usual run time in seconds, by route and service.
+        self._usual_times: dict[Hashable, float] = {}
         self._relative_times: list[tuple[str, float]] = []  # by VM
         # VMs whose relative run time has once been told. It is told on, so that
         # nodes learn when it is the usual one again.
@@ -396,7 +398,7 @@
         ended: dict[str, float] = {}
         busy: dict[str, float] = {}
         self._usual_times = {
-            route.route: route.busy_s / route.ended
+            (route.route, route.service): route.busy_s / route.ended
             for route in fleet.routes
             if route.ended > tree_admission.MIN_RUNS
         }
@@ -432,7 +434,7 @@
             return message.load
         relative_time = completion.relative_time_of_runs(
             (
-                (route.route, route.ended, route.busy_s)
+                ((route.route, route.service), route.ended, route.busy_s)
                 for route in message.demand.routes
             ),
             self._usual_times,
--- a/src/sassafrashall/decisions/completion.py
+++ b/src/sassafrashall/decisions/completion.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -108,18 +109,19 @@
 
 
 def relative_time_of_runs(
-    runs: Iterable[tuple[str, float, float]], usual: Mapping[str, float]
+    runs: Iterable[tuple[Hashable, float, float]],
+    usual: Mapping[Hashable, float],
 ) -> float:
     """Returns the run time at an upstream relative to the usual one.
 
     Args:
-      runs: Route, number of runs and their seconds in total.
-      usual: Usual run time by route, in seconds.
+      runs: Kind, number of runs of this kind and their seconds in total.
+      usual: Usual run time by kind, in seconds.
     """
     expected = taken = count = 0.0
-    for route, number, seconds in runs:
-        if usual.get(route, 0.0) > 0.0:
-            expected += number * usual[route]
+    for kind, number, seconds in runs:
+        if usual.get(kind, 0.0) > 0.0:
+            expected += number * usual[kind]
             taken += seconds
             count += number
     if not count:
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -1,6 +1,7 @@
 """What a control takes for gone when its own event loop was late."""
 
 import contextlib
+import dataclasses
 import types
 
 import pytest
@@ -307,3 +308,21 @@
         for _ in range(2):
             told = await tell(directory, run_s=0.1)
         assert told["vm-0"] == told["vm-1"] == 1.0
+
+
+# Guards against taking a service for slow that shares a route by weight with a
+# faster one.
+async def test_run_times_of_services_that_share_a_route_are_kept_apart(now):
+    def heartbeat(vm, service, run_s):
+        loaded = _loaded(vm, "x", 0, run_s=run_s)
+        route = dataclasses.replace(loaded.demand.routes[0], service=service)
+        return dataclasses.replace(
+            loaded, demand=dataclasses.replace(loaded.demand, routes=(route,))
+        )
+
+    async with _directory(now) as directory:
+        for _ in range(3):
+            for vm, service, run_s in (("a", "s", 0.1), ("b", "t", 0.4)):
+                reply = await directory.send(heartbeat(vm, service, run_s))
+            now[0] += 0.3
+    assert reply.relative_times == {}
