--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -33,6 +33,9 @@
 COMPARISON_TTL = 0.25
 # Mean load assumed for a service without a recent report.
 UNKNOWN_LOAD = 0.5
+SHARES_LOG_INTERVAL = 1.0  # seconds between two log lines on a service
+# Weight below which the run time of a route at an upstream is forgotten.
+MIN_WEIGHT = 0.01
 SMOOTHING = 0.05  # weight of the latest call in means by route
 
 
@@ -100,6 +103,8 @@
         # By service.
         self._shares: dict[str, spillover.Shares] = {}
         self._flows: dict[str, spillover.Flow] = {}
+        # When it was last logged whether calls leave, and whether they did.
+        self._shares_logged: dict[str, tuple[float, bool]] = {}
         # By data centre.
         self._reaches: dict[str, spillover.Reach] = {}
         # By route: mean size of the responses, and mean time of the calls that
@@ -326,9 +331,13 @@
                 r
                 for r in far_records
                 if comparison.loads.get(r.data_centre, 0.0)
-                < spillover.ACCEPT_LOAD
+                < spillover.MAX_ACCEPT_LOAD
             ]
         choice = self._choose(estimate(far_records), attempts, now)
+        if choice is not None and tried:
+            choice = dataclasses.replace(
+                choice, may_wait=attempts >= policy.moves
+            )
         if choice is not None:
             there = self._view.value.records[choice.vm].data_centre
             self._count_crossing(
@@ -415,7 +424,7 @@
         )
         after = spillover.update(before, situation, now)
         self._shares[service] = after
-        self._log_shares(service, before, after, rooms)
+        self._log_shares(service, before, after, rooms, now)
 
     def _log_shares(
         self,
@@ -423,15 +432,21 @@
         before: spillover.Shares,
         after: spillover.Shares,
         rooms: dict[str, spillover.Room],
+        now: float,
     ) -> None:
         """Logs when calls begin or cease to leave the data centre."""
         if before.total or after.total:
             self._metrics.gauge("share_sent_out", after.total, service=service)
-        if bool(before.total) == bool(after.total):
+        leaves = bool(after.total)
+        logged_at, logged = self._shares_logged.get(
+            service, (float("-inf"), False)
+        )
+        if leaves == logged or now - logged_at < SHARES_LOG_INTERVAL:
             return
+        self._shares_logged[service] = (now, leaves)
         logs.get().info(
             "calls leave the data centre"
-            if after.total
+            if leaves
             else "calls stay in the data centre again",
             extra={
                 "service": service,
@@ -527,6 +542,7 @@
                     key: run_time
                     for key, run_time in run_times.items()
                     if key[0] in view.records
+                    and run_time.weight_at(now) > MIN_WEIGHT
                 }
             )
         }
@@ -592,7 +608,11 @@
             rooms_known=bool(rooms),
             run_s=max((room.run_s for room in rooms.values()), default=0.0),
             made_at=now,
-            times=completion.compare(self._run_times.get(service, {}), now),
+            times=completion.compare(
+                self._run_times.get(service, {}),
+                now,
+                self._told_times(service),
+            ),
             failure_costs=completion.failure_costs(
                 self._failures.get(service, {}), now
             ),
@@ -601,6 +621,19 @@
         self._comparisons[service] = comparison
         return comparison
 
+    def _told_times(self, service: str) -> dict[str, float] | None:
+        """Returns the relative run times that the controls told.
+
+        They tell of no upstream whose run time is the usual one.
+        """
+        told = self._summary.value.relative_times
+        if not told:
+            return None
+        return {
+            record.vm: told.get(record.vm, 1.0)
+            for record in self._by_service.get(service, ())
+        }
+
     def _record_run_time(
         self, message: messages.AttemptEnded, now: float
     ) -> None:
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -25,6 +25,9 @@
     exceptions.RETRIES_EXHAUSTED,
     exceptions.UPSTREAM_REFUSED,
 )
+# Bytes assumed for the part of a response that is streamed. It is at least that
+# of a response that is too long to be held, and makes such calls stay near.
+STREAMED_SIZE = 1024 * 1024
 
 
 class RoutedDispatchFilter:
@@ -123,6 +126,8 @@
             if isinstance(outcome, model.Answer):
                 latency = elapsed
                 size = len(outcome.response.body)
+                if outcome.response.rest is not None:
+                    size += STREAMED_SIZE
             elif outcome.code == exceptions.SHED and not choice.may_wait:
                 round_trip = elapsed
             failed = _is_failure(outcome)
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -79,6 +79,8 @@
       evacuated: The evacuated data centres at `revision`; None from a build
         that doesn't know them.
       rooms: Slots and loads of the services in each data centre.
+      relative_times: By VM, `model.NodeLoad.relative_time` of some upstreams. A
+        reply holds a bounded number of them, the next one others.
     """
 
     directory_source: str
@@ -96,6 +98,7 @@
     signed_off: model.SignOff | None = None
     evacuated: tuple[str, ...] | None = None
     rooms: tuple[spillover.Room, ...] = ()
+    relative_times: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
