Entry feedback: roots are refused while others of their route fail below

Cause: the reports of nodes and the levels of controls take up to 1.75 s, in which a burst of 2.5 admits trees that fail at the narrow service.

Change: new policy entry_feedback: outcomes, default none. The node beside an upstream that makes calls keeps, by route, how its roots end, and refuses part of the next ones before they run, as not run. Nested calls are never refused by it.

Not measured under load, and not in the templates.

--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -15,12 +15,14 @@
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
+from sassafrashall.decisions import entry_feedback
 from sassafrashall.filters import slots
 from sassafrashall.transport import http
 
 # A non-idempotent request is not sent on a connection that has been idle for
 # longer, since the upstream may be about to close it.
 NON_IDEMPOTENT_MAX_IDLE = 1.0  # seconds
+_NO_FEEDBACK = entry_feedback.NoFeedback()
 # Statuses by which an upstream says that it, or a call that it made, failed.
 _ERROR_STATUSES = (500, 504)
 
@@ -68,6 +70,7 @@
         demand_monitor: mailbox.Mailbox,
         upstream_may_call: Callable[[], bool],
         route_name: Callable[[model.Request], str],
+        feedback_policy: entry_feedback.Policy = _NO_FEEDBACK,
     ) -> None:
         """Creates the filter.
 
@@ -82,7 +85,11 @@
           upstream_may_call: Returns whether the upstream may make calls of its
             own, one of which may be why it answers with an error.
           route_name: Returns the name of a request's route, or an empty text.
+          feedback_policy: Whether roots are refused while others fail below.
         """
+        self._metrics = counters
+        self._feedback_policy = feedback_policy
+        self._feedback: dict[str, entry_feedback.RouteState] = {}
         self._demand_monitor = demand_monitor
         self._upstream_may_call = upstream_may_call
         self._route_name = route_name
@@ -95,13 +102,57 @@
 
     async def handle(self, call: model.Call) -> model.Outcome:
         """Waits for a slot, then runs the call."""
+        if not self._may_enter(call):
+            self._metrics.count("shed_by_feedback", priority=call.priority.name)
+            return model.Refuse(
+                code=exceptions.SHED,
+                detail="requests of this route fail at a service further down",
+                retry_after_s=slots.RETRY_AFTER,
+                load=self._upstream_load.value,
+            )
         admitted = await slots.admit(self._admission, call)
         match admitted:
             case messages.Admitted(upstream=upstream):
-                return await self._run_in_slot(call, upstream)
+                outcome = await self._run_in_slot(call, upstream)
+                self._record_outcome(call, outcome)
+                return outcome
             case model.Refuse():
                 return frozen.replace(admitted, load=self._upstream_load.value)
 
+    def _may_enter(self, call: model.Call) -> bool:
+        if call.depth or not self._feedback:
+            return True
+        state = self._feedback.get(self._route_name(call.request))
+        return state is None or entry_feedback.admits(
+            state, call.root_id, clock.monotonic()
+        )
+
+    def _record_outcome(self, call: model.Call, outcome: model.Outcome) -> None:
+        """Records how a root ended, if its calls can be why it failed."""
+        if (
+            call.depth
+            or not self._upstream_may_call()
+            or isinstance(self._feedback_policy, entry_feedback.NoFeedback)
+        ):
+            return
+        match outcome:
+            case model.Answer(response=response):
+                failed = response.status in _ERROR_STATUSES
+            case model.Refuse(
+                code=exceptions.DEADLINE_EXCEEDED, run=model.RunState.UNKNOWN
+            ):
+                failed = True
+            case _:
+                return
+        route = self._route_name(call.request)
+        if not route:
+            return
+        self._feedback[route] = entry_feedback.on_outcome(
+            self._feedback.get(route, entry_feedback.RouteState()),
+            failed=failed,
+            now=clock.monotonic(),
+        )
+
     async def _run_in_slot(
         self, call: model.Call, upstream: model.Upstream
     ) -> model.Outcome:
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -224,6 +224,7 @@
                     demand_monitor=self._demand_monitor.mailbox,
                     upstream_may_call=self._upstream_may_call,
                     route_name=self._route_name,
+                    feedback_policy=self._settings.policy.feedback_policy(),
                 ),
             ),
         )
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -17,6 +17,7 @@
 from sassafrashall import model
 from sassafrashall import settings_text
 from sassafrashall.decisions import breaker as breaker_policies
+from sassafrashall.decisions import entry_feedback as feedback_policies
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota
@@ -175,6 +176,7 @@
     retries: str = "budget"
     tree_admission: str = "none"
     breaker: str = "none"
+    entry_feedback: str = "none"
 
     def limit_policy(self) -> limits.Policy:
         """Returns the concurrency limit policy."""
@@ -196,6 +198,10 @@
         """Returns the policy that admits roots by what their trees cost."""
         return TREE_ADMISSION_POLICIES[self.tree_admission]
 
+    def feedback_policy(self) -> feedback_policies.Policy:
+        """Returns the policy that refuses roots by how others end."""
+        return FEEDBACK_POLICIES[self.entry_feedback]
+
     def breaker_policy(self) -> breaker_policies.Policy:
         """Returns the policy for an upstream that fails its requests."""
         return BREAKER_POLICIES[self.breaker]
@@ -230,6 +236,10 @@
     "none": breaker_policies.NoBreaker(),
     "consecutive-failures": breaker_policies.ConsecutiveFailures(),
 }
+FEEDBACK_POLICIES: dict[str, feedback_policies.Policy] = {
+    "none": feedback_policies.NoFeedback(),
+    "outcomes": feedback_policies.OutcomeFeedback(),
+}
 SHED_POLICIES: dict[str, shedding.Policy] = {
     "none": shedding.NoEarlyShed(),
     "level": shedding.LevelShed(),
@@ -255,6 +265,7 @@
     "retries": tuple(RETRY_POLICIES),
     "tree_admission": tuple(TREE_ADMISSION_POLICIES),
     "breaker": tuple(BREAKER_POLICIES),
+    "entry_feedback": tuple(FEEDBACK_POLICIES),
 }
 
 
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -2,9 +2,11 @@
 
 import contextlib
 
+from sassafrashall import clock
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall.decisions import entry_feedback
 from sassafrashall.filters import local_upstream
 from sassafrashall.platform import dialect
 from tests import fakes
@@ -39,7 +41,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _filter(response, upstream_calls=False):
+async def _filter(response, upstream_calls=False, **fields):
     """Yields the filter, and fakes of the pool and the admission controller."""
     admission = fakes.ScriptedController(
         lambda message: messages.Admitted(upstream=UPSTREAM)
@@ -64,6 +66,7 @@
                 demand_monitor=monitor.mailbox,
                 upstream_may_call=lambda: upstream_calls,
                 route_name=lambda request: "route",
+                **fields,
             ),
             pool,
             admission,
@@ -129,3 +132,43 @@
             (released,) = _released(admission)
             assert released.failed is failed
             assert released.timed_out is (failed and status == 504)
+
+
+async def _refused_roots(status, *, upstream_calls=True, depth=0, **fields):
+    """Returns how many of 200 calls are refused while others get `status`."""
+    async with _filter(
+        _response(status), upstream_calls=upstream_calls, **fields
+    ) as (tested, pool, _):
+        outcomes = [
+            await tested.handle(fakes.call(root_id=f"r{n}", depth=depth))
+            for n in range(200)
+        ]
+        refused = [o for o in outcomes if isinstance(o, model.Refuse)]
+        assert len(pool.received) == 200 - len(refused)
+        assert all(o.run is model.RunState.NOT_RUN for o in refused)
+        return len(refused)
+
+
+async def test_roots_are_refused_while_others_fail_below(monkeypatch):
+    """Pattern: a burst on trees that lead to a narrow service.
+
+    Guards against roots that run only to fail, and against calls of trees that
+    run already being refused with them.
+    """
+    now = [1000.0]
+
+    def advance():
+        now[0] += 0.005
+        return now[0]
+
+    monkeypatch.setattr(clock, "monotonic", advance)
+    policy = entry_feedback.OutcomeFeedback()
+    assert await _refused_roots(500, feedback_policy=policy) > 50
+    assert await _refused_roots(200, feedback_policy=policy) == 0
+    assert await _refused_roots(500, depth=1, feedback_policy=policy) == 0
+    # An upstream that makes no calls fails by itself.
+    assert (
+        await _refused_roots(500, upstream_calls=False, feedback_policy=policy)
+        == 0
+    )
+    assert await _refused_roots(500) == 0
