--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -341,7 +341,7 @@
             reply.put(self._refusal(exceptions.SHED, "no slot is free"))
             return
         self._waiting_replies[item.item_id] = reply
-        finish_at = now + self._limit_state.base_latency
+        finish_at = now + self._min_time_left()
         if not queues.can_finish(
             self._queue_policy,
             self._queue,
@@ -373,6 +373,13 @@
             self._queue_policy, limit, self._limit_state.latency
         )
 
+    def _min_time_left(self) -> float:
+        """Returns the seconds that a call needs before its deadline."""
+        assert self._limit_state is not None
+        return queues.min_time_left(
+            self._queue_policy, self._limit_state.base_latency
+        )
+
     def _grant(
         self, item: queues.QueuedRequest, reply: mailbox.Reply, now: float
     ) -> None:
@@ -459,7 +466,7 @@
         self._refuse_blocked(now)
         self._shed_expired(now)
         limit = limits.current_limit(self._limit_policy, self._limit_state, now)
-        finish_at = now + self._limit_state.base_latency
+        finish_at = now + self._min_time_left()
         while self._in_flight < limit:
             if self._queue.items and not self._may_send_cold(now):
                 self._shed_all(exceptions.SHED, COLD_DETAIL)
@@ -475,7 +482,7 @@
 
     def _shed_expired(self, now: float) -> None:
         assert self._limit_state is not None
-        service_time = self._limit_state.base_latency
+        service_time = self._min_time_left()
         limit = limits.current_limit(self._limit_policy, self._limit_state, now)
         self._queue, expired_items = queues.remove_expired(
             self._effective_queue_policy(limit), self._queue, now, service_time
