--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -44,10 +44,9 @@
 # Fraction of the calls to a service that may be refused. A tree makes eight
 # calls to a narrow service, and fails if one of them is refused.
 SHED_TOLERANCE = 0.01
-# Seconds from a change of the admitted trees until its effect is known: the
-# heartbeat of a node to a control and back, 0.5 s each at most, the interval of
-# the computation, 0.25 s, and the trees in progress. A correction that is
-# repeated sooner overshoots.
+# Seconds from a change of the admitted trees until its effect is known, about
+# half of the 1.75 s that heartbeats, gossip and the interval of the computation
+# take at most. A correction that is repeated sooner overshoots.
 FEEDBACK_DELAY = 1.0
 # Fraction of the permitted utilization below which a service has spare slots.
 SPARE_BELOW = 0.85
