Tests: controllers are closed in reverse order, as in the product

Cause: started() closed the fake link before the controllers that ask it regularly. The node and the control close their controllers in reverse order, so that the product has no such moment.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -212,10 +212,14 @@
 
 @contextlib.asynccontextmanager
 async def started(*controllers):
-    """Starts controllers, and closes them at the end of the block."""
+    """Starts controllers, and closes them at the end of the block.
+
+    They are closed in reverse order, as in the product: one that asks another
+    regularly must not find it closed.
+    """
     async with trio.open_nursery() as nursery:
         for controller in controllers:
             await controller.start(nursery)
         yield
-        for controller in controllers:
+        for controller in reversed(controllers):
             await controller.close()
