End-to-end test of the class of a root between nodes

Cause: the header that carries the class was tested by its encoding alone. Change: a test over two nodes: the class and the time until the target reach the queue, not the upstream, and a caller's own header has no effect.

--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -16,6 +16,7 @@
 from sassafrashall import routed_node
 from sassafrashall import settings
 from sassafrashall.controllers import peer_links
+from sassafrashall.filters import slots
 from sassafrashall.transport import frames
 from sassafrashall.transport import http
 from sassafrashall.transport import sockets
@@ -721,3 +722,48 @@
     assert None not in waits
     # The bound is that of the whole client call on a machine with other load.
     assert max(took) < 0.5
+
+
+# Guards against a class that is lost, or that reaches the upstream, on the way
+# between nodes, and against one that a caller sets by itself.
+async def test_the_class_of_a_root_reaches_the_queue_and_not_the_upstream(
+    monkeypatch,
+):
+    document = routed.document(services=("beta",), keys=KEYS)
+    policy = settings.Policy(
+        limit="fixed",
+        queue="urgency-first",
+        routing="least-loaded",
+        retries="arrivals",
+        early_shed="none",
+    )
+    admitted = []
+
+    async def record(mailbox, call):
+        admitted.append((call.urgency, call.due - clock.monotonic()))
+        return await admit(mailbox, call)
+
+    admit = slots.admit
+    monkeypatch.setattr(slots, "admit", record)
+    async with _fleet(document, policy=policy) as fleet:
+        for vm in ("vm-a", "vm-b"):
+            response = await _get(
+                fleet,
+                ("authorization", "Bearer key-of-a"),
+                (frames.URGENCY_HEADER, "0 1"),
+                vm=vm,
+            )
+            assert response.status == 200
+        seen = fleet.upstreams["vm-b"].requests
+    assert len(seen) == 2
+    assert not [
+        name
+        for request in seen
+        for name, _ in request.headers
+        if name.startswith("sassafrashall")
+    ]
+    # The target latency of the route is one second.
+    for urgency, due_in in admitted:
+        assert urgency is model.Priority.NORMAL
+        assert 0.2 < due_in < 1.0
+    assert len(admitted) == 2
