sassafrashallctl: check a configuration before it is sent

Cause: faults of a configuration were found only when a control rejected it, and entries without effect (routes that never match, parts of weight 0, unused services, contradicting limits) were accepted unseen.

Change: `configuration check FILE [--against ADDRESS|FILE]` decodes and checks the document as a control does, adds warnings (decisions/document_review.py) and names the differences from the version in force (decisions/document_differences.py). Exit status 0, 1 for findings, 2 if it can't run. The class Output moves from cmdline.py to reports.py, so that both command modules can use it.

Not checked: organisations' rates against the capacity of a service, which is not in the document. Lines are not given; findings name the dotted key.

--- a/src/sassafrashall/cmdline.py
+++ b/src/sassafrashall/cmdline.py
@@ -4,7 +4,6 @@
 
 import argparse
 from collections.abc import Sequence
-import dataclasses
 import sys
 from typing import Any
 import uuid
@@ -12,6 +11,7 @@
 import trio
 
 from sassafrashall import api
+from sassafrashall import configuration_check
 from sassafrashall import exceptions
 from sassafrashall import explanations
 from sassafrashall import model
@@ -32,21 +32,6 @@
 WAIT_TIMEOUT = 10.0  # seconds
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Output:
-    """Output and exit status of a command.
-
-    Attributes:
-      text: Output for people.
-      data: Output for programs; any data class, list or mapping.
-      status: Exit status.
-    """
-
-    text: str
-    data: Any
-    status: int = EXIT_OK
-
-
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs `sassafrashallctl` and returns its exit status.
 
@@ -104,6 +89,7 @@
     _add_key(nouns)
     _add_other_nouns(nouns)
     _add_explain(nouns)
+    configuration_check.add_arguments(nouns)
     return parser
 
 
@@ -214,20 +200,22 @@
 # --- commands ----------------------------------------------------------------
 
 
-def _run_command(options: argparse.Namespace) -> Output:
+def _run_command(options: argparse.Namespace) -> reports.Output:
     match (options.noun, getattr(options, "verb", None)):
         case ("template", "list"):
-            return Output(
+            return reports.Output(
                 text=reports.template_list(),
                 data=list(templates.TEMPLATES.values()),
             )
         case ("settings", "check"):
             return _check_settings(options)
+        case ("configuration", "check"):
+            return configuration_check.run(options)
         case ("explain", _):
             explanation = explanations.explain(
                 options.request_id, options.files
             )
-            return Output(
+            return reports.Output(
                 text=explanation.text(),
                 data=explanation,
                 status=EXIT_OK if explanation.lines else EXIT_FAILED,
@@ -236,17 +224,19 @@
     return trio.run(_run_with_client, options, settings)
 
 
-def _check_settings(options: argparse.Namespace) -> Output:
+def _check_settings(options: argparse.Namespace) -> reports.Output:
     kind: type = (
         settings_module.Tool if options.tool else settings_module.Daemon
     )
     settings_module.read(options.file, kind)
-    return Output(text=f"{options.file}: no faults.", data={"findings": []})
+    return reports.Output(
+        text=f"{options.file}: no faults.", data={"findings": []}
+    )
 
 
 async def _run_with_client(
     options: argparse.Namespace, settings: settings_module.Tool
-) -> Output:
+) -> reports.Output:
     client = api.FleetClient(settings=settings)
     try:
         return await _run_fleet_command(options, client)
@@ -256,7 +246,7 @@
 
 async def _run_fleet_command(
     options: argparse.Namespace, client: api.FleetClient
-) -> Output:
+) -> reports.Output:
     match (options.noun, getattr(options, "verb", None)):
         case ("organisation", "create" | "set") | ("key", "withdraw"):
             return await _submit_change(
@@ -276,7 +266,9 @@
                 process=options.process,
                 since_ms=options.since_ms,
             )
-            return Output(text=reports.timeline(timeline), data=timeline)
+            return reports.Output(
+                text=reports.timeline(timeline), data=timeline
+            )
         case _:
             return await _show_status(options, client)
 
@@ -309,21 +301,21 @@
     options: argparse.Namespace,
     client: api.FleetClient,
     command: fleet_commands.Command,
-) -> Output:
+) -> reports.Output:
     output = _result_output(await client.submit(command))
     return await _wait_in_force(options, client, output)
 
 
 async def _issue_key(
     options: argparse.Namespace, client: api.FleetClient
-) -> Output:
+) -> reports.Output:
     key_id = options.key_id or f"key-{options.change_id[:8]}"
     result, key = await client.issue_key(
         options.organisation, key_id, options.change_id
     )
     output = _result_output(result)
     if output.status == EXIT_OK:
-        output = Output(
+        output = reports.Output(
             text=f"{output.text}\nkey id: {key_id}\nkey: {key}\n"
             "The key is not stored and can't be shown again.",
             data={"result": result, "key_id": key_id, "key": key},
@@ -332,8 +324,8 @@
 
 
 async def _wait_in_force(
-    options: argparse.Namespace, client: api.FleetClient, output: Output
-) -> Output:
+    options: argparse.Namespace, client: api.FleetClient, output: reports.Output
+) -> reports.Output:
     if not options.wait or output.status != EXIT_OK:
         return output
     data = output.data
@@ -342,14 +334,14 @@
         accepted.revision, options.wait_timeout
     )
     is_complete = not rollout.missing and not rollout.silent
-    return Output(
+    return reports.Output(
         text=f"{output.text}\n{reports.in_force(rollout)}",
         data={"change": data, "rollout": rollout},
         status=EXIT_OK if is_complete else EXIT_NOT_IN_FORCE,
     )
 
 
-def _result_output(result: fleet_commands.Result) -> Output:
+def _result_output(result: fleet_commands.Result) -> reports.Output:
     match result:
         case fleet_commands.Accepted():
             status = EXIT_OK
@@ -357,25 +349,27 @@
             status = EXIT_CONFLICT
         case _:
             status = EXIT_INVALID
-    return Output(text=reports.result(result), data=result, status=status)
+    return reports.Output(
+        text=reports.result(result), data=result, status=status
+    )
 
 
 async def _show_status(
     options: argparse.Namespace, client: api.FleetClient
-) -> Output:
+) -> reports.Output:
     status = await client.status()
     match (options.noun, getattr(options, "verb", None)):
         case ("status", _):
             data = {"status": status, "advice": reports.advise(status)}
-            return Output(text=reports.status_screen(status), data=data)
+            return reports.Output(text=reports.status_screen(status), data=data)
         case ("members", _):
             text = (
                 f"{reports.control_table(status)}\n\n"
                 f"{reports.node_table(status)}"
             )
-            return Output(text=text, data=status)
+            return reports.Output(text=text, data=status)
         case ("organisation", "list"):
-            return Output(
+            return reports.Output(
                 text=reports.organisation_list(status),
                 data=status.organisations,
             )
@@ -387,12 +381,12 @@
                         status.organisations, options.organisation
                     ),
                 )
-            return Output(text=reports.route_list(shown), data=shown)
+            return reports.Output(text=reports.route_list(shown), data=shown)
         case ("key", "list"):
             organisation = _find_organisation(
                 status.organisations, options.organisation
             )
-            return Output(
+            return reports.Output(
                 text=reports.key_list(organisation), data=organisation.keys
             )
         case ("organisation", "show"):
@@ -400,7 +394,7 @@
                 status.organisations, options.name
             )
             rollout = api.rollout_of(status, organisation.revision)
-            return Output(
+            return reports.Output(
                 text=reports.organisation(organisation, rollout),
                 data={"organisation": organisation, "rollout": rollout},
             )
@@ -413,7 +407,7 @@
 
 def _show_difference(
     organisation: model.Organisation, options: argparse.Namespace
-) -> Output:
+) -> reports.Output:
     after, faults = templates.apply_assignments(
         organisation.parameters,
         _parse_assignments(options.assignments),
@@ -421,7 +415,7 @@
     )
     if faults:
         raise exceptions.FindingsError(faults)
-    return Output(
+    return reports.Output(
         text=reports.difference(organisation.parameters, after),
         data={"now": organisation.parameters, "then": after},
     )
--- /dev/null
+++ b/src/sassafrashall/configuration_check.py
@@ -0,0 +1,226 @@
+"""The command `configuration check`: checks a document before it is sent."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import dataclasses
+import json
+import pathlib
+from typing import Any
+
+import trio
+
+from sassafrashall import configuration
+from sassafrashall import exceptions
+from sassafrashall import model
+from sassafrashall import reports
+from sassafrashall import settings
+from sassafrashall.decisions import document_checks
+from sassafrashall.decisions import document_differences
+from sassafrashall.decisions import document_review
+from sassafrashall.platform import documents
+from sassafrashall.platform import names
+from sassafrashall.transport import codec
+from sassafrashall.transport import http_client
+from sassafrashall.transport import http_server
+
+EXIT_FINDINGS = 1
+READ_TIMEOUT = 3.0  # seconds; a control answers within 1 s
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """Result of a check.
+
+    Attributes:
+      errors: Faults for which a control rejects the document.
+      warnings: Entries that a control accepts, but that have no effect or
+        contradict each other.
+      version_in_force: The version to compare with; 0 if none is in force,
+        None if no comparison was requested.
+      differences: Differences from that version; None if the document was not
+        compared, because of a fault in it or because it was not requested.
+    """
+
+    errors: tuple[exceptions.Finding, ...] = ()
+    warnings: tuple[exceptions.Finding, ...] = ()
+    version_in_force: int | None = None
+    differences: tuple[document_differences.Difference, ...] | None = None
+
+    def text(self) -> str:
+        """Returns the report for people."""
+        lines = [f"errors: {len(self.errors)}, warnings: {len(self.warnings)}"]
+        lines += [f"error: {finding}" for finding in self.errors]
+        lines += [f"warning: {finding}" for finding in self.warnings]
+        if self.differences is not None:
+            lines.append(
+                f"differences from version r{self.version_in_force}: "
+                f"{len(self.differences)}"
+            )
+            lines += [f"difference: {item}" for item in self.differences]
+        return "\n".join(lines)
+
+
+def add_arguments(nouns: Any) -> None:
+    """Adds the command to the subparsers of the command line."""
+    noun = nouns.add_parser("configuration", help="check a document")
+    check = noun.add_subparsers(dest="verb", required=True).add_parser("check")
+    check.add_argument("file", metavar="FILE")
+    check.add_argument(
+        "--against",
+        metavar="ADDRESS|FILE",
+        help="a control's operators' address, or a file, to compare with",
+    )
+    # Without SUPPRESS, the default would replace an --output before the noun.
+    check.add_argument(
+        "--output", choices=("table", "json"), default=argparse.SUPPRESS
+    )
+
+
+def run(options: argparse.Namespace) -> reports.Output:
+    """Runs the command.
+
+    Raises:
+      FindingsError: The check can't run.
+    """
+    body = _read_file(options.file)
+    in_force = None
+    if options.against is not None:
+        in_force = _read_in_force(options.against)
+    report = check_document(body, in_force)
+    has_findings = bool(report.errors or report.warnings)
+    return reports.Output(
+        text=report.text(),
+        data=report,
+        status=EXIT_FINDINGS if has_findings else 0,
+    )
+
+
+def check_document(
+    body: bytes, in_force: configuration.Accepted | None = None
+) -> Report:
+    """Checks a document as a control does, and reviews it.
+
+    Args:
+      body: The document as it would be sent.
+      in_force: The configuration to compare with.
+    """
+    version = None if in_force is None else in_force.configuration.version
+    errors = []
+    if len(body) > http_server.BODY_LIMIT:
+        errors.append(
+            exceptions.Finding(
+                source=documents.SOURCE,
+                text=f"it has {len(body)} bytes; a control reads at most "
+                f"{http_server.BODY_LIMIT}",
+            )
+        )
+    try:
+        document = documents.decode(body)
+    except exceptions.FindingsError as error:
+        return Report(
+            errors=(*errors, *error.findings), version_in_force=version
+        )
+    errors += document_checks.check(document)
+    differences = None
+    if in_force is not None:
+        # A control accepts the text in force again, with the same version.
+        if document.version <= (version or 0) and body != in_force.text:
+            errors.append(
+                exceptions.Finding(
+                    source=documents.SOURCE,
+                    key="version",
+                    text=f"must be above {version}, the version in force",
+                )
+            )
+        differences = document_differences.compare(
+            in_force.configuration, document
+        )
+    return Report(
+        errors=tuple(errors),
+        warnings=(
+            *_find_repeated_names(body),
+            *document_review.review(document),
+        ),
+        version_in_force=version,
+        differences=differences,
+    )
+
+
+def _find_repeated_names(body: bytes) -> list[exceptions.Finding]:
+    """Returns a warning for each name that an object of the document repeats.
+
+    The decoded document has only the last value of such a name.
+    """
+    repeated: collections.Counter[str] = collections.Counter()
+
+    def count_names(pairs: list[tuple[str, Any]]) -> None:
+        names_in_object = collections.Counter(name for name, _ in pairs)
+        repeated.update(n for n, count in names_in_object.items() if count > 1)
+
+    try:
+        json.loads(body, object_pairs_hook=count_names)
+    except (ValueError, RecursionError):
+        return []  # A value that is valid in JSON but not in Python.
+    return [
+        exceptions.Finding(
+            source=documents.SOURCE,
+            text=f"{name!r} occurs more than once in an object; "
+            "the last is used",
+        )
+        for name in repeated
+    ]
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        raise _cannot_run(path, f"can't be read: {error}") from error
+
+
+def _read_in_force(against: str) -> configuration.Accepted:
+    """Reads the configuration to compare with, from a file or a control."""
+    if pathlib.Path(against).exists():
+        text = _read_file(against)
+    else:
+        try:
+            address = settings.parse_address(against)
+        except ValueError as error:
+            raise _cannot_run(against, f"no file, and {error}") from error
+        text = trio.run(_read_from_control, address)
+    if not text:
+        return configuration.Accepted(
+            configuration=configuration.Configuration(version=0), text=b""
+        )
+    try:
+        decoded = documents.decode(text)
+    except exceptions.FindingsError as error:
+        raise _cannot_run(against, f"is no configuration: {error}") from error
+    return configuration.Accepted(configuration=decoded, text=text)
+
+
+async def _read_from_control(address: model.Address) -> bytes:
+    """Returns the text in force at a control; empty if there is none."""
+    try:
+        with trio.fail_after(READ_TIMEOUT):
+            response = await http_client.get(address, names.CONFIGURATION_PATH)
+        if response.status == 200 and response.body:
+            return response.body
+        problem = codec.from_json(response.body, dict)
+    except trio.TooSlowError as error:
+        raise _cannot_run(str(address), "did not answer in time") from error
+    except exceptions.SassafrashallError as error:
+        raise _cannot_run(str(address), str(error)) from error
+    reason = problem.get("error")
+    if response.status == 503 and reason == exceptions.NO_CONFIGURATION:
+        return b""
+    raise _cannot_run(
+        str(address), f"answered with status {response.status}: {reason}"
+    )
+
+
+def _cannot_run(source: str, text: str) -> exceptions.FindingsError:
+    finding = exceptions.Finding(source=source, text=text)
+    return exceptions.FindingsError((finding,))
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import dataclasses
+from typing import Any
 
 from sassafrashall import api
 from sassafrashall import exceptions
@@ -15,6 +17,21 @@
 STALE_AGE = 2.0  # seconds without a majority after which a control is stale
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Output:
+    """Output and exit status of a command.
+
+    Attributes:
+      text: Output for people.
+      data: Output for programs; any data class, list or mapping.
+      status: Exit status.
+    """
+
+    text: str
+    data: Any
+    status: int = 0
+
+
 def table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
     """Formats rows as aligned columns under a header."""
     texts = [[str(cell) for cell in row] for row in [header, *rows]]
