Tests of memory under crowds of clients that send many small parts

A head of 16 KB may have 4,000 lines, each of which becomes several objects, and the listeners beside the callers' one buffer bodies and frames without a common bound. bench/crowds.py starts a control and a node as processes, lets a crowd connect to one listener and reports the peak memory, the descriptors and an ordinary request afterwards. The tests fix 150 callers, 64 MB and 250 descriptors before the product changes. The setting `memory_mb` is given to the processes as soon as the settings of the build have it.

--- a/bench/slow_readers.py
+++ b/bench/slow_readers.py
@@ -126,7 +126,8 @@
             await trio.sleep_forever()
 
 
-def _document() -> dict[str, object]:
+def document() -> dict[str, object]:
+    """Returns a configuration with one route, to service `alpha`."""
     route = {
         "host": "alpha.example",
         "path_prefix": "/",
@@ -205,7 +206,7 @@
             entries[vm] = listen
         for vm in ("control-0", "node-0", "node-1"):
             self._daemons.start(vm)
-        body = json.dumps(_document()).encode()
+        body = json.dumps(document()).encode()
         with trio.fail_after(30.0):
             status = 0
             while status != 200:
--- /dev/null
+++ b/tests/test_memory_limits.py
@@ -0,0 +1,37 @@
+"""Clients that send very many small parts must not exhaust a process' memory.
+
+A head of 16 KB may have 4,000 lines, each of which is several objects of 50
+bytes and more. Hundreds of such heads, each within the limits of the
+configuration, ended processes for lack of memory. Each test starts a control
+and a node as processes and lets a crowd in.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bench import crowds
+import pytest
+
+from sassafrashall import settings
+
+CALLERS = 150
+MEMORY_MB = 64  # the bound of a process; about 39 MB are in use at rest
+HOLD = 2.0  # seconds that the crowd stays; the peak comes within the first
+DESCRIPTORS = 250  # bound; about 14 are in use at rest
+
+
+def _limits():
+    """Returns the lowered limits, as far as the settings of this build go."""
+    names = {field.name for field in dataclasses.fields(settings.Daemon)}
+    return {"memory_mb": MEMORY_MB} if "memory_mb" in names else {}
+
+
+@pytest.mark.parametrize("form", crowds.FORMS)
+async def test_a_crowd_leaves_the_process_within_its_memory(form):
+    result = await crowds.measure(crowds.FORMS[form], CALLERS, _limits(), HOLD)
+    assert result.alive
+    assert result.peak_mb <= MEMORY_MB
+    assert result.descriptors <= DESCRIPTORS
+    assert result.status == 200
+    assert result.ready
