One bound on what a process holds for the input of its clients

Cause: the parser turned each header line of an incomplete head into a tuple and strings, 65 to 130 bytes for a line of 4 to 7; a read of 64 KB was parsed whole, however many requests were in it; the last head stayed in the parser of an idle connection; nothing counted heads, bodies that are buffered, or frames of callers that have not authenticated themselves, over all connections.

Change: an incomplete head is packed into one string, and input is parsed in slices up to the end of one request. A budget for the process, a fifth of the new setting memory_mb (default 200, the smallest VM of a node), counts heads, bodies and input at their cost as objects. Above it the connections that hold most for longest and have no request in progress are closed (reason `memory`); a request that does not fit is refused as not run (503, `memory_short`, with Retry-After), with a reserve for small ones. A full listener closes connections that have sent no request for a second. Peers and RPC callers may send frames of 4 KB until they have authenticated themselves, and must do so in time. The readiness, heartbeat and monitoring listeners take 100 connections (500 on a control) and bodies of 64 KB, so that the listeners together stay within the descriptors of the VM. Calls from other nodes are counted too.

--- a/src/sassafrashall/connection_log.py
+++ b/src/sassafrashall/connection_log.py
@@ -31,6 +31,9 @@
       ABANDONED: Nobody waits for the response any more.
       RETIRED: A response on it could be taken for that to another request.
       STALLED: The caller took no byte of its answer while memory was short.
+      MEMORY: Memory for the input of clients was short.
+      FULL: Other connections arrived at a full listener, and no request had
+        come on this one.
     """
 
     IDLE_TIMEOUT = "idle_timeout"
@@ -46,6 +49,8 @@
     ABANDONED = "abandoned"
     RETIRED = "retired"
     STALLED = "stalled"
+    MEMORY = "memory"
+    FULL = "full"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -28,9 +28,15 @@
 from sassafrashall.platform import operator_api
 from sassafrashall.transport import codec
 from sassafrashall.transport import http_server
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import ops_api
 from sassafrashall.transport import rpc
 
+# Connections of operators, and for metrics. 4,096 descriptors are also for
+# 2,000 connections of processes, files, and the connections to other controls.
+HTTP_CONNECTION_LIMIT = 500
+OPS_BODY_LIMIT = 64 * 1024  # bytes; requests for metrics and events have none
+
 
 class Control:
     """Owns the controllers and the listeners of a control."""
@@ -42,6 +48,9 @@
         self._metrics = metrics.Metrics(
             process=settings.vm, data_centre=settings.data_centre
         )
+        self._budget = memory_budget.MemoryBudget(
+            memory_mb=settings.memory_mb, counters=self._metrics
+        )
         self._build_controllers()
         self._build_listeners()
 
@@ -115,6 +124,9 @@
             handler=ops.handle,
             source=model.Source.CALLER,
             log=self._connection_log("ops"),
+            connection_limit=HTTP_CONNECTION_LIMIT,
+            budget=self._budget,
+            body_limit=OPS_BODY_LIMIT,
         )
         self._operator_server: http_server.Server | None = None
         if settings.listen.operators is not None:
@@ -124,6 +136,8 @@
                 handler=api.handle,
                 source=model.Source.CALLER,
                 log=self._connection_log("operators"),
+                connection_limit=HTTP_CONNECTION_LIMIT,
+                budget=self._budget,
             )
 
     def _connection_log(self, place: str) -> connection_log.ConnectionLog:
@@ -216,6 +230,7 @@
     def _refresh_metrics(self) -> None:
         view = self._replica.view.value
         self._metrics.gauge("fleet_revision", view.state.revision)
+        self._metrics.gauge("held_bytes", self._budget.held)
         self._metrics.gauge("claims", len(view.state.claims))
         self._metrics.gauge("organisations", len(view.state.organisations))
 
--- a/src/sassafrashall/exceptions.py
+++ b/src/sassafrashall/exceptions.py
@@ -14,6 +14,7 @@
 HEAD_TOO_LARGE = "head_too_large"
 OVER_RATE = "over_rate"
 SHED = "shed"
+MEMORY_SHORT = "memory_short"
 NO_UPSTREAM = "no_upstream"
 NO_MAJORITY = "no_majority"
 NO_QUOTA_OWNER = "no_quota_owner"
@@ -40,6 +41,7 @@
     HEAD_TOO_LARGE: 431,
     OVER_RATE: 429,
     SHED: 503,
+    MEMORY_SHORT: 503,
     NO_UPSTREAM: 503,
     NO_MAJORITY: 503,
     NO_QUOTA_OWNER: 503,
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -39,6 +39,7 @@
 from sassafrashall.transport import front_end
 from sassafrashall.transport import http_server
 from sassafrashall.transport import local_api
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import ops_api
 
 # Seconds from announcing that this node leaves to closing its listeners. Two
@@ -216,6 +217,9 @@
             event_log=self._events,
             refresh_gauges=self._refresh_metrics,
         )
+        budget = memory_budget.MemoryBudget(
+            memory_mb=self._settings.memory_mb, counters=self._metrics
+        )
         return tuple(
             http_server.Server(
                 address=address,
@@ -224,6 +228,7 @@
                 log=connection_log.ConnectionLog(
                     place=place, counters=self._metrics
                 ),
+                budget=budget,
             )
             for place, address, handler, source in (
                 (
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -51,6 +51,7 @@
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
 from sassafrashall.transport import http_server
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import ops_api
 from sassafrashall.transport import peer_server
 from sassafrashall.transport import stream_server
@@ -71,6 +72,10 @@
 # Seconds before SIGKILL at which the last calls end and the process stops.
 GRACE_MARGIN = 0.4
 CLOSE_TIMEOUT = 0.2  # seconds of it for the last answers to be received
+# Connections for readiness checks, heartbeats and metrics each. 4,100
+# descriptors are for 3,000 callers, 400 nodes, these, and the upstream.
+LOCAL_CONNECTION_LIMIT = 100
+HEARTBEAT_LIMIT = 64 * 1024  # bytes of a body; a heartbeat has a few hundred
 DRAIN_POLL_INTERVAL = 0.05  # seconds between checks for requests in progress
 
 
@@ -87,6 +92,9 @@
             process=settings.vm, data_centre=settings.data_centre
         )
         self._secret = settings.fleet_secret.encode()
+        self._budget = memory_budget.MemoryBudget(
+            memory_mb=settings.memory_mb, counters=self._metrics
+        )
         self._decisions = decision_log.DecisionLog()
         self._request_timings = {
             (step, kind): self._metrics.bound_histogram(
@@ -314,6 +322,7 @@
                 place="callers", counters=self._metrics
             ),
             request_id_header=names.REQUEST_ID,
+            budget=self._budget,
         )
         self._peers = peer_server.PeerServer(
             address=listen.peers,
@@ -322,6 +331,7 @@
             log=connection_log.ConnectionLog(
                 place="peers", counters=self._metrics
             ),
+            budget=self._budget,
         )
         ops = ops_api.OpsApi(
             counters=self._metrics,
@@ -340,6 +350,9 @@
                 log=connection_log.ConnectionLog(
                     place=place, counters=self._metrics
                 ),
+                connection_limit=LOCAL_CONNECTION_LIMIT,
+                budget=self._budget,
+                body_limit=HEARTBEAT_LIMIT,
             )
             for place, address, handler in (
                 ("readiness", listen.readiness, readiness.handle),
@@ -452,6 +465,7 @@
         self._metrics.gauge("nodes_known", len(view.records))
         self._metrics.gauge("requests_in_progress", self._in_progress)
         self._metrics.gauge("connections", self._callers.connections)
+        self._metrics.gauge("held_bytes", self._budget.held)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts the controllers, then the listeners."""
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -35,6 +35,8 @@
 HOP_RETRY_FRACTION = 0.4
 MAX_SECRET_LENGTH = 64  # bytes; the longest key of BLAKE2b
 MAX_DURATION = 1e9  # seconds
+# A process needs about 40 MB at rest.
+MIN_MEMORY_MB = 64
 MAX_PORT_DIGITS = 5
 
 _T = TypeVar("_T")
@@ -269,6 +271,8 @@
       operator_secret: Secret that operators' tools present to a control.
       data_folder: Folder for the persistent state of a control.
       default_timeout_ms: Timeout of requests that state no deadline.
+      memory_mb: Memory of the VM in MB, of which a share is the bound on what
+        the process holds for its clients.
       claim_retention_s: Seconds between two rotations of the claims; a claim is
         dropped by the second rotation after it was granted.
       routed: Set for a fleet that is routed by one configuration document.
@@ -286,6 +290,7 @@
     data_folder: str = ""
     default_timeout_ms: int = 10_000
     claim_retention_s: int = 86_400
+    memory_mb: int = 200
     log_level: str = "INFO"
     policy: Policy = Policy()
     routed: Routed | None = None
@@ -472,6 +477,8 @@
                 f"must have {MIN_SECRET_LENGTH} to {MAX_SECRET_LENGTH} bytes",
             )
         )
+    if settings.memory_mb < MIN_MEMORY_MB:
+        faults.append(("memory_mb", f"must be at least {MIN_MEMORY_MB}"))
     if settings.default_timeout_ms < 1:
         faults.append(("default_timeout_ms", "must be positive"))
     faults.extend(_check_policy(settings.policy))
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -23,6 +23,9 @@
 # of earlier builds take it for a header of the request.
 NO_WAIT_HEADER = "sassafrashall-no-wait"
 FRAME_LIMIT = 4 * 1024 * 1024  # bytes; request and response bodies are split
+# Bytes of a frame from a caller that has not authenticated itself: a name, a
+# proof or a secret.
+UNAUTHENTICATED_LIMIT = 4096
 _PREFIX = struct.Struct("!IB")  # length of the body, number of the type
 
 
@@ -278,6 +281,15 @@
         self._limit = limit
         self._data = bytearray()
 
+    @property
+    def size(self) -> int:
+        """Bytes of an incomplete frame that are held."""
+        return len(self._data)
+
+    def set_limit(self, limit: int) -> None:
+        """Changes the limit, also for the bytes that are held."""
+        self._limit = limit
+
     @property
     def is_empty(self) -> bool:
         """Whether no part of an incomplete frame is held."""
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -16,6 +16,7 @@
 
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall.decisions import memory_limits
 
 _REASONS = {status.value: status.phrase for status in http_status.HTTPStatus}
 _BODILESS_STATUSES = (204, 304)
@@ -25,6 +26,9 @@
 # has at least five.
 FRAMING_RATIO = 16
 MAX_INTERIM_RESPONSES = 1000  # before a final response
+# Bytes that are parsed at once, so that a read full of short pipelined requests
+# becomes objects only as the requests are taken.
+SLICE_SIZE = 4096
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,6 +39,7 @@
       headers: Lower-case names with their values, in order.
       length: Bytes of the body; None if it is chunked.
       keep_alive: Whether the caller allows another request on the connection.
+      cost: Estimated bytes of memory.
     """
 
     method: str
@@ -42,6 +47,7 @@
     headers: model.Headers
     length: int | None
     keep_alive: bool
+    cost: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,6 +60,7 @@
       keep_alive: Whether the connection may carry another response.
       ends_with_connection: Whether the body lasts until the sender closes the
         connection.
+      cost: Estimated bytes of memory.
     """
 
     status: int
@@ -61,6 +68,7 @@
     length: int | None
     keep_alive: bool
     ends_with_connection: bool
+    cost: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +107,8 @@
         # call on its way.
         self._body: list[bytes] = []
         self._headers: list[tuple[str, str]] = []
+        # Earlier lines of an incomplete head, see `_pack_headers`.
+        self._packed = ""
         self._length = ""
         self._encoding = ""
         self._head_size = 0
@@ -129,6 +139,33 @@
         self._parser = None
         self._events.clear()
         self._body.clear()
+        self._headers = []
+        self._packed = ""
+        # Its trace refers to this parser.
+        self._head_error = None
+
+    def _pack_headers(self) -> None:
+        """Joins the lines of an incomplete head, if there are many.
+
+        As objects, a line of 4 bytes takes 70 and more. A slow client would
+        hold them for as long as the head may take to arrive.
+        """
+        if len(self._headers) < memory_limits.PACKED_LINES:
+            return
+        self._packed += "".join(f"{n}\0{v}\n" for n, v in self._headers)
+        self._headers = []
+
+    def _take_headers(self) -> list[tuple[str, str]]:
+        """Returns and removes the header lines of a complete head."""
+        headers, self._headers = self._headers, []
+        if self._packed:
+            lines, self._packed = self._packed.split("\n")[:-1], ""
+            unpacked = (line.partition("\0") for line in lines)
+            headers = [(n, v) for n, _, v in unpacked] + headers
+        return headers
+
+    def _cost_of(self, headers: list[tuple[str, str]]) -> int:
+        return memory_limits.head_cost(len(headers), self._head_size)
 
     def _flush_body(self) -> None:
         if self._body:
@@ -194,6 +231,7 @@
     def on_message_begin(self) -> None:
         """Handles the start of a message."""
         self._headers = []
+        self._packed = ""
         self._length = self._encoding = ""
         self._framing_size = 0
         self._in_head = True
@@ -239,14 +277,76 @@
         super().__init__(head_limit=head_limit)
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
+        # Received bytes, of which those before `_parsed` have been parsed.
+        self._input = b""
+        self._parsed = 0
+        # Bytes of the current body that have not been parsed; 0 if unknown.
+        self._body_left = 0
+        self._whole_messages = 0  # whose end is among the events
+
+    @property
+    def head_incomplete(self) -> bool:
+        """Whether a head has started to arrive that is not parsed whole."""
+        return super().head_incomplete or bool(self._input)
+
+    @property
+    def held(self) -> int:
+        """Estimated bytes of memory, without the events that were taken."""
+        if not (self._input or self._events or self._headers or self._target):
+            return 0
+        return (
+            len(self._input)
+            + len(self._packed)
+            + len(self._target)
+            + memory_limits.LINE_COST * len(self._headers)
+            + memory_limits.MESSAGE_COST * len(self._events)
+        )
 
     def feed(self, data: bytes) -> None:
-        """Parses received bytes.
+        """Parses received bytes up to the end of a request.
 
         Raises:
           ProtocolError: The bytes are not a valid request.
         """
-        self._feed(self._parser, data)
+        if self._input:
+            data = self._input[self._parsed :] + data
+        self._input, self._parsed = data, 0
+        self._parse_input()
+
+    def next_event(self) -> Event | None:
+        """Returns and removes the next event; None if there is none yet.
+
+        Raises:
+          ProtocolError: The next bytes are not a valid request.
+        """
+        if self._input:
+            self._parse_input()
+        event = super().next_event()
+        if type(event) is MessageEnd:
+            self._whole_messages -= 1
+        return event
+
+    def close(self) -> None:
+        """Releases what has arrived and was not taken; no byte may follow."""
+        super().close()
+        self._input = self._target = b""
+
+    def _parse_input(self) -> None:
+        """Parses in slices until a request is whole, or no input is left."""
+        while self._input and not self._whole_messages:
+            start = self._parsed
+            size = SLICE_SIZE
+            if not self._in_head and self._body_left:
+                size = self._body_left
+            data = self._input
+            if start or len(data) > size:
+                data = data[start : start + size]
+            self._parsed = start + len(data)
+            if self._parsed == len(self._input):
+                self._input, self._parsed = b"", 0
+            self._feed(self._parser, data)
+        if self._in_head:
+            self._pack_headers()
 
     def _on_upgrade(self, rest: bytes) -> None:
         """Ignores that a request asks for another protocol."""
@@ -260,24 +360,39 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
         target, self._target = self._target, b""
-        self._head_error = self._check_head(len(target))
+        headers = self._take_headers()
+        self._head_error = self._check_head(len(target), headers)
         if self._head_error is not None:
             raise self._head_error
         self._in_head = False
+        self._body_left = 0 if self._encoding else int(self._length or 0)
         self._events.append(
             RequestHead(
                 method=self._parser.get_method().decode("ascii"),
                 target=target.decode("latin-1"),
-                headers=tuple(self._headers),
+                headers=tuple(headers),
                 length=None if self._encoding else int(self._length or 0),
                 keep_alive=self._parser.should_keep_alive(),
+                cost=self._cost_of(headers),
             )
         )
 
-    def _check_head(self, target_size: int) -> exceptions.ProtocolError | None:
+    def on_body(self, data: bytes) -> None:
+        """Handles bytes of the body."""
+        super().on_body(data)
+        self._body_left = max(0, self._body_left - len(data))
+
+    def on_message_complete(self) -> None:
+        """Handles the end of a message."""
+        super().on_message_complete()
+        self._whole_messages += 1
+
+    def _check_head(
+        self, target_size: int, headers: list[tuple[str, str]]
+    ) -> exceptions.ProtocolError | None:
         # The bytes fed so far may extend beyond the head, so its parts count.
         if self._head_size > self._head_limit and self._head_limit < (
-            target_size + sum(len(n) + len(v) for n, v in self._headers)
+            target_size + sum(len(n) + len(v) for n, v in headers)
         ):
             return self._head_too_large()
         if self._length and (
@@ -343,6 +458,8 @@
         """
         try:
             self._feed(self._parser, data)
+            if self._in_head:
+                self._pack_headers()
             if self._interim_count > MAX_INTERIM_RESPONSES:
                 raise exceptions.ProtocolError(
                     exceptions.UPSTREAM_FAILED, "too many interim responses"
@@ -374,6 +491,7 @@
                 exceptions.UPSTREAM_FAILED, f"{status} is no status"
             )
             raise self._head_error
+        headers = self._take_headers()
         self._in_head = False
         self._is_interim = status < 200
         if self._is_interim:
@@ -396,11 +514,12 @@
         self._events.append(
             ResponseHead(
                 status=status,
-                headers=tuple(self._headers),
+                headers=tuple(headers),
                 length=length,
                 keep_alive=self._parser.should_keep_alive()
                 and not self._ends_with_connection,
                 ends_with_connection=self._ends_with_connection,
+                cost=self._cost_of(headers),
             )
         )
         if self.without_body:
--- a/src/sassafrashall/transport/http_server.py
+++ b/src/sassafrashall/transport/http_server.py
@@ -17,9 +17,16 @@
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import listener
+from sassafrashall.transport import memory_budget
 
 HEAD_LIMIT = 16 * 1024  # bytes
 BODY_LIMIT = 1024 * 1024  # bytes
+# Bytes of one read, at most. All connections may read before those over the
+# bound of memory end.
+RECEIVE_SIZE = 16 * 1024
+# Bytes of memory for each byte that is buffered: the parts of a body are held
+# beside the whole when they are joined, and the parser copies them.
+BUFFER_COST = 2
 IDLE_TIMEOUT = 75.0  # seconds until the next request begins
 REQUEST_TIMEOUT = 10.0  # seconds to receive a whole request
 SEND_TIMEOUT = 30.0  # seconds to send a response
@@ -30,6 +37,30 @@
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 
 
+class _Body:
+    """The part of a body that has arrived, in blocks of about one size.
+
+    Many buffers that grow beside each other would fragment the heap.
+    """
+
+    def __init__(self) -> None:
+        self._blocks: list[bytes] = []
+        self._tail = bytearray()
+        self.size = 0
+
+    def append(self, data: bytes) -> None:
+        """Appends bytes."""
+        self.size += len(data)
+        self._tail += data
+        if len(self._tail) >= RECEIVE_SIZE:
+            self._blocks.append(bytes(self._tail))
+            self._tail.clear()
+
+    def join(self) -> bytes:
+        """Returns the whole body."""
+        return b"".join((*self._blocks, self._tail))
+
+
 class ServerConnection:
     """Serves the requests of one accepted connection, one at a time."""
 
@@ -40,14 +71,20 @@
         handler: Handler,
         source: model.Source,
         log: connection_log.ConnectionLog,
+        budget: memory_budget.MemoryBudget,
+        body_limit: int,
     ) -> None:
         self._stream = stream
+        self._memory = budget.open(self._try_remove)
+        self._body_limit = body_limit
+        self._queued = 0  # bytes read that the parser has not got yet
+        self._fed = 0  # bytes that the parser got of the current request
+        self._handling = False
         self._log = log
         self._handler = handler
         self._source = source
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEAD_LIMIT
-        )
+        self._protocol = _new_protocol()
+        self._body = _Body()
         self._chunk_sender, self._chunk_receiver = trio.open_memory_channel[
             bytes
         ](4)
@@ -84,6 +121,8 @@
             reason = connection_log.Reason.HANDLER_FAILED
             raise
         finally:
+            self._memory.close()
+            self._drop_input()
             self._log.write(
                 connection_log.Closure(
                     reason=reason,
@@ -143,6 +182,29 @@
         )
         self._wait_scope.deadline = self._receive_deadline
 
+    def _drop_input(self) -> None:
+        """Releases what has arrived.
+
+        The traces of exceptions refer to the connection in a circle, which only
+        the garbage collector frees.
+        """
+        self._body = _Body()
+        self._protocol = _new_protocol()
+        self._chunk_receiver.close()
+
+    def _count_input(self) -> None:
+        self._memory.hold_input(BUFFER_COST * (self._queued + self._fed))
+
+    def _try_remove(self) -> bool:
+        """Closes the connection for lack of memory; see `MemoryBudget.open`."""
+        if self._handling:
+            return False
+        self._close_reason = connection_log.Reason.MEMORY
+        self._scope.cancel()
+        # Its tasks end later.
+        self._body = _Body()
+        return True
+
     def expire(self) -> None:
         """Closes the connection after its next response."""
         self._closing = True
@@ -159,14 +221,16 @@
                     self._request_scope.cancel()
                     return
                 self._busy = True
+                self._queued += len(data)
+                self._count_input()
                 await self._chunk_sender.send(data)
 
     async def _receive(self) -> bytes:
         if self._source is not model.Source.PEER:
-            return await self._stream.receive_some(http.RECEIVE_SIZE)
+            return await self._stream.receive_some(RECEIVE_SIZE)
         while True:
             with trio.move_on_after(http.PROGRESS_INTERVAL):
-                return await self._stream.receive_some(http.RECEIVE_SIZE)
+                return await self._stream.receive_some(RECEIVE_SIZE)
             await self._send_progress()
 
     async def _send_progress(self) -> None:
@@ -214,7 +278,10 @@
             return False
         if request is None:
             return False
+        self._handling = True
         response = await self._handler(request)
+        self._handling = False
+        del request
         if not await self._send_response(response):
             self._close_reason = connection_log.Reason.INCOMPLETE
             return False
@@ -226,6 +293,8 @@
         except h11.LocalProtocolError:
             return False
         unparsed, _ = self._protocol.trailing_data
+        self._fed = len(unparsed)
+        self._count_input()
         self._busy = bool(unparsed) or self._has_queued_input
         return True
 
@@ -242,7 +311,7 @@
             self._limit_receive_time(STOP_GRACE)
         head: h11.Request | None = None
         received_at = 0.0
-        body = bytearray()
+        self._body = _Body()
         while True:
             event = self._protocol.next_event()
             match event:
@@ -253,15 +322,16 @@
                     head = event
                     received_at = clock.monotonic()
                 case h11.Data():
-                    body += event.data
-                    if len(body) > BODY_LIMIT:
+                    self._body.append(event.data)
+                    if self._body.size > self._body_limit:
                         raise exceptions.ProtocolError(
                             exceptions.BODY_TOO_LARGE,
-                            f"body exceeds {BODY_LIMIT} bytes",
+                            f"body exceeds {self._body_limit} bytes",
                         )
                 case h11.EndOfMessage():
                     assert head is not None
-                    return self._build_request(head, bytes(body), received_at)
+                    body, self._body = self._body.join(), _Body()
+                    return self._build_request(head, body, received_at)
                 case h11.ConnectionClosed():
                     return None
                 case _:
@@ -294,7 +364,10 @@
     async def _receive_chunk(self) -> bytes:
         """Returns the next bytes; none at the end of the stream."""
         try:
-            return await self._chunk_receiver.receive()
+            data = await self._chunk_receiver.receive()
+            self._queued -= len(data)
+            self._fed += len(data)
+            return data
         except trio.EndOfChannel:
             return b""
 
@@ -363,6 +436,10 @@
         return data + (send(h11.EndOfMessage()) or b"")
 
 
+def _new_protocol() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+
+
 def _check_head(head: h11.Request) -> None:
     """Limits a head that arrived in one piece, whose size h11 does not check.
 
@@ -391,11 +468,27 @@
         source: model.Source,
         connection_limit: int = 4096,
         log: connection_log.ConnectionLog | None = None,
+        budget: memory_budget.MemoryBudget | None = None,
+        body_limit: int = BODY_LIMIT,
     ) -> None:
+        """Creates the server.
+
+        Args:
+          address: Where to listen.
+          handler: Handles each request.
+          source: Who sends the requests.
+          connection_limit: Maximum number of connections.
+          log: Records why connections were closed.
+          budget: Bounds the memory of what is received; None for one of its
+            own.
+          body_limit: Maximum length of a body in bytes.
+        """
         super().__init__(address=address, connection_limit=connection_limit)
         self._log = log or connection_log.ConnectionLog(place=source.value)
         self._handler = handler
         self._source = source
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._body_limit = body_limit
 
     def _new_connection(self, stream: trio.SocketStream) -> ServerConnection:
         return ServerConnection(
@@ -403,4 +496,6 @@
             handler=self._handler,
             source=self._source,
             log=self._log,
+            budget=self._budget,
+            body_limit=self._body_limit,
         )
--- a/src/sassafrashall/transport/listener.py
+++ b/src/sassafrashall/transport/listener.py
@@ -140,6 +140,7 @@
     def _on_accept(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self._connection_limit:
             stream.socket.close()
+            self._make_room()
             return
         assert self._nursery is not None
         connection = self._new_connection(stream)
@@ -149,6 +150,9 @@
             connection.expire()
         self._nursery.start_soon(self._serve, connection)
 
+    def _make_room(self) -> None:
+        """May close connections, so that later ones are accepted."""
+
     def _new_connection(self, stream: trio.SocketStream) -> _C:
         raise NotImplementedError
 
--- a/src/sassafrashall/transport/peer_connection.py
+++ b/src/sassafrashall/transport/peer_connection.py
@@ -32,8 +32,20 @@
 class PeerConnection:
     """Owns a socket; one task writes queued frames and one task reads."""
 
-    def __init__(self, *, stream: sockets.Stream, on_frame: OnFrame) -> None:
-        """Creates the connection; `on_frame` gets each frame that arrives."""
+    def __init__(
+        self,
+        *,
+        stream: sockets.Stream,
+        on_frame: OnFrame,
+        frame_limit: int = frames.FRAME_LIMIT,
+    ) -> None:
+        """Creates the connection.
+
+        Args:
+          stream: The socket.
+          on_frame: Gets each frame that arrives.
+          frame_limit: Maximum length of a frame's body in bytes.
+        """
         self._stream = stream
         self._on_frame = on_frame
         self._send_queue: list[bytes] = []
@@ -44,7 +56,7 @@
         self._ended = False
         self._broken = False
         self._end_reason = connection_log.Reason.PROCESS_END
-        self._buffer = frames.FrameBuffer()
+        self._buffer = frames.FrameBuffer(limit=frame_limit)
 
     @classmethod
     async def open(
@@ -78,6 +90,10 @@
         """Whether the end of the stream is the next thing to be read."""
         return self._stream.is_closed_by_peer
 
+    def allow_long_frames(self) -> None:
+        """Raises the limit for a node that has authenticated itself."""
+        self._buffer.set_limit(frames.FRAME_LIMIT)
+
     def send(self, frame: frames.Frame) -> None:
         """Sends a frame now, or queues what the socket does not take.
 
--- a/src/sassafrashall/transport/peer_server.py
+++ b/src/sassafrashall/transport/peer_server.py
@@ -14,15 +14,20 @@
 from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import model
+from sassafrashall.decisions import memory_limits
 from sassafrashall.transport import error_boundary
 from sassafrashall.transport import frames
 from sassafrashall.transport import listener
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import peer_connection
 from sassafrashall.transport import sockets
 
 PROCEED_TIMEOUT = 1.0  # seconds that a slot is reserved until `Proceed`
 # Leaves descriptors for callers and the upstream; each node needs one.
 CONNECTION_LIMIT = 400
+# Seconds from the connect to the first frame, after which the place of a
+# connection that has not authenticated itself is needed for others.
+HELLO_TIMEOUT = 3.0
 
 # Returns the keyed digest that authenticates the node of the named VM.
 ComputeProof = Callable[[str], bytes]
@@ -33,8 +38,11 @@
 class _ServedCall:
     """A call on a connection, handled by a fiber."""
 
-    def __init__(self, *, number: int, root_id: str, deadline: float) -> None:
+    def __init__(
+        self, *, number: int, root_id: str, deadline: float, cost: int
+    ) -> None:
         self.number = number
+        self.cost = cost  # estimated bytes of memory
         self.root_id = root_id
         self.deadline = deadline
         self.fiber: fiber.Fiber | None = None
@@ -72,10 +80,15 @@
         compute_proof: ComputeProof,
         spawn: Spawn,
         log: connection_log.ConnectionLog,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self._connection = peer_connection.PeerConnection(
-            stream=stream, on_frame=self._on_frame
+            stream=stream,
+            on_frame=self._on_frame,
+            frame_limit=frames.UNAUTHENTICATED_LIMIT,
         )
+        self._memory = budget.open(memory_budget.keep)
+        self._opened_at = clock.monotonic()
         self._log = log
         self._handler = handler
         self._compute_proof = compute_proof
@@ -94,9 +107,17 @@
         The calling node ends an expired call at the same time by its own
         clock, so no frame is sent.
         """
-        if not any(call.is_overdue(now) for call in self._calls.values()):
+        silent = not self._authenticated and (
+            now - self._opened_at > HELLO_TIMEOUT
+        )
+        if not silent and not any(
+            call.is_overdue(now) for call in self._calls.values()
+        ):
             return
         await self._connection.read_arrived()
+        if not self._authenticated:
+            self._connection.close(connection_log.Reason.HEAD_TIMEOUT)
+            return
         for call in tuple(self._calls.values()):
             if call.deadline <= now:
                 call.cancel("the deadline has passed")
@@ -118,6 +139,7 @@
             await self._connection.run()
         finally:
             calls = tuple(self._calls.values())
+            self._memory.close()
             self._log.write(
                 connection_log.Closure(
                     reason=self._connection.end_reason,
@@ -136,6 +158,8 @@
                 self._authenticated = hmac.compare_digest(
                     given, self._compute_proof(vm)
                 )
+                if self._authenticated:
+                    self._connection.allow_long_frames()
             case frames.Proceed(call=number):
                 call = self._calls.get(number)
                 if call is not None and call.proceed is not None:
@@ -170,10 +194,21 @@
             )
             self._connection.send(_encode_refusal(frame.call, refusal))
             return
+        cost = _cost_of(frame)
+        try:
+            self._memory.admit(cost)
+        except exceptions.ProtocolError as error:
+            # A code that nodes of earlier builds know.
+            refusal = model.Refuse(
+                code=exceptions.PEER_UNREACHABLE, detail=str(error)
+            )
+            self._connection.send(_encode_refusal(frame.call, refusal))
+            return
         call = _ServedCall(
             number=frame.call,
             root_id=frame.root_id,
             deadline=clock.monotonic() + frame.remaining_ms / 1000,
+            cost=cost,
         )
         self._calls[frame.call] = call
         if frame.more:
@@ -188,7 +223,11 @@
 
     def _on_fiber_end(self, call: _ServedCall) -> None:
         if call.response_body is None:
-            self._calls.pop(call.number, None)
+            self._end_call(call)
+
+    def _end_call(self, call: _ServedCall) -> None:
+        if self._calls.pop(call.number, None) is not None:
+            self._memory.release(call.cost)
 
     async def _run_call(
         self, frame: frames.OpenCall, call: _ServedCall
@@ -240,7 +279,7 @@
             logs.get().exception("unhandled exception while sending a response")
             self._connection.send(frames.CancelCall(call=call.number))
         finally:
-            self._calls.pop(call.number, None)
+            self._end_call(call)
             with trio.CancelScope(shield=True):
                 await rest.close()
         if scope.cancelled_caught:
@@ -296,6 +335,12 @@
     )
 
 
+def _cost_of(frame: frames.OpenCall) -> int:
+    """Returns the estimated bytes of memory of a call."""
+    size = len(frame.body) + sum(len(n) + len(v) for n, v in frame.headers)
+    return memory_limits.head_cost(len(frame.headers), size)
+
+
 def _encode_refusal(number: int, refusal: model.Refuse) -> frames.RefuseCall:
     return frames.RefuseCall(
         call=number,
@@ -331,7 +376,9 @@
         handler: error_boundary.Handler,
         compute_proof: ComputeProof,
         log: connection_log.ConnectionLog,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        self._budget = budget or memory_budget.MemoryBudget()
         self._acceptor = listener.Acceptor(
             address=address, on_accept=self._on_accept
         )
@@ -372,6 +419,7 @@
             compute_proof=self._compute_proof,
             spawn=self._nursery.start_soon,
             log=self._log,
+            budget=self._budget,
         )
         # `close` must find it also before its task has run for the first time.
         self._connections.add(connection)
--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -34,6 +34,7 @@
 # lower one, so that no call is sent on a connection that the server closes.
 CLIENT_IDLE_TIMEOUT = 20.0
 SERVER_IDLE_TIMEOUT = 60.0
+IDENTIFY_TIMEOUT = 10.0  # seconds between the bytes of an unknown caller
 # Messages of at least this many bytes are compressed: a configuration shrinks
 # tenfold, and traffic between data centres is expensive. Shorter messages would
 # hardly shrink.
@@ -70,7 +71,7 @@
         self._clock = hybrid_clock
         self._caller: Caller | None = None
         self._scope = trio.CancelScope()
-        self._buffer = frames.FrameBuffer(limit=MESSAGE_LIMIT)
+        self._buffer = frames.FrameBuffer(limit=frames.UNAUTHENTICATED_LIMIT)
         # Whether a call is in progress or bytes of one have been read.
         self._busy = False
         self._expiring = False
@@ -94,7 +95,7 @@
                 while data := await self._receive():
                     self._active_at = clock.monotonic()
                     self._busy = True
-                    for frame in self._buffer.feed(data):
+                    for frame in self._take_frames(data):
                         await self._on_frame(frame)
                     if not self._buffer.is_empty:
                         self._busy = True
@@ -120,7 +121,8 @@
     async def _receive(self) -> bytes:
         """Returns the next bytes; none after a disconnect or a timeout."""
         while True:
-            with trio.move_on_after(SERVER_IDLE_TIMEOUT) as timeout:
+            limit = SERVER_IDLE_TIMEOUT if self._caller else IDENTIFY_TIMEOUT
+            with trio.move_on_after(limit) as timeout:
                 return await self._stream.receive(http.RECEIVE_SIZE)
             # Bytes may have arrived since the timeout.
             if self._stream.is_idle:
@@ -151,9 +153,9 @@
 
     async def _on_frame(self, frame: frames.Frame) -> None:
         match frame:
-            case frames.Identify(secret=secret):
+            case frames.Identify():
                 # A call follows, so the connection stays busy.
-                self._caller = self._identify_caller(secret)
+                pass
             case frames.RemoteCall():
                 self._busy = True
                 self._unanswered = True
@@ -167,6 +169,28 @@
                     exceptions.BAD_REQUEST, "unexpected frame"
                 )
 
+    def _take_frames(self, data: bytes) -> list[frames.Frame]:
+        """Returns the frames that are whole; identifies the caller.
+
+        Raises:
+          ProtocolError: The bytes are not valid frames, or the caller has not
+            identified itself and sends a long one.
+        """
+        taken: list[frames.Frame] = []
+        try:
+            for frame in self._buffer.split(data):
+                if isinstance(frame, frames.Identify):
+                    self._caller = self._identify_caller(frame.secret)
+                    if self._caller is not None:
+                        self._buffer.set_limit(MESSAGE_LIMIT)
+                taken.append(frame)
+        except exceptions.ProtocolError:
+            if self._caller is None:
+                failure = _failure_frame("unauthenticated", "wrong secret")
+                self._stream.send_nowait(frames.encode(failure))
+            raise
+        return taken
+
     def _identify_caller(self, given_secret: str) -> Caller | None:
         for secret, caller in self._secrets.items():
             if hmac.compare_digest(given_secret.encode(), secret.encode()):
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -15,11 +15,13 @@
 from sassafrashall import logs
 from sassafrashall import model
 from sassafrashall.decisions import connection_lifetime
+from sassafrashall.decisions import memory_limits
 from sassafrashall.decisions import slow_readers
 from sassafrashall.transport import codec
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
 from sassafrashall.transport import listener
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import sockets
 
 LINGER_TIME = 1.0  # seconds to discard a body after an early response
@@ -27,6 +29,17 @@
 SLOW_READER_TIMEOUT = 30.0  # seconds after which a blocked send is aborted
 SWEEP_INTERVAL = 0.2  # seconds between checks for disconnects and timeouts
 CONNECTION_LIMIT = 3000  # leaves descriptors for peers and the upstream
+# Bytes of one read, at most, while the head of a request is awaited and while a
+# request is in progress. What is read ahead can't be dropped.
+HEAD_RECEIVE_SIZE = 16 * 1024
+AHEAD_RECEIVE_SIZE = 4 * 1024
+# Connections closed at once if a further one arrives at a full listener, and
+# the seconds until more are closed. 640 a second are as many as an ordinary
+# node serves requests.
+ROOM = 64
+ROOM_INTERVAL = 0.1
+# Seconds for which a connection may send no whole head, at a full listener.
+MIN_UNUSED_TIME = 1.0
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 LimitsSource = Callable[[], configuration.Limits]
@@ -37,8 +50,11 @@
 class _RequestBody:
     """The rest of a request's body, read from its connection on demand."""
 
-    def __init__(self, *, connection: Connection, limit: int) -> None:
+    def __init__(
+        self, *, connection: Connection, exchange: _Exchange, limit: int
+    ) -> None:
         self._connection = connection
+        self._exchange = exchange
         self._remaining_limit = limit
         self.ended = False
         # Cancels the read of the task that uploads the body.
@@ -99,6 +115,7 @@
                     raise exceptions.ProtocolError(
                         exceptions.BODY_TOO_LARGE, "the body is too large"
                     )
+                self._exchange.count_part(len(data))
                 return data
             case http1.MessageEnd():
                 self.ended = True
@@ -117,6 +134,12 @@
 
     def __init__(self, *, head: http1.RequestHead) -> None:
         self.head = head
+        # Estimated bytes of memory until the end of the request.
+        self.cost = head.cost
+        # Whether the handler has got the request.
+        self.handled = False
+        # Estimated bytes of the part of the body that was read until then.
+        self.buffered = 0
         self.fiber: fiber.Fiber | None = None
         # Cancels the task that sends what would block the fiber.
         self.send_scope: trio.CancelScope | None = None
@@ -136,6 +159,11 @@
         if self._end_event is not None:
             self._end_event.set()
 
+    def count_part(self, size: int) -> None:
+        """Counts a part of the body of `size` bytes that was read."""
+        if not self.handled:
+            self.buffered += size + memory_limits.PART_COST
+
     async def wait_ended(self) -> None:
         """Waits until `end` is called."""
         if not self._ended:
@@ -163,8 +191,10 @@
         spawn: Spawn,
         log: connection_log.ConnectionLog,
         request_id_header: str,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self._stream = stream
+        self._memory = budget.open(self._try_remove)
         self._log = log
         self._request_id_header = request_id_header
         self._handler = handler
@@ -179,6 +209,8 @@
             since=clock.monotonic(), timeout=self._idle_timeout
         )
         self._exchange: _Exchange | None = None
+        self._has_served = False
+        self.opened_at = clock.monotonic()
         # Whether all input received so far is handled, so that the task waits
         # for more.
         self._awaits_input = True
@@ -207,6 +239,7 @@
                 self._exchange.cancel()
             self._stream.close()
             self._parser.close()
+            self._memory.close()
             self._log_closure(reason, unanswered)
 
     def _log_closure(
@@ -292,6 +325,25 @@
         """Closes the connection, whose caller does not take its answer."""
         self._close(connection_log.Reason.STALLED)
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether no request has come on this connection."""
+        return not self._has_served and self._exchange is None
+
+    def close_unused(self) -> None:
+        """Closes the connection in favour of one that has just arrived."""
+        self._closing = True
+        self._close(connection_log.Reason.FULL)
+
+    def _try_remove(self) -> bool:
+        """Closes the connection for lack of memory; see `MemoryBudget.open`."""
+        if self._exchange is not None and self._exchange.handled:
+            return False
+        self._closing = True
+        self._close(connection_log.Reason.MEMORY)
+        self._parser.close()
+        return True
+
     def _close_unless_input(
         self, reason: connection_log.Reason, idle: float, delay: float
     ) -> None:
@@ -319,10 +371,12 @@
         while True:
             event = self._parser.next_event()
             if event is not None:
+                _count_event(self._memory, self._parser, event)
                 return event
+            _count_input(self._memory, self._parser, self._exchange)
             self._awaits_input = True
             try:
-                data = await self._stream.receive(http.RECEIVE_SIZE)
+                data = await self._stream.receive(_receive_size(self._exchange))
             finally:
                 self._awaits_input = False
             if not data or self._closing:
@@ -350,7 +404,7 @@
                     return
                 await self._start_request(head)
             except exceptions.ProtocolError as error:
-                self._close_reason = connection_log.Reason.BAD_INPUT
+                self._close_reason = _reason_of(error)
                 await self._reject_input(error)
                 return
             except exceptions.ConnectionFailedError:
@@ -364,12 +418,16 @@
                 exceptions.BODY_TOO_LARGE, "the body is too large"
             )
         exchange = self._exchange = _Exchange(head=head)
+        self._has_served = True
         self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        rest = _RequestBody(connection=self, limit=body_limit)
+        rest = _RequestBody(
+            connection=self, exchange=exchange, limit=body_limit
+        )
         body = await http.read_buffered_part(rest)
+        _count_body(self._memory, self._parser, exchange, body)
         request = http.RawRequest(
             method=head.method,
             target=head.target,
@@ -460,6 +518,7 @@
         if self._exchange is not exchange:
             return
         self._exchange = None
+        self._memory.release(exchange.cost)
         self._activity = self._activity_between_requests()
         if close_reason is not None:
             if close_reason is not connection_log.Reason.ANNOUNCED:
@@ -549,7 +608,11 @@
         if self._exchange is not None and self._exchange.fiber is not None:
             await self._exchange.wait_ended()
         response = codec.encode_refusal(
-            model.Refuse(code=error.code, detail=str(error))
+            model.Refuse(
+                code=error.code,
+                detail=str(error),
+                retry_after_s=_retry_after(error),
+            )
         )
         head = http1.encode_response_head(
             response.status, response.headers, len(response.body), True
@@ -571,6 +634,73 @@
                 return
 
 
+def _count_event(
+    account: memory_budget.Account,
+    parser: http1.RequestParser,
+    event: http1.Event,
+) -> None:
+    """Counts a head that is taken, and the input that is left.
+
+    Raises:
+      ProtocolError: There is no memory for the request.
+    """
+    if type(event) is http1.RequestHead:
+        account.hold_input(parser.held)
+        account.admit(event.cost)
+
+
+def _count_input(
+    account: memory_budget.Account,
+    parser: http1.RequestParser,
+    exchange: _Exchange | None,
+) -> None:
+    """Counts the input that waits for more."""
+    held = parser.held
+    if exchange is not None and not exchange.handled:
+        held += exchange.buffered
+    account.hold_input(held)
+
+
+def _count_body(
+    account: memory_budget.Account,
+    parser: http1.RequestParser,
+    exchange: _Exchange,
+    body: bytes,
+) -> None:
+    """Counts the body of a request that is handled now.
+
+    Raises:
+      ProtocolError: There is no memory for the request.
+    """
+    if body:
+        exchange.buffered = 0
+        account.hold_input(parser.held)
+        account.admit(len(body))
+        exchange.cost += len(body)
+    exchange.handled = True
+
+
+def _receive_size(exchange: _Exchange | None) -> int:
+    """Returns how many bytes may be read at once."""
+    if exchange is None:
+        return HEAD_RECEIVE_SIZE
+    if exchange.fiber is not None:
+        return AHEAD_RECEIVE_SIZE
+    return http.RECEIVE_SIZE
+
+
+def _reason_of(error: exceptions.ProtocolError) -> connection_log.Reason:
+    """Returns why a connection is closed after an error in its input."""
+    if error.code == exceptions.MEMORY_SHORT:
+        return connection_log.Reason.MEMORY
+    return connection_log.Reason.BAD_INPUT
+
+
+def _retry_after(error: exceptions.ProtocolError) -> float:
+    """Returns the seconds until a refused request may be tried again."""
+    return 1.0 if error.code == exceptions.MEMORY_SHORT else 0.0
+
+
 def _close_reason_after(
     complete: bool, closes: bool
 ) -> connection_log.Reason | None:
@@ -606,6 +736,7 @@
         limits: LimitsSource,
         log: connection_log.ConnectionLog | None = None,
         request_id_header: str = "",
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         """Creates the server.
 
@@ -617,6 +748,8 @@
           log: Records why connections were closed.
           request_id_header: Lower-case name of the header that identifies a
             request in the log.
+          budget: Bounds the memory of what is received; None for one of its
+            own.
         """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
         self._log = log or connection_log.ConnectionLog(place=source.value)
@@ -624,6 +757,8 @@
         self._handler = handler
         self._source = source
         self._limits = limits
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._made_room_at = 0.0
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address and serves in `nursery`."""
@@ -640,8 +775,25 @@
             spawn=self._nursery.start_soon,
             log=self._log,
             request_id_header=self._request_id_header,
+            budget=self._budget,
         )
 
+    def _make_room(self) -> None:
+        """Closes connections without a request, those longest open first."""
+        now = clock.monotonic()
+        if now - self._made_room_at < ROOM_INTERVAL:
+            return
+        self._made_room_at = now
+        unused = [
+            connection
+            for connection in self._connections
+            if connection.awaits_first_request
+            and now - connection.opened_at >= MIN_UNUSED_TIME
+        ]
+        unused.sort(key=lambda connection: connection.opened_at)
+        for connection in unused[:ROOM]:
+            connection.close_unused()
+
     async def _sweep(self) -> None:
         """Checks all connections from time to time."""
         while True:
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -8,28 +8,20 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from bench import crowds
 import pytest
 
-from sassafrashall import settings
-
 CALLERS = 150
 MEMORY_MB = 64  # the bound of a process; about 39 MB are in use at rest
 HOLD = 2.0  # seconds that the crowd stays; the peak comes within the first
 DESCRIPTORS = 250  # bound; about 14 are in use at rest
 
 
-def _limits():
-    """Returns the lowered limits, as far as the settings of this build go."""
-    names = {field.name for field in dataclasses.fields(settings.Daemon)}
-    return {"memory_mb": MEMORY_MB} if "memory_mb" in names else {}
-
-
 @pytest.mark.parametrize("form", crowds.FORMS)
 async def test_a_crowd_leaves_the_process_within_its_memory(form):
-    result = await crowds.measure(crowds.FORMS[form], CALLERS, _limits(), HOLD)
+    result = await crowds.measure(
+        crowds.FORMS[form], CALLERS, {"memory_mb": MEMORY_MB}, HOLD
+    )
     assert result.alive
     assert result.peak_mb <= MEMORY_MB
     assert result.descriptors <= DESCRIPTORS
