--- a/src/sassafrashall/controllers/upstream_pool.py
+++ b/src/sassafrashall/controllers/upstream_pool.py
@@ -14,6 +14,7 @@
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall import task
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import sockets
 from sassafrashall.transport import upstream_connection
 
@@ -26,8 +27,21 @@
     A child task owns each connection.
     """
 
-    def __init__(self, *, counters: metrics.Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        counters: metrics.Metrics,
+        budget: memory_budget.MemoryBudget | None = None,
+    ) -> None:
+        """Creates the pool.
+
+        Args:
+          counters: Where connections are counted.
+          budget: Bounds the memory of the heads of responses; None for one of
+            its own.
+        """
         super().__init__()
+        self._budget = budget or memory_budget.MemoryBudget()
         self._metrics = counters
         self._log = connection_log.ConnectionLog(
             place="upstream", counters=counters
@@ -106,6 +120,7 @@
             on_idle=self._add_idle,
             on_resend=self._resend,
             log=self._log,
+            budget=self._budget,
         )
         if reply.abandoned:
             connection.close(connection_log.Reason.ABANDONED)
--- a/src/sassafrashall/decisions/memory_limits.py
+++ b/src/sassafrashall/decisions/memory_limits.py
@@ -72,27 +72,18 @@
     return held + cost <= limit
 
 
-def choose_removals(
-    holders: Iterable[Holder], held: int, limit: int
-) -> tuple[int, ...]:
-    """Returns the clients to remove, so that there is room below `limit`.
+def rank_removals(holders: Iterable[Holder]) -> tuple[int, ...]:
+    """Returns the clients in the order in which they are removed.
 
     Those go first that hold most and make least progress, by the product of
     size and age.
-
-    Args:
-      holders: The clients that may be removed.
-      held: Bytes held for all clients.
-      limit: Bytes that may be held.
     """
-    if held <= limit:
-        return ()
-    removed: list[int] = []
-    for holder in sorted(
+    ranked = sorted(
         holders, key=lambda holder: -holder.held * (holder.age + MIN_AGE)
-    ):
-        if held <= limit * RELIEF_SHARE or not holder.held:
-            break
-        removed.append(holder.number)
-        held -= holder.held
-    return tuple(removed)
+    )
+    return tuple(holder.number for holder in ranked if holder.held)
+
+
+def is_relieved(held: int, limit: int) -> bool:
+    """Returns whether enough clients have been removed."""
+    return held <= limit * RELIEF_SHARE
--- a/src/sassafrashall/events.py
+++ b/src/sassafrashall/events.py
@@ -8,6 +8,9 @@
 from sassafrashall import clock
 
 MAX_EVENTS = 20_000
+# Characters of an id or a detail; callers choose the ids of their requests,
+# which may be as long as a head.
+MAX_TEXT = 256
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -48,8 +51,8 @@
                 time=self._clock.now(),
                 process=self._process,
                 kind=kind,
-                request=request,
-                detail=detail,
+                request=request[:MAX_TEXT],
+                detail=detail[:MAX_TEXT],
             )
         )
 
@@ -67,6 +70,6 @@
             event
             for event in self._events
             if event.kind.startswith(kind)
-            and (not request or event.request == request)
+            and (not request or event.request == request[:MAX_TEXT])
             and event.time.physical_ms >= since_ms
         )
--- a/src/sassafrashall/explanations.py
+++ b/src/sassafrashall/explanations.py
@@ -34,6 +34,7 @@
         "The node had just started and had no configuration yet."
     ),
     exceptions.SHED: "The upstream's slots and its queue were full.",
+    exceptions.MEMORY_SHORT: "The node had no memory left for the request.",
     exceptions.NO_UPSTREAM: "No upstream of the service was ready.",
     exceptions.PEER_UNREACHABLE: (
         "The node beside the upstream could not be reached."
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -197,7 +197,9 @@
         self._peer_links = peer_links.PeerLinks(
             vm=settings.vm, secret=self._secret, counters=self._metrics
         )
-        self._upstream_pool = upstream_pool.UpstreamPool(counters=self._metrics)
+        self._upstream_pool = upstream_pool.UpstreamPool(
+            counters=self._metrics, budget=self._budget
+        )
 
     def _initial_record(self) -> model.NodeRecord:
         listen = self._settings.listen
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -21,6 +21,7 @@
 _REASONS = {status.value: status.phrase for status in http_status.HTTPStatus}
 _BODILESS_STATUSES = (204, 304)
 NAME_CACHE_SIZE = 256  # entries of the cache of decoded header names
+MAX_CACHED_NAME = 64  # bytes of a header name in the cache
 MAX_LENGTH_DIGITS = 15  # digits of a plausible Content-Length
 # Bytes of chunk framing accepted for each byte of a body; a chunk of one byte
 # has at least five.
@@ -90,9 +91,15 @@
 
 
 def _decode_name(name: bytes) -> str:
-    """Returns a header name in lower case, and caches it for `on_header`."""
+    """Returns a header name in lower case, and caches it for `on_header`.
+
+    A full cache is emptied: otherwise clients with names of their own would
+    keep the usual names out until the process ends.
+    """
     decoded = name.lower().decode("latin-1")
-    if len(_name_cache) < NAME_CACHE_SIZE:
+    if len(name) <= MAX_CACHED_NAME:
+        if len(_name_cache) >= NAME_CACHE_SIZE:
+            _name_cache.clear()
         _name_cache[name] = decoded
     return decoded
 
--- a/src/sassafrashall/transport/memory_budget.py
+++ b/src/sassafrashall/transport/memory_budget.py
@@ -166,19 +166,15 @@
         if now < self._search_at:
             return
         accounts = tuple(a for a in self._accounts if a.input_size)
-        removals = memory_limits.choose_removals(
-            (
-                memory_limits.Holder(
-                    number=number,
-                    held=account.held,
-                    age=now - account.since,
-                )
-                for number, account in enumerate(accounts)
-            ),
-            self._held,
-            self._limit,
+        ranked = memory_limits.rank_removals(
+            memory_limits.Holder(
+                number=number, held=account.held, age=now - account.since
+            )
+            for number, account in enumerate(accounts)
         )
-        for number in removals:
+        for number in ranked:
+            if memory_limits.is_relieved(self._held, self._limit):
+                break
             if accounts[number].try_remove():
                 accounts[number].close()
                 self._report("removed")
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -16,6 +16,7 @@
 from sassafrashall import model
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import sockets
 
 HEAD_LIMIT = 64 * 1024  # bytes of a response's head
@@ -25,6 +26,9 @@
 # Bytes of interim responses and answers to other requests before an answer.
 MAX_SKIPPED_SIZE = 1024 * 1024
 MAX_FAILED_IDS = 64  # error responses after which a connection is replaced
+# Characters of an ID that are kept. Callers choose IDs, which may be as long as
+# a head; one with the same beginning as another is sent on another connection.
+MAX_FAILED_ID = 256
 # Seconds within which the kernel resets a connection that the upstream, on the
 # same VM, had closed before the request was sent. After a later reset the
 # upstream may have read and run the request.
@@ -79,6 +83,7 @@
         on_idle: Callable[[UpstreamConnection], None],
         on_resend: Callable[[messages.UpstreamExchange, mailbox.Reply], None],
         log: connection_log.ConnectionLog,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         """Takes over a socket.
 
@@ -89,6 +94,8 @@
           on_resend: Called with an exchange that may be resent, since the
             upstream had closed the idle connection.
           log: Records why the connection is closed.
+          budget: Bounds the memory of the heads of responses; None for one of
+            its own.
         """
         self._stream = stream
         self._address = address
@@ -96,6 +103,10 @@
         self._on_resend = on_resend
         self._log = log
         self._parser = http1.ResponseParser(head_limit=HEAD_LIMIT)
+        self._memory = (budget or memory_budget.MemoryBudget()).open(
+            memory_budget.keep
+        )
+        self._head_cost = 0  # of the response in progress
         self._exchange: _Exchange | None = None
         self._nursery: trio.Nursery | None = None
         self._streamed_body: _ResponseBody | None = None
@@ -151,7 +162,9 @@
     def can_identify(self, is_answer: model.ResponseMatcher) -> bool:
         """Returns whether the response to a request can't be mistaken."""
         request_id = is_answer.request_id
-        return request_id is not None and request_id not in self._failed_ids
+        return request_id is not None and (
+            request_id[:MAX_FAILED_ID] not in self._failed_ids
+        )
 
     def start_exchange(
         self, message: messages.UpstreamExchange, reply: mailbox.Reply
@@ -288,7 +301,9 @@
         if exchange is None:
             raise _protocol_error("bytes after an answer")
         match event:
-            case http1.ResponseHead():
+            case http1.ResponseHead(cost=cost):
+                self._memory.admit(cost)
+                self._head_cost += cost
                 self._on_head(exchange, event)
             case http1.BodyPart(data=data):
                 if not exchange.skipping_stray:
@@ -346,11 +361,13 @@
         if exchange.upload_scope is not None:
             exchange.upload_scope.cancel()
         self._exchange = None
+        self._memory.release(self._head_cost)
+        self._head_cost = 0
         self._idle_since = clock.monotonic()
         self._expires_at = self._idle_since + keep_alive_time
         request_id = exchange.message.is_answer.request_id
         if head.status >= 400 and request_id is not None:
-            self._failed_ids.add(request_id)
+            self._failed_ids.add(request_id[:MAX_FAILED_ID])
         self._reusable = (
             self._open
             and exchange.uploaded
@@ -561,6 +578,7 @@
             return
         self._open = False
         self._stream.close()
+        self._memory.close()
         exchange = self._exchange
         request_id = None
         idle = clock.monotonic() - self._idle_since
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -127,3 +127,30 @@
         settings.parse(text.replace("true", "1"), "f", settings.Daemon)
     (finding,) = error.value.findings
     assert (finding.key, finding.line) == ("routed.strict_withdrawal", 17)
+
+
+# A process that is told less memory than it needs at rest would close every
+# connection.
+@pytest.mark.parametrize("value", ["63", "0", "-1", "200.5", "null", "'200'"])
+def test_wrong_memory_is_a_finding_at_its_line(value):
+    text = f"""
+role: node
+vm: vm-a
+data_centre: dc-a
+fleet_secret: a-secret-of-some-length
+memory_mb: {value}
+seeds: ["10.0.0.1:8540"]
+listen:
+  callers: 10.0.0.3:1
+  local: 127.0.0.1:2
+  peers: 10.0.0.3:3
+  ops: 10.0.0.3:4
+"""
+    with pytest.raises(exceptions.FindingsError) as error:
+        settings.parse(text, "f", settings.Daemon)
+    (finding,) = error.value.findings
+    assert (finding.key, finding.line) == ("memory_mb", 6)
+    parsed = settings.parse(
+        text.replace(f"_mb: {value}", "_mb: 300"), "f", settings.Daemon
+    )
+    assert parsed.memory_mb == 300
