--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -55,6 +55,7 @@
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
 from sassafrashall.transport import http_server
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import ops_api
 from sassafrashall.transport import peer_server
 from sassafrashall.transport import stream_server
@@ -75,6 +76,10 @@
 # Seconds before SIGKILL at which the last calls end and the process stops.
 GRACE_MARGIN = 0.4
 CLOSE_TIMEOUT = 0.2  # seconds of it for the last answers to be received
+# Connections for readiness checks, heartbeats and metrics each. 4,100
+# descriptors are for 3,000 callers, 400 nodes, these, and the upstream.
+LOCAL_CONNECTION_LIMIT = 100
+HEARTBEAT_LIMIT = 64 * 1024  # bytes of a body; a heartbeat has a few hundred
 DRAIN_POLL_INTERVAL = 0.05  # seconds between checks for requests in progress
 
 
@@ -91,6 +96,9 @@
             process=settings.vm, data_centre=settings.data_centre
         )
         self._secret = settings.fleet_secret.encode()
+        self._budget = memory_budget.MemoryBudget(
+            memory_mb=settings.memory_mb, counters=self._metrics
+        )
         self._decisions = decision_log.DecisionLog()
         self._request_timings = {
             (step, kind): self._metrics.bound_histogram(
@@ -214,7 +222,9 @@
         self._peer_links = peer_links.PeerLinks(
             vm=settings.vm, secret=self._secret, counters=self._metrics
         )
-        self._upstream_pool = upstream_pool.UpstreamPool(counters=self._metrics)
+        self._upstream_pool = upstream_pool.UpstreamPool(
+            counters=self._metrics, budget=self._budget
+        )
 
     def _initial_record(self) -> model.NodeRecord:
         listen = self._settings.listen
@@ -348,6 +358,7 @@
             ),
             request_id_header=names.REQUEST_ID,
             pipeline_depth=self._routed.pipeline_depth,
+            budget=self._budget,
         )
         self._peers = peer_server.PeerServer(
             address=listen.peers,
@@ -356,6 +367,7 @@
             log=connection_log.ConnectionLog(
                 place="peers", counters=self._metrics
             ),
+            budget=self._budget,
         )
         ops = ops_api.OpsApi(
             counters=self._metrics,
@@ -374,6 +386,9 @@
                 log=connection_log.ConnectionLog(
                     place=place, counters=self._metrics
                 ),
+                connection_limit=LOCAL_CONNECTION_LIMIT,
+                budget=self._budget,
+                body_limit=HEARTBEAT_LIMIT,
             )
             for place, address, handler in (
                 ("readiness", listen.readiness, readiness.handle),
@@ -488,6 +503,7 @@
         self._metrics.gauge("requests_in_progress", self._in_progress)
         self._metrics.gauge("connections", self._callers.connections)
         self._metrics.gauge("requests_overlapping", self._callers.overlapping)
+        self._metrics.gauge("held_bytes", self._budget.held)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts the controllers, then the listeners."""
--- a/src/sassafrashall/transport/frames.py
+++ b/src/sassafrashall/transport/frames.py
@@ -26,6 +26,9 @@
 # frame are fixed and an older build takes no further ones.
 URGENCY_HEADER = "sassafrashall-urgency"
 FRAME_LIMIT = 4 * 1024 * 1024  # bytes; request and response bodies are split
+# Bytes of a frame from a caller that has not authenticated itself: a name, a
+# proof or a secret.
+UNAUTHENTICATED_LIMIT = 4096
 _PREFIX = struct.Struct("!IB")  # length of the body, number of the type
 
 
@@ -281,6 +284,15 @@
         self._limit = limit
         self._data = bytearray()
 
+    @property
+    def size(self) -> int:
+        """Bytes of an incomplete frame that are held."""
+        return len(self._data)
+
+    def set_limit(self, limit: int) -> None:
+        """Changes the limit, also for the bytes that are held."""
+        self._limit = limit
+
     @property
     def is_empty(self) -> bool:
         """Whether no part of an incomplete frame is held."""
--- a/src/sassafrashall/transport/request_body.py
+++ b/src/sassafrashall/transport/request_body.py
@@ -16,15 +16,23 @@
 class RequestBody:
     """The rest of a request's body, read from its connection on demand."""
 
-    def __init__(self, *, next_event: EventSource, limit: int) -> None:
+    def __init__(
+        self,
+        *,
+        next_event: EventSource,
+        on_part: Callable[[int], None],
+        limit: int,
+    ) -> None:
         """Creates a body of at most `limit` bytes.
 
         Args:
           next_event: Waits for the next event of the connection; returns None
             after a disconnect.
+          on_part: Called with the size of each part that was read.
           limit: Bytes.
         """
         self._next_event = next_event
+        self._on_part = on_part
         self._remaining_limit = limit
         self.ended = False
         # Cancels the read of the task that uploads the body.
@@ -85,6 +93,7 @@
                     raise exceptions.ProtocolError(
                         exceptions.BODY_TOO_LARGE, "the body is too large"
                     )
+                self._on_part(len(data))
                 return data
             case http1.MessageEnd():
                 self.ended = True
