--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -13,15 +13,21 @@
 import pytest
 import trio
 
+from sassafrashall import clock
 from sassafrashall import configuration
 from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import model
+from sassafrashall import protocol
 from sassafrashall.decisions import memory_limits
+from sassafrashall.transport import codec
+from sassafrashall.transport import frames
 from sassafrashall.transport import http1
 from sassafrashall.transport import http_server
 from sassafrashall.transport import memory_budget
+from sassafrashall.transport import peer_server
+from sassafrashall.transport import rpc
 from sassafrashall.transport import stream_server
 from tests import fakes
 from tests import loopback
@@ -414,3 +420,141 @@
     with contextlib.suppress(trio.BrokenResourceError):
         await _send(address, data)
         await trio.sleep_forever()
+
+
+@contextlib.asynccontextmanager
+async def _peers(budget, log):
+    async def handle(request):
+        return model.Answer(
+            response=model.Response(status=200, headers=(), body=b"")
+        )
+
+    address = loopback.free_address()
+    server = peer_server.PeerServer(
+        address=address,
+        handler=handle,
+        compute_proof=lambda vm: b"proof",
+        log=log,
+        budget=budget,
+    )
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        yield address
+        nursery.cancel_scope.cancel()
+
+
+def _open_call(number, *, lines=0, body=b""):
+    return frames.encode(
+        frames.OpenCall(
+            call=number,
+            call_id="c",
+            root_id="r",
+            service="alpha",
+            organisation="",
+            caller="",
+            priority=1,
+            remaining_ms=1000,
+            depth=0,
+            idempotent=True,
+            confirm=False,
+            method="GET",
+            target="/",
+            headers=(("a", ""),) * lines,
+            body=body,
+            more=False,
+        )
+    )
+
+
+async def _closes(stream):
+    """Returns whether the other side closes within two seconds."""
+    with trio.move_on_after(2.0):
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some(1000):
+                pass
+        return True
+    return False
+
+
+# Before it has authenticated itself, a client could make the process hold 4 MB.
+async def test_an_unknown_node_can_not_send_a_long_frame():
+    log = fakes.ConnectionLog()
+    async with _peers(memory_budget.MemoryBudget(), log) as address:
+        hello = frames.encode(frames.Hello(vm="vm-a", proof=b"proof"))
+        long_call = _open_call(1, body=b"x" * 8000)
+        unknown = await _send(address, long_call)
+        assert await _closes(unknown)
+        known = await _send(address, hello + long_call)
+        assert await known.receive_some(1000)
+
+
+# Guards against silent connections that take the places of the other nodes.
+async def test_a_node_that_sends_no_proof_is_disconnected(monkeypatch):
+    monkeypatch.setattr(peer_server, "HELLO_TIMEOUT", 0.3)
+    log = fakes.ConnectionLog()
+    async with _peers(memory_budget.MemoryBudget(), log) as address:
+        hello = frames.encode(frames.Hello(vm="vm-a", proof=b"proof"))
+        silent = await _send(address, b"")
+        wrong = await _send(
+            address, frames.encode(frames.Hello(vm="vm-a", proof=b"other"))
+        )
+        known = await _send(address, hello)
+        assert await _closes(silent)
+        assert await _closes(wrong)
+        await known.send_all(_open_call(1))
+        assert await known.receive_some(1000)
+
+
+# Nodes may forward costly heads to one upstream, each within its own budget.
+async def test_a_costly_call_is_refused_as_not_run_without_room():
+    budget = memory_budget.MemoryBudget(memory_mb=64)
+    log = fakes.ConnectionLog()
+    async with _peers(budget, log) as address:
+        hello = frames.encode(frames.Hello(vm="vm-a", proof=b"proof"))
+        account = budget.open(memory_budget.keep)
+        account.hold_input(LIMIT - 100_000)
+        stream = await _send(address, hello + _open_call(1, lines=4000))
+        buffer = frames.FrameBuffer()
+        (refusal,) = buffer.feed(await stream.receive_some(1000))
+        assert isinstance(refusal, frames.RefuseCall)
+        assert refusal.run == model.RunState.NOT_RUN
+        await stream.send_all(_open_call(2, lines=10))
+        (answer,) = buffer.feed(await stream.receive_some(1000))
+        assert isinstance(answer, frames.AnswerCall)
+        assert budget.held == LIMIT - 100_000
+
+
+# Before it has identified itself, a client could make a control hold 64 MB.
+async def test_an_unknown_caller_can_not_send_a_long_message():
+    async def handle(message, caller):
+        return protocol.Ack()
+
+    address = loopback.free_address()
+    server = rpc.RpcServer(
+        address=address,
+        handler=handle,
+        secrets={"p": rpc.Caller.PROCESS},
+        hybrid_clock=clock.HybridClock(),
+    )
+    call = frames.encode(
+        frames.RemoteCall(
+            stamp="1.0",
+            compressed=False,
+            data=codec.encode(protocol.Ping()) + b"x" * 8000,
+        )
+    )
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        for secret, status in (
+            ("wrong", "unauthenticated"),
+            # The message is read whole, and is malformed.
+            ("p", "aborted"),
+        ):
+            identify = frames.encode(frames.Identify(secret=secret))
+            stream = await _send(address, identify + call)
+            with contextlib.suppress(trio.BrokenResourceError):
+                (failure,) = frames.FrameBuffer().feed(
+                    await stream.receive_some(1000)
+                )
+                assert failure.status == status
+        nursery.cancel_scope.cancel()
