--- a/src/sassafrashall/transport/pipeline.py
+++ b/src/sassafrashall/transport/pipeline.py
@@ -8,6 +8,7 @@
 
 from sassafrashall import fiber
 from sassafrashall import model
+from sassafrashall.decisions import memory_limits
 from sassafrashall.decisions import pipelining
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
@@ -20,6 +21,10 @@
       overlaps: Whether it may run beside other requests of its connection.
       fiber: Handles the request; None if the connection's task does.
       send_scope: Cancels the task that sends what would block the fiber.
+      forwarded: Whether the handler has got the request.
+      cost: Estimated bytes of memory until the end of the request.
+      buffered: Estimated bytes of the part of the body that was read before the
+        handler got the request.
       handled: Whether the fiber has ended.
       response: The response while it waits to be sent.
       streams: Whether the response is streamed.
@@ -30,6 +35,9 @@
         self.overlaps = overlaps
         self.fiber: fiber.Fiber | None = None
         self.send_scope: trio.CancelScope | None = None
+        self.forwarded = False
+        self.cost = head.cost
+        self.buffered = 0
         self.handled = False
         self.response: model.Response | None = None
         self.streams = False
@@ -39,6 +47,11 @@
         """Whether its response may be sent, and no task sends it yet."""
         return self.handled and self.send_scope is None
 
+    def count_part(self, size: int) -> None:
+        """Counts a part of the body of `size` bytes that was read."""
+        if not self.forwarded:
+            self.buffered += size + memory_limits.PART_COST
+
     def cancel(self) -> None:
         """Cancels the request, since nobody waits for its response."""
         if self.fiber is not None:
@@ -90,6 +103,11 @@
         """The exchange that was started last; None if there is none."""
         return self._exchanges[-1] if self._exchanges else None
 
+    @property
+    def has_forwarded(self) -> bool:
+        """Whether the handler has got a request that is not answered."""
+        return any(exchange.forwarded for exchange in self._exchanges)
+
     @property
     def waiting_bytes(self) -> int:
         """Bytes in memory of responses that wait for those before them."""
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -21,6 +21,7 @@
 from sassafrashall.transport import http
 from sassafrashall.transport import http1
 from sassafrashall.transport import listener
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import pipeline
 from sassafrashall.transport import request_body
 from sassafrashall.transport import responses
@@ -29,12 +30,21 @@
 # Seconds to discard what follows a response that closes the connection: the
 # rest of a body, or further requests.
 LINGER_TIME = 1.0
-# Bytes of one read while heads are expected on a connection with pipelining; it
-# bounds the requests that are parsed ahead of those that run.
-HEAD_READ_SIZE = 4096
 REJECT_TIMEOUT = 1.0  # seconds to send the response to invalid input
 SWEEP_INTERVAL = 0.2  # seconds between checks for disconnects and timeouts
 CONNECTION_LIMIT = 3000  # leaves descriptors for peers and the upstream
+# Bytes of one read, at most, while the head of a request is awaited; on a
+# connection with pipelining, or while a request is in progress, the smaller
+# size bounds what is read ahead, which can't be dropped.
+HEAD_RECEIVE_SIZE = 16 * 1024
+HEAD_READ_SIZE = 4 * 1024
+# Connections closed at once if a further one arrives at a full listener, and
+# the seconds until more are closed. 640 a second are as many as an ordinary
+# node serves requests.
+ROOM = 64
+ROOM_INTERVAL = 0.1
+# Seconds for which a connection may send no whole head, at a full listener.
+MIN_UNUSED_TIME = 1.0
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 LimitsSource = Callable[[], configuration.Limits]
@@ -63,8 +73,10 @@
         log: connection_log.ConnectionLog,
         request_id_header: str,
         requests: pipeline.Pipeline,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self._stream = stream
+        self._memory = budget.open(self._try_remove)
         self._log = log
         self._request_id_header = request_id_header
         self._handler = handler
@@ -83,6 +95,9 @@
         self._arrived_at = 0.0
         # Raised once the requests before the invalid input are taken.
         self._input_error: exceptions.ProtocolError | None = None
+        # Whether a request has been started on this connection.
+        self._has_served = False
+        self.opened_at = clock.monotonic()
         # Whether all input received so far is handled, so that the task waits
         # for more.
         self._awaits_input = True
@@ -106,6 +121,10 @@
             if reason in (
                 connection_log.Reason.ANNOUNCED,
                 connection_log.Reason.BAD_INPUT,
+            ) or (
+                # Refused with a response, in contrast to a removal.
+                reason is connection_log.Reason.MEMORY
+                and not self._scope.cancel_called
             ):
                 await self._discard_unread_input()
         except (OSError, trio.ClosedResourceError):
@@ -120,6 +139,7 @@
             self._parser.close()
             # Its traceback refers to this connection.
             self._input_error = None
+            self._memory.close()
             self._log_closure(reason, unanswered)
 
     async def _discard_unread_input(self) -> None:
@@ -131,6 +151,8 @@
         if self._pipeline.depth == 1:
             return
         self._parser.close()
+        # What follows is not kept.
+        self._memory.close()
         with trio.move_on_after(LINGER_TIME):
             self._stream.end_sending()
             while await self._stream.receive(http.RECEIVE_SIZE):
@@ -231,6 +253,25 @@
         """Closes the connection, whose caller does not take its answer."""
         self._close(connection_log.Reason.STALLED)
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether no request has come on this connection."""
+        return not self._has_served
+
+    def close_unused(self) -> None:
+        """Closes the connection in favour of one that has just arrived."""
+        self._closing = True
+        self._close(connection_log.Reason.FULL)
+
+    def _try_remove(self) -> bool:
+        """Closes the connection for lack of memory; see `MemoryBudget.open`."""
+        if self._pipeline.has_forwarded:
+            return False
+        self._closing = True
+        self._close(connection_log.Reason.MEMORY)
+        self._parser.close()
+        return True
+
     def _close_unless_input(
         self, reason: connection_log.Reason, idle: float, delay: float
     ) -> None:
@@ -256,11 +297,13 @@
           ProtocolError: The caller sent invalid HTTP.
         """
         while True:
-            event = self._parser.next_event()
+            event = self._next_parsed()
             if event is not None:
+                _count_event(self._memory, self._parser, event)
                 return event
             if self._input_error is not None:
                 raise self._input_error
+            _count_input(self._memory, self._parser, self._pipeline.last)
             self._awaits_input = True
             try:
                 data = await self._stream.receive(self._read_size())
@@ -272,22 +315,41 @@
             if not self._pipeline.is_reading_body:
                 # These bytes belong to a request that may have to wait for
                 # others. Nothing more is read until then.
+                if self._pipeline.first is not None:
+                    self._memory.hold_input(self._parser.held + len(data))
                 await self._wait_for_turn(overlaps=True)
+                if self._closing:
+                    return None
             self._parse(data)
 
     def _read_size(self) -> int:
-        if self._pipeline.depth > 1 and not self._pipeline.is_reading_body:
-            return HEAD_READ_SIZE
-        return http.RECEIVE_SIZE
+        """Returns how many bytes may be read at once."""
+        if self._pipeline.is_reading_body:
+            return http.RECEIVE_SIZE
+        if self._pipeline.depth == 1 and self._pipeline.first is None:
+            return HEAD_RECEIVE_SIZE
+        return HEAD_READ_SIZE
+
+    def _next_parsed(self) -> http1.Event | None:
+        """Returns the next event; None if there is none yet."""
+        try:
+            return self._parser.next_event()
+        except exceptions.ProtocolError as error:
+            self._keep_error(error)
+        # Events of valid requests before the invalid bytes.
+        return self._parser.next_event()
+
+    def _keep_error(self, error: exceptions.ProtocolError) -> None:
+        """Keeps an error until the valid requests before it are served."""
+        if self._pipeline.depth == 1:
+            raise error
+        self._input_error = error
 
     def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed(data)
         except exceptions.ProtocolError as error:
-            if self._pipeline.depth == 1:
-                raise
-            # Valid requests before the invalid bytes are served.
-            self._input_error = error
+            self._keep_error(error)
         if (
             isinstance(self._activity, connection_lifetime.Idle)
             and self._parser.head_incomplete
@@ -340,6 +402,7 @@
             )
         exchange = pipeline.Exchange(head=head, overlaps=overlaps)
         self._pipeline.add(exchange)
+        self._has_served = True
         self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
         if self._pipeline.depth > 1:
@@ -348,9 +411,16 @@
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         rest = request_body.RequestBody(
-            next_event=self.next_event, limit=body_limit
+            next_event=self.next_event,
+            on_part=exchange.count_part,
+            limit=body_limit,
         )
         body = await http.read_buffered_part(rest)
+        _count_body(self._memory, self._parser, exchange, body)
+        if self._closing:
+            # Removed for lack of memory while the body was counted.
+            return
+        exchange.forwarded = True
         request = http.RawRequest(
             method=head.method,
             target=head.target,
@@ -482,6 +552,7 @@
         if self._pipeline.first is not exchange:
             return
         self._pipeline.remove_first()
+        self._memory.release(exchange.cost)
         if self._pipeline.first is None:
             self._activity = self._activity_between_requests()
         if close_reason is not None:
@@ -522,9 +593,13 @@
             await self._pipeline.wait_for_change()
         if self._closing:
             return
-        self._close_reason = connection_log.Reason.BAD_INPUT
+        self._close_reason = _reason_of(error)
         response = codec.encode_refusal(
-            model.Refuse(code=error.code, detail=str(error))
+            model.Refuse(
+                code=error.code,
+                detail=str(error),
+                retry_after_s=_retry_after(error),
+            )
         )
         head = http1.encode_response_head(
             response.status, response.headers, len(response.body), True
@@ -546,6 +621,63 @@
                 return
 
 
+def _count_event(
+    account: memory_budget.Account,
+    parser: http1.RequestParser,
+    event: http1.Event,
+) -> None:
+    """Counts a head that is taken, and the input that is left.
+
+    Raises:
+      ProtocolError: There is no memory for the request.
+    """
+    if type(event) is http1.RequestHead:
+        account.hold_input(parser.held)
+        account.admit(event.cost)
+
+
+def _count_input(
+    account: memory_budget.Account,
+    parser: http1.RequestParser,
+    exchange: pipeline.Exchange | None,
+) -> None:
+    """Counts the input that waits for more, with the body of `exchange`."""
+    held = parser.held
+    if exchange is not None and not exchange.forwarded:
+        held += exchange.buffered
+    account.hold_input(held)
+
+
+def _count_body(
+    account: memory_budget.Account,
+    parser: http1.RequestParser,
+    exchange: pipeline.Exchange,
+    body: bytes,
+) -> None:
+    """Counts the body of a request that is handled now.
+
+    Raises:
+      ProtocolError: There is no memory for the request.
+    """
+    if body:
+        exchange.buffered = 0
+        account.hold_input(parser.held)
+        account.admit(len(body))
+        exchange.cost += len(body)
+
+
+def _reason_of(error: exceptions.ProtocolError) -> connection_log.Reason:
+    """Returns why a connection is closed after an error in its input."""
+    if error.code == exceptions.MEMORY_SHORT:
+        return connection_log.Reason.MEMORY
+    return connection_log.Reason.BAD_INPUT
+
+
+def _retry_after(error: exceptions.ProtocolError) -> float:
+    """Returns the seconds until a refused request may be tried again."""
+    return 1.0 if error.code == exceptions.MEMORY_SHORT else 0.0
+
+
 def _close_reason_after(
     complete: bool, closes: bool
 ) -> connection_log.Reason | None:
@@ -573,6 +705,7 @@
         log: connection_log.ConnectionLog | None = None,
         request_id_header: str = "",
         pipeline_depth: int = 1,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         """Creates the server.
 
@@ -586,6 +719,8 @@
             request in the log.
           pipeline_depth: Requests of one connection that may run at the same
             time.
+          budget: Bounds the memory of what is received; None for one of its
+            own.
         """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
         self._log = log or connection_log.ConnectionLog(place=source.value)
@@ -595,6 +730,8 @@
         self._limits = limits
         self._pipeline_depth = pipeline_depth
         self._overlap = pipeline.Overlap()
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._made_room_at = 0.0
 
     @property
     def overlapping(self) -> int:
@@ -619,8 +756,25 @@
             requests=pipeline.Pipeline(
                 depth=self._pipeline_depth, overlap=self._overlap
             ),
+            budget=self._budget,
         )
 
+    def _make_room(self) -> None:
+        """Closes connections without a request, those longest open first."""
+        now = clock.monotonic()
+        if now - self._made_room_at < ROOM_INTERVAL:
+            return
+        self._made_room_at = now
+        unused = [
+            connection
+            for connection in self._connections
+            if connection.awaits_first_request
+            and now - connection.opened_at >= MIN_UNUSED_TIME
+        ]
+        unused.sort(key=lambda connection: connection.opened_at)
+        for connection in unused[:ROOM]:
+            connection.close_unused()
+
     async def _sweep(self) -> None:
         """Checks all connections from time to time."""
         while True:
