Evacuation: the end counts from the tick that takes the upstream for cold

Cause: admission opened with the view without the data centre, up to 0.5 s before the tick that takes the upstream for cold. Change: the gate blocks until the next tick after the end. The test that admits after an evacuation waits for that tick; before, it asked at once.

--- a/src/sassafrashall/controllers/evacuation_gate.py
+++ b/src/sassafrashall/controllers/evacuation_gate.py
@@ -45,13 +45,18 @@
         self._logged_block: evacuation.Block | None = None
 
     def find_block(self, now: float) -> evacuation.Block | None:
-        """Returns why the upstream gets no request; None if it may get one."""
+        """Returns why the upstream gets no request; None if it may get one.
+
+        The end of an evacuation counts from the next tick on, which also tells
+        the caller that the upstream may be cold.
+        """
         view = self._view.value
-        if not view.evacuated and not self._contact.bound_s:
+        is_evacuated = self._was_evacuated or self._is_evacuated()
+        if not is_evacuated and not self._contact.bound_s:
             return None
         return evacuation.block(
             self._contact,
-            evacuated=self._data_centre in view.evacuated,
+            evacuated=is_evacuated,
             proven_at=view.fresh_at,
             now=now,
         )
@@ -72,6 +77,11 @@
           Whether an evacuation of the data centre has ended.
         """
         self._contact = evacuation.on_tick(self._contact, now)
+        is_evacuated = self._is_evacuated()
+        has_ended = self._was_evacuated and not is_evacuated
+        if is_evacuated != self._was_evacuated:
+            self._metrics.gauge("evacuated", int(is_evacuated))
+        self._was_evacuated = is_evacuated
         block = self.find_block(now)
         if block is not self._logged_block:
             logs.get().info(
@@ -81,9 +91,7 @@
                 extra={"reason": block.value if block else ""},
             )
             self._logged_block = block
-        is_evacuated = block is evacuation.Block.EVACUATED
-        has_ended = self._was_evacuated and not is_evacuated
-        if is_evacuated != self._was_evacuated:
-            self._metrics.gauge("evacuated", int(is_evacuated))
-        self._was_evacuated = is_evacuated
         return has_ended
+
+    def _is_evacuated(self) -> bool:
+        return self._data_centre in self._view.value.evacuated
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -300,10 +300,30 @@
         assert load.value == admission.OPEN_BREAKER_LOAD
         controller.mailbox.tell(messages.SlotReleased(latency=0.1))
         view.publish(model.NodeView(evacuated=frozenset({"dc-b"})))
+        # The end counts from the next tick on if a tick saw the evacuation.
+        await trio.sleep(evacuation_gate.TICK_INTERVAL + 0.1)
         again = await controller.mailbox.ask(_admit("again"))
         assert isinstance(again, messages.Admitted)
 
 
+# Guards against requests to an upstream that may be cold, between the view
+# without the evacuation and the tick that takes the upstream for cold.
+def test_the_end_of_an_evacuation_counts_from_the_next_tick():
+    view = mailbox.Published(
+        initial=model.NodeView(evacuated=frozenset({"dc-a"}))
+    )
+    gate = evacuation_gate.EvacuationGate(
+        data_centre="dc-a", bound=0.0, view=view, counters=fakes.counters()
+    )
+    assert not gate.on_tick(START)
+    view.publish(model.NodeView())
+    assert gate.find_block(START + 0.1) is evacuation.Block.EVACUATED
+    assert gate.check_before_send()
+    assert gate.on_tick(START + 0.5)
+    assert gate.find_block(START + 0.5) is None
+    assert not gate.on_tick(START + 1.0)
+
+
 async def test_a_node_that_starts_sends_nothing_until_its_state_is_proven():
     async with _admission(bound=BOUND) as (controller, view, _):
         refused = await controller.mailbox.ask(_admit("early"))
