Cold upstreams: two heartbeats end the doubt after an evacuation

Cause: a heartbeat that was sent before the end of an evacuation and arrived late ended the doubt, so that a cold upstream got requests without its bound. Change: two heartbeats of the same run are needed, as after a refused connection; the constant is HEARTBEATS_AFTER_DOUBT for both.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -214,6 +214,11 @@
         if self._cold_gate is not None:
             self._cold_gate.on_event(event, now)
 
+    def _doubt_warmth(self, now: float) -> None:
+        """Takes the upstream for cold until its heartbeats say otherwise."""
+        event = cold_rate.Doubted(heartbeats=cold_gates.HEARTBEATS_AFTER_DOUBT)
+        self._tell_cold_gate(event, now)
+
     def _may_send_cold(self, now: float) -> bool:
         """Returns whether the upstream isn't cold, or may get a request."""
         return self._cold_gate is None or self._cold_gate.may_send(now)
@@ -226,7 +231,7 @@
         assert self._evacuation_gate is not None
         if self._evacuation_gate.on_tick(now):
             # It had no requests for a while and may have become cold.
-            self._tell_cold_gate(cold_rate.Doubted(heartbeats=1), now)
+            self._doubt_warmth(now)
         self._refuse_blocked(now)
 
     def _refuse_blocked(self, now: float) -> None:
@@ -409,10 +414,7 @@
         if message.unsent:
             self._tell_cold_gate(cold_rate.Unsent(), now)
         if message.refused:
-            event = cold_rate.Doubted(
-                heartbeats=cold_gates.HEARTBEATS_AFTER_REFUSAL
-            )
-            self._tell_cold_gate(event, now)
+            self._doubt_warmth(now)
         if self._limit_state is not None:
             if message.shed:
                 self._limit_state = limits.on_shed(
--- a/src/sassafrashall/controllers/cold_gate.py
+++ b/src/sassafrashall/controllers/cold_gate.py
@@ -11,8 +11,9 @@
 from sassafrashall.decisions import route_table
 
 # Heartbeats of the same run that are needed after its address refused a
-# connection. The first one may have been sent before the process ended.
-HEARTBEATS_AFTER_REFUSAL = 2
+# connection, or after the end of an evacuation. The first one may have been
+# sent before that.
+HEARTBEATS_AFTER_DOUBT = 2
 
 
 class ColdGate:
