Node membership: drop the relative run times of another control

Cause: a control takes back only what it told itself, so that a relative run time told by a control that the node left stayed for ever. Change: times told by another directory source are dropped with its first reply.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -424,6 +424,13 @@
         )
         if not self._directory_source:
             self._outrank_record_before(answer)
+        # Each control tells again only of the upstreams that it told of, so
+        # that another one never takes back what this one told.
+        told_before = (
+            self._summary.value.relative_times
+            if answer.directory_source == self._directory_source
+            else {}
+        )
         records = self._merge_records(view.records, answer)
         self._summary.publish(
             spillover.summarize(
@@ -432,7 +439,7 @@
                 {
                     vm: relative_time
                     for vm, relative_time in {
-                        **self._summary.value.relative_times,
+                        **told_before,
                         **answer.relative_times,
                     }.items()
                     if vm in records
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -233,3 +233,34 @@
             )
             while directory.entries["a"].record.upstream is None:
                 await membership.view.wait_changed()
+
+
+# Guards against an upstream that counts as slow for ever: the control that told
+# so is gone, and the next one tells only of those that it told of itself.
+async def test_relative_run_times_of_another_control_are_dropped():
+    answers = {
+        "complete": True,
+        "entries": tuple(
+            protocol.DirectoryEntry(record=fakes.node_record(vm=vm), age=0.0)
+            for vm in ("a", "b")
+        ),
+    }
+    link, membership = _membership(
+        fakes.event_log(),
+        lambda message, reply: (
+            dataclasses.replace(reply, **answers)
+            if isinstance(message, messages.CallControl)
+            else None
+        ),
+    )
+    async with fakes.started(link, membership):
+        for source, told, expected in [
+            ("control-1", {"a": 2.0}, {"a": 2.0}),
+            ("control-1", {"b": 0.5}, {"a": 2.0, "b": 0.5}),
+            ("control-2", {"b": 0.6}, {"b": 0.6}),
+            ("control-3", {}, {}),
+        ]:
+            answers |= {"directory_source": source, "relative_times": told}
+            with trio.fail_after(1):
+                while membership.summary.value.relative_times != expected:
+                    await membership.summary.wait_changed()
