Routing: loads of blocked upstreams are no demand

Cause: an upstream with an open breaker, or in a data centre that is or may be evacuated, reports a load of 4,000. It counted in the means and the slots of its data centre, so that calls left one with room. Change: such reports (routing.BLOCKED_LOAD) are left out of the rooms, the usual load and the load seen near. A queue of just that load reports one less. Result: tests of evacuation, fleet directory, admission, routing and spillover pass; the new tests failed before.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -30,9 +30,6 @@
 
 FAIR_SHARE_THRESHOLD = 0.5  # fraction of the limit in use; see _admit
 TICK_INTERVAL = 0.02  # seconds between checks of the queue and the level
-# Load reported while the breaker is open or the upstream gets no requests for
-# another reason, above that of a busy upstream.
-OPEN_BREAKER_LOAD = 4 * routing.LOAD_SCALE
 COLD_DETAIL = "the upstream is cold and gets no more requests now"
 
 
@@ -259,15 +256,16 @@
         if self._limit_state is None:
             return routing.LOAD_SCALE
         if is_blocked or not self._breaker.is_closed:
-            return OPEN_BREAKER_LOAD
+            return routing.BLOCKED_LOAD
         demand = self._in_flight + len(self._queue.items)
         load = (
             routing.LOAD_SCALE * demand // max(1, int(self._limit_state.limit))
         )
-        if self._cold_gate is None or not self._cold_gate.is_bound:
-            return load
-        cold_load = routing.LOAD_SCALE * self._cold_gate.used_fraction(now)
-        return max(load, int(cold_load))
+        if self._cold_gate is not None and self._cold_gate.is_bound:
+            cold_load = routing.LOAD_SCALE * self._cold_gate.used_fraction(now)
+            load = max(load, int(cold_load))
+        # A long queue is not reported as a blocked upstream.
+        return load - 1 if load == routing.BLOCKED_LOAD else load
 
     def _on_upstream_update(
         self, upstream: model.Upstream | None, now: float
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -27,6 +27,7 @@
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import routing
 from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import rpc
@@ -378,7 +379,10 @@
     def _compute_rooms(
         self, fleet: demand_decisions.Demand
     ) -> tuple[spillover.Room, ...]:
-        """Returns the rooms of the ready upstreams that report their load."""
+        """Returns the rooms of the ready upstreams that report their load.
+
+        Those that get no requests are no room, and their load is no demand.
+        """
         upstreams = []
         for vm, entry in self._directory.entries.items():
             upstream, load = entry.record.upstream, self._loads.get(vm)
@@ -388,6 +392,7 @@
                 upstream is not None
                 and upstream.state is model.UpstreamState.READY
                 and load.load >= 0
+                and load.load != routing.BLOCKED_LOAD
             ):
                 upstreams.append(
                     (
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -399,7 +399,7 @@
             for record in self._by_service.get(service, ())
             if record.data_centre == self._data_centre
             and (seen := self._seen_loads.get(record.vm)) is not None
-            and seen.age(now) <= routing.LOAD_TTL
+            and _shows_demand(seen, now)
         ]
         open_to = frozenset(
             record.data_centre
@@ -598,7 +598,7 @@
             seen.load
             for record in self._by_service.get(service, ())
             if (seen := self._seen_loads.get(record.vm)) is not None
-            and seen.age(now) <= routing.LOAD_TTL
+            and _shows_demand(seen, now)
         ]
         rooms = self._summary.value.rooms_of(service, now)
         if rooms:
@@ -840,3 +840,9 @@
             )
             self._metrics.count("retries", service=message.call.service)
         return allowed
+
+
+def _shows_demand(seen: completion.SeenLoad, now: float) -> bool:
+    """Returns whether a load is recent and that of an upstream in use."""
+    blocked = routing.BLOCKED_LOAD / routing.LOAD_SCALE
+    return seen.age(now) <= routing.LOAD_TTL and seen.load != blocked
--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -17,6 +17,10 @@
 RAMP_TIME = 3.0  # seconds until a new upstream gets its full share
 RAMP_START = 0.25  # fraction of its share that a new upstream gets first
 LOAD_SCALE = 1000  # loads are sent as integers, in units of 1/LOAD_SCALE
+# Load reported for an upstream that gets no requests: its breaker is open, or
+# its data centre is or may be evacuated. It is above that of a busy upstream,
+# and says nothing about the demand.
+BLOCKED_LOAD = 4 * LOAD_SCALE
 LATENCY_WEIGHT = 0.1  # weight of the latest answer in the smoothed latency
 LATENCY_TTL = 2.0  # seconds until a latency estimate is stale
 MIN_LATENCY = 0.005  # seconds; differences below it are noise
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -26,6 +26,7 @@
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import route_table
+from sassafrashall.decisions import routing as routing_decisions
 from sassafrashall.transport import codec
 from sassafrashall.transport import snapshots
 from tests import fakes
@@ -302,7 +303,7 @@
                     await trio.sleep(0.01)
         refused.append(await controller.mailbox.ask(_admit("new")))
         assert [r.code for r in refused] == [exceptions.NO_UPSTREAM] * 2
-        assert load.value == admission.OPEN_BREAKER_LOAD
+        assert load.value == routing_decisions.BLOCKED_LOAD
         controller.mailbox.tell(messages.SlotReleased(latency=0.1))
         view.publish(model.NodeView(evacuated=frozenset({"dc-b"})))
         # The end counts from the next tick on if a tick saw the evacuation.
@@ -372,6 +373,20 @@
             assert gate.is_cold(clock.monotonic()) == is_cold
 
 
+# Guards against a long queue that is left out of the demand, since its load is
+# that of an upstream that gets no requests.
+async def test_a_queue_is_not_reported_as_a_blocked_upstream():
+    async with (
+        _admission() as (controller, _, load),
+        trio.open_nursery() as nursery,
+    ):
+        for number in range(4):
+            nursery.start_soon(controller.mailbox.ask, _admit(f"call-{number}"))
+        await trio.testing.wait_all_tasks_blocked()
+        assert load.value == routing_decisions.BLOCKED_LOAD - 1
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_node_that_starts_sends_nothing_until_its_state_is_proven():
     async with _admission(bound=BOUND) as (controller, view, _):
         refused = await controller.mailbox.ask(_admit("early"))
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -17,6 +17,7 @@
 from sassafrashall.decisions import demand
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import routing
 from sassafrashall.decisions import spillover
 from sassafrashall.transport import rpc
 from tests import fakes
@@ -254,7 +255,7 @@
 
 
 # Guards against nodes that know nothing of the load of other data centres, or
-# take an upstream for room that is drained or doesn't tell its load.
+# take an upstream for room that is drained, blocked or doesn't tell its load.
 async def test_heartbeats_are_told_the_load_of_each_data_centre(now):
     async with _directory(now) as directory:
         for heartbeat in (
@@ -263,6 +264,7 @@
             _loaded("vm-c", "y", 250),
             _loaded("vm-d", "y", 0, model.UpstreamState.DRAINING),
             _loaded("vm-e", "y", -1),
+            _loaded("vm-f", "y", routing.BLOCKED_LOAD),
         ):
             await directory.send(heartbeat)
         now[0] += 0.3
--- /dev/null
+++ b/tests/test_routing_controller.py
@@ -0,0 +1,112 @@
+"""What the routing controller takes from attempts and views."""
+
+from sassafrashall import clock
+from sassafrashall import mailbox
+from sassafrashall import messages
+from sassafrashall import model
+from sassafrashall import settings
+from sassafrashall.controllers import routing
+from sassafrashall.decisions import routing as decisions
+from sassafrashall.decisions import spillover
+from tests import fakes
+
+SERVICE = "s"
+
+
+class _Reply:
+    def __init__(self):
+        self.value = None
+
+    def put(self, value):
+        self.value = value
+
+
+class _Node:
+    """A node in data centre "x", with a clock of its own.
+
+    `upstreams` are data centres by VM.
+    """
+
+    def __init__(self, monkeypatch, upstreams, loads=None):
+        self.now = 100.0
+        monkeypatch.setattr(clock, "monotonic", lambda: self.now)
+        self.view = mailbox.Published(
+            initial=model.NodeView(
+                records={
+                    vm: fakes.node_record(
+                        vm=vm,
+                        data_centre=data_centre,
+                        upstream=model.Upstream(
+                            service=SERVICE,
+                            address=model.Address(host="127.0.0.1", port=1),
+                            slots=10,
+                            connection_limit=100,
+                            state=model.UpstreamState.READY,
+                        ),
+                    )
+                    for vm, data_centre in upstreams.items()
+                }
+            )
+        )
+        self.summary = mailbox.Published(initial=spillover.Summary())
+        if loads:
+            self.tell_loads(loads)
+        self.controller = routing.Routing(
+            vm="caller",
+            data_centre="x",
+            view=self.view,
+            policy=settings.Policy(routing="expected-completion"),
+            event_log=fakes.event_log(),
+            counters=fakes.counters(),
+            seed=1,
+            summary=self.summary,
+        )
+
+    def tell_loads(self, loads):
+        rooms = [
+            spillover.Room(
+                service=SERVICE,
+                data_centre=data_centre,
+                slots=20,
+                load=load,
+                run_s=0.1,
+            )
+            for data_centre, load in loads.items()
+        ]
+        self.summary.publish(spillover.summarize(rooms, self.now))
+
+    def choose(self, *avoid):
+        reply = _Reply()
+        self.controller._handle(
+            messages.ChooseUpstream(service=SERVICE, avoid=frozenset(avoid)),
+            reply,
+        )
+        return reply.value and reply.value.vm
+
+    def end(self, vm, result=messages.AttemptResult.INCONCLUSIVE, **fields):
+        self.controller._handle(
+            messages.AttemptEnded(
+                vm=vm, service=SERVICE, result=result, **fields
+            ),
+            _Reply(),
+        )
+
+
+# Guards against calls that leave a data centre with room, since one upstream
+# there gets no requests and reports the load of a blocked one.
+def test_a_blocked_upstream_is_no_demand(monkeypatch):
+    node = _Node(
+        monkeypatch,
+        {"x1": "x", "x2": "x", "y1": "y"},
+        {"x": 0.85, "y": 0.1},
+    )
+    chosen = set()
+    for _ in range(8):
+        node.end("x1", load=decisions.BLOCKED_LOAD)
+        node.end("x2", load=500)
+        for _ in range(20):
+            vm = node.choose()
+            chosen.add(vm)
+            node.end(vm, messages.AttemptResult.ANSWERED, latency=0.1)
+        node.now += 0.26
+    assert "y1" not in chosen
