Routing: a call refused by all upstreams here leaves only for room within reach

Cause: after all upstreams of the data centre were tried, a call went to one that can't be reached, or to one that is fuller than this. Change: data centres that can't be reached are left out while there is another; above ACCEPT_LOAD, only those with a lower load than here are taken.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -325,13 +325,21 @@
         tried = estimate(
             r for r in usable if r.data_centre == self._data_centre
         )
+        # With no other data centre within reach, any is better than none.
+        far_records = [
+            r
+            for r in far_records
+            if self._reach_of(r.data_centre).blocked_until <= now
+        ] or far_records
         if tried and routing.are_full(policy, tried):
             # A full data centre elsewhere would only refuse the call too.
+            bound = spillover.max_load_to_overflow(
+                comparison.loads.get(self._data_centre)
+            )
             far_records = [
                 r
                 for r in far_records
-                if comparison.loads.get(r.data_centre, 0.0)
-                < spillover.MAX_ACCEPT_LOAD
+                if comparison.loads.get(r.data_centre, 0.0) < bound
             ]
         choice = self._choose(estimate(far_records), attempts, now)
         if choice is not None and tried:
--- a/src/sassafrashall/decisions/spillover.py
+++ b/src/sassafrashall/decisions/spillover.py
@@ -58,6 +58,20 @@
     return min(MAX_ACCEPT_LOAD, ACCEPT_LOAD + ACCEPT_SLOPE * excess)
 
 
+def max_load_to_overflow(sender_load: float | None) -> float:
+    """Returns below which load others take a call refused by all upstreams.
+
+    Above `ACCEPT_LOAD` it is at most the load of the sender, so that two full
+    data centres don't swap load.
+
+    Args:
+      sender_load: Load of the data centre of the call; None if not known.
+    """
+    if sender_load is None:
+        return MAX_ACCEPT_LOAD
+    return min(MAX_ACCEPT_LOAD, max(ACCEPT_LOAD, sender_load))
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Room:
     """The upstreams of a service in one data centre.
--- a/tests/test_routing_controller.py
+++ b/tests/test_routing_controller.py
@@ -110,3 +110,55 @@
             node.end(vm, messages.AttemptResult.ANSWERED, latency=0.1)
         node.now += 0.26
     assert "y1" not in chosen
+
+
+def _use_up_near(node):
+    """Lets the upstream here refuse, so that it counts as full."""
+    node.end("x1", load=950)
+    node.now += 0.3  # The comparison of the upstreams is made again.
+    node.end("x1", load=950)
+
+
+# Guards against calls that go on to fail at a data centre that can't be reached
+# while another one can.
+def test_after_all_upstreams_here_a_blocked_data_centre_is_avoided(monkeypatch):
+    loads = {"x": 1.2, "y": 0.1, "z": 0.9}
+    # One failure of each upstream ejects none of them.
+    others = [f"y{number}" for number in range(spillover.FAILURES_TO_BLOCK)]
+    node = _Node(
+        monkeypatch, {"x1": "x", "z1": "z"} | dict.fromkeys(others, "y"), loads
+    )
+    _use_up_near(node)
+    for vm in others:
+        node.end(vm, load=0)
+    node.end("z1", load=900)
+    assert node.choose("x1") in others
+    for vm in others:
+        node.end(vm, messages.AttemptResult.CONNECTION_FAILED)
+    assert node.choose("x1") == "z1"
+    node.view.publish(
+        model.NodeView(
+            records={
+                vm: record
+                for vm, record in node.view.value.records.items()
+                if vm != "z1"
+            }
+        )
+    )
+    assert node.choose("x1") in others
+
+
+# Guards against two full data centres that swap load.
+def test_after_all_upstreams_here_none_with_a_higher_load_is_chosen(
+    monkeypatch,
+):
+    for load_here, load_there, vm in (
+        (0.95, 1.0, "x1"),
+        (0.95, 0.9, "y1"),
+        # A burst that no summary shows yet.
+        (0.0, 0.0, "y1"),
+    ):
+        loads = {"x": load_here, "y": load_there}
+        node = _Node(monkeypatch, {"x1": "x", "y1": "y"}, loads)
+        _use_up_near(node)
+        assert node.choose("x1") == vm
