Cold upstreams: the newest heartbeat is applied before a request is granted

Cause: the state of a new run and its heartbeat reach admission by two tasks. With the state first, requests were granted by the heartbeats of the run before. Change: the gate applies the published heartbeat when it is asked, each once, as it does with the configuration.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -53,8 +53,6 @@
 class _HeartbeatHeard:
     """A heartbeat of the upstream may change whether it is cold."""
 
-    heartbeat: cold_rate.Heartbeat | None
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _EvacuationTick:
@@ -150,10 +148,9 @@
     async def _follow_heartbeats(
         self, published: mailbox.Published[cold_rate.Heartbeat | None]
     ) -> None:
-        heartbeat = published.value
         while True:
-            self.mailbox.tell(_HeartbeatHeard(heartbeat=heartbeat))
-            heartbeat = await published.wait_changed()
+            self.mailbox.tell(_HeartbeatHeard())
+            await published.wait_changed()
 
     async def _check_evacuation(self) -> None:
         while True:
@@ -190,9 +187,9 @@
                 self._tell_cold_gate(event, now)
             case _EvacuationTick():
                 self._on_evacuation_tick(now)
-            case _HeartbeatHeard(heartbeat=heartbeat):
-                if heartbeat is not None:
-                    self._tell_cold_gate(heartbeat, now)
+            case _HeartbeatHeard():
+                assert self._cold_gate is not None
+                self._cold_gate.apply_heartbeat(now)
             case _Abandoned(call_id=call_id):
                 self._remove_abandoned(call_id)
             case _UpstreamUpdate(upstream=upstream):
--- a/src/sassafrashall/controllers/cold_gate.py
+++ b/src/sassafrashall/controllers/cold_gate.py
@@ -47,12 +47,13 @@
         self._metrics = counters
         self._state = cold_rate.State()
         self._configured: route_table.RouteTable | None = None
+        self._applied_heartbeat: cold_rate.Heartbeat | None = None
         self._was_cold = False
         self._configure(clock.monotonic())
 
     @property
     def heartbeat(self) -> mailbox.Published[cold_rate.Heartbeat | None]:
-        """The newest heartbeat, whose changes have to be passed to the gate."""
+        """The newest heartbeat; `apply_heartbeat` has to follow its changes."""
         return self._heartbeat
 
     @property
@@ -64,6 +65,9 @@
         """Returns whether one more request may be granted a slot."""
         if self._table.value is not self._configured:
             self._configure(now)
+        # The upstream may be announced before the task that follows its
+        # heartbeats has run.
+        self.apply_heartbeat(now)
         if self._state.bound is None:
             return True
         if cold_rate.may_send(self._state, now):
@@ -71,6 +75,14 @@
         self._metrics.count("cold_refusals")
         return False
 
+    def apply_heartbeat(self, now: float) -> None:
+        """Applies the newest heartbeat, unless that was done before."""
+        heartbeat = self._heartbeat.value
+        if heartbeat is None or heartbeat is self._applied_heartbeat:
+            return
+        self._applied_heartbeat = heartbeat
+        self.on_event(heartbeat, now)
+
     def on_granted(self, now: float) -> bool:
         """Counts a request that was granted a slot.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import configuration
 from sassafrashall import connection_log
 from sassafrashall import events
 from sassafrashall import exceptions
@@ -15,7 +16,10 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import task
+from sassafrashall.controllers import cold_gate as cold_gates
+from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import route_table
 from sassafrashall.transport import codec
 from sassafrashall.transport import frames
 
@@ -110,6 +114,37 @@
     return model.Answer(response=response, **fields)
 
 
+def cold_gate(heartbeat) -> cold_gates.ColdGate:
+    """Returns the gate of an upstream that gets 15 requests a second if cold.
+
+    Args:
+      heartbeat: Where the newest heartbeat is published.
+    """
+    document = configuration.Configuration(
+        version=1,
+        services=(
+            configuration.Service(name="a", cold_start_s=6.0, cold_rate=4.8),
+        ),
+    )
+    return cold_gates.ColdGate(
+        service="a",
+        overage=1.5,
+        slack=8,
+        table=mailbox.Published(initial=route_table.compile_table(document)),
+        heartbeat=heartbeat,
+        counters=counters(),
+    )
+
+
+def cold_heartbeat(sequence, run=("i1", 1), cold_remaining_s=0.0):
+    return cold_rate.Heartbeat(
+        run=run,
+        sequence=sequence,
+        cold_remaining_s=cold_remaining_s,
+        heard_at=clock.monotonic(),
+    )
+
+
 def open_call(call=1, **fields) -> frames.OpenCall:
     values = {
         "call": call,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,7 +9,6 @@
 import trio.testing
 
 from sassafrashall import clock
-from sassafrashall import configuration
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -17,15 +16,12 @@
 from sassafrashall import protocol
 from sassafrashall import settings
 from sassafrashall.controllers import admission
-from sassafrashall.controllers import cold_gate as cold_gates
 from sassafrashall.controllers import evacuation_gate
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import routing
-from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
-from sassafrashall.decisions import route_table
 from sassafrashall.decisions import routing as routing_decisions
 from sassafrashall.transport import codec
 from sassafrashall.transport import snapshots
@@ -330,37 +326,11 @@
     assert not gate.on_tick(START + 1.0)
 
 
-def _cold_gate(heartbeat):
-    document = configuration.Configuration(
-        version=1,
-        services=(
-            configuration.Service(name="a", cold_start_s=6.0, cold_rate=4.8),
-        ),
-    )
-    return cold_gates.ColdGate(
-        service="a",
-        overage=1.5,
-        slack=8,
-        table=mailbox.Published(initial=route_table.compile_table(document)),
-        heartbeat=heartbeat,
-        counters=fakes.counters(),
-    )
-
-
-def _heartbeat(sequence, run=("i1", 1), cold_remaining_s=0.0):
-    return cold_rate.Heartbeat(
-        run=run,
-        sequence=sequence,
-        cold_remaining_s=cold_remaining_s,
-        heard_at=clock.monotonic(),
-    )
-
-
 # Guards against a burst at an upstream that became cold during an evacuation: a
 # heartbeat sent before the end arrives after it.
 async def test_one_late_heartbeat_does_not_end_the_doubt_of_an_evacuation():
-    heartbeat = mailbox.Published(initial=_heartbeat(1))
-    gate = _cold_gate(heartbeat)
+    heartbeat = mailbox.Published(initial=fakes.cold_heartbeat(1))
+    gate = fakes.cold_gate(heartbeat)
     async with _admission(cold_gate=gate) as (_, view, _):
         assert not gate.is_cold(clock.monotonic())
         view.publish(model.NodeView(evacuated=frozenset({"dc-a"})))
@@ -368,7 +338,7 @@
         view.publish(model.NodeView())
         await trio.sleep(evacuation_gate.TICK_INTERVAL + 0.1)
         for sequence, is_cold in ((2, True), (3, False)):
-            heartbeat.publish(_heartbeat(sequence))
+            heartbeat.publish(fakes.cold_heartbeat(sequence))
             await trio.testing.wait_all_tasks_blocked()
             assert gate.is_cold(clock.monotonic()) == is_cold
 
