Routing: an attempt that hears nothing says nothing about the way there

Change: it changes neither the reach of the data centre nor the flow to it. Result: tests/test_routing_controller.py and tests/test_spillover.py pass; the new test failed before.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -498,6 +498,13 @@
                 abs(saved),
                 result="saved" if saved >= 0 else "lost",
             )
+        if (
+            message.result is messages.AttemptResult.INCONCLUSIVE
+            and message.load < 0
+            and message.round_trip < 0
+        ):
+            # It was cancelled or ended at its deadline, and nothing was heard.
+            return
         if not answered:
             self._flows[message.service] = spillover.on_returned(
                 self._flow_of(message.service), name
--- a/tests/test_routing_controller.py
+++ b/tests/test_routing_controller.py
@@ -1,5 +1,7 @@
 """What the routing controller takes from attempts and views."""
 
+import pytest
+
 from sassafrashall import clock
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -162,3 +164,35 @@
         node = _Node(monkeypatch, {"x1": "x", "y1": "y"}, loads)
         _use_up_near(node)
         assert node.choose("x1") == vm
+
+
+def _is_blocked(node, data_centre):
+    return node.controller._reach_of(data_centre).blocked_until > node.now
+
+
+# Guards against calls to a data centre that can't be reached, since those that
+# end at their deadline there count as a success.
+def test_an_attempt_that_hears_nothing_is_no_success(monkeypatch):
+    node = _Node(monkeypatch, {"x1": "x", "y1": "y"})
+    for _ in range(spillover.FAILURES_TO_BLOCK):
+        assert not _is_blocked(node, "y")
+        node.end("y1", messages.AttemptResult.CONNECTION_FAILED)
+        node.end("y1")
+    assert _is_blocked(node, "y")
+
+
+@pytest.mark.parametrize(
+    ("result", "fields"),
+    [
+        (messages.AttemptResult.INCONCLUSIVE, {"load": 1000}),
+        (messages.AttemptResult.INCONCLUSIVE, {"round_trip": 0.002}),
+        (messages.AttemptResult.ANSWERED, {"latency": 0.1}),
+        (messages.AttemptResult.ERROR, {}),
+    ],
+)
+def test_whatever_is_heard_is_a_success(monkeypatch, result, fields):
+    node = _Node(monkeypatch, {"x1": "x", "y1": "y"})
+    for _ in range(spillover.FAILURES_TO_BLOCK):
+        node.end("y1", messages.AttemptResult.CONNECTION_FAILED)
+        node.end("y1", result, **fields)
+    assert not _is_blocked(node, "y")
