Routing: the refusal of a reachable node is no failure of the way there

Cause: three refusals in a row by nodes whose upstream was leaving or failing blocked their whole data centre. Change: only an attempt that tells no load counts as such a failure. Result: tests/test_routing_controller.py and tests/test_spillover.py pass; the new case failed before.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -509,7 +509,11 @@
             self._flows[message.service] = spillover.on_returned(
                 self._flow_of(message.service), name
             )
-        failed = message.result is messages.AttemptResult.CONNECTION_FAILED
+        # A refusal that tells a load was sent by a node there.
+        failed = (
+            message.result is messages.AttemptResult.CONNECTION_FAILED
+            and message.load < 0
+        )
         before = self._reach_of(name)
         after = spillover.on_attempt(
             before, failed=failed, round_trip=message.round_trip, now=now
--- a/src/sassafrashall/decisions/spillover.py
+++ b/src/sassafrashall/decisions/spillover.py
@@ -509,7 +509,7 @@
 
     Args:
       reach: The state before.
-      failed: Whether the attempt found no node or no upstream.
+      failed: Whether the attempt found no node.
       round_trip: Seconds of a refusal that came at once; negative otherwise.
       now: Monotonic seconds.
     """
--- a/tests/test_routing_controller.py
+++ b/tests/test_routing_controller.py
@@ -188,6 +188,9 @@
         (messages.AttemptResult.INCONCLUSIVE, {"round_trip": 0.002}),
         (messages.AttemptResult.ANSWERED, {"latency": 0.1}),
         (messages.AttemptResult.ERROR, {}),
+        # Guards against the block of a data centre because one upstream there
+        # is leaving or fails.
+        (messages.AttemptResult.CONNECTION_FAILED, {"load": 0}),
     ],
 )
 def test_whatever_is_heard_is_a_success(monkeypatch, result, fields):
