--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -30,9 +30,6 @@
 
 FAIR_SHARE_THRESHOLD = 0.5  # fraction of the limit in use; see _admit
 TICK_INTERVAL = 0.02  # seconds between checks of the queue and the level
-# Load reported while the breaker is open or the upstream gets no requests for
-# another reason, above that of a busy upstream.
-OPEN_BREAKER_LOAD = 4 * routing.LOAD_SCALE
 COLD_DETAIL = "the upstream is cold and gets no more requests now"
 
 
@@ -56,8 +53,6 @@
 class _HeartbeatHeard:
     """A heartbeat of the upstream may change whether it is cold."""
 
-    heartbeat: cold_rate.Heartbeat | None
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _EvacuationTick:
@@ -153,10 +148,9 @@
     async def _follow_heartbeats(
         self, published: mailbox.Published[cold_rate.Heartbeat | None]
     ) -> None:
-        heartbeat = published.value
         while True:
-            self.mailbox.tell(_HeartbeatHeard(heartbeat=heartbeat))
-            heartbeat = await published.wait_changed()
+            self.mailbox.tell(_HeartbeatHeard())
+            await published.wait_changed()
 
     async def _check_evacuation(self) -> None:
         while True:
@@ -193,9 +187,9 @@
                 self._tell_cold_gate(event, now)
             case _EvacuationTick():
                 self._on_evacuation_tick(now)
-            case _HeartbeatHeard(heartbeat=heartbeat):
-                if heartbeat is not None:
-                    self._tell_cold_gate(heartbeat, now)
+            case _HeartbeatHeard():
+                assert self._cold_gate is not None
+                self._cold_gate.apply_heartbeat(now)
             case _Abandoned(call_id=call_id):
                 self._remove_abandoned(call_id)
             case _UpstreamUpdate(upstream=upstream):
@@ -214,6 +208,11 @@
         if self._cold_gate is not None:
             self._cold_gate.on_event(event, now)
 
+    def _doubt_warmth(self, now: float) -> None:
+        """Takes the upstream for cold until its heartbeats say otherwise."""
+        event = cold_rate.Doubted(heartbeats=cold_gates.HEARTBEATS_AFTER_DOUBT)
+        self._tell_cold_gate(event, now)
+
     def _may_send_cold(self, now: float) -> bool:
         """Returns whether the upstream isn't cold, or may get a request."""
         return self._cold_gate is None or self._cold_gate.may_send(now)
@@ -226,7 +225,7 @@
         assert self._evacuation_gate is not None
         if self._evacuation_gate.on_tick(now):
             # It had no requests for a while and may have become cold.
-            self._tell_cold_gate(cold_rate.Doubted(heartbeats=1), now)
+            self._doubt_warmth(now)
         self._refuse_blocked(now)
 
     def _refuse_blocked(self, now: float) -> None:
@@ -254,15 +253,16 @@
         if self._limit_state is None:
             return routing.LOAD_SCALE
         if is_blocked or not self._breaker.is_closed:
-            return OPEN_BREAKER_LOAD
+            return routing.BLOCKED_LOAD
         demand = self._in_flight + len(self._queue.items)
         load = (
             routing.LOAD_SCALE * demand // max(1, int(self._limit_state.limit))
         )
-        if self._cold_gate is None or not self._cold_gate.is_bound:
-            return load
-        cold_load = routing.LOAD_SCALE * self._cold_gate.used_fraction(now)
-        return max(load, int(cold_load))
+        if self._cold_gate is not None and self._cold_gate.is_bound:
+            cold_load = routing.LOAD_SCALE * self._cold_gate.used_fraction(now)
+            load = max(load, int(cold_load))
+        # A long queue is not reported as a blocked upstream.
+        return load - 1 if load == routing.BLOCKED_LOAD else load
 
     def _on_upstream_update(
         self, upstream: model.Upstream | None, now: float
@@ -409,10 +409,7 @@
         if message.unsent:
             self._tell_cold_gate(cold_rate.Unsent(), now)
         if message.refused:
-            event = cold_rate.Doubted(
-                heartbeats=cold_gates.HEARTBEATS_AFTER_REFUSAL
-            )
-            self._tell_cold_gate(event, now)
+            self._doubt_warmth(now)
         if self._limit_state is not None:
             if message.shed:
                 self._limit_state = limits.on_shed(
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -325,13 +325,21 @@
         tried = estimate(
             r for r in usable if r.data_centre == self._data_centre
         )
+        # With no other data centre within reach, any is better than none.
+        far_records = [
+            r
+            for r in far_records
+            if self._reach_of(r.data_centre).blocked_until <= now
+        ] or far_records
         if tried and routing.are_full(policy, tried):
             # A full data centre elsewhere would only refuse the call too.
+            bound = spillover.max_load_to_overflow(
+                comparison.loads.get(self._data_centre)
+            )
             far_records = [
                 r
                 for r in far_records
-                if comparison.loads.get(r.data_centre, 0.0)
-                < spillover.MAX_ACCEPT_LOAD
+                if comparison.loads.get(r.data_centre, 0.0) < bound
             ]
         choice = self._choose(estimate(far_records), attempts, now)
         if choice is not None and tried:
@@ -399,7 +407,7 @@
             for record in self._by_service.get(service, ())
             if record.data_centre == self._data_centre
             and (seen := self._seen_loads.get(record.vm)) is not None
-            and seen.age(now) <= routing.LOAD_TTL
+            and _shows_demand(seen, now)
         ]
         open_to = frozenset(
             record.data_centre
@@ -490,11 +498,22 @@
                 abs(saved),
                 result="saved" if saved >= 0 else "lost",
             )
+        if (
+            message.result is messages.AttemptResult.INCONCLUSIVE
+            and message.load < 0
+            and message.round_trip < 0
+        ):
+            # It was cancelled or ended at its deadline, and nothing was heard.
+            return
         if not answered:
             self._flows[message.service] = spillover.on_returned(
                 self._flow_of(message.service), name
             )
-        failed = message.result is messages.AttemptResult.CONNECTION_FAILED
+        # A refusal that tells a load was sent by a node there.
+        failed = (
+            message.result is messages.AttemptResult.CONNECTION_FAILED
+            and message.load < 0
+        )
         before = self._reach_of(name)
         after = spillover.on_attempt(
             before, failed=failed, round_trip=message.round_trip, now=now
@@ -598,7 +617,7 @@
             seen.load
             for record in self._by_service.get(service, ())
             if (seen := self._seen_loads.get(record.vm)) is not None
-            and seen.age(now) <= routing.LOAD_TTL
+            and _shows_demand(seen, now)
         ]
         rooms = self._summary.value.rooms_of(service, now)
         if rooms:
@@ -840,3 +859,9 @@
             )
             self._metrics.count("retries", service=message.call.service)
         return allowed
+
+
+def _shows_demand(seen: completion.SeenLoad, now: float) -> bool:
+    """Returns whether a load is recent and that of an upstream in use."""
+    blocked = routing.BLOCKED_LOAD / routing.LOAD_SCALE
+    return seen.age(now) <= routing.LOAD_TTL and seen.load != blocked
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -22,6 +22,7 @@
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import routing as routing_decisions
 from sassafrashall.transport import codec
 from sassafrashall.transport import snapshots
 from tests import fakes
@@ -246,7 +247,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _admission(bound=0.0):
+async def _admission(bound=0.0, cold_gate=None):
     view = mailbox.Published(initial=model.NodeView())
     load = mailbox.Published(initial=0)
     controller = admission.Admission(
@@ -256,6 +257,7 @@
         event_log=fakes.event_log(),
         counters=fakes.counters(),
         upstream_load=load,
+        cold_gate=cold_gate,
         evacuation_gate=evacuation_gate.EvacuationGate(
             data_centre="dc-a",
             bound=bound,
@@ -297,13 +299,64 @@
                     await trio.sleep(0.01)
         refused.append(await controller.mailbox.ask(_admit("new")))
         assert [r.code for r in refused] == [exceptions.NO_UPSTREAM] * 2
-        assert load.value == admission.OPEN_BREAKER_LOAD
+        assert load.value == routing_decisions.BLOCKED_LOAD
         controller.mailbox.tell(messages.SlotReleased(latency=0.1))
         view.publish(model.NodeView(evacuated=frozenset({"dc-b"})))
+        # The end counts from the next tick on if a tick saw the evacuation.
+        await trio.sleep(evacuation_gate.TICK_INTERVAL + 0.1)
         again = await controller.mailbox.ask(_admit("again"))
         assert isinstance(again, messages.Admitted)
 
 
+# Guards against requests to an upstream that may be cold, between the view
+# without the evacuation and the tick that takes the upstream for cold.
+def test_the_end_of_an_evacuation_counts_from_the_next_tick():
+    view = mailbox.Published(
+        initial=model.NodeView(evacuated=frozenset({"dc-a"}))
+    )
+    gate = evacuation_gate.EvacuationGate(
+        data_centre="dc-a", bound=0.0, view=view, counters=fakes.counters()
+    )
+    assert not gate.on_tick(START)
+    view.publish(model.NodeView())
+    assert gate.find_block(START + 0.1) is evacuation.Block.EVACUATED
+    assert gate.check_before_send()
+    assert gate.on_tick(START + 0.5)
+    assert gate.find_block(START + 0.5) is None
+    assert not gate.on_tick(START + 1.0)
+
+
+# Guards against a burst at an upstream that became cold during an evacuation: a
+# heartbeat sent before the end arrives after it.
+async def test_one_late_heartbeat_does_not_end_the_doubt_of_an_evacuation():
+    heartbeat = mailbox.Published(initial=fakes.cold_heartbeat(1))
+    gate = fakes.cold_gate(heartbeat)
+    async with _admission(cold_gate=gate) as (_, view, _):
+        assert not gate.is_cold(clock.monotonic())
+        view.publish(model.NodeView(evacuated=frozenset({"dc-a"})))
+        await trio.sleep(evacuation_gate.TICK_INTERVAL + 0.1)
+        view.publish(model.NodeView())
+        await trio.sleep(evacuation_gate.TICK_INTERVAL + 0.1)
+        for sequence, is_cold in ((2, True), (3, False)):
+            heartbeat.publish(fakes.cold_heartbeat(sequence))
+            await trio.testing.wait_all_tasks_blocked()
+            assert gate.is_cold(clock.monotonic()) == is_cold
+
+
+# Guards against a long queue that is left out of the demand, since its load is
+# that of an upstream that gets no requests.
+async def test_a_queue_is_not_reported_as_a_blocked_upstream():
+    async with (
+        _admission() as (controller, _, load),
+        trio.open_nursery() as nursery,
+    ):
+        for number in range(4):
+            nursery.start_soon(controller.mailbox.ask, _admit(f"call-{number}"))
+        await trio.testing.wait_all_tasks_blocked()
+        assert load.value == routing_decisions.BLOCKED_LOAD - 1
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_node_that_starts_sends_nothing_until_its_state_is_proven():
     async with _admission(bound=BOUND) as (controller, view, _):
         refused = await controller.mailbox.ask(_admit("early"))
