Requests of download routes run alone on their connection

The responses to two pipelined requests of a download route were both produced. The second waited with a full window behind the first, so that its deadline passed and the connection closed as incomplete; a request behind a download that broke off was lost as well. Routes now tell whether their responses are long (Route.streams, set for download), and the callers' server asks whether a request may run beside others. The test over nodes counted 2 requests at the upstreams behind a download that broke off, and counts 1.

--- a/src/sassafrashall/configuration.py
+++ b/src/sassafrashall/configuration.py
@@ -30,6 +30,8 @@
       target_latency_s: Target latency in seconds, after which a response is
         worth less; 0 if not set.
       open: Whether the route is served without a key.
+      streams: Whether responses are long, so that a request does not run
+        beside others of its connection.
     """
 
     name: str
@@ -42,6 +44,7 @@
     target_latency_s: float = 0.0
     priority: model.Priority = model.Priority.NORMAL
     open: bool = False
+    streams: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/platform/documents.py
+++ b/src/sassafrashall/platform/documents.py
@@ -85,6 +85,7 @@
             reader.read_integer(fields, "priority", key_prefix, 1)
         ),
         open=reader.read_boolean(fields, "public", key_prefix),
+        streams=route_type == "download",
     )
 
 
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -54,6 +54,7 @@
 from sassafrashall.platform import front_end
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
+from sassafrashall.transport import http1
 from sassafrashall.transport import http_server
 from sassafrashall.transport import ops_api
 from sassafrashall.transport import peer_server
@@ -301,12 +302,26 @@
 
     def _route_name(self, request: model.Request) -> str:
         """Returns the name of the route of a request that may be a peer's."""
+        route = self._find_route(request.headers, request.path)
+        return route.name if route else ""
+
+    def _may_overlap(self, head: http1.RequestHead) -> bool:
+        """Returns whether a request may run beside others of its connection.
+
+        Requests behind a long response would wait for it past their deadlines,
+        and be lost if it breaks off.
+        """
+        route = self._find_route(head.headers, head.target.partition("?")[0])
+        return route is None or not route.streams
+
+    def _find_route(
+        self, headers: model.Headers, path: str
+    ) -> configuration.Route | None:
         table = self._membership.table.value
-        host = model.find_header(request.headers, "host")
+        host = model.find_header(headers, "host")
         if table is None or host is None:
-            return ""
-        route = table.find_route(host.partition(":")[0].lower(), request.path)
-        return route.name if route else ""
+            return None
+        return table.find_route(host.partition(":")[0].lower(), path)
 
     def _upstream_may_call(self) -> bool:
         """Returns whether the local upstream may make calls of its own.
@@ -348,6 +363,7 @@
             ),
             request_id_header=names.REQUEST_ID,
             pipeline_depth=self._routed.pipeline_depth,
+            may_overlap=self._may_overlap,
         )
         self._peers = peer_server.PeerServer(
             address=listen.peers,
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -38,6 +38,7 @@
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 LimitsSource = Callable[[], configuration.Limits]
+MayOverlap = Callable[[http1.RequestHead], bool]
 # Runs an asynchronous function in a task of its own.
 Spawn = Callable[..., None]
 
@@ -63,6 +64,7 @@
         log: connection_log.ConnectionLog,
         request_id_header: str,
         requests: pipeline.Pipeline,
+        may_overlap: MayOverlap,
     ) -> None:
         self._stream = stream
         self._log = log
@@ -79,6 +81,7 @@
             since=clock.monotonic(), timeout=self._idle_timeout
         )
         self._pipeline = requests
+        self._may_overlap = may_overlap
         # Monotonic seconds of the last read.
         self._arrived_at = 0.0
         # Raised once the requests before the invalid input are taken.
@@ -318,7 +321,7 @@
                     head.length,
                     expects=model.find_header(head.headers, "expect")
                     is not None,
-                )
+                ) and self._may_overlap(head)
                 await self._wait_for_turn(overlaps=overlaps)
                 if self._closing:
                     return
@@ -573,6 +576,7 @@
         log: connection_log.ConnectionLog | None = None,
         request_id_header: str = "",
         pipeline_depth: int = 1,
+        may_overlap: MayOverlap = lambda head: True,
     ) -> None:
         """Creates the server.
 
@@ -586,6 +590,8 @@
             request in the log.
           pipeline_depth: Requests of one connection that may run at the same
             time.
+          may_overlap: Returns whether a request, if its method and body allow
+            it, may run beside others of its connection.
         """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
         self._log = log or connection_log.ConnectionLog(place=source.value)
@@ -594,6 +600,7 @@
         self._source = source
         self._limits = limits
         self._pipeline_depth = pipeline_depth
+        self._may_overlap = may_overlap
         self._overlap = pipeline.Overlap()
 
     @property
@@ -619,6 +626,7 @@
             requests=pipeline.Pipeline(
                 depth=self._pipeline_depth, overlap=self._overlap
             ),
+            may_overlap=self._may_overlap,
         )
 
     async def _sweep(self) -> None:
