Admission: a call that can't finish in the queue is tried elsewhere

It was refused with deadline_exceeded, which is not retryable, although another upstream may have a free slot. It is refused as shed now. The test expected deadline_exceeded, while its own text says that the call may still be sent to another upstream; it now expects shed, and that such a refusal permits an attempt elsewhere.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -350,9 +350,10 @@
             latency=self._limit_state.latency,
             finish_at=finish_at,
         ):
+            # Another upstream may have a free slot.
             self._shed(
                 item,
-                exceptions.DEADLINE_EXCEEDED,
+                exceptions.SHED,
                 "no time is left to wait for a slot and run the request",
             )
             return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,6 +11,7 @@
 from sassafrashall import model
 from sassafrashall import settings
 from sassafrashall.controllers import admission
+from sassafrashall.decisions import retries
 from tests import fakes
 
 READY = model.Upstream(
@@ -236,8 +237,8 @@
 async def test_a_call_that_can_no_longer_finish_is_refused_at_once():
     """Guards against calls that are held although they can't be answered.
 
-    The node that makes the call learns at once that it has not run, and may
-    still send it to another upstream.
+    The node that makes the call learns at once that it has not run, and sends
+    it to another upstream, which may have a free slot.
     """
     async with _admission(queue="urgency-first") as (controller, _):
         await _fill_slots(controller)
@@ -247,7 +248,9 @@
         with trio.fail_after(0.04):
             answer = await controller.mailbox.ask(_admit("late", timeout=0.05))
         assert isinstance(answer, messages.Shed)
-        assert answer.code == exceptions.DEADLINE_EXCEEDED
+        assert answer.code == exceptions.SHED
+        refusal = model.Refuse(code=answer.code, detail=answer.detail)
+        assert retries.refused_before_upstream(refusal)
 
 
 async def test_a_call_is_served_by_the_class_of_its_root():
