Demand: completions that were not reported are unknown

The default of 0 read as "completes nothing" for reports of older builds, so that measured-capacity lowered the service to a quarter while it was upgraded. The default is -1, a sum with an unknown part is unknown, and an unknown number lowers nothing. A test compared a node's report with the default of the field; it now names the 0 that the node reports.

--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -38,6 +38,7 @@
 # Calls of a kind that a run must make on average. Fewer may be calls of other
 # runs that were attributed to it.
 MIN_CALLS_PER_RUN = 0.25
+UNKNOWN_RATE = -1.0  # a rate that was not reported
 NO_ROOTS = (0.0,) * len(model.Priority)
 
 
@@ -84,13 +85,15 @@
     Attributes:
       slots: Concurrent requests that they accept.
       busy: Slots in use.
-      completions: Nested calls that they complete per second.
+      completions: Nested calls that they complete per second; negative if a
+        node of an older build, which doesn't report them, is among those
+        counted.
     """
 
     service: str
     slots: int
     busy: int = 0
-    completions: float = 0.0
+    completions: float = UNKNOWN_RATE
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -130,8 +133,8 @@
                 slots.get(service.service, 0) + service.slots
             )
             busy[service.service] = busy.get(service.service, 0) + service.busy
-            completions[service.service] = (
-                completions.get(service.service, 0.0) + service.completions
+            completions[service.service] = _add_rates(
+                completions.get(service.service, 0.0), service.completions
             )
         for shed in demand.sheds:
             sheds[shed.service] = sheds.get(shed.service, 0.0) + shed.per_second
@@ -154,6 +157,13 @@
     )
 
 
+def _add_rates(one: float, other: float) -> float:
+    """Returns the sum of two rates, which is unknown if one of them is."""
+    if one < 0 or other < 0:
+        return UNKNOWN_RATE
+    return one + other
+
+
 def _add_routes(parts: list[RouteDemand]) -> RouteDemand:
     if len(parts) == 1:
         return parts[0]
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -126,8 +126,7 @@
         name = service.service
         factor = corrections.get(name, 1.0)
         in_use = service.busy / max(1, service.slots)
-        calls = service.completions + sheds.get(name, 0.0)
-        served = service.completions / calls if calls else 1.0
+        served = _served_fraction(service.completions, sheds.get(name, 0.0))
         if isinstance(policy, MeasuredCapacity) and (
             served < 1.0 - SHED_TOLERANCE
         ):
@@ -151,6 +150,14 @@
     return corrected
 
 
+def _served_fraction(completions: float, sheds: float) -> float:
+    """Returns the fraction of the calls that is served; 1 if not known."""
+    calls = completions + sheds
+    if completions < 0 or not calls:
+        return 1.0
+    return completions / calls
+
+
 def _call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
     """Returns the slot seconds of a nested call at each service, on average."""
     called = {call.route for route in demand.routes for call in route.calls}
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -115,7 +115,7 @@
     assert route.roots[model.Priority.BULK] == pytest.approx(40.0, rel=0.2)
     assert route.roots[model.Priority.CRITICAL] == 0
     assert reported.services == (
-        demand.ServiceSlots(service="middle", slots=8, busy=0),
+        demand.ServiceSlots(service="middle", slots=8, busy=0, completions=0.0),
     )
 
 
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -386,3 +386,23 @@
             MEASURED, corrections, fleet, {"narrow"}, 0.25
         )
     assert corrections["narrow"] == pytest.approx(0.25)
+
+
+def test_a_node_that_reports_no_completions_lowers_nothing():
+    """Guards against a service cut to a quarter by reports of older builds.
+
+    A fleet is upgraded node by node; older builds don't report completions.
+    """
+    new = _with_outcomes(_deep_chain(view=(0, 200.0, 0)), 300.0, 100.0, busy=75)
+    old = demand.Demand(
+        services=(demand.ServiceSlots(service="narrow", slots=100, busy=75),)
+    )
+    for fleet in (
+        demand.add_up((new, old)),
+        demand.add_up((old, new)),
+        demand.add_up((old, demand.Demand(sheds=new.sheds))),
+    ):
+        assert not tree_admission.correct(MEASURED, {}, fleet, {"narrow"}, 1.0)
+    fleet = demand.add_up((new, new))
+    lowered = tree_admission.correct(MEASURED, {}, fleet, {"narrow"}, 1.0)
+    assert lowered["narrow"] < 1.0
