Local upstream: a streamed answer that is complete is a completion

Only answers with a known latency counted, and a streamed one has none, so that a service of downloads seemed to complete nothing and measured-capacity lowered it with the first refused call. The end of a stream now tells whether it is complete; one that breaks off, is abandoned or has an error status does not count.

--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -26,6 +26,7 @@
 _NO_FEEDBACK = entry_feedback.NoFeedback()
 # Statuses by which an upstream says that it, or a call that it made, failed.
 _ERROR_STATUSES = (500, 504)
+_SHED_STATUSES = (429, 503)  # by which an upstream refuses for lack of capacity
 
 
 class Dialect(Protocol):
@@ -238,7 +239,7 @@
                 else NON_IDEMPOTENT_MAX_IDLE,
                 may_resend=may_reuse and call.request.rest is None,
                 deadline=call.deadline,
-                on_streamed=slot.release,
+                on_streamed=slot.release_streamed,
             )
         )
         if slot.counted:
@@ -250,7 +251,7 @@
             case model.Answer(response=model.Response(rest=rest) as answer) if (
                 rest is not None
             ):
-                slot.held_by_answer = True
+                slot.hold_for_answer(response.status)
                 body = _StreamedAnswer(rest=rest, deadline=call.deadline)
                 return frozen.replace(
                     outcome, response=frozen.replace(answer, rest=body)
@@ -311,9 +312,12 @@
         )
         self._latency = -1.0
         self._shed = False
+        self._completed = False
         self._failed = False
         self._timed_out = False
         self._released = False
+        # Status of the streamed answer; 0 while there is none.
+        self._streamed_status = 0
         # Whether the slot is in use until the upstream has streamed its answer.
         self.held_by_answer = False
 
@@ -349,11 +353,28 @@
         is not reported on release.
         """
         latency = clock.monotonic() - self._started_at
-        self._shed = status in (429, 503)
+        self._shed = status in _SHED_STATUSES
         if not self._shed:
             self._latency = latency
+            self._completed = True
         return latency
 
+    def hold_for_answer(self, status: int) -> None:
+        """Keeps the slot until the upstream has streamed its answer."""
+        self.held_by_answer = True
+        self._streamed_status = status
+
+    def release_streamed(self, complete: bool) -> None:
+        """Frees the slot at the end of a streamed answer.
+
+        Its time depends on the caller as well, so that it is no latency.
+        """
+        self._completed = complete and self._streamed_status not in (
+            *_ERROR_STATUSES,
+            *_SHED_STATUSES,
+        )
+        self.release()
+
     def record_failure(self, *, timed_out: bool) -> None:
         """Records that the upstream failed the request by itself."""
         self._failed = True
@@ -385,7 +406,7 @@
                         seconds=run_time,
                         urgency=self._urgency,
                         completed=self._nested
-                        and self._latency >= 0
+                        and self._completed
                         and not self._failed,
                     )
                 )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -561,7 +561,8 @@
         upstream closed an idle one before the first byte of a response.
       deadline: Monotonic seconds.
       on_streamed: Called when the upstream's part in a streamed response is
-        over: at its end, when it is abandoned, or at the deadline.
+        over: at its end, when it is abandoned, or at the deadline. The argument
+        tells whether the response is complete.
     """
 
     address: model.Address
@@ -570,7 +571,7 @@
     max_idle: float
     may_resend: bool
     deadline: float
-    on_streamed: Callable[[], None] | None = None
+    on_streamed: Callable[[bool], None] | None = None
 
 
 # --- replica -----------------------------------------------------------------
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -532,13 +532,15 @@
             self.close(connection_log.Reason.ABANDONED)
             self._exchange = None
             self._reusable = False
-        self._release_stream(exchange)
+        self._release_stream(exchange, complete=complete)
 
-    def _release_stream(self, exchange: _Exchange) -> None:
+    def _release_stream(
+        self, exchange: _Exchange, *, complete: bool = False
+    ) -> None:
         """Lets the reading task go on, and tells the sender of the message."""
         self._streaming_ended.set()
         if exchange.message.on_streamed is not None:
-            exchange.message.on_streamed()
+            exchange.message.on_streamed(complete)
 
     def close_broken(self) -> None:
         """Closes an idle connection that is not intact."""
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -2,6 +2,8 @@
 
 import contextlib
 
+import pytest
+
 from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import mailbox
@@ -38,12 +40,17 @@
 
     async def close(self):
         self.closed = True
-        self.on_end()
+        self.on_end(False)
 
 
 @contextlib.asynccontextmanager
 async def _filter(
-    response, upstream_calls=False, encodes=0, feedback_policy=None, **admitted
+    response,
+    upstream_calls=False,
+    encodes=0,
+    feedback_policy=None,
+    monitor=None,
+    **admitted,
 ):
     """Yields the filter, and fakes of the pool and the admission controller.
 
@@ -52,6 +59,7 @@
       upstream_calls: Whether the upstream makes calls.
       encodes: How often the pool encodes the request.
       feedback_policy: See `LocalUpstreamFilter`; None for its default.
+      monitor: Receives the messages to the demand monitor; None for a fake.
       **admitted: Fields of the answer of the admission controller.
     """
     fields = {"feedback_policy": feedback_policy} if feedback_policy else {}
@@ -69,7 +77,7 @@
         return response
 
     pool = fakes.ScriptedController(respond)
-    monitor = fakes.ScriptedController(lambda message: None)
+    monitor = monitor or fakes.ScriptedController(lambda message: None)
     async with fakes.started(admission, pool, monitor):
         yield (
             local_upstream.LocalUpstreamFilter(
@@ -112,10 +120,45 @@
         assert await outcome.response.rest.read() == b"more"
         assert not _released(admission)
         (exchange,) = pool.received
-        exchange.on_streamed()
+        exchange.on_streamed(True)
         assert len(_released(admission)) == 1
 
 
+@pytest.mark.parametrize(
+    ("status", "depth", "complete", "completed"),
+    [
+        (200, 1, True, True),
+        (200, 1, False, False),
+        (200, 0, True, False),
+        (500, 1, True, False),
+    ],
+)
+async def test_a_streamed_answer_counts_as_a_completion(
+    status, depth, complete, completed
+):
+    """Guards against a service of downloads that seems to complete nothing.
+
+    It would be given fewer trees as soon as one of its calls is refused.
+    """
+    monitor = fakes.ScriptedController(lambda message: None)
+    async with _filter(_response(status, body=_Body()), monitor=monitor) as (
+        tested,
+        pool,
+        admission,
+    ):
+        await tested.handle(fakes.call(depth=depth))
+        (exchange,) = pool.received
+        exchange.on_streamed(complete)
+        (released,) = _released(admission)
+        assert released.latency < 0
+    (ended,) = (
+        message
+        for message in monitor.received
+        if isinstance(message, messages.RunEnded)
+    )
+    assert ended.completed is completed
+
+
 # Guards against a slot that is lost, and against an upstream that goes on
 # sending a body which nobody reads.
 async def test_refusal_with_a_streamed_body_releases_its_slot():
