Entry feedback: a cut applies to the fraction as it has recovered

A cut was applied to the fraction as of the last outcome, so that one failure after a quiet time restored an old cut. The recovery since is applied first.

--- a/src/sassafrashall/decisions/entry_feedback.py
+++ b/src/sassafrashall/decisions/entry_feedback.py
@@ -78,12 +78,12 @@
     )
     successes = state.succeeded + PRIOR_SUCCESSES
     share = successes / (successes + state.failed)
-    if share >= 1.0 - TOLERANCE:
-        return frozen.replace(state, fraction=_recovered(state, elapsed))
-    cut = share ** (min(elapsed, MAX_STEP) / OUTCOME_DELAY)
-    return frozen.replace(
-        state, fraction=max(MIN_FRACTION, state.fraction * cut)
-    )
+    # A cut applies to what is admitted now.
+    fraction = _recovered(state, elapsed)
+    if share < 1.0 - TOLERANCE:
+        cut = share ** (min(elapsed, MAX_STEP) / OUTCOME_DELAY)
+        fraction = max(MIN_FRACTION, fraction * cut)
+    return frozen.replace(state, fraction=fraction)
 
 
 def admitted_fraction(state: RouteState, now: float) -> float:
--- a/tests/test_entry_feedback.py
+++ b/tests/test_entry_feedback.py
@@ -105,3 +105,23 @@
             state, failed=step % 100 == 50, now=0.01 * step
         )
     assert state.fraction > 0.95
+
+
+def test_a_failure_after_a_quiet_time_restores_no_old_cut():
+    """Pattern: few roots, long after a burst.
+
+    Guards against a cut that has recovered and is applied again whole.
+    """
+    state = entry_feedback.RouteState()
+    for step in range(200):
+        state = entry_feedback.on_outcome(state, failed=True, now=0.01 * step)
+    assert state.fraction == entry_feedback.MIN_FRACTION
+    before = entry_feedback.admitted_fraction(state, 20.0)
+    assert before == 1.0
+    state = entry_feedback.on_outcome(state, failed=True, now=20.0)
+    assert entry_feedback.admitted_fraction(state, 20.0) > 0.85
+    # A part of the recovery counts as well.
+    state = entry_feedback.RouteState(fraction=0.5, updated_at=0.0)
+    recovered = entry_feedback.admitted_fraction(state, 1.0)
+    state = entry_feedback.on_outcome(state, failed=True, now=1.0)
+    assert 0.85 * recovered < state.fraction < recovered
