Tree admission: a service that lost all its upstreams limits trees

No node reports slots for it, so that it was missing among the services and limited nothing. Under measured-capacity, a service that refuses calls and is not reported counts with 0 slots. It gets no factor, so that upstreams that return are given their slots at once. What its trees cost is known only while its runs are reported: 2 s after a loss of the nodes.

--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -201,6 +201,8 @@
         * (corrections or {}).get(service.service, 1.0)
         for service in demand.services
     }
+    if isinstance(policy, MeasuredCapacity):
+        slots |= dict.fromkeys(_lost_services(demand), 0.0)
     levels: dict[str, RouteLevel] = {}
     remaining = set(slots)
     while remaining:
@@ -250,11 +252,29 @@
                 >= MIN_COST
             },
         }
-        for service in demand.services
+        for service in (
+            *demand.services,
+            *(
+                demand_decisions.ServiceSlots(service=name, slots=0)
+                for name in _lost_services(demand)
+            ),
+        )
         if service.service in services
     }
 
 
+def _lost_services(demand: demand_decisions.Demand) -> tuple[str, ...]:
+    """Returns the services that refuse calls and have no upstreams left.
+
+    No node reports slots for them. They get no factor in `correct`, so that
+    upstreams that return are given what their slots carry.
+    """
+    known = {service.service for service in demand.services}
+    return tuple(
+        shed.service for shed in demand.sheds if shed.service not in known
+    )
+
+
 def _roots_by_route(
     demand: demand_decisions.Demand,
 ) -> dict[str, tuple[float, ...]]:
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -406,3 +406,46 @@
     fleet = demand.add_up((new, new))
     lowered = tree_admission.correct(MEASURED, {}, fleet, {"narrow"}, 1.0)
     assert lowered["narrow"] < 1.0
+
+
+def _without_upstreams(fleet, name, sheds):
+    return dataclasses.replace(
+        fleet,
+        services=tuple(s for s in fleet.services if s.service != name),
+        sheds=(demand.Sheds(service=name, per_second=sheds),),
+    )
+
+
+def test_a_service_that_lost_all_upstreams_limits_the_trees_to_it():
+    """Pattern: the upstreams of the narrow service are lost in a burst.
+
+    Guards against trees that are all admitted, and fail, because a service
+    without upstreams is in no node's report.
+    """
+    fleet = _without_upstreams(
+        _deep_chain(view=(10.0, 20.0, 0), check=(5.0, 0, 0)), "narrow", 200.0
+    )
+    levels = _levels(fleet, MEASURED)
+    assert set(levels) == {"view"}
+    assert levels["view"].level == 0.0
+    assert levels["view"].service == "narrow"
+    assert (
+        tree_admission.describe_loads(fleet, {"narrow"})["narrow"]["slots"] == 0
+    )
+    # The baseline goes by the reported slots.
+    assert not _levels(fleet, POLICY)
+
+
+def test_a_service_whose_upstreams_return_gets_its_slots_at_once():
+    """Guards against a factor from the outage that holds callers off."""
+    fleet = _deep_chain(view=(0, 20.0, 0))
+    corrections = {}
+    for _ in range(20):
+        corrections = tree_admission.correct(
+            MEASURED,
+            corrections,
+            _without_upstreams(fleet, "narrow", 160.0),
+            {"narrow"},
+            0.25,
+        )
+    assert not tree_admission.route_levels(MEASURED, fleet, corrections)
