--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -126,8 +126,7 @@
         name = service.service
         factor = corrections.get(name, 1.0)
         in_use = service.busy / max(1, service.slots)
-        calls = service.completions + sheds.get(name, 0.0)
-        served = service.completions / calls if calls else 1.0
+        served = _served_fraction(service.completions, sheds.get(name, 0.0))
         if isinstance(policy, MeasuredCapacity) and (
             served < 1.0 - SHED_TOLERANCE
         ):
@@ -151,6 +150,14 @@
     return corrected
 
 
+def _served_fraction(completions: float, sheds: float) -> float:
+    """Returns the fraction of the calls that is served; 1 if not known."""
+    calls = completions + sheds
+    if completions < 0 or not calls:
+        return 1.0
+    return completions / calls
+
+
 def _call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
     """Returns the slot seconds of a nested call at each service, on average."""
     called = {call.route for route in demand.routes for call in route.calls}
@@ -194,6 +201,8 @@
         * (corrections or {}).get(service.service, 1.0)
         for service in demand.services
     }
+    if isinstance(policy, MeasuredCapacity):
+        slots |= dict.fromkeys(_lost_services(demand), 0.0)
     levels: dict[str, RouteLevel] = {}
     remaining = set(slots)
     while remaining:
@@ -243,11 +252,29 @@
                 >= MIN_COST
             },
         }
-        for service in demand.services
+        for service in (
+            *demand.services,
+            *(
+                demand_decisions.ServiceSlots(service=name, slots=0)
+                for name in _lost_services(demand)
+            ),
+        )
         if service.service in services
     }
 
 
+def _lost_services(demand: demand_decisions.Demand) -> tuple[str, ...]:
+    """Returns the services that refuse calls and have no upstreams left.
+
+    No node reports slots for them. They get no factor in `correct`, so that
+    upstreams that return are given what their slots carry.
+    """
+    known = {service.service for service in demand.services}
+    return tuple(
+        shed.service for shed in demand.sheds if shed.service not in known
+    )
+
+
 def _roots_by_route(
     demand: demand_decisions.Demand,
 ) -> dict[str, tuple[float, ...]]:
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -48,6 +48,7 @@
 
 Handler = Callable[[http.RawRequest], Awaitable[model.Response]]
 LimitsSource = Callable[[], configuration.Limits]
+MayOverlap = Callable[[http1.RequestHead], bool]
 # Runs an asynchronous function in a task of its own.
 Spawn = Callable[..., None]
 
@@ -74,6 +75,7 @@
         request_id_header: str,
         requests: pipeline.Pipeline,
         budget: memory_budget.MemoryBudget,
+        may_overlap: MayOverlap,
     ) -> None:
         self._stream = stream
         self._memory = budget.open(self._try_remove)
@@ -91,6 +93,7 @@
             since=clock.monotonic(), timeout=self._idle_timeout
         )
         self._pipeline = requests
+        self._may_overlap = may_overlap
         # Monotonic seconds of the last read.
         self._arrived_at = 0.0
         # Raised once the requests before the invalid input are taken.
@@ -380,7 +383,7 @@
                     head.length,
                     expects=model.find_header(head.headers, "expect")
                     is not None,
-                )
+                ) and self._may_overlap(head)
                 await self._wait_for_turn(overlaps=overlaps)
                 if self._closing:
                     return
@@ -706,6 +709,7 @@
         request_id_header: str = "",
         pipeline_depth: int = 1,
         budget: memory_budget.MemoryBudget | None = None,
+        may_overlap: MayOverlap = lambda head: True,
     ) -> None:
         """Creates the server.
 
@@ -721,6 +725,8 @@
             time.
           budget: Bounds the memory of what is received; None for one of its
             own.
+          may_overlap: Returns whether a request, if its method and body allow
+            it, may run beside others of its connection.
         """
         super().__init__(address=address, connection_limit=CONNECTION_LIMIT)
         self._log = log or connection_log.ConnectionLog(place=source.value)
@@ -729,6 +735,7 @@
         self._source = source
         self._limits = limits
         self._pipeline_depth = pipeline_depth
+        self._may_overlap = may_overlap
         self._overlap = pipeline.Overlap()
         self._budget = budget or memory_budget.MemoryBudget()
         self._made_room_at = 0.0
@@ -757,6 +764,7 @@
                 depth=self._pipeline_depth, overlap=self._overlap
             ),
             budget=self._budget,
+            may_overlap=self._may_overlap,
         )
 
     def _make_room(self) -> None:
