Routing: a view with the same records is not indexed again

Cause: each proof that the view is the newest makes a new view, and all records were grouped again for it. Change: the index is kept while records and evacuated data centres are the same. Result: tests of the routing controller, spillover, evacuation and dispatch pass; the new test failed before.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -529,11 +529,21 @@
             )
 
     def _index_records(self, now: float) -> None:
-        """Groups the records of ready upstreams by service, once per view."""
-        view = self._view.value
-        if view is self._indexed_view:
+        """Groups the records of ready upstreams by service.
+
+        This is done once for all views that hold the same records. Each proof
+        that they are the newest makes a new view.
+        """
+        view, indexed = self._view.value, self._indexed_view
+        if view is indexed:
             return
         self._indexed_view = view
+        if (
+            indexed is not None
+            and view.records is indexed.records
+            and view.evacuated == indexed.evacuated
+        ):
+            return
         self._by_service = {}
         ready_since: dict[tuple[str, int], float] = {}
         for record in view.records.values():
--- a/tests/test_routing_controller.py
+++ b/tests/test_routing_controller.py
@@ -1,5 +1,7 @@
 """What the routing controller takes from attempts and views."""
 
+import dataclasses
+
 import pytest
 
 from sassafrashall import clock
@@ -199,3 +201,23 @@
         node.end("y1", messages.AttemptResult.CONNECTION_FAILED)
         node.end("y1", result, **fields)
     assert not _is_blocked(node, "y")
+
+
+# Guards against processor time that grows with the fleet for each proof that
+# the view is the newest.
+def test_records_are_indexed_again_only_if_they_changed(monkeypatch):
+    node = _Node(monkeypatch, {"x1": "x", "y1": "y"})
+    node.choose()
+    indexed = node.controller._by_service
+    view = dataclasses.replace(node.view.value, fresh_at=node.now)
+    node.view.publish(view)
+    node.choose()
+    assert node.controller._by_service is indexed
+    evacuated = dataclasses.replace(view, evacuated=frozenset({"x"}))
+    node.view.publish(evacuated)
+    assert node.choose() == "y1"
+    node.view.publish(dataclasses.replace(evacuated, evacuated=frozenset()))
+    assert node.choose() == "x1"
+    records = {"y1": view.records["y1"]}
+    node.view.publish(dataclasses.replace(view, records=records))
+    assert node.choose() == "y1"
