--- a/bench/crowds.py
+++ b/bench/crowds.py
@@ -194,6 +194,7 @@
         folder: pathlib.Path,
         settings: dict[str, object],
         hold: float,
+        pipeline_depth: int,
     ) -> None:
         """Sets up the processes.
 
@@ -201,9 +202,12 @@
           folder: For settings, data and logs.
           settings: Added to the settings of each process.
           hold: Seconds that a crowd stays.
+          pipeline_depth: Requests of one connection that the node runs at the
+            same time.
         """
         self._folder = folder
         self._hold = hold
+        self._pipeline_depth = pipeline_depth
         self._settings = settings
         self._daemons = fleet.Daemons(folder=folder, report=lambda _: None)
         addresses = iter(fleet_module.free_addresses(9))
@@ -241,6 +245,7 @@
             seeds=[rpc],
             service="alpha",
             upstream=self._upstream,
+            pipeline_depth=self._pipeline_depth,
         )
         server = _Upstream(address=self._upstream, slots=20)
         await server.start(nursery)
@@ -353,12 +358,19 @@
 
 
 async def measure(
-    form: Form, count: int, settings: dict[str, object], hold: float
+    form: Form,
+    count: int,
+    settings: dict[str, object],
+    hold: float,
+    pipeline_depth: int = 1,
 ) -> Result:
     """Plays one crowd against processes of its own."""
     with tempfile.TemporaryDirectory(prefix="crowds-") as folder:
         measurement = Measurement(
-            folder=pathlib.Path(folder), settings=settings, hold=hold
+            folder=pathlib.Path(folder),
+            settings=settings,
+            hold=hold,
+            pipeline_depth=pipeline_depth,
         )
         return await measurement.run(form, count)
 
@@ -371,12 +383,18 @@
     parser.add_argument("--hold", type=float, default=4.0, help="seconds")
     parser.add_argument("--limit", type=float, default=200.0, help="MB")
     parser.add_argument("--memory", type=int, help="memory_mb of the settings")
+    parser.add_argument("--pipeline-depth", type=int, default=1)
     options = parser.parse_args()
     settings = {} if options.memory is None else {"memory_mb": options.memory}
     failed = False
     for name in options.form or FORMS:
         result = trio.run(
-            measure, FORMS[name], options.callers, settings, options.hold
+            measure,
+            FORMS[name],
+            options.callers,
+            settings,
+            options.hold,
+            options.pipeline_depth,
         )
         failed |= (
             not result.alive
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -122,6 +122,7 @@
         seeds: list[model.Address],
         service: str,
         upstream: model.Address,
+        pipeline_depth: int = 1,
     ) -> None:
         """Writes the settings of a node."""
         bounds = soak_model.Bounds()
@@ -137,6 +138,12 @@
                 "strict_withdrawal": True,
                 "withdrawal": f"{bounds.revoke}s",
                 "grace": f"{bounds.grace}s",
+                # Earlier builds don't know this setting.
+                **(
+                    {"pipeline_depth": pipeline_depth}
+                    if pipeline_depth > 1
+                    else {}
+                ),
             },
         )
 
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -22,6 +22,26 @@
     result = await crowds.measure(
         crowds.FORMS[form], CALLERS, {"memory_mb": MEMORY_MB}, HOLD
     )
+    _check(result)
+
+
+# Guards against requests of one connection that run at once, or wait for each
+# other, and are not counted.
+@pytest.mark.parametrize("form", ["thirds", "two-heads", "pipelined"])
+async def test_a_crowd_that_pipelines_leaves_the_process_within_its_memory(
+    form,
+):
+    result = await crowds.measure(
+        crowds.FORMS[form],
+        CALLERS,
+        {"memory_mb": MEMORY_MB},
+        HOLD,
+        pipeline_depth=8,
+    )
+    _check(result)
+
+
+def _check(result):
     assert result.alive
     assert result.peak_mb <= MEMORY_MB
     assert result.descriptors <= DESCRIPTORS
