--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -292,32 +292,11 @@
     def _admit(
         self, message: messages.Admit, reply: mailbox.Reply, now: float
     ) -> None:
-        ready = (
-            self._upstream is not None
-            and self._upstream.state is model.UpstreamState.READY
-        )
-        if not ready or self._limit_state is None:
-            reply.put(
-                self._refusal(
-                    exceptions.NO_UPSTREAM, "the upstream is not ready"
-                )
-            )
-            return
-        block = self._find_block(now)
-        if block is not None:
-            self._metrics.count("evacuation_refusals")
-            reply.put(self._refusal(exceptions.NO_UPSTREAM, block.value))
-            return
-        if not breaker.may_send(self._breaker, now):
-            reply.put(
-                self._refusal(
-                    exceptions.NO_UPSTREAM, "the upstream fails its requests"
-                )
-            )
-            return
-        if not self._may_send_cold(now):
-            reply.put(self._refusal(exceptions.SHED, COLD_DETAIL))
+        refusal = self._refusal_before_queue(now)
+        if refusal is not None:
+            reply.put(refusal)
             return
+        assert self._limit_state is not None
         item = queues.QueuedRequest(
             item_id=message.call_id,
             organisation=message.organisation,
@@ -340,6 +319,39 @@
         if not message.may_wait:
             reply.put(self._refusal(exceptions.SHED, "no slot is free"))
             return
+        self._enqueue(item, reply, limit, now)
+
+    def _refusal_before_queue(self, now: float) -> messages.Shed | None:
+        """Returns why the upstream gets no further request, or None."""
+        ready = (
+            self._upstream is not None
+            and self._upstream.state is model.UpstreamState.READY
+        )
+        if not ready or self._limit_state is None:
+            return self._refusal(
+                exceptions.NO_UPSTREAM, "the upstream is not ready"
+            )
+        block = self._find_block(now)
+        if block is not None:
+            self._metrics.count("evacuation_refusals")
+            return self._refusal(exceptions.NO_UPSTREAM, block.value)
+        if not breaker.may_send(self._breaker, now):
+            return self._refusal(
+                exceptions.NO_UPSTREAM, "the upstream fails its requests"
+            )
+        if not self._may_send_cold(now):
+            return self._refusal(exceptions.SHED, COLD_DETAIL)
+        return None
+
+    def _enqueue(
+        self,
+        item: queues.QueuedRequest,
+        reply: mailbox.Reply,
+        limit: int,
+        now: float,
+    ) -> None:
+        """Lets a request wait for a slot, unless it can't end in time."""
+        assert self._limit_state is not None
         self._waiting_replies[item.item_id] = reply
         finish_at = now + self._min_time_left()
         if not queues.can_finish(
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -265,29 +265,29 @@
         which saves most of the processor time.
         """
         comparison = self._comparison_of(message.service, now)
-        attempts = len(message.avoid)
-
-        def estimate(
-            records: Iterable[model.NodeRecord],
-        ) -> tuple[routing.Candidate, ...]:
-            return tuple(
-                self._estimate(record, message.route, comparison, now)
-                for record in records
-            )
-
         untried = [r for r in usable if r.vm not in message.avoid]
-        near_records = [
-            r for r in untried if r.data_centre == self._data_centre
-        ]
         far_records = [r for r in untried if r.data_centre != self._data_centre]
-        near = estimate(near_records)
+        near = self._estimate_all(
+            (r for r in untried if r.data_centre == self._data_centre),
+            message,
+            comparison,
+            now,
+        )
         if not comparison.rooms_known:
             # Without the loads of the data centres, each call is decided by
             # what this node has seen of the upstreams.
+            attempts = len(message.avoid)
             if routing.has_room(policy, near):
                 return self._choose(near, attempts, now)
-            everywhere = near + estimate(far_records)
-            return self._choose(everywhere or estimate(usable), attempts, now)
+            everywhere = near + self._estimate_all(
+                far_records, message, comparison, now
+            )
+            return self._choose(
+                everywhere
+                or self._estimate_all(usable, message, comparison, now),
+                attempts,
+                now,
+            )
         if not message.avoid:
             self._flows[message.service] = spillover.on_call(
                 self._flow_of(message.service),
@@ -295,35 +295,85 @@
                 now,
             )
         if near:
-            there, cause = None, "share"
-            is_full = routing.are_full(policy, near)
-            if message.avoid:
-                if is_full and attempts < policy.moves:
-                    there = self._overflow_to(message, near, comparison)
-                    cause = "overflow"
-            elif not routing.is_free_here(policy, near):
-                there = self._leave_for(message)
-            if there is not None:
-                far = estimate(r for r in far_records if r.data_centre == there)
-                choice = self._choose(far, attempts, now)
-                if choice is not None:
-                    self._count_crossing(message.service, cause, there)
-                    # It doesn't wait where it takes room from others.
-                    return dataclasses.replace(
-                        choice, may_wait=attempts >= policy.moves
-                    )
-            choice = self._choose(near, attempts, now)
-            if (
-                choice is not None
-                and not message.avoid
-                and is_full
-                and self._overflow_to(message, near, comparison) is not None
-            ):
-                # If it is full indeed, the call leaves with the next attempt.
-                return dataclasses.replace(choice, may_wait=False)
-            return choice
-        tried = estimate(
-            r for r in usable if r.data_centre == self._data_centre
+            return self._choose_near(
+                policy, message, comparison, near, far_records, now
+            )
+        return self._choose_after_near(
+            policy, message, comparison, usable, far_records, now
+        )
+
+    def _estimate_all(
+        self,
+        records: Iterable[model.NodeRecord],
+        message: messages.ChooseUpstream,
+        comparison: _Comparison,
+        now: float,
+    ) -> tuple[routing.Candidate, ...]:
+        return tuple(
+            self._estimate(record, message.route, comparison, now)
+            for record in records
+        )
+
+    def _choose_near(
+        self,
+        policy: routing.ExpectedCompletion,
+        message: messages.ChooseUpstream,
+        comparison: _Comparison,
+        near: tuple[routing.Candidate, ...],
+        far_records: list[model.NodeRecord],
+        now: float,
+    ) -> messages.UpstreamChoice | None:
+        """Chooses while upstreams here are untried; the call may leave."""
+        attempts = len(message.avoid)
+        there, cause = None, "share"
+        is_full = routing.are_full(policy, near)
+        if message.avoid:
+            if is_full and attempts < policy.moves:
+                there = self._overflow_to(message, near, comparison)
+                cause = "overflow"
+        elif not routing.is_free_here(policy, near):
+            there = self._leave_for(message)
+        if there is not None:
+            far = self._estimate_all(
+                (r for r in far_records if r.data_centre == there),
+                message,
+                comparison,
+                now,
+            )
+            choice = self._choose(far, attempts, now)
+            if choice is not None:
+                self._count_crossing(message.service, cause, there)
+                # It doesn't wait where it takes room from others.
+                return dataclasses.replace(
+                    choice, may_wait=attempts >= policy.moves
+                )
+        choice = self._choose(near, attempts, now)
+        if (
+            choice is not None
+            and not message.avoid
+            and is_full
+            and self._overflow_to(message, near, comparison) is not None
+        ):
+            # If it is full indeed, the call leaves with the next attempt.
+            return dataclasses.replace(choice, may_wait=False)
+        return choice
+
+    def _choose_after_near(
+        self,
+        policy: routing.ExpectedCompletion,
+        message: messages.ChooseUpstream,
+        comparison: _Comparison,
+        usable: list[model.NodeRecord],
+        far_records: list[model.NodeRecord],
+        now: float,
+    ) -> messages.UpstreamChoice | None:
+        """Chooses once no upstream here is left that the call hasn't tried."""
+        attempts = len(message.avoid)
+        tried = self._estimate_all(
+            (r for r in usable if r.data_centre == self._data_centre),
+            message,
+            comparison,
+            now,
         )
         # With no other data centre within reach, any is better than none.
         far_records = [
@@ -341,18 +391,21 @@
                 for r in far_records
                 if comparison.loads.get(r.data_centre, 0.0) < bound
             ]
-        choice = self._choose(estimate(far_records), attempts, now)
-        if choice is not None and tried:
-            choice = dataclasses.replace(
-                choice, may_wait=attempts >= policy.moves
-            )
-        if choice is not None:
-            there = self._view.value.records[choice.vm].data_centre
-            self._count_crossing(
-                message.service, "refused" if tried else "no-upstream", there
+        far = self._estimate_all(far_records, message, comparison, now)
+        choice = self._choose(far, attempts, now)
+        if choice is None:
+            return self._choose(
+                tried or self._estimate_all(usable, message, comparison, now),
+                attempts,
+                now,
             )
+        there = self._view.value.records[choice.vm].data_centre
+        self._count_crossing(
+            message.service, "refused" if tried else "no-upstream", there
+        )
+        if not tried:
             return choice
-        return self._choose(tried or estimate(usable), attempts, now)
+        return dataclasses.replace(choice, may_wait=attempts >= policy.moves)
 
     def _leave_for(self, message: messages.ChooseUpstream) -> str | None:
         """Returns the data centre that a call goes to; None if it stays."""
