Configuration watch: a node without a configuration asks each 0.1 s

Cause: after a loss of power of all processes, nodes started 0.3 s before the controls and 0.7 s before a leader was elected, and learned the configuration with their next round, 0.1 to 0.4 s after that. They refused all requests meanwhile (no_configuration).

Change: for its first 5 s a node that knows no configuration asks one control each 0.1 s, in turn.

--- a/src/sassafrashall/controllers/configuration_watch.py
+++ b/src/sassafrashall/controllers/configuration_watch.py
@@ -20,6 +20,14 @@
 READ_TIMEOUT = 1.0  # seconds for a control to send the configuration
 # Seconds after which a second control is asked to send the configuration.
 SECOND_READ_DELAY = 0.1
+# Seconds between questions of a node that has just started and knows no
+# configuration: it refuses all requests until it does. One control is asked at
+# a time, so that a restart of a whole fleet asks each control no more often
+# than later rounds of a majority do.
+STARTUP_INTERVAL = 0.1
+# Seconds after which such a node asks no more often than others. A fleet may
+# have no configuration yet.
+STARTUP_PERIOD = 5.0
 
 
 class ConfigurationWatch(task.Controller):
@@ -61,11 +69,24 @@
         self._reads = 0  # in progress
 
     async def _setup(self) -> None:
+        self._spawn(self._ask_after_start)
         self._spawn(self._ask_regularly)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         raise AssertionError(f"unexpected message {message}")
 
+    async def _ask_after_start(self) -> None:
+        """Asks until the first configuration is known."""
+        end = clock.monotonic() + STARTUP_PERIOD
+        while clock.monotonic() < end:
+            await trio.sleep(STARTUP_INTERVAL)
+            if self._table.value is not None:
+                return
+            for address in (await self._link.ask(messages.ChooseControls()))[
+                :1
+            ]:
+                self._spawn(self._ask_control, address)
+
     async def _ask_regularly(self) -> None:
         while True:
             await trio.sleep(self._interval)
--- a/tests/test_configuration_watch.py
+++ b/tests/test_configuration_watch.py
@@ -118,6 +118,34 @@
     assert "a-key" in membership.view.value.configuration.withdrawn
 
 
+# Guards against a node that waits for its next round after all processes have
+# lost power: controls start after it, and it refuses requests meanwhile.
+async def test_a_node_without_a_configuration_asks_more_often():
+    controls = _Controls(own=0, other=0)
+    async with _node(controls, interval=10.0) as membership:
+        await trio.sleep(2 * configuration_watch.STARTUP_INTERVAL)
+        assert membership.table.value is None
+        controls.revisions["other"] = 1
+        with trio.fail_after(2):
+            await _wait_for_version(membership, 1)
+        # Later changes are left to the regular rounds.
+        controls.revisions["other"] = 2
+        await trio.sleep(3 * configuration_watch.STARTUP_INTERVAL)
+    assert membership.table.value.document.version == 1
+
+
+async def test_a_node_of_a_fleet_without_a_configuration_stops_asking_often(
+    monkeypatch,
+):
+    monkeypatch.setattr(configuration_watch, "STARTUP_PERIOD", 0.2)
+    controls = _Controls(own=0, other=0)
+    async with _node(controls, interval=10.0) as membership:
+        await trio.sleep(0.5)
+        controls.revisions["other"] = 1
+        await trio.sleep(3 * configuration_watch.STARTUP_INTERVAL)
+    assert membership.table.value is None
+
+
 # Guards against questions that wait for each other: one control is gone.
 async def test_a_control_that_does_not_answer_holds_up_no_other():
     controls = _Controls(own=1, gone=None, other=2)
