Quota: a restarted owner lends the part of its share that it cannot have lent

Cause: a restarted control does not know the leases that it granted, and minted no tokens for 3 s.

Change: with routed.quota_lease_fraction below 1, an owner has at most that fraction of a share on leases. After a restart the rest is refilled at once. A file beside the log tells whether the last run kept to the limit.

Tests: the stateful test of the bound draws the fraction and restarts; the owner with files that are missing, damaged or can't be written, and without a majority.

--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -6,9 +6,12 @@
 from typing import Any
 import uuid
 
+import trio
+
 from sassafrashall import clock
 from sassafrashall import events
 from sassafrashall import exceptions
+from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
@@ -16,11 +19,17 @@
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.decisions import quota
+from sassafrashall.storage import lease_limit
 from sassafrashall.transport import rpc
 
 FORWARD_TIMEOUT = 0.25  # seconds
 OWNER_RETRY_PAUSE = 1.0  # seconds until an owner that failed is asked again
 MAX_WAIT = 60.0  # seconds; the longest wait reported to a node
+# Seconds since the contact with a majority within which a replica that has
+# restarted is still a member: one that was replaced meanwhile gets no contact.
+MAX_MAJORITY_AGE = 1.0
+RESTART_CHECK_INTERVAL = 0.05  # seconds
+LIMIT_WRITE_PAUSE = 5.0  # seconds after a write that failed
 
 
 class QuotaOwner(task.Controller):
@@ -28,6 +37,12 @@
 
     An owner without a token forwards the request to the other owners, which
     lend from their own shares. Tokens never move between owners.
+
+    With a limit on what may be lent at the same time, a restarted owner lends
+    the rest of its shares as soon as it is known to be a member still, and all
+    of them once the leases from before have expired. Until then it may have
+    lent all of a share, so that the file holds no limit: an owner that restarts
+    twice in a row lends nothing for that time.
     """
 
     def __init__(
@@ -42,8 +57,17 @@
         super().__init__()
         self._settings = settings
         self._overage = quota.NO_OVERAGE
+        self._fraction = lease_limit.ALL  # of a share that may be lent
         if settings.routed is not None:
             self._overage = settings.routed.allowed_overage()
+            self._fraction = settings.routed.quota_lease_fraction
+        self._limit_file = lease_limit.LeaseLimitFile(
+            folder=settings.data_folder
+        )
+        # The fraction that may be on leases from before the restart; None while
+        # that is not known.
+        self._unknown_fraction: float | None = None
+        self._preparing_restart = False
         self._replica = replica
         self._view = view
         self._events = event_log
@@ -66,11 +90,59 @@
         status = await self._replica.ask(messages.ReadReplica())
         self._replica_id = status.member.replica_id
         self._track_share(self._view.value, clock.monotonic())
+        before = await trio.to_thread.run_sync(self._limit_file.read)
+        if before < lease_limit.ALL:
+            # Not exceeded until the file tells so.
+            self._fraction, wanted = min(before, self._fraction), self._fraction
+            self._preparing_restart = self._share_revision is not None
+            self._spawn(self._prepare_restart, before, wanted)
+        elif self._fraction < lease_limit.ALL:
+            self._spawn(self._record_limit, self._fraction)
         self._spawn(self._follow_view)
 
     async def _teardown(self) -> None:
         self._clients.close()
 
+    async def _prepare_restart(self, before: float, wanted: float) -> None:
+        """Lends the rest of the shares as soon as that is safe.
+
+        Args:
+          before: The fraction of a share that may be on unknown leases.
+          wanted: The fraction that may be lent from now on.
+        """
+        end = clock.monotonic() + quota.OWNER_LEASE_TTL
+        try:
+            if await self._write_limit(lease_limit.ALL):
+                self._fraction = wanted
+                while clock.monotonic() < end:
+                    status = await self._replica.ask(messages.ReadReplica())
+                    if status.majority_age < MAX_MAJORITY_AGE:
+                        self._unknown_fraction = before
+                        break
+                    await trio.sleep(RESTART_CHECK_INTERVAL)
+        finally:
+            self._preparing_restart = False
+        if wanted < lease_limit.ALL:
+            await self._record_limit(wanted)
+
+    async def _record_limit(self, fraction: float) -> None:
+        """Writes the limit once all leases beyond it have expired."""
+        await trio.sleep(quota.OWNER_LEASE_TTL)
+        while not await self._write_limit(fraction):
+            await trio.sleep(LIMIT_WRITE_PAUSE)
+
+    async def _write_limit(self, fraction: float) -> bool:
+        try:
+            await trio.to_thread.run_sync(self._limit_file.write, fraction)
+        except OSError as error:
+            self._metrics.count("lease_limit_writes_failed")
+            logs.get().warning(
+                "limit of quota leases not written",
+                extra={"fraction": fraction, "reason": str(error)},
+            )
+            return False
+        return True
+
     async def _follow_view(self) -> None:
         # It may have changed since the setup.
         self.mailbox.tell(self._view.value)
@@ -99,6 +171,8 @@
     def _track_share(self, view: messages.FleetView, now: float) -> None:
         if self._replica_id not in view.owners:
             self._share_revision = None
+            # Another owner has lent from a share that this one gets later.
+            self._unknown_fraction = None
         elif self._share_revision is None:
             self._share_revision = view.state.revision
             self._share_held_since = now
@@ -144,14 +218,23 @@
         organisation_quota = view.state.quota(name)
         if organisation_quota is None or self._share_revision is None:
             return None
+        if self._preparing_restart:
+            return None
         rate, capacity = self._share_of(name, view)
         # If the organisation was created while this process was running and
         # an owner, no node can hold tokens of the share yet.
         known_before = max(view.replayed_revision, self._share_revision)
         if organisation_quota.created > known_before:
             return quota.open_bucket(rate, capacity, now, is_new=True)
+        unknown = None
+        if self._unknown_fraction is not None:
+            unknown = quota.lease_limit(capacity, self._unknown_fraction)
         return quota.open_bucket(
-            rate, capacity, self._share_held_since, is_new=False
+            rate,
+            capacity,
+            self._share_held_since,
+            is_new=False,
+            unknown=unknown,
         )
 
     def _on_borrow(
@@ -176,9 +259,11 @@
     ) -> tuple[tuple[protocol.LeaseGrant, ...], float]:
         bucket = self._get_bucket(name, now)
         if bucket is None:
-            return (), MAX_WAIT
+            preparing = self._preparing_restart
+            return (), RESTART_CHECK_INTERVAL if preparing else MAX_WAIT
         lease_id = uuid.uuid4().hex[:12]
-        bucket, tokens = quota.grant_lease(bucket, lease_id, wanted, now)
+        limit = quota.lease_limit(bucket.capacity, self._fraction)
+        bucket, tokens = quota.grant_lease(bucket, lease_id, wanted, now, limit)
         self._buckets[name] = bucket
         if tokens == 0:
             self._empty_answers[name] += 1
--- a/src/sassafrashall/decisions/quota.py
+++ b/src/sassafrashall/decisions/quota.py
@@ -20,6 +20,10 @@
 OWNER_LEASE_TTL = LEASE_TTL + LEASE_GRACE  # seconds at the owner
 DEMAND_SMOOTHING = 0.2  # weight of the latest interval in the demand
 ROUNDING_TOLERANCE = 1e-9  # tokens
+# Tokens of a share from which on part of it is kept from being lent. Of fewer,
+# nodes would lack those that are kept.
+MIN_CAPACITY_TO_SPLIT = 6
+UNKNOWN_LEASES = ""  # the lease id that stands for those from before a restart
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -192,21 +196,58 @@
     return rate * tokens / burst, tokens
 
 
+def lease_limit(capacity: int, fraction: float) -> int:
+    """Returns how many tokens of a share may be on leases at the same time.
+
+    The rest can be lent right after a restart of the owner, which does not know
+    the leases from before.
+
+    Args:
+      capacity: Whole tokens of the share.
+      fraction: Fraction of them that may be lent.
+    """
+    if capacity < MIN_CAPACITY_TO_SPLIT:
+        return capacity
+    return min(capacity, math.ceil(fraction * capacity))
+
+
 def open_bucket(
-    rate: float, capacity: int, now: float, *, is_new: bool
+    rate: float,
+    capacity: int,
+    now: float,
+    *,
+    is_new: bool,
+    unknown: int | None = None,
 ) -> Bucket:
     """Returns a new bucket, full only if the organisation was just created.
 
     A restarted owner does not know the leases that it granted before, so its
-    bucket starts empty and is not refilled until they have all expired.
+    bucket starts empty, and as many tokens as may be on these leases are not
+    refilled until they have all expired.
+
+    Args:
+      rate: Tokens per second of the share.
+      capacity: Whole tokens of the share.
+      now: Monotonic seconds.
+      is_new: Whether no token of the share has ever been lent.
+      unknown: Tokens that may be on unknown leases; None if that may be all.
     """
-    return Bucket(
+    bucket = Bucket(
         rate=rate,
         capacity=capacity,
         level=float(capacity) if is_new else 0.0,
         updated_at=now,
-        refill_from=now if is_new else now + OWNER_LEASE_TTL,
+        refill_from=now,
+    )
+    if is_new:
+        return bucket
+    expires_at = now + OWNER_LEASE_TTL
+    if unknown is None:
+        return dataclasses.replace(bucket, refill_from=expires_at)
+    lease = Lease(
+        lease_id=UNKNOWN_LEASES, tokens=unknown, expires_at=expires_at
     )
+    return dataclasses.replace(bucket, leases=(lease,))
 
 
 def refill(bucket: Bucket, now: float) -> Bucket:
@@ -247,10 +288,30 @@
 
 
 def grant_lease(
-    bucket: Bucket, lease_id: str, wanted: int, now: float
+    bucket: Bucket,
+    lease_id: str,
+    wanted: int,
+    now: float,
+    limit: int | None = None,
 ) -> tuple[Bucket, int]:
-    """Leases up to `wanted` whole tokens and returns how many."""
+    """Leases up to `wanted` whole tokens and returns how many.
+
+    Args:
+      bucket: The owner's share.
+      lease_id: Of the new lease.
+      wanted: Number of tokens.
+      now: Monotonic seconds.
+      limit: Tokens that may be on leases at the same time, apart from unknown
+        leases; None if that may be all.
+    """
     bucket = refill(bucket, now)
+    if limit is not None:
+        known = sum(
+            lease.tokens
+            for lease in bucket.leases
+            if lease.lease_id != UNKNOWN_LEASES
+        )
+        wanted = min(wanted, limit - known)
     tokens = max(0, min(wanted, math.floor(bucket.level + ROUNDING_TOLERANCE)))
     if tokens == 0:
         return bucket, 0
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -115,6 +115,10 @@
         it.
       quota_slack: Requests by which it may exceed it further, within a few
         seconds.
+      quota_lease_fraction: Fraction of a control's share of a quota that may be
+        lent to nodes at the same time. What is left is lent right after the
+        control has restarted, when it does not know its leases from before;
+        with 1 it lends nothing for 3 s then.
       retry_ratio: Maximum number of retries that reach an upstream per request
         to a service, over the whole fleet.
       cold_overage: Multiple of the configured rate of requests that a cold
@@ -139,6 +143,7 @@
     grace: Duration = Duration(seconds=6.0)
     quota_overage: float = 0.0
     quota_slack: int = 0
+    quota_lease_fraction: float = 1.0
     retry_ratio: float = 0.2
     cold_overage: float = 0.0
     cold_slack: int = 0
@@ -525,6 +530,7 @@
     if settings.routed is not None:
         faults.extend(_check_losses(settings.routed.losses))
         faults.extend(_check_cold_bounds(settings.routed))
+        faults.extend(_check_lease_fraction(settings.routed))
         if not 1 <= settings.routed.pipeline_depth <= pipelining.MAX_DEPTH:
             faults.append(
                 (
@@ -578,6 +584,13 @@
     return faults
 
 
+def _check_lease_fraction(routed: Routed) -> list[tuple[str, str]]:
+    # Not a number is not above 0 either.
+    if not 0.0 < routed.quota_lease_fraction <= 1.0:
+        return [("routed.quota_lease_fraction", "not above 0, up to 1")]
+    return []
+
+
 def _check_controls(controls: tuple[Control, ...]) -> list[tuple[str, str]]:
     if not controls:
         return [("controls", "at least one control is needed")]
--- a/tests/mechanisms.py
+++ b/tests/mechanisms.py
@@ -89,7 +89,7 @@
     """A restarted owner lends at once, although leases may be out."""
     open_bucket = quota.open_bucket
 
-    def open_full_bucket(rate, capacity, now, *, is_new):
+    def open_full_bucket(rate, capacity, now, *, is_new, unknown=None):
         return open_bucket(rate, capacity, now, is_new=True)
 
     patch.setattr(quota, "open_bucket", open_full_bucket)
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -47,6 +47,7 @@
     Attributes:
       isolated_nodes: Nodes that reach only their home owner.
       delayed_reports: Reports in transit with their time of arrival.
+      limit_known_from: When the file of each owner holds its limit again.
     """
 
     def __init__(
@@ -58,12 +59,15 @@
         owners: int = 3,
         nodes: int = 6,
         loss: float = 0.0,
+        fraction: float = 1.0,
     ):
         self.random = random.Random(seed)
         self.now = 0.0
         self.rate, self.burst, self.loss = rate, burst, loss
+        self.fraction = fraction
         self.names = tuple(f"o{i}" for i in range(owners))
         self.buckets: dict[str, quota.Bucket] = {}
+        self.limit_known_from = dict.fromkeys(self.names, 0.0)
         for name in self.names:
             self.open_bucket(name, is_new=True)
         self.caches = [quota.TokenCache() for _ in range(nodes)]
@@ -77,13 +81,17 @@
         rate, capacity = quota.owner_share(
             NAME, self.rate, self.burst, name, self.names
         )
+        unknown = None
+        if self.fraction < 1 and self.now >= self.limit_known_from[name]:
+            unknown = quota.lease_limit(capacity, self.fraction)
         self.buckets[name] = quota.open_bucket(
-            rate, capacity, self.now, is_new=is_new
+            rate, capacity, self.now, is_new=is_new, unknown=unknown
         )
 
     def restart_owner(self, name: str) -> None:
         """Replaces the owner's bucket by that of a restarted owner."""
         self.open_bucket(name, is_new=False)
+        self.limit_known_from[name] = self.now + quota.OWNER_LEASE_TTL
 
     def change_rate(self, rate: float, burst: int) -> None:
         self.rate, self.burst = rate, burst
@@ -125,7 +133,11 @@
             self.lease_count += 1
             lease_id = f"l{self.lease_count}"
             self.buckets[name], tokens = quota.grant_lease(
-                self.buckets[name], lease_id, wanted, self.now
+                self.buckets[name],
+                lease_id,
+                wanted,
+                self.now,
+                quota.lease_limit(self.buckets[name].capacity, self.fraction),
             )
             if self.random.random() < self.loss:
                 return  # The answer with its tokens is lost.
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -36,6 +36,36 @@
     assert (early, later) == (0, 5)
 
 
+# Guards against a fleet that refuses all requests with a key for 3 s after its
+# controls have restarted.
+def test_a_restarted_owner_lends_at_once_what_it_cannot_have_lent():
+    limit = quota.lease_limit(30, 0.67)
+    bucket = quota.open_bucket(100.0, 30, 0.0, is_new=False, unknown=limit)
+    bucket, early = quota.grant_lease(bucket, "l", 99, 1.0, limit)
+    assert (limit, early) == (21, 9)
+    after = quota.OWNER_LEASE_TTL + 0.5
+    bucket, later = quota.grant_lease(bucket, "m", 99, after, limit)
+    assert early + later == limit
+
+
+def test_no_more_than_the_limit_is_on_leases_at_the_same_time():
+    bucket = quota.open_bucket(0.0, 30, 0.0, is_new=True)
+    bucket, first = quota.grant_lease(bucket, "l", 15, 0.0, 20)
+    bucket, second = quota.grant_lease(bucket, "m", 15, 0.0, 20)
+    assert (first, second) == (15, 5)
+
+
+def test_a_small_share_is_lent_as_a_whole():
+    assert [quota.lease_limit(n, 0.5) for n in (1, 2, 5, 6, 7)] == [
+        1,
+        2,
+        5,
+        3,
+        4,
+    ]
+    assert quota.lease_limit(30, 1.0) == 30
+
+
 def test_capacity_added_by_a_resize_starts_empty():
     bucket = quota.open_bucket(0.0, 10, 0.0, is_new=True)
     bucket = quota.resize(bucket, 0.0, 100, 1.0)
@@ -98,9 +128,12 @@
         burst=st.integers(1, 40),
         rate=st.sampled_from([1.0, 7.0, 50.0, 400.0]),
         loss=st.sampled_from([0.0, 0.1, 0.5]),
+        fraction=st.sampled_from([1.0, 0.67, 0.4]),
     )
-    def begin(self, seed, burst, rate, loss):
-        self.model = quota_model.Model(seed, rate=rate, burst=burst, loss=loss)
+    def begin(self, seed, burst, rate, loss, fraction):
+        self.model = quota_model.Model(
+            seed, rate=rate, burst=burst, loss=loss, fraction=fraction
+        )
 
     @stateful.rule(node=st.integers(0, 5), count=st.integers(1, 60))
     def burst_of_requests(self, node, count):
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -1,9 +1,12 @@
+import contextlib
 import dataclasses
 
 import immutables
+import pytest
 import trio
 import trio.testing
 
+from sassafrashall import clock
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
@@ -13,11 +16,12 @@
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import replication
+from sassafrashall.storage import lease_limit
 from tests import fakes
 from tests import loopback
 
 
-def _settings(tmp_path):
+def _settings(tmp_path, **routed):
     address = loopback.free_address()
     return settings.Daemon(
         role=settings.Role.CONTROL,
@@ -27,6 +31,7 @@
         controls=(),
         fleet_secret="a-secret-of-some-length",
         data_folder=str(tmp_path),
+        routed=settings.Routed(**routed) if routed else None,
     )
 
 
@@ -125,6 +130,102 @@
     assert reply.grants == () and reply.wait >= quota.LEASE_TTL
 
 
+@pytest.fixture
+def virtual_time(autojump_clock, monkeypatch):
+    """Time that passes only while all tasks sleep; it does not for threads."""
+
+    async def run_sync(function, *args):
+        return function(*args)
+
+    monkeypatch.setattr(clock, "monotonic", trio.current_time)
+    monkeypatch.setattr(trio.to_thread, "run_sync", run_sync)
+
+
+@contextlib.asynccontextmanager
+async def _restarted(tmp_path, fraction=0.67, majority_age=0.0):
+    """Runs an owner that was one before, with an organisation from before."""
+    status = dataclasses.replace(_status(), majority_age=majority_age)
+    replica = fakes.ScriptedController(lambda message: status)
+    owner = quota_owner.QuotaOwner(
+        settings=_settings(tmp_path, quota_lease_fraction=fraction),
+        replica=replica.mailbox,
+        view=mailbox.Published(
+            initial=_view(created=5, replayed=5, burst=90),
+        ),
+        event_log=fakes.event_log(),
+        counters=fakes.counters(),
+    )
+    async with fakes.started(replica, owner):
+        yield owner
+
+
+async def _lent(owner):
+    borrow = protocol.Borrow(organisation="org", wanted=99, forwarded=True)
+    reply = await owner.mailbox.ask(borrow)
+    return sum(grant.tokens for grant in reply.grants)
+
+
+# Guards against a fleet that refuses all requests with a key for 3 s after its
+# controls have restarted.
+async def test_a_restarted_owner_lends_within_the_rest_of_its_share(
+    tmp_path, virtual_time
+):
+    limit = lease_limit.LeaseLimitFile(folder=str(tmp_path))
+    limit.write(0.67)
+    async with _restarted(tmp_path) as owner:
+        await trio.sleep(1.0)
+        assert await _lent(owner) == 3  # 10 / 3 a second
+        # Until the leases from before have expired, all may be out.
+        assert limit.read() == lease_limit.ALL
+        await trio.sleep(3 * quota.OWNER_LEASE_TTL)
+        assert limit.read() == 0.67
+        await trio.sleep(60)
+        assert await _lent(owner) == quota.lease_limit(30, 0.67)
+
+
+# Guards against more than the quota: all of a share may be on leases from
+# before a second restart or of an older build.
+@pytest.mark.parametrize("recorded", ["1.0", "nan", "0", "", None])
+async def test_a_restarted_owner_without_a_limit_lends_nothing_at_first(
+    tmp_path, virtual_time, recorded
+):
+    if recorded is not None:
+        (tmp_path / lease_limit.FILE_NAME).write_text(recorded)
+    async with _restarted(tmp_path) as owner:
+        await trio.sleep(quota.LEASE_TTL)
+        assert await _lent(owner) == 0
+        await trio.sleep(quota.OWNER_LEASE_TTL)
+        assert await _lent(owner) > 0
+
+
+async def test_a_restarted_owner_without_a_majority_lends_nothing_at_first(
+    tmp_path, virtual_time
+):
+    lease_limit.LeaseLimitFile(folder=str(tmp_path)).write(0.67)
+    async with _restarted(tmp_path, majority_age=1e6) as owner:
+        await trio.sleep(quota.LEASE_TTL)
+        assert await _lent(owner) == 0
+        await trio.sleep(quota.OWNER_LEASE_TTL)
+        assert await _lent(owner) > 0
+
+
+# Guards against a limit that is exceeded before its file tells so.
+async def test_a_limit_that_cannot_be_written_is_kept(
+    tmp_path, virtual_time, monkeypatch
+):
+    lease_limit.LeaseLimitFile(folder=str(tmp_path)).write(0.5)
+
+    def fail(self, fraction):
+        raise OSError("no space left on device")
+
+    monkeypatch.setattr(lease_limit.LeaseLimitFile, "write", fail)
+    async with _restarted(tmp_path, fraction=1.0) as owner:
+        await trio.sleep(1.0)
+        assert await _lent(owner) == 0
+        await trio.sleep(60)
+        assert await _lent(owner) == 15
+
+
 async def test_unreachable_owners_differ_from_owners_without_tokens(tmp_path):
     owners = ("other", "me", "third")
     view = dataclasses.replace(_view(burst=1, shares=1), owners=owners)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -187,6 +187,21 @@
         ]
 
 
+def test_a_fraction_of_leases_is_above_0_and_up_to_1():
+    text = NODE.replace(
+        "  local: 127.0.0.1:7002",
+        "  readiness: 127.0.0.1:7002\n  announcements: 127.0.0.1:7005",
+    )
+    text += "routed:\n  quota_lease_fraction: "
+    for right in ("0.01", "1"):
+        settings.parse(text + right, "f", settings.Daemon)
+    for wrong in ("0", "1.01", "-1", ".nan"):
+        with pytest.raises(exceptions.FindingsError) as error:
+            settings.parse(text + wrong, "f", settings.Daemon)
+        (finding,) = error.value.findings
+        assert finding.key == "routed.quota_lease_fraction"
+
+
 # A process that is told less memory than it needs at rest would close every
 # connection.
 @pytest.mark.parametrize("value", ["63", "0", "-1", "200.5", "null", "'200'"])
