Configuration check: organisations' rates over the capacity of services

The document names no capacity, so that rates that no service can take were found only under load.

A control keeps the reported demand in a task of its own, which is told heartbeats and gossip. The answer holds the digest of the configuration in force, so that settings of another fleet are noticed.

A finding names a service that the sum of the rates exceeds, another one an organisation whose rate does. Both state the measured values and what was assumed about the mix of routes. What is not known is one line and no finding.

Two tests of the whole output expect the new line as well.

--- a/src/sassafrashall/api.py
+++ b/src/sassafrashall/api.py
@@ -135,6 +135,17 @@
                 return reply
             await trio.sleep(POLL_INTERVAL)
 
+    async def capacity(self) -> protocol.CapacityReply:
+        """Returns the capacity of services as known to the first control.
+
+        Raises:
+          UnreachableError: No control answered.
+        """
+        reply: protocol.CapacityReply = await self._call(
+            protocol.CapacityQuery()
+        )
+        return reply
+
     async def replace_replica(
         self, old_id: str, new_id: str
     ) -> fleet_commands.Result:
--- a/src/sassafrashall/configuration_check.py
+++ b/src/sassafrashall/configuration_check.py
@@ -5,20 +5,24 @@
 import argparse
 import collections
 import dataclasses
+import hashlib
 import json
 import pathlib
 from typing import Any
 
 import trio
 
+from sassafrashall import api
 from sassafrashall import configuration
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall import protocol
 from sassafrashall import reports
 from sassafrashall import settings
 from sassafrashall.decisions import document_checks
 from sassafrashall.decisions import document_differences
 from sassafrashall.decisions import document_review
+from sassafrashall.decisions import service_capacity
 from sassafrashall.platform import documents
 from sassafrashall.platform import names
 from sassafrashall.transport import codec
@@ -27,6 +31,9 @@
 
 EXIT_FINDINGS = 1
 READ_TIMEOUT = 3.0  # seconds; a control answers within 1 s
+NO_FLEET = service_capacity.Unknown(
+    reason="this needs a fleet, see --against ADDRESS"
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,18 +48,23 @@
         None if no comparison was requested.
       differences: Differences from that version; None if the document was not
         compared, because of a fault in it or because it was not requested.
+      capacity_not_checked: Why organisations' rates were not compared with the
+        capacity of services, or not with that of all; empty if they were.
     """
 
     errors: tuple[exceptions.Finding, ...] = ()
     warnings: tuple[exceptions.Finding, ...] = ()
     version_in_force: int | None = None
     differences: tuple[document_differences.Difference, ...] | None = None
+    capacity_not_checked: str = ""
 
     def text(self) -> str:
         """Returns the report for people."""
         lines = [f"errors: {len(self.errors)}, warnings: {len(self.warnings)}"]
         lines += [f"error: {finding}" for finding in self.errors]
         lines += [f"warning: {finding}" for finding in self.warnings]
+        if self.capacity_not_checked:
+            lines.append(f"capacity not checked: {self.capacity_not_checked}")
         if self.differences is not None:
             lines.append(
                 f"differences from version r{self.version_in_force}: "
@@ -86,9 +98,13 @@
     """
     body = _read_file(options.file)
     in_force = None
+    capacity: service_capacity.FleetCapacity = NO_FLEET
     if options.against is not None:
-        in_force = _read_in_force(options.against)
-    report = check_document(body, in_force)
+        is_file = pathlib.Path(options.against).exists()
+        in_force = _read_in_force(options.against, is_file)
+        if not is_file:
+            capacity = _read_capacity(options.settings, in_force)
+    report = check_document(body, in_force, capacity)
     has_findings = bool(report.errors or report.warnings)
     return reports.Output(
         text=report.text(),
@@ -98,13 +114,16 @@
 
 
 def check_document(
-    body: bytes, in_force: configuration.Accepted | None = None
+    body: bytes,
+    in_force: configuration.Accepted | None = None,
+    capacity: service_capacity.FleetCapacity = NO_FLEET,
 ) -> Report:
     """Checks a document as a control does, and reviews it.
 
     Args:
       body: The document as it would be sent.
       in_force: The configuration to compare with.
+      capacity: What is known of the capacity of the services.
     """
     version = None if in_force is None else in_force.configuration.version
     errors = []
@@ -120,7 +139,9 @@
         document = documents.decode(body)
     except exceptions.FindingsError as error:
         return Report(
-            errors=(*errors, *error.findings), version_in_force=version
+            errors=(*errors, *error.findings),
+            version_in_force=version,
+            capacity_not_checked="the document can't be read",
         )
     errors += document_checks.check(document)
     differences = None
@@ -137,14 +158,17 @@
         differences = document_differences.compare(
             in_force.configuration, document
         )
+    capacity_review = service_capacity.review(document, capacity)
     return Report(
         errors=tuple(errors),
         warnings=(
             *_find_repeated_names(body),
             *document_review.review(document),
+            *capacity_review.findings,
         ),
         version_in_force=version,
         differences=differences,
+        capacity_not_checked=capacity_review.not_checked,
     )
 
 
@@ -180,9 +204,9 @@
         raise _cannot_run(path, f"can't be read: {error}") from error
 
 
-def _read_in_force(against: str) -> configuration.Accepted:
+def _read_in_force(against: str, is_file: bool) -> configuration.Accepted:
     """Reads the configuration to compare with, from a file or a control."""
-    if pathlib.Path(against).exists():
+    if is_file:
         text = _read_file(against)
     else:
         try:
@@ -221,6 +245,46 @@
     )
 
 
+def _read_capacity(
+    settings_file: str, in_force: configuration.Accepted
+) -> service_capacity.FleetCapacity:
+    """Reads the capacity of services from the controls of the settings.
+
+    Like the status, it is told only to holders of the operators' secret.
+
+    Args:
+      settings_file: Settings of the tool.
+      in_force: The configuration in force at the control to compare with.
+    """
+    try:
+        tool = settings.read(settings_file, settings.Tool)
+        reply = trio.run(_ask_for_capacity, tool)
+    except exceptions.FindingsError as error:
+        return service_capacity.Unknown(
+            reason="this needs settings with the controls and the operators' "
+            f"secret (--settings): {error.findings[0]}"
+        )
+    except exceptions.SassafrashallError as error:
+        return service_capacity.Unknown(reason=f"no answer: {error}")
+    # The settings may name the controls of another fleet.
+    if reply.document_digest != hashlib.sha256(in_force.text).hexdigest():
+        return service_capacity.Unknown(
+            reason=f"the controls in {settings_file} have another "
+            "configuration in force"
+        )
+    return service_capacity.Known(
+        services=reply.services, is_complete=reply.is_complete
+    )
+
+
+async def _ask_for_capacity(tool: settings.Tool) -> protocol.CapacityReply:
+    client = api.FleetClient(settings=tool)
+    try:
+        return await client.capacity()
+    finally:
+        client.close()
+
+
 def _cannot_run(source: str, text: str) -> exceptions.FindingsError:
     finding = exceptions.Finding(source=source, text=text)
     return exceptions.FindingsError((finding,))
--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 from typing import Any
 
 import trio
@@ -23,8 +24,10 @@
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
+from sassafrashall.controllers import run_times
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import service_capacity
 from sassafrashall.platform import operator_api
 from sassafrashall.transport import codec
 from sassafrashall.transport import http_server
@@ -93,11 +96,13 @@
             event_log=self._events,
             counters=self._metrics,
         )
+        self._run_times = run_times.RunTimes()
         self._controllers: tuple[task.Controller, ...] = (
             loop_monitor.LoopMonitor(counters=self._metrics),
             self._replica,
             self._founding,
             self._fleet_directory,
+            self._run_times,
             self._quota_owner,
         )
 
@@ -157,10 +162,11 @@
                 exceptions.BAD_REQUEST, "not a message for operators"
             )
         match message:
+            case protocol.Heartbeat() | protocol.Gossip():
+                self._run_times.mailbox.tell(message)
+                return await self._fleet_directory.mailbox.ask(message)
             case (
-                protocol.Heartbeat()
-                | protocol.Gossip()
-                | protocol.Ping()
+                protocol.Ping()
                 | protocol.ConfigurationQuery()
                 | protocol.RecordChanged()
             ):
@@ -171,6 +177,8 @@
                 return await self._submit_command(message)
             case protocol.StatusQuery():
                 return await self._read_status(message)
+            case protocol.CapacityQuery():
+                return await self._read_capacity()
             case protocol.ReplaceReplica():
                 return await self._replace_replica(message)
             case protocol.FoundingQuery():
@@ -223,6 +231,24 @@
         quotas = await self._quota_owner.mailbox.ask(message)
         return dataclasses.replace(reply, quotas=quotas)
 
+    async def _read_capacity(self) -> protocol.CapacityReply:
+        status = await self._fleet_directory.mailbox.ask(protocol.StatusQuery())
+        run_s = await self._run_times.mailbox.ask(messages.ReadRunTimes())
+        known = service_capacity.add_up(
+            (
+                (upstream.service, upstream.slots)
+                for upstream in status.ready_upstreams()
+            ),
+            run_s,
+        )
+        accepted = self._replica.view.value.state.accepted
+        text = b"" if accepted is None else accepted.text
+        return protocol.CapacityReply(
+            document_digest=hashlib.sha256(text).hexdigest(),
+            services=known.services,
+            is_complete=known.is_complete,
+        )
+
     async def _read_founding_state(self) -> protocol.FoundingReply:
         status = await self._replica.mailbox.ask(messages.ReadReplica())
         return protocol.FoundingReply(
--- a/src/sassafrashall/decisions/document_review.py
+++ b/src/sassafrashall/decisions/document_review.py
@@ -2,7 +2,8 @@
 
 The control accepts a document with such entries; an operator sees them before
 the document is sent. Upstreams announce the capacity of their service, so that
-organisations' rates can't be compared with it from the document alone.
+organisations' rates can't be compared with it from the document alone; see
+`service_capacity`.
 """
 
 from __future__ import annotations
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -214,6 +214,11 @@
     """Asks for the demand observed at this node, a `demand.Demand`."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadRunTimes:
+    """Asks a control for the mean run time of each service, in seconds."""
+
+
 # --- quota -------------------------------------------------------------------
 
 
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import dataclasses
 
 from sassafrashall import configuration
@@ -12,6 +13,7 @@
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import replication
+from sassafrashall.decisions import service_capacity
 from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import codec
@@ -411,6 +413,40 @@
     claims: int
     evacuated: tuple[str, ...] = ()
 
+    def ready_upstreams(self) -> Iterator[model.Upstream]:
+        """Yields the upstreams that get requests."""
+        for entry in self.nodes:
+            record = entry.record
+            if (
+                record.upstream is not None
+                and record.upstream.state is model.UpstreamState.READY
+                and not entry.lapsed
+                and not record.leaving
+                and record.data_centre not in self.evacuated
+            ):
+                yield record.upstream
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CapacityQuery:
+    """Asks a control for the capacity of the fleet's services."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CapacityReply:
+    """Answers CapacityQuery.
+
+    Attributes:
+      document_digest: SHA-256 digest of the configuration in force, in
+        hexadecimal; that of an empty text if there is none.
+      services: At most `service_capacity.MAX_SERVICES`.
+      is_complete: Whether no service is left out.
+    """
+
+    document_digest: str
+    services: tuple[service_capacity.ServiceCapacity, ...]
+    is_complete: bool
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReplaceReplica:
@@ -428,7 +464,7 @@
     events: tuple[events.Event, ...]
 
 
-OPERATOR_MESSAGES = (StatusQuery, SubmitCommand, ReplaceReplica)
+OPERATOR_MESSAGES = (StatusQuery, CapacityQuery, SubmitCommand, ReplaceReplica)
 
 codec.register(
     Ack,
@@ -453,6 +489,8 @@
     JoinRequest,
     StatusQuery,
     StatusReply,
+    CapacityQuery,
+    CapacityReply,
     ReplaceReplica,
     EventsReply,
     exceptions.Finding,
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -317,13 +317,7 @@
 
 def _has_ready_upstream(status: protocol.StatusReply, service: str) -> bool:
     return any(
-        entry.record.upstream is not None
-        and entry.record.upstream.service == service
-        and entry.record.upstream.state is model.UpstreamState.READY
-        and not entry.lapsed
-        and not entry.record.leaving
-        and entry.record.data_centre not in status.evacuated
-        for entry in status.nodes
+        upstream.service == service for upstream in status.ready_upstreams()
     )
 
 
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -24,6 +24,8 @@
 from tests import fakes
 from tests import loopback
 
+NO_FLEET = "capacity not checked: this needs a fleet, see --against ADDRESS"
+
 
 def _document(**changes):
     return routed.document(version="r2", keys={"org": "secret"}) | changes
@@ -41,7 +43,10 @@
 def test_a_document_without_findings_passes(tmp_path, capsys):
     path = _write(tmp_path / "new.json", _document())
     assert _check(path) == 0
-    assert capsys.readouterr().out == "errors: 0, warnings: 0\n"
+    assert capsys.readouterr().out.splitlines() == [
+        "errors: 0, warnings: 0",
+        NO_FLEET,
+    ]
 
 
 def test_errors_are_named_with_their_location(tmp_path, capsys):
@@ -82,6 +87,7 @@
         "errors: 0, warnings: 1",
         "warning: configuration: 'alpha' occurs more than once in an object; "
         "the last is used",
+        NO_FLEET,
     ]
 
 
