--- a/bench/routed.py
+++ b/bench/routed.py
@@ -315,6 +315,23 @@
             body=json.dumps(document).encode(),
         )
 
+    async def get(self, *headers, vm="vm-a", host="beta.example", path="/x"):
+        """Sends one request of a caller and returns the response.
+
+        Args:
+          *headers: Headers besides the request ID.
+          vm: VM of the node that gets the request.
+          host: Host that the request names.
+          path: Target of the request.
+        """
+        return await send(
+            self.callers[vm],
+            "GET",
+            path,
+            headers=(("request-id", "r1"), *headers),
+            host=host,
+        )
+
     async def evacuate(self, data_centre, *, method="POST", at=0):
         """Asks a control to begin or end an evacuation, returns the response.
 
@@ -415,10 +432,18 @@
 
 
 @contextlib.asynccontextmanager
-async def running(document_in_force, **fields):
-    """Runs a fleet and yields it once the configuration is in force."""
+async def running(document_in_force, *, prepare=None, **fields):
+    """Runs a fleet and yields it once the configuration is in force.
+
+    Args:
+      document_in_force: Configuration, as `document` returns it.
+      prepare: Function that is called with the fleet before it starts.
+      **fields: Arguments of `Fleet`.
+    """
     routed = Fleet(**fields)
     try:
+        if prepare is not None:
+            prepare(routed)
         async with trio.open_nursery() as nursery:
             await routed.start(nursery)
             await routed.apply_configuration(document_in_force)
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -43,12 +43,8 @@
 
 async def _run_requests(fleet):
     async def call():
-        response = await routed.send(
-            fleet.callers["vm-a"],
-            "GET",
-            "/x",
-            headers=(("request-id", "r1"), ("authorization", "Bearer secret")),
-            host="alpha.example",
+        response = await fleet.get(
+            ("authorization", "Bearer secret"), host="alpha.example"
         )
         assert response.status == 200
 
@@ -61,17 +57,15 @@
 @pytest.fixture
 async def fleet():
     """A fleet with one upstream of 2 slots, in which nothing has run."""
-    routed_fleet = routed.Fleet(services={"vm-a": "alpha"})
-    upstream = routed_fleet.upstreams["vm-a"]
-    upstream.slots, upstream.delay = SLOTS, DELAY
-    try:
-        async with trio.open_nursery() as nursery:
-            await routed_fleet.start(nursery)
-            await routed_fleet.apply_configuration(_document("r1", 1000))
-            yield routed_fleet
-            nursery.cancel_scope.cancel()
-    finally:
-        routed_fleet.close()
+
+    def prepare(fleet):
+        upstream = fleet.upstreams["vm-a"]
+        upstream.slots, upstream.delay = SLOTS, DELAY
+
+    async with routed.running(
+        _document("r1", 1000), prepare=prepare, services={"vm-a": "alpha"}
+    ) as running_fleet:
+        yield running_fleet
 
 
 async def test_a_rate_over_the_capacity_of_the_fleet_is_found(
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -22,32 +22,22 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet(services=None, cold=("vm-b",), document=None, **fields):
+async def _fleet(services=None, cold=("vm-b",), document=None):
     """Runs a fleet in which the upstreams on the VMs `cold` are cold."""
-    fields.setdefault("cold_bounds", BOUNDS)
-    fleet = routed.Fleet(services=services or SERVICES, **fields)
-    for vm in cold:
-        fleet.upstreams[vm].cold_remaining = "60s"
-    try:
-        async with trio.open_nursery() as nursery:
-            await fleet.start(nursery)
-            await fleet.apply_configuration(document or _document())
-            # What the process before a node sent is not known for a while.
-            await trio.sleep(cold_rate.WINDOW)
-            yield fleet
-            nursery.cancel_scope.cancel()
-    finally:
-        fleet.close()
 
+    def prepare(fleet):
+        for vm in cold:
+            fleet.upstreams[vm].cold_remaining = "60s"
 
-async def _get(fleet, vm="vm-a", host="beta.example"):
-    return await routed.send(
-        fleet.callers[vm],
-        "GET",
-        "/x",
-        headers=(("request-id", "r1"),),
-        host=host,
-    )
+    async with routed.running(
+        document or _document(),
+        prepare=prepare,
+        services=services or SERVICES,
+        cold_bounds=BOUNDS,
+    ) as fleet:
+        # What the process before a node sent is not known for a while.
+        await trio.sleep(cold_rate.WINDOW)
+        yield fleet
 
 
 async def _burst(fleet, seconds, *, callers=8):
@@ -56,7 +46,7 @@
 
     async def call(vm):
         while True:
-            responses.append(await _get(fleet, vm))
+            responses.append(await fleet.get(vm=vm))
 
     with trio.move_on_after(seconds):
         async with trio.open_nursery() as nursery:
@@ -127,9 +117,9 @@
                 await first_run.start(upstream.run)
                 await fleet.apply_configuration(_document())
                 await trio.sleep(cold_rate.WINDOW)
-                assert (await _get(fleet)).status == 200
+                assert (await fleet.get()).status == 200
                 first_run.cancel_scope.cancel()
-            assert (await _get(fleet)).status == 503
+            assert (await fleet.get()).status == 503
             server = http_server.Server(
                 address=upstream.address,
                 handler=upstream.handle,
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -25,16 +25,6 @@
         yield fleet
 
 
-async def _get(fleet, vm="vm-a", host="beta.example"):
-    return await routed.send(
-        fleet.callers[vm],
-        "GET",
-        "/x",
-        headers=(("request-id", "r1"),),
-        host=host,
-    )
-
-
 async def _reaches(fleet, target, *, within=IN_FORCE):
     """Sends requests from all nodes until only `target` gets them."""
     with trio.fail_after(within + 3):
@@ -43,7 +33,7 @@
             before = {vm: len(u.requests) for vm, u in fleet.upstreams.items()}
             for vm in fleet.nodes:
                 for _ in range(3):
-                    assert (await _get(fleet, vm)).status == 200
+                    assert (await fleet.get(vm=vm)).status == 200
             reached = {
                 vm
                 for vm, upstream in fleet.upstreams.items()
@@ -61,7 +51,7 @@
             assert (await fleet.evacuate("dc-a")).status == 200
         await _reaches(fleet, "vm-b")
         # No upstream of this service is left.
-        refused = await _get(fleet, host="alpha.example")
+        refused = await fleet.get(host="alpha.example")
         assert refused.status == 503
         assert json.loads(refused.body)["run"] == "not-run"
         assert float(model.find_header(refused.headers, "retry-after")) > 0
@@ -71,7 +61,7 @@
         for _ in range(2):
             assert (await fleet.evacuate("dc-a", method="DELETE")).status == 200
         with trio.fail_after(IN_FORCE):
-            while (await _get(fleet, host="alpha.example")).status != 200:
+            while (await fleet.get(host="alpha.example")).status != 200:
                 await trio.sleep(0.05)
 
 
@@ -82,7 +72,7 @@
         responses = []
 
         async def call():
-            responses.append(await _get(fleet, "vm-b", "alpha.example"))
+            responses.append(await fleet.get(vm="vm-b", host="alpha.example"))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(call)
@@ -113,7 +103,7 @@
         with trio.move_on_after(IN_FORCE):
             while True:
                 with contextlib.suppress(OSError):
-                    statuses.append((await _get(fleet)).status)
+                    statuses.append((await fleet.get()).status)
         assert 200 in statuses
         assert len(fleet.upstreams["vm-a"].requests) == before
 
@@ -187,7 +177,7 @@
         statuses = []
 
         async def call():
-            statuses.append((await _get(fleet, vm)).status)
+            statuses.append((await fleet.get(vm=vm)).status)
 
         async with trio.open_nursery() as nursery:
             for _ in range(3):
--- a/tests/test_routed_node.py
+++ b/tests/test_routed_node.py
@@ -34,19 +34,9 @@
         yield fleet
 
 
-async def _get(fleet, *headers, vm="vm-a", host="beta.example", path="/x"):
-    return await routed.send(
-        fleet.callers[vm],
-        "GET",
-        path,
-        headers=(("request-id", "r1"), *headers),
-        host=host,
-    )
-
-
 async def test_a_request_reaches_the_upstream_of_its_route():
     async with _fleet() as fleet:
-        response = await _get(fleet, path="/some/path?q=1")
+        response = await fleet.get(path="/some/path?q=1")
         (seen,) = fleet.upstreams["vm-b"].requests
     assert (response.status, response.body) == (200, b"answer to ")
     assert model.find_header(response.headers, "response-signature") == "of-r1"
@@ -61,7 +51,7 @@
 
 async def test_the_upstream_on_the_same_vm_is_reached():
     async with _fleet() as fleet:
-        response = await _get(fleet, host="alpha.example")
+        response = await fleet.get(host="alpha.example")
         assert response.status == 200
         assert len(fleet.upstreams["vm-a"].requests) == 1
 
@@ -69,18 +59,17 @@
 async def test_an_unknown_host_or_path_is_404():
     document = routed.document(services=("beta",), path_prefix="/known/")
     async with _fleet(document) as fleet:
-        assert (await _get(fleet, host="other.example")).status == 404
-        assert (await _get(fleet, path="/unknown/")).status == 404
-        assert (await _get(fleet, path="/known/x")).status == 200
+        assert (await fleet.get(host="other.example")).status == 404
+        assert (await fleet.get(path="/unknown/")).status == 404
+        assert (await fleet.get(path="/known/x")).status == 200
 
 
 async def test_the_key_determines_the_organisation_and_is_not_passed_on():
     document = routed.document(services=("beta",), keys=KEYS)
     async with _fleet(document) as fleet:
-        refused = await _get(fleet)
-        wrong = await _get(fleet, ("authorization", "Bearer nobody"))
-        served = await _get(
-            fleet,
+        refused = await fleet.get()
+        wrong = await fleet.get(("authorization", "Bearer nobody"))
+        served = await fleet.get(
             ("authorization", "Bearer key-of-a"),
             ("tenant-id", "org-b"),
             ("caller-service", "forged"),
@@ -101,22 +90,22 @@
     document["routes"]["r-alpha"]["public"] = True
     async with _fleet(document) as fleet:
         key = ("authorization", "Bearer key-of-a")
-        assert (await _get(fleet, key)).status == 200
+        assert (await fleet.get(key)).status == 200
         await fleet.controls[0].close()
         with trio.fail_after(8):
-            while (await _get(fleet, key)).status == 200:
+            while (await fleet.get(key)).status == 200:
                 await trio.sleep(0.1)
-        stale = await _get(fleet, key)
+        stale = await fleet.get(key)
         assert stale.status == 503
         assert json.loads(stale.body)["code"] == "stale_configuration"
-        assert (await _get(fleet, host="alpha.example")).status == 200
+        assert (await fleet.get(host="alpha.example")).status == 200
 
 
 async def test_a_withdrawn_key_is_refused_once_the_change_is_in_force():
     document = routed.document(services=("beta",), keys=KEYS)
     async with _fleet(document) as fleet:
         key = ("authorization", "Bearer key-of-a")
-        assert (await _get(fleet, key)).status == 200
+        assert (await fleet.get(key)).status == 200
         changed = routed.document(
             version="r2", services=("beta",), keys={"org-b": "key-of-b"}
         )
@@ -124,7 +113,7 @@
             await fleet.put_configuration(changed, match="r1")
         ).status == 200
         with trio.fail_after(2):
-            while (await _get(fleet, key)).status != 401:
+            while (await fleet.get(key)).status != 401:
                 await trio.sleep(0.05)
 
 
@@ -159,7 +148,7 @@
         upstream = fleet.upstreams["vm-b"]
         upstream.delay = 5.0
         with trio.move_on_after(0.5):
-            await _get(fleet)
+            await fleet.get()
         with trio.fail_after(0.5):
             while not upstream.cancelled:
                 await trio.sleep(0.01)
@@ -171,7 +160,7 @@
         upstream = fleet.upstreams["vm-b"]
         upstream.delay = 5.0
         began = clock.monotonic()
-        response = await _get(fleet)
+        response = await fleet.get()
         assert response.status == 504
         assert 0.25 < clock.monotonic() - began < 0.8
         with trio.fail_after(0.5):
@@ -191,7 +180,7 @@
         results = []
 
         async def send_request(vm):
-            response = await _get(fleet, vm=vm)
+            response = await fleet.get(vm=vm)
             results.append((response.status, json.loads(response.body)["run"]))
 
         async with trio.open_nursery() as nursery:
@@ -222,13 +211,13 @@
     async with _fleet(services=services) as fleet:
         # Retry tokens are earned by requests; a new node has none.
         for _ in range(40):
-            assert (await _get(fleet)).status == 200
+            assert (await fleet.get()).status == 200
         fleet.upstreams["vm-b"].answer = _refuse
         refusing = fleet.upstreams["vm-b"].requests
         before = len(refusing)
         with trio.fail_after(5):
             while len(refusing) < before + 3:
-                assert (await _get(fleet)).status == 200
+                assert (await fleet.get()).status == 200
 
 
 async def test_a_refusal_by_every_upstream_has_a_retry_after_header():
@@ -236,7 +225,7 @@
         fleet.upstreams["vm-b"].answer = lambda raw: model.Response(
             status=503, headers=(("not-executed", "1"),), body=b""
         )
-        response = await _get(fleet)
+        response = await fleet.get()
         assert response.status == 503
         assert float(model.find_header(response.headers, "retry-after")) > 0
         assert json.loads(response.body)["run"] == "not-run"
@@ -256,7 +245,7 @@
 
         for vm in ("vm-b", "vm-c"):
             fleet.upstreams[vm].answer = broken
-        response = await _get(fleet)
+        response = await fleet.get()
         seen = [len(fleet.upstreams[vm].requests) for vm in ("vm-b", "vm-c")]
         assert response.status == 502
         assert sum(seen) == 1
@@ -269,7 +258,7 @@
         leaving.state = "draining"
         assert await leaving.announce() == 200
         before = len(leaving.requests)
-        statuses = [(await _get(fleet)).status for _ in range(8)]
+        statuses = [(await fleet.get()).status for _ in range(8)]
         assert set(statuses) == {200}
         assert len(leaving.requests) == before
 
@@ -288,7 +277,7 @@
             f"/-/instances/{upstream.incarnation}",
             body=late,
         )
-        response = await _get(fleet)
+        response = await fleet.get()
         assert response.status == 503
 
 
@@ -303,7 +292,7 @@
             f"/-/instances/{upstream.incarnation}",
             body=late,
         )
-        assert (await _get(fleet)).status == 503
+        assert (await fleet.get()).status == 503
 
 
 async def test_a_stopping_node_finishes_requests_in_progress():
@@ -312,7 +301,7 @@
         statuses = []
 
         async def send_request(vm):
-            statuses.append((await _get(fleet, vm=vm)).status)
+            statuses.append((await fleet.get(vm=vm)).status)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send_request, "vm-a")
@@ -530,13 +519,13 @@
         await links.start(fleet.nursery)
         async with trio.open_nursery() as nursery:
             # This request keeps the node from stopping at once.
-            nursery.start_soon(_get, fleet)
+            nursery.start_soon(fleet.get)
             await trio.sleep(0.1)
             nursery.start_soon(fleet.nodes["vm-a"].close)
             await trio.sleep(0.8)
             upstream.delay = 0.0
-            served = await _get(fleet, ("request-deadline", "500"))
-            refused = await _get(fleet)
+            served = await fleet.get(("request-deadline", "500"))
+            refused = await fleet.get()
             call = messages.Exchange(
                 address=record.peer_address,
                 request=fakes.request(),
@@ -689,7 +678,7 @@
         summary = fleet.nodes["vm-a"].membership.summary
         with trio.fail_after(5):
             while True:
-                assert (await _get(fleet)).status == 200
+                assert (await fleet.get()).status == 200
                 rooms = {r.service: r for r in summary.value.rooms.values()}
                 if "beta" in rooms and rooms["beta"].run_s > 0:
                     break
@@ -725,7 +714,7 @@
 
         async def send_request(vm, number):
             began = clock.monotonic()
-            response = await _get(fleet, path=f"/{number}", vm=vm)
+            response = await fleet.get(path=f"/{number}", vm=vm)
             took.append(clock.monotonic() - began)
             responses.append(response)
 
@@ -769,8 +758,7 @@
     monkeypatch.setattr(slots, "admit", record)
     async with _fleet(document, policy=policy) as fleet:
         for vm in ("vm-a", "vm-b"):
-            response = await _get(
-                fleet,
+            response = await fleet.get(
                 ("authorization", "Bearer key-of-a"),
                 (frames.URGENCY_HEADER, "0 1"),
                 vm=vm,
