Tests: builders of configurations and of a control's replica are shared

Four test files built the same route and document, and two tests of the check the same operators' interface. The builders are in tests/configurations.py.

--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -173,6 +173,17 @@
         return await trio.to_thread.run_sync(check)
 
 
+async def _check_against_replica(replica, path):
+    """Returns the exit status beside a control with this replica."""
+    api = operator_api.OperatorApi(
+        replica=replica.mailbox,
+        view=mailbox.Published(initial=None),
+        data_centres=frozenset(),
+    )
+    async with fakes.started(replica):
+        return await _check_against_control(api.handle, path)
+
+
 @pytest.mark.parametrize("text", [b"", json.dumps(_document(version="r1"))])
 async def test_the_version_in_force_is_read_from_a_control(
     tmp_path, capsys, text
@@ -182,14 +193,8 @@
     replica = fakes.ScriptedController(
         lambda message: fleet_commands.CurrentConfiguration(text=text)
     )
-    api = operator_api.OperatorApi(
-        replica=replica.mailbox,
-        view=mailbox.Published(initial=None),
-        data_centres=frozenset(),
-    )
     path = _write(tmp_path / "new.json", _document())
-    async with fakes.started(replica):
-        assert await _check_against_control(api.handle, path) == 0
+    assert await _check_against_replica(replica, path) == 0
     assert replica.received == [
         messages.Submit(command=fleet_commands.ReadConfiguration())
     ]
@@ -204,14 +209,8 @@
         raise exceptions.RpcError("no majority")
 
     replica = fakes.ScriptedController(fail)
-    api = operator_api.OperatorApi(
-        replica=replica.mailbox,
-        view=mailbox.Published(initial=None),
-        data_centres=frozenset(),
-    )
     path = _write(tmp_path / "new.json", _document())
-    async with fakes.started(replica):
-        assert await _check_against_control(api.handle, path) == 2
+    assert await _check_against_replica(replica, path) == 2
     assert "answered with status 503: rpc_failed" in capsys.readouterr().err
 
 
--- a/tests/test_document_checks.py
+++ b/tests/test_document_checks.py
@@ -1,29 +1,6 @@
-import dataclasses
-
 from sassafrashall import configuration
 from sassafrashall.decisions import document_checks
-
-
-def _route(**changes):
-    route = configuration.Route(
-        name="r",
-        host="h.example",
-        prefix="/a/",
-        idempotent=True,
-        targets=(configuration.Target(service="alpha", weight=1),),
-        timeout_s=1.0,
-        attempts=2,
-    )
-    return dataclasses.replace(route, **changes)
-
-
-def _document(*routes, **changes):
-    return configuration.Configuration(
-        version=changes.pop("version", 1),
-        routes=routes,
-        services=(configuration.Service(name="alpha"),),
-        **changes,
-    )
+from tests import configurations
 
 
 def _finding_keys(document):
@@ -31,17 +8,17 @@
 
 
 def test_a_valid_document_has_no_findings():
-    assert _finding_keys(_document(_route())) == []
+    assert _finding_keys(configurations.document(configurations.route())) == []
 
 
 def test_every_fault_is_reported_with_its_key():
     unknown = (configuration.Target(service="beta", weight=1),)
     assert _finding_keys(
-        _document(
-            _route(prefix="a/"),
-            _route(name="r2", targets=unknown),
-            _route(name="r3", attempts=0),
-            _route(name="r4", host=""),
+        configurations.document(
+            configurations.route(prefix="a/"),
+            configurations.route(name="r2", targets=unknown),
+            configurations.route(name="r3", attempts=0),
+            configurations.route(name="r4", host=""),
             version=0,
         )
     ) == [
@@ -59,6 +36,6 @@
         configuration.Organisation(name=name, digests=("d",))
         for name in ("a", "b")
     )
-    assert _finding_keys(_document(organisations=organisations)) == [
-        "organisations.b.keys"
-    ]
+    assert _finding_keys(
+        configurations.document(organisations=organisations)
+    ) == ["organisations.b.keys"]
--- a/tests/test_document_differences.py
+++ b/tests/test_document_differences.py
@@ -1,28 +1,18 @@
 """Loads here: usual requests; a change of the configuration between two."""
 
-import dataclasses
-
 from hypothesis import given
 from hypothesis import strategies
 
 from sassafrashall import configuration
 from sassafrashall import model
 from sassafrashall.decisions import document_differences
+from tests import configurations
 
 _DIGEST = "5e884898da28047151d0e56f8dc62927"
 
 
 def _route(name, **changes):
-    route = configuration.Route(
-        name=name,
-        host="h.example",
-        prefix=f"/{name}",
-        idempotent=True,
-        targets=(configuration.Target(service="alpha", weight=1),),
-        timeout_s=1.0,
-        attempts=2,
-    )
-    return dataclasses.replace(route, **changes)
+    return configurations.route(name=name, prefix=f"/{name}", **changes)
 
 
 def _compare(before, after):
--- a/tests/test_document_review.py
+++ b/tests/test_document_review.py
@@ -1,7 +1,5 @@
 """Loads here: usual requests by host, path and key, without overload."""
 
-import dataclasses
-
 from hypothesis import given
 from hypothesis import strategies
 import pytest
@@ -10,27 +8,7 @@
 from sassafrashall.decisions import document_checks
 from sassafrashall.decisions import document_review
 from sassafrashall.decisions import route_table
-
-
-def _route(**changes):
-    route = configuration.Route(
-        name="r",
-        host="h.example",
-        prefix="/a/",
-        idempotent=True,
-        targets=(configuration.Target(service="alpha", weight=1),),
-        timeout_s=1.0,
-        attempts=2,
-        target_latency_s=0.5,
-    )
-    return dataclasses.replace(route, **changes)
-
-
-def _document(*routes, **changes):
-    fields = {"services": (configuration.Service(name="alpha"),)} | changes
-    return configuration.Configuration(
-        version=1, routes=routes or (_route(),), **fields
-    )
+from tests import configurations
 
 
 def _organisation(**changes):
@@ -44,11 +22,13 @@
 
 def test_a_document_without_contradictions_has_no_warnings():
     """Guards against warnings that operators learn to ignore."""
-    document = _document(
-        _route(),
-        _route(name="longer", prefix="/a/b"),
-        _route(name="elsewhere", host="other.example"),
-        _route(name="no-target", prefix="/c", target_latency_s=0.0),
+    document = configurations.document(
+        configurations.route(),
+        configurations.route(name="longer", prefix="/a/b"),
+        configurations.route(name="elsewhere", host="other.example"),
+        configurations.route(
+            name="no-target", prefix="/c", target_latency_s=0.0
+        ),
         organisations=(
             _organisation(rate=10.0, burst=1),
             _organisation(name="unlimited"),
@@ -72,7 +52,9 @@
     ],
 )
 def test_a_route_that_never_matches_is_named(changes, key):
-    document = _document(_route(), _route(name="second", **changes))
+    document = configurations.document(
+        configurations.route(), configurations.route(name="second", **changes)
+    )
     assert document_checks.check(document) == ()
     assert _warning_keys(document) == [key]
 
@@ -86,7 +68,9 @@
     services = tuple(
         configuration.Service(name=name) for name in ("alpha", "beta", "gamma")
     )
-    document = _document(_route(targets=targets), services=services)
+    document = configurations.document(
+        configurations.route(targets=targets), services=services
+    )
     assert _warning_keys(document) == ["routes.r.targets", "services.gamma"]
 
 
@@ -103,14 +87,14 @@
     ],
 )
 def test_contradicting_times_are_named(timeout, attempts, keys):
-    route = _route(timeout_s=timeout, attempts=attempts)
-    assert _warning_keys(_document(route)) == keys
+    route = configurations.route(timeout_s=timeout, attempts=attempts)
+    assert _warning_keys(configurations.document(route)) == keys
 
 
 def test_a_cold_start_without_a_rate_is_named():
     """Guards against cold upstreams that are thought to be protected."""
     service = configuration.Service(name="alpha", cold_start_s=3.0)
-    assert _warning_keys(_document(services=(service,))) == [
+    assert _warning_keys(configurations.document(services=(service,))) == [
         "services.alpha.cold_rate"
     ]
 
@@ -128,7 +112,7 @@
 )
 def test_contradicting_organisations_are_named(changes, key):
     organisation = _organisation(**changes)
-    document = _document(organisations=(organisation,))
+    document = configurations.document(organisations=(organisation,))
     assert document_checks.check(document) == ()
     assert _warning_keys(document) == [key]
 
@@ -148,9 +132,9 @@
 
     A route is found at some path if and only if it is found at its own prefix.
     """
-    document = _document(
+    document = configurations.document(
         *(
-            _route(name=f"r{index}", host=host, prefix=f"/{path}")
+            configurations.route(name=f"r{index}", host=host, prefix=f"/{path}")
             for index, (host, path) in enumerate(matches)
         )
     )
--- a/tests/test_service_capacity.py
+++ b/tests/test_service_capacity.py
@@ -1,7 +1,5 @@
 """Loads here: organisations that send at their full rate for long."""
 
-import dataclasses
-
 from hypothesis import event
 from hypothesis import given
 from hypothesis import strategies
@@ -10,22 +8,17 @@
 from sassafrashall import configuration
 from sassafrashall.decisions import demand
 from sassafrashall.decisions import service_capacity
+from tests import configurations
 
 
 def _route(*targets, **changes):
-    route = configuration.Route(
-        name="r",
-        host="h.example",
-        prefix="/",
-        idempotent=True,
+    return configurations.route(
         targets=tuple(
             configuration.Target(service=service, weight=weight)
             for service, weight in targets or [("alpha", 1)]
         ),
-        timeout_s=1.0,
-        attempts=1,
+        **changes,
     )
-    return dataclasses.replace(route, **changes)
 
 
 def _document(*routes, rates=(40.0,), **changes):
@@ -38,9 +31,7 @@
         ),
         "keyed": True,
     } | changes
-    return configuration.Configuration(
-        version=1, routes=routes or (_route(),), **fields
-    )
+    return configurations.document(*routes, **fields)
 
 
 def _capacity(service="alpha", slots=10, run_s=0.25):
