--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -109,6 +109,29 @@
     return model.Ticket(**{**values, **fields})
 
 
+class HeldRest:
+    """The rest of a streamed response, which ends once it is released.
+
+    Attributes:
+      released: Set by the test.
+      closed: Set when the reader discards the rest.
+    """
+
+    def __init__(self, error=None):
+        self.released = trio.Event()
+        self.closed = trio.Event()
+        self._error = error
+
+    async def read(self):
+        await self.released.wait()
+        if self._error is not None:
+            raise self._error
+        return b""
+
+    async def close(self):
+        self.closed.set()
+
+
 def answer(status=200, **fields) -> model.Answer:
     response = model.Response(status=status, headers=(), body=b"")
     return model.Answer(response=response, **fields)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,10 +9,12 @@
 import trio
 
 from sassafrashall import clock
+from sassafrashall import configuration
 from sassafrashall import model
 from sassafrashall.transport import front_end
 from sassafrashall.transport import http_client
 from sassafrashall.transport import http_server
+from sassafrashall.transport import stream_server
 
 SECRET = b"a-secret-for-the-tests"
 
@@ -21,6 +23,15 @@
     return fleet.free_addresses(1)[0]
 
 
+@contextlib.asynccontextmanager
+async def running(server):
+    """Runs a server; yields the nursery that is cancelled at the end."""
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery)
+        yield nursery
+        nursery.cancel_scope.cancel()
+
+
 @contextlib.asynccontextmanager
 async def serve(handler, source=model.Source.CALLER, log=None):
     """Serves raw requests; yields the address and the server."""
@@ -28,10 +39,23 @@
     server = http_server.Server(
         address=address, handler=handler, source=source, log=log
     )
-    async with trio.open_nursery() as nursery:
-        await server.start(nursery)
+    async with running(server):
+        yield address, server
+
+
+@contextlib.asynccontextmanager
+async def serve_streams(handler, **fields):
+    """Serves raw requests as a node does; yields the address and the server."""
+    address = free_address()
+    server = stream_server.Server(
+        address=address,
+        handler=handler,
+        source=model.Source.CALLER,
+        limits=configuration.Limits,
+        **fields,
+    )
+    async with running(server):
         yield address, server
-        nursery.cancel_scope.cancel()
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -14,7 +14,6 @@
 import trio
 
 from sassafrashall import clock
-from sassafrashall import configuration
 from sassafrashall import connection_log
 from sassafrashall import exceptions
 from sassafrashall import mailbox
@@ -259,19 +258,11 @@
             await release.wait()
         return model.Response(status=200, headers=(), body=b"")
 
-    address = loopback.free_address()
-    server = stream_server.Server(
-        address=address,
-        handler=handle,
-        source=model.Source.CALLER,
-        limits=configuration.Limits,
-        log=log,
-        budget=budget,
-    )
-    async with trio.open_nursery() as nursery:
-        await server.start(nursery)
+    async with loopback.serve_streams(handle, log=log, budget=budget) as (
+        address,
+        _,
+    ):
         yield address
-        nursery.cancel_scope.cancel()
 
 
 async def _send(address, data):
@@ -402,8 +393,7 @@
     data = b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n" + (
         b"x" * 800_000
     )
-    async with trio.open_nursery() as nursery:
-        await server.start(nursery)
+    async with loopback.running(server) as nursery:
         with trio.fail_after(10):
             for _ in range(12):
                 nursery.start_soon(_send_ignoring_errors, address, data)
@@ -413,7 +403,6 @@
             assert reasons.count(connection_log.Reason.MEMORY) >= 1
             reply = await loopback.send_and_receive(address, START + b"\r\n")
             assert reply.startswith(b"HTTP/1.1 200")
-        nursery.cancel_scope.cancel()
 
 
 async def _send_ignoring_errors(address, data):
@@ -437,10 +426,8 @@
         log=log,
         budget=budget,
     )
-    async with trio.open_nursery() as nursery:
-        await server.start(nursery)
+    async with loopback.running(server):
         yield address
-        nursery.cancel_scope.cancel()
 
 
 def _open_call(number, *, lines=0, body=b""):
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -10,13 +10,13 @@
 import trio.testing
 
 from sassafrashall import clock
-from sassafrashall import configuration
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import model
 from sassafrashall.decisions import pipelining
 from sassafrashall.transport import sockets
 from sassafrashall.transport import stream_server
+from tests import fakes
 from tests import loopback
 
 
@@ -71,40 +71,13 @@
         self._replies[number].put(response)
 
 
-class _Rest:
-    """The rest of a streamed response, which ends once it is released."""
-
-    def __init__(self, error=None):
-        self.released = trio.Event()
-        self.closed = trio.Event()
-        self._error = error
-
-    async def read(self):
-        await self.released.wait()
-        if self._error is not None:
-            raise self._error
-        return b""
-
-    async def close(self):
-        self.closed.set()
-
-
 @contextlib.asynccontextmanager
 async def _serving(handler, depth, **fields):
-    address = loopback.free_address()
-    server = stream_server.Server(
-        address=address,
-        handler=handler.handle,
-        source=model.Source.CALLER,
-        limits=configuration.Limits,
-        pipeline_depth=depth,
-        **fields,
-    )
-    async with trio.open_nursery() as nursery:
-        await server.start(nursery)
+    async with loopback.serve_streams(
+        handler.handle, pipeline_depth=depth, **fields
+    ) as served:
         with trio.fail_after(8):
-            yield address, server
-        nursery.cancel_scope.cancel()
+            yield served
 
 
 @contextlib.asynccontextmanager
@@ -331,7 +304,7 @@
 # Guards against a body that its upstream keeps open for a caller that has gone.
 async def test_a_disconnect_closes_a_streamed_response_that_waits():
     handler = _Handler()
-    rest = _Rest()
+    rest = fakes.HeldRest()
     async with _open(handler) as (stream, _):
         await stream.send_all(_get(1) + _get(2))
         await _settle()
@@ -348,7 +321,7 @@
 async def test_nothing_starts_behind_a_streamed_response(breaks_off):
     handler = _Handler()
     error = exceptions.ConnectionFailedError("broken", maybe_delivered=True)
-    rest = _Rest(error if breaks_off else None)
+    rest = fakes.HeldRest(error if breaks_off else None)
     async with _open(handler) as (stream, _):
         await stream.send_all(_get(1))
         await _settle()
@@ -448,7 +421,7 @@
 # response must not stay open at the upstream.
 async def test_a_response_that_cannot_be_encoded_ends_only_its_connection():
     handler = _Handler()
-    rest = _Rest()
+    rest = fakes.HeldRest()
     async with _open(handler) as (stream, _):
         await stream.send_all(_get(1) + _get(2))
         await _settle()
--- a/tests/test_stream_server_close.py
+++ b/tests/test_stream_server_close.py
@@ -17,23 +17,6 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-class _Rest:
-    """The rest of a streamed response, which ends once it is released."""
-
-    def __init__(self, error=None):
-        self.released = trio.Event()
-        self._error = error
-
-    async def read(self):
-        await self.released.wait()
-        if self._error is not None:
-            raise self._error
-        return b""
-
-    async def close(self):
-        pass
-
-
 class _Served:
     """A server with a handler, and limits that can be replaced."""
 
@@ -58,14 +41,12 @@
 
 @contextlib.asynccontextmanager
 async def _open(served):
-    async with trio.open_nursery() as nursery:
-        await served.server.start(nursery)
+    async with loopback.running(served.server):
         stream = await trio.open_tcp_stream(
             served.address.host, served.address.port
         )
         with trio.fail_after(8):
             yield stream
-        nursery.cancel_scope.cancel()
 
 
 def _response(body=b"ok", rest=None):
@@ -79,7 +60,7 @@
 # Guards against a stop that waits for the idle timeout of each connection on
 # which the head of a streamed response had been sent before the stop.
 async def test_a_stop_closes_a_connection_after_a_streamed_response():
-    rest = _Rest()
+    rest = fakes.HeldRest()
 
     async def handler(raw):
         return _response(b"x" * 100, rest)
@@ -136,7 +117,7 @@
 # Guards against a close of a connection before the time that its response has
 # announced.
 async def test_the_announced_time_is_kept_after_a_shorter_configuration():
-    rest = _Rest()
+    rest = fakes.HeldRest()
 
     async def handler(raw):
         return _response(b"x" * 100, rest)
@@ -157,7 +138,7 @@
 
 # Guards against the end of all connections by an error of one body.
 async def test_an_error_of_a_streamed_body_ends_only_its_connection():
-    rest = _Rest(ValueError("an error of the body"))
+    rest = fakes.HeldRest(ValueError("an error of the body"))
     rest.released.set()
 
     async def handler(raw):
