Settings: reading and checks are modules of their own

settings.py had 596 lines: data classes, policies, the reading of YAML and the checks. Behaviour is unchanged.

--- a/src/sassafrashall/cmdline.py
+++ b/src/sassafrashall/cmdline.py
@@ -17,6 +17,7 @@
 from sassafrashall import model
 from sassafrashall import reports
 from sassafrashall import settings as settings_module
+from sassafrashall import settings_file
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import templates
 from sassafrashall.transport import codec
@@ -220,7 +221,7 @@
                 data=explanation,
                 status=EXIT_OK if explanation.lines else EXIT_FAILED,
             )
-    settings = settings_module.read(options.settings, settings_module.Tool)
+    settings = settings_file.read(options.settings, settings_module.Tool)
     return trio.run(_run_with_client, options, settings)
 
 
@@ -228,7 +229,7 @@
     kind: type = (
         settings_module.Tool if options.tool else settings_module.Daemon
     )
-    settings_module.read(options.file, kind)
+    settings_file.read(options.file, kind)
     return reports.Output(
         text=f"{options.file}: no faults.", data={"findings": []}
     )
--- a/src/sassafrashall/configuration_check.py
+++ b/src/sassafrashall/configuration_check.py
@@ -19,6 +19,7 @@
 from sassafrashall import protocol
 from sassafrashall import reports
 from sassafrashall import settings
+from sassafrashall import settings_file
 from sassafrashall.decisions import document_checks
 from sassafrashall.decisions import document_differences
 from sassafrashall.decisions import document_review
@@ -246,18 +247,18 @@
 
 
 def _read_capacity(
-    settings_file: str, in_force: configuration.Accepted
+    settings_path: str, in_force: configuration.Accepted
 ) -> service_capacity.FleetCapacity:
     """Reads the capacity of services from the controls of the settings.
 
     Like the status, it is told only to holders of the operators' secret.
 
     Args:
-      settings_file: Settings of the tool.
+      settings_path: Settings of the tool.
       in_force: The configuration in force at the control to compare with.
     """
     try:
-        tool = settings.read(settings_file, settings.Tool)
+        tool = settings_file.read(settings_path, settings.Tool)
         reply = trio.run(_ask_for_capacity, tool)
     except exceptions.FindingsError as error:
         return service_capacity.Unknown(
@@ -269,7 +270,7 @@
     # The settings may name the controls of another fleet.
     if reply.document_digest != hashlib.sha256(in_force.text).hexdigest():
         return service_capacity.Unknown(
-            reason=f"the controls in {settings_file} have another "
+            reason=f"the controls in {settings_path} have another "
             "configuration in force"
         )
     return service_capacity.Known(
--- a/src/sassafrashall/daemon.py
+++ b/src/sassafrashall/daemon.py
@@ -15,6 +15,7 @@
 from sassafrashall import exceptions
 from sassafrashall import logs
 from sassafrashall import settings as settings_module
+from sassafrashall import settings_file
 
 # High thresholds make collections rare: their pauses are what callers would
 # notice most, and reference counting frees almost all objects anyway.
@@ -36,9 +37,7 @@
     parser.add_argument("--settings", required=True, metavar="FILE")
     options = parser.parse_args(arguments)
     try:
-        settings = settings_module.read(
-            options.settings, settings_module.Daemon
-        )
+        settings = settings_file.read(options.settings, settings_module.Daemon)
     except exceptions.FindingsError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -1,25 +1,16 @@
-"""Settings of the daemon and of the operators' tool, read from YAML."""
+"""Settings of the daemon and of the operators' tool."""
 
 from __future__ import annotations
 
 import dataclasses
 import enum
 import ipaddress
-import pathlib
 import re
-from typing import Any
-from typing import TypeVar
 
-import cattrs
-from cattrs import errors as cattrs_errors
-
-from sassafrashall import exceptions
 from sassafrashall import model
-from sassafrashall import settings_text
 from sassafrashall.decisions import breaker as breaker_policies
 from sassafrashall.decisions import entry_feedback as feedback_policies
 from sassafrashall.decisions import limits
-from sassafrashall.decisions import pipelining
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota
 from sassafrashall.decisions import retries as retry_policies
@@ -28,21 +19,14 @@
 from sassafrashall.decisions import tree_admission as tree_policies
 from sassafrashall.decisions import voter_placement
 
-MIN_SECRET_LENGTH = 16  # bytes
 # Fraction of the tolerated overage that quota owners lend. The rest is left for
 # requests that bunch up on their way from admission to the upstream.
 OVERAGE_FRACTION = 0.8
 # Fraction of the tolerated retry ratio that one hop may use. Since a retry of a
 # request that may have run costs more, four hops together stay below the ratio.
 HOP_RETRY_FRACTION = 0.4
-MAX_SECRET_LENGTH = 64  # bytes; the longest key of BLAKE2b
 MAX_DURATION = 1e9  # seconds
-# A process needs about 40 MB at rest.
-MIN_MEMORY_MB = 64
 MAX_PORT_DIGITS = 5
-MAX_COLD_BOUND = 1_000_000  # of `cold_overage` and `cold_slack`
-
-_T = TypeVar("_T")
 
 
 class Role(enum.StrEnum):
@@ -286,7 +270,7 @@
     "budget": retry_policies.BudgetRetries(),
     "arrivals": retry_policies.ArrivalRetries(),
 }
-_POLICY_NAMES = {
+POLICY_NAMES = {
     "limit": tuple(LIMIT_POLICIES),
     "queue": ("fifo", *FAIR_QUEUES),
     "early_shed": tuple(SHED_POLICIES),
@@ -376,221 +360,3 @@
     if seconds > MAX_DURATION:
         raise ValueError(f"{text[:20]!r} is longer than {MAX_DURATION:.0f} s")
     return Duration(seconds=seconds)
-
-
-def read(path: str, settings_type: type[_T]) -> _T:
-    """Reads and validates a settings file.
-
-    Raises:
-      FindingsError: The file can't be read or has faults; there is a finding
-        for each fault, with its line and key.
-    """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise exceptions.FindingsError(
-            (exceptions.Finding(source=path, text=str(error)),)
-        ) from error
-    return parse(text, path, settings_type)
-
-
-def parse(text: str, source: str, settings_type: type[_T]) -> _T:
-    """Parses and validates settings.
-
-    Raises:
-      FindingsError: See `read`; `source` names the text in the findings.
-    """
-    document = settings_text.load(text, source)
-    try:
-        settings = _converter().structure(document, settings_type)
-    except (cattrs_errors.BaseValidationError, ValueError, TypeError) as error:
-        raise exceptions.FindingsError(
-            settings_text.findings_of(error, document, source)
-        ) from error
-    faults = _check(settings)
-    if faults:
-        raise exceptions.FindingsError(
-            tuple(
-                exceptions.Finding(
-                    source=source,
-                    line=settings_text.line_of(document, key),
-                    key=key,
-                    text=text,
-                )
-                for key, text in faults
-            )
-        )
-    if isinstance(settings, Daemon) and settings.seeds:
-        return dataclasses.replace(settings, controls=_from_seeds(settings))
-    return settings
-
-
-def _from_seeds(settings: Daemon) -> tuple[Control, ...]:
-    """Returns the seeds as controls of unknown VM and data centre."""
-    addresses = (
-        model.Address(host=seed.host, port=settings.seed_port or seed.port)
-        for seed in settings.seeds
-    )
-    return tuple(
-        Control(vm=str(address), data_centre="", address=address)
-        for address in addresses
-    )
-
-
-def _converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True)
-    converter.register_structure_hook(
-        model.Address, lambda value, _: parse_address(str(value))
-    )
-    converter.register_structure_hook(
-        Duration, lambda value, _: parse_duration(str(value))
-    )
-    converter.register_structure_hook(str, _structure_str)
-    converter.register_structure_hook(int, _structure_int)
-    # Without hooks of their own, these subclasses of int and str would get the
-    # hooks above.
-    converter.register_structure_hook(bool, _structure_bool)
-    converter.register_structure_hook(Role, lambda value, _: Role(value))
-    return converter
-
-
-def _structure_str(value: Any, _: Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not text")
-    return str(value)
-
-
-def _structure_bool(value: Any, _: Any) -> bool:
-    if not isinstance(value, bool):
-        raise ValueError(f"{value!r} is not true or false")
-    return value
-
-
-def _structure_int(value: Any, _: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{value!r} is not a whole number")
-    return int(value)
-
-
-def _check(settings: Any) -> list[tuple[str, str]]:
-    match settings:
-        case Daemon():
-            return _check_daemon(settings)
-        case Tool():
-            return _check_tool(settings)
-        case _:
-            return []
-
-
-def _check_daemon(settings: Daemon) -> list[tuple[str, str]]:
-    faults: list[tuple[str, str]] = []
-    listen = settings.listen
-    required: tuple[str, ...]
-    if settings.role is Role.NODE and settings.routed:
-        required = ("callers", "readiness", "announcements", "peers")
-    elif settings.role is Role.NODE:
-        required = ("callers", "local", "peers")
-    else:
-        required = ("rpc",)
-        if not settings.data_folder:
-            faults.append(("data_folder", "a control needs a data folder"))
-        if not settings.operator_secret:
-            faults.append(
-                ("operator_secret", "a control needs an operator secret")
-            )
-        control_vms = {control.vm for control in settings.controls}
-        if not settings.seeds and settings.vm not in control_vms:
-            faults.append(("controls", f"{settings.vm!r} is missing"))
-    for name in required:
-        if getattr(listen, name) is None:
-            faults.append(("listen", f"a {settings.role} needs {name!r}"))
-    if listen.local and not ipaddress.ip_address(listen.local.host).is_loopback:
-        faults.append(("listen.local", "must be a loopback address"))
-    if (
-        not MIN_SECRET_LENGTH
-        <= len(settings.fleet_secret.encode())
-        <= MAX_SECRET_LENGTH
-    ):
-        faults.append(
-            (
-                "fleet_secret",
-                f"must have {MIN_SECRET_LENGTH} to {MAX_SECRET_LENGTH} bytes",
-            )
-        )
-    if settings.memory_mb < MIN_MEMORY_MB:
-        faults.append(("memory_mb", f"must be at least {MIN_MEMORY_MB}"))
-    if settings.default_timeout_ms < 1:
-        faults.append(("default_timeout_ms", "must be positive"))
-    faults.extend(_check_policy(settings.policy))
-    if settings.routed is not None:
-        faults.extend(_check_losses(settings.routed.losses))
-        faults.extend(_check_cold_bounds(settings.routed))
-        if not 1 <= settings.routed.pipeline_depth <= pipelining.MAX_DEPTH:
-            faults.append(
-                (
-                    "routed.pipeline_depth",
-                    f"must be within 1 to {pipelining.MAX_DEPTH}",
-                )
-            )
-    if not settings.seeds:
-        faults.extend(_check_controls(settings.controls))
-    elif settings.controls:
-        faults.append(("seeds", "can't be combined with 'controls'"))
-    return faults
-
-
-def _check_policy(policy: Policy) -> list[tuple[str, str]]:
-    faults = []
-    for name, known in _POLICY_NAMES.items():
-        value = getattr(policy, name)
-        if value not in known:
-            faults.append(
-                (
-                    f"policy.{name}",
-                    f"unknown policy {value!r}; known: {', '.join(known)}",
-                )
-            )
-    for name in ("queue_length", "longest_wait_ms", "crossing_cost_ms"):
-        if getattr(policy, name) < 0:
-            faults.append((f"policy.{name}", "must not be negative"))
-    return faults
-
-
-def _check_losses(losses: voter_placement.Losses) -> list[tuple[str, str]]:
-    return [
-        (f"routed.losses.{name}", "must not be negative")
-        for name, count in dataclasses.asdict(losses).items()
-        if count < 0
-    ]
-
-
-def _check_cold_bounds(routed: Routed) -> list[tuple[str, str]]:
-    faults = []
-    # Not a number is not below 0 either.
-    if not 0.0 <= routed.cold_overage <= MAX_COLD_BOUND:
-        faults.append(
-            ("routed.cold_overage", f"not within 0 to {MAX_COLD_BOUND}")
-        )
-    if not 0 <= routed.cold_slack <= MAX_COLD_BOUND:
-        faults.append(
-            ("routed.cold_slack", f"not within 0 to {MAX_COLD_BOUND}")
-        )
-    return faults
-
-
-def _check_controls(controls: tuple[Control, ...]) -> list[tuple[str, str]]:
-    if not controls:
-        return [("controls", "at least one control is needed")]
-    names = [control.vm for control in controls]
-    return [
-        (f"controls.{index}.vm", f"{name!r} is listed twice")
-        for index, name in enumerate(names)
-        if name in names[:index]
-    ]
-
-
-def _check_tool(settings: Tool) -> list[tuple[str, str]]:
-    faults = _check_controls(settings.controls)
-    if settings.timeout_s <= 0:
-        faults.append(("timeout_s", "must be positive"))
-    return faults
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 from sassafrashall import exceptions
 from sassafrashall import settings
+from sassafrashall import settings_file
 from sassafrashall.decisions import retries
 
 NODE = """\
@@ -39,12 +40,12 @@
 
 def _findings(text, kind=settings.Daemon):
     with pytest.raises(exceptions.FindingsError) as caught:
-        settings.parse(text, "node.yaml", kind)
+        settings_file.parse(text, "node.yaml", kind)
     return str(caught.value)
 
 
 def test_a_valid_file_is_read():
-    parsed = settings.parse(NODE, "node.yaml", settings.Daemon)
+    parsed = settings_file.parse(NODE, "node.yaml", settings.Daemon)
     assert parsed.role is settings.Role.NODE
     assert parsed.listen.peers.port == 7003
     assert parsed.policy == settings.Policy()
@@ -73,7 +74,7 @@
 
 def test_a_missing_file_is_reported(tmp_path):
     with pytest.raises(exceptions.FindingsError):
-        settings.read(str(tmp_path / "none.yaml"), settings.Tool)
+        settings_file.read(str(tmp_path / "none.yaml"), settings.Tool)
 
 
 def test_the_fleet_retry_ratio_limits_the_retries_of_a_hop():
@@ -110,7 +111,7 @@
     )
     for line, depth in (("", 1), ("  pipeline_depth: 8\n", 8)):
         text = node + "routed:\n  service: alpha\n" + line
-        parsed = settings.parse(text, "node.yaml", settings.Daemon)
+        parsed = settings_file.parse(text, "node.yaml", settings.Daemon)
         assert parsed.routed.pipeline_depth == depth
 
 
@@ -147,7 +148,7 @@
   strict_withdrawal: true
   withdrawal: 5000ms
 """
-    parsed = settings.parse(text, "f", settings.Daemon)
+    parsed = settings_file.parse(text, "f", settings.Daemon)
     assert [str(control.address) for control in parsed.controls] == [
         "10.0.0.1:7000",
         "10.0.0.2:7000",
@@ -155,7 +156,7 @@
     assert parsed.routed.strict_withdrawal
     assert parsed.routed.withdrawal.seconds == 5.0
     with pytest.raises(exceptions.FindingsError) as error:
-        settings.parse(text.replace("true", "1"), "f", settings.Daemon)
+        settings_file.parse(text.replace("true", "1"), "f", settings.Daemon)
     (finding,) = error.value.findings
     assert (finding.key, finding.line) == ("routed.strict_withdrawal", 17)
 
@@ -172,15 +173,15 @@
         "  local: 127.0.0.1:7002",
         "  readiness: 127.0.0.1:7002\n  announcements: 127.0.0.1:7005",
     )
-    parsed = settings.parse(text + COLD, "f", settings.Daemon)
+    parsed = settings_file.parse(text + COLD, "f", settings.Daemon)
     assert parsed.routed.cold_overage == 1.5
     assert parsed.routed.cold_slack == 8
-    parsed = settings.parse(text + "routed: {}\n", "f", settings.Daemon)
+    parsed = settings_file.parse(text + "routed: {}\n", "f", settings.Daemon)
     assert parsed.routed.cold_overage == parsed.routed.cold_slack == 0
     for wrong in ("-1", ".nan", ".inf"):
         bad = COLD.replace("1.5", wrong).replace("8", "-1")
         with pytest.raises(exceptions.FindingsError) as error:
-            settings.parse(text + bad, "f", settings.Daemon)
+            settings_file.parse(text + bad, "f", settings.Daemon)
         assert [finding.key for finding in error.value.findings] == [
             "routed.cold_overage",
             "routed.cold_slack",
@@ -205,10 +206,10 @@
   ops: 10.0.0.3:4
 """
     with pytest.raises(exceptions.FindingsError) as error:
-        settings.parse(text, "f", settings.Daemon)
+        settings_file.parse(text, "f", settings.Daemon)
     (finding,) = error.value.findings
     assert (finding.key, finding.line) == ("memory_mb", 6)
-    parsed = settings.parse(
+    parsed = settings_file.parse(
         text.replace(f"_mb: {value}", "_mb: 300"), "f", settings.Daemon
     )
     assert parsed.memory_mb == 300
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -12,6 +12,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import settings
+from sassafrashall import settings_checks
 from sassafrashall.decisions import spillover
 from tests import routing_simulation as simulation
 
@@ -224,7 +225,9 @@
 
 
 def test_a_negative_crossing_cost_is_a_finding():
-    findings = settings._check_policy(settings.Policy(crossing_cost_ms=-1))
+    findings = settings_checks.check_policy(
+        settings.Policy(crossing_cost_ms=-1)
+    )
     assert [key for key, _ in findings] == ["policy.crossing_cost_ms"]
     policy = settings.Policy(routing="expected-completion", crossing_cost_ms=7)
     assert policy.routing_policy().crossing_cost_s == 0.007
--- a/tests/test_voter_placement.py
+++ b/tests/test_voter_placement.py
@@ -12,6 +12,7 @@
 
 from sassafrashall import exceptions
 from sassafrashall import settings
+from sassafrashall import settings_file
 from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import voter_placement
@@ -345,7 +346,7 @@
 
 
 def _control_settings(routed_lines):
-    return settings.parse(
+    return settings_file.parse(
         f"""\
 role: control
 vm: c-1
