--- a/src/sassafrashall/cmdline.py
+++ b/src/sassafrashall/cmdline.py
@@ -14,7 +14,7 @@
 from sassafrashall import configuration_check
 from sassafrashall import exceptions
 from sassafrashall import explanations
-from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall import reports
 from sassafrashall import settings as settings_module
 from sassafrashall import settings_file
@@ -407,7 +407,7 @@
 
 
 def _show_difference(
-    organisation: model.Organisation, options: argparse.Namespace
+    organisation: organisation_model.Organisation, options: argparse.Namespace
 ) -> reports.Output:
     after, faults = templates.apply_assignments(
         organisation.parameters,
@@ -423,8 +423,8 @@
 
 
 def _find_organisation(
-    organisations: Sequence[model.Organisation], name: str
-) -> model.Organisation:
+    organisations: Sequence[organisation_model.Organisation], name: str
+) -> organisation_model.Organisation:
     for organisation in organisations:
         if organisation.name == name:
             return organisation
--- a/src/sassafrashall/decisions/fleet_state.py
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -14,7 +14,7 @@
 
 from sassafrashall import configuration
 from sassafrashall import exceptions
-from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall.decisions import document_checks
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
@@ -65,7 +65,7 @@
 
     Attributes:
       revision: The fleet revision, raised by each accepted change.
-      organisations: `model.Organisation` by name.
+      organisations: `organisation_model.Organisation` by name.
       claims: `Claim` by organisation and idempotency key.
       old_claims: The previous generation of `claims`.
       changes: Result of each change by change id.
@@ -266,7 +266,7 @@
         case _:
             raise TypeError(f"unknown command {command!r}")
     result: fleet_commands.Result
-    if isinstance(outcome, model.Organisation):
+    if isinstance(outcome, organisation_model.Organisation):
         revision = state.revision + 1
         organisation = dataclasses.replace(
             outcome, revision=revision, created=outcome.created or revision
@@ -299,7 +299,11 @@
 
 def _create_organisation(
     state: FleetState, command: fleet_commands.CreateOrganisation
-) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
+) -> (
+    organisation_model.Organisation
+    | fleet_commands.Conflict
+    | fleet_commands.Rejected
+):
     findings: list[exceptions.Finding] = []
     if not templates.is_valid_name(command.name):
         findings.append(
@@ -314,7 +318,9 @@
             )
         )
     defaults = (
-        template.defaults if template else model.Parameters(rate=1.0, burst=1)
+        template.defaults
+        if template
+        else organisation_model.Parameters(rate=1.0, burst=1)
     )
     parameters, more_findings = templates.apply_assignments(
         defaults, command.assignments, "parameters"
@@ -328,14 +334,18 @@
             version=existing.version,
             detail=f"organisation {command.name} exists",
         )
-    return model.Organisation(
+    return organisation_model.Organisation(
         name=command.name, template=command.template, parameters=parameters
     )
 
 
 def _set_parameters(
     state: FleetState, command: fleet_commands.SetParameters
-) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
+) -> (
+    organisation_model.Organisation
+    | fleet_commands.Conflict
+    | fleet_commands.Rejected
+):
     organisation = state.organisations.get(command.name)
     if organisation is None:
         return _unknown_organisation(command.name)
@@ -358,7 +368,11 @@
 
 def _issue_key(
     state: FleetState, command: fleet_commands.IssueKey
-) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
+) -> (
+    organisation_model.Organisation
+    | fleet_commands.Conflict
+    | fleet_commands.Rejected
+):
     organisation = state.organisations.get(command.organisation)
     if organisation is None:
         return _unknown_organisation(command.organisation)
@@ -372,7 +386,7 @@
             return fleet_commands.Rejected(
                 findings=(_finding("key", "this key was issued before"),)
             )
-    key = model.Key(key_id=command.key_id, digest=command.digest)
+    key = organisation_model.Key(key_id=command.key_id, digest=command.digest)
     return dataclasses.replace(
         organisation,
         keys=(*organisation.keys, key),
@@ -382,7 +396,11 @@
 
 def _withdraw_key(
     state: FleetState, command: fleet_commands.WithdrawKey
-) -> model.Organisation | fleet_commands.Conflict | fleet_commands.Rejected:
+) -> (
+    organisation_model.Organisation
+    | fleet_commands.Conflict
+    | fleet_commands.Rejected
+):
     organisation = state.organisations.get(command.organisation)
     if organisation is None:
         return _unknown_organisation(command.organisation)
@@ -445,7 +463,7 @@
 
 def changed_since(
     state: FleetState, revision: int
-) -> tuple[model.Organisation, ...]:
+) -> tuple[organisation_model.Organisation, ...]:
     """Returns the organisations that changed after a fleet revision."""
     return tuple(
         organisation
@@ -455,11 +473,11 @@
 
 
 def merge_configuration(
-    current: model.Configuration,
+    current: organisation_model.Configuration,
     revision: int,
-    changed: tuple[model.Organisation, ...],
+    changed: tuple[organisation_model.Organisation, ...],
     withdrawn: frozenset[str],
-) -> model.Configuration:
+) -> organisation_model.Configuration:
     """Merges changes into the configuration of a node.
 
     The revision never decreases, and a withdrawn key never becomes valid again.
@@ -484,7 +502,7 @@
         for key in organisation.keys
         if key.digest not in withdrawn
     }
-    return model.Configuration(
+    return organisation_model.Configuration(
         revision=max(revision, current.revision),
         organisations=organisations,
         keys=keys,
--- a/src/sassafrashall/decisions/templates.py
+++ b/src/sassafrashall/decisions/templates.py
@@ -8,7 +8,7 @@
 import re
 
 from sassafrashall import exceptions
-from sassafrashall import model
+from sassafrashall import organisation_model
 
 MAX_RATE = 1_000_000.0  # requests a second
 MAX_BURST = 1_000_000  # requests
@@ -27,21 +27,21 @@
 )
 
 
-def _route_rules(*texts: str) -> tuple[model.RouteRule, ...]:
+def _route_rules(*texts: str) -> tuple[organisation_model.RouteRule, ...]:
     rules = []
     for text in texts:
         method, _, prefix = text.rpartition(" ")
-        rules.append(model.RouteRule(method=method, prefix=prefix))
+        rules.append(organisation_model.RouteRule(method=method, prefix=prefix))
     return tuple(rules)
 
 
 TEMPLATES = {
     template.name: template
     for template in (
-        model.Template(
+        organisation_model.Template(
             name="research-allocation",
             summary="Hours split across grants; balances are shed last.",
-            defaults=model.Parameters(
+            defaults=organisation_model.Parameters(
                 rate=50.0,
                 burst=50,
                 critical_routes=_route_rules("/balance", "POST /grant/commit"),
@@ -51,10 +51,10 @@
                 quota_shares=1,
             ),
         ),
-        model.Template(
+        organisation_model.Template(
             name="made-to-measure",
             summary="Workshop orders; cut releases are shed last.",
-            defaults=model.Parameters(
+            defaults=organisation_model.Parameters(
                 rate=20.0,
                 burst=40,
                 critical_routes=_route_rules(
@@ -65,10 +65,10 @@
                 retry_bound=2,
             ),
         ),
-        model.Template(
+        organisation_model.Template(
             name="web-api",
             summary="A plain web API with no special routes.",
-            defaults=model.Parameters(rate=100.0, burst=100),
+            defaults=organisation_model.Parameters(rate=100.0, burst=100),
         ),
     )
 }
@@ -80,10 +80,10 @@
 
 
 def apply_assignments(
-    parameters: model.Parameters,
+    parameters: organisation_model.Parameters,
     assignments: tuple[tuple[str, str], ...],
     source: str,
-) -> tuple[model.Parameters, tuple[exceptions.Finding, ...]]:
+) -> tuple[organisation_model.Parameters, tuple[exceptions.Finding, ...]]:
     """Applies `name=value` assignments to parameters.
 
     Args:
@@ -127,7 +127,8 @@
             return _parse_routes(text)
         case _:
             known = ", ".join(
-                field.name for field in dataclasses.fields(model.Parameters)
+                field.name
+                for field in dataclasses.fields(organisation_model.Parameters)
             )
             return None, f"unknown parameter; known are {known}"
 
@@ -175,12 +176,12 @@
             prefix.split("/")[1] if "/" in prefix else ""
         ):
             return None, f"{item!r}: a route is [METHOD] /service[/path]"
-        rules.append(model.RouteRule(method=method, prefix=prefix))
+        rules.append(organisation_model.RouteRule(method=method, prefix=prefix))
     return tuple(rules), ""
 
 
 def format_parameters(
-    parameters: model.Parameters,
+    parameters: organisation_model.Parameters,
 ) -> tuple[tuple[str, str], ...]:
     """Returns the parameters as pairs of name and value as text."""
     pairs = []
--- a/src/sassafrashall/filters/identity.py
+++ b/src/sassafrashall/filters/identity.py
@@ -12,6 +12,7 @@
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall import organisation_model
 
 
 def digest(key: str) -> str:
@@ -142,7 +143,7 @@
 
 
 def _with_organisation(
-    call: model.Call, organisation: model.Organisation
+    call: model.Call, organisation: organisation_model.Organisation
 ) -> model.Call:
     call = _with_route_rules(call, organisation.parameters)
     return frozen.replace(
@@ -153,12 +154,12 @@
 
 
 def _with_route_rules(
-    call: model.Call, parameters: model.Parameters
+    call: model.Call, parameters: organisation_model.Parameters
 ) -> model.Call:
     """Sets priority and idempotency by the organisation's route rules."""
     method, path = call.request.method, call.request.path
 
-    def matches_any(rules: tuple[model.RouteRule, ...]) -> bool:
+    def matches_any(rules: tuple[organisation_model.RouteRule, ...]) -> bool:
         return any(rule.matches(method, path) for rule in rules)
 
     priority = model.Priority.NORMAL
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -9,6 +9,7 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import quota
@@ -90,7 +91,7 @@
     complete: bool
     entries: tuple[DirectoryEntry, ...]
     revision: int
-    organisations: tuple[model.Organisation, ...]
+    organisations: tuple[organisation_model.Organisation, ...]
     withdrawn: tuple[str, ...]
     majority_age: float
     proof_age: float = 1e6
@@ -321,7 +322,7 @@
     """Answers ConfigurationQuery; the fields are those of HeartbeatReply."""
 
     revision: int
-    organisations: tuple[model.Organisation, ...]
+    organisations: tuple[organisation_model.Organisation, ...]
     withdrawn: tuple[str, ...]
     proof_age: float
     document: configuration.Configuration | None = None
@@ -408,7 +409,7 @@
     controls: tuple[ControlRecord, ...]
     membership: replication.Membership
     nodes: tuple[DirectoryEntry, ...]
-    organisations: tuple[model.Organisation, ...]
+    organisations: tuple[organisation_model.Organisation, ...]
     quotas: tuple[OrganisationQuota, ...]
     claims: int
     evacuated: tuple[str, ...] = ()
--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -9,6 +9,7 @@
 from sassafrashall import api
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall import protocol
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import shedding
@@ -76,7 +77,9 @@
     )
 
 
-def organisation(shown: model.Organisation, rollout: api.Rollout) -> str:
+def organisation(
+    shown: organisation_model.Organisation, rollout: api.Rollout
+) -> str:
     """Returns one organisation's parameters and where they are in force."""
     rows = [
         ("name", shown.name),
@@ -99,7 +102,9 @@
     return f"Revision {rollout.revision}: {where}."
 
 
-def difference(before: model.Parameters, after: model.Parameters) -> str:
+def difference(
+    before: organisation_model.Parameters, after: organisation_model.Parameters
+) -> str:
     """Returns the parameters that would change."""
     rows = [
         (name, old, new)
@@ -115,7 +120,7 @@
     return table(("PARAMETER", "NOW", "THEN"), rows)
 
 
-def key_list(shown: model.Organisation) -> str:
+def key_list(shown: organisation_model.Organisation) -> str:
     """Returns the ids and states of an organisation's keys.
 
     The keys themselves are not stored.
@@ -129,7 +134,7 @@
     )
 
 
-def route_list(organisations: Sequence[model.Organisation]) -> str:
+def route_list(organisations: Sequence[organisation_model.Organisation]) -> str:
     """Returns a line for each route rule of the organisations."""
     rows: list[tuple[str, str, str]] = []
     for shown in organisations:
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sassafrashall import configuration
-from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
@@ -34,7 +34,7 @@
     """
 
     revision: int
-    organisations: tuple[model.Organisation, ...]
+    organisations: tuple[organisation_model.Organisation, ...]
     claims: tuple[tuple[str, str, str, str], ...]
     old_claims: tuple[tuple[str, str, str, str], ...]
     changes: tuple[tuple[str, bytes], ...]
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -2,7 +2,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.transport import snapshots
@@ -145,7 +145,7 @@
     state, _ = _set(state, "c1")
     new = fleet_state.changed_since(state, 0)
     configuration = fleet_state.merge_configuration(
-        model.Configuration(), state.revision, new, frozenset()
+        organisation_model.Configuration(), state.revision, new, frozenset()
     )
     again = fleet_state.merge_configuration(
         configuration, 1, old, frozenset({"d"})
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -6,6 +6,7 @@
 from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall.decisions import templates
 from sassafrashall.filters import identity
 from tests import fakes
@@ -13,12 +14,12 @@
 
 def _view(*, fresh_at=None, **parameters):
     defaults = templates.TEMPLATES["research-allocation"].defaults
-    organisation = model.Organisation(
+    organisation = organisation_model.Organisation(
         name="org",
         template="research-allocation",
         parameters=dataclasses.replace(defaults, **parameters),
     )
-    configuration = model.Configuration(
+    configuration = organisation_model.Configuration(
         revision=1,
         organisations={"org": organisation},
         keys={identity.digest("sesame"): "org"},
@@ -53,7 +54,9 @@
 
 
 async def test_an_open_route_needs_no_key_but_a_wrong_one_is_refused():
-    view = _view(open_routes=(model.RouteRule(method="GET", prefix="/a"),))
+    view = _view(
+        open_routes=(organisation_model.RouteRule(method="GET", prefix="/a"),)
+    )
     passed = await _identify(fakes.request(), view)
     assert passed.call.organisation == "org"
     wrong = await _identify(fakes.request(key="wrong"), view)
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -6,7 +6,7 @@
 
 from sassafrashall import mailbox
 from sassafrashall import messages
-from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall import protocol
 from sassafrashall import settings
 from sassafrashall.controllers import quota_owner
@@ -37,10 +37,12 @@
 
 
 def _view(*, created=1, replayed=0, shares=0, burst=9):
-    organisation = model.Organisation(
+    organisation = organisation_model.Organisation(
         name="org",
         template="web-api",
-        parameters=model.Parameters(rate=10, burst=burst, quota_shares=shares),
+        parameters=organisation_model.Parameters(
+            rate=10, burst=burst, quota_shares=shares
+        ),
         created=created,
         revision=created,
     )
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -5,6 +5,7 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall import protocol
 from sassafrashall import reports
 from sassafrashall.decisions import fleet_commands
@@ -62,13 +63,13 @@
 
 
 def _status(**fields):
-    payroll = model.Organisation(
+    payroll = organisation_model.Organisation(
         name="payroll",
         template="research-allocation",
         parameters=templates.TEMPLATES["research-allocation"].defaults,
         keys=(
-            model.Key(key_id="k1", digest="d1"),
-            model.Key(key_id="k2", digest="d2", withdrawn=True),
+            organisation_model.Key(key_id="k1", digest="d1"),
+            organisation_model.Key(key_id="k2", digest="d2", withdrawn=True),
         ),
         version=4,
         revision=7,
