--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -261,6 +261,37 @@
             f"{status.answered_by} has no majority: changes and claims are "
             "refused. Restore the other controls or the network link."
         )
+    advice += _advise_on_voters(status)
+    for data_centre in status.evacuated:
+        advice.append(
+            f"Data centre {data_centre} is evacuated. To end that, send DELETE "
+            f"/-/evacuation/{data_centre} to the operators' address of a "
+            "control."
+        )
+    rollout = api.rollout_of(status, status.revision)
+    if rollout.missing:
+        advice.append(
+            f"Nodes without revision {status.revision}: "
+            f"{', '.join(rollout.missing)}. A rollout takes 2 s; after that, "
+            "check their logs."
+        )
+    advice += _advise_on_overload(status)
+    for vm in rollout.silent:
+        advice.append(f"Node {vm} is silent. Is its VM up?")
+    services = {
+        entry.record.upstream.service
+        for entry in status.nodes
+        if entry.record.upstream
+    }
+    for service in sorted(services):
+        if not _has_ready_upstream(status, service):
+            advice.append(f"Service {service} has no ready upstream.")
+    return advice
+
+
+def _advise_on_voters(status: protocol.StatusReply) -> list[str]:
+    """Returns advice on the voters that are silent."""
+    advice = []
     controls = {c.replica_id: c for c in status.controls}
     learners = list(status.membership.learners)
     for member in status.membership.voters:
@@ -279,19 +310,11 @@
                 f"Control {member.vm} is silent. Restart it, or start one with "
                 "an empty data folder and replace it."
             )
-    for data_centre in status.evacuated:
-        advice.append(
-            f"Data centre {data_centre} is evacuated. To end that, send DELETE "
-            f"/-/evacuation/{data_centre} to the operators' address of a "
-            "control."
-        )
-    rollout = api.rollout_of(status, status.revision)
-    if rollout.missing:
-        advice.append(
-            f"Nodes without revision {status.revision}: "
-            f"{', '.join(rollout.missing)}. A rollout takes 2 s; after that, "
-            "check their logs."
-        )
+    return advice
+
+
+def _advise_on_overload(status: protocol.StatusReply) -> list[str]:
+    """Returns advice on the services that shed."""
     overloaded = sorted(
         {
             entry.record.upstream.service
@@ -301,23 +324,13 @@
             and entry.record.upstream
         }
     )
-    if overloaded:
-        advice.append(
-            f"Overloaded: {', '.join(overloaded)}. Requests of the lowest "
-            "priority are shed first. If it lasts, add upstreams there or "
-            "lower the rate of the organisation that sends most."
-        )
-    for vm in rollout.silent:
-        advice.append(f"Node {vm} is silent. Is its VM up?")
-    services = {
-        entry.record.upstream.service
-        for entry in status.nodes
-        if entry.record.upstream
-    }
-    for service in sorted(services):
-        if not _has_ready_upstream(status, service):
-            advice.append(f"Service {service} has no ready upstream.")
-    return advice
+    if not overloaded:
+        return []
+    return [
+        f"Overloaded: {', '.join(overloaded)}. Requests of the lowest "
+        "priority are shed first. If it lasts, add upstreams there or "
+        "lower the rate of the organisation that sends most."
+    ]
 
 
 def _has_ready_upstream(status: protocol.StatusReply, service: str) -> bool:
