Node membership: its parts are modules, long functions are split

What the upstream's announcements say, the held configuration and the measured load are objects that the controller owns, like the gates of admission; which nodes stay known is a decision, known_nodes, with tests. Behaviour, the order of changes and log lines are unchanged. test_node_membership reads UNLISTED_TTL from its new place.

test_node_membership, test_sign_off, test_configuration_watch, test_odd_entries, test_evacuation, test_cold_gate, test_spillover, test_upstream_runs, test_cold_upstreams and test_known_nodes pass.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -8,7 +8,6 @@
 import trio
 
 from sassafrashall import clock
-from sassafrashall import configuration
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import logs
@@ -18,23 +17,21 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import task
+from sassafrashall.controllers import followed_upstream
+from sassafrashall.controllers import held_configuration
+from sassafrashall.controllers import load_meter
 from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import demand as demand_decisions
-from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import known_nodes
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import route_table
-from sassafrashall.decisions import shedding
 from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
-from sassafrashall.decisions import upstream_runs
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
 ANNOUNCEMENT_TTL = 3.0  # seconds until a silent upstream counts as gone
-# Seconds for which nodes stay known that the list of another control lacks. A
-# control that has just started hears of all nodes within this time.
-UNLISTED_TTL = 3.0
 # Seconds that the acknowledgement of a sign-off waits for a control to know it.
 SIGN_OFF_TIMEOUT = 0.4
 # Changes of the record that all controls are told, not only the one in use.
@@ -123,16 +120,19 @@
             slots; None if it isn't measured.
         """
         super().__init__()
-        self._announcement_ttl = announcement_ttl
         self._heartbeat_interval = heartbeat_interval
-        self._runs = upstream_runs.State()
+        self._upstream = followed_upstream.FollowedUpstream(
+            announcement_ttl=announcement_ttl, cold_heartbeat=cold_heartbeat
+        )
+        self._held = held_configuration.HeldConfiguration(event_log=event_log)
+        self._load_meter = load_meter.LoadMeter(
+            admission_level=admission_level,
+            upstream_load=upstream_load,
+            counters=counters,
+        )
         self._controls_unreachable = False
         self._controls: tuple[replication.Member, ...] = ()
-        self._published_table = mailbox.Published[
-            route_table.RouteTable | None
-        ](initial=None)
         self._record = record
-        self._admission_level = admission_level
         self._link = link
         self._events = event_log
         self._metrics = counters
@@ -141,18 +141,13 @@
         # By VM of the nodes that the last list lacked: when they are forgotten,
         # in monotonic seconds.
         self._unlisted: dict[str, float] = {}
-        self._reported_shed = 0.0
-        self._load_measured_at = clock.monotonic()
         self._heartbeat_due = trio.Event()
         self._leave_replies: list[mailbox.Reply] = []
         self._sign_off_replies: list[mailbox.Reply] = []
-        self._view = mailbox.Published[model.NodeView](initial=model.NodeView())
         self._local_upstream = local_upstream or mailbox.Published[
             model.Upstream | None
         ](initial=None)
         self._demand_monitor = demand_monitor
-        self._cold_heartbeat = cold_heartbeat
-        self._upstream_load = upstream_load
         self._summary = mailbox.Published[spillover.Summary](
             initial=spillover.Summary()
         )
@@ -163,7 +158,7 @@
     @property
     def view(self) -> mailbox.Published[model.NodeView]:
         """The fleet as this node sees it."""
-        return self._view
+        return self._held.view
 
     @property
     def local_upstream(self) -> mailbox.Published[model.Upstream | None]:
@@ -173,7 +168,7 @@
     @property
     def table(self) -> mailbox.Published[route_table.RouteTable | None]:
         """The routes of the fleet configuration; None before the first."""
-        return self._published_table
+        return self._held.table
 
     @property
     def route_levels(self) -> mailbox.Published[tree_admission.RouteLevels]:
@@ -192,7 +187,8 @@
         match message:
             case messages.Announce():
                 signed_off_before = self._record.signed_off
-                self._on_announcement(message)
+                self._upstream.on_announcement(message, clock.monotonic())
+                self._apply_upstream()
                 if self._record.signed_off == signed_off_before:
                     reply.put(None)
                 else:
@@ -207,11 +203,8 @@
                 self._update_record(leaving=True)
                 self._leave_replies.append(reply)
             case _ComposeHeartbeat(demand=demand):
-                self._apply_runs(
-                    upstream_runs.on_check(
-                        self._runs, self._announcement_ttl, clock.monotonic()
-                    )
-                )
+                self._upstream.expire(clock.monotonic())
+                self._apply_upstream()
                 reply.put(self._compose_heartbeat(demand))
             case _HeartbeatReplied():
                 self._on_heartbeat_reply(message)
@@ -227,85 +220,14 @@
             case messages.ConfigurationRead():
                 self._on_configuration_read(message)
             case messages.ConfigurationConfirmed():
-                self._on_configuration_confirmed(message)
-
-    def _on_announcement(self, message: messages.Announce) -> None:
-        now = clock.monotonic()
-        match message:
-            case messages.Announce(upstream=None, incarnation=""):
-                runs = upstream_runs.on_unnumbered(self._runs, None, now)
-            case messages.Announce(upstream=None, incarnation=incarnation):
-                runs = upstream_runs.on_sign_off(
-                    self._runs, incarnation, clock.wall_ms()
-                )
-            case messages.Announce(upstream=upstream) if message.sequence < 0:
-                runs = upstream_runs.on_unnumbered(self._runs, upstream, now)
-            case messages.Announce(upstream=upstream):
-                assert upstream is not None
-                heartbeat = upstream_runs.Heartbeat(
-                    run=upstream_runs.Run(
-                        incarnation=message.incarnation,
-                        started_ms=message.started_ms,
-                    ),
-                    sequence=message.sequence,
-                    upstream=upstream,
-                )
-                runs = upstream_runs.on_heartbeat(self._runs, heartbeat, now)
-                self._publish_cold(runs, message, now)
-        self._apply_runs(runs)
+                self._held.confirm(message)
 
-    def _publish_cold(
-        self, runs: upstream_runs.State, message: messages.Announce, now: float
-    ) -> None:
-        """Publishes a heartbeat, unless a newer one of its run was heard."""
-        if self._cold_heartbeat is None or runs.run is None:
-            return
-        run = upstream_runs.Run(
-            incarnation=message.incarnation, started_ms=message.started_ms
-        )
-        is_newest = run == runs.run and message.sequence == runs.sequence
-        is_repeated = (
-            run == self._runs.run and message.sequence == self._runs.sequence
-        )
-        # A run that is not believed yet may have taken the place of this one.
-        is_doubtful = runs.successor is not None and run == runs.successor.run
-        if is_doubtful or (is_newest and not is_repeated):
-            self._cold_heartbeat.publish(
-                cold_rate.Heartbeat(
-                    run=(run.incarnation, run.started_ms),
-                    sequence=message.sequence,
-                    cold_remaining_s=message.cold_remaining_s,
-                    heard_at=now,
-                    is_doubtful=is_doubtful,
-                )
-            )
-
-    def _apply_runs(self, runs: upstream_runs.State) -> None:
+    def _apply_upstream(self) -> None:
         """Publishes and records what differs from the beliefs before."""
-        before, self._runs = self._runs, runs
-        if runs.run != before.run and runs.run is not None:
-            logs.get().info(
-                "upstream run followed",
-                extra={
-                    "id": runs.run.incarnation,
-                    "started_ms": runs.run.started_ms,
-                },
-            )
-        if runs.successor is not None and (
-            before.successor is None
-            or runs.successor.run != before.successor.run
-        ):
-            logs.get().info(
-                "heartbeat of an earlier run, or of one that signed off",
-                extra={
-                    "id": runs.successor.run.incarnation,
-                    "started_ms": runs.successor.run.started_ms,
-                    "sequence": runs.successor.sequence,
-                },
-            )
-        self._set_upstream(runs.upstream)
-        if runs.sign_off != self._record.signed_off:
-            self._update_record(signed_off=runs.sign_off)
+        self._set_upstream(self._upstream.upstream)
+        sign_off = self._upstream.sign_off
+        if sign_off != self._record.signed_off:
+            self._update_record(signed_off=sign_off)
 
     async def _limit_wait(self, reply: mailbox.Reply) -> None:
         await trio.sleep(SIGN_OFF_TIMEOUT)
@@ -341,33 +263,12 @@
             record=self._record,
             directory_source=self._directory_source,
             directory_version=self._directory_version,
-            withdrawn_count=len(self._view.value.configuration.withdrawn),
-            load=self._measure_load(),
-            document_version=self._document_version(),
+            withdrawn_count=len(self._held.view.value.configuration.withdrawn),
+            load=self._load_meter.measure(),
+            document_version=self._held.document_version,
             demand=demand,
         )
 
-    def _document_version(self) -> int:
-        table = self._published_table.value
-        return table.document.version if table else 0
-
-    def _measure_load(self) -> model.NodeLoad:
-        """Returns the admission level and the shed rate since the last call."""
-        now = clock.monotonic()
-        shed = self._metrics.total("shed") + self._metrics.total("shed_early")
-        rate = (shed - self._reported_shed) / max(
-            0.1, now - self._load_measured_at
-        )
-        self._reported_shed, self._load_measured_at = shed, now
-        level = self._admission_level.value
-        return model.NodeLoad(
-            level=shedding.ADMIT_ALL_LEVEL
-            if level < 0
-            else level / shedding.LEVEL_SCALE,
-            shed_per_second=round(rate, 1),
-            load=self._upstream_load.value if self._upstream_load else -1,
-        )
-
     async def _send_heartbeats(self) -> None:
         while True:
             self._heartbeat_due = trio.Event()
@@ -415,7 +316,7 @@
 
     def _on_heartbeat_reply(self, message: _HeartbeatReplied) -> None:
         answer = message.reply
-        view = self._merge_configuration(answer, message.sent_at)
+        view = self._held.merge(answer, message.sent_at)
         self._route_levels.publish(
             tree_admission.RouteLevels(
                 levels={level.route: level for level in answer.route_levels},
@@ -424,32 +325,20 @@
         )
         if not self._directory_source:
             self._outrank_record_before(answer)
-        # Each control tells again only of the upstreams that it told of, so
-        # that another one never takes back what this one told.
-        told_before = (
-            self._summary.value.relative_times
-            if answer.directory_source == self._directory_source
-            else {}
-        )
-        records = self._merge_records(view.records, answer)
-        self._summary.publish(
-            spillover.summarize(
-                answer.rooms,
-                clock.monotonic(),
-                {
-                    vm: relative_time
-                    for vm, relative_time in {
-                        **told_before,
-                        **answer.relative_times,
-                    }.items()
-                    if vm in records
-                },
-            )
+        records, self._unlisted = known_nodes.merge(
+            view.records,
+            self._unlisted,
+            ((entry.record, entry.lapsed) for entry in answer.entries),
+            is_complete=answer.complete,
+            now=clock.monotonic(),
         )
+        self._publish_summary(answer, records)
+        self._directory_source = answer.directory_source
+        self._directory_version = answer.directory_version
         known_services = {
             r.upstream.service for r in records.values() if r.upstream
         }
-        self._view.publish(
+        self._held.view.publish(
             dataclasses.replace(
                 view,
                 records=records,
@@ -462,93 +351,58 @@
             self._link.tell(messages.ControlsKnown(members=answer.controls))
         if answer.majority_age >= control_choice.MIN_LEAVE_AGE:
             self._spawn(self._leave_stale_control, answer.majority_age)
-        if message.record.signed_off is not None:
-            if message.record.signed_off == self._record.signed_off:
-                for reply in self._sign_off_replies:
-                    reply.put(None)
-                self._sign_off_replies.clear()
-        elif answer.signed_off is not None and not self._record.signed_off:
-            self._apply_runs(
-                upstream_runs.on_sign_off_restored(
-                    self._runs, answer.signed_off
-                )
-            )
-        if message.record.leaving:
-            for reply in self._leave_replies:
-                reply.put(None)
-            self._leave_replies.clear()
+        self._acknowledge_departures(message)
 
-    def _merge_configuration(
+    def _publish_summary(
         self,
-        answer: protocol.HeartbeatReply | protocol.ConfigurationReply,
-        sent_at: float,
-    ) -> model.NodeView:
-        """Returns the view with what is newer at a control; applies its routes.
+        answer: protocol.HeartbeatReply,
+        records: dict[str, model.NodeRecord],
+    ) -> None:
+        """Publishes the loads and run times that a control told.
 
-        Args:
-          answer: What the control told.
-          sent_at: When it was asked, in monotonic seconds. Its age counts from
-            then, since the answer may have been delayed.
+        Each control tells again only of the upstreams that it told of, so that
+        another one never takes back what this one told.
         """
-        view = self._view.value
-        configuration = fleet_state.merge_configuration(
-            view.configuration,
-            answer.revision,
-            answer.organisations,
-            frozenset(answer.withdrawn),
-        )
-        fresh_at = view.fresh_at
-        if answer.revision >= view.configuration.revision:
-            fresh_at = max(fresh_at, sent_at - answer.proof_age)
-        self._apply_document(answer.document)
-        return dataclasses.replace(
-            view,
-            configuration=configuration,
-            fresh_at=fresh_at,
-            evacuated=self._newest_evacuated(view, answer),
+        told_before = (
+            self._summary.value.relative_times
+            if answer.directory_source == self._directory_source
+            else {}
         )
-
-    def _newest_evacuated(
-        self,
-        view: model.NodeView,
-        answer: protocol.HeartbeatReply | protocol.ConfigurationReply,
-    ) -> frozenset[str]:
-        """Returns the evacuated data centres, unless the answer is older."""
-        if (
-            answer.evacuated is None
-            or answer.revision < view.configuration.revision
-        ):
-            return view.evacuated
-        evacuated = frozenset(answer.evacuated)
-        if evacuated != view.evacuated:
-            logs.get().info(
-                "evacuated data centres changed",
-                extra={
-                    "evacuated": sorted(evacuated),
-                    "revision": answer.revision,
+        relative_times = {**told_before, **answer.relative_times}
+        self._summary.publish(
+            spillover.summarize(
+                answer.rooms,
+                clock.monotonic(),
+                {
+                    vm: relative_time
+                    for vm, relative_time in relative_times.items()
+                    if vm in records
                 },
             )
-        return evacuated
+        )
+
+    def _acknowledge_departures(self, message: _HeartbeatReplied) -> None:
+        """Answers who waits until a control knows a sign-off or a departure."""
+        told, known = message.record, message.reply.signed_off
+        if told.signed_off is not None:
+            if told.signed_off == self._record.signed_off:
+                for reply in self._sign_off_replies:
+                    reply.put(None)
+                self._sign_off_replies.clear()
+        elif known is not None and not self._record.signed_off:
+            self._upstream.restore_sign_off(known)
+            self._apply_upstream()
+        if told.leaving:
+            for reply in self._leave_replies:
+                reply.put(None)
+            self._leave_replies.clear()
 
     def _on_configuration_read(
         self, message: messages.ConfigurationRead
     ) -> None:
-        self._view.publish(
-            self._merge_configuration(message.reply, message.sent_at)
-        )
-        self._report_revision(self._view.value.configuration.revision)
-
-    def _on_configuration_confirmed(
-        self, message: messages.ConfigurationConfirmed
-    ) -> None:
-        view = self._view.value
-        if (
-            message.revision == view.configuration.revision
-            and message.fresh_at > view.fresh_at
-        ):
-            self._view.publish(
-                dataclasses.replace(view, fresh_at=message.fresh_at)
-            )
+        view = self._held.merge(message.reply, message.sent_at)
+        self._held.view.publish(view)
+        self._report_revision(view.configuration.revision)
 
     async def _leave_stale_control(self, majority_age: float) -> None:
         """Looks for a control with a majority, and asks it for what is new."""
@@ -559,19 +413,6 @@
         except exceptions.MailboxClosedError:
             pass  # The process is stopping.
 
-    def _apply_document(
-        self, document: configuration.Configuration | None
-    ) -> None:
-        if document is None or document.version <= self._document_version():
-            return
-        self._published_table.publish(route_table.compile_table(document))
-        self._events.record(
-            "configuration.document", detail=str(document.version)
-        )
-        logs.get().info(
-            "fleet configuration applied", extra={"version": document.version}
-        )
-
     def _report_revision(self, revision: int) -> None:
         if revision == self._record.configuration_revision:
             return
@@ -599,31 +440,3 @@
                     },
                 )
                 self._update_record(incarnation=known.incarnation + 1)
-
-    def _merge_records(
-        self,
-        held_records: dict[str, model.NodeRecord],
-        answer: protocol.HeartbeatReply,
-    ) -> dict[str, model.NodeRecord]:
-        now = clock.monotonic()
-        if answer.complete:
-            listed = {entry.record.vm for entry in answer.entries}
-            self._unlisted = {
-                vm: self._unlisted.get(vm, now + UNLISTED_TTL)
-                for vm in held_records
-                if vm not in listed
-            }
-        records = {
-            vm: record
-            for vm, record in held_records.items()
-            if self._unlisted.get(vm, now) >= now
-        }
-        for entry in answer.entries:
-            self._unlisted.pop(entry.record.vm, None)
-            if entry.lapsed:
-                records.pop(entry.record.vm, None)
-            else:
-                records[entry.record.vm] = entry.record
-        self._directory_source = answer.directory_source
-        self._directory_version = answer.directory_version
-        return records
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -14,6 +14,7 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall.controllers import node_membership
+from sassafrashall.decisions import known_nodes
 from sassafrashall.decisions import node_directory
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
@@ -188,7 +189,7 @@
             for _ in range(5):
                 await membership.view.wait_changed()
         await known({"vm-1", "vm-2", "vm-3"})
-        shift[0] = node_membership.UNLISTED_TTL + 0.1
+        shift[0] = known_nodes.UNLISTED_TTL + 0.1
         await known({"vm-1"})
 
 
