Node membership: the followed upstream is passed in

The TTL of announcements is a constant of followed_upstream. Behaviour is unchanged; test_node_membership passes the upstream with its short TTL.

test_node_membership, test_sign_off, test_configuration_watch, test_odd_entries, test_evacuation, test_cold_upstreams, test_evacuation_fleet, test_call_tree and test_failures pass.

--- a/src/sassafrashall/controllers/followed_upstream.py
+++ b/src/sassafrashall/controllers/followed_upstream.py
@@ -10,6 +10,8 @@
 from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import upstream_runs
 
+ANNOUNCEMENT_TTL = 3.0  # seconds until a silent upstream counts as gone
+
 
 class FollowedUpstream:
     """What the announcements of the upstream on this VM say about it."""
@@ -17,21 +19,32 @@
     def __init__(
         self,
         *,
-        announcement_ttl: float,
-        cold_heartbeat: mailbox.Published[cold_rate.Heartbeat | None] | None,
+        announcement_ttl: float = ANNOUNCEMENT_TTL,
+        published: mailbox.Published[model.Upstream | None] | None = None,
+        cold_heartbeat: mailbox.Published[cold_rate.Heartbeat | None]
+        | None = None,
     ) -> None:
         """Follows an upstream of which nothing has been heard.
 
         Args:
           announcement_ttl: Seconds without an announcement after which the
             upstream counts as gone.
+          published: Where the upstream is published by the membership.
           cold_heartbeat: Where its newest heartbeat is published, for the bound
             of a cold one; None if there is no bound.
         """
         self._announcement_ttl = announcement_ttl
+        self._published = published or mailbox.Published[model.Upstream | None](
+            initial=None
+        )
         self._cold_heartbeat = cold_heartbeat
         self._runs = upstream_runs.State()
 
+    @property
+    def published(self) -> mailbox.Published[model.Upstream | None]:
+        """The upstream as the node's record names it."""
+        return self._published
+
     @property
     def upstream(self) -> model.Upstream | None:
         """The upstream as it announced itself; None if it is gone."""
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -20,7 +20,6 @@
 from sassafrashall.controllers import followed_upstream
 from sassafrashall.controllers import held_configuration
 from sassafrashall.controllers import load_meter
-from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import known_nodes
@@ -31,7 +30,6 @@
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
-ANNOUNCEMENT_TTL = 3.0  # seconds until a silent upstream counts as gone
 # Seconds that the acknowledgement of a sign-off waits for a control to know it.
 SIGN_OFF_TIMEOUT = 0.4
 # Changes of the record that all controls are told, not only the one in use.
@@ -91,12 +89,9 @@
         admission_level: mailbox.Published[int],
         event_log: events.EventLog,
         counters: metrics.Metrics,
-        announcement_ttl: float = ANNOUNCEMENT_TTL,
+        upstream: followed_upstream.FollowedUpstream | None = None,
         heartbeat_interval: float = HEARTBEAT_INTERVAL,
-        local_upstream: mailbox.Published[model.Upstream | None] | None = None,
         demand_monitor: mailbox.Mailbox | None = None,
-        cold_heartbeat: mailbox.Published[cold_rate.Heartbeat | None]
-        | None = None,
         upstream_load: mailbox.Published[int] | None = None,
     ) -> None:
         """Sets up an empty view.
@@ -108,22 +103,16 @@
             if there is none.
           event_log: Records changes of the upstream and the configuration.
           counters: The metrics of this process.
-          announcement_ttl: Seconds without an announcement after which the
-            upstream counts as gone.
+          upstream: Follows the upstream on this VM.
           heartbeat_interval: Seconds.
-          local_upstream: Where the upstream on this VM is published.
           demand_monitor: Mailbox of the task that measures the demand to
             report; None if it isn't measured.
-          cold_heartbeat: Where the newest heartbeat of the upstream is
-            published, for the bound of a cold one.
           upstream_load: The load of the local upstream, in thousandths of its
             slots; None if it isn't measured.
         """
         super().__init__()
         self._heartbeat_interval = heartbeat_interval
-        self._upstream = followed_upstream.FollowedUpstream(
-            announcement_ttl=announcement_ttl, cold_heartbeat=cold_heartbeat
-        )
+        self._upstream = upstream or followed_upstream.FollowedUpstream()
         self._held = held_configuration.HeldConfiguration(event_log=event_log)
         self._load_meter = load_meter.LoadMeter(
             admission_level=admission_level,
@@ -144,9 +133,6 @@
         self._heartbeat_due = trio.Event()
         self._leave_replies: list[mailbox.Reply] = []
         self._sign_off_replies: list[mailbox.Reply] = []
-        self._local_upstream = local_upstream or mailbox.Published[
-            model.Upstream | None
-        ](initial=None)
         self._demand_monitor = demand_monitor
         self._summary = mailbox.Published[spillover.Summary](
             initial=spillover.Summary()
@@ -163,7 +149,7 @@
     @property
     def local_upstream(self) -> mailbox.Published[model.Upstream | None]:
         """The upstream on this VM."""
-        return self._local_upstream
+        return self._upstream.published
 
     @property
     def table(self) -> mailbox.Published[route_table.RouteTable | None]:
@@ -238,7 +224,7 @@
             return
         previous = self._record.upstream
         self._update_record(upstream=upstream)
-        self._local_upstream.publish(upstream)
+        self._upstream.published.publish(upstream)
         state = upstream.state if upstream else "gone"
         if (previous.state if previous else "gone") != state:
             self._events.record("upstream.state", detail=state)
--- a/src/sassafrashall/node.py
+++ b/src/sassafrashall/node.py
@@ -22,6 +22,7 @@
 from sassafrashall.controllers import configuration_watch
 from sassafrashall.controllers import connections
 from sassafrashall.controllers import control_link
+from sassafrashall.controllers import followed_upstream
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
@@ -205,7 +206,7 @@
         local = local_api.LocalApi(
             membership=self._membership.mailbox,
             call_front_end=callers,
-            announcement_ttl=node_membership.ANNOUNCEMENT_TTL,
+            announcement_ttl=followed_upstream.ANNOUNCEMENT_TTL,
         )
         peers = front_end.FrontEnd(
             handler=self._run_worker_chain,
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -27,6 +27,7 @@
 from sassafrashall.controllers import control_link
 from sassafrashall.controllers import demand_monitor
 from sassafrashall.controllers import evacuation_gate
+from sassafrashall.controllers import followed_upstream
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import node_membership
 from sassafrashall.controllers import node_quota
@@ -163,11 +164,13 @@
             admission_level=self._admission_level,
             event_log=self._events,
             counters=self._metrics,
-            announcement_ttl=ANNOUNCEMENT_TTL,
+            upstream=followed_upstream.FollowedUpstream(
+                announcement_ttl=ANNOUNCEMENT_TTL,
+                published=self._local_upstream,
+                cold_heartbeat=cold_heartbeat,
+            ),
             heartbeat_interval=HEARTBEAT_INTERVAL,
-            local_upstream=self._local_upstream,
             demand_monitor=self._demand_monitor.mailbox,
-            cold_heartbeat=cold_heartbeat,
             upstream_load=self._upstream_load,
         )
         self._configuration_watch = configuration_watch.ConfigurationWatch(
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -13,6 +13,7 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import protocol
+from sassafrashall.controllers import followed_upstream
 from sassafrashall.controllers import node_membership
 from sassafrashall.decisions import known_nodes
 from sassafrashall.decisions import node_directory
@@ -51,7 +52,9 @@
         admission_level=mailbox.Published(initial=-1),
         event_log=event_log,
         counters=fakes.counters(),
-        announcement_ttl=ANNOUNCEMENT_TTL,
+        upstream=followed_upstream.FollowedUpstream(
+            announcement_ttl=ANNOUNCEMENT_TTL
+        ),
         heartbeat_interval=HEARTBEAT_INTERVAL,
     )
     return link, membership
