Routed node: the record of requests and the look-up of routes are modules

It is three methods by what they build, the listeners for the platform are built apart; the record of outcomes is request_recorder.py, what is read from the routes beside the filters route_lookup.py. routed_node.py has 525 lines: the chains and the stop need most of its attributes, and stay. Behaviour is unchanged.

test_routed_node, test_logs, test_pipelined_calls and test_downloads pass.

--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -8,9 +8,7 @@
 import trio
 
 from sassafrashall import clock
-from sassafrashall import configuration
 from sassafrashall import connection_log
-from sassafrashall import decision_log
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import fiber
@@ -19,6 +17,8 @@
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
+from sassafrashall import request_recorder
+from sassafrashall import route_lookup
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.controllers import admission
@@ -37,7 +37,6 @@
 from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import quota as quota_decisions
-from sassafrashall.decisions import route_table
 from sassafrashall.decisions import shedding
 from sassafrashall.filters import api_key
 from sassafrashall.filters import chain
@@ -55,7 +54,6 @@
 from sassafrashall.platform import front_end
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
-from sassafrashall.transport import http1
 from sassafrashall.transport import http_server
 from sassafrashall.transport import memory_budget
 from sassafrashall.transport import ops_api
@@ -101,21 +99,19 @@
         self._budget = memory_budget.MemoryBudget(
             memory_mb=settings.memory_mb, counters=self._metrics
         )
-        self._decisions = decision_log.DecisionLog()
-        self._request_timings = {
-            (step, kind): self._metrics.bound_histogram(
-                "request_seconds", step=step, outcome=kind.__name__.lower()
-            )
-            for step in ("entry", "worker")
-            for kind in (model.Answer, model.Refuse)
-        }
         self._leaving = False
         self._in_progress = 0
         # Monotonic seconds by which the calls passed on must end.
         self._process_end = mailbox.Published[float](
             initial=stopping.NEVER_STOPS
         )
-        self._build_controllers()
+        self._build_membership()
+        self._build_admission()
+        self._build_routing()
+        self._recorder = request_recorder.RequestRecorder(
+            table=self._membership.table, counters=self._metrics
+        )
+        self._lookup = route_lookup.RouteLookup(table=self._membership.table)
         self._worker_chain = self._build_worker_chain()
         self._entry_chain = self._build_entry_chain()
         self._build_listeners()
@@ -137,7 +133,8 @@
         """The controller that holds what this node knows of the fleet."""
         return self._membership
 
-    def _build_controllers(self) -> None:
+    def _build_membership(self) -> None:
+        """Builds what follows the controls and the upstream."""
         settings = self._settings
         self._control_link = control_link.ControlLink(
             controls=settings.controls,
@@ -155,7 +152,7 @@
             local_upstream=self._local_upstream,
             usable_slots=self._usable_slots,
         )
-        cold_heartbeat = mailbox.Published[cold_rate.Heartbeat | None](
+        self._cold_heartbeat = mailbox.Published[cold_rate.Heartbeat | None](
             initial=None
         )
         self._membership = node_membership.NodeMembership(
@@ -167,7 +164,7 @@
             upstream=followed_upstream.FollowedUpstream(
                 announcement_ttl=ANNOUNCEMENT_TTL,
                 published=self._local_upstream,
-                cold_heartbeat=cold_heartbeat,
+                cold_heartbeat=self._cold_heartbeat,
             ),
             heartbeat_interval=HEARTBEAT_INTERVAL,
             demand_monitor=self._demand_monitor.mailbox,
@@ -186,6 +183,10 @@
             counters=self._metrics,
             borrowing_policy=quota_decisions.RELAXED,
         )
+
+    def _build_admission(self) -> None:
+        """Builds what decides on requests to the upstream."""
+        settings = self._settings
         self._evacuation_gate = evacuation_gate.EvacuationGate(
             data_centre=settings.data_centre,
             bound=self._routed.evacuation.seconds,
@@ -205,11 +206,15 @@
                 overage=self._routed.cold_overage,
                 slack=self._routed.cold_slack,
                 table=self._membership.table,
-                heartbeat=cold_heartbeat,
+                heartbeat=self._cold_heartbeat,
                 counters=self._metrics,
             ),
             evacuation_gate=self._evacuation_gate,
         )
+
+    def _build_routing(self) -> None:
+        """Builds what passes requests on."""
+        settings = self._settings
         self._routing = routing.Routing(
             vm=settings.vm,
             data_centre=settings.data_centre,
@@ -261,7 +266,7 @@
                     counters=self._metrics,
                     demand_monitor=self._demand_monitor.mailbox,
                     upstream_may_call=self._upstream_may_call,
-                    route_name=self._route_name,
+                    route_name=self._lookup.route_name,
                     check_before_send=self._evacuation_gate.check_before_send,
                     feedback_policy=self._settings.policy.feedback_policy(),
                 ),
@@ -313,29 +318,6 @@
             ),
         )
 
-    def _route_name(self, request: model.Request) -> str:
-        """Returns the name of the route of a request that may be a peer's."""
-        route = self._find_route(request.headers, request.path)
-        return route.name if route else ""
-
-    def _may_overlap(self, head: http1.RequestHead) -> bool:
-        """Returns whether a request may run beside others of its connection.
-
-        Requests behind a long response would wait for it past their deadlines,
-        and be lost if it breaks off.
-        """
-        route = self._find_route(head.headers, head.target.partition("?")[0])
-        return route is None or not route.streams
-
-    def _find_route(
-        self, headers: model.Headers, path: str
-    ) -> configuration.Route | None:
-        table = self._membership.table.value
-        host = model.find_header(headers, "host")
-        if table is None or host is None:
-            return None
-        return table.find_route(host.partition(":")[0].lower(), path)
-
     def _upstream_may_call(self) -> bool:
         """Returns whether the local upstream may make calls of its own.
 
@@ -361,8 +343,7 @@
 
     def _build_listeners(self) -> None:
         listen = self._settings.listen
-        assert listen.callers and listen.peers and self._routed.upstream
-        assert listen.readiness and listen.announcements
+        assert listen.callers and listen.peers
         caller_front_end = front_end.FrontEnd(
             handler=self._run_entry_chain, service=self._routed.service
         )
@@ -370,14 +351,14 @@
             address=listen.callers,
             handler=caller_front_end.handle,
             source=model.Source.CALLER,
-            limits=self._configured_limits,
+            limits=self._lookup.limits,
             log=connection_log.ConnectionLog(
                 place="callers", counters=self._metrics
             ),
             request_id_header=names.REQUEST_ID,
             pipeline_depth=self._routed.pipeline_depth,
             budget=self._budget,
-            may_overlap=self._may_overlap,
+            may_overlap=self._lookup.may_overlap,
         )
         self._peers = peer_server.PeerServer(
             address=listen.peers,
@@ -388,6 +369,13 @@
             ),
             budget=self._budget,
         )
+        self._http_servers = self._build_http_servers()
+
+    def _build_http_servers(self) -> tuple[http_server.Server, ...]:
+        """Returns the listeners for the platform and for monitoring."""
+        listen = self._settings.listen
+        assert listen.readiness and listen.announcements
+        assert self._routed.upstream
         ops = ops_api.OpsApi(
             counters=self._metrics,
             event_log=self._events,
@@ -397,7 +385,7 @@
         announcements = node_api.Announcements(
             membership=self._membership.mailbox, upstream=self._routed.upstream
         )
-        self._http_servers = tuple(
+        return tuple(
             http_server.Server(
                 address=address,
                 handler=handler,
@@ -416,10 +404,6 @@
             )
         )
 
-    def _configured_limits(self) -> configuration.Limits:
-        table = self._membership.table.value
-        return table.document.limits if table else configuration.Limits()
-
     def _is_ready(self) -> bool:
         return not self._leaving and self._membership.table.value is not None
 
@@ -429,10 +413,14 @@
             outcome = await self._entry_chain.run(
                 model.Call(request=request, root_id=request.request_id)
             )
-            self._record_outcome(request.request_id, "entry", request, outcome)
+            self._recorder.record_outcome(
+                request.request_id, "entry", request, outcome
+            )
             return outcome
         except (trio.Cancelled, fiber.Cancelled) as error:
-            self._record_cancel(request.request_id, "entry", request, error)
+            self._recorder.record_cancel(
+                request.request_id, "entry", request, error
+            )
             raise
         finally:
             self._in_progress -= 1
@@ -444,76 +432,14 @@
                 model.Call(request=request, root_id="")
             )
         except fiber.Cancelled as error:
-            self._record_cancel(
+            self._recorder.record_cancel(
                 request.ticket.root_id, "worker", request, error
             )
             raise
-        self._record_outcome(request.ticket.root_id, "worker", request, outcome)
-        return outcome
-
-    def _record_outcome(
-        self,
-        request_id: str,
-        step: str,
-        request: model.Request,
-        outcome: model.Outcome,
-    ) -> None:
-        """Records how a request ended at this node, in metrics and the log.
-
-        Args:
-          request_id: Identifies the request in the log.
-          step: The chain that ran it, `entry` or `worker`.
-          request: The request, as it arrived at this node.
-          outcome: How it ended.
-        """
-        latency = clock.monotonic() - request.received_at
-        self._request_timings[(step, type(outcome))].observe(latency)
-        took_ms = 1000 * latency
-        table = self._membership.table.value
-        match outcome:
-            case model.Answer(response=response):
-                target_ms = _target_ms(table, request)
-                if self._decisions.suppress_routine(
-                    response.status, took_ms, target_ms
-                ):
-                    return
-                record: decision_log.Record = decision_log.Served(
-                    request_id=request_id,
-                    step=step,
-                    status=response.status,
-                    took_ms=took_ms,
-                    target_ms=target_ms,
-                    upstream_load=outcome.load,
-                )
-            case model.Refuse():
-                record = decision_log.Ended(
-                    request_id=request_id,
-                    step=step,
-                    code=outcome.code,
-                    detail=outcome.detail,
-                    run=outcome.run,
-                    took_ms=took_ms,
-                    configuration=table.document.version if table else 0,
-                    peer_load=outcome.load,
-                )
-        self._decisions.write(record)
-
-    def _record_cancel(
-        self,
-        request_id: str,
-        step: str,
-        request: model.Request,
-        error: trio.Cancelled | fiber.Cancelled,
-    ) -> None:
-        self._metrics.count("requests_cancelled", step=step)
-        self._decisions.write(
-            decision_log.Cancelled(
-                request_id=request_id,
-                step=step,
-                reason=str(error) if isinstance(error, fiber.Cancelled) else "",
-                took_ms=1000 * (clock.monotonic() - request.received_at),
-            )
+        self._recorder.record_outcome(
+            request.ticket.root_id, "worker", request, outcome
         )
+        return outcome
 
     def _refresh_metrics(self) -> None:
         view = self._membership.view.value
@@ -597,14 +523,3 @@
                 self._upstream_pool,
             ):
                 nursery.start_soon(controller.close)
-
-
-def _target_ms(
-    table: route_table.RouteTable | None, request: model.Request
-) -> float:
-    """Returns the target latency of a request's route, or 0 if unknown.
-
-    The unit is milliseconds.
-    """
-    route = table.find_route(request.host, request.path) if table else None
-    return 1000 * route.target_latency_s if route else 0.0
