Admission: the breaker and the level are objects of their own

What remains, the slots and the queue, shares its state. Behaviour is unchanged.

test_admission, test_breaker, test_evacuation, test_cold_gate, test_failing_upstreams, test_shedding, test_early_shed and test_core_cuts pass.

--- a/src/sassafrashall/controllers/admission.py
+++ b/src/sassafrashall/controllers/admission.py
@@ -11,26 +11,26 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import frozen
-from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.controllers import breaker_gate
 from sassafrashall.controllers import cold_gate as cold_gates
 from sassafrashall.controllers import evacuation_gate as evacuation_gates
-from sassafrashall.decisions import breaker
+from sassafrashall.controllers import level_keeper
 from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import limits
 from sassafrashall.decisions import queues
 from sassafrashall.decisions import routing
-from sassafrashall.decisions import shedding
 
 FAIR_SHARE_THRESHOLD = 0.5  # fraction of the limit in use; see _admit
 TICK_INTERVAL = 0.02  # seconds between checks of the queue and the level
 COLD_DETAIL = "the upstream is cold and gets no more requests now"
+FAILING_DETAIL = "the upstream fails its requests"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -112,22 +112,27 @@
         self._upstream: model.Upstream | None = None
         self._limit_policy = policy.limit_policy()
         self._queue_policy = policy.queue_policy()
-        self._shed_policy = policy.shed_policy()
-        self._breaker_policy = policy.breaker_policy()
-        self._breaker = breaker.CLOSED
-        self._events = event_log
+        self._breaker = breaker_gate.BreakerGate(
+            policy=policy.breaker_policy(),
+            event_log=event_log,
+            counters=counters,
+        )
+        self._level = level_keeper.LevelKeeper(
+            policy=policy.shed_policy(),
+            published=admission_level,
+            event_log=event_log,
+            counters=counters,
+        )
         self._metrics = counters
         self._slot_wait = counters.bound_histogram("slot_wait_seconds")
         self._limit_state: limits.LimitState | None = None
         self._queue = queues.Queue()
-        self._level_state = shedding.LevelState()
         self._waiting_replies: dict[str, mailbox.Reply] = {}
         self._in_flight = 0
         self._ticks_needed = trio.Event()
-        self._published_level = admission_level
 
     async def _setup(self) -> None:
-        self._published_level.publish(self._wire_level())
+        self._level.publish()
         self._spawn(self._follow_upstream)
         self._spawn(self._tick_regularly)
         if self._cold_gate is not None:
@@ -159,12 +164,7 @@
 
     async def _tick_regularly(self) -> None:
         while True:
-            fully_open = self._level_state.level >= shedding.ADMIT_ALL_LEVEL
-            if (
-                not self._queue.items
-                and fully_open
-                and not any(self._level_state.shed)
-            ):
+            if not self._queue.items and self._level.is_at_rest:
                 self._ticks_needed = trio.Event()
                 await self._ticks_needed.wait()
             await trio.sleep(TICK_INTERVAL)
@@ -278,7 +278,7 @@
             and previous.address == upstream.address
         )
         if previous is None or previous.incarnation != upstream.incarnation:
-            self._breaker = breaker.CLOSED
+            self._breaker.reset()
         if not already_ready or self._limit_state is None:
             self._limit_state = limits.initial_state(upstream.slots, now)
         else:
@@ -335,10 +335,8 @@
         if block is not None:
             self._metrics.count("evacuation_refusals")
             return self._refusal(exceptions.NO_UPSTREAM, block.value)
-        if not breaker.may_send(self._breaker, now):
-            return self._refusal(
-                exceptions.NO_UPSTREAM, "the upstream fails its requests"
-            )
+        if not self._breaker.may_send(now):
+            return self._refusal(exceptions.NO_UPSTREAM, FAILING_DETAIL)
         if not self._may_send_cold(now):
             return self._refusal(exceptions.SHED, COLD_DETAIL)
         return None
@@ -398,12 +396,9 @@
     ) -> None:
         assert self._upstream is not None
         self._in_flight += 1
-        self._breaker = breaker.on_sent(self._breaker)
+        self._breaker.on_granted()
         self._slot_wait.observe(now - item.arrived_at)
-        if not isinstance(self._shed_policy, shedding.NoEarlyShed):
-            self._level_state = shedding.on_dispatch(
-                self._level_state, item.priority, now - item.arrived_at
-            )
+        self._level.on_granted(item.priority, now - item.arrived_at)
         reply.on_abandon(None)
         gate = self._cold_gate
         if gate is None or not gate.on_granted(now):
@@ -418,7 +413,9 @@
     def _on_slot_released(
         self, message: messages.SlotReleased, now: float
     ) -> None:
-        self._update_breaker(message, now)
+        usual_time = self._limit_state.latency if self._limit_state else 0.0
+        if self._breaker.on_released(message, usual_time, now):
+            self._shed_all(exceptions.NO_UPSTREAM, FAILING_DETAIL)
         if message.unsent:
             self._tell_cold_gate(cold_rate.Unsent(), now)
         if message.refused:
@@ -439,37 +436,6 @@
         self._in_flight -= 1
         self._grant_waiting(now)
 
-    def _update_breaker(
-        self, message: messages.SlotReleased, now: float
-    ) -> None:
-        previous = self._breaker
-        usual_time = self._limit_state.latency if self._limit_state else 0.0
-        failed = message.failed and breaker.is_failure(
-            self._breaker_policy,
-            timed_out=message.timed_out,
-            run_time=message.run_time,
-            usual_time=usual_time,
-        )
-        if failed or (message.latency >= 0 and not message.failed):
-            self._breaker = breaker.on_result(
-                self._breaker_policy, previous, failed=failed, now=now
-            )
-        else:
-            self._breaker = breaker.on_no_result(previous)
-        if self._breaker.openings > previous.openings:
-            self._events.record("upstream.failing")
-            self._metrics.count("breaker_openings")
-            logs.get().warning(
-                "upstream fails its requests",
-                extra={"openings": self._breaker.openings},
-            )
-            self._shed_all(
-                exceptions.NO_UPSTREAM, "the upstream fails its requests"
-            )
-        elif self._breaker.is_closed and not previous.is_closed:
-            self._events.record("upstream.recovered")
-            logs.get().info("upstream no longer fails its requests")
-
     def _grant_waiting(self, now: float) -> None:
         if self._limit_state is None or not self._queue.items:
             return
@@ -518,14 +484,7 @@
                 exceptions.DEADLINE_EXCEEDED,
                 "the deadline passed before there was a slot",
             )
-        previous_level = self._level_state.level
-        self._level_state = shedding.update_level(self._level_state, now)
-        was_open = previous_level >= shedding.ADMIT_ALL_LEVEL
-        if was_open != (self._level_state.level >= shedding.ADMIT_ALL_LEVEL):
-            kind = "admission.closing" if was_open else "admission.open"
-            self._events.record(kind, detail=f"{self._level_state.level:.2f}")
-        self._metrics.gauge("admission_level", self._level_state.level)
-        self._published_level.publish(self._wire_level())
+        self._level.update(now)
 
     def _remove_abandoned(self, call_id: str) -> None:
         if self._waiting_replies.pop(call_id, None) is not None:
@@ -533,7 +492,7 @@
             self._queue = frozen.replace(self._queue, items=kept)
 
     def _shed(self, item: queues.QueuedRequest, code: str, detail: str) -> None:
-        self._level_state = shedding.on_shed(self._level_state, item.priority)
+        self._level.on_shed(item.priority)
         self._metrics.count("shed", code=code, priority=item.priority.name)
         reply = self._waiting_replies.pop(item.item_id, None)
         if reply is not None:
@@ -546,10 +505,6 @@
             self._shed(item, code, detail)
 
     def _refusal(self, code: str, detail: str) -> messages.Shed:
-        return messages.Shed(code=code, detail=detail, level=self._wire_level())
-
-    def _wire_level(self) -> int:
-        """Returns the level as messages carry it, in thousandths of a class."""
-        if isinstance(self._shed_policy, shedding.NoEarlyShed):
-            return -1
-        return int(self._level_state.level * shedding.LEVEL_SCALE)
+        return messages.Shed(
+            code=code, detail=detail, level=self._level.wire_level
+        )
