--- a/src/sassafrashall/configuration_check.py
+++ b/src/sassafrashall/configuration_check.py
@@ -127,15 +127,7 @@
       capacity: What is known of the capacity of the services.
     """
     version = None if in_force is None else in_force.configuration.version
-    errors = []
-    if len(body) > http_server.BODY_LIMIT:
-        errors.append(
-            exceptions.Finding(
-                source=documents.SOURCE,
-                text=f"it has {len(body)} bytes; a control reads at most "
-                f"{http_server.BODY_LIMIT}",
-            )
-        )
+    errors = _check_size(body)
     try:
         document = documents.decode(body)
     except exceptions.FindingsError as error:
@@ -148,14 +140,8 @@
     differences = None
     if in_force is not None:
         # A control accepts the text in force again, with the same version.
-        if document.version <= (version or 0) and body != in_force.text:
-            errors.append(
-                exceptions.Finding(
-                    source=documents.SOURCE,
-                    key="version",
-                    text=f"must be above {version}, the version in force",
-                )
-            )
+        if body != in_force.text:
+            errors += _check_version(document, in_force.configuration)
         differences = document_differences.compare(
             in_force.configuration, document
         )
@@ -173,6 +159,33 @@
     )
 
 
+def _check_size(body: bytes) -> list[exceptions.Finding]:
+    if len(body) <= http_server.BODY_LIMIT:
+        return []
+    return [
+        exceptions.Finding(
+            source=documents.SOURCE,
+            text=f"it has {len(body)} bytes; a control reads at most "
+            f"{http_server.BODY_LIMIT}",
+        )
+    ]
+
+
+def _check_version(
+    document: configuration.Configuration,
+    in_force: configuration.Configuration,
+) -> list[exceptions.Finding]:
+    if document.version > in_force.version:
+        return []
+    return [
+        exceptions.Finding(
+            source=documents.SOURCE,
+            key="version",
+            text=f"must be above {in_force.version}, the version in force",
+        )
+    ]
+
+
 def _find_repeated_names(body: bytes) -> list[exceptions.Finding]:
     """Returns a warning for each name that an object of the document repeats.
 
