--- a/src/sassafrashall/reports.py
+++ b/src/sassafrashall/reports.py
@@ -9,6 +9,7 @@
 from sassafrashall import api
 from sassafrashall import exceptions
 from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall import protocol
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import shedding
@@ -76,7 +77,9 @@
     )
 
 
-def organisation(shown: model.Organisation, rollout: api.Rollout) -> str:
+def organisation(
+    shown: organisation_model.Organisation, rollout: api.Rollout
+) -> str:
     """Returns one organisation's parameters and where they are in force."""
     rows = [
         ("name", shown.name),
@@ -99,7 +102,9 @@
     return f"Revision {rollout.revision}: {where}."
 
 
-def difference(before: model.Parameters, after: model.Parameters) -> str:
+def difference(
+    before: organisation_model.Parameters, after: organisation_model.Parameters
+) -> str:
     """Returns the parameters that would change."""
     rows = [
         (name, old, new)
@@ -115,7 +120,7 @@
     return table(("PARAMETER", "NOW", "THEN"), rows)
 
 
-def key_list(shown: model.Organisation) -> str:
+def key_list(shown: organisation_model.Organisation) -> str:
     """Returns the ids and states of an organisation's keys.
 
     The keys themselves are not stored.
@@ -129,7 +134,7 @@
     )
 
 
-def route_list(organisations: Sequence[model.Organisation]) -> str:
+def route_list(organisations: Sequence[organisation_model.Organisation]) -> str:
     """Returns a line for each route rule of the organisations."""
     rows: list[tuple[str, str, str]] = []
     for shown in organisations:
@@ -256,6 +261,37 @@
             f"{status.answered_by} has no majority: changes and claims are "
             "refused. Restore the other controls or the network link."
         )
+    advice += _advise_on_voters(status)
+    for data_centre in status.evacuated:
+        advice.append(
+            f"Data centre {data_centre} is evacuated. To end that, send DELETE "
+            f"/-/evacuation/{data_centre} to the operators' address of a "
+            "control."
+        )
+    rollout = api.rollout_of(status, status.revision)
+    if rollout.missing:
+        advice.append(
+            f"Nodes without revision {status.revision}: "
+            f"{', '.join(rollout.missing)}. A rollout takes 2 s; after that, "
+            "check their logs."
+        )
+    advice += _advise_on_overload(status)
+    for vm in rollout.silent:
+        advice.append(f"Node {vm} is silent. Is its VM up?")
+    services = {
+        entry.record.upstream.service
+        for entry in status.nodes
+        if entry.record.upstream
+    }
+    for service in sorted(services):
+        if not _has_ready_upstream(status, service):
+            advice.append(f"Service {service} has no ready upstream.")
+    return advice
+
+
+def _advise_on_voters(status: protocol.StatusReply) -> list[str]:
+    """Returns advice on the voters that are silent."""
+    advice = []
     controls = {c.replica_id: c for c in status.controls}
     learners = list(status.membership.learners)
     for member in status.membership.voters:
@@ -274,19 +310,11 @@
                 f"Control {member.vm} is silent. Restart it, or start one with "
                 "an empty data folder and replace it."
             )
-    for data_centre in status.evacuated:
-        advice.append(
-            f"Data centre {data_centre} is evacuated. To end that, send DELETE "
-            f"/-/evacuation/{data_centre} to the operators' address of a "
-            "control."
-        )
-    rollout = api.rollout_of(status, status.revision)
-    if rollout.missing:
-        advice.append(
-            f"Nodes without revision {status.revision}: "
-            f"{', '.join(rollout.missing)}. A rollout takes 2 s; after that, "
-            "check their logs."
-        )
+    return advice
+
+
+def _advise_on_overload(status: protocol.StatusReply) -> list[str]:
+    """Returns advice on the services that shed."""
     overloaded = sorted(
         {
             entry.record.upstream.service
@@ -296,34 +324,18 @@
             and entry.record.upstream
         }
     )
-    if overloaded:
-        advice.append(
-            f"Overloaded: {', '.join(overloaded)}. Requests of the lowest "
-            "priority are shed first. If it lasts, add upstreams there or "
-            "lower the rate of the organisation that sends most."
-        )
-    for vm in rollout.silent:
-        advice.append(f"Node {vm} is silent. Is its VM up?")
-    services = {
-        entry.record.upstream.service
-        for entry in status.nodes
-        if entry.record.upstream
-    }
-    for service in sorted(services):
-        if not _has_ready_upstream(status, service):
-            advice.append(f"Service {service} has no ready upstream.")
-    return advice
+    if not overloaded:
+        return []
+    return [
+        f"Overloaded: {', '.join(overloaded)}. Requests of the lowest "
+        "priority are shed first. If it lasts, add upstreams there or "
+        "lower the rate of the organisation that sends most."
+    ]
 
 
 def _has_ready_upstream(status: protocol.StatusReply, service: str) -> bool:
     return any(
-        entry.record.upstream is not None
-        and entry.record.upstream.service == service
-        and entry.record.upstream.state is model.UpstreamState.READY
-        and not entry.lapsed
-        and not entry.record.leaving
-        and entry.record.data_centre not in status.evacuated
-        for entry in status.nodes
+        upstream.service == service for upstream in status.ready_upstreams()
     )
 
 
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -13,7 +13,9 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import protocol
+from sassafrashall.controllers import followed_upstream
 from sassafrashall.controllers import node_membership
+from sassafrashall.decisions import known_nodes
 from sassafrashall.decisions import node_directory
 from sassafrashall.platform import names
 from sassafrashall.platform import node_api
@@ -50,7 +52,9 @@
         admission_level=mailbox.Published(initial=-1),
         event_log=event_log,
         counters=fakes.counters(),
-        announcement_ttl=ANNOUNCEMENT_TTL,
+        upstream=followed_upstream.FollowedUpstream(
+            announcement_ttl=ANNOUNCEMENT_TTL
+        ),
         heartbeat_interval=HEARTBEAT_INTERVAL,
     )
     return link, membership
@@ -188,7 +192,7 @@
             for _ in range(5):
                 await membership.view.wait_changed()
         await known({"vm-1", "vm-2", "vm-3"})
-        shift[0] = node_membership.UNLISTED_TTL + 0.1
+        shift[0] = known_nodes.UNLISTED_TTL + 0.1
         await known({"vm-1"})
 
 
