Stream server: no request starts once the connection is closed

A close by a timeout, a stalled caller or a disconnect cancelled the connection's task without marking the connection as closing. A task that had been woken before ran on to its next checkpoint and started the next pipelined request. Every close now marks the connection first.

--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -263,14 +263,12 @@
 
     def close_unused(self) -> None:
         """Closes the connection in favour of one that has just arrived."""
-        self._closing = True
         self._close(connection_log.Reason.FULL)
 
     def _try_remove(self) -> bool:
         """Closes the connection for lack of memory; see `MemoryBudget.open`."""
         if self._pipeline.has_forwarded:
             return False
-        self._closing = True
         self._close(connection_log.Reason.MEMORY)
         self._parser.close()
         return True
@@ -278,18 +276,19 @@
     def _close_unless_input(
         self, reason: connection_log.Reason, idle: float, delay: float
     ) -> None:
-        """Closes the connection, or serves the input that has arrived.
-
-        A cancelled task runs on until its next checkpoint. If it was already
-        scheduled, it would read a request, dispatch it, and be cancelled then.
-        """
+        """Closes the connection, or serves the input that has arrived."""
         if self._awaits_input and self._stream.is_idle:
-            self._closing = True
             self._close_idle_time = idle
             self._close_delay = delay
             self._close(reason)
 
     def _close(self, reason: connection_log.Reason) -> None:
+        """Closes the connection; no request starts on it any more.
+
+        A cancelled task that was already scheduled runs on until its next
+        checkpoint, and would start a request that is cancelled then.
+        """
+        self._closing = True
         self._close_reason = self._close_reason or reason
         self._scope.cancel()
 
@@ -561,7 +560,6 @@
         if close_reason is not None:
             if close_reason is not connection_log.Reason.ANNOUNCED:
                 self._unanswered = exchange
-            self._closing = True
             self._close(close_reason)
         self._pipeline.notify()
 
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -558,3 +558,21 @@
     assert numbers == list(range(len(kinds)))
     assert handler.peak <= depth
     assert not handler.running
+
+
+# Guards against a request that starts on a connection that this side has
+# closed: its task may have been woken before it is cancelled, and runs on to
+# its next checkpoint.
+@pytest.mark.parametrize("depth", [1, 2])
+async def test_no_request_starts_once_the_connection_is_closed(depth):
+    handler = _Handler()
+    async with _open(handler, depth) as (stream, server):
+        post = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+        await stream.send_all(_get(1) + post)
+        await _settle()
+        (connection,) = server._connections
+        # The end of the first request wakes the task that starts the second.
+        handler.release(1)
+        connection.close_stalled()
+        await loopback.receive_until_end(stream)
+        assert handler.started == [1]
