Stream server: a pipelined request that waits unread counts from its arrival

Bytes behind a POST, behind as many requests as the depth allows or behind a streamed response stay in the socket. The arrival of such a request counted from its read, so that its timeout ended late by the wait.

A read counts from the first check that saw its last byte, so that no request counts from before its bytes came; it may count late by the time between two checks.

With depth 1, requests are served as before.

--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -99,15 +99,22 @@
         return False
 
     @property
-    def has_unread_bytes(self) -> bool:
-        """Whether bytes wait to be read; an end or an error is none.
+    def unread_bytes(self) -> int:
+        """Number of bytes that wait to be read; an end or an error is none.
 
         In contrast to the other checks, it leaves an error of the connection to
         the next read. Without it, a reset would read as an orderly end.
         """
+        if self._socket.fileno() < 0:
+            return 0
         count = array.array("i", [0])
         fcntl.ioctl(self._socket, termios.FIONREAD, count)
-        return count[0] > 0
+        return count[0]
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes wait to be read; see `unread_bytes`."""
+        return self.unread_bytes > 0
 
     async def receive(self, size: int) -> bytes:
         """Returns the bytes that have arrived, and waits if there are none.
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -14,6 +14,7 @@
 from sassafrashall import fiber
 from sassafrashall import logs
 from sassafrashall import model
+from sassafrashall.decisions import arrivals
 from sassafrashall.decisions import connection_lifetime
 from sassafrashall.decisions import pipelining
 from sassafrashall.decisions import slow_readers
@@ -94,8 +95,10 @@
         )
         self._pipeline = requests
         self._may_overlap = may_overlap
-        # Monotonic seconds of the last read.
+        # When the bytes of the last read had arrived, in monotonic seconds.
         self._arrived_at = 0.0
+        # Of bytes that wait in the socket until a request may start.
+        self._arrivals: arrivals.Marks = ()
         # Raised once the requests before the invalid input are taken.
         self._input_error: exceptions.ProtocolError | None = None
         # Whether a request has been started on this connection.
@@ -208,8 +211,10 @@
           delay: Seconds by which this check runs late.
         """
         if self._pipeline.first is not None:
-            if not self._awaits_input and self._is_disconnected():
-                self._close(connection_log.Reason.DISCONNECT)
+            if not self._awaits_input:
+                self._note_unread(now)
+                if self._is_disconnected():
+                    self._close(connection_log.Reason.DISCONNECT)
             return
         if self._stopping:
             # A response may have kept the connection, and input that began no
@@ -231,6 +236,13 @@
                     connection_log.Reason.HEAD_TIMEOUT, idle, delay
                 )
 
+    def _note_unread(self, now: float) -> None:
+        """Notes the arrival of bytes that wait until a request may start."""
+        if self._pipeline.depth > 1:
+            self._arrivals = arrivals.on_check(
+                self._arrivals, self._stream.unread_bytes, now
+            )
+
     def _is_disconnected(self) -> bool:
         if self._pipeline.depth == 1 or self._pipeline.is_reading_body:
             return self._stream.is_closed_by_peer
@@ -314,6 +326,10 @@
             if not data or self._closing:
                 return None
             self._arrived_at = clock.monotonic()
+            if self._arrivals:
+                self._arrivals, self._arrived_at = arrivals.on_read(
+                    self._arrivals, len(data), self._arrived_at
+                )
             if not self._pipeline.is_reading_body:
                 # These bytes belong to a request that may have to wait for
                 # others. Nothing more is read until then.
@@ -408,7 +424,7 @@
         self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
         if self._pipeline.depth > 1:
-            # The time that a request waits for others counts.
+            # The time that a request waits for others counts, read or unread.
             received_at = self._arrived_at
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -555,6 +571,8 @@
             return
         self._pipeline.remove_first()
         self._memory.release(exchange.cost)
+        if not self._awaits_input:
+            self._note_unread(clock.monotonic())
         if self._pipeline.first is None:
             self._activity = self._activity_between_requests()
         if close_reason is not None:
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -478,6 +478,81 @@
         assert handler.received_at[3] <= sent_at
 
 
+class _Waiting:
+    """A request that waits unread in the socket of a connection.
+
+    Attributes:
+      sent_at: When it was sent.
+      checked_at: When the server had checked its connections after that.
+    """
+
+    def __init__(self):
+        self.sent_at = self.checked_at = 0.0
+
+    async def send(self, stream, server, data):
+        """Sends `data` and lets the server check its connections."""
+        self.sent_at = clock.monotonic()
+        await stream.send_all(data)
+        server._check_connections(0.0)
+        self.checked_at = clock.monotonic()
+        await trio.sleep(0.05)
+
+
+_POST = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+
+
+# Guards against a request that is held past the timeout of its route: it waits
+# in the socket, since a request before it holds up all reading, and counted
+# from when it was read.
+@pytest.mark.parametrize("behind", ["post", "depth", "stream"])
+async def test_the_time_that_a_request_waits_unread_counts(behind):
+    handler = _Handler()
+    rest = _Rest()
+    async with _open(handler, depth=2) as (stream, server):
+        await stream.send_all(_POST if behind == "post" else _get(1))
+        if behind == "depth":
+            await stream.send_all(_get(2))
+        await _settle()
+        if behind == "stream":
+            handler.release(1, _response(b"part", rest))
+        # This one is read, and then nothing more until it starts.
+        await stream.send_all(_get(3))
+        await _settle()
+        waiting = _Waiting()
+        await waiting.send(stream, server, _get(4))
+        rest.released.set()
+        if behind != "stream":
+            handler.release(1)
+        if behind == "depth":
+            handler.release(2)
+        await _settle()
+        handler.release(3)
+        await _settle()
+        assert handler.started[-2:] == [3, 4]
+        assert waiting.sent_at <= handler.received_at[4] <= waiting.checked_at
+
+
+# Guards against a timeout that ends early, since a request counts from the
+# arrival of bytes before it that are read together with it.
+async def test_a_request_never_counts_from_before_its_bytes_came():
+    handler = _Handler()
+    async with _open(handler, depth=2) as (stream, server):
+        await stream.send_all(_POST)
+        await _settle()
+        await stream.send_all(_get(2))
+        await _settle()
+        await _Waiting().send(stream, server, _get(3))
+        sent_at = clock.monotonic()
+        await stream.send_all(_get(4))
+        handler.release(1)
+        await _settle()
+        handler.release(2)
+        handler.release(3)
+        await _settle()
+        assert handler.started == [1, 2, 3, 4]
+        assert handler.received_at[4] >= sent_at
+
+
 _KINDS = {
     "GET": "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n",
     "HEAD": "HEAD /%d HTTP/1.1\r\nHost: h\r\n\r\n",
