Stream server: a request whose body stops arriving ends

Such a request held its connection, and the memory of what had arrived, without bound: the timeouts covered idle connections and heads only.

A wait for the body now ends if no byte comes for the longer of header_timeout and idle_timeout. A request that has not run is refused with 408 (new code body_stalled, closure reason body_timeout). The upload of one that runs gets an error from its next read. What has arrived doesn't count, so that a slow caller that makes progress is not cut off, nor is one whose body is not being read.

The failure of an upload by its caller no longer counts against the breaker of the upstream, and is 400 in place of 502, as it was between nodes.

--- a/src/sassafrashall/connection_log.py
+++ b/src/sassafrashall/connection_log.py
@@ -20,6 +20,7 @@
     Attributes:
       IDLE_TIMEOUT: No request arrived for too long.
       HEAD_TIMEOUT: The head of a request took too long to arrive.
+      BODY_TIMEOUT: The body of a request stopped arriving.
       STOP: The process stops, and the connection was idle.
       ANNOUNCED: The last response announced it.
       DISCONNECT: The other side closed or reset it.
@@ -38,6 +39,7 @@
 
     IDLE_TIMEOUT = "idle_timeout"
     HEAD_TIMEOUT = "head_timeout"
+    BODY_TIMEOUT = "body_timeout"
     STOP = "stop"
     ANNOUNCED = "announced"
     DISCONNECT = "disconnect"
--- a/src/sassafrashall/decisions/connection_lifetime.py
+++ b/src/sassafrashall/decisions/connection_lifetime.py
@@ -1,5 +1,8 @@
 """Decides when an accepted connection is closed for lack of a request.
 
+The load: callers that keep connections open without a request, or send one in
+part only, each of which holds a descriptor and memory.
+
 Such a decision takes effect only if no input waits: the bytes of a request may
 have arrived, although the task that reads the connection has not run since.
 """
@@ -39,12 +42,24 @@
     since: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReceivingBody:
+    """The body of a request is awaited; not while it runs or waits to run.
+
+    Attributes:
+      since: When the last part of it came, or the wait for it began, in
+        monotonic seconds.
+    """
+
+    since: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Serving:
     """A request is in progress."""
 
 
-Activity: TypeAlias = Idle | ReceivingHead | Serving
+Activity: TypeAlias = Idle | ReceivingHead | ReceivingBody | Serving
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,7 +94,24 @@
     idle: float
 
 
-Action: TypeAlias = Keep | CloseAfterResponse | CloseIdle | CloseIncompleteHead
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndIncompleteBody:
+    """The request ends, unless more input waits, and then the connection.
+
+    Attributes:
+      idle: Seconds since the last part of the body came.
+    """
+
+    idle: float
+
+
+Action: TypeAlias = (
+    Keep
+    | CloseAfterResponse
+    | CloseIdle
+    | CloseIncompleteHead
+    | EndIncompleteBody
+)
 
 
 def on_check(
@@ -90,6 +122,10 @@
     A longer idle timeout applies at once, a shorter one from the next response
     on.
 
+    A body may pause for the longer of both timeouts, so that a slow caller has
+    at least the time that it has between requests. What has arrived of the body
+    doesn't count: a caller that makes progress may take as long as it needs.
+
     Args:
       activity: What the connection does.
       now: Monotonic seconds.
@@ -103,6 +139,10 @@
             return CloseIdle(idle=now - since)
         case ReceivingHead(since=since) if now - since > head_timeout:
             return CloseIncompleteHead(idle=now - since)
+        case ReceivingBody(since=since) if now - since > max(
+            idle_timeout, head_timeout
+        ):
+            return EndIncompleteBody(idle=now - since)
         case _:
             return Keep()
 
--- a/src/sassafrashall/exceptions.py
+++ b/src/sassafrashall/exceptions.py
@@ -12,6 +12,7 @@
 IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
 BODY_TOO_LARGE = "body_too_large"
 HEAD_TOO_LARGE = "head_too_large"
+BODY_STALLED = "body_stalled"
 OVER_RATE = "over_rate"
 SHED = "shed"
 MEMORY_SHORT = "memory_short"
@@ -39,6 +40,7 @@
     IDEMPOTENCY_KEY_REUSED: 422,
     BODY_TOO_LARGE: 413,
     HEAD_TOO_LARGE: 431,
+    BODY_STALLED: 408,
     OVER_RATE: 429,
     SHED: 503,
     MEMORY_SHORT: 503,
@@ -118,6 +120,7 @@
       maybe_delivered: Whether the peer may have received the whole request.
       unresponsive: Whether the peer did not react in time.
       expired: Whether it failed because the request's deadline passed.
+      by_caller: Whether it failed because the caller sent no whole request.
     """
 
     code = UPSTREAM_FAILED
@@ -129,11 +132,13 @@
         maybe_delivered: bool,
         unresponsive: bool = False,
         expired: bool = False,
+        by_caller: bool = False,
     ) -> None:
         super().__init__(detail)
         self.maybe_delivered = maybe_delivered
         self.unresponsive = unresponsive
         self.expired = expired
+        self.by_caller = by_caller
 
 
 class RpcError(SassafrashallError):
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -214,7 +214,10 @@
         try:
             return await self._send_to_upstream(call, upstream, slot)
         except exceptions.ConnectionFailedError as error:
-            if error.maybe_delivered:
+            if error.by_caller:
+                # The upstream did not fail, so that its breaker gets no result.
+                pass
+            elif error.maybe_delivered:
                 slot.record_failure(timed_out=error.expired)
             elif isinstance(error.__cause__, OSError):
                 slot.record_refused_connection()
@@ -450,13 +453,15 @@
 
 def _refusal_for_error(error: exceptions.ConnectionFailedError) -> model.Refuse:
     code = exceptions.UPSTREAM_FAILED
-    if error.expired:
+    if error.by_caller:
+        code = exceptions.BAD_REQUEST
+    elif error.expired:
         code = exceptions.DEADLINE_EXCEEDED
     elif error.unresponsive:
         code = exceptions.UPSTREAM_SILENT
     return model.Refuse(
         code=code,
-        detail=f"the upstream: {error}",
+        detail=str(error) if error.by_caller else f"the upstream: {error}",
         run=model.RunState.UNKNOWN
         if error.maybe_delivered
         else model.RunState.NOT_RUN,
--- a/src/sassafrashall/transport/request_body.py
+++ b/src/sassafrashall/transport/request_body.py
@@ -39,16 +39,17 @@
         self._read_scope: trio.CancelScope | None = None
         self._read_ended = trio.Event()
         self._discarding = False
+        self._stalled = False
 
     async def read(self) -> bytes:
         """Returns the next bytes, or none at the end.
 
         Raises:
           ProtocolError: The body is too large or malformed.
-          ConnectionFailedError: The caller disconnected, or the request has
-            been answered.
+          ConnectionFailedError: The caller disconnected, the body stopped
+            arriving, or the request has been answered.
         """
-        if not self._discarding:
+        if not (self._discarding or self._stalled):
             self._read_ended = trio.Event()
             try:
                 with trio.CancelScope() as self._read_scope:
@@ -56,10 +57,23 @@
             finally:
                 self._read_scope = None
                 self._read_ended.set()
+        if self._stalled:
+            raise _stalled_error()
         raise exceptions.ConnectionFailedError(
             "the request has been answered", maybe_delivered=True
         )
 
+    def end_stalled(self) -> None:
+        """Ends the wait for a body that has stopped arriving."""
+        self._stalled = True
+        if self._read_scope is not None:
+            self._read_scope.cancel()
+
+    @property
+    def stalled(self) -> bool:
+        """Whether it has stopped arriving."""
+        return self._stalled
+
     async def discard(self) -> None:
         """Reads up to the end, once the task that uploads the body has stopped.
 
@@ -79,6 +93,8 @@
     async def _read(self) -> bytes:
         if self.ended:
             return b""
+        if self._stalled:
+            raise _stalled_error()
         try:
             event = await self._next_event()
         except (OSError, trio.ClosedResourceError) as error:
@@ -105,3 +121,9 @@
 
     async def close(self) -> None:
         """Does nothing; the connection discards what is unread."""
+
+
+def _stalled_error() -> exceptions.ConnectionFailedError:
+    return exceptions.ConnectionFailedError(
+        "the body stopped arriving", maybe_delivered=True, by_caller=True
+    )
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -97,6 +97,9 @@
         self._may_overlap = may_overlap
         # When the bytes of the last read had arrived, in monotonic seconds.
         self._arrived_at = 0.0
+        # The body that is being read. It refers to this connection, so that it
+        # is dropped with its request.
+        self._body: request_body.RequestBody | None = None
         # Of bytes that wait in the socket until a request may start.
         self._arrivals: arrivals.Marks = ()
         # Raised once the requests before the invalid input are taken.
@@ -127,6 +130,7 @@
             if reason in (
                 connection_log.Reason.ANNOUNCED,
                 connection_log.Reason.BAD_INPUT,
+                connection_log.Reason.BODY_TIMEOUT,
             ) or (
                 # Refused with a response, in contrast to a removal.
                 reason is connection_log.Reason.MEMORY
@@ -138,6 +142,7 @@
         finally:
             unanswered = self._unanswered or self._pipeline.first
             self._closing = True
+            self._body = None
             for exchange in self._pipeline.clear():
                 exchange.cancel()
                 self._discard_response(exchange)
@@ -211,10 +216,12 @@
           delay: Seconds by which this check runs late.
         """
         if self._pipeline.first is not None:
-            if not self._awaits_input:
-                self._note_unread(now)
-                if self._is_disconnected():
-                    self._close(connection_log.Reason.DISCONNECT)
+            if self._awaits_input:
+                self._check_body(now, limits)
+                return
+            self._note_unread(now)
+            if self._is_disconnected():
+                self._close(connection_log.Reason.DISCONNECT)
             return
         if self._stopping:
             # A response may have kept the connection, and input that began no
@@ -236,6 +243,22 @@
                     connection_log.Reason.HEAD_TIMEOUT, idle, delay
                 )
 
+    def _check_body(self, now: float, limits: configuration.Limits) -> None:
+        """Ends a request whose body has stopped arriving.
+
+        It is refused if it has not run. Otherwise the handler gets an error
+        from its next read of the body, and its response is the last one.
+        """
+        action = connection_lifetime.on_check(
+            self._activity, now, limits.idle_timeout_s, limits.head_timeout_s
+        )
+        match action:
+            case connection_lifetime.EndIncompleteBody(idle=idle) if (
+                self._body is not None and self._stream.is_idle
+            ):
+                self._close_idle_time = idle
+                self._body.end_stalled()
+
     def _note_unread(self, now: float) -> None:
         """Notes the arrival of bytes that wait until a request may start."""
         if self._pipeline.depth > 1:
@@ -318,11 +341,7 @@
             if self._input_error is not None:
                 raise self._input_error
             _count_input(self._memory, self._parser, self._pipeline.last)
-            self._awaits_input = True
-            try:
-                data = await self._stream.receive(self._read_size())
-            finally:
-                self._awaits_input = False
+            data = await self._receive()
             if not data or self._closing:
                 return None
             self._arrived_at = clock.monotonic()
@@ -340,6 +359,21 @@
                     return None
             self._parse(data)
 
+    async def _receive(self) -> bytes:
+        """Waits for the next bytes; none at the end of the stream."""
+        reads_body = self._pipeline.is_reading_body
+        if reads_body:
+            self._activity = connection_lifetime.ReceivingBody(
+                since=clock.monotonic()
+            )
+        self._awaits_input = True
+        try:
+            return await self._stream.receive(self._read_size())
+        finally:
+            self._awaits_input = False
+            if reads_body:
+                self._activity = connection_lifetime.Serving()
+
     def _read_size(self) -> int:
         """Returns how many bytes may be read at once."""
         if self._pipeline.is_reading_body:
@@ -433,7 +467,17 @@
             on_part=exchange.count_part,
             limit=body_limit,
         )
-        body = await http.read_buffered_part(rest)
+        self._body = rest
+        try:
+            body = await http.read_buffered_part(rest)
+        except exceptions.ConnectionFailedError as error:
+            if not rest.stalled:
+                raise
+            raise exceptions.ProtocolError(
+                exceptions.BODY_STALLED, str(error)
+            ) from error
+        if rest.ended:
+            self._body = None
         _count_body(self._memory, self._parser, exchange, body)
         if self._closing:
             # Removed for lack of memory while the body was counted.
@@ -462,6 +506,7 @@
         )
         if not rest.ended:
             await self._discard_rest(rest)
+        self._body = None
         self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     async def _respond(
@@ -689,6 +734,8 @@
     """Returns why a connection is closed after an error in its input."""
     if error.code == exceptions.MEMORY_SHORT:
         return connection_log.Reason.MEMORY
+    if error.code == exceptions.BODY_STALLED:
+        return connection_log.Reason.BODY_TIMEOUT
     return connection_log.Reason.BAD_INPUT
 
 
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -460,7 +460,9 @@
         if exchange is not None:
             exchange.reply.on_abandon(None)
             exchange.reply.fail(
-                exceptions.ConnectionFailedError(detail, maybe_delivered=True)
+                exceptions.ConnectionFailedError(
+                    detail, maybe_delivered=True, by_caller=True
+                )
             )
             if self._streamed_body is not None:
                 self._release_stream(exchange)
--- a/tests/test_connection_lifetime.py
+++ b/tests/test_connection_lifetime.py
@@ -65,3 +65,16 @@
     assert connection_lifetime.announced_timeout(15.0) == 12
     assert connection_lifetime.announced_timeout(3.0) == 2
     assert connection_lifetime.announced_timeout(1.0) == 0
+
+
+# Guards against slow callers that are cut off, and against a connection that is
+# held for ever: a body may pause for the longer timeout.
+def test_a_body_that_pauses_ends_after_the_longer_timeout():
+    receiving = connection_lifetime.ReceivingBody(since=10.0)
+    assert _check(receiving, 25.0) == connection_lifetime.Keep()
+    ended = connection_lifetime.EndIncompleteBody(idle=16.0)
+    assert _check(receiving, 26.0) == ended
+    action = connection_lifetime.on_check(receiving, 13.0, 1.0, HEAD_TIMEOUT)
+    assert action == connection_lifetime.Keep()
+    action = connection_lifetime.on_check(receiving, 13.5, 1.0, HEAD_TIMEOUT)
+    assert action == connection_lifetime.EndIncompleteBody(idle=3.5)
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -292,6 +292,24 @@
             assert _released(admission)[0].refused is is_told
 
 
+# Guards against an upstream that gets no requests since its breaker is open:
+# callers that break off their uploads counted as its failures.
+async def test_an_upload_that_its_caller_breaks_off_is_no_failure():
+    by_caller = exceptions.ConnectionFailedError(
+        "the body stopped arriving", maybe_delivered=True, by_caller=True
+    )
+    by_upstream = exceptions.ConnectionFailedError("no", maybe_delivered=True)
+    for error, failed, code in [
+        (by_caller, False, exceptions.BAD_REQUEST),
+        (by_upstream, True, exceptions.UPSTREAM_FAILED),
+    ]:
+        async with _filter(error) as (tested, _, admission):
+            outcome = await tested.handle(fakes.call())
+            assert outcome.code == code
+            assert outcome.run is model.RunState.UNKNOWN
+            assert _released(admission)[0].failed is failed
+
+
 async def test_the_cold_time_in_a_response_is_told():
     for value, told in [("2500", [2.5]), ("soon", [])]:
         response = _response(200, ("cold-remaining", value))
