Local upstream: a load with every refusal, a check directly before the send

Refusals between the grant of a slot and the send carried no load, so that the calling node counted them as failures of the way there; after three of them it sends nothing to that data centre for 2 s. They now carry a load and a time to return, like the refusal of a full upstream: that of an upstream that gets no requests if its data centre is evacuated or another service runs there, the load at hand if the calling node did not confirm.

A request with a slot may wait for a connection after the check for an evacuation. The check is repeated where the pool encodes the request, directly before the bytes are written. A request that was not sent before is refused as not run and its connection stays usable; one that is to be sent a second time is refused without that guarantee.

The new tests failed before: loads of -1, and requests sent after the check.

--- a/src/sassafrashall/exceptions.py
+++ b/src/sassafrashall/exceptions.py
@@ -141,6 +141,15 @@
         self.by_caller = by_caller
 
 
+class SendRefusedError(ConnectionFailedError):
+    """A request must not be sent; raised where it would be sent next.
+
+    `maybe_delivered` tells whether it was sent before.
+    """
+
+    code = NO_UPSTREAM
+
+
 class RpcError(SassafrashallError):
     """A remote procedure call failed or timed out."""
 
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -17,6 +17,7 @@
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall.decisions import entry_feedback
+from sassafrashall.decisions import routing
 from sassafrashall.filters import slots
 from sassafrashall.transport import http
 
@@ -179,30 +180,40 @@
             nested=call.depth > 0,
         )
         try:
-            if upstream.service != call.service:
-                return model.Refuse(
-                    code=exceptions.NO_UPSTREAM,
-                    detail=f"{call.service} does not run here any more",
-                )
-            confirm = call.request.confirm
-            if confirm is not None and not await confirm():
-                return model.Refuse(
-                    code=exceptions.PEER_UNREACHABLE,
-                    detail="the calling node did not confirm the request",
-                )
-            block = self._check_before_send()
-            if block:
-                return model.Refuse(code=exceptions.NO_UPSTREAM, detail=block)
-            outcome = await self._send_before_deadline(call, upstream, slot)
+            outcome = await self._find_refusal(call, upstream)
+            if outcome is None:
+                outcome = await self._send_before_deadline(call, upstream, slot)
         finally:
             if not slot.held_by_answer:
                 slot.release()
         return frozen.replace(
             outcome,
             level=self._admission_level.value,
-            load=self._upstream_load.value,
+            load=max(outcome.load, self._upstream_load.value),
         )
 
+    async def _find_refusal(
+        self, call: model.Call, upstream: model.Upstream
+    ) -> model.Outcome | None:
+        """Returns why a call with a slot is not sent; None if it is.
+
+        Each of these refusals gets a load. Without one, the calling node would
+        take it for a failure of the way there.
+        """
+        if upstream.service != call.service:
+            return _blocked_refusal(
+                f"{call.service} does not run here any more"
+            )
+        confirm = call.request.confirm
+        if confirm is not None and not await confirm():
+            return model.Refuse(
+                code=exceptions.PEER_UNREACHABLE,
+                detail="the calling node did not confirm the request",
+                retry_after_s=slots.RETRY_AFTER,
+            )
+        block = self._check_before_send()
+        return _blocked_refusal(block) if block else None
+
     async def _send_before_deadline(
         self, call: model.Call, upstream: model.Upstream, slot: _Slot
     ) -> model.Outcome:
@@ -213,6 +224,13 @@
             )
         try:
             return await self._send_to_upstream(call, upstream, slot)
+        except exceptions.SendRefusedError as error:
+            return _blocked_refusal(
+                str(error),
+                run=model.RunState.UNKNOWN
+                if error.maybe_delivered
+                else model.RunState.NOT_RUN,
+            )
         except exceptions.ConnectionFailedError as error:
             if error.by_caller:
                 # The upstream did not fail, so that its breaker gets no result.
@@ -233,9 +251,7 @@
         response = await self._pool.ask(
             messages.UpstreamExchange(
                 address=upstream.address,
-                encode=functools.partial(slot.encode_and_record, encode)
-                if slot.counted
-                else encode,
+                encode=functools.partial(self._encode, slot, encode),
                 is_answer=self._dialect.response_matcher(call.request),
                 max_idle=messages.NO_IDLE_LIMIT
                 if may_reuse
@@ -267,6 +283,27 @@
             await response.rest.close()
         return outcome
 
+    def _encode(
+        self,
+        slot: _Slot,
+        encode: Callable[[float], http.RawRequest],
+        now: float,
+    ) -> http.RawRequest:
+        """Encodes a request, which the pool sends next.
+
+        It may have waited for a connection since the last check, or the process
+        may have stood still.
+
+        Raises:
+          SendRefusedError: The upstream gets no request any more.
+        """
+        block = self._check_before_send()
+        if block:
+            raise exceptions.SendRefusedError(
+                block, maybe_delivered=slot.is_sending
+            )
+        return slot.encode_and_record(encode, now)
+
 
 class _Slot:
     """A slot of the upstream; only the first release has an effect."""
@@ -329,10 +366,15 @@
     ) -> http.RawRequest:
         """Encodes the request, which is sent now."""
         self._sending = True
-        if not self._streams:
+        if self.counted and not self._streams:
             self._tell_sent(now)
         return encode(now)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether the request has been sent, or is about to be."""
+        return self._sending
+
     def _tell_sent(self, now: float) -> None:
         message = messages.RequestSent(
             sent_at=now, is_repeated=self._sent_count > 0
@@ -387,7 +429,7 @@
         """Frees the slot and reports how the upstream answered."""
         if not self._released:
             self._released = True
-            if self._sending and not self._sent_count:
+            if self.counted and self._sending and not self._sent_count:
                 # A body that is sent in parts may have arrived until now.
                 self._tell_sent(clock.monotonic())
             run_time = clock.monotonic() - self._started_at
@@ -451,6 +493,19 @@
             await self._rest.close()
 
 
+def _blocked_refusal(
+    detail: str, *, run: model.RunState = model.RunState.NOT_RUN
+) -> model.Refuse:
+    """Returns the refusal of an upstream that gets no requests."""
+    return model.Refuse(
+        code=exceptions.NO_UPSTREAM,
+        detail=detail,
+        run=run,
+        retry_after_s=slots.RETRY_AFTER,
+        load=routing.BLOCKED_LOAD,
+    )
+
+
 def _refusal_for_error(error: exceptions.ConnectionFailedError) -> model.Refuse:
     code = exceptions.UPSTREAM_FAILED
     if error.by_caller:
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -554,7 +554,8 @@
     Attributes:
       encode: Returns the `http.RawRequest` to send at a monotonic time, in
         seconds. It is called once there is a connection, so that the wait for
-        one is not counted in the remaining time that the request states.
+        one is not counted in the remaining time that the request states. It
+        raises `SendRefusedError` if the request must not be sent any more.
       is_answer: Tells the response to this request from others.
       max_idle: Maximum seconds since the last use of a connection.
       may_resend: Whether to send the request again on a new connection if the
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -170,14 +170,18 @@
         self, message: messages.UpstreamExchange, reply: mailbox.Reply
     ) -> None:
         """Sends a request; `reply` gets the response or the failure."""
+        started_at = clock.monotonic()
+        try:
+            request = message.encode(started_at)
+        except exceptions.SendRefusedError as error:
+            self._on_idle(self)
+            reply.fail(error)
+            return
         self._reusable = False
         self._exchange_count += 1
         self._response_started = False
-        self._exchange_started_at = clock.monotonic()
-        self._idle_before_exchange = (
-            self._exchange_started_at - self._idle_since
-        )
-        request = message.encode(self._exchange_started_at)
+        self._exchange_started_at = started_at
+        self._idle_before_exchange = started_at - self._idle_since
         self._parser.without_body = request.method == "HEAD"
         exchange = self._exchange = _Exchange(
             message=message, request=request, reply=reply
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -1,6 +1,7 @@
 """Slots that calls hold while the local upstream answers them."""
 
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -10,6 +11,7 @@
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall.decisions import entry_feedback
+from sassafrashall.decisions import routing
 from sassafrashall.filters import local_upstream
 from sassafrashall.platform import dialect
 from tests import fakes
@@ -50,6 +52,8 @@
     encodes=0,
     feedback_policy=None,
     monitor=None,
+    check_before_send=lambda: "",
+    load=-1,
     **admitted,
 ):
     """Yields the filter, and fakes of the pool and the admission controller.
@@ -60,11 +64,13 @@
       encodes: How often the pool encodes the request.
       feedback_policy: See `LocalUpstreamFilter`; None for its default.
       monitor: Receives the messages to the demand monitor; None for a fake.
+      check_before_send: See `LocalUpstreamFilter`.
+      load: Of the upstream, in thousandths.
       **admitted: Fields of the answer of the admission controller.
     """
     fields = {"feedback_policy": feedback_policy} if feedback_policy else {}
     admission = fakes.ScriptedController(
-        lambda message: messages.Admitted(upstream=UPSTREAM, **admitted)
+        lambda message: messages.Admitted(**({"upstream": UPSTREAM} | admitted))
     )
 
     def respond(message):
@@ -83,13 +89,14 @@
             local_upstream.LocalUpstreamFilter(
                 admission=admission.mailbox,
                 admission_level=mailbox.Published(initial=-1),
-                upstream_load=mailbox.Published(initial=-1),
+                upstream_load=mailbox.Published(initial=load),
                 pool=pool.mailbox,
                 dialect=dialect.UpstreamDialect(),
                 counters=fakes.counters(),
                 demand_monitor=monitor.mailbox,
                 upstream_may_call=lambda: upstream_calls,
                 route_name=lambda request: "route",
+                check_before_send=check_before_send,
                 **fields,
             ),
             pool,
@@ -292,6 +299,78 @@
             assert _released(admission)[0].refused is is_told
 
 
+# Guards against a calling node that takes a refusal beside the upstream for a
+# failure of the way there, and after three of them sends nothing more to the
+# whole data centre: a refusal without a load counts as one.
+@pytest.mark.parametrize(
+    ("reason", "load", "code"),
+    [
+        ("blocked", routing.BLOCKED_LOAD, exceptions.NO_UPSTREAM),
+        ("other service", routing.BLOCKED_LOAD, exceptions.NO_UPSTREAM),
+        ("not confirmed", 700, exceptions.PEER_UNREACHABLE),
+    ],
+)
+async def test_a_refusal_before_the_send_tells_a_load(reason, load, code):
+    async def decline():
+        return False
+
+    fields = {}
+    request = fakes.request()
+    match reason:
+        case "blocked":
+            fields["check_before_send"] = lambda: "evacuated"
+        case "other service":
+            fields["upstream"] = dataclasses.replace(UPSTREAM, service="b")
+        case "not confirmed":
+            request = fakes.request(confirm=decline)
+    async with _filter(_response(200), load=700, **fields) as (
+        tested,
+        pool,
+        admission,
+    ):
+        outcome = await tested.handle(fakes.call(request=request))
+        assert outcome.code == code
+        assert outcome.run is model.RunState.NOT_RUN
+        assert outcome.load == load
+        assert outcome.retry_after_s > 0
+        assert not pool.received
+        assert len(_released(admission)) == 1
+
+
+# Guards against a request that is sent to an upstream of an evacuated data
+# centre: between the check before the exchange and the send, a connection is
+# opened, or the process may stand still.
+@pytest.mark.parametrize("counted", [False, True])
+async def test_an_evacuation_is_checked_directly_before_the_send(counted):
+    blocks = ["", "evacuated"]
+    async with _filter(
+        _response(200),
+        encodes=1,
+        counted=counted,
+        check_before_send=lambda: blocks.pop(0),
+    ) as (tested, _, admission):
+        outcome = await tested.handle(fakes.call())
+        assert outcome.code == exceptions.NO_UPSTREAM
+        assert outcome.run is model.RunState.NOT_RUN
+        assert outcome.load == routing.BLOCKED_LOAD
+        (released,) = _released(admission)
+        assert released.unsent is counted
+        assert not released.failed
+        assert not _sent(admission)
+
+
+# Guards against a refusal as not run of a request that was sent before, on a
+# connection that the upstream had closed.
+async def test_a_block_before_a_second_send_guarantees_nothing():
+    blocks = ["", "", "evacuated"]
+    async with _filter(
+        _response(200), encodes=2, check_before_send=lambda: blocks.pop(0)
+    ) as (tested, _, _):
+        outcome = await tested.handle(fakes.call())
+        assert outcome.code == exceptions.NO_UPSTREAM
+        assert outcome.run is model.RunState.UNKNOWN
+
+
 # Guards against an upstream that gets no requests since its breaker is open:
 # callers that break off their uploads counted as its failures.
 async def test_an_upload_that_its_caller_breaks_off_is_no_failure():
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -114,6 +114,7 @@
     send_times=None,
     body=b"",
     rest=None,
+    block=None,
 ):
     id_header = () if request_id is None else (("request-id", request_id),)
     raw = http.RawRequest(
@@ -129,6 +130,8 @@
     def encode(now):
         if send_times is not None:
             send_times.append(now)
+        if block is not None:
+            raise block
         return raw
 
     return await pool.mailbox.ask(
@@ -152,6 +155,20 @@
         assert upstream.connections == 1
 
 
+# Guards against a request that is sent although it was refused just before, and
+# against the loss of the pool's task or of a connection by that refusal.
+async def test_a_request_that_is_refused_before_the_send_is_not_sent():
+    block = exceptions.SendRefusedError("evacuated", maybe_delivered=False)
+    async with _pool(_answer, _answer) as (pool, upstream):
+        # On a new connection, then on one that is idle.
+        for request_id in ("a", "b"):
+            with pytest.raises(exceptions.SendRefusedError):
+                await _exchange(pool, upstream, "refused", block=block)
+            assert (await _exchange(pool, upstream, request_id)).body == b"ok"
+        assert upstream.requests == [b"a", b"b"]
+        assert upstream.connections == 1
+
+
 async def test_connection_closed_while_idle_is_not_reused():
     async with _pool(_answer_and_close, _answer) as (pool, upstream):
         await _exchange(pool, upstream, "a", may_resend=False)
