Evacuation: one that a node did not see leaves a trace

An evacuation that began and ended between two questions or two checks of a node (0.5 s) was not noticed there, and the upstream was not taken for cold after it. Nodes that were cut off during a whole evacuation did not notice it either.

The replicated state already keeps the revision of the last change of each data centre. Replies to heartbeats and to questions for the configuration now carry it (evacuation_changes, empty from an older build), and the check beside the upstream finds an end by a revision above that of the check before. Until then requests are refused, as at the end of an evacuation that was seen.

The new case of test_upstreams_count_as_cold_at_the_end_of_an_evacuation failed before.

--- a/src/sassafrashall/controllers/evacuation_gate.py
+++ b/src/sassafrashall/controllers/evacuation_gate.py
@@ -41,7 +41,7 @@
         self._view = view
         self._metrics = counters
         self._contact = evacuation.start(bound, clock.monotonic())
-        self._was_evacuated = False
+        self._seen = evacuation.Seen()
         self._logged_block: evacuation.Block | None = None
 
     def find_block(self, now: float) -> evacuation.Block | None:
@@ -51,7 +51,7 @@
         the caller that the upstream may be cold.
         """
         view = self._view.value
-        is_evacuated = self._was_evacuated or self._is_evacuated()
+        is_evacuated = self._is_evacuated(view) or self._has_ended(view)
         if not is_evacuated and not self._contact.bound_s:
             return None
         return evacuation.block(
@@ -77,11 +77,21 @@
           Whether an evacuation of the data centre has ended.
         """
         self._contact = evacuation.on_tick(self._contact, now)
-        is_evacuated = self._is_evacuated()
-        has_ended = self._was_evacuated and not is_evacuated
-        if is_evacuated != self._was_evacuated:
+        view = self._view.value
+        is_evacuated = self._is_evacuated(view)
+        has_ended = self._has_ended(view)
+        if has_ended and not self._seen.evacuated:
+            logs.get().info(
+                "an evacuation ended that this node did not see",
+                extra={"revision": self._last_change(view)},
+            )
+        if is_evacuated != self._seen.evacuated:
             self._metrics.gauge("evacuated", int(is_evacuated))
-        self._was_evacuated = is_evacuated
+        knows_state = view.configuration.revision > 0
+        self._seen = evacuation.Seen(
+            evacuated=is_evacuated,
+            changed=self._last_change(view) if knows_state else None,
+        )
         block = self.find_block(now)
         if block is not self._logged_block:
             logs.get().info(
@@ -93,5 +103,17 @@
             self._logged_block = block
         return has_ended
 
-    def _is_evacuated(self) -> bool:
-        return self._data_centre in self._view.value.evacuated
+    def _is_evacuated(self, view: model.NodeView) -> bool:
+        return self._data_centre in view.evacuated
+
+    def _last_change(self, view: model.NodeView) -> int:
+        """Returns the revision of the last change of the data centre."""
+        return view.evacuation_changes.get(self._data_centre, 0)
+
+    def _has_ended(self, view: model.NodeView) -> bool:
+        """Returns whether an evacuation has ended since the last tick."""
+        return evacuation.has_ended(
+            self._seen,
+            evacuated=self._is_evacuated(view),
+            changed=self._last_change(view),
+        )
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -225,6 +225,7 @@
             proof_age=now - self._confirmed_fresh_at(now),
             document=self._newer_document(message.document_version),
             evacuated=tuple(sorted(state.evacuations.evacuated)),
+            evacuation_changes=tuple(state.evacuations.changed.items()),
         )
 
     def _withdrawn_beyond(self, count: int) -> tuple[str, ...]:
@@ -314,6 +315,7 @@
             route_levels=self._current_route_levels(now),
             signed_off=self._sign_off_before(record),
             evacuated=tuple(sorted(state.evacuations.evacuated)),
+            evacuation_changes=tuple(state.evacuations.changed.items()),
             rooms=self._rooms,
             relative_times=self._tell_relative_times(),
         )
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -506,6 +506,10 @@
             configuration=configuration,
             fresh_at=fresh_at,
             evacuated=self._newest_evacuated(view, answer),
+            evacuation_changes=view.evacuation_changes
+            if answer.revision < view.configuration.revision
+            # An older build tells none.
+            else view.evacuation_changes | dict(answer.evacuation_changes),
         )
 
     def _newest_evacuated(
--- a/src/sassafrashall/decisions/evacuation.py
+++ b/src/sassafrashall/decisions/evacuation.py
@@ -88,6 +88,37 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Seen:
+    """What the last check at a node saw of its data centre.
+
+    Attributes:
+      evacuated: Whether it was evacuated.
+      changed: Fleet revision of the last change; None while the node does not
+        know the state of the fleet.
+    """
+
+    evacuated: bool = False
+    changed: int | None = None
+
+
+def has_ended(seen: Seen, *, evacuated: bool, changed: int) -> bool:
+    """Returns whether an evacuation has ended since the last check.
+
+    One that also began since then shows only by the revision of its end.
+
+    Args:
+      seen: What the last check saw.
+      evacuated: Whether the data centre is evacuated now.
+      changed: Fleet revision of the last change; 0 if there was none.
+    """
+    if evacuated:
+        return False
+    return seen.evacuated or (
+        seen.changed is not None and changed > seen.changed
+    )
+
+
 class Block(enum.Enum):
     """Why the upstream on this VM gets no request."""
 
--- a/src/sassafrashall/model.py
+++ b/src/sassafrashall/model.py
@@ -270,6 +270,8 @@
         never.
       evacuated: The evacuated data centres, at the revision of the
         configuration.
+      evacuation_changes: By data centre, the fleet revision at which its last
+        evacuation began or ended; none for one that never was evacuated.
     """
 
     configuration: Configuration = Configuration()
@@ -277,6 +279,7 @@
     services: frozenset[str] = frozenset()
     fresh_at: float = float("-inf")
     evacuated: frozenset[str] = frozenset()
+    evacuation_changes: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 # --- requests ----------------------------------------------------------------
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -78,6 +78,9 @@
         node didn't report one.
       evacuated: The evacuated data centres at `revision`; None from a build
         that doesn't know them.
+      evacuation_changes: Data centre and fleet revision of the last change of
+        its evacuation, kept after the end of it; none from a build that
+        doesn't tell it.
       rooms: Slots and loads of the services in each data centre.
       relative_times: By VM, `model.NodeLoad.relative_time` of some upstreams. A
         reply holds a bounded number of them, the next one others.
@@ -97,6 +100,7 @@
     route_levels: tuple[tree_admission.RouteLevel, ...] = ()
     signed_off: model.SignOff | None = None
     evacuated: tuple[str, ...] | None = None
+    evacuation_changes: tuple[tuple[str, int], ...] = ()
     rooms: tuple[spillover.Room, ...] = ()
     relative_times: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -324,6 +328,7 @@
     proof_age: float
     document: configuration.Configuration | None = None
     evacuated: tuple[str, ...] | None = None
+    evacuation_changes: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -179,7 +179,7 @@
         yield controller, answers
 
 
-def _read(revision, evacuated):
+def _read(revision, evacuated, changes=()):
     return messages.ConfigurationRead(
         reply=protocol.ConfigurationReply(
             revision=revision,
@@ -187,6 +187,7 @@
             withdrawn=(),
             proof_age=0.0,
             evacuated=evacuated,
+            evacuation_changes=changes,
         ),
         sent_at=clock.monotonic(),
     )
@@ -213,6 +214,21 @@
                 await trio.sleep(0.01)
 
 
+# Guards against an evacuation that leaves no trace at a node, and against an
+# answer of an older control or build that takes the trace away.
+async def test_the_revisions_of_the_last_changes_are_kept():
+    async with _membership() as (controller, _):
+        for revision, changes, expected in [
+            (5, (("dc-a", 5),), {"dc-a": 5}),
+            (4, (("dc-a", 3),), {"dc-a": 5}),
+            (5, (), {"dc-a": 5}),
+            (7, (("dc-a", 7), ("dc-b", 6)), {"dc-a": 7, "dc-b": 6}),
+        ]:
+            controller.mailbox.tell(_read(revision, (), changes))
+            await trio.sleep(0.05)
+            assert controller.view.value.evacuation_changes == expected
+
+
 async def test_no_upstream_of_an_evacuated_data_centre_is_chosen():
     records = {
         vm: fakes.node_record(vm=vm, data_centre=data_centre, upstream=UPSTREAM)
@@ -326,6 +342,53 @@
     assert not gate.on_tick(START + 1.0)
 
 
+# Guards against an upstream that is not taken for cold, since its node never
+# saw the evacuation: it began and ended between two checks or two questions.
+def test_an_evacuation_that_no_check_has_seen_ends_as_well():
+    view = mailbox.Published(initial=model.NodeView())
+    gate = evacuation_gate.EvacuationGate(
+        data_centre="dc-a", bound=0.0, view=view, counters=fakes.counters()
+    )
+
+    def publish(revision, **changes):
+        view.publish(
+            model.NodeView(
+                configuration=model.Configuration(revision=revision),
+                evacuation_changes={
+                    name.replace("_", "-"): at for name, at in changes.items()
+                },
+            )
+        )
+
+    assert not gate.on_tick(START)
+    # What was before the start of the node is not known to it.
+    publish(9, dc_a=7)
+    assert gate.find_block(START) is None
+    assert not gate.on_tick(START + 0.5)
+    publish(11, dc_a=7, dc_b=11)
+    assert not gate.on_tick(START + 1.0)
+    publish(13, dc_a=13, dc_b=11)
+    assert gate.find_block(START + 1.1) is evacuation.Block.EVACUATED
+    assert gate.on_tick(START + 1.5)
+    assert gate.find_block(START + 1.5) is None
+    assert not gate.on_tick(START + 2.0)
+
+
+# Guards against a second doubt for an evacuation whose end was seen.
+def test_an_evacuation_that_was_seen_ends_once():
+    seen = evacuation.Seen(changed=3)
+    for evacuated, changed, has_ended in [
+        (True, 5, False),
+        (True, 5, False),
+        (False, 6, True),
+        (False, 6, False),
+    ]:
+        assert has_ended is evacuation.has_ended(
+            seen, evacuated=evacuated, changed=changed
+        )
+        seen = evacuation.Seen(evacuated=evacuated, changed=changed)
+
+
 # Guards against a burst at an upstream that became cold during an evacuation: a
 # heartbeat sent before the end arrives after it.
 async def test_one_late_heartbeat_does_not_end_the_doubt_of_an_evacuation():
@@ -374,5 +437,7 @@
     else:
         answer = protocol.ConfigurationReply(**fields, proof_age=0.0)
     body = msgspec.to_builtins(answer)
-    body.pop("evacuated")
-    assert msgspec.convert(body, type(answer)).evacuated is None
+    del body["evacuated"], body["evacuation_changes"]
+    decoded = msgspec.convert(body, type(answer))
+    assert decoded.evacuated is None
+    assert decoded.evacuation_changes == ()
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -158,7 +158,9 @@
 
 # Guards against a cold upstream that gets requests at full speed at the end of
 # an evacuation: it had none for a while, and its last heartbeat is from before.
-async def test_upstreams_count_as_cold_at_the_end_of_an_evacuation():
+# One that begins and ends between two questions of a node counts as well.
+@pytest.mark.parametrize("lasts", [1.5, 0.0])
+async def test_upstreams_count_as_cold_at_the_end_of_an_evacuation(lasts):
     document = routed.document(version="r2", services=("alpha", "beta"))
     document["services"]["alpha"] |= {"cold_start": "6s", "cold_per_s": 4.8}
     bounds = {"cold_overage": 1.5, "cold_slack": 8}
@@ -169,7 +171,7 @@
         gate = fleet.nodes["vm-c"]._admission._cold_gate
         assert not gate.is_cold(clock.monotonic())
         assert (await fleet.evacuate("dc-a")).status == 200
-        await trio.sleep(1.5)
+        await trio.sleep(lasts)
         fleet.upstreams["vm-c"].announce_to = fleet.upstreams["vm-a"].address
         assert (await fleet.evacuate("dc-a", method="DELETE")).status == 200
         with trio.fail_after(IN_FORCE):
