Local upstream: the slot of a call in a module of its own

Slot and StreamedAnswer move to filters/upstream_slot.py without a change; the tests of the filter and of downloads pass.

--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import contextlib
 import functools
 from typing import Protocol
 
-import trio
-
 from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import frozen
@@ -19,15 +16,13 @@
 from sassafrashall.decisions import entry_feedback
 from sassafrashall.decisions import routing
 from sassafrashall.filters import slots
+from sassafrashall.filters import upstream_slot
 from sassafrashall.transport import http
 
 # A non-idempotent request is not sent on a connection that has been idle for
 # longer, since the upstream may be about to close it.
 NON_IDEMPOTENT_MAX_IDLE = 1.0  # seconds
 _NO_FEEDBACK = entry_feedback.NoFeedback()
-# Statuses by which an upstream says that it, or a call that it made, failed.
-_ERROR_STATUSES = (500, 504)
-_SHED_STATUSES = (429, 503)  # by which an upstream refuses for lack of capacity
 
 
 class Dialect(Protocol):
@@ -148,7 +143,7 @@
             return
         match outcome:
             case model.Answer(response=response):
-                failed = response.status in _ERROR_STATUSES
+                failed = response.status in upstream_slot.ERROR_STATUSES
             case model.Refuse(
                 code=exceptions.DEADLINE_EXCEEDED, run=model.RunState.UNKNOWN
             ):
@@ -168,7 +163,7 @@
         self, call: model.Call, admitted: messages.Admitted
     ) -> model.Outcome:
         upstream = admitted.upstream
-        slot = _Slot(
+        slot = upstream_slot.Slot(
             admission=self._admission,
             demand_monitor=self._demand_monitor,
             route=self._route_name(call.request),
@@ -215,7 +210,10 @@
         return _blocked_refusal(block) if block else None
 
     async def _send_before_deadline(
-        self, call: model.Call, upstream: model.Upstream, slot: _Slot
+        self,
+        call: model.Call,
+        upstream: model.Upstream,
+        slot: upstream_slot.Slot,
     ) -> model.Outcome:
         if call.deadline <= clock.monotonic():
             return model.Refuse(
@@ -242,7 +240,10 @@
             return _refusal_for_error(error)
 
     async def _send_to_upstream(
-        self, call: model.Call, upstream: model.Upstream, slot: _Slot
+        self,
+        call: model.Call,
+        upstream: model.Upstream,
+        slot: upstream_slot.Slot,
     ) -> model.Outcome:
         encode = functools.partial(self._dialect.encode, call, upstream)
         # A request that was lost on an idle connection may have arrived, so
@@ -271,12 +272,17 @@
                 rest is not None
             ):
                 slot.hold_for_answer(response.status)
-                body = _StreamedAnswer(rest=rest, deadline=call.deadline)
+                body = upstream_slot.StreamedAnswer(
+                    rest=rest, deadline=call.deadline
+                )
                 return frozen.replace(
                     outcome, response=frozen.replace(answer, rest=body)
                 )
         self._upstream_seconds.observe(slot.record_status(response.status))
-        if response.status in _ERROR_STATUSES and not self._upstream_may_call():
+        if (
+            response.status in upstream_slot.ERROR_STATUSES
+            and not self._upstream_may_call()
+        ):
             slot.record_failure(timed_out=response.status == 504)
         if response.rest is not None:
             # Nobody reads the rest of a refusal's body.
@@ -285,7 +291,7 @@
 
     def _encode(
         self,
-        slot: _Slot,
+        slot: upstream_slot.Slot,
         encode: Callable[[float], http.RawRequest],
         now: float,
     ) -> http.RawRequest:
@@ -305,194 +311,6 @@
         return slot.encode_and_record(encode, now)
 
 
-class _Slot:
-    """A slot of the upstream; only the first release has an effect."""
-
-    def __init__(
-        self,
-        *,
-        admission: mailbox.Mailbox,
-        demand_monitor: mailbox.Mailbox,
-        route: str,
-        service: str,
-        counted: bool,
-        cold: bool,
-        streams: bool,
-        urgency: model.Priority,
-        nested: bool,
-    ) -> None:
-        """Takes over a slot.
-
-        Args:
-          admission: Mailbox of the task that owns the upstream's slots.
-          demand_monitor: Mailbox of the task that counts runs.
-          route: Name of the request's route.
-          service: Service of the upstream.
-          counted: Whether sends have to be told to `admission`.
-          cold: Whether the upstream was cold when the slot was granted.
-          streams: Whether the request has a body that is sent in parts.
-          urgency: Class of the root of the call tree.
-          nested: Whether an upstream made the call.
-        """
-        self.counted = counted
-        self.cold = cold
-        self._streams = streams
-        self._sent_count = 0
-        self._sending = False
-        self._refused = False
-        self._admission = admission
-        self._demand_monitor = demand_monitor
-        self._route = route
-        self._service = service
-        self._started_at = clock.monotonic()
-        self._urgency = urgency
-        self._nested = nested
-        demand_monitor.tell(
-            messages.RunStarted(route=route, service=service, urgency=urgency)
-        )
-        self._latency = -1.0
-        self._shed = False
-        self._completed = False
-        self._failed = False
-        self._timed_out = False
-        self._released = False
-        # Status of the streamed answer; 0 while there is none.
-        self._streamed_status = 0
-        # Whether the slot is in use until the upstream has streamed its answer.
-        self.held_by_answer = False
-
-    def encode_and_record(
-        self, encode: Callable[[float], http.RawRequest], now: float
-    ) -> http.RawRequest:
-        """Encodes the request, which is sent now."""
-        self._sending = True
-        if self.counted and not self._streams:
-            self._tell_sent(now)
-        return encode(now)
-
-    @property
-    def is_sending(self) -> bool:
-        """Whether the request has been sent, or is about to be."""
-        return self._sending
-
-    def _tell_sent(self, now: float) -> None:
-        message = messages.RequestSent(
-            sent_at=now, is_repeated=self._sent_count > 0
-        )
-        self._sent_count += 1
-        self.tell(message)
-
-    def tell(self, message: messages.RequestSent | messages.ColdTold) -> None:
-        """Tells the controller that owns the slots, unless it has ended."""
-        with contextlib.suppress(exceptions.MailboxClosedError):
-            self._admission.tell(message)
-
-    def record_refused_connection(self) -> None:
-        """Records that the upstream's address accepted no connection."""
-        self._refused = True
-
-    def record_status(self, status: int) -> float:
-        """Records the status of the answer and returns its latency.
-
-        The latency is in seconds; that of a request that the upstream shed
-        is not reported on release.
-        """
-        latency = clock.monotonic() - self._started_at
-        self._shed = status in _SHED_STATUSES
-        if not self._shed:
-            self._latency = latency
-            self._completed = True
-        return latency
-
-    def hold_for_answer(self, status: int) -> None:
-        """Keeps the slot until the upstream has streamed its answer."""
-        self.held_by_answer = True
-        self._streamed_status = status
-
-    def release_streamed(self, complete: bool) -> None:
-        """Frees the slot at the end of a streamed answer.
-
-        Its time depends on the caller as well, so that it is no latency.
-        """
-        self._completed = complete and self._streamed_status not in (
-            *_ERROR_STATUSES,
-            *_SHED_STATUSES,
-        )
-        self.release()
-
-    def record_failure(self, *, timed_out: bool) -> None:
-        """Records that the upstream failed the request by itself."""
-        self._failed = True
-        self._timed_out = timed_out
-
-    def release(self) -> None:
-        """Frees the slot and reports how the upstream answered."""
-        if not self._released:
-            self._released = True
-            if self.counted and self._sending and not self._sent_count:
-                # A body that is sent in parts may have arrived until now.
-                self._tell_sent(clock.monotonic())
-            run_time = clock.monotonic() - self._started_at
-            message = messages.SlotReleased(
-                latency=self._latency,
-                shed=self._shed,
-                failed=self._failed,
-                timed_out=self._timed_out,
-                run_time=run_time,
-                unsent=self.counted and not self._sending,
-                refused=self._refused,
-            )
-            try:
-                self._admission.tell(message)
-                self._demand_monitor.tell(
-                    messages.RunEnded(
-                        route=self._route,
-                        service=self._service,
-                        seconds=run_time,
-                        urgency=self._urgency,
-                        completed=self._nested
-                        and self._completed
-                        and not self._failed,
-                    )
-                )
-            except exceptions.MailboxClosedError:
-                # A slot may outlive the controller when the process stops.
-                pass
-
-
-class _StreamedAnswer:
-    """The rest of a streamed answer, up to the deadline."""
-
-    def __init__(self, *, rest: model.BodyReader, deadline: float) -> None:
-        self._rest = rest
-        self._deadline = deadline
-        self._ended = False
-
-    async def read(self) -> bytes:
-        """Returns the next bytes, or none at the end.
-
-        Raises:
-          ConnectionFailedError: The upstream broke off or the deadline passed.
-        """
-        if self._ended:
-            return b""
-        remaining = max(0.0, self._deadline - clock.monotonic())
-        with trio.move_on_after(remaining):
-            data = await self._rest.read()
-            self._ended = not data
-            return data
-        raise exceptions.ConnectionFailedError(
-            "the deadline passed in the middle of the answer",
-            maybe_delivered=True,
-        )
-
-    async def close(self) -> None:
-        """Discards the rest."""
-        if not self._ended:
-            self._ended = True
-            await self._rest.close()
-
-
 def _blocked_refusal(
     detail: str, *, run: model.RunState = model.RunState.NOT_RUN
 ) -> model.Refuse:
