--- a/src/sassafrashall/controllers/held_configuration.py
+++ b/src/sassafrashall/controllers/held_configuration.py
@@ -74,6 +74,10 @@
             configuration=merged,
             fresh_at=fresh_at,
             evacuated=self._newest_evacuated(view, answer),
+            evacuation_changes=view.evacuation_changes
+            if answer.revision < view.configuration.revision
+            # An older build tells none.
+            else view.evacuation_changes | dict(answer.evacuation_changes),
         )
 
     def confirm(self, message: messages.ConfigurationConfirmed) -> None:
