Tree admission: capacity by completed calls, chances of trees, fast recovery

Cause: `measured-capacity` took shed calls, which hold a slot for a moment, for cheap ones; it cut a healthy service at 1% of refused calls; it lowered a service that sheds at any load to a quarter and let in trees that all failed there; and it recovered by 10% a second.

Change: nodes report the runs that their upstream refused, and slot seconds are counted per completed call. A service refuses too many calls if a sixth of the trees that lead there would fail. If it does so with free slots, at a quarter of them, or for 5 s although it was given less, trees are let in by their chance, by route. The factor grows slowly for 1.75 s after the refusals and then by a factor of 7 a second. The calls of a tree stay known while calls are refused. Sums over call trees move to `decisions/call_trees.py`. `narrowest-service` is as before.

--- a/src/sassafrashall/controllers/demand_monitor.py
+++ b/src/sassafrashall/controllers/demand_monitor.py
@@ -36,6 +36,7 @@
         self._urgencies = [0] * len(model.Priority)
         self.started = 0.0
         self.ended = 0.0
+        self.refused = 0.0
         self.busy_s = 0.0
         self.calls: collections.defaultdict[str, float] = (
             collections.defaultdict(float)
@@ -55,11 +56,19 @@
         self.started += 1
         self._urgencies[urgency] += 1
 
-    def end(self, urgency: model.Priority, seconds: float, now: float) -> None:
+    def end(
+        self,
+        urgency: model.Priority,
+        seconds: float,
+        now: float,
+        *,
+        refused: bool,
+    ) -> None:
         """Counts the end of a run, which held a slot for `seconds`."""
         self.expose(now)
         self.in_progress = max(0, self.in_progress - 1)
         self.ended += 1
+        self.refused += refused
         self.busy_s += seconds
         self._urgencies[urgency] = max(0, self._urgencies[urgency] - 1)
 
@@ -72,6 +81,7 @@
         """Multiplies the weight of all observations by `factor`."""
         self.started *= factor
         self.ended *= factor
+        self.refused *= factor
         self.busy_s *= factor
         for route, count in list(self.calls.items()):
             if count > MIN_WEIGHT:
@@ -213,7 +223,12 @@
                 runs.begin(message.urgency, now)
             case messages.RunEnded(route=route, service=service):
                 runs = self._runs_of((route, service), now)
-                runs.end(message.urgency, message.seconds, now)
+                runs.end(
+                    message.urgency,
+                    message.seconds,
+                    now,
+                    refused=message.refused,
+                )
                 if message.completed:
                     self._completions.count(service)
             case messages.CallRejected(service=service):
@@ -297,6 +312,7 @@
                 service=kind[1],
                 started=round(runs.started, 3),
                 ended=round(runs.ended, 3),
+                refused=round(runs.refused, 3),
                 busy_s=round(runs.busy_s, 4),
                 calls=tuple(
                     demand.Calls(route=route, count=round(count, 3))
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -21,10 +21,12 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import call_trees
 from sassafrashall.decisions import completion
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import measured_capacity
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import routing
@@ -148,6 +150,8 @@
         self._next_told = 0  # index of the first for the next reply
         self._calls_per_run = demand_decisions.CallsPerRun()
         self._corrections: dict[str, float] = {}
+        # By service that refuses calls, or did lately.
+        self._spells: dict[str, measured_capacity.Spell] = {}
         self._levels_logged_at = float("-inf")
         self._status: messages.ReplicaStatus | None = None
         self._status_at = float("-inf")  # monotonic seconds
@@ -340,8 +344,15 @@
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
         self._rooms = self._compute_rooms(fleet)
+        refusing = tree_admission.refusing_services(
+            self._admission_policy,
+            demand_decisions.with_held_calls(fleet, self._calls_per_run),
+        )
+        self._spells = measured_capacity.update_spells(
+            self._spells, self._corrections, refusing, elapsed
+        )
         self._calls_per_run = demand_decisions.hold_calls_per_run(
-            self._calls_per_run, fleet, now
+            self._calls_per_run, fleet, now, refusing=bool(self._spells)
         )
         fleet = demand_decisions.with_held_calls(fleet, self._calls_per_run)
         self._corrections = tree_admission.correct(
@@ -350,9 +361,10 @@
             fleet,
             {level.service for level in self._route_levels},
             elapsed,
+            self._spells,
         )
         levels = tree_admission.route_levels(
-            self._admission_policy, fleet, self._corrections
+            self._admission_policy, fleet, self._corrections, self._spells
         )
         were_limited, self._route_levels = bool(self._route_levels), levels
         if not levels and not were_limited:
@@ -370,6 +382,10 @@
                         service: round(factor, 2)
                         for service, factor in self._corrections.items()
                     },
+                    "refusing_s": {
+                        service: round(spell.refusing_s, 2)
+                        for service, spell in self._spells.items()
+                    },
                     "services": tree_admission.describe_loads(
                         fleet, {level.service for level in levels}
                     ),
@@ -407,7 +423,7 @@
         self._usual_times = {
             (route.route, route.service): route.busy_s / route.ended
             for route in fleet.routes
-            if route.ended > tree_admission.MIN_RUNS
+            if route.ended > call_trees.MIN_RUNS
         }
         self._relative_times = [
             (vm, load.relative_time)
@@ -430,7 +446,7 @@
             {
                 name: busy[name] / count
                 for name, count in ended.items()
-                if count > tree_admission.MIN_RUNS
+                if count > call_trees.MIN_RUNS
             },
         )
 
--- /dev/null
+++ b/src/sassafrashall/decisions/call_trees.py
@@ -0,0 +1,112 @@
+"""What call trees make and cost, by route and service, from measured demand."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from sassafrashall.decisions import demand as demand_decisions
+
+MAX_DEPTH = 9  # calls above each other in a tree
+MIN_RUNS = 0.5  # weighted runs without which nothing is known of a route
+
+
+def roots_by_route(
+    demand: demand_decisions.Demand,
+) -> dict[str, tuple[float, ...]]:
+    """Returns the root requests per second, by route and priority class."""
+    roots: dict[str, tuple[float, ...]] = {}
+    for route in demand.routes:
+        if any(route.roots):
+            held = roots.get(route.route, demand_decisions.NO_ROOTS)
+            roots[route.route] = tuple(
+                a + b for a, b in zip(held, route.roots, strict=False)
+            )
+    return roots
+
+
+def costs(
+    demand: demand_decisions.Demand, *, by_completed: bool = False
+) -> dict[str, dict[str, float]]:
+    """Returns the slot seconds of all calls below a run, by route and service.
+
+    A route that is split over services costs each of them its share.
+
+    Args:
+      demand: Demand of the fleet.
+      by_completed: Whether the slot seconds of runs that an upstream refused
+        count as costs of those that it completed. Such runs are short, so that
+        calls would seem to be cheap while most of them are refused.
+    """
+
+    def seconds(part: demand_decisions.RouteDemand) -> float:
+        completed = part.ended - (part.refused if by_completed else 0.0)
+        return part.busy_s / completed if completed > 0.0 else 0.0
+
+    return _sum_below(demand, seconds)
+
+
+def calls(
+    demand: demand_decisions.Demand,
+) -> dict[str, dict[str, float]]:
+    """Returns the number of calls below a run, by route and service."""
+    return _sum_below(demand, lambda part: 1.0)
+
+
+def _sum_below(
+    demand: demand_decisions.Demand,
+    of_run: Callable[[demand_decisions.RouteDemand], float],
+) -> dict[str, dict[str, float]]:
+    """Returns the sums over all calls below a run, by route and service.
+
+    Args:
+      demand: Demand of the fleet.
+      of_run: Returns what one run of a route at a service adds.
+    """
+    own_costs: dict[str, dict[str, float]] = {}
+    calls_per_run: dict[str, dict[str, float]] = {}
+    started: dict[str, float] = {}
+    for part in demand.routes:
+        started[part.route] = started.get(part.route, 0.0) + part.started
+    for part in demand.routes:
+        if not part.started or started[part.route] < MIN_RUNS:
+            continue
+        share = part.started / started[part.route]
+        own_cost = own_costs.setdefault(part.route, {})
+        if part.ended:
+            add(own_cost, part.service, share * of_run(part))
+        callees = calls_per_run.setdefault(part.route, {})
+        for call in part.calls:
+            if call.count >= demand_decisions.MIN_CALLS_PER_RUN * part.started:
+                add(callees, call.route, call.count / started[part.route])
+    sums = own_costs
+    for _ in range(MAX_DEPTH - 1):
+        sums = {
+            route: _with_callees(own_cost, calls_per_run[route], sums)
+            for route, own_cost in own_costs.items()
+        }
+    return {
+        route: {
+            service: seconds - own_costs[route].get(service, 0.0)
+            for service, seconds in cost.items()
+        }
+        for route, cost in sums.items()
+    }
+
+
+def _with_callees(
+    own_cost: Mapping[str, float],
+    calls_per_run: Mapping[str, float],
+    costs: Mapping[str, Mapping[str, float]],
+) -> dict[str, float]:
+    """Returns a run's own cost plus what the trees below its calls cost."""
+    total = dict(own_cost)
+    for callee, count in calls_per_run.items():
+        for service, seconds in costs.get(callee, {}).items():
+            add(total, service, count * seconds)
+    return total
+
+
+def add(sums: dict[str, float], key: str, amount: float) -> None:
+    """Adds an amount to one of several sums."""
+    sums[key] = sums.get(key, 0.0) + amount
--- a/src/sassafrashall/decisions/demand.py
+++ b/src/sassafrashall/decisions/demand.py
@@ -24,12 +24,12 @@
 # Weighted runs in the fleet from which on their calls are held.
 MIN_RUNS_TO_HOLD = 20.0
 HOLD_HALF_LIFE = 15.0  # seconds in which a held number halves its excess
+# The same while a service refuses calls, so that runs end early.
+REFUSING_HOLD_HALF_LIFE = 120.0
 HELD_TTL = 120.0  # seconds for which a number is held while few runs are seen
 MAX_HOLD_FACTOR = 2.0  # multiple of the observed number that may be held
 NODE_TTL = 2.0  # seconds until the demand that a node reported is outdated
-CONTROL_TTL = (
-    3.0  # seconds until the demand that a control reported is outdated
-)
+CONTROL_TTL = 3.0  # the same for the demand that a control reported
 # Seconds of runs without a call that are added to what was observed, so that
 # one call in a short time is not taken for a high rate.
 PRIOR_EXPOSURE = 1.0
@@ -67,6 +67,7 @@
       ended: Runs that have ended, weighted in the same way.
       busy_s: Seconds for which the ended runs held a slot.
       calls: Calls that the runs made.
+      refused: Ended runs that the upstream refused, or failed by itself.
     """
 
     route: str
@@ -76,6 +77,7 @@
     ended: float = 0.0
     busy_s: float = 0.0
     calls: tuple[Calls, ...] = ()
+    refused: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -180,6 +182,7 @@
         started=sum(part.started for part in parts),
         ended=sum(part.ended for part in parts),
         busy_s=sum(part.busy_s for part in parts),
+        refused=sum(part.refused for part in parts),
         calls=tuple(
             Calls(route=route, count=count) for route, count in calls.items()
         ),
@@ -302,9 +305,17 @@
 
 
 def hold_calls_per_run(
-    held: CallsPerRun, demand: Demand, now: float
+    held: CallsPerRun, demand: Demand, now: float, *, refusing: bool = False
 ) -> CallsPerRun:
-    """Updates the numbers by what was observed in the whole fleet."""
+    """Updates the numbers by what was observed in the whole fleet.
+
+    Args:
+      held: The numbers before.
+      demand: Demand of the fleet.
+      now: Monotonic seconds.
+      refusing: Whether a service refuses calls, so that runs are broken off.
+    """
+    half_life = REFUSING_HOLD_HALF_LIFE if refusing else HOLD_HALF_LIFE
     numbers = {
         key: number
         for key, number in held.numbers.items()
@@ -320,8 +331,10 @@
             if before is not None and before.value > observed:
                 elapsed = now - before.observed_at
                 excess = before.value - observed
-                excess *= 0.5 ** (elapsed / HOLD_HALF_LIFE)
-                value = min(MAX_HOLD_FACTOR * observed, observed + excess)
+                excess *= 0.5 ** (elapsed / half_life)
+                value = observed + excess
+                if not refusing:
+                    value = min(MAX_HOLD_FACTOR * observed, value)
             numbers[key] = HeldNumber(value=value, observed_at=now)
     return CallsPerRun(numbers=immutables.Map(numbers))
 
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -10,21 +10,23 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from collections.abc import Set
 import dataclasses
 import math
 from typing import Any
 from typing import TypeAlias
 
+import immutables
 import xxhash
 
 from sassafrashall import model
+from sassafrashall.decisions import call_trees
 from sassafrashall.decisions import demand as demand_decisions
+from sassafrashall.decisions import measured_capacity
 from sassafrashall.decisions import return_times
 
 ADMIT_ALL_LEVEL = float(len(model.Priority))
-MAX_DEPTH = 9  # calls above each other in a tree
-MIN_RUNS = 0.5  # weighted runs without which nothing is known of a route
 # Slot seconds that a request must take at a service to be limited by it.
 MIN_COST = 0.0005
 # Fraction that is admitted of a class that is closed, whose demand would
@@ -33,23 +35,10 @@
 # Seconds until levels are outdated. Everything is then admitted.
 LEVELS_TTL = 3.0
 CORRECTION_RATE = 0.3  # exponential growth of a correction per second
-# Growth per second of what a limiting service is given that refused calls
-# before. Too much is noticed `FEEDBACK_DELAY` later: at 0.3, a third more than
-# the service can take was admitted each time.
-RECOVERY_RATE = 0.1
 MAX_CORRECTION = 10.0
-# A service that refuses calls whatever the load would otherwise be given less
-# and less. Upstreams that are gone are missing from the slots already.
-MIN_CORRECTION = 0.25
-# Fraction of the calls to a service that may be refused. A tree makes eight
-# calls to a narrow service, and fails if one of them is refused.
-SHED_TOLERANCE = 0.01
-# Seconds from a change of the admitted trees until its effect is known, about
-# half of the 1.75 s that heartbeats, gossip and the interval of the computation
-# take at most. A correction that is repeated sooner overshoots.
-FEEDBACK_DELAY = 1.0
 # Fraction of the permitted utilization below which a service has spare slots.
 SPARE_BELOW = 0.85
+_NO_SPELLS: Mapping[str, measured_capacity.Spell] = immutables.Map()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -74,7 +63,8 @@
     """Like `NarrowestService`, with the capacity as measured.
 
     A service that refuses calls, because its upstreams shed, are slow or are
-    gone, is given fewer trees than its announced slots would carry.
+    gone, is given fewer trees than its announced slots would carry. What a call
+    costs is counted by completed calls.
     """
 
 
@@ -102,6 +92,7 @@
     demand: demand_decisions.Demand,
     limiting: Set[str],
     elapsed: float,
+    spells: Mapping[str, measured_capacity.Spell] = _NO_SPELLS,
 ) -> dict[str, float]:
     """Returns the factors by which services may be given more or less.
 
@@ -115,34 +106,39 @@
       demand: Demand of the fleet, with the slots in use.
       limiting: The services that limit routes now.
       elapsed: Seconds since the last correction.
+      spells: How long services have refused calls, or no longer do.
     """
     if not isinstance(policy, NarrowestService):
         return {}
     step = math.exp(CORRECTION_RATE * elapsed)
-    sheds = {shed.service: shed.per_second for shed in demand.sheds}
-    costs = _call_costs(demand) if isinstance(policy, MeasuredCapacity) else {}
+    refusing = refusing_services(policy, demand)
+    served = measured_capacity.served_fractions(demand)
+    costs = _call_costs(demand) if refusing else {}
     corrected = {}
     for service in demand.services:
         name = service.service
         factor = corrections.get(name, 1.0)
         in_use = service.busy / max(1, service.slots)
-        served = _served_fraction(service.completions, sheds.get(name, 0.0))
-        if isinstance(policy, MeasuredCapacity) and (
-            served < 1.0 - SHED_TOLERANCE
-        ):
+        has_spare = in_use < SPARE_BELOW * policy.utilization
+        spell = spells.get(name, measured_capacity.NO_SPELL)
+        is_persistent = measured_capacity.is_persistent(spell)
+        if name in refusing and not is_persistent:
             completed = service.completions * costs.get(name, 0.0)
-            floor = completed / max(1.0, policy.utilization * service.slots)
-            lowered = factor * max(MIN_CORRECTION, served) ** (
-                elapsed / FEEDBACK_DELAY
+            factor = measured_capacity.lowered(
+                factor,
+                served[name],
+                completed / max(1.0, policy.utilization * service.slots),
+                elapsed,
             )
-            factor = min(factor, max(MIN_CORRECTION, floor, lowered))
-        elif name in limiting and in_use < SPARE_BELOW * policy.utilization:
-            growth = step
-            if factor < 1.0:
-                growth = math.exp(RECOVERY_RATE * elapsed)
-            factor = min(MAX_CORRECTION, factor * growth)
         elif factor < 1.0 and name not in limiting:
-            factor = min(1.0, factor * step)
+            factor = max(
+                min(1.0, factor * step),
+                measured_capacity.recovered(factor, spell, elapsed),
+            )
+        elif factor < 1.0 and has_spare:
+            factor = measured_capacity.recovered(factor, spell, elapsed)
+        elif name in limiting and has_spare and name not in refusing:
+            factor = min(MAX_CORRECTION, factor * step)
         elif name not in limiting or in_use > policy.utilization:
             factor = max(min(1.0, factor), factor / step)
         if factor != 1.0:
@@ -150,27 +146,32 @@
     return corrected
 
 
-def _served_fraction(completions: float, sheds: float) -> float:
-    """Returns the fraction of the calls that is served; 1 if not known."""
-    calls = completions + sheds
-    if completions < 0 or not calls:
-        return 1.0
-    return completions / calls
+def refusing_services(
+    policy: Policy, demand: demand_decisions.Demand
+) -> frozenset[str]:
+    """Returns the services that are given less since they refuse calls."""
+    if not isinstance(policy, MeasuredCapacity) or not demand.sheds:
+        return frozenset()
+    return measured_capacity.refusing_services(
+        demand, call_trees.roots_by_route(demand), call_trees.calls(demand)
+    )
 
 
 def _call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
-    """Returns the slot seconds of a nested call at each service, on average."""
+    """Returns the slot seconds of a completed nested call at each service."""
     called = {call.route for route in demand.routes for call in route.calls}
     busy: dict[str, float] = {}
-    ended: dict[str, float] = {}
+    completed: dict[str, float] = {}
     for route in demand.routes:
         if route.route in called:
-            _add(busy, route.service, route.busy_s)
-            _add(ended, route.service, route.ended)
+            call_trees.add(busy, route.service, route.busy_s)
+            call_trees.add(
+                completed, route.service, route.ended - route.refused
+            )
     return {
-        service: seconds / ended[service]
+        service: seconds / completed[service]
         for service, seconds in busy.items()
-        if ended[service]
+        if completed[service] > 0.0
     }
 
 
@@ -178,6 +179,7 @@
     policy: Policy,
     demand: demand_decisions.Demand,
     corrections: Mapping[str, float] | None = None,
+    spells: Mapping[str, measured_capacity.Spell] = _NO_SPELLS,
 ) -> tuple[RouteLevel, ...]:
     """Returns the routes whose root requests must not all enter the fleet.
 
@@ -188,20 +190,22 @@
       policy: The policy in force.
       demand: Demand of the fleet.
       corrections: Factors for what services may be given, see `correct`.
+      spells: How long services have refused calls, or no longer do.
     """
     match policy:
         case AdmitAll():
             return ()
         case NarrowestService(utilization=utilization):
             pass
-    costs = tree_costs(demand)
-    roots = _roots_by_route(demand)
+    is_measured = isinstance(policy, MeasuredCapacity)
+    costs = call_trees.costs(demand, by_completed=is_measured)
+    roots = call_trees.roots_by_route(demand)
     slots = {
         service.service: service.slots
         * (corrections or {}).get(service.service, 1.0)
         for service in demand.services
     }
-    if isinstance(policy, MeasuredCapacity):
+    if is_measured:
         slots |= dict.fromkeys(_lost_services(demand), 0.0)
     levels: dict[str, RouteLevel] = {}
     remaining = set(slots)
@@ -224,9 +228,46 @@
                         route=route, level=limits[narrowest], service=narrowest
                     ),
                 )
+    if is_measured:
+        _limit_unlikely_trees(policy, demand, corrections or {}, spells, levels)
     return tuple(levels.values())
 
 
+def _limit_unlikely_trees(
+    policy: Policy,
+    demand: demand_decisions.Demand,
+    corrections: Mapping[str, float],
+    spells: Mapping[str, measured_capacity.Spell],
+    levels: dict[str, RouteLevel],
+) -> None:
+    """Lowers the levels of routes whose trees fail whatever the load is."""
+    refusing = refusing_services(policy, demand)
+    served = measured_capacity.served_fractions(demand)
+    served = {
+        service.service: served[service.service]
+        for service in demand.services
+        if service.service in refusing
+        and measured_capacity.ignores_load(
+            service,
+            corrections.get(service.service, 1.0),
+            spells.get(service.service, measured_capacity.NO_SPELL),
+        )
+    }
+    if not served:
+        return
+    calls = call_trees.calls(demand)
+    for route, rates in call_trees.roots_by_route(demand).items():
+        made = calls.get(route, {})
+        share = measured_capacity.tree_share(served, made)
+        level = _fill_level(rates, share * sum(rates))
+        held = levels.get(route)
+        if level < (held.level if held else ADMIT_ALL_LEVEL):
+            most_called = max(served, key=lambda name: made.get(name, 0.0))
+            levels[route] = RouteLevel(
+                route=route, level=level, service=most_called
+            )
+
+
 def describe_loads(
     demand: demand_decisions.Demand, services: Set[str]
 ) -> dict[str, dict[str, Any]]:
@@ -235,11 +276,11 @@
     The roots per second and the slot seconds of one tree that leads there are
     listed by route.
     """
-    costs = tree_costs(demand)
+    costs = call_trees.costs(demand)
     needed: dict[str, float] = {}
-    for route, rates in _roots_by_route(demand).items():
+    for route, rates in call_trees.roots_by_route(demand).items():
         for service, seconds in costs.get(route, {}).items():
-            _add(needed, service, sum(rates) * seconds)
+            call_trees.add(needed, service, sum(rates) * seconds)
     return {
         service.service: {
             "slots": service.slots,
@@ -247,7 +288,7 @@
             "needed": round(needed.get(service.service, 0.0), 1),
             **{
                 f"{route}": (round(sum(rates), 1), round(seconds, 3))
-                for route, rates in _roots_by_route(demand).items()
+                for route, rates in call_trees.roots_by_route(demand).items()
                 if (seconds := costs.get(route, {}).get(service.service, 0.0))
                 >= MIN_COST
             },
@@ -275,19 +316,6 @@
     )
 
 
-def _roots_by_route(
-    demand: demand_decisions.Demand,
-) -> dict[str, tuple[float, ...]]:
-    roots: dict[str, tuple[float, ...]] = {}
-    for route in demand.routes:
-        if any(route.roots):
-            held = roots.get(route.route, demand_decisions.NO_ROOTS)
-            roots[route.route] = tuple(
-                a + b for a, b in zip(held, route.roots, strict=False)
-            )
-    return roots
-
-
 def _service_level(
     capacity: float,
     service: str,
@@ -316,7 +344,11 @@
                 loads[priority] += rate * cost
             else:
                 fixed += rate * cost * admitted_fraction(held.level, priority)
-    room = capacity - fixed
+    return _fill_level(loads, capacity - fixed)
+
+
+def _fill_level(loads: Sequence[float], room: float) -> float:
+    """Returns the level at which the loads by class fill the room."""
     for priority, load in enumerate(loads):
         if load > room:
             return priority + max(0.0, room) / load
@@ -324,61 +356,6 @@
     return ADMIT_ALL_LEVEL
 
 
-def tree_costs(
-    demand: demand_decisions.Demand,
-) -> dict[str, dict[str, float]]:
-    """Returns the slot seconds of all calls below a run, by route and service.
-
-    A route that is split over services costs each of them its share.
-    """
-    own_costs: dict[str, dict[str, float]] = {}
-    calls_per_run: dict[str, dict[str, float]] = {}
-    started: dict[str, float] = {}
-    for part in demand.routes:
-        started[part.route] = started.get(part.route, 0.0) + part.started
-    for part in demand.routes:
-        if not part.started or started[part.route] < MIN_RUNS:
-            continue
-        share = part.started / started[part.route]
-        own_cost = own_costs.setdefault(part.route, {})
-        if part.ended:
-            _add(own_cost, part.service, share * part.busy_s / part.ended)
-        callees = calls_per_run.setdefault(part.route, {})
-        for call in part.calls:
-            if call.count >= demand_decisions.MIN_CALLS_PER_RUN * part.started:
-                _add(callees, call.route, call.count / started[part.route])
-    costs = own_costs
-    for _ in range(MAX_DEPTH - 1):
-        costs = {
-            route: _with_callees(own_cost, calls_per_run[route], costs)
-            for route, own_cost in own_costs.items()
-        }
-    return {
-        route: {
-            service: seconds - own_costs[route].get(service, 0.0)
-            for service, seconds in cost.items()
-        }
-        for route, cost in costs.items()
-    }
-
-
-def _with_callees(
-    own_cost: Mapping[str, float],
-    calls_per_run: Mapping[str, float],
-    costs: Mapping[str, Mapping[str, float]],
-) -> dict[str, float]:
-    """Returns a run's own cost plus what the trees below its calls cost."""
-    total = dict(own_cost)
-    for callee, count in calls_per_run.items():
-        for service, seconds in costs.get(callee, {}).items():
-            _add(total, service, count * seconds)
-    return total
-
-
-def _add(sums: dict[str, float], key: str, amount: float) -> None:
-    sums[key] = sums.get(key, 0.0) + amount
-
-
 # --- at the entry node -------------------------------------------------------
 
 
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -408,6 +408,8 @@
                         completed=self._nested
                         and self._completed
                         and not self._failed,
+                        refused=self._shed
+                        or (self._failed and not self._timed_out),
                     )
                 )
             except exceptions.MailboxClosedError:
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -182,6 +182,8 @@
       seconds: Time for which it held its slot.
       urgency: As in `RunStarted`.
       completed: Whether it was a nested call that the upstream answered.
+      refused: Whether the upstream refused it, or failed it by itself before
+        its deadline.
     """
 
     route: str
@@ -189,6 +191,7 @@
     seconds: float
     urgency: model.Priority = model.Priority.NORMAL
     completed: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -296,6 +296,19 @@
     assert _calls(held, _tree(200.0)) < 2.2
 
 
+def test_trees_that_are_broken_off_stay_known_while_calls_are_refused():
+    """Pattern: a narrow service sheds half of its calls for half a minute.
+
+    Guards against trees of four calls that seem to make two, after 15 s.
+    """
+    held = demand.hold_calls_per_run(demand.CallsPerRun(), _tree(400.0), 0.0)
+    for second in range(1, 31):
+        held = demand.hold_calls_per_run(
+            held, _tree(150.0), float(second), refusing=True
+        )
+    assert _calls(held, _tree(150.0)) > 3.5
+
+
 def test_more_calls_than_held_count_at_once():
     held = demand.hold_calls_per_run(demand.CallsPerRun(), _tree(100.0), 0.0)
     held = demand.hold_calls_per_run(held, _tree(400.0), 0.25)
@@ -459,6 +472,25 @@
     assert sheds.per_second == pytest.approx(100.0, rel=0.05)
 
 
+async def test_runs_that_the_upstream_refused_are_reported(fake_clock):
+    """Guards against a cost of calls that is diluted by refused ones."""
+    monitor = _monitor()
+    fields = {"route": "feed", "service": "middle"}
+    async with fakes.started(monitor):
+        for refused in (True, False, False):
+            monitor.mailbox.tell(messages.RunStarted(**fields))
+            monitor.mailbox.tell(
+                messages.RunEnded(seconds=0.1, refused=refused, **fields)
+            )
+        fake_clock.now += 0.01
+        reported = await monitor.mailbox.ask(messages.ReadDemand())
+    (route,) = reported.routes
+    assert route.refused == pytest.approx(1.0, rel=0.01)
+    assert route.ended == pytest.approx(3.0, rel=0.01)
+    (both,) = demand.add_up((reported, reported)).routes
+    assert both.refused == 2 * route.refused
+
+
 @pytest.mark.parametrize("depth", [0, 1])
 async def test_a_nested_call_that_no_upstream_takes_is_counted(depth):
     """A root that is refused has wasted nothing, so it is not counted."""
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -193,6 +193,32 @@
             assert released.timed_out is (failed and status == 504)
 
 
+async def test_a_run_that_the_upstream_refused_is_told_apart():
+    """Its time is no measure of what a call costs.
+
+    Guards against the error of an upstream that calls others, which has run.
+    """
+    for status, upstream_calls, refused in [
+        (503, False, True),
+        (429, True, True),
+        (500, False, True),
+        (504, False, False),
+        (500, True, False),
+        (200, False, False),
+    ]:
+        monitor = fakes.ScriptedController(lambda message: None)
+        async with _filter(
+            _response(status), upstream_calls, monitor=monitor
+        ) as (tested, _, _):
+            await tested.handle(fakes.call(depth=1))
+        (ended,) = (
+            message
+            for message in monitor.received
+            if isinstance(message, messages.RunEnded)
+        )
+        assert ended.refused is refused, status
+
+
 async def _refused_roots(status, *, upstream_calls=True, depth=0, **fields):
     """Returns how many of 200 calls are refused while others get `status`."""
     async with _filter(
