Retries: scarce tokens go to urgent calls first

Cause: while a service sheds half of its calls, there is one retry for seven shed calls, and calls that are many and not urgent take it. Urgent roots were served no more often than nested calls of others.

Change: `retries: urgent-arrivals`. Calls of the most urgent class may use all tokens of the node's bucket of a service; others leave 2 to 2.5 of its 4, nested calls less than roots of their class, and estimated urgency half of it. A full bucket, a call of unknown class, and refusals before the upstream are as before. The bucket gets and spends as many tokens, so that its ratio bounds the retries as before. `arrivals` stays the policy of the template. The counter `retries_withheld` shows the effect.

Preference for trees that are almost done is not built: calls carry no link to their run, see docs/design/narrow-service.md.

Tests: added; `_Node` in test_routing_controller takes a retry policy.

--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -10,6 +10,7 @@
 
 from sassafrashall import clock
 from sassafrashall import events
+from sassafrashall import frozen
 from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
@@ -921,6 +922,19 @@
                 bucket, retries.retry_cost(self._retry_policy, message.refusal)
             )
             self._metrics.count("retries", service=message.call.service)
+        elif retries.reserved_tokens(
+            self._retry_policy, message.call
+        ) and retries.should_retry(
+            self._retry_policy,
+            frozen.replace(message.call, urgency=None),
+            message.refusal,
+            message.attempts,
+            bucket,
+            now,
+        ):
+            self._metrics.count(
+                "retries_withheld", service=message.call.service
+            )
         return allowed
 
 
--- a/src/sassafrashall/decisions/retries.py
+++ b/src/sassafrashall/decisions/retries.py
@@ -2,6 +2,8 @@
 
 The budget bounds the retries of one root call and all calls below it. The
 token bucket bounds the retries of a node to a ratio of its first attempts.
+When a service sheds half of its calls, there are tokens for few of them;
+`UrgentRetries` keeps those for the calls that are worth most.
 """
 
 from __future__ import annotations
@@ -15,6 +17,8 @@
 RETRY_RATIO = 0.1  # retries per first attempt at one node
 RETRY_BURST = 10.0  # capacity of a node's token bucket
 MIN_RETRY_TIME = 0.005  # minimum seconds left until the deadline
+# Rank of the roots of the least urgent class, among all but the most urgent.
+_LAST_RANK = 2 * (len(model.Priority) - 1) - 1
 
 # Refusals that an attempt at another upstream may avoid.
 _RETRYABLE_CODES = frozenset(
@@ -83,6 +87,24 @@
     max_refusals: int = 3
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UrgentRetries(ArrivalRetries):
+    """Like `ArrivalRetries`, with the last tokens for the most urgent calls.
+
+    The bucket gets and spends as many tokens, so that the bounds on retries
+    hold as before. A call whose class is not known is retried as before, and
+    so is any call while the bucket is full.
+
+    Attributes:
+      reserve: Tokens that only the most urgent class may use. With 1, such a
+        call got one retry and seldom the second one that half of them need.
+      spread: Tokens between the first and the last of the other ranks.
+    """
+
+    reserve: float = 2.0
+    spread: float = 0.5
+
+
 Policy: TypeAlias = NoRetries | FixedRetries | BudgetRetries | ArrivalRetries
 
 
@@ -127,6 +149,28 @@
     )
 
 
+def reserved_tokens(policy: Policy, call: model.Call) -> float:
+    """Returns the tokens that a retry of this call must leave to others.
+
+    Nested calls go before roots of their class, since refusing one wastes what
+    its tree has cost.
+    """
+    match policy:
+        case UrgentRetries(reserve=reserve, spread=spread):
+            urgency = call.urgency
+            if urgency is None:
+                return 0.0
+            if urgency == min(model.Priority):
+                # A class above that of the call's own route is an estimate
+                # that is often wrong.
+                is_estimated = call.depth > 0 and urgency < call.priority
+                return reserve / 2.0 if is_estimated else 0.0
+            rank = 2 * (urgency - 1) + (call.depth == 0)
+            return reserve + spread * rank / _LAST_RANK
+        case _:
+            return 0.0
+
+
 def token_bucket_key(policy: Policy, service: str) -> str:
     """Returns the key of the token bucket of calls to this service.
 
@@ -218,6 +262,7 @@
         case ArrivalRetries(max_refusals=max_refusals):
             if refused_before_upstream(refusal):
                 return attempts <= max_refusals
-            return call.retries > 0 and token_bucket.tokens >= retry_cost(
-                policy, refusal
-            )
+            needed = retry_cost(policy, refusal) + reserved_tokens(policy, call)
+            # A full bucket is enough for any retry.
+            needed = min(needed, policy.burst)
+            return call.retries > 0 and token_bucket.tokens >= needed
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -285,6 +285,7 @@
     "fixed": retry_policies.FixedRetries(),
     "budget": retry_policies.BudgetRetries(),
     "arrivals": retry_policies.ArrivalRetries(),
+    "urgent-arrivals": retry_policies.UrgentRetries(),
 }
 _POLICY_NAMES = {
     "limit": tuple(LIMIT_POLICIES),
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,3 +1,5 @@
+import random
+
 import pytest
 
 from sassafrashall import exceptions
@@ -136,3 +138,138 @@
     assert retries.new_token_bucket(policy).tokens == 0
     full = retries.RetryTokenBucket(tokens=policy.burst)
     assert retries.on_first_attempt(full, policy).tokens == policy.burst
+
+
+def _call_of(urgency, *, depth=0, priority=None):
+    return model.Call(
+        request=None,
+        root_id="r",
+        idempotent=True,
+        deadline=9.0,
+        retries=3,
+        depth=depth,
+        urgency=urgency,
+        priority=urgency if priority is None else priority,
+    )
+
+
+CRITICAL, NORMAL, BULK = model.Priority
+SHED = _refusal(exceptions.UPSTREAM_REFUSED)
+
+
+def _needed(call, refusal=SHED):
+    """Returns the tokens from which on a call is retried."""
+    policy = retries.UrgentRetries()
+    return next(
+        (
+            tokens / 100
+            for tokens in range(401)
+            if retries.should_retry(
+                policy,
+                call,
+                refusal,
+                1,
+                retries.RetryTokenBucket(tokens=tokens / 100),
+                1.0,
+            )
+        ),
+        None,
+    )
+
+
+def test_scarce_tokens_are_kept_for_urgent_calls_and_then_for_nested_ones():
+    """Pattern: a narrow service sheds half of its calls; few can be retried."""
+    ranks = [
+        _call_of(CRITICAL),
+        _call_of(CRITICAL, depth=1, priority=NORMAL),
+        _call_of(NORMAL, depth=1),
+        _call_of(NORMAL),
+        _call_of(BULK, depth=1),
+        _call_of(BULK),
+    ]
+    needed = [_needed(call) for call in ranks]
+    assert needed == sorted(set(needed))
+    assert needed[0] == _needed(_call_of(CRITICAL, depth=1)) == 1.0
+    # After any other retry, one of the most urgent calls still gets a token.
+    assert needed[2] >= 2.0
+    assert needed[-1] < retries.UrgentRetries().burst
+
+
+@pytest.mark.parametrize("urgency", [None, *model.Priority])
+@pytest.mark.parametrize("depth", [0, 1])
+def test_with_a_full_bucket_every_call_is_retried_as_before(urgency, depth):
+    call = _call_of(urgency, depth=depth, priority=BULK)
+    unknown = _refusal(exceptions.UPSTREAM_FAILED, model.RunState.UNKNOWN)
+    for refusal in (SHED, unknown):
+        assert _needed(call, refusal) is not None
+    # Refusals in front of the upstream stay free.
+    assert _needed(call, _refusal(exceptions.SHED)) == 0.0
+
+
+def test_a_call_of_unknown_class_is_retried_as_before():
+    assert _needed(_call_of(None, priority=BULK)) == 1.0
+
+
+def _play_shedding(policy, *, calls_per_s, roots_per_s, seed=1):
+    """Plays the retries of one node at a service that sheds 55% of its calls.
+
+    Returns:
+      The times of the first attempts and of the retries, and the fractions of
+      the urgent roots and of the nested calls that are served.
+    """
+    draw = random.Random(seed)
+    bucket = retries.new_token_bucket(policy)
+    firsts, retried = [], []
+    served = {0: [], 1: []}
+    at = 0.0
+    while at < 60.0:
+        at += draw.expovariate(calls_per_s + roots_per_s)
+        nested = draw.random() * (calls_per_s + roots_per_s) < calls_per_s
+        call = _call_of(NORMAL if nested else CRITICAL, depth=int(nested))
+        bucket = retries.on_first_attempt(bucket, policy)
+        firsts.append(at)
+        for attempts in (1, 2, 3, 4):
+            if draw.random() >= 0.55:
+                break
+            if attempts == 4 or not retries.should_retry(
+                policy, call, SHED, attempts, bucket, 1.0
+            ):
+                attempts = 0
+                break
+            bucket = retries.on_retry(bucket, 1.0)
+            retried.append(at)
+        served[int(nested)].append(attempts > 0)
+    return firsts, retried, *(sum(s) / len(s) for s in served.values())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_urgent_roots_are_retried_first_beside_many_nested_calls(seed):
+    """Pattern: upstreams shed 55%; 36 nested calls a second to 1.4 roots.
+
+    Guards against tokens that less urgent calls, which are many and fail all
+    the same, use up.
+    """
+    rates = {"calls_per_s": 36.0, "roots_per_s": 1.4, "seed": seed}
+    *_, roots, nested = _play_shedding(retries.UrgentRetries(), **rates)
+    *_, roots_before, nested_before = _play_shedding(
+        retries.ArrivalRetries(), **rates
+    )
+    assert roots > 0.7
+    assert roots > 1.3 * roots_before
+    assert nested > 0.9 * nested_before
+
+
+@pytest.mark.parametrize("roots_per_s", [0.5, 5.0, 100.0])
+def test_the_reserve_adds_no_retries_in_any_window(roots_per_s):
+    """Guards against retries over the ratio that the fleet tolerates."""
+    policy = retries.UrgentRetries()
+    firsts, retried, *_ = _play_shedding(
+        policy, calls_per_s=36.0, roots_per_s=roots_per_s
+    )
+    assert len(retried) <= policy.ratio * len(firsts)
+    for begin in range(0, 50):
+        made, first = (
+            sum(begin <= at < begin + 10.0 for at in times)
+            for times in (retried, firsts)
+        )
+        assert made <= policy.ratio * first + policy.burst
--- a/tests/test_routing_controller.py
+++ b/tests/test_routing_controller.py
@@ -5,11 +5,13 @@
 import pytest
 
 from sassafrashall import clock
+from sassafrashall import exceptions
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
 from sassafrashall import settings
 from sassafrashall.controllers import routing
+from sassafrashall.decisions import retries
 from sassafrashall.decisions import routing as decisions
 from sassafrashall.decisions import spillover
 from tests import fakes
@@ -31,7 +33,7 @@
     `upstreams` are data centres by VM.
     """
 
-    def __init__(self, monkeypatch, upstreams, loads=None):
+    def __init__(self, monkeypatch, upstreams, loads=None, retry_policy=None):
         self.now = 100.0
         monkeypatch.setattr(clock, "monotonic", lambda: self.now)
         self.view = mailbox.Published(
@@ -64,6 +66,7 @@
             counters=fakes.counters(),
             seed=1,
             summary=self.summary,
+            retry_policy=retry_policy,
         )
 
     def tell_loads(self, loads):
@@ -221,3 +224,35 @@
     records = {"y1": view.records["y1"]}
     node.view.publish(dataclasses.replace(view, records=records))
     assert node.choose() == "y1"
+
+
+def _may_retry(node, urgency):
+    reply = _Reply()
+    refusal = model.Refuse(code=exceptions.UPSTREAM_REFUSED, detail="")
+    call = fakes.call(service=SERVICE, retries=2, urgency=urgency)
+    node.controller._handle(
+        messages.MayRetry(call=call, refusal=refusal, attempts=1), reply
+    )
+    return reply.value
+
+
+@pytest.mark.parametrize(
+    ("policy", "allowed"),
+    [
+        (retries.UrgentRetries(ratio=0.1), [False, True, False]),
+        (retries.ArrivalRetries(ratio=0.1), [True, False, False]),
+    ],
+)
+def test_scarce_retries_of_a_node_go_to_urgent_calls(
+    monkeypatch, policy, allowed
+):
+    """Pattern: a service that sheds, with one retry left for three calls."""
+    node = _Node(monkeypatch, {"x1": "x"}, retry_policy=policy)
+    for _ in range(15):
+        node.controller._handle(
+            messages.FirstAttempt(service=SERVICE), _Reply()
+        )
+    normal, critical = model.Priority.NORMAL, model.Priority.CRITICAL
+    assert [
+        _may_retry(node, urgency) for urgency in (normal, critical, normal)
+    ] == allowed
