Tree admission: trees leave room for urgent roots of the narrow service

Cause: trees may fill nine tenths of a service, whatever its own roots of more urgent classes need. With more of these, trees are let in whose calls then lose to the urgent roots, or which take their slots.

Change: with `measured-capacity`, trees of a class leave the slots that the service's own roots of more urgent classes need, by their measured rate and the cost of a completed run, less those that another service keeps out. A class without trees no longer ends the search for the level.

Tests: added. The test of the narrow service reports the urgent roots of a burst, which it reported at their usual rate before.

--- a/src/sassafrashall/decisions/call_trees.py
+++ b/src/sassafrashall/decisions/call_trees.py
@@ -40,12 +40,43 @@
     """
 
     def seconds(part: demand_decisions.RouteDemand) -> float:
-        completed = part.ended - (part.refused if by_completed else 0.0)
-        return part.busy_s / completed if completed > 0.0 else 0.0
+        return _run_cost(part, part.refused if by_completed else 0.0)
 
     return _sum_below(demand, seconds)
 
 
+def own_costs(
+    demand: demand_decisions.Demand,
+) -> dict[str, dict[str, float]]:
+    """Returns the slot seconds of a completed run, by route and service."""
+    started = _started(demand)
+    own: dict[str, dict[str, float]] = {}
+    for part in demand.routes:
+        if part.started and started[part.route] >= MIN_RUNS:
+            add(
+                own.setdefault(part.route, {}),
+                part.service,
+                part.started
+                / started[part.route]
+                * _run_cost(part, part.refused),
+            )
+    return own
+
+
+def _run_cost(part: demand_decisions.RouteDemand, refused: float) -> float:
+    """Returns the slot seconds for each run that was not refused."""
+    completed = part.ended - refused
+    return part.busy_s / completed if completed > 0.0 else 0.0
+
+
+def _started(demand: demand_decisions.Demand) -> dict[str, float]:
+    """Returns the weighted number of runs by route, over all services."""
+    started: dict[str, float] = {}
+    for part in demand.routes:
+        add(started, part.route, part.started)
+    return started
+
+
 def calls(
     demand: demand_decisions.Demand,
 ) -> dict[str, dict[str, float]]:
@@ -65,9 +96,7 @@
     """
     own_costs: dict[str, dict[str, float]] = {}
     calls_per_run: dict[str, dict[str, float]] = {}
-    started: dict[str, float] = {}
-    for part in demand.routes:
-        started[part.route] = started.get(part.route, 0.0) + part.started
+    started = _started(demand)
     for part in demand.routes:
         if not part.started or started[part.route] < MIN_RUNS:
             continue
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -64,7 +64,8 @@
 
     A service that refuses calls, because its upstreams shed, are slow or are
     gone, is given fewer trees than its announced slots would carry. What a call
-    costs is counted by completed calls.
+    costs is counted by completed calls. Trees leave the slots that a service's
+    own roots of more urgent classes need.
     """
 
 
@@ -200,19 +201,26 @@
     is_measured = isinstance(policy, MeasuredCapacity)
     costs = call_trees.costs(demand, by_completed=is_measured)
     roots = call_trees.roots_by_route(demand)
+    factors = corrections or {}
     slots = {
-        service.service: service.slots
-        * (corrections or {}).get(service.service, 1.0)
+        service.service: service.slots * factors.get(service.service, 1.0)
         for service in demand.services
     }
     if is_measured:
         slots |= dict.fromkeys(_lost_services(demand), 0.0)
     levels: dict[str, RouteLevel] = {}
     remaining = set(slots)
+    own_costs = call_trees.own_costs(demand) if is_measured else {}
     while remaining:
         limits = {
             service: _service_level(
-                utilization * slots[service], service, roots, costs, levels
+                utilization * slots[service],
+                service,
+                roots,
+                costs,
+                levels,
+                whole=slots[service] / min(1.0, factors.get(service, 1.0)),
+                own_costs=own_costs,
             )
             for service in remaining
         }
@@ -229,7 +237,7 @@
                     ),
                 )
     if is_measured:
-        _limit_unlikely_trees(policy, demand, corrections or {}, spells, levels)
+        _limit_unlikely_trees(policy, demand, factors, spells, levels)
     return tuple(levels.values())
 
 
@@ -259,7 +267,7 @@
     for route, rates in call_trees.roots_by_route(demand).items():
         made = calls.get(route, {})
         share = measured_capacity.tree_share(served, made)
-        level = _fill_level(rates, share * sum(rates))
+        level = _fill_level(rates, [share * sum(rates)] * len(rates))
         held = levels.get(route)
         if level < (held.level if held else ADMIT_ALL_LEVEL):
             most_called = max(served, key=lambda name: made.get(name, 0.0))
@@ -322,6 +330,9 @@
     roots: Mapping[str, tuple[float, ...]],
     costs: Mapping[str, Mapping[str, float]],
     levels: Mapping[str, RouteLevel],
+    *,
+    whole: float,
+    own_costs: Mapping[str, Mapping[str, float]],
 ) -> float:
     """Returns the level at which the admitted trees fill a service.
 
@@ -331,28 +342,45 @@
       roots: Root requests per second by route and priority class.
       costs: Slot seconds by route and service.
       levels: The routes that other services limit already.
+      whole: Slots that the trees and the service's own roots may fill.
+      own_costs: Slot seconds of a root at its own service, by route and
+        service. Trees leave room for own roots of more urgent classes.
     """
     fixed = 0.0
     loads = [0.0] * len(model.Priority)
+    own_loads = [0.0] * len(model.Priority)
     for route, rates in roots.items():
         cost = costs.get(route, {}).get(service, 0.0)
-        if cost < MIN_COST:
-            continue
+        own_cost = own_costs.get(route, {}).get(service, 0.0)
+        held = levels.get(route)
         for priority, rate in enumerate(rates):
-            held = levels.get(route)
-            if held is None:
-                loads[priority] += rate * cost
-            else:
-                fixed += rate * cost * admitted_fraction(held.level, priority)
-    return _fill_level(loads, capacity - fixed)
-
-
-def _fill_level(loads: Sequence[float], room: float) -> float:
-    """Returns the level at which the loads by class fill the room."""
-    for priority, load in enumerate(loads):
-        if load > room:
-            return priority + max(0.0, room) / load
-        room -= load
+            admitted = rate
+            if held is not None:
+                admitted *= admitted_fraction(held.level, priority)
+            own_loads[priority] += admitted * own_cost
+            if cost >= MIN_COST and held is None:
+                loads[priority] += admitted * cost
+            elif cost >= MIN_COST:
+                fixed += admitted * cost
+    rooms = [
+        min(capacity, whole - sum(own_loads[:priority])) - fixed
+        for priority in model.Priority
+    ]
+    return _fill_level(loads, rooms)
+
+
+def _fill_level(loads: Sequence[float], rooms: Sequence[float]) -> float:
+    """Returns the level at which the loads by class fill the room.
+
+    Args:
+      loads: Loads by priority class.
+      rooms: By priority class, the room for it and the classes before it.
+    """
+    filled = 0.0
+    for priority, (load, room) in enumerate(zip(loads, rooms, strict=True)):
+        if load and filled + load > room:
+            return priority + max(0.0, room - filled) / load
+        filled += load
     return ADMIT_ALL_LEVEL
 
 
--- a/tests/test_narrow_service.py
+++ b/tests/test_narrow_service.py
@@ -85,7 +85,7 @@
         return self.sums[name] / self._seconds
 
 
-def _reported(roots, runs, outcomes, busy):
+def _reported(trees, direct, runs, outcomes, busy):
     """Returns the demand that all nodes together report."""
     sums = runs.sums
 
@@ -103,8 +103,8 @@
 
     return demand.Demand(
         routes=(
-            demand.RouteDemand(route="tree", roots=(0.0, roots, 0.0)),
-            demand.RouteDemand(route="direct", roots=(DIRECT, 0.0, 0.0)),
+            demand.RouteDemand(route="tree", roots=(0.0, trees, 0.0)),
+            demand.RouteDemand(route="direct", roots=(direct, 0.0, 0.0)),
             run("tree", "a", 0.2 * sums["tree"], ["b"]),
             run("b", "b", 0.015 * sums["b"], ["c"]),
             run("c", "c", 0.015 * sums["c"], ["feed"]),
@@ -124,7 +124,7 @@
     )
 
 
-def _play(policy, *, burst, shed, seconds):
+def _play(policy, *, burst, shed, seconds, direct_rate=DIRECT):
     """Plays a control and the narrow service; returns the rates by step.
 
     Args:
@@ -132,6 +132,7 @@
       burst: Returns the multiple of the usual load at a time.
       shed: Returns the fraction of calls that each upstream sheds at a time.
       seconds: Length.
+      direct_rate: Roots of class 0 per second before the burst.
     """
     runs, outcomes = _Weighted(RUNS_HALF_LIFE), _Weighted(OUTCOMES_HALF_LIFE)
     known = collections.deque(maxlen=DELAY)
@@ -139,7 +140,8 @@
     corrections, spells, levels, played = {}, {}, (), []
     for step in range(int(seconds / STEP)):
         now = step * STEP
-        offered, direct, p = TREES * burst(now), DIRECT * burst(now), shed(now)
+        offered, direct = TREES * burst(now), direct_rate * burst(now)
+        p = shed(now)
         level = next((v.level for v in levels if v.route == "tree"), 3.0)
         trees = offered * tree_admission.admitted_fraction(level, 1)
         served, calls = _served(trees, direct, p)
@@ -170,7 +172,7 @@
                 level=level,
             )
         )
-        known.append(_reported(offered, runs, outcomes, busy))
+        known.append(_reported(offered, direct, runs, outcomes, busy))
         refusing = tree_admission.refusing_services(
             policy, demand.with_held_calls(known[0], held)
         )
@@ -295,3 +297,29 @@
         seconds=30.0,
     )
     assert _count(played, "refused") == 0.0
+
+
+def test_trees_leave_room_for_urgent_roots_of_the_narrow_service():
+    """Pattern: urgent roots that go to the narrow service need 36 of its slots.
+
+    Guards against trees of class 1 that are let in to slots which roots of
+    class 0 take from them, or which they take from these roots.
+    """
+    played, baseline = (
+        _play(
+            policy,
+            burst=lambda now: 2.5 if now >= 5.0 else 1.0,
+            shed=lambda now: 0.0,
+            seconds=30.0,
+            direct_rate=110.0,
+        )
+        for policy in (
+            tree_admission.MeasuredCapacity(),
+            tree_admission.NarrowestService(),
+        )
+    )
+    assert _mean(baseline, "failed", 10.0, 30.0) > 100.0
+    assert _mean(played, "failed", 10.0, 30.0) < 10.0
+    room = SLOTS - 2.5 * 110.0 * DIRECT_S
+    expected = room / (8.0 * CALL_S)
+    assert _mean(played, "succeeded", 10.0, 30.0) > 0.9 * expected
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -560,3 +560,57 @@
     expected = _levels(fleet, MEASURED)["view"].level
     assert _levels(shedding, MEASURED)["view"].level == pytest.approx(expected)
     assert "view" not in _levels(shedding, POLICY)
+
+
+@pytest.mark.parametrize(
+    ("check", "level"),
+    [
+        # Class 0 takes 60 of 100 slots; trees need 80 and get 40.
+        ((40.0, 0, 0), 1.5),
+        # It takes all: few trees are let in, and no root of class 0 is lost.
+        ((80.0, 0, 0), 1.0),
+        # Within the fifth that is kept for them, roots change nothing.
+        ((10.0, 0, 0), None),
+        # Roots of the trees' own class are refused at the door.
+        ((0, 40.0, 0), None),
+    ],
+)
+def test_trees_leave_room_for_more_urgent_roots(check, level):
+    """Pattern: urgent roots that go directly to the narrow service."""
+    fleet = _deep_chain(view=(0, 100.0, 0), check=check)
+    levels = _levels(fleet, MEASURED)
+    if level is None:
+        assert not levels
+    else:
+        assert levels["view"].level == pytest.approx(level)
+    assert "check" not in levels
+    # The baseline keeps a fixed part.
+    assert not _levels(fleet, POLICY)
+
+
+def test_roots_that_another_service_keeps_out_need_no_room():
+    """Guards against trees that are refused for roots that never arrive."""
+    fleet = _deep_chain(view=(0, 100.0, 0), check=(80.0, 0, 0))
+    deep = _run("deep", "tiny", runs=10, busy_s=10)
+    limited = dataclasses.replace(
+        fleet,
+        routes=(
+            *(
+                dataclasses.replace(
+                    route, calls=(demand.Calls(route="deep", count=4.0),)
+                )
+                if route.route == "check" and route.service
+                else route
+                for route in fleet.routes
+            ),
+            deep,
+        ),
+        services=(
+            *fleet.services,
+            demand.ServiceSlots(service="tiny", slots=10),
+        ),
+    )
+    levels = _levels(limited, MEASURED)
+    # A tenth of the checks is let in, which need 12 slots.
+    assert levels["check"].level == pytest.approx(0.1)
+    assert "view" not in levels
