Tree admission: services are lowered by the chance of trees, and bursts wait

Cause: trees that are broken off hide an overload, so that a service which takes half of what its slots promise was lowered within 4 s, taken after 5 s for one that sheds at any load, and then given all. In a burst, what a service completed just before counted as what it can. Trees seemed smaller by a tenth while a sixth of them failed, and more were let in than the service takes. A service at nine tenths of its slots never got the last of them back.

Change, for `measured-capacity` alone: a service is lowered by the chance that a tree succeeds there, more slowly below 10 refused calls a second; while its slots are in use, only after 1.75 s, and never as one that sheds at any load. What whole trees make is held while more than 2% of them are broken off. The factor recovers up to the permitted utilization. Trees are refused by their chance if less than one in four succeeds, instead of one in two.

Tests changed: the test of nodes that report no completions passes a spell of 2 s, since refusals of a full service are left to its levels at first. Added: half the slots, a burst after little demand, 20% shed.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -344,15 +344,19 @@
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
         self._rooms = self._compute_rooms(fleet)
-        refusing = tree_admission.refusing_services(
-            self._admission_policy,
-            demand_decisions.with_held_calls(fleet, self._calls_per_run),
-        )
+        known = demand_decisions.with_held_calls(fleet, self._calls_per_run)
         self._spells = measured_capacity.update_spells(
-            self._spells, self._corrections, refusing, elapsed
+            self._spells,
+            self._corrections,
+            tree_admission.refusing_services(self._admission_policy, known),
+            elapsed,
         )
         self._calls_per_run = demand_decisions.hold_calls_per_run(
-            self._calls_per_run, fleet, now, refusing=bool(self._spells)
+            self._calls_per_run,
+            fleet,
+            now,
+            refusing=bool(self._spells)
+            or tree_admission.breaks_trees(self._admission_policy, known),
         )
         fleet = demand_decisions.with_held_calls(fleet, self._calls_per_run)
         self._corrections = tree_admission.correct(
--- a/src/sassafrashall/decisions/call_trees.py
+++ b/src/sassafrashall/decisions/call_trees.py
@@ -63,6 +63,22 @@
     return own
 
 
+def call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
+    """Returns the slot seconds of a completed nested call at each service."""
+    called = {call.route for route in demand.routes for call in route.calls}
+    busy: dict[str, float] = {}
+    completed: dict[str, float] = {}
+    for route in demand.routes:
+        if route.route in called:
+            add(busy, route.service, route.busy_s)
+            add(completed, route.service, route.ended - route.refused)
+    return {
+        service: seconds / completed[service]
+        for service, seconds in busy.items()
+        if completed[service] > 0.0
+    }
+
+
 def _run_cost(part: demand_decisions.RouteDemand, refused: float) -> float:
     """Returns the slot seconds for each run that was not refused."""
     completed = part.ended - refused
--- a/src/sassafrashall/decisions/measured_capacity.py
+++ b/src/sassafrashall/decisions/measured_capacity.py
@@ -21,8 +21,11 @@
 # attempt may fail for five that are refused.
 TREE_TOLERANCE = 1 / 6
 # Completed calls per second that are added to what was observed, so that one
-# refused call of a service with few calls lowers nothing.
-PRIOR_COMPLETIONS = 10.0
+# refused call of a service with few calls keeps no trees out.
+PRIOR_COMPLETIONS = 3.0
+# Refused calls per second from which on a service is lowered at full speed. One
+# call that was refused just now counts as 1.4.
+CLEAR_SHEDS = 10.0
 # Seconds from a change of the admitted trees until its effect is known, about
 # half of the 1.75 s that heartbeats, gossip and the interval of the computation
 # take at most. A correction that is repeated sooner overshoots.
@@ -39,10 +42,14 @@
 # whatever the load: 1 s to lower it to a quarter, 1.75 s until the effect is
 # reported, and 2 s for the rates to follow.
 PERSISTENT_TIME = 5.0
-PERSISTENT_RECOVERY_RATE = 0.3  # growth per second from then on
-# Chance of success from which on all trees of a route are let in. Below it a
-# tree fails more often than it succeeds.
-EVEN_ODDS = 0.5
+PERSISTENT_RECOVERY_RATE = 1.0  # growth per second from then on
+LEVELS_TIME = 1.75  # seconds until levels follow a burst
+# Fraction of the slots in use from which on a service refuses calls for lack of
+# free ones, however long it has done so.
+FULL_ABOVE = 0.75
+# Chance of success from which on all trees of a route are let in. Below it more
+# than three trees fail for each that succeeds.
+MIN_CHANCE = 0.25
 
 
 def served_fractions(demand: demand_decisions.Demand) -> dict[str, float]:
@@ -64,25 +71,33 @@
     }
 
 
-def refusing_services(
+def tree_chances(
     demand: demand_decisions.Demand,
     roots: Mapping[str, tuple[float, ...]],
     calls: Mapping[str, Mapping[str, float]],
-) -> frozenset[str]:
-    """Returns the services at which too many trees fail.
+) -> dict[str, float]:
+    """Returns the chance by service that all calls of a tree there are served.
 
-    A tree of many calls fails if one of them is refused, so that fewer may be
-    refused the more calls a tree makes.
+    A tree of many calls fails if one of them is refused. It then makes no more
+    of them, so that the calls alone show only a part of an overload.
 
     Args:
       demand: Demand of the fleet.
       roots: Root requests per second by route and priority class.
       calls: Calls of a tree by route and service.
     """
+    return {
+        service: served ** _mean_calls(service, roots, calls)
+        for service, served in served_fractions(demand).items()
+    }
+
+
+def refusing_services(chances: Mapping[str, float]) -> frozenset[str]:
+    """Returns the services at which too many trees fail."""
     return frozenset(
         service
-        for service, served in served_fractions(demand).items()
-        if served ** _mean_calls(service, roots, calls) < 1.0 - TREE_TOLERANCE
+        for service, chance in chances.items()
+        if chance < 1.0 - TREE_TOLERANCE
     )
 
 
@@ -146,7 +161,11 @@
 
 
 def lowered(
-    factor: float, served: float, completed_slots: float, elapsed: float
+    factor: float,
+    chance: float,
+    sheds: float,
+    completed_slots: float,
+    elapsed: float,
 ) -> float:
     """Returns the factor of a service that refuses too many calls.
 
@@ -154,12 +173,14 @@
 
     Args:
       factor: The factor before.
-      served: Fraction of the calls that the service serves.
+      chance: Chance that all calls of a tree are served.
+      sheds: Calls per second that it refuses.
       completed_slots: Slots that the completed calls take, as a fraction of
         those that calls may fill.
       elapsed: Seconds since the last correction.
     """
-    cut = max(MIN_CORRECTION, served) ** (elapsed / FEEDBACK_DELAY)
+    speed = min(1.0, sheds / CLEAR_SHEDS) / FEEDBACK_DELAY
+    cut = max(MIN_CORRECTION, chance) ** (elapsed * speed)
     return min(factor, max(MIN_CORRECTION, completed_slots, factor * cut))
 
 
@@ -173,9 +194,23 @@
     return min(1.0, factor * math.exp(rate * elapsed))
 
 
-def is_persistent(spell: Spell) -> bool:
-    """Returns whether a service goes on refusing calls, given less or not."""
-    return spell.refusing_s >= PERSISTENT_TIME
+def lacks_slots(service: demand_decisions.ServiceSlots) -> bool:
+    """Returns whether a service may refuse calls since its slots are in use."""
+    return service.busy >= FULL_ABOVE * service.slots
+
+
+def is_persistent(service: demand_decisions.ServiceSlots, spell: Spell) -> bool:
+    """Returns whether a service refuses calls although it is given less."""
+    return spell.refusing_s >= PERSISTENT_TIME and not lacks_slots(service)
+
+
+def awaits_levels(service: demand_decisions.ServiceSlots, spell: Spell) -> bool:
+    """Returns whether refusals may be those of a burst.
+
+    Levels by its slots end them within that time. What it completes is not yet
+    what it can complete, if demand was low before.
+    """
+    return spell.refusing_s < LEVELS_TIME and lacks_slots(service)
 
 
 def ignores_load(
@@ -183,7 +218,7 @@
 ) -> bool:
     """Returns whether a service that refuses calls would do so at any load."""
     return (
-        is_persistent(spell)
+        is_persistent(service, spell)
         or factor <= MIN_CORRECTION
         or service.busy < MIN_CORRECTION * service.slots
     )
@@ -203,4 +238,4 @@
         fraction ** calls.get(service, 0.0)
         for service, fraction in served.items()
     )
-    return min(1.0, chance / EVEN_ODDS)
+    return min(1.0, chance / MIN_CHANCE)
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -38,6 +38,10 @@
 MAX_CORRECTION = 10.0
 # Fraction of the permitted utilization below which a service has spare slots.
 SPARE_BELOW = 0.85
+# Fraction of the trees that are broken off from which on what whole trees make
+# is held for longer. At a sixth, trees seemed smaller by a tenth, and more of
+# them were let in than the service could take.
+BROKEN_TREES = 0.02
 _NO_SPELLS: Mapping[str, measured_capacity.Spell] = immutables.Map()
 
 
@@ -112,9 +116,10 @@
     if not isinstance(policy, NarrowestService):
         return {}
     step = math.exp(CORRECTION_RATE * elapsed)
-    refusing = refusing_services(policy, demand)
-    served = measured_capacity.served_fractions(demand)
-    costs = _call_costs(demand) if refusing else {}
+    chances = _tree_chances(policy, demand)
+    refusing = measured_capacity.refusing_services(chances)
+    sheds = {shed.service: shed.per_second for shed in demand.sheds}
+    costs = call_trees.call_costs(demand) if refusing else {}
     corrected = {}
     for service in demand.services:
         name = service.service
@@ -122,12 +127,16 @@
         in_use = service.busy / max(1, service.slots)
         has_spare = in_use < SPARE_BELOW * policy.utilization
         spell = spells.get(name, measured_capacity.NO_SPELL)
-        is_persistent = measured_capacity.is_persistent(spell)
-        if name in refusing and not is_persistent:
+        if name in refusing and measured_capacity.awaits_levels(service, spell):
+            pass  # The levels by its slots are on their way.
+        elif name in refusing and not measured_capacity.is_persistent(
+            service, spell
+        ):
             completed = service.completions * costs.get(name, 0.0)
             factor = measured_capacity.lowered(
                 factor,
-                served[name],
+                chances[name],
+                sheds[name],
                 completed / max(1.0, policy.utilization * service.slots),
                 elapsed,
             )
@@ -136,7 +145,7 @@
                 min(1.0, factor * step),
                 measured_capacity.recovered(factor, spell, elapsed),
             )
-        elif factor < 1.0 and has_spare:
+        elif factor < 1.0 and in_use < policy.utilization:
             factor = measured_capacity.recovered(factor, spell, elapsed)
         elif name in limiting and has_spare and name not in refusing:
             factor = min(MAX_CORRECTION, factor * step)
@@ -151,31 +160,26 @@
     policy: Policy, demand: demand_decisions.Demand
 ) -> frozenset[str]:
     """Returns the services that are given less since they refuse calls."""
+    return measured_capacity.refusing_services(_tree_chances(policy, demand))
+
+
+def breaks_trees(policy: Policy, demand: demand_decisions.Demand) -> bool:
+    """Returns whether so many trees are broken off that they seem smaller."""
+    chances = _tree_chances(policy, demand).values()
+    return min(chances, default=1.0) < 1.0 - BROKEN_TREES
+
+
+def _tree_chances(
+    policy: Policy, demand: demand_decisions.Demand
+) -> dict[str, float]:
+    """Returns the chances of trees at the services; none if not measured."""
     if not isinstance(policy, MeasuredCapacity) or not demand.sheds:
-        return frozenset()
-    return measured_capacity.refusing_services(
+        return {}
+    return measured_capacity.tree_chances(
         demand, call_trees.roots_by_route(demand), call_trees.calls(demand)
     )
 
 
-def _call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
-    """Returns the slot seconds of a completed nested call at each service."""
-    called = {call.route for route in demand.routes for call in route.calls}
-    busy: dict[str, float] = {}
-    completed: dict[str, float] = {}
-    for route in demand.routes:
-        if route.route in called:
-            call_trees.add(busy, route.service, route.busy_s)
-            call_trees.add(
-                completed, route.service, route.ended - route.refused
-            )
-    return {
-        service: seconds / completed[service]
-        for service, seconds in busy.items()
-        if completed[service] > 0.0
-    }
-
-
 def route_levels(
     policy: Policy,
     demand: demand_decisions.Demand,
--- a/tests/test_narrow_service.py
+++ b/tests/test_narrow_service.py
@@ -47,7 +47,7 @@
         return self.offered - self.admitted
 
 
-def _served(trees, direct, shed):
+def _served(trees, direct, shed, slots):
     """Returns the fraction of the calls that are served, and their number.
 
     Roots of class 0 get their slots first. A run that makes calls ends with the
@@ -57,7 +57,7 @@
     for _ in range(40):
         calls = trees * _geometric(served, 8)
         needed = calls * (CALL_S * (1.0 - shed) + SHED_S * shed)
-        room = SLOTS - direct * DIRECT_S * (1.0 - shed)
+        room = slots - direct * DIRECT_S * (1.0 - shed)
         free = min(1.0, room / max(needed, 1e-9))
         fraction = free * (1.0 - shed) * (1.0 + min(shed, RETRY_RATIO))
         served = 0.5 * (served + fraction)
@@ -124,7 +124,15 @@
     )
 
 
-def _play(policy, *, burst, shed, seconds, direct_rate=DIRECT):
+def _play(
+    policy,
+    *,
+    burst,
+    shed,
+    seconds,
+    direct_rate=DIRECT,
+    slots=lambda now: SLOTS,
+):
     """Plays a control and the narrow service; returns the rates by step.
 
     Args:
@@ -133,6 +141,7 @@
       shed: Returns the fraction of calls that each upstream sheds at a time.
       seconds: Length.
       direct_rate: Roots of class 0 per second before the burst.
+      slots: Returns the slots that the upstreams have in fact at a time.
     """
     runs, outcomes = _Weighted(RUNS_HALF_LIFE), _Weighted(OUTCOMES_HALF_LIFE)
     known = collections.deque(maxlen=DELAY)
@@ -144,7 +153,7 @@
         p = shed(now)
         level = next((v.level for v in levels if v.route == "tree"), 3.0)
         trees = offered * tree_admission.admitted_fraction(level, 1)
-        served, calls = _served(trees, direct, p)
+        served, calls = _served(trees, direct, p, slots(now))
         # Half of the calls are made below each of the two calls at b.
         b_runs = trees * (1.0 + served**4)
         attempts = served * calls / (1.0 - p)
@@ -173,14 +182,19 @@
             )
         )
         known.append(_reported(offered, direct, runs, outcomes, busy))
-        refusing = tree_admission.refusing_services(
-            policy, demand.with_held_calls(known[0], held)
-        )
+        before = demand.with_held_calls(known[0], held)
         spells = measured_capacity.update_spells(
-            spells, corrections, refusing, STEP
+            spells,
+            corrections,
+            tree_admission.refusing_services(policy, before),
+            STEP,
         )
         held = demand.hold_calls_per_run(
-            held, known[0], now, refusing=bool(spells)
+            held,
+            known[0],
+            now,
+            refusing=bool(spells)
+            or tree_admission.breaks_trees(policy, before),
         )
         fleet = demand.with_held_calls(known[0], held)
         limiting = {v.service for v in levels}
@@ -323,3 +337,74 @@
     room = SLOTS - 2.5 * 110.0 * DIRECT_S
     expected = room / (8.0 * CALL_S)
     assert _mean(played, "succeeded", 10.0, 30.0) > 0.9 * expected
+
+
+def test_a_burst_after_little_demand_lowers_nothing():
+    """Pattern: a tenth of the usual load, and 2.5 times it from 5 s on.
+
+    Guards against capacity that is taken for what was completed just before.
+    """
+    played = _play(
+        tree_admission.MeasuredCapacity(),
+        burst=lambda now: 2.5 if now >= 5.0 else 0.1,
+        shed=lambda now: 0.0,
+        seconds=20.0,
+    )
+    carried = 0.9 * SLOTS / (8.0 * CALL_S)
+    assert _mean(played, "succeeded", 7.0, 20.0) > 0.9 * carried
+    assert _mean(played, "failed", 7.0, 20.0) < 1.0
+
+
+def test_a_service_that_completes_less_than_its_slots_is_given_less():
+    """Pattern: upstreams that take half of the calls that they promise.
+
+    Guards against trees that are broken off, which hide most of the overload:
+    with twice too many trees, four calls of five are served.
+    """
+
+    def play(policy):
+        return _play(
+            policy,
+            burst=lambda now: 2.5 if now >= 5.0 else 1.0,
+            shed=lambda now: 0.0,
+            slots=lambda now: SLOTS / 2 if 15.0 <= now < 30.0 else SLOTS,
+            seconds=45.0,
+        )
+
+    played = play(tree_admission.MeasuredCapacity())
+    baseline = play(tree_admission.NarrowestService())
+    assert _mean(played, "succeeded", 17.0, 30.0) > 0.8 * (
+        (SLOTS / 2 - 2.5 * DIRECT * DIRECT_S) / (8.0 * CALL_S)
+    )
+    assert _mean(played, "failed", 17.0, 30.0) < 0.1 * _mean(
+        baseline, "failed", 17.0, 30.0
+    )
+    # Four seconds after the fault, it is given its slots again.
+    assert _mean(played, "succeeded", 34.0, 45.0) > 0.95 * _mean(
+        played, "succeeded", 10.0, 15.0
+    )
+
+
+def test_trees_that_may_succeed_at_a_service_that_sheds_are_not_all_refused():
+    """Pattern: upstreams shed a fifth of the calls; three trees of ten succeed.
+
+    Guards against a service that is given less and less for refusals that do
+    not depend on the load.
+    """
+
+    def play(policy):
+        return _play(
+            policy,
+            burst=lambda now: 2.5 if now >= 5.0 else 1.0,
+            shed=lambda now: 0.2 if now >= 15.0 else 0.0,
+            seconds=60.0,
+        )
+
+    played = play(tree_admission.MeasuredCapacity())
+    baseline = play(tree_admission.NarrowestService())
+    assert _mean(played, "succeeded", 25.0, 60.0) > 0.6 * _mean(
+        baseline, "succeeded", 25.0, 60.0
+    )
+    assert _mean(played, "failed", 25.0, 60.0) < 0.7 * _mean(
+        baseline, "failed", 25.0, 60.0
+    )
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -406,14 +406,19 @@
     old = demand.Demand(
         services=(demand.ServiceSlots(service="narrow", slots=100, busy=75),)
     )
+    spells = {"narrow": measured_capacity.Spell(refusing_s=2.0)}
     for fleet in (
         demand.add_up((new, old)),
         demand.add_up((old, new)),
         demand.add_up((old, demand.Demand(sheds=new.sheds))),
     ):
-        assert not tree_admission.correct(MEASURED, {}, fleet, {"narrow"}, 1.0)
+        assert not tree_admission.correct(
+            MEASURED, {}, fleet, {"narrow"}, 1.0, spells
+        )
     fleet = demand.add_up((new, new))
-    lowered = tree_admission.correct(MEASURED, {}, fleet, {"narrow"}, 1.0)
+    lowered = tree_admission.correct(
+        MEASURED, {}, fleet, {"narrow"}, 1.0, spells
+    )
     assert lowered["narrow"] < 1.0
 
 
