Tests: a control limits trees while the narrow service sheds

Change: a test drives the controller of the fleet directory by heartbeats, with half of the calls shed for 20 s: the trees are down to the sample within 1 s, and not limited 3 s after the end. With `narrowest-service` they are never limited. `_directory` takes a policy. The sums over call trees name their load.

--- a/src/sassafrashall/decisions/call_trees.py
+++ b/src/sassafrashall/decisions/call_trees.py
@@ -1,4 +1,8 @@
-"""What call trees make and cost, by route and service, from measured demand."""
+"""Calls and costs of trees: load of roots that make many calls further down.
+
+They are summed over all calls below a run, by route and service, from the
+demand that nodes measure.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -96,7 +96,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _directory(now, *, members=(), status=None):
+async def _directory(now, *, members=(), status=None, policy=None):
     async def answer(message):
         if status is None:
             await trio.sleep_forever()
@@ -110,7 +110,7 @@
             controls=(),
             fleet_secret=SECRET,
             listen=types.SimpleNamespace(rpc=ADDRESS, ops=ADDRESS),
-            policy=settings.Policy(),
+            policy=policy or settings.Policy(),
         ),
         replica=replica.mailbox,
         view=mailbox.Published(initial=messages.FleetView(members=members)),
@@ -328,3 +328,75 @@
                 reply = await directory.send(heartbeat(vm, service, run_s))
             now[0] += 0.3
     assert reply.relative_times == {}
+
+
+def _shedding(served):
+    """Returns the heartbeat of a node that reports a whole small fleet.
+
+    Each of 40 roots a second of class 1 makes eight calls, of which a fraction
+    is served.
+    """
+
+    def run(route, service, count, refused=0.0, calls=()):
+        return demand.RouteDemand(
+            route=route,
+            service=service,
+            started=count,
+            ended=count,
+            refused=refused,
+            busy_s=0.04 * (count - refused),
+            calls=tuple(demand.Calls(route=r, count=n) for r, n in calls),
+        )
+
+    return dataclasses.replace(
+        _heartbeat("vm-a"),
+        demand=demand.Demand(
+            routes=(
+                demand.RouteDemand(route="view", roots=(0.0, 40.0, 0.0)),
+                run("view", "wide", 100.0, calls=[("feed", 800.0)]),
+                run("feed", "narrow", 800.0, 800.0 * (1.0 - served)),
+            ),
+            services=(
+                demand.ServiceSlots(service="wide", slots=1000, busy=10),
+                demand.ServiceSlots(
+                    service="narrow",
+                    slots=100,
+                    busy=10,
+                    completions=320.0 * served,
+                ),
+            ),
+            sheds=(
+                demand.Sheds(
+                    service="narrow", per_second=320.0 * (1.0 - served)
+                ),
+            ),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("policy", "is_limited"),
+    [("measured-capacity", True), ("narrowest-service", False)],
+)
+async def test_trees_are_refused_while_the_narrow_service_sheds(
+    now, policy, is_limited
+):
+    """Pattern: upstreams shed half of their calls for 20 s.
+
+    Guards against levels that follow neither the beginning nor the end.
+    """
+    policy = settings.Policy(tree_admission=policy)
+    async with _directory(now, policy=policy) as directory:
+
+        async def report(served, seconds):
+            for _ in range(int(seconds / 0.25)):
+                now[0] += 0.25
+                reply = await directory.send(_shedding(served))
+            return {v.route: v.level for v in reply.route_levels}
+
+        assert not await report(1.0, 2.0)
+        for seconds in (1.0, 20.0):
+            levels = await report(0.5, seconds)
+            assert set(levels) == ({"view"} if is_limited else set())
+            assert not levels or levels["view"] < 1.05
+        assert not await report(1.0, 3.0)
