--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -480,7 +480,7 @@
 @pytest.mark.parametrize("behind", ["post", "depth", "stream"])
 async def test_the_time_that_a_request_waits_unread_counts(behind):
     handler = _Handler()
-    rest = _Rest()
+    rest = fakes.HeldRest()
     async with _open(handler, depth=2) as (stream, server):
         await stream.send_all(_POST if behind == "post" else _get(1))
         if behind == "depth":
