Transport: what waits for slow readers scales with memory_mb

A node held up to 32 MB of answers that callers don't read, whatever the memory of its VM, so that a smaller VM than 200 MB could run out of memory.

The bound is now 0.16 of memory_mb, part of the memory budget; it stays at 32 MB where memory_mb is unset. The test of the server gets its bound through the budget in place of a replaced function, and runs with two of them; 100 MB fails on the fixed bound.

--- a/src/sassafrashall/decisions/memory_limits.py
+++ b/src/sassafrashall/decisions/memory_limits.py
@@ -17,6 +17,9 @@
 # Share of the memory of the VM that may be held for input. A node of 200 MB
 # needs 40 MB at rest, 30 MB for 3,000 connections and 32 MB for answers.
 HELD_SHARE = 0.2
+# Share that may be held for answers that callers have not taken, above which
+# callers that stall are cut. It is 32 MB of 200 MB.
+ANSWER_SHARE = 0.16
 # Share of the bound that is added for small inputs, so that ordinary requests
 # are admitted while expensive ones are refused.
 RESERVED_SHARE = 0.25
@@ -55,6 +58,11 @@
     return int(HELD_SHARE * memory_mb * MEGABYTE)
 
 
+def answer_limit(memory_mb: int) -> int:
+    """Returns the bytes of answers that may wait for their callers."""
+    return int(ANSWER_SHARE * memory_mb * MEGABYTE)
+
+
 def head_cost(lines: int, size: int) -> int:
     """Returns the estimated bytes of a head.
 
--- a/src/sassafrashall/decisions/slow_readers.py
+++ b/src/sassafrashall/decisions/slow_readers.py
@@ -5,8 +5,6 @@
 from collections.abc import Iterable
 import dataclasses
 
-# Bytes that a node holds for callers, above which it cuts those that stall.
-MAX_HELD = 32 * 1024 * 1024
 # Seconds without progress after which a caller may be cut.
 MIN_STALL = 0.25
 
@@ -26,9 +24,7 @@
     stalled: float
 
 
-def choose_cut(
-    readers: Iterable[Reader], limit: int = MAX_HELD
-) -> tuple[int, ...]:
+def choose_cut(readers: Iterable[Reader], limit: int) -> tuple[int, ...]:
     """Returns the connections to cut, so that at most `limit` bytes are held.
 
     Those that have stalled for longest go first. One that takes its answer,
--- a/src/sassafrashall/transport/memory_budget.py
+++ b/src/sassafrashall/transport/memory_budget.py
@@ -114,6 +114,7 @@
           counters: Where refusals and removals are counted.
         """
         self._limit = memory_limits.held_limit(memory_mb)
+        self._answer_limit = memory_limits.answer_limit(memory_mb)
         self._held = 0
         self._accounts: set[Account] = set()
         self._metrics = counters
@@ -126,6 +127,11 @@
         """Estimated bytes that are held for all clients."""
         return self._held
 
+    @property
+    def answer_limit(self) -> int:
+        """Bytes of answers above which callers that stall are cut."""
+        return self._answer_limit
+
     def open(self, try_remove: Callable[[], bool]) -> Account:
         """Opens the account of a connection.
 
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -804,14 +804,17 @@
         for connection in connections:
             connection.check_liveness(now, limits, delay)
         cut = slow_readers.choose_cut(
-            slow_readers.Reader(
-                number=number,
-                held=held,
-                # A late loop has sent nothing meanwhile.
-                stalled=connection.stalled_for(now) - delay,
-            )
-            for number, connection in enumerate(connections)
-            if (held := connection.held)
+            (
+                slow_readers.Reader(
+                    number=number,
+                    held=held,
+                    # A late loop has sent nothing meanwhile.
+                    stalled=connection.stalled_for(now) - delay,
+                )
+                for number, connection in enumerate(connections)
+                if (held := connection.held)
+            ),
+            self._budget.answer_limit,
         )
         for number in cut:
             connections[number].close_stalled()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -11,12 +11,12 @@
 from sassafrashall import connection_log
 from sassafrashall import model
 from sassafrashall.decisions import slow_readers
+from sassafrashall.transport import memory_budget
 from sassafrashall.transport import stream_server
 from tests import fakes
 from tests import loopback
 
 BODY = b"a" * 16_000_000
-LIMIT = 45_000_000  # bytes held, of which each caller takes a third
 
 
 def _reader(number, held, stalled):
@@ -39,8 +39,29 @@
     assert slow_readers.choose_cut(readers, limit=100) == expected
 
 
+# Guards against a small VM that holds as much for its callers as a large one,
+# and against another bound where the settings have no `memory_mb`.
+@pytest.mark.parametrize(
+    ("fields", "expected_mb"),
+    [
+        ({}, 32),
+        ({"memory_mb": 200}, 32),
+        ({"memory_mb": 100}, 16),
+        ({"memory_mb": 300}, 48),
+    ],
+)
+def test_what_may_be_held_is_a_share_of_the_memory(fields, expected_mb):
+    limit = memory_budget.MemoryBudget(**fields).answer_limit
+    assert limit == expected_mb * 1024 * 1024
+    held = limit // 4
+    readers = [_reader(number, held, 1.0 + number) for number in range(4)]
+    assert slow_readers.choose_cut(readers, limit) == ()
+    readers.append(_reader(4, 1, 9.0))
+    assert slow_readers.choose_cut(readers, limit) == (4,)
+
+
 @contextlib.asynccontextmanager
-async def _serving(log):
+async def _serving(log, memory_mb):
     async def handle(raw):
         return model.Response(status=200, headers=(), body=BODY)
 
@@ -51,6 +72,7 @@
         source=model.Source.CALLER,
         limits=configuration.Limits,
         log=log,
+        budget=memory_budget.MemoryBudget(memory_mb=memory_mb),
     )
     async with trio.open_nursery() as nursery:
         await server.start(nursery)
@@ -79,13 +101,12 @@
 
 # Guards against a node that runs out of memory, with the requests of all other
 # callers, since some callers take nothing of their answers.
-async def test_silent_callers_are_cut_once_too_much_is_held(monkeypatch):
-    choose_cut = slow_readers.choose_cut
-    monkeypatch.setattr(
-        slow_readers, "choose_cut", lambda readers: choose_cut(readers, LIMIT)
-    )
+@pytest.mark.parametrize(("memory_mb", "least_cut"), [(281, 3), (100, 5)])
+async def test_silent_callers_are_cut_once_too_much_is_held(
+    memory_mb, least_cut
+):
     log = fakes.ConnectionLog()
-    async with _serving(log) as address:
+    async with _serving(log, memory_mb) as address:
         with trio.fail_after(10):
             silent = []
             for _ in range(6):
@@ -94,7 +115,7 @@
             await trio.sleep(1.0)
             reasons = [closure.reason for closure in log.closures]
             cut = reasons.count(connection_log.Reason.STALLED)
-            assert 3 <= cut < 6
+            assert least_cut <= cut < 6
             # Another caller is served, and those that were kept still get all.
             other = await _ask(address)
             assert not await _is_cut(other)
