Tests of processes whose callers take all descriptors

Nothing tested a process with fewer descriptors than callers, connections that are opened and closed at once, or a full accept queue.

bench.crowds can limit the descriptors of the processes that it starts, suspend a process while a crowd arrives, and counts the descriptors that stay open. The forms of crowds are now in bench/crowd_forms.py; test_memory_limits.py changes in its imports only.

--- a/bench/crowds.py
+++ b/bench/crowds.py
@@ -11,130 +11,30 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import json
+import os
 import pathlib
-import struct
+import resource
+import signal
 import sys
 import tempfile
 
 import trio
 
+from bench import crowd_forms
 from bench import fleet as fleet_module
 from bench import slow_readers
 from bench.soak import callers
 from bench.soak import fleet
-from sassafrashall import model
 
-HEAD_SIZE = 16_000  # bytes of a head, below `max_header_bytes`
-PIPELINED_SIZE = 64_000  # bytes of many short requests in one write
-DOCUMENT_SIZE = 1_000_000  # bytes of a body on a listener that buffers bodies
 SERVICE_TIME = 0.5  # seconds in which the upstream answers
-START_LINE = b"GET /x HTTP/1.1\r\nHost: alpha.example\r\n"
-CHUNKED = b"POST /x HTTP/1.1\r\nHost: alpha.example\r\n" + (
-    b"Transfer-Encoding: chunked\r\n\r\n"
-)
+SUSPENDED = 1.0  # seconds for which a process accepts nothing
 _BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
-def _lines(size: int, *, distinct: bool = False) -> bytes:
-    """Returns header lines of `size` bytes, with distinct names or the same."""
-    if not distinct:
-        return b"a:\r\n" * (size // 4)
-    return b"".join(b"%x:\r\n" % (n + 0x1000) for n in range(size // 7))
-
-
-def _incomplete(number: int) -> bytes:
-    del number
-    return START_LINE + _lines(HEAD_SIZE)
-
-
-def _distinct(number: int) -> bytes:
-    """Returns an incomplete head whose names no other client sends."""
-    names = (b"%x-%x:\r\n" % (number, n) for n in range(HEAD_SIZE // 9))
-    return START_LINE + b"".join(names)
-
-
-def _whole(number: int) -> bytes:
-    return _incomplete(number) + b"\r\n"
-
-
-def _frame(number: int, size: int) -> bytes:
-    """Returns most of a frame of `size` bytes."""
-    return struct.pack("!IB", size, number) + b"\0" * (size - 1000)
-
-
-def _document(path: bytes) -> bytes:
-    """Returns a request whose long body lacks its end."""
-    return (
-        b"PUT %b HTTP/1.1\r\nHost: h\r\nIf-Match: 0\r\n"
-        b"Content-Length: %d\r\n\r\n"
-        % (path, DOCUMENT_SIZE)
-        + b"[" * (DOCUMENT_SIZE - 1000)
-    )
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Form:
-    """What each client of a crowd sends.
-
-    Attributes:
-      vm: The VM whose process gets it.
-      listener: The name of the listener.
-      data: Returns the bytes that the client of a number sends.
-    """
-
-    vm: str = "node-0"
-    listener: str = "callers"
-    data: Callable[[int], bytes]
-
-
-FORMS = {
-    "silent": Form(data=lambda _: b""),
-    "short-lines": Form(data=_incomplete),
-    "distinct-names": Form(data=_distinct),
-    "long-target": Form(data=lambda _: b"GET /" + b"x" * HEAD_SIZE),
-    "whole-heads": Form(data=_whole),
-    "two-heads": Form(data=lambda number: 2 * _whole(number)),
-    "thirds": Form(
-        data=lambda number: (
-            _incomplete(number)
-            if number % 3 == 0
-            else (number % 3) * _whole(number)
-        )
-    ),
-    "pipelined": Form(
-        data=lambda _: (
-            b"GET / HTTP/1.1\r\nHost:\r\n\r\n" * (PIPELINED_SIZE // 25)
-        )
-    ),
-    "chunk-extensions": Form(
-        data=lambda _: CHUNKED + b"1;" + b"a;" * (HEAD_SIZE // 2)
-    ),
-    "trailers": Form(
-        data=lambda _: CHUNKED + b"1\r\nx\r\n0\r\n" + _lines(HEAD_SIZE)
-    ),
-    "single-byte-chunks": Form(
-        data=lambda _: CHUNKED + b"1\r\nx\r\n" * (PIPELINED_SIZE // 6)
-    ),
-    "announcements": Form(
-        listener="announcements",
-        data=lambda _: _document(b"/-/instances/i-other"),
-    ),
-    "ops": Form(listener="ops", data=lambda _: _document(b"/metrics")),
-    "peers": Form(listener="peers", data=lambda _: _frame(0, 4_000_000)),
-    "operators": Form(
-        vm="control-0",
-        listener="operators",
-        data=lambda _: _document(b"/-/configuration"),
-    ),
-    "rpc": Form(
-        vm="control-0", listener="rpc", data=lambda _: _frame(9, 4_000_000)
-    ),
-}
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
     """What a crowd did to the process it connected to.
@@ -144,6 +44,7 @@
       rest_mb: Resident memory before the crowd, in MB.
       peak_mb: The highest resident memory, in MB.
       descriptors: The highest number of open descriptors.
+      descriptors_after: Their number after the crowd.
       status: Status of an ordinary request to the node afterwards.
       ready: Whether the control answers an operator afterwards.
     """
@@ -152,6 +53,7 @@
     rest_mb: float
     peak_mb: float
     descriptors: int
+    descriptors_after: int
     status: int
     ready: bool
 
@@ -195,6 +97,7 @@
         settings: dict[str, object],
         hold: float,
         pipeline_depth: int,
+        descriptors: int | None,
     ) -> None:
         """Sets up the processes.
 
@@ -204,8 +107,11 @@
           hold: Seconds that a crowd stays.
           pipeline_depth: Requests of one connection that the node runs at the
             same time.
+          descriptors: Soft limit on the open descriptors of each process; None
+            for that of this process.
         """
         self._folder = folder
+        self._descriptors = descriptors
         self._hold = hold
         self._pipeline_depth = pipeline_depth
         self._settings = settings
@@ -223,7 +129,7 @@
         }
         self._upstream = next(addresses)
 
-    async def run(self, form: Form, count: int) -> Result:
+    async def run(self, form: crowd_forms.Form, count: int) -> Result:
         """Starts the processes, lets the crowd in, and asks afterwards."""
         try:
             async with trio.open_nursery() as nursery:
@@ -258,7 +164,8 @@
                     f"{name}: {json.dumps(value)}\n"
                     for name, value in self._settings.items()
                 )
-            self._daemons.start(vm)
+            with _descriptor_limit(self._descriptors):
+                self._daemons.start(vm)
         with trio.fail_after(30.0):
             while not await self._configure():
                 await trio.sleep(0.2)
@@ -298,14 +205,17 @@
             return status == 200
         return False
 
-    async def _play(self, form: Form, count: int) -> Result:
+    async def _play(self, form: crowd_forms.Form, count: int) -> Result:
         pid = self._daemons.process_ids()[form.vm]
         address = self._listen[form.vm][form.listener]
         rest = slow_readers.resident_mb(pid)
         peak, descriptors = 0.0, 0
         async with trio.open_nursery() as crowd:
+            if form.is_suspended:
+                os.kill(pid, signal.SIGSTOP)
+                crowd.start_soon(_continue, pid)
             for number in range(count):
-                crowd.start_soon(_send, address, form.data(number))
+                crowd.start_soon(form.send, address, form.data(number))
             with trio.move_on_after(self._hold):
                 while self._is_alive(pid):
                     peak, descriptors = (
@@ -326,6 +236,7 @@
             rest_mb=rest,
             peak_mb=_peak_mb(pid) if alive else peak,
             descriptors=descriptors,
+            descriptors_after=_descriptors(pid) if alive else 0,
             status=status,
             ready=ready,
         )
@@ -336,15 +247,24 @@
         return path.exists() and "VmHWM:" in path.read_text(encoding="utf-8")
 
 
-async def _send(address: model.Address, data: bytes) -> None:
-    """Sends bytes and reads nothing until it is cancelled."""
+async def _continue(pid: int) -> None:
+    """Lets a process go on that was suspended."""
+    try:
+        await trio.sleep(SUSPENDED)
+    finally:
+        os.kill(pid, signal.SIGCONT)
+
+
+@contextlib.contextmanager
+def _descriptor_limit(count: int | None) -> Iterator[None]:
+    """Limits the descriptors of the processes that are started meanwhile."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if count is not None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
     try:
-        stream = await trio.open_tcp_stream(address.host, address.port)
-        async with stream:
-            await stream.send_all(data)
-            await trio.sleep_forever()
-    except _BROKEN:
-        return
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
 
 def _peak_mb(pid: int) -> float:
@@ -358,11 +278,12 @@
 
 
 async def measure(
-    form: Form,
+    form: crowd_forms.Form,
     count: int,
     settings: dict[str, object],
     hold: float,
     pipeline_depth: int = 1,
+    descriptors: int | None = None,
 ) -> Result:
     """Plays one crowd against processes of its own."""
     with tempfile.TemporaryDirectory(prefix="crowds-") as folder:
@@ -371,6 +292,7 @@
             settings=settings,
             hold=hold,
             pipeline_depth=pipeline_depth,
+            descriptors=descriptors,
         )
         return await measurement.run(form, count)
 
@@ -378,23 +300,28 @@
 def main() -> int:
     """Prints the results; the exit status is 1 if a bound does not hold."""
     parser = argparse.ArgumentParser(prog="python -m bench.crowds")
-    parser.add_argument("--form", choices=FORMS, action="append")
+    forms = crowd_forms.FORMS | crowd_forms.CONNECTION_FORMS
+    parser.add_argument("--form", choices=forms, action="append")
     parser.add_argument("--callers", type=int, default=300)
     parser.add_argument("--hold", type=float, default=4.0, help="seconds")
     parser.add_argument("--limit", type=float, default=200.0, help="MB")
     parser.add_argument("--memory", type=int, help="memory_mb of the settings")
     parser.add_argument("--pipeline-depth", type=int, default=1)
+    parser.add_argument(
+        "--descriptors", type=int, help="limit on the descriptors of a process"
+    )
     options = parser.parse_args()
     settings = {} if options.memory is None else {"memory_mb": options.memory}
     failed = False
-    for name in options.form or FORMS:
+    for name in options.form or crowd_forms.FORMS:
         result = trio.run(
             measure,
-            FORMS[name],
+            forms[name],
             options.callers,
             settings,
             options.hold,
             options.pipeline_depth,
+            options.descriptors,
         )
         failed |= (
             not result.alive
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from bench import crowd_forms
 from bench import crowds
 import pytest
 
@@ -17,10 +18,10 @@
 DESCRIPTORS = 250  # bound; about 14 are in use at rest
 
 
-@pytest.mark.parametrize("form", crowds.FORMS)
+@pytest.mark.parametrize("form", crowd_forms.FORMS)
 async def test_a_crowd_leaves_the_process_within_its_memory(form):
     result = await crowds.measure(
-        crowds.FORMS[form], CALLERS, {"memory_mb": MEMORY_MB}, HOLD
+        crowd_forms.FORMS[form], CALLERS, {"memory_mb": MEMORY_MB}, HOLD
     )
     _check(result)
 
@@ -32,7 +33,7 @@
     form,
 ):
     result = await crowds.measure(
-        crowds.FORMS[form],
+        crowd_forms.FORMS[form],
         CALLERS,
         {"memory_mb": MEMORY_MB},
         HOLD,
