--- a/bench/crowd_forms.py
+++ b/bench/crowd_forms.py
@@ -158,3 +158,12 @@
     ),
     "accept-queue": Form(data=lambda _: START_LINE, is_suspended=True),
 }
+# Those that fit beside ordinary callers of a node.
+CALLERS_FORMS = (
+    "short-lines",
+    "distinct-names",
+    "whole-heads",
+    "two-heads",
+    "thirds",
+    "pipelined",
+)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,6 +12,7 @@
 import trio
 
 from bench.soak import model
+from bench.soak import parts
 from bench.soak import planner
 from bench.soak import soak
 
@@ -31,6 +32,8 @@
         connections=options.connections,
         basic=options.basic,
         wide=options.wide,
+        parts=options.parts,
+        calm=options.calm,
     )
 
 
@@ -71,6 +74,16 @@
         help="five controls that lose two disks at once, upstreams that "
         "restart, changed weights",
     )
+    parser.add_argument(
+        "--parts",
+        nargs="+",
+        default=(),
+        choices=parts.PARTS,
+        help="added to the plan, each by a draw of its own",
+    )
+    parser.add_argument(
+        "--calm", action="store_true", help="no faults other than of --parts"
+    )
     parser.add_argument(
         "--cuts",
         type=int,
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -13,6 +13,8 @@
 import h11
 import trio
 
+from bench import crowd_forms
+from bench.soak import faults
 from bench.soak import model as soak_model
 from sassafrashall import model
 
@@ -348,3 +350,19 @@
             key=self._random.choice(self._keys()) if host == "keyed" else "",
             host=host,
         )
+
+
+async def send_odd_heads(
+    address: model.Address, fault: faults.OddHeads
+) -> None:
+    """Lets many callers send odd heads to a node, and none read answers."""
+    form = crowd_forms.FORMS[fault.form]
+    with trio.move_on_after(fault.seconds):
+        async with trio.open_nursery() as nursery:
+            for number in range(fault.count):
+                # Requests with the ids of probes count as none that was sent.
+                head = f"Host: idem.example\r\nRequest-Id: probe-odd-{number}"
+                data = form.data(number).replace(
+                    b"Host: alpha.example", head.encode()
+                )
+                nursery.start_soon(form.send, address, data)
--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -8,13 +8,14 @@
 import math
 import signal
 
+from bench.soak import faults
+from bench.soak import history
 from bench.soak import model
 from bench.soak import operators
+from bench.soak import part_checks
 
 # Faults after which a process need not end as planned.
-UNPLANNED = (model.Kill, model.LoseDisk, model.Pause, model.RefuseWrites)
-
-
+UNPLANNED = (faults.Kill, faults.LoseDisk, faults.Pause, faults.RefuseWrites)
 MAX_SHARE_OFF = 0.2  # by which a share may miss its weight
 
 
@@ -24,6 +25,7 @@
     Attributes:
       violations: The promises broken so far.
       counts: Number of observations by their class, of answers by their status.
+      parts: What the parts of a plan promise.
       lateness: For each node, and each version since the first probe.
     """
 
@@ -34,14 +36,15 @@
         on_violation: Callable[[model.Violation], None] = lambda _: None,
     ) -> None:
         self._bounds = bounds or model.Bounds()
-        self._contact = self._bounds.contact
+        self._history = history.History(self._bounds)
+        self.parts = part_checks.PartChecks(
+            history=self._history, on_break=self._break
+        )
         self._on_violation = on_violation
         self._sent: dict[str, model.Sent] = {}
         self._runs: dict[str, list[model.Ran]] = {}
         self._answers: dict[str, model.Answered] = {}
         self._unjudged: list[model.Closed] = []
-        self._faults: dict[int, model.FaultBegan] = {}
-        self._fault_ends: dict[int, float] = {}
         self._started: dict[str, float] = {}
         self._proposed: dict[int, model.Proposed] = {}
         self._acknowledged: dict[int, float] = {}
@@ -63,6 +66,7 @@
         if isinstance(observation, model.Answered):
             name = str(observation.status)
         self.counts[name] = self.counts.get(name, 0) + 1
+        self.parts.add(observation)
         match observation:
             case model.Sent():
                 self._sent[observation.request_id] = observation
@@ -97,10 +101,10 @@
                     self._break(
                         "CONFIG", at, "", vm, f"read r{version}, not r{due}"
                     )
-            case model.FaultBegan(number=number):
-                self._faults[number] = observation
+            case model.FaultBegan():
+                self._history.begin(observation)
             case model.FaultEnded(number=number, at=at):
-                self._fault_ends[number] = at
+                self._history.end(number, at)
             case model.Started(vm=vm, at=at):
                 self._started[vm] = at
                 self._seen.pop(vm, None)
@@ -109,7 +113,7 @@
 
     def expect_loss_of_core(self) -> None:
         """Allows twice the time to get in touch, as after a final fault."""
-        self._contact = 2 * self._bounds.contact
+        self._history.contact = 2 * self._bounds.contact
 
     def judge_closed(self, now: float) -> None:
         """Judges the connections that closed early, once it is clear.
@@ -117,6 +121,7 @@
         An upstream may begin with a request after its caller lost it; what
         closed less than the settle time before `now` waits.
         """
+        self.parts.judge_cold(now)
         waiting = []
         for closed in self._unjudged:
             if now - closed.at > self._bounds.settle:
@@ -176,10 +181,8 @@
         runs = self.runs_of(host, since)
         for service, weight in weights.items():
             count = sum(services[run.vm] == service for run in runs)
-            share, due = (
-                count / max(1, len(runs)),
-                weight / sum(weights.values()),
-            )
+            share = count / max(1, len(runs))
+            due = weight / sum(weights.values())
             if abs(share - due) > MAX_SHARE_OFF:
                 detail = f"{share:.2f} of {len(runs)} requests, not {due:.2f}"
                 self._break("CONFIG", since, "", service, detail)
@@ -193,45 +196,6 @@
         self.violations.append(violation)
         self._on_violation(violation)
 
-    def _faults_at(
-        self, vm: str, began: float, ended: float
-    ) -> tuple[model.FaultBegan, ...]:
-        """Returns the faults of a VM that acted in a span of time."""
-        return tuple(
-            fault
-            for number, fault in self._faults.items()
-            if fault.vm == vm
-            and fault.at <= ended
-            and self._fault_ends.get(number, math.inf) >= began
-        )
-
-    def _is_in_touch(self, vm: str, began: float, ended: float) -> bool:
-        """Whether a node and all controls ran without a fault.
-
-        A cut leaves a majority of the controls connected, and nodes reach all
-        of them: only its begin and its end count.
-        """
-        since = began - self._contact
-        return not any(
-            not isinstance(fault.fault, model.CutControls)
-            or fault.at >= since
-            or since <= self._fault_ends.get(number, math.inf) <= ended
-            for number, fault in self._faults.items()
-            if (fault.vm == vm or fault.vm.startswith("control"))
-            and fault.at <= ended
-            and self._fault_ends.get(number, math.inf) >= since
-        )
-
-    def _has_only_cuts(self, vm: str, began: float, ended: float) -> bool:
-        """Whether a node and all controls had no fault other than cuts."""
-        since = began - self._contact - self._bounds.apply - self._bounds.skew
-        return not any(
-            not isinstance(fault.fault, model.CutControls)
-            for name in {f.vm for f in self._faults.values()}
-            if name == vm or name.startswith("control")
-            for fault in self._faults_at(name, since, ended)
-        )
-
     # --- requests ------------------------------------------------------------
 
     def _judge_run(self, run: model.Ran) -> None:
@@ -252,8 +216,8 @@
         left_at = self._signed_off.get(run.vm, math.inf)
         if (
             sent.at > left_at + self._bounds.drain
-            and self._is_in_touch(sent.vm, sent.at, run.at)
-            and self._is_in_touch(run.vm, sent.at, run.at)
+            and self._history.is_in_touch(sent.vm, sent.at, run.at)
+            and self._history.is_in_touch(run.vm, sent.at, run.at)
         ):
             detail = f"{sent.at - left_at:.2f} s after the sign-off"
             self._break("DRAIN", run.at, run.request_id, run.vm, detail)
@@ -308,7 +272,6 @@
                 sent.vm,
                 f"status {answer.status} with {answer.signature!r}",
             )
-
         elif answer.status == 500:
             self._break(
                 "FAULT", answer.at, answer.request_id, sent.vm, "internal error"
@@ -327,7 +290,7 @@
         if (
             answer.status not in model.REFUSALS
             and allows
-            and self._is_in_touch(sent.vm, sent.at, answer.at)
+            and self._history.is_in_touch(sent.vm, sent.at, answer.at)
         ):
             detail = f"status {answer.status}, key {sent.key!r}"
             self._break("DENIED", answer.at, sent.request_id, sent.vm, detail)
@@ -335,7 +298,7 @@
     def _judge_given_up(self, given_up: model.GaveUp) -> None:
         sent = self._sent[given_up.request_id]
         since = sent.at - self._bounds.settle
-        if not self._faults_at(sent.vm, since, given_up.at):
+        if not self._history.faults_at(sent.vm, since, given_up.at):
             self._break(
                 "HELD",
                 given_up.at,
@@ -351,17 +314,19 @@
         if not runs:
             return
         settle = self._bounds.settle
-        faults = self._faults_at(sent.vm, sent.at - settle, closed.at + 0.1)
+        acting = self._history.faults_at(
+            sent.vm, sent.at - settle, closed.at + 0.1
+        )
         rule = "LOST"
-        for fault in faults:
+        for fault in acting:
             match fault.fault:
-                case model.Kill() if fault.at <= closed.at + 0.1:
+                case faults.Kill() if fault.at <= closed.at + 0.1:
                     return
-                case model.Stop() if closed.at > fault.at + (
+                case faults.Stop() if closed.at > fault.at + (
                     self._bounds.grace - self._bounds.grace_end
                 ):
                     return
-                case model.Pause():
+                case faults.Pause():
                     rule = "LOST_PAUSED"
         # The end of a cut answer must show that it is cut. With no byte of
         # it sent, the node has to answer whatever the upstream does.
@@ -379,12 +344,14 @@
             f"{sent.rested:.3f} s; {closed.received} bytes received "
             f"{closed.at - sent.at:.3f} s after it was sent, ran at "
             f"{[(run.vm, run.sound) for run in runs]}, faults "
-            f"{[fault.fault for fault in faults]}",
+            f"{[fault.fault for fault in acting]}",
         )
 
     def _is_sound(self, run: model.Ran, closed: model.Closed) -> bool:
         since = run.at - self._bounds.settle
-        return run.sound and not self._faults_at(run.vm, since, closed.at)
+        return run.sound and not self._history.faults_at(
+            run.vm, since, closed.at
+        )
 
     # --- configurations ------------------------------------------------------
 
@@ -422,8 +389,9 @@
         age = probe.at - self._acknowledged[probe.version]
         span = probe.vm, probe.at, probe.answered_at
         skew = self._bounds.skew
-        if (age > self._bounds.apply and self._is_in_touch(*span)) or (
-            age > self._bounds.apply + skew and self._has_only_cuts(*span)
+        if (age > self._bounds.apply and self._history.is_in_touch(*span)) or (
+            age > self._bounds.apply + skew
+            and self._history.has_only_cuts(*span)
         ):
             self._break(
                 "CONFIG",
@@ -455,11 +423,13 @@
             detail = f"exit {exited.status}"
             self._break("FAULT", exited.at, "", exited.vm, detail)
             return
-        for fault in self._faults_at(exited.vm, exited.at, exited.at):
+        for fault in self._history.faults_at(exited.vm, exited.at, exited.at):
             match fault.fault:
-                case model.Stop() if not any(
+                case faults.Stop() if not any(
                     isinstance(other.fault, UNPLANNED)
-                    for other in self._faults_at(exited.vm, fault.at, exited.at)
+                    for other in self._history.faults_at(
+                        exited.vm, fault.at, exited.at
+                    )
                 ):
                     took = exited.at - fault.at
                     # A process that has just started may not handle signals.
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 import dataclasses
 import itertools
-import os
 import pathlib
 import resource
 import shutil
@@ -19,6 +18,8 @@
 from ruamel import yaml
 import trio
 
+from bench.soak import faults
+from bench.soak import links
 from bench.soak import model as soak_model
 import sassafrashall
 from sassafrashall import model
@@ -33,9 +34,6 @@
 # until it runs the first line of the program.
 INTERPRETER_START = 0.3
 POLL_INTERVAL = 0.02  # seconds between checks for processes that ended
-# A folder with the module that cuts links inside of the controls.
-LINK_HOOK = pathlib.Path(__file__).parent / "link_hook"
-DATA_CENTRES = 3  # of a fleet whose links are cut
 SECRET = "a-secret-of-the-soak"
 NODE_POLICY = {
     "limit": "fixed",
@@ -44,6 +42,18 @@
     "retries": "arrivals",
     "early_shed": "none",
 }
+# Of plans with parts, as deployed.
+PARTS_POLICY = NODE_POLICY | {
+    "queue": "urgency-first",
+    "routing": "expected-completion",
+    "breaker": "consecutive-failures",
+}
+PARTS_ROUTED = {
+    "cold_overage": soak_model.COLD_OVERAGE,
+    "cold_slack": soak_model.COLD_SLACK,
+    "evacuation": f"{soak_model.Bounds().evacuation}s",
+    "pipeline_depth": 8,
+}
 
 
 class Daemons:
@@ -54,20 +64,22 @@
         *,
         folder: pathlib.Path,
         report: Callable[[soak_model.Observation], None],
-        control_hosts: Mapping[str, str] | None = None,
+        hosts: Mapping[str, str] | None = None,
+        plan: soak_model.Plan | None = None,
     ) -> None:
         """Sets up the processes.
 
         Args:
           folder: For settings, data and logs.
           report: Called with what happens to the processes.
-          control_hosts: The loopback host of each control, if their links are
-            cut.
+          hosts: The loopback host of each process whose links are cut.
+          plan: Tells the data centres, and what is added to the settings.
         """
         self._folder = folder
         self._report = report
-        self._control_hosts = dict(control_hosts or {})
-        self._cuts: list[soak_model.CutControls] = []
+        self._links = links.Links(path=folder / "cut-links", hosts=hosts or {})
+        self._data_centres = plan.data_centres if plan else 1
+        self._parts = plan.parts if plan else frozenset()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._log_writers: list[subprocess.Popen[bytes]] = []
         self._told: set[str] = set()
@@ -97,8 +109,12 @@
     ) -> None:
         """Writes the settings of a control."""
         routed: dict[str, object] = {"first_start": True}
+        if self._parts:
+            routed["regions"] = {
+                f"dc-{number}": "r" for number in range(self._data_centres)
+            }
         # The default fits controls in several data centres.
-        if vm_losses > 1 or not self._control_hosts:
+        if vm_losses > 1 or self._data_centres == 1:
             routed["losses"] = {
                 "vms": vm_losses,
                 "data_centres": 0,
@@ -131,7 +147,7 @@
             listen,
             seeds,
             role="node",
-            policy=NODE_POLICY,
+            policy=PARTS_POLICY if self._parts else NODE_POLICY,
             routed={
                 "service": service,
                 "upstream": str(upstream),
@@ -144,6 +160,7 @@
                     if pipeline_depth > 1
                     else {}
                 ),
+                **(PARTS_ROUTED if self._parts else {}),
             },
         )
 
@@ -156,7 +173,7 @@
     ) -> None:
         document = {
             "vm": vm,
-            "data_centre": self._data_centre(vm),
+            "data_centre": soak_model.data_centre_of(vm, self._data_centres),
             "fleet_secret": SECRET,
             "seeds": [str(seed) for seed in seeds],
             "listen": {name: str(value) for name, value in listen.items()},
@@ -165,13 +182,6 @@
         with path.open("w", encoding="utf-8") as file:
             yaml.YAML().dump(document | fields, file)
 
-    def _data_centre(self, vm: str) -> str:
-        """Returns the data centre of a VM; several only if links are cut."""
-        if not self._control_hosts:
-            return "dc-a"
-        number = int(vm.rpartition("-")[2])
-        return f"dc-{number % DATA_CENTRES}"
-
     def end_first_start(self, vm: str) -> None:
         """Writes the settings of a control that the fleet is founded."""
         path = self._folder / f"{vm}.yaml"
@@ -196,23 +206,12 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env=self._environment(vm),
+                env=self._links.environment(vm),
             )
         self._told.discard(vm)
         self._started_at[vm] = time.monotonic()
         self._report(soak_model.Started(vm=vm, at=self._started_at[vm]))
 
-    def _environment(self, vm: str) -> dict[str, str]:
-        if vm not in self._control_hosts:
-            return dict(os.environ)
-        path = f"{LINK_HOOK}:{os.environ.get('PYTHONPATH', '')}"
-        return os.environ | {
-            "PYTHONPATH": path.rstrip(":"),
-            "SOAK_CUT_LINKS": str(self._folder / "cut-links"),
-            "SOAK_HOST": self._control_hosts[vm],
-            "SOAK_HOSTS": " ".join(self._control_hosts.values()),
-        }
-
     def _open_log(self, vm: str) -> IO[bytes]:
         log = self.log_path(vm).open("ab")
         if not vm.startswith("control"):
@@ -252,7 +251,7 @@
                 self._told.add(vm)
             process.send_signal(number)
 
-    def begin(self, vm: str, fault: soak_model.Fault) -> int:
+    def begin(self, vm: str, fault: faults.Fault) -> int:
         """Reports that a fault begins and returns its number."""
         number = next(self._numbers)
         if vm.startswith("control"):
@@ -277,7 +276,7 @@
         await trio.sleep(max(0.0, INTERPRETER_START - age))
         self._signal(vm, signal.SIGHUP)
 
-    async def pause(self, fault: soak_model.Pause) -> None:
+    async def pause(self, fault: faults.Pause) -> None:
         """Stops a process from running for some seconds."""
         number = self.begin(fault.vm, fault)
         process = self._processes.get(fault.vm)
@@ -287,7 +286,7 @@
             self._signal(fault.vm, signal.SIGCONT)
         self.end(number)
 
-    async def kill(self, fault: soak_model.Kill) -> None:
+    async def kill(self, fault: faults.Kill) -> None:
         """Kills a process; starts it again unless another fault does."""
         number = self.begin(fault.vm, fault)
         self._signal(fault.vm, signal.SIGKILL)
@@ -299,7 +298,7 @@
             self._busy.discard(fault.vm)
         self.end(number)
 
-    async def lose_disk(self, fault: soak_model.LoseDisk) -> None:
+    async def lose_disk(self, fault: faults.LoseDisk) -> None:
         """Kills a control and empties its folder, one control at a time."""
         async with self._disk_turn:
             async with trio.open_nursery() as nursery:
@@ -307,7 +306,7 @@
                     lost = dataclasses.replace(fault, vm=vm, also=())
                     nursery.start_soon(self._kill_and_empty, lost)
                 for vm in fault.killed:
-                    kill = soak_model.Kill(vm=vm, down=fault.down)
+                    kill = faults.Kill(vm=vm, down=fault.down)
                     nursery.start_soon(self.kill, kill)
             catch_up = soak_model.Bounds().catch_up
             while (
@@ -321,7 +320,7 @@
         async with self._disk_turn:
             pass
 
-    async def _kill_and_empty(self, fault: soak_model.LoseDisk) -> None:
+    async def _kill_and_empty(self, fault: faults.LoseDisk) -> None:
         while fault.vm in self._busy:
             await trio.sleep(POLL_INTERVAL)
         self._busy.add(fault.vm)
@@ -334,7 +333,7 @@
         self._busy.discard(fault.vm)
         self.end(number)
 
-    async def lose_control(self, fault: soak_model.LoseControl) -> None:
+    async def lose_control(self, fault: faults.LoseControl) -> None:
         """Kills a control for good and starts an empty one."""
         number = self.begin(fault.vm, fault)
         self._signal(fault.vm, signal.SIGKILL)
@@ -343,31 +342,32 @@
         self.start(fault.replacement)
         self.end(number)
 
-    async def cut_controls(self, fault: soak_model.CutControls) -> None:
+    async def cut_controls(self, fault: faults.CutControls) -> None:
         """Cuts controls off from the others for some seconds."""
         number = self.begin(fault.vms[0], fault)
-        self._cuts.append(fault)
-        self._write_cuts()
-        await trio.sleep(fault.seconds)
-        self._cuts.remove(fault)
-        self._write_cuts()
+        await self._links.cut(
+            fault.vms,
+            {vm for vm in self._links.vms if vm.startswith("control")},
+            fault.seconds,
+            sends=fault.sends,
+            receives=fault.receives,
+        )
         self.end(number)
 
-    def _write_cuts(self) -> None:
-        hosts = self._control_hosts
-        lines = []
-        for cut in self._cuts:
-            minority = {hosts[vm] for vm in cut.vms}
-            for inside in minority:
-                for outside in set(hosts.values()) - minority:
-                    lines += [f"{inside} {outside}\n"] * cut.sends
-                    lines += [f"{outside} {inside}\n"] * cut.receives
-        path = self._folder / "cut-links"
-        written = path.with_suffix(".new")
-        written.write_text("".join(lines), encoding="utf-8")
-        written.replace(path)
-
-    async def refuse_writes(self, fault: soak_model.RefuseWrites) -> None:
+    async def cut_data_centre(self, fault: faults.CutDataCentre) -> None:
+        """Cuts the processes of a data centre off for some seconds."""
+        inside = {
+            vm
+            for vm in self._links.vms
+            if fault.data_centre
+            == soak_model.data_centre_of(vm, self._data_centres)
+        }
+        numbers = [self.begin(vm, fault) for vm in sorted(inside)]
+        await self._links.cut(inside, self._links.vms, fault.seconds)
+        for number in numbers:
+            self.end(number)
+
+    async def refuse_writes(self, fault: faults.RefuseWrites) -> None:
         """Lets the writes of a control fail for some seconds."""
         process = self._processes.get(fault.vm)
         if process is None or process.poll() is not None:
@@ -381,15 +381,15 @@
         await trio.sleep(soak_model.Bounds().settle)
         self.end(number)
 
-    async def fill_disks(self, fault: soak_model.FillDisks) -> None:
+    async def fill_disks(self, fault: faults.FillDisks) -> None:
         """Lets the writes of controls fail, one control after the other."""
         async with self._disk_turn:
             for vm in fault.vms:
                 await self.refuse_writes(
-                    soak_model.RefuseWrites(vm=vm, seconds=fault.seconds)
+                    faults.RefuseWrites(vm=vm, seconds=fault.seconds)
                 )
 
-    async def stop(self, fault: soak_model.Stop, *, again: bool = True) -> None:
+    async def stop(self, fault: faults.Stop, *, again: bool = True) -> None:
         """Stops a process as planned, and starts it again if `again`."""
         if fault.vm in self._busy or fault.vm not in self._processes:
             return
@@ -400,7 +400,7 @@
             await self._wait_exit(fault.vm)
         if fault.vm in self._processes:
             kill = self.begin(
-                fault.vm, soak_model.Kill(vm=fault.vm, down=fault.down)
+                fault.vm, faults.Kill(vm=fault.vm, down=fault.down)
             )
             self._signal(fault.vm, signal.SIGKILL)
             await self._wait_exit(fault.vm)
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -5,6 +5,14 @@
 import dataclasses
 from typing import TypeAlias
 
+from bench.soak import faults as fault_kinds
+
+DATA_CENTRES = 3  # of a fleet in several data centres
+COLD_START = 3  # seconds
+# Of a cold upstream, small enough for callers to exceed the bound many times.
+COLD_PER_S = 2
+COLD_OVERAGE = 1.5
+COLD_SLACK = 3
 REFUSALS = frozenset({408, 421, 429, 503})  # promise that nothing has run
 
 
@@ -25,6 +33,9 @@
       drain: From the acknowledgement of an upstream's sign-off until no
         request reaches it any more.
       recovery: Time from the last fault until every process works again.
+      evacuation: From the acknowledgement of an evacuation until no request
+        reaches an upstream in its data centre.
+      ack: Until a change is acknowledged while one control can't write.
       skew: Added to `apply` while the controls have not been stable for the
         time of contact, but a majority of them is connected.
     """
@@ -40,279 +51,17 @@
     catch_up: float = 4.0
     drain: float = 2.0
     recovery: float = 15.0
+    evacuation: float = 5.0
+    ack: float = 4.0
     skew: float = 5.0
 
 
-# --- faults ------------------------------------------------------------------
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Pause:
-    """SIGSTOP, and SIGCONT after `seconds`."""
-
-    vm: str
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PauseAll:
-    """A pause of many processes at once, as of a machine that is busy."""
-
-    vms: tuple[str, ...]
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Stop:
-    """SIGTERM, SIGKILL after the grace period, and a start after `down`."""
-
-    vm: str
-    down: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kill:
-    """SIGKILL, and a start after `down` seconds."""
-
-    vm: str
-    down: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class KillAll:
-    """A kill of many processes at the same moment, as by a loss of power."""
-
-    vms: tuple[str, ...]
-    down: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LoseDisk:
-    """SIGKILL, and a start with an empty data folder after `down` seconds.
-
-    The VMs in `killed` are killed at the same moment and keep their folders;
-    those in `also` lose theirs.
-    """
-
-    vm: str
-    down: float
-    killed: tuple[str, ...] = ()
-    also: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class FillDisks:
-    """The disks of controls are full by turns, each for some seconds."""
-
-    vms: tuple[str, ...]
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LoseControl:
-    """SIGKILL for good; an empty control starts after `down` seconds."""
-
-    vm: str
-    replacement: str
-    down: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CutControls:
-    """A minority of the controls is cut off from the others for some seconds.
-
-    Nodes and operators still reach all of them.
-
-    Attributes:
-      vms: The minority.
-      sends: Whether what it sends is lost.
-      receives: Whether what is sent to it is lost.
-    """
-
-    vms: tuple[str, ...]
-    seconds: float
-    sends: bool = True
-    receives: bool = True
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ChangeRoutes:
-    """Configurations at a fixed pace for some seconds."""
-
-    seconds: float
-    interval: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RestartUpstream:
-    """An upstream signs off, serves on, exits, and starts again under its id.
-
-    Attributes:
-      reports_draining: Whether it reports that it drains before it is gone.
-      down: Seconds from its exit to its next start.
-    """
-
-    vm: str
-    reports_draining: bool
-    down: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class DelayHeartbeat:
-    """One heartbeat of an upstream arrives some seconds late."""
-
-    vm: str
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ChangeWeights:
-    """A configuration with other weights of the two services of a route."""
-
-    weights: tuple[int, int]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RefuseWrites:
-    """A process can't write to files for some seconds, as on a full disk."""
-
-    vm: str
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class HangUp:
-    """SIGHUP."""
-
-    vm: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ChangeIdle:
-    """A configuration with another idle timeout, in seconds."""
-
-    idle: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ReplaceKey:
-    """A configuration that withdraws the oldest key and adds one."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ChangeStorm:
-    """Configurations in quick succession, one for each idle timeout."""
-
-    idles: tuple[float, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Delay:
-    """Each piece of data is held for some seconds."""
-
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Reset:
-    """Open connections are reset."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CutOneWay:
-    """Data in one direction is held until the fault ends."""
-
-    to_target: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Silence:
-    """Data in both directions is held until the fault ends."""
-
-
-LinkFault: TypeAlias = Delay | Reset | CutOneWay | Silence
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class DisturbLink:
-    """A fault of the link to a control, or from a node to its upstream."""
-
-    vm: str
-    how: LinkFault
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SecondAnswer:
-    """An answer comes again where the next one is due."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RepeatedRefusal:
-    """A refusal comes again where the next answer is due."""
-
-    with_id: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CutAnswer:
-    """The connection closes after a fraction of the answer.
-
-    Attributes:
-      in_head: Whether the fraction is of the head, else of the whole answer.
-    """
-
-    in_head: bool
-    fraction: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ResetAfterRun:
-    """The request runs and its connection is reset without an answer."""
-
-
-Spoiling: TypeAlias = SecondAnswer | RepeatedRefusal | CutAnswer | ResetAfterRun
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Spoil:
-    """An upstream spoils a share of its answers for some seconds."""
-
-    vm: str
-    how: Spoiling
-    seconds: float
-
-
-Fault: TypeAlias = (
-    Pause
-    | PauseAll
-    | Stop
-    | Kill
-    | KillAll
-    | LoseDisk
-    | RefuseWrites
-    | FillDisks
-    | LoseControl
-    | CutControls
-    | ChangeRoutes
-    | RestartUpstream
-    | DelayHeartbeat
-    | ChangeWeights
-    | HangUp
-    | ChangeIdle
-    | ReplaceKey
-    | ChangeStorm
-    | DisturbLink
-    | Spoil
-)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Timed:
     """A fault and when it begins, in seconds since the start of the plan."""
 
     at: float
-    fault: Fault
+    fault: fault_kinds.Fault
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -329,6 +78,8 @@
       vm_losses: Controls that may be lost at once.
       spares: Controls that replace others.
       check_interval: Seconds between two checks of a process.
+      parts: What is added to the plan, see `parts.PARTS`.
+      data_centres: Data centres over which the VMs are spread.
     """
 
     seed: int
@@ -340,11 +91,17 @@
     groups: int = 6
     slow_groups: int = 0
     connections: int = 10
-    final: Fault | None = None
+    final: fault_kinds.Fault | None = None
     hosts: tuple[str, ...] = ("idem", "once", "keyed")
     vm_losses: int = 1
     spares: tuple[str, ...] = ()
     check_interval: float = 0.5
+    parts: frozenset[str] = frozenset()
+    data_centres: int = 1
+
+    def data_centre_of(self, vm: str) -> str:
+        """Returns the data centre of a VM."""
+        return data_centre_of(vm, self.data_centres)
 
 
 # --- observations ------------------------------------------------------------
@@ -434,6 +191,50 @@
     sound: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ColdArrival:
+    """A request reached a cold upstream, which ran or refused it.
+
+    Attributes:
+      told_at: When its node was told that it is cold, or had to know.
+      is_assumed: Whether the node was not told: an evacuation has ended.
+    """
+
+    vm: str
+    at: float
+    told_at: float
+    is_assumed: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RanLate:
+    """The event loop of the soak stood still, so that arrivals bunched up."""
+
+    at: float
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Evacuated:
+    """A control acknowledged the evacuation of a data centre.
+
+    Attributes:
+      vms: The nodes there.
+    """
+
+    data_centre: str
+    at: float
+    vms: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EvacuationEnds:
+    """An operator requests the end of an evacuation for the first time."""
+
+    data_centre: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SignedOff:
     """A node acknowledged that its upstream leaves or is gone."""
@@ -513,7 +314,7 @@
     number: int
     at: float
     vm: str
-    fault: Fault
+    fault: fault_kinds.Fault
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -554,6 +355,10 @@
     | GaveUp
     | Unasked
     | Ran
+    | ColdArrival
+    | RanLate
+    | Evacuated
+    | EvacuationEnds
     | SignedOff
     | UpstreamStarted
     | Proposed
@@ -608,3 +413,10 @@
 def signature(request_id: str, vm: str) -> str:
     """Returns the signature by which an upstream marks its answers."""
     return f"of-{request_id}-by-{vm}"
+
+
+def data_centre_of(vm: str, data_centres: int) -> str:
+    """Returns the data centre of a VM, by the number in its name."""
+    if data_centres == 1:
+        return "dc-a"
+    return f"dc-{int(vm.rpartition('-')[2]) % data_centres}"
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 import json
 import random
 import time
@@ -10,6 +11,7 @@
 import trio
 
 from bench.soak import callers
+from bench.soak import faults
 from bench.soak import model as soak_model
 from sassafrashall import model
 
@@ -25,6 +27,10 @@
     "header_timeout": "3000ms",
 }
 SERVICES = ("alpha", "beta")
+COLD = {
+    "cold_start": f"{soak_model.COLD_START}s",
+    "cold_per_s": soak_model.COLD_PER_S,
+}
 
 
 class Operator:
@@ -56,6 +62,8 @@
         self._keys = ("key-1", "key-2", "key-3")
         self._newest_key = len(self._keys)
         self._weights = (1, 1)
+        self._plan = plan
+        self._evacuated: set[str] = set()
         self._turn = trio.Lock()
 
     @property
@@ -88,22 +96,62 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether no configuration waits for its acknowledgement."""
-        return self._version == self._acknowledged
+        """Whether no change waits for its acknowledgement or its end."""
+        return self._version == self._acknowledged and not self._evacuated
+
+    @property
+    def evacuates(self) -> bool:
+        """Whether a data centre is evacuated."""
+        return bool(self._evacuated)
+
+    async def evacuate(
+        self, fault: faults.Evacuate, before_end: Callable[[], None]
+    ) -> None:
+        """Evacuates a data centre, and ends it once it was in force."""
+        if fault.data_centre in self._evacuated:
+            return
+        self._evacuated.add(fault.data_centre)
+        path = f"/-/evacuation/{fault.data_centre}"
+        await self._send_until_acknowledged("POST", path)
+        vms = (
+            vm
+            for vm in self._nodes
+            if self._plan.data_centre_of(vm) == fault.data_centre
+        )
+        self._report(
+            soak_model.Evacuated(
+                data_centre=fault.data_centre,
+                at=time.monotonic(),
+                vms=frozenset(vms),
+            )
+        )
+        await trio.sleep(soak_model.Bounds().evacuation + fault.seconds)
+        before_end()
+        self._report(
+            soak_model.EvacuationEnds(
+                data_centre=fault.data_centre, at=time.monotonic()
+            )
+        )
+        await self._send_until_acknowledged("DELETE", path)
+        self._evacuated.discard(fault.data_centre)
 
-    async def apply(self, change: soak_model.Fault | None = None) -> None:
+    async def probe_newest(self, vm: str) -> bool:
+        """Returns whether a node serves the newest route."""
+        return await self._probe(vm, self._acknowledged)
+
+    async def apply(self, change: faults.Fault | None = None) -> None:
         """Sends changes in turn, each until it is acknowledged."""
         match change:
-            case soak_model.ChangeStorm(idles=idles):
+            case faults.ChangeStorm(idles=idles):
                 for idle in idles:
                     await self._change(idle=idle)
-            case soak_model.ChangeIdle(idle=idle):
+            case faults.ChangeIdle(idle=idle):
                 await self._change(idle=idle)
-            case soak_model.ReplaceKey():
+            case faults.ReplaceKey():
                 await self._change(replace_key=True)
-            case soak_model.ChangeWeights(weights=weights):
+            case faults.ChangeWeights(weights=weights):
                 await self._change(weights=weights)
-            case soak_model.ChangeRoutes(seconds=seconds, interval=interval):
+            case faults.ChangeRoutes(seconds=seconds, interval=interval):
                 end = time.monotonic() + seconds
                 while (began := time.monotonic()) < end:
                     await self._change()
@@ -129,7 +177,9 @@
             self._version += 1
             self._weights = weights or self._weights
             body = json.dumps(
-                _document(self._version, idle, keys, self._weights)
+                _document(
+                    self._version, idle, keys, self._weights, self._plan.parts
+                )
             ).encode()
             self._report(
                 soak_model.Proposed(
@@ -138,7 +188,12 @@
                     keys=frozenset(keys),
                 )
             )
-            await self._send_until_acknowledged(base, body)
+            await self._send_until_acknowledged(
+                "PUT",
+                "/-/configuration",
+                headers=(("if-match", f"r{base}" if base else "0"),),
+                body=body,
+            )
             self._acknowledged = self._version
             self._idle, self._keys = idle, keys
             self._report(
@@ -147,21 +202,28 @@
                 )
             )
 
-    async def _send_until_acknowledged(self, base: int, body: bytes) -> None:
+    async def _send_until_acknowledged(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: tuple[tuple[str, str], ...] = (),
+        body: bytes = b"",
+    ) -> None:
         while True:
             vm = self._random.choice(list(self._controls))
             status = 0
             with trio.move_on_after(ATTEMPT_TIMEOUT):
                 status, _ = await callers.send_once(
                     self._controls[vm],
-                    "PUT",
-                    "/-/configuration",
-                    headers=(("if-match", f"r{base}" if base else "0"),),
+                    method,
+                    path,
+                    headers=headers,
                     body=body,
                 )
             if status == 200:
                 return
-            if status in (400, 409, 412, 413, 422):
+            if status in (400, 404, 409, 412, 413, 422):
                 self._report(
                     soak_model.Refused(
                         version=self._version,
@@ -244,6 +306,7 @@
     idle: float,
     keys: tuple[str, ...],
     weights: tuple[int, int],
+    parts: Collection[str],
 ) -> dict[str, object]:
     """Returns a configuration, with the probe routes of the newest versions."""
 
@@ -284,6 +347,7 @@
         },
         "services": {
             service: {"health_path": "/health", "max_connections": 400}
+            | (COLD if "cold" in parts else {})
             for service in SERVICES
         },
         "limits": LIMITS | {"idle_timeout": f"{int(1000 * idle)}ms"},
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from bench.soak import model as soak_model
+from bench.soak import faults
 from sassafrashall import model
 
 PIECE_SIZE = 65536  # bytes
@@ -30,7 +30,7 @@
     def __init__(self, *, listen: model.Address, target: model.Address) -> None:
         self._listen = listen
         self._target = target
-        self._fault: soak_model.LinkFault | None = None
+        self._fault: faults.LinkFault | None = None
         self._fault_ended = trio.Event()
         self._streams: set[trio.SocketStream] = set()
 
@@ -46,10 +46,10 @@
         )
         nursery.start_soon(trio.serve_listeners, self._serve, listeners)
 
-    async def disturb(self, how: soak_model.LinkFault, seconds: float) -> None:
+    async def disturb(self, how: faults.LinkFault, seconds: float) -> None:
         """Applies a fault for some seconds; a later one ends it early."""
         self._end_fault()
-        if isinstance(how, soak_model.Reset):
+        if isinstance(how, faults.Reset):
             for stream in list(self._streams):
                 reset(stream)
             return
@@ -101,9 +101,9 @@
 
     async def _hold(self, to_target: bool) -> None:
         match self._fault:
-            case soak_model.Delay(seconds=seconds):
+            case faults.Delay(seconds=seconds):
                 await trio.sleep(seconds)
-            case soak_model.CutOneWay(to_target=cut) if cut == to_target:
+            case faults.CutOneWay(to_target=cut) if cut == to_target:
                 await self._fault_ended.wait()
-            case soak_model.Silence():
+            case faults.Silence():
                 await self._fault_ended.wait()
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -12,9 +12,11 @@
 from bench import fleet as bench_fleet
 from bench.soak import callers
 from bench.soak import checker
+from bench.soak import faults
 from bench.soak import fleet
 from bench.soak import model
 from bench.soak import operators
+from bench.soak import part_checks
 from bench.soak import planner
 from bench.soak import proxy
 from bench.soak import upstreams
@@ -22,10 +24,12 @@
 
 JUDGE_INTERVAL = 0.5  # seconds
 MAX_SEEDS = 3  # controls that the settings name
-CONTROL_NETWORK = 251  # 127.0.251.0/24 is of controls with a host of their own
+LATE_INTERVAL = 0.02  # seconds between two checks that the soak is on time
 SHARE_REQUESTS = 200  # requests by which shares are judged
 SHARE_TIMEOUT = 20.0  # seconds to send them
 FINAL_WEIGHTS = (1, 3)
+NARROW_SERVICE = operators.SERVICES[1]  # of the nodes with odd numbers
+EVACUATION_TIMEOUT = 30.0  # seconds until the last evacuation has ended
 START_TIMEOUT = 30.0  # seconds until every node is ready
 
 
@@ -53,16 +57,23 @@
         self._folder = folder
         self._began = time.monotonic()
         self._max_delay = 0.0
+        self._evacuation_ends: dict[str, float] = {}  # by VM
         self._checker = checker.Checker(on_violation=self._record)
-        self._control_hosts = {
-            vm: f"127.0.{CONTROL_NETWORK}.{index + 1}"
-            for index, vm in enumerate((*plan.controls, *plan.spares))
-            if plan.spares
+        cut_off: tuple[str, ...] = ()  # VMs that may be cut off from others
+        if plan.spares or "data-centre-cut" in plan.parts:
+            cut_off = (*plan.controls, *plan.spares)
+        if "data-centre-cut" in plan.parts:
+            cut_off += plan.nodes
+        # Of this soak only, as is the host of the addresses in use.
+        network = bench_fleet.free_addresses(1)[0].host.rpartition(".")[0]
+        self._hosts = {
+            vm: f"{network}.{index + 1}" for index, vm in enumerate(cut_off)
         }
         self._daemons = fleet.Daemons(
             folder=folder,
             report=self._report,
-            control_hosts=self._control_hosts,
+            hosts=self._hosts,
+            plan=plan,
         )
         self._proxies: dict[str, proxy.Proxy] = {}
         self._upstreams: dict[str, upstreams.Upstream] = {}
@@ -85,8 +96,10 @@
             rpc, operator_addresses[vm], ops, shown = (
                 next(free) for _ in range(4)
             )
-            if vm in self._control_hosts:
-                rpc = dataclasses.replace(rpc, host=self._control_hosts[vm])
+            if host := self._hosts.get(vm):
+                rpc = dataclasses.replace(rpc, host=host)
+            if host and "data-centre-cut" in plan.parts:
+                shown = dataclasses.replace(shown, host=host)
             listens[vm] = {
                 "rpc": rpc,
                 "operators": operator_addresses[vm],
@@ -104,6 +117,10 @@
         for index, vm in enumerate(plan.nodes):
             names = ("callers", "peers", "readiness", "announcements", "ops")
             listen = {name: next(free) for name in names}
+            if host := self._hosts.get(vm):
+                listen["peers"] = dataclasses.replace(
+                    listen["peers"], host=host
+                )
             upstream, shown = next(free), next(free)
             service = operators.SERVICES[index % len(operators.SERVICES)]
             self._callers[vm] = listen["callers"]
@@ -116,6 +133,12 @@
                 announced=shown,
                 announce_to=listen["announcements"],
                 seed=plan.seed,
+                slots=(
+                    upstreams.NARROW_SLOTS
+                    if "overload" in plan.parts and service == NARROW_SERVICE
+                    else upstreams.SLOTS
+                ),
+                starts_cold="cold" in plan.parts,
                 report=self._report,
             )
             self._daemons.write_node(
@@ -144,6 +167,8 @@
                 | model.Started()
                 | model.Exited()
                 | model.Acknowledged()
+                | model.Evacuated()
+                | model.EvacuationEnds()
             ):
                 self._write_event(observation)
 
@@ -202,6 +227,7 @@
         await trio.sleep(1.5)
         self._began = time.monotonic()
         nursery.start_soon(self._judge_regularly)
+        nursery.start_soon(self._watch_delay)
         nursery.start_soon(self._operator.check_regularly)
         for vm, address in self._callers.items():
             for index in range(self._plan.groups + self._plan.slow_groups):
@@ -223,50 +249,82 @@
             self._max_delay = max(self._max_delay, time.monotonic() - due)
             self._checker.judge_closed(time.monotonic())
 
+    async def _watch_delay(self) -> None:
+        """Reports times in which the event loop of the soak stood still."""
+        while True:
+            due = time.monotonic() + LATE_INTERVAL
+            await trio.sleep(LATE_INTERVAL)
+            if (late := time.monotonic() - due) > part_checks.MAX_DELAY:
+                self._report(model.RanLate(at=due, seconds=late))
+
+    def _turn_cold(self, data_centre: str) -> None:
+        """The upstreams of a data centre become cold as it is used again."""
+        for vm in self._plan.nodes:
+            if self._plan.data_centre_of(vm) == data_centre:
+                self._evacuation_ends[vm] = time.monotonic()
+                if "cold" in self._plan.parts:
+                    self._upstreams[vm].turn_cold(is_assumed=True)
+
     async def _inject_at(self, timed: model.Timed) -> None:
         await trio.sleep(timed.at)
         await self._inject(timed.fault)
 
-    async def _inject(self, fault: model.Fault) -> None:
+    async def _inject(self, fault: faults.Fault) -> None:
         match fault:
-            case model.Pause():
+            case faults.Pause():
                 await self._daemons.pause(fault)
-            case model.PauseAll(vms=vms, seconds=seconds):
+            case faults.PauseAll(vms=vms, seconds=seconds):
                 async with trio.open_nursery() as nursery:
                     for vm in vms:
-                        pause = model.Pause(vm=vm, seconds=seconds)
+                        pause = faults.Pause(vm=vm, seconds=seconds)
                         nursery.start_soon(self._daemons.pause, pause)
-            case model.Stop():
+            case faults.Stop():
                 await self._daemons.stop(fault)
-            case model.Kill():
+            case faults.Kill():
                 await self._daemons.kill(fault)
-            case model.KillAll(vms=vms, down=down):
+            case faults.KillAll(vms=vms, down=down):
                 async with trio.open_nursery() as nursery:
                     for vm in vms:
-                        kill = model.Kill(vm=vm, down=down)
+                        kill = faults.Kill(vm=vm, down=down)
                         nursery.start_soon(self._daemons.kill, kill)
-            case model.LoseDisk():
+            case faults.LoseDisk():
                 await self._daemons.lose_disk(fault)
-            case model.RefuseWrites():
+            case faults.RefuseWrites():
                 await self._daemons.refuse_writes(fault)
-            case model.FillDisks():
+            case faults.FillDisks():
                 await self._daemons.fill_disks(fault)
-            case model.LoseControl(vm=vm, replacement=replacement):
+            case faults.LoseControl(vm=vm, replacement=replacement):
                 self._operator.replace_control(vm, replacement)
                 await self._daemons.lose_control(fault)
-            case model.CutControls():
+            case faults.Evacuate(data_centre=data_centre):
+                await self._operator.evacuate(
+                    fault, lambda: self._turn_cold(data_centre)
+                )
+            case faults.TurnCold(vm=vm):
+                self._upstreams[vm].turn_cold()
+            case faults.OddHeads(vm=vm):
+                await callers.send_odd_heads(self._callers[vm], fault)
+            case faults.FillDisk(vm=vm, seconds=seconds):
+                full = faults.RefuseWrites(vm=vm, seconds=seconds)
+                changes = faults.ChangeRoutes(seconds=seconds, interval=0.5)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._daemons.refuse_writes, full)
+                    nursery.start_soon(self._operator.apply, changes)
+            case faults.CutDataCentre():
+                await self._daemons.cut_data_centre(fault)
+            case faults.CutControls():
                 await self._daemons.cut_controls(fault)
-            case model.RestartUpstream(vm=vm):
+            case faults.RestartUpstream(vm=vm):
                 await self._upstreams[vm].restart(fault)
-            case model.DelayHeartbeat(vm=vm, seconds=seconds):
+            case faults.DelayHeartbeat(vm=vm, seconds=seconds):
                 await self._upstreams[vm].delay_heartbeat(seconds)
-            case model.HangUp(vm=vm):
+            case faults.HangUp(vm=vm):
                 await self._daemons.hang_up(vm)
-            case model.DisturbLink(vm=vm, how=how, seconds=seconds):
+            case faults.DisturbLink(vm=vm, how=how, seconds=seconds):
                 number = self._daemons.begin(vm, fault)
                 await self._proxies[vm].disturb(how, seconds)
                 self._daemons.end(number)
-            case model.Spoil(vm=vm, how=how, seconds=seconds):
+            case faults.Spoil(vm=vm, how=how, seconds=seconds):
                 await self._upstreams[vm].spoil(how, seconds)
             case _:
                 await self._operator.apply(fault)
@@ -274,24 +332,31 @@
     async def _finish(self, nursery: trio.Nursery) -> None:
         """Injects the last fault, awaits the recovery, stops all processes."""
         recovery = model.Bounds().recovery
+        with trio.move_on_after(EVACUATION_TIMEOUT):
+            while self._operator.evacuates:
+                await trio.sleep(0.1)
         if (final := self._plan.final) is not None:
             await self._daemons.wait_caught_up()
             with trio.move_on_after(recovery):
                 await self._operator.apply()
             match final:
-                case model.KillAll() | model.LoseDisk(killed=(_, *_)):
+                case faults.KillAll() | faults.LoseDisk(killed=(_, *_)):
                     self._checker.expect_loss_of_core()
             nursery.start_soon(self._inject, final)
             await trio.sleep(planner.MAX_DOWN)
         versions = dict.fromkeys(self._operator.controls, 0)
         late = {"operator", *self._plan.nodes}
+        late |= {f"{vm}/upstream" for vm in self._evacuation_ends}
         with trio.move_on_after(recovery):
             while late or min(versions.values()) < self._operator.acknowledged:
                 await trio.sleep(0.2)
                 if self._operator.is_settled:
                     late.discard("operator")
+                for vm, ended_at in self._evacuation_ends.items():
+                    if self._checker.parts.has_run(vm, ended_at):
+                        late.discard(f"{vm}/upstream")
                 async with trio.open_nursery() as checks:
-                    for vm in (*versions, *late - {"operator"}):
+                    for vm in (*versions, *late & set(self._plan.nodes)):
                         checks.start_soon(self._recheck, vm, versions, late)
         self._checker.judge_end(time.monotonic(), versions, late)
         if "split" in self._plan.hosts and not late:
@@ -306,8 +371,10 @@
 
     async def _judge_shares(self) -> None:
         """Changes the weights in calm, and judges the shares from then on."""
+        for upstream in self._upstreams.values():
+            upstream.end_overload()
         await trio.sleep(2 * model.Bounds().contact)
-        await self._operator.apply(model.ChangeWeights(weights=FINAL_WEIGHTS))
+        await self._operator.apply(faults.ChangeWeights(weights=FINAL_WEIGHTS))
         await trio.sleep(model.Bounds().apply)
         began = time.monotonic()
         with trio.move_on_after(SHARE_TIMEOUT):
@@ -331,11 +398,13 @@
         with trio.move_on_after(1.0):
             if vm in versions:
                 versions[vm] = await self._operator.read(vm) or versions[vm]
-            elif await callers.is_ready(self._ready[vm]):
+            elif await callers.is_ready(self._ready[vm]) and (
+                not self._plan.parts or await self._operator.probe_newest(vm)
+            ):
                 late.discard(vm)
 
     async def _stop_for_good(self, vm: str) -> None:
-        stop = model.Stop(vm=vm, down=0.0)
+        stop = faults.Stop(vm=vm, down=0.0)
         while vm in self._daemons.vms:
             await self._daemons.stop(stop, again=False)
             await trio.sleep(0.1)
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import json
+import math
 import random
 import time
 import urllib.parse
@@ -14,13 +15,17 @@
 import trio
 
 from bench.soak import callers
+from bench.soak import faults
 from bench.soak import model as soak_model
 from bench.soak import proxy
 from sassafrashall import model
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 SLOTS = 50
+NARROW_SLOTS = 4  # of a service that is overloaded
 SPOILT_SHARE = 0.3  # of the answers while an upstream spoils
+SHED_SHARE = 0.5  # of the requests while it refuses some
+MAX_HEAD = 65536  # bytes; nodes add to heads of up to 16 KB
 SERVE_ON = 1.0  # seconds past the drain bound for which one that left serves
 SIGN_OFF_TIMEOUT = 4.0  # seconds after which it leaves unacknowledged
 REPEAT_DELAY = 0.02  # seconds from an answer to its repetition
@@ -38,6 +43,8 @@
         announced: model.Address,
         announce_to: model.Address,
         seed: int,
+        slots: int = SLOTS,
+        starts_cold: bool = False,
         report: Callable[[soak_model.Observation], None],
     ) -> None:
         self._vm = vm
@@ -47,8 +54,14 @@
         self._announce_to = announce_to
         self._random = random.Random(f"{seed} {vm}")
         self._report = report
+        self._slots = slots
+        self._starts_cold = starts_cold
+        self._cold_until = 0.0
+        self._is_assumed_cold = False
+        # When the node got a heartbeat that tells that the upstream is cold.
+        self._told_at = math.inf
         self._incarnation = f"i-{vm}"
-        self._spoiling: soak_model.Spoiling | None = None
+        self._spoiling: faults.Spoiling | None = None
         self._sequence = 0
         self._born_ms = 1000
         self._state: str | None = "ready"
@@ -62,14 +75,32 @@
         nursery.start_soon(trio.serve_listeners, self._serve, listeners)
         nursery.start_soon(self._announce_periodically)
 
-    async def spoil(self, how: soak_model.Spoiling, seconds: float) -> None:
+    async def spoil(self, how: faults.Spoiling, seconds: float) -> None:
         """Spoils a share of the answers for some seconds."""
         self._spoiling = how
         await trio.sleep(seconds)
         if self._spoiling is how:
             self._spoiling = None
 
-    async def restart(self, fault: soak_model.RestartUpstream) -> None:
+    def end_overload(self) -> None:
+        """Announces as many slots as others from the next heartbeat on."""
+        self._slots = SLOTS
+
+    def turn_cold(self, *, is_assumed: bool = False) -> None:
+        """Is cold from now on.
+
+        Args:
+          is_assumed: Whether its node has to know without a heartbeat.
+        """
+        now = time.monotonic()
+        self._cold_until = now + soak_model.COLD_START
+        self._is_assumed_cold = is_assumed
+        self._told_at = now if is_assumed else math.inf
+
+    def _cold_remaining(self) -> float:
+        return max(0.0, self._cold_until - time.monotonic())
+
+    async def restart(self, fault: faults.RestartUpstream) -> None:
         """Signs off, serves on for a while, and starts again under its id."""
         if self._is_leaving:
             return
@@ -89,6 +120,8 @@
         self._born_ms = max(self._born_ms + 1, int(time.time() * 1000))
         self._sequence = 0
         self._state = "ready"
+        if self._starts_cold:
+            self.turn_cold()
         self._report(
             soak_model.UpstreamStarted(vm=self._vm, at=time.monotonic())
         )
@@ -116,7 +149,11 @@
             await trio.sleep(HEARTBEAT_INTERVAL)
 
     async def _send_heartbeat(self) -> int:
-        return await self._send("PUT", self._heartbeat())
+        cold_until = self._cold_until
+        status = await self._send("PUT", self._heartbeat())
+        if status == 200 and cold_until == self._cold_until:
+            self._told_at = min(self._told_at, time.monotonic())
+        return status
 
     async def _send_sign_off(self) -> int:
         return await self._send("DELETE", b"")
@@ -130,12 +167,12 @@
                 "service": self._service,
                 "version": "v1",
                 "zone": "z",
-                "slots": SLOTS,
+                "slots": self._slots,
             },
             "status": {
                 "state": self._state,
                 "sequence": self._sequence,
-                "cold_remaining": "0ms",
+                "cold_remaining": f"{int(1000 * self._cold_remaining())}ms",
             },
         }
         return json.dumps(body).encode()
@@ -153,7 +190,9 @@
         return status
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        protocol = h11.Connection(h11.SERVER)
+        protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD
+        )
         try:
             while await self._serve_request(stream, protocol):
                 protocol.start_next_cycle()
@@ -176,15 +215,22 @@
         request_id = headers.get(b"request-id", b"").decode()
         target = request.target.decode()
         instance = headers.get(b"target-instance", b"").decode()
+        refuses = instance not in ("", self._incarnation)
+        if not refuses:
+            self._report_cold()
         if not request_id:  # a health check
             await stream.send_all(self._encode(protocol, 200, "", b"", ""))
             return True
-        refuses = instance not in ("", self._incarnation)
         spoiling = None
-        if self._spoiling and self._random.random() < SPOILT_SHARE:
+        match self._spoiling:
+            case faults.ShedHalf():
+                share = SHED_SHARE
+            case _:
+                share = SPOILT_SHARE
+        if self._spoiling and self._random.random() < share:
             spoiling = self._spoiling
         match spoiling:
-            case soak_model.RepeatedRefusal(with_id=with_id):
+            case faults.RepeatedRefusal(with_id=with_id):
                 data = self._encode(
                     protocol, 503, request_id if with_id else "", b"", ""
                 )
@@ -192,9 +238,10 @@
                 await trio.sleep(REPEAT_DELAY)
                 await stream.send_all(data)
                 return True
-        if refuses:
+        if refuses or isinstance(spoiling, faults.ShedHalf):
+            status = 421 if refuses else 503
             await stream.send_all(
-                self._encode(protocol, 421, request_id, b"", "")
+                self._encode(protocol, status, request_id, b"", "")
             )
             return True
         self._report(
@@ -213,21 +260,34 @@
         signature = soak_model.signature(request_id, self._vm)
         data = self._encode(protocol, 200, request_id, answer, signature)
         match spoiling:
-            case soak_model.SecondAnswer():
+            case faults.SecondAnswer():
                 await stream.send_all(data)
                 await trio.sleep(REPEAT_DELAY)
                 await stream.send_all(data)
-            case soak_model.CutAnswer(in_head=in_head, fraction=fraction):
+            case faults.CutAnswer(in_head=in_head, fraction=fraction):
                 whole = len(data) - (len(answer) if in_head else 0)
                 await stream.send_all(data[: int(whole * fraction)])
                 return False
-            case soak_model.ResetAfterRun():
+            case faults.ResetAfterRun():
                 proxy.reset(stream)
                 return False
             case _:
                 await stream.send_all(data)
         return True
 
+    def _report_cold(self) -> None:
+        """Reports the arrival of a request while its node knows of the cold."""
+        now = time.monotonic()
+        if self._told_at <= now < self._cold_until:
+            self._report(
+                soak_model.ColdArrival(
+                    vm=self._vm,
+                    at=now,
+                    told_at=self._told_at,
+                    is_assumed=self._is_assumed_cold,
+                )
+            )
+
     def _encode(
         self,
         protocol: h11.Connection,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from bench.soak import checker
+from bench.soak import faults
 from bench.soak import model
 from bench.soak import planner
 from bench.soak import soak
@@ -50,7 +51,7 @@
 
 
 def _began(fault, at, number=1):
-    vm = fault.vms[0] if isinstance(fault, model.CutControls) else fault.vm
+    vm = fault.vms[0] if isinstance(fault, faults.CutControls) else fault.vm
     return model.FaultBegan(number=number, at=at, vm=vm, fault=fault)
 
 
@@ -89,11 +90,11 @@
     return [violation.rule for violation in judge.violations]
 
 
-KILL = model.Kill(vm="node-0", down=1.0)
-STOP = model.Stop(vm="node-0", down=1.0)
-PAUSE = model.Pause(vm="node-0", seconds=1.0)
-REFUSE_WRITES = model.RefuseWrites(vm="control-0", seconds=1.0)
-CUT = model.CutControls(vms=("control-0",), seconds=5.0)
+KILL = faults.Kill(vm="node-0", down=1.0)
+STOP = faults.Stop(vm="node-0", down=1.0)
+PAUSE = faults.Pause(vm="node-0", seconds=1.0)
+REFUSE_WRITES = faults.RefuseWrites(vm="control-0", seconds=1.0)
+CUT = faults.CutControls(vms=("control-0",), seconds=5.0)
 KEYS = (frozenset({"a", "b"}), frozenset({"b"}))
 
 
@@ -256,7 +257,7 @@
         ],
         [
             model.SignedOff(vm="node-1", at=1.0),
-            _began(model.Kill(vm="node-1", down=1.0), 8.0),
+            _began(faults.Kill(vm="node-1", down=1.0), 8.0),
             _ended(9.0),
             _sent(),
             _ran(),
@@ -270,7 +271,7 @@
         [
             model.Started(vm="node-0", at=0.0),
             *_versions(1.0),
-            _began(model.Pause(vm="control-0", seconds=1.0), 2.0),
+            _began(faults.Pause(vm="control-0", seconds=1.0), 2.0),
             _ended(3.0),
             _probed(1, 3.5, False),
         ],
@@ -290,7 +291,7 @@
         [
             model.Started(vm="node-0", at=0.0),
             _began(CUT, 5.0),
-            _began(model.Pause(vm="control-1", seconds=1.0), 6.0, 2),
+            _began(faults.Pause(vm="control-1", seconds=1.0), 6.0, 2),
             *_versions(5.5),
             _probed(1, 8.1, False),
         ],
@@ -333,7 +334,7 @@
     for observation in (
         model.Started(vm="node-0", at=0.0),
         *_versions(1.0),
-        _began(model.Kill(vm="control-0", down=1.0), 1.0),
+        _began(faults.Kill(vm="control-0", down=1.0), 1.0),
         _ended(2.0),
         _probed(1, 2.0 + age, False),
     ):
@@ -373,16 +374,16 @@
         planner.make_plan(seed=seed, nodes=4, seconds=20.0, wide=True)
         for seed in range(20)
     ]
-    faults = [timed.fault for plan in plans for timed in plan.faults]
+    planned = [timed.fault for plan in plans for timed in plan.faults]
     for kind in (
-        model.FillDisks,
-        model.RestartUpstream,
-        model.DelayHeartbeat,
-        model.ChangeWeights,
+        faults.FillDisks,
+        faults.RestartUpstream,
+        faults.DelayHeartbeat,
+        faults.ChangeWeights,
     ):
-        assert any(isinstance(fault, kind) for fault in faults)
+        assert any(isinstance(fault, kind) for fault in planned)
     assert any(
-        isinstance(fault, model.LoseDisk) and fault.also for fault in faults
+        isinstance(fault, faults.LoseDisk) and fault.also for fault in planned
     )
 
 
@@ -396,7 +397,7 @@
         timed.fault
         for plan in plans
         for timed in plan.faults
-        if isinstance(timed.fault, model.CutControls)
+        if isinstance(timed.fault, faults.CutControls)
     ]
     assert all(cut.seconds > BOUNDS.contact for cut in cuts)
     assert {len(cut.vms) for cut in cuts} == set(range(1, controls // 2 + 1))
@@ -450,7 +451,7 @@
 
 
 @pytest.mark.parametrize(
-    "kind", [model.KillAll, model.LoseDisk, model.RefuseWrites]
+    "kind", [faults.KillAll, faults.LoseDisk, faults.RefuseWrites]
 )
 def test_each_fault_of_storage_is_planned(kind):
     plans = [
