--- a/bench/hot_path.py
+++ b/bench/hot_path.py
@@ -3,10 +3,16 @@
 Two nodes and a control run in this process. Callers and the upstream run in
 another process, so that the figures do not include them.
 
-    python -m bench.hot_path [--calls N] [--profile] [--refusals]
+    python -m bench.hot_path [--calls N] [--profile] [--refusals] [--nested]
+        [--baseline]
 
-With `--refusals` as many requests of an organisation far over its rate follow,
-to tell what a refusal costs next to a call.
+The nodes have the policies of `deploy/node.yaml.template`, and callers send the
+key of an organisation without a rate. With `--baseline` they have the policies
+and the configuration without keys that `bench.routed` has by default.
+
+With `--nested` requests come without a key on an open route, as calls that an
+upstream makes. With `--refusals` as many requests of an organisation far over
+its rate follow, to tell what a refusal costs next to a call.
 """
 
 from __future__ import annotations
@@ -16,17 +22,25 @@
 import cProfile
 import gc
 import multiprocessing
+import pathlib
 import pstats
 import resource
 
+from ruamel import yaml
 import trio
 
 from bench import routed
 from sassafrashall import daemon
+from sassafrashall import settings
 
 CONNECTIONS = 50  # each with one call at a time
 SERVICE_TIME = 0.1  # seconds; keeps the nodes at about a third of a core
 REFUSED_KEY = "a-key-of-an-organisation-over-its-rate"
+CALLER_KEY = "a-key-of-an-organisation-without-a-rate"
+TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy/node.yaml.template"
+# The bounds of a cold upstream in one deployment.
+COLD_BOUNDS = {"cold_overage": 1.5, "cold_slack": 8}
+COLD_SERVICE = {"cold_start": "5s", "cold_per_s": 4.8}
 # Seconds that a caller pauses after a refusal, so that the rates are alike.
 REFUSED_PAUSE = SERVICE_TIME
 
@@ -82,13 +96,19 @@
     assert refused > 0.9 * calls, (refused, calls)
 
 
-async def _send_requests(address, connection_number, calls):
+async def _send_requests(address, connection_number, calls, key=""):
     reader, writer = await asyncio.open_connection(address.host, address.port)
+    authorization = f"Authorization: Bearer {key}\r\n" if key else ""
     for call_number in range(calls):
         writer.write(
-            b"GET /some/path/%d HTTP/1.1\r\nHost: beta.example\r\n"
+            b"GET /some/path/%d HTTP/1.1\r\nHost: beta.example\r\n%b"
             b"Request-Id: %08x%08x\r\nRequest-Deadline: 5000\r\n\r\n"
-            % (call_number, connection_number, call_number)
+            % (
+                call_number,
+                authorization.encode(),
+                connection_number,
+                call_number,
+            )
         )
         head = await reader.readuntil(b"\r\n\r\n")
         assert head.startswith(b"HTTP/1.1 200"), head
@@ -113,7 +133,16 @@
         done.put("done")
 
 
-_PHASES = {"calls": _send_requests, "refusals": _send_refused, "end": None}
+async def _send_keyed(address, connection_number, calls):
+    await _send_requests(address, connection_number, calls, CALLER_KEY)
+
+
+_PHASES = {
+    "calls": _send_keyed,
+    "nested calls": _send_requests,
+    "refusals": _send_refused,
+    "end": None,
+}
 
 
 def _load_process_main(*arguments):
@@ -148,8 +177,47 @@
     return cpu_seconds
 
 
-async def _measure(calls, profile, refusals):
-    fleet = routed.Fleet(services={"vm-a": "alpha", "vm-b": "beta"})
+def template_settings():
+    """Returns the policies and the pipeline depth of the nodes' template."""
+    text = TEMPLATE.read_text(encoding="utf-8")
+    lines = [
+        line
+        for line in text.splitlines()
+        if "{{" not in line and not line.startswith("listen")
+    ]
+    document = yaml.YAML(typ="safe").load("\n".join(lines))
+    depth = document["routed"]["pipeline_depth"]
+    return settings.Policy(**document["policy"]), depth
+
+
+def _fleet(baseline):
+    services = {"vm-a": "alpha", "vm-b": "beta"}
+    if baseline:
+        return routed.Fleet(services=services)
+    policy, depth = template_settings()
+    return routed.Fleet(
+        services=services,
+        policy=policy,
+        pipeline_depth=depth,
+        cold_bounds=COLD_BOUNDS,
+        evacuation=5.0,
+    )
+
+
+def _document(baseline, nested):
+    services = ("alpha", "beta")
+    if baseline:
+        return routed.document(services=services)
+    document = routed.document(
+        services=services, keys={"calm": CALLER_KEY}, public=nested
+    )
+    for service in document["services"].values():
+        service |= COLD_SERVICE
+    return document
+
+
+async def _measure(calls, profile, refusals, nested, baseline):
+    fleet = _fleet(baseline)
     context = multiprocessing.get_context("spawn")
     signals, done = context.SimpleQueue(), context.SimpleQueue()
     load_process = context.Process(
@@ -169,10 +237,9 @@
             for upstream in fleet.upstreams.values():
                 nursery.start_soon(_announce, upstream)
             await trio.to_thread.run_sync(done.get)
-            await fleet.apply_configuration(
-                routed.document(services=("alpha", "beta"))
-            )
-            cost = await _measure_phase("calls", calls, signals, done, profile)
+            await fleet.apply_configuration(_document(baseline, nested))
+            phase = "nested calls" if nested else "calls"
+            cost = await _measure_phase(phase, calls, signals, done, profile)
             if refusals:
                 await fleet.apply_configuration(
                     _refusing_document(), match="r1"
@@ -204,11 +271,20 @@
     parser.add_argument("--calls", type=int, default=10_000)
     parser.add_argument("--profile", action="store_true")
     parser.add_argument("--refusals", action="store_true")
+    parser.add_argument("--nested", action="store_true")
+    parser.add_argument("--baseline", action="store_true")
     options = parser.parse_args()
     profile = cProfile.Profile() if options.profile else None
     # The thresholds that the daemon sets, so that collections cost the same.
     gc.set_threshold(*daemon.GC_THRESHOLDS)
-    trio.run(_measure, options.calls, profile, options.refusals)
+    trio.run(
+        _measure,
+        options.calls,
+        profile,
+        options.refusals,
+        options.nested,
+        options.baseline,
+    )
     if profile:
         stats = pstats.Stats(profile)
         stats.sort_stats("tottime").print_stats(45)
