Request bodies: the part read before a request is passed on needs no scope

Each request opened a cancel scope and an event for the read of its body, by which discard() stops the task that uploads the rest. Until the request is passed on there is no such task.

http.read_buffered_part takes the function that reads; its only user was the stream server.

--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import select
@@ -62,12 +64,12 @@
     return tuple(header for header in headers if header[0] not in dropped)
 
 
-async def read_buffered_part(body: model.BodyReader) -> bytes:
-    """Reads a body up to its end, or until it is too long to be buffered."""
+async def read_buffered_part(read: Callable[[], Awaitable[bytes]]) -> bytes:
+    """Reads parts up to an empty one, or until they are too long together."""
     parts: list[bytes] = []
     size = 0
     while size <= BUFFERED_BODY_LIMIT:
-        data = await body.read()
+        data = await read()
         if not data:
             break
         parts.append(data)
--- a/src/sassafrashall/transport/request_body.py
+++ b/src/sassafrashall/transport/request_body.py
@@ -8,6 +8,7 @@
 import trio
 
 from sassafrashall import exceptions
+from sassafrashall.transport import http
 from sassafrashall.transport import http1
 
 EventSource = Callable[[], Awaitable[http1.Event | None]]
@@ -60,6 +61,19 @@
             "the request has been answered", maybe_delivered=True
         )
 
+    async def read_buffered(self) -> bytes:
+        """Returns the body up to its end, or until it is too long.
+
+        Only the task of the connection may call it, before the body is passed
+        on. No other task reads then, so that the read needs no scope by which
+        `discard` could cancel it.
+
+        Raises:
+          ProtocolError: The body is too large or malformed.
+          ConnectionFailedError: The caller disconnected.
+        """
+        return await http.read_buffered_part(self._read)
+
     async def discard(self) -> None:
         """Reads up to the end, once the task that uploads the body has stopped.
 
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -418,7 +418,7 @@
             on_part=exchange.count_part,
             limit=body_limit,
         )
-        body = await http.read_buffered_part(rest)
+        body = await rest.read_buffered()
         _count_body(self._memory, self._parser, exchange, body)
         if self._closing:
             # Removed for lack of memory while the body was counted.
