Membership: a reply that changes no record leaves what is derived from it

Each reply to a heartbeat, twice a second, made a new dict of records, so that the routing controller grouped all upstreams anew and the node went through all services. The dict stays the same now if no record changed.

Processor time of a reply without changes, with the index of the routing controller, 3,000 replies, three runs in turn with the base commit: 28 to 37 us before and 10 to 13 after with 63 nodes, 88 to 116 and 12 to 13 with 190.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -446,15 +446,13 @@
                 },
             )
         )
-        known_services = {
-            r.upstream.service for r in records.values() if r.upstream
-        }
+        services = view.services
+        if records is not view.records:
+            services |= {
+                r.upstream.service for r in records.values() if r.upstream
+            }
         self._view.publish(
-            dataclasses.replace(
-                view,
-                records=records,
-                services=view.services | known_services,
-            )
+            dataclasses.replace(view, records=records, services=services)
         )
         self._report_revision(view.configuration.revision)
         if answer.controls and answer.controls != self._controls:
@@ -613,6 +611,11 @@
                 for vm in held_records
                 if vm not in listed
             }
+        self._directory_source = answer.directory_source
+        self._directory_version = answer.directory_version
+        if not answer.entries and not self._unlisted:
+            # What is derived from the records need not be derived anew.
+            return held_records
         records = {
             vm: record
             for vm, record in held_records.items()
@@ -624,6 +627,4 @@
                 records.pop(entry.record.vm, None)
             else:
                 records[entry.record.vm] = entry.record
-        self._directory_source = answer.directory_source
-        self._directory_version = answer.directory_version
-        return records
+        return held_records if records == held_records else records
