Routing keeps the last load once; run times have a method of their own

The last load of an upstream was kept in two dicts, of which one was never pruned. FleetDirectory._compute_rooms also set the usual and relative run times, which _update_run_times does now. No change of behaviour.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -340,6 +340,7 @@
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
         self._rooms = self._compute_rooms(fleet)
+        self._update_run_times(fleet)
         self._calls_per_run = demand_decisions.hold_calls_per_run(
             self._calls_per_run, fleet, now
         )
@@ -404,6 +405,21 @@
                 )
         ended: dict[str, float] = {}
         busy: dict[str, float] = {}
+        for route in fleet.routes:
+            name = route.service
+            ended[name] = ended.get(name, 0.0) + route.ended
+            busy[name] = busy.get(name, 0.0) + route.busy_s
+        return spillover.add_up(
+            upstreams,
+            {
+                name: busy[name] / count
+                for name, count in ended.items()
+                if count > tree_admission.MIN_RUNS
+            },
+        )
+
+    def _update_run_times(self, fleet: demand_decisions.Demand) -> None:
+        """Updates the usual run times, and the relative ones to be told."""
         self._usual_times = {
             (route.route, route.service): route.busy_s / route.ended
             for route in fleet.routes
@@ -421,18 +437,6 @@
             and not entry.lapsed
         ]
         self._told_vms = {vm for vm, _ in self._relative_times}
-        for route in fleet.routes:
-            name = route.service
-            ended[name] = ended.get(name, 0.0) + route.ended
-            busy[name] = busy.get(name, 0.0) + route.busy_s
-        return spillover.add_up(
-            upstreams,
-            {
-                name: busy[name] / count
-                for name, count in ended.items()
-                if count > tree_admission.MIN_RUNS
-            },
-        )
 
     def _with_relative_time(
         self, message: protocol.Heartbeat
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -148,8 +148,6 @@
         self._shed_policy = policy.shed_policy()
         self._demand = shedding.Demand()
         self._retry_buckets: dict[str, retries.RetryTokenBucket] = {}
-        # By VM: the load in thousandths, and when it was seen.
-        self._loads: dict[str, tuple[int, float]] = {}
         self._latencies: dict[str, routing.LatencyEstimate] = {}
         # By service: when it was computed, and the slowness by VM.
         self._slowness: dict[str, tuple[float, dict[str, float]]] = {}
@@ -158,6 +156,7 @@
         # By service and VM: failures of calls, each 1 or 0.
         self._failures: dict[str, dict[str, completion.Mean]] = {}
         self._comparisons: dict[str, _Comparison] = {}
+        # By VM, as the last answer told.
         self._seen_loads: dict[str, completion.SeenLoad] = {}
         # By VM: calls sent since the last report of its load, and not ended.
         self._sent_since: collections.Counter[str] = collections.Counter()
@@ -842,10 +841,10 @@
 
     def _load_of(self, vm: str, now: float) -> float:
         """Returns the load in the last answer, or 0 if that is outdated."""
-        load, recorded_at = self._loads.get(vm, (0, 0.0))
-        if now - recorded_at > routing.LOAD_TTL:
+        seen = self._seen_loads.get(vm)
+        if seen is None or now - seen.seen_at > routing.LOAD_TTL:
             return 0.0
-        return load / routing.LOAD_SCALE
+        return seen.load
 
     def _is_usable(self, vm: str, now: float) -> bool:
         return vm not in self._ejected or routing.is_usable(
@@ -876,7 +875,6 @@
                 completion.FAILURES_WEIGHT,
             )
         if message.load >= 0:
-            self._loads[message.vm] = (message.load, now)
             self._seen_loads[message.vm] = completion.SeenLoad(
                 load=message.load / routing.LOAD_SCALE, seen_at=now
             )
