--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -353,6 +353,7 @@
             tree_admission.refusing_services(self._admission_policy, known),
             elapsed,
         )
+        self._update_run_times(fleet)
         self._calls_per_run = demand_decisions.hold_calls_per_run(
             self._calls_per_run,
             fleet,
@@ -426,6 +427,21 @@
                 )
         ended: dict[str, float] = {}
         busy: dict[str, float] = {}
+        for route in fleet.routes:
+            name = route.service
+            ended[name] = ended.get(name, 0.0) + route.ended
+            busy[name] = busy.get(name, 0.0) + route.busy_s
+        return spillover.add_up(
+            upstreams,
+            {
+                name: busy[name] / count
+                for name, count in ended.items()
+                if count > call_trees.MIN_RUNS
+            },
+        )
+
+    def _update_run_times(self, fleet: demand_decisions.Demand) -> None:
+        """Updates the usual run times, and the relative ones to be told."""
         self._usual_times = {
             (route.route, route.service): route.busy_s / route.ended
             for route in fleet.routes
@@ -443,18 +459,6 @@
             and not entry.lapsed
         ]
         self._told_vms = {vm for vm, _ in self._relative_times}
-        for route in fleet.routes:
-            name = route.service
-            ended[name] = ended.get(name, 0.0) + route.ended
-            busy[name] = busy.get(name, 0.0) + route.busy_s
-        return spillover.add_up(
-            upstreams,
-            {
-                name: busy[name] / count
-                for name, count in ended.items()
-                if count > call_trees.MIN_RUNS
-            },
-        )
 
     def _with_relative_time(
         self, message: protocol.Heartbeat
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -321,15 +321,13 @@
         self._publish_summary(answer, records)
         self._directory_source = answer.directory_source
         self._directory_version = answer.directory_version
-        known_services = {
-            r.upstream.service for r in records.values() if r.upstream
-        }
+        services = view.services
+        if records is not view.records:
+            services |= {
+                r.upstream.service for r in records.values() if r.upstream
+            }
         self._held.view.publish(
-            dataclasses.replace(
-                view,
-                records=records,
-                services=view.services | known_services,
-            )
+            dataclasses.replace(view, records=records, services=services)
         )
         self._report_revision(view.configuration.revision)
         if answer.controls and answer.controls != self._controls:
--- a/src/sassafrashall/decisions/known_nodes.py
+++ b/src/sassafrashall/decisions/known_nodes.py
@@ -17,7 +17,7 @@
 
 
 def merge(
-    held: Mapping[str, model.NodeRecord],
+    held: dict[str, model.NodeRecord],
     unlisted: Mapping[str, float],
     told: Iterable[tuple[model.NodeRecord, bool]],
     *,
@@ -26,6 +26,9 @@
 ) -> tuple[dict[str, model.NodeRecord], dict[str, float]]:
     """Returns the records with what a control told, and the unlisted nodes.
 
+    The records are `held` itself if none changed, so that what is derived from
+    them need not be derived anew.
+
     Args:
       held: The records before, by VM.
       unlisted: By VM of the nodes that the last list lacked: when they are
@@ -43,6 +46,8 @@
             for vm in held
             if vm not in listed
         }
+    if not told and not still_unlisted:
+        return held, still_unlisted
     records = {
         vm: record
         for vm, record in held.items()
@@ -54,4 +59,4 @@
             records.pop(record.vm, None)
         else:
             records[record.vm] = record
-    return records, still_unlisted
+    return held if records == held else records, still_unlisted
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -469,7 +469,7 @@
         )
         self._body = rest
         try:
-            body = await http.read_buffered_part(rest)
+            body = await http.read_buffered_part(rest.read)
         except exceptions.ConnectionFailedError as error:
             if not rest.stalled:
                 raise
