--- a/src/sassafrashall/transport/request_body.py
+++ b/src/sassafrashall/transport/request_body.py
@@ -8,7 +8,6 @@
 import trio
 
 from sassafrashall import exceptions
-from sassafrashall.transport import http
 from sassafrashall.transport import http1
 
 EventSource = Callable[[], Awaitable[http1.Event | None]]
