--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -21,10 +21,12 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import call_trees
 from sassafrashall.decisions import completion
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import measured_capacity
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import routing
@@ -148,6 +150,8 @@
         self._next_told = 0  # index of the first for the next reply
         self._calls_per_run = demand_decisions.CallsPerRun()
         self._corrections: dict[str, float] = {}
+        # By service that refuses calls, or did lately.
+        self._spells: dict[str, measured_capacity.Spell] = {}
         self._levels_logged_at = float("-inf")
         self._status: messages.ReplicaStatus | None = None
         self._status_at = float("-inf")  # monotonic seconds
@@ -225,6 +229,7 @@
             proof_age=now - self._confirmed_fresh_at(now),
             document=self._newer_document(message.document_version),
             evacuated=tuple(sorted(state.evacuations.evacuated)),
+            evacuation_changes=tuple(state.evacuations.changed.items()),
         )
 
     def _withdrawn_beyond(self, count: int) -> tuple[str, ...]:
@@ -314,6 +319,7 @@
             route_levels=self._current_route_levels(now),
             signed_off=self._sign_off_before(record),
             evacuated=tuple(sorted(state.evacuations.evacuated)),
+            evacuation_changes=tuple(state.evacuations.changed.items()),
             rooms=self._rooms,
             relative_times=self._tell_relative_times(),
         )
@@ -340,8 +346,20 @@
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
         self._rooms = self._compute_rooms(fleet)
+        known = demand_decisions.with_held_calls(fleet, self._calls_per_run)
+        self._spells = measured_capacity.update_spells(
+            self._spells,
+            self._corrections,
+            tree_admission.refusing_services(self._admission_policy, known),
+            elapsed,
+        )
+        self._update_run_times(fleet)
         self._calls_per_run = demand_decisions.hold_calls_per_run(
-            self._calls_per_run, fleet, now
+            self._calls_per_run,
+            fleet,
+            now,
+            refusing=bool(self._spells)
+            or tree_admission.breaks_trees(self._admission_policy, known),
         )
         fleet = demand_decisions.with_held_calls(fleet, self._calls_per_run)
         self._corrections = tree_admission.correct(
@@ -350,9 +368,10 @@
             fleet,
             {level.service for level in self._route_levels},
             elapsed,
+            self._spells,
         )
         levels = tree_admission.route_levels(
-            self._admission_policy, fleet, self._corrections
+            self._admission_policy, fleet, self._corrections, self._spells
         )
         were_limited, self._route_levels = bool(self._route_levels), levels
         if not levels and not were_limited:
@@ -370,6 +389,10 @@
                         service: round(factor, 2)
                         for service, factor in self._corrections.items()
                     },
+                    "refusing_s": {
+                        service: round(spell.refusing_s, 2)
+                        for service, spell in self._spells.items()
+                    },
                     "services": tree_admission.describe_loads(
                         fleet, {level.service for level in levels}
                     ),
@@ -404,10 +427,25 @@
                 )
         ended: dict[str, float] = {}
         busy: dict[str, float] = {}
+        for route in fleet.routes:
+            name = route.service
+            ended[name] = ended.get(name, 0.0) + route.ended
+            busy[name] = busy.get(name, 0.0) + route.busy_s
+        return spillover.add_up(
+            upstreams,
+            {
+                name: busy[name] / count
+                for name, count in ended.items()
+                if count > call_trees.MIN_RUNS
+            },
+        )
+
+    def _update_run_times(self, fleet: demand_decisions.Demand) -> None:
+        """Updates the usual run times, and the relative ones to be told."""
         self._usual_times = {
             (route.route, route.service): route.busy_s / route.ended
             for route in fleet.routes
-            if route.ended > tree_admission.MIN_RUNS
+            if route.ended > call_trees.MIN_RUNS
         }
         self._relative_times = [
             (vm, load.relative_time)
@@ -421,18 +459,6 @@
             and not entry.lapsed
         ]
         self._told_vms = {vm for vm, _ in self._relative_times}
-        for route in fleet.routes:
-            name = route.service
-            ended[name] = ended.get(name, 0.0) + route.ended
-            busy[name] = busy.get(name, 0.0) + route.busy_s
-        return spillover.add_up(
-            upstreams,
-            {
-                name: busy[name] / count
-                for name, count in ended.items()
-                if count > tree_admission.MIN_RUNS
-            },
-        )
 
     def _with_relative_time(
         self, message: protocol.Heartbeat
--- a/src/sassafrashall/decisions/tree_admission.py
+++ b/src/sassafrashall/decisions/tree_admission.py
@@ -10,21 +10,23 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from collections.abc import Set
 import dataclasses
 import math
 from typing import Any
 from typing import TypeAlias
 
+import immutables
 import xxhash
 
 from sassafrashall import model
+from sassafrashall.decisions import call_trees
 from sassafrashall.decisions import demand as demand_decisions
+from sassafrashall.decisions import measured_capacity
 from sassafrashall.decisions import return_times
 
 ADMIT_ALL_LEVEL = float(len(model.Priority))
-MAX_DEPTH = 9  # calls above each other in a tree
-MIN_RUNS = 0.5  # weighted runs without which nothing is known of a route
 # Slot seconds that a request must take at a service to be limited by it.
 MIN_COST = 0.0005
 # Fraction that is admitted of a class that is closed, whose demand would
@@ -33,23 +35,14 @@
 # Seconds until levels are outdated. Everything is then admitted.
 LEVELS_TTL = 3.0
 CORRECTION_RATE = 0.3  # exponential growth of a correction per second
-# Growth per second of what a limiting service is given that refused calls
-# before. Too much is noticed `FEEDBACK_DELAY` later: at 0.3, a third more than
-# the service can take was admitted each time.
-RECOVERY_RATE = 0.1
 MAX_CORRECTION = 10.0
-# A service that refuses calls whatever the load would otherwise be given less
-# and less. Upstreams that are gone are missing from the slots already.
-MIN_CORRECTION = 0.25
-# Fraction of the calls to a service that may be refused. A tree makes eight
-# calls to a narrow service, and fails if one of them is refused.
-SHED_TOLERANCE = 0.01
-# Seconds from a change of the admitted trees until its effect is known, about
-# half of the 1.75 s that heartbeats, gossip and the interval of the computation
-# take at most. A correction that is repeated sooner overshoots.
-FEEDBACK_DELAY = 1.0
 # Fraction of the permitted utilization below which a service has spare slots.
 SPARE_BELOW = 0.85
+# Fraction of the trees that are broken off from which on what whole trees make
+# is held for longer. At a sixth, trees seemed smaller by a tenth, and more of
+# them were let in than the service could take.
+BROKEN_TREES = 0.02
+_NO_SPELLS: Mapping[str, measured_capacity.Spell] = immutables.Map()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -74,7 +67,9 @@
     """Like `NarrowestService`, with the capacity as measured.
 
     A service that refuses calls, because its upstreams shed, are slow or are
-    gone, is given fewer trees than its announced slots would carry.
+    gone, is given fewer trees than its announced slots would carry. What a call
+    costs is counted by completed calls. Trees leave the slots that a service's
+    own roots of more urgent classes need.
     """
 
 
@@ -102,6 +97,7 @@
     demand: demand_decisions.Demand,
     limiting: Set[str],
     elapsed: float,
+    spells: Mapping[str, measured_capacity.Spell] = _NO_SPELLS,
 ) -> dict[str, float]:
     """Returns the factors by which services may be given more or less.
 
@@ -115,34 +111,44 @@
       demand: Demand of the fleet, with the slots in use.
       limiting: The services that limit routes now.
       elapsed: Seconds since the last correction.
+      spells: How long services have refused calls, or no longer do.
     """
     if not isinstance(policy, NarrowestService):
         return {}
     step = math.exp(CORRECTION_RATE * elapsed)
+    chances = _tree_chances(policy, demand)
+    refusing = measured_capacity.refusing_services(chances)
     sheds = {shed.service: shed.per_second for shed in demand.sheds}
-    costs = _call_costs(demand) if isinstance(policy, MeasuredCapacity) else {}
+    costs = call_trees.call_costs(demand) if refusing else {}
     corrected = {}
     for service in demand.services:
         name = service.service
         factor = corrections.get(name, 1.0)
         in_use = service.busy / max(1, service.slots)
-        served = _served_fraction(service.completions, sheds.get(name, 0.0))
-        if isinstance(policy, MeasuredCapacity) and (
-            served < 1.0 - SHED_TOLERANCE
+        has_spare = in_use < SPARE_BELOW * policy.utilization
+        spell = spells.get(name, measured_capacity.NO_SPELL)
+        if name in refusing and measured_capacity.awaits_levels(service, spell):
+            pass  # The levels by its slots are on their way.
+        elif name in refusing and not measured_capacity.is_persistent(
+            service, spell
         ):
             completed = service.completions * costs.get(name, 0.0)
-            floor = completed / max(1.0, policy.utilization * service.slots)
-            lowered = factor * max(MIN_CORRECTION, served) ** (
-                elapsed / FEEDBACK_DELAY
+            factor = measured_capacity.lowered(
+                factor,
+                chances[name],
+                sheds[name],
+                completed / max(1.0, policy.utilization * service.slots),
+                elapsed,
             )
-            factor = min(factor, max(MIN_CORRECTION, floor, lowered))
-        elif name in limiting and in_use < SPARE_BELOW * policy.utilization:
-            growth = step
-            if factor < 1.0:
-                growth = math.exp(RECOVERY_RATE * elapsed)
-            factor = min(MAX_CORRECTION, factor * growth)
         elif factor < 1.0 and name not in limiting:
-            factor = min(1.0, factor * step)
+            factor = max(
+                min(1.0, factor * step),
+                measured_capacity.recovered(factor, spell, elapsed),
+            )
+        elif factor < 1.0 and in_use < policy.utilization:
+            factor = measured_capacity.recovered(factor, spell, elapsed)
+        elif name in limiting and has_spare and name not in refusing:
+            factor = min(MAX_CORRECTION, factor * step)
         elif name not in limiting or in_use > policy.utilization:
             factor = max(min(1.0, factor), factor / step)
         if factor != 1.0:
@@ -150,34 +156,35 @@
     return corrected
 
 
-def _served_fraction(completions: float, sheds: float) -> float:
-    """Returns the fraction of the calls that is served; 1 if not known."""
-    calls = completions + sheds
-    if completions < 0 or not calls:
-        return 1.0
-    return completions / calls
+def refusing_services(
+    policy: Policy, demand: demand_decisions.Demand
+) -> frozenset[str]:
+    """Returns the services that are given less since they refuse calls."""
+    return measured_capacity.refusing_services(_tree_chances(policy, demand))
 
 
-def _call_costs(demand: demand_decisions.Demand) -> dict[str, float]:
-    """Returns the slot seconds of a nested call at each service, on average."""
-    called = {call.route for route in demand.routes for call in route.calls}
-    busy: dict[str, float] = {}
-    ended: dict[str, float] = {}
-    for route in demand.routes:
-        if route.route in called:
-            _add(busy, route.service, route.busy_s)
-            _add(ended, route.service, route.ended)
-    return {
-        service: seconds / ended[service]
-        for service, seconds in busy.items()
-        if ended[service]
-    }
+def breaks_trees(policy: Policy, demand: demand_decisions.Demand) -> bool:
+    """Returns whether so many trees are broken off that they seem smaller."""
+    chances = _tree_chances(policy, demand).values()
+    return min(chances, default=1.0) < 1.0 - BROKEN_TREES
+
+
+def _tree_chances(
+    policy: Policy, demand: demand_decisions.Demand
+) -> dict[str, float]:
+    """Returns the chances of trees at the services; none if not measured."""
+    if not isinstance(policy, MeasuredCapacity) or not demand.sheds:
+        return {}
+    return measured_capacity.tree_chances(
+        demand, call_trees.roots_by_route(demand), call_trees.calls(demand)
+    )
 
 
 def route_levels(
     policy: Policy,
     demand: demand_decisions.Demand,
     corrections: Mapping[str, float] | None = None,
+    spells: Mapping[str, measured_capacity.Spell] = _NO_SPELLS,
 ) -> tuple[RouteLevel, ...]:
     """Returns the routes whose root requests must not all enter the fleet.
 
@@ -188,27 +195,36 @@
       policy: The policy in force.
       demand: Demand of the fleet.
       corrections: Factors for what services may be given, see `correct`.
+      spells: How long services have refused calls, or no longer do.
     """
     match policy:
         case AdmitAll():
             return ()
         case NarrowestService(utilization=utilization):
             pass
-    costs = tree_costs(demand)
-    roots = _roots_by_route(demand)
+    is_measured = isinstance(policy, MeasuredCapacity)
+    costs = call_trees.costs(demand, by_completed=is_measured)
+    roots = call_trees.roots_by_route(demand)
+    factors = corrections or {}
     slots = {
-        service.service: service.slots
-        * (corrections or {}).get(service.service, 1.0)
+        service.service: service.slots * factors.get(service.service, 1.0)
         for service in demand.services
     }
-    if isinstance(policy, MeasuredCapacity):
+    if is_measured:
         slots |= dict.fromkeys(_lost_services(demand), 0.0)
     levels: dict[str, RouteLevel] = {}
     remaining = set(slots)
+    own_costs = call_trees.own_costs(demand) if is_measured else {}
     while remaining:
         limits = {
             service: _service_level(
-                utilization * slots[service], service, roots, costs, levels
+                utilization * slots[service],
+                service,
+                roots,
+                costs,
+                levels,
+                whole=slots[service] / min(1.0, factors.get(service, 1.0)),
+                own_costs=own_costs,
             )
             for service in remaining
         }
@@ -224,9 +240,46 @@
                         route=route, level=limits[narrowest], service=narrowest
                     ),
                 )
+    if is_measured:
+        _limit_unlikely_trees(policy, demand, factors, spells, levels)
     return tuple(levels.values())
 
 
+def _limit_unlikely_trees(
+    policy: Policy,
+    demand: demand_decisions.Demand,
+    corrections: Mapping[str, float],
+    spells: Mapping[str, measured_capacity.Spell],
+    levels: dict[str, RouteLevel],
+) -> None:
+    """Lowers the levels of routes whose trees fail whatever the load is."""
+    refusing = refusing_services(policy, demand)
+    served = measured_capacity.served_fractions(demand)
+    served = {
+        service.service: served[service.service]
+        for service in demand.services
+        if service.service in refusing
+        and measured_capacity.ignores_load(
+            service,
+            corrections.get(service.service, 1.0),
+            spells.get(service.service, measured_capacity.NO_SPELL),
+        )
+    }
+    if not served:
+        return
+    calls = call_trees.calls(demand)
+    for route, rates in call_trees.roots_by_route(demand).items():
+        made = calls.get(route, {})
+        share = measured_capacity.tree_share(served, made)
+        level = _fill_level(rates, [share * sum(rates)] * len(rates))
+        held = levels.get(route)
+        if level < (held.level if held else ADMIT_ALL_LEVEL):
+            most_called = max(served, key=lambda name: made.get(name, 0.0))
+            levels[route] = RouteLevel(
+                route=route, level=level, service=most_called
+            )
+
+
 def describe_loads(
     demand: demand_decisions.Demand, services: Set[str]
 ) -> dict[str, dict[str, Any]]:
@@ -235,11 +288,11 @@
     The roots per second and the slot seconds of one tree that leads there are
     listed by route.
     """
-    costs = tree_costs(demand)
+    costs = call_trees.costs(demand)
     needed: dict[str, float] = {}
-    for route, rates in _roots_by_route(demand).items():
+    for route, rates in call_trees.roots_by_route(demand).items():
         for service, seconds in costs.get(route, {}).items():
-            _add(needed, service, sum(rates) * seconds)
+            call_trees.add(needed, service, sum(rates) * seconds)
     return {
         service.service: {
             "slots": service.slots,
@@ -247,7 +300,7 @@
             "needed": round(needed.get(service.service, 0.0), 1),
             **{
                 f"{route}": (round(sum(rates), 1), round(seconds, 3))
-                for route, rates in _roots_by_route(demand).items()
+                for route, rates in call_trees.roots_by_route(demand).items()
                 if (seconds := costs.get(route, {}).get(service.service, 0.0))
                 >= MIN_COST
             },
@@ -275,25 +328,15 @@
     )
 
 
-def _roots_by_route(
-    demand: demand_decisions.Demand,
-) -> dict[str, tuple[float, ...]]:
-    roots: dict[str, tuple[float, ...]] = {}
-    for route in demand.routes:
-        if any(route.roots):
-            held = roots.get(route.route, demand_decisions.NO_ROOTS)
-            roots[route.route] = tuple(
-                a + b for a, b in zip(held, route.roots, strict=False)
-            )
-    return roots
-
-
 def _service_level(
     capacity: float,
     service: str,
     roots: Mapping[str, tuple[float, ...]],
     costs: Mapping[str, Mapping[str, float]],
     levels: Mapping[str, RouteLevel],
+    *,
+    whole: float,
+    own_costs: Mapping[str, Mapping[str, float]],
 ) -> float:
     """Returns the level at which the admitted trees fill a service.
 
@@ -303,80 +346,46 @@
       roots: Root requests per second by route and priority class.
       costs: Slot seconds by route and service.
       levels: The routes that other services limit already.
+      whole: Slots that the trees and the service's own roots may fill.
+      own_costs: Slot seconds of a root at its own service, by route and
+        service. Trees leave room for own roots of more urgent classes.
     """
     fixed = 0.0
     loads = [0.0] * len(model.Priority)
+    own_loads = [0.0] * len(model.Priority)
     for route, rates in roots.items():
         cost = costs.get(route, {}).get(service, 0.0)
-        if cost < MIN_COST:
-            continue
+        own_cost = own_costs.get(route, {}).get(service, 0.0)
+        held = levels.get(route)
         for priority, rate in enumerate(rates):
-            held = levels.get(route)
-            if held is None:
-                loads[priority] += rate * cost
-            else:
-                fixed += rate * cost * admitted_fraction(held.level, priority)
-    room = capacity - fixed
-    for priority, load in enumerate(loads):
-        if load > room:
-            return priority + max(0.0, room) / load
-        room -= load
-    return ADMIT_ALL_LEVEL
+            admitted = rate
+            if held is not None:
+                admitted *= admitted_fraction(held.level, priority)
+            own_loads[priority] += admitted * own_cost
+            if cost >= MIN_COST and held is None:
+                loads[priority] += admitted * cost
+            elif cost >= MIN_COST:
+                fixed += admitted * cost
+    rooms = [
+        min(capacity, whole - sum(own_loads[:priority])) - fixed
+        for priority in model.Priority
+    ]
+    return _fill_level(loads, rooms)
+
+
+def _fill_level(loads: Sequence[float], rooms: Sequence[float]) -> float:
+    """Returns the level at which the loads by class fill the room.
 
-
-def tree_costs(
-    demand: demand_decisions.Demand,
-) -> dict[str, dict[str, float]]:
-    """Returns the slot seconds of all calls below a run, by route and service.
-
-    A route that is split over services costs each of them its share.
+    Args:
+      loads: Loads by priority class.
+      rooms: By priority class, the room for it and the classes before it.
     """
-    own_costs: dict[str, dict[str, float]] = {}
-    calls_per_run: dict[str, dict[str, float]] = {}
-    started: dict[str, float] = {}
-    for part in demand.routes:
-        started[part.route] = started.get(part.route, 0.0) + part.started
-    for part in demand.routes:
-        if not part.started or started[part.route] < MIN_RUNS:
-            continue
-        share = part.started / started[part.route]
-        own_cost = own_costs.setdefault(part.route, {})
-        if part.ended:
-            _add(own_cost, part.service, share * part.busy_s / part.ended)
-        callees = calls_per_run.setdefault(part.route, {})
-        for call in part.calls:
-            if call.count >= demand_decisions.MIN_CALLS_PER_RUN * part.started:
-                _add(callees, call.route, call.count / started[part.route])
-    costs = own_costs
-    for _ in range(MAX_DEPTH - 1):
-        costs = {
-            route: _with_callees(own_cost, calls_per_run[route], costs)
-            for route, own_cost in own_costs.items()
-        }
-    return {
-        route: {
-            service: seconds - own_costs[route].get(service, 0.0)
-            for service, seconds in cost.items()
-        }
-        for route, cost in costs.items()
-    }
-
-
-def _with_callees(
-    own_cost: Mapping[str, float],
-    calls_per_run: Mapping[str, float],
-    costs: Mapping[str, Mapping[str, float]],
-) -> dict[str, float]:
-    """Returns a run's own cost plus what the trees below its calls cost."""
-    total = dict(own_cost)
-    for callee, count in calls_per_run.items():
-        for service, seconds in costs.get(callee, {}).items():
-            _add(total, service, count * seconds)
-    return total
-
-
-def _add(sums: dict[str, float], key: str, amount: float) -> None:
-    sums[key] = sums.get(key, 0.0) + amount
+    filled = 0.0
+    for priority, (load, room) in enumerate(zip(loads, rooms, strict=True)):
+        if load and filled + load > room:
+            return priority + max(0.0, room - filled) / load
+        filled += load
+    return ADMIT_ALL_LEVEL
 
 
 # --- at the entry node -------------------------------------------------------
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -182,6 +182,8 @@
       seconds: Time for which it held its slot.
       urgency: As in `RunStarted`.
       completed: Whether it was a nested call that the upstream answered.
+      refused: Whether the upstream refused it, or failed it by itself before
+        its deadline.
     """
 
     route: str
@@ -189,6 +191,7 @@
     seconds: float
     urgency: model.Priority = model.Priority.NORMAL
     completed: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -214,6 +217,11 @@
     """Asks for the demand observed at this node, a `demand.Demand`."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadRunTimes:
+    """Asks a control for the mean run time of each service, in seconds."""
+
+
 # --- quota -------------------------------------------------------------------
 
 
@@ -554,7 +562,8 @@
     Attributes:
       encode: Returns the `http.RawRequest` to send at a monotonic time, in
         seconds. It is called once there is a connection, so that the wait for
-        one is not counted in the remaining time that the request states.
+        one is not counted in the remaining time that the request states. It
+        raises `SendRefusedError` if the request must not be sent any more.
       is_answer: Tells the response to this request from others.
       max_idle: Maximum seconds since the last use of a connection.
       may_resend: Whether to send the request again on a new connection if the
--- a/src/sassafrashall/transport/stream_server.py
+++ b/src/sassafrashall/transport/stream_server.py
@@ -14,6 +14,7 @@
 from sassafrashall import fiber
 from sassafrashall import logs
 from sassafrashall import model
+from sassafrashall.decisions import arrivals
 from sassafrashall.decisions import connection_lifetime
 from sassafrashall.decisions import pipelining
 from sassafrashall.decisions import slow_readers
@@ -94,8 +95,13 @@
         )
         self._pipeline = requests
         self._may_overlap = may_overlap
-        # Monotonic seconds of the last read.
+        # When the bytes of the last read had arrived, in monotonic seconds.
         self._arrived_at = 0.0
+        # The body that is being read. It refers to this connection, so that it
+        # is dropped with its request.
+        self._body: request_body.RequestBody | None = None
+        # Of bytes that wait in the socket until a request may start.
+        self._arrivals: arrivals.Marks = ()
         # Raised once the requests before the invalid input are taken.
         self._input_error: exceptions.ProtocolError | None = None
         # Whether a request has been started on this connection.
@@ -124,6 +130,7 @@
             if reason in (
                 connection_log.Reason.ANNOUNCED,
                 connection_log.Reason.BAD_INPUT,
+                connection_log.Reason.BODY_TIMEOUT,
             ) or (
                 # Refused with a response, in contrast to a removal.
                 reason is connection_log.Reason.MEMORY
@@ -135,6 +142,7 @@
         finally:
             unanswered = self._unanswered or self._pipeline.first
             self._closing = True
+            self._body = None
             for exchange in self._pipeline.clear():
                 exchange.cancel()
                 self._discard_response(exchange)
@@ -208,7 +216,11 @@
           delay: Seconds by which this check runs late.
         """
         if self._pipeline.first is not None:
-            if not self._awaits_input and self._is_disconnected():
+            if self._awaits_input:
+                self._check_body(now, limits)
+                return
+            self._note_unread(now)
+            if self._is_disconnected():
                 self._close(connection_log.Reason.DISCONNECT)
             return
         if self._stopping:
@@ -231,6 +243,29 @@
                     connection_log.Reason.HEAD_TIMEOUT, idle, delay
                 )
 
+    def _check_body(self, now: float, limits: configuration.Limits) -> None:
+        """Ends a request whose body has stopped arriving.
+
+        It is refused if it has not run. Otherwise the handler gets an error
+        from its next read of the body, and its response is the last one.
+        """
+        action = connection_lifetime.on_check(
+            self._activity, now, limits.idle_timeout_s, limits.head_timeout_s
+        )
+        match action:
+            case connection_lifetime.EndIncompleteBody(idle=idle) if (
+                self._body is not None and self._stream.is_idle
+            ):
+                self._close_idle_time = idle
+                self._body.end_stalled()
+
+    def _note_unread(self, now: float) -> None:
+        """Notes the arrival of bytes that wait until a request may start."""
+        if self._pipeline.depth > 1:
+            self._arrivals = arrivals.on_check(
+                self._arrivals, self._stream.unread_bytes, now
+            )
+
     def _is_disconnected(self) -> bool:
         if self._pipeline.depth == 1 or self._pipeline.is_reading_body:
             return self._stream.is_closed_by_peer
@@ -263,14 +298,12 @@
 
     def close_unused(self) -> None:
         """Closes the connection in favour of one that has just arrived."""
-        self._closing = True
         self._close(connection_log.Reason.FULL)
 
     def _try_remove(self) -> bool:
         """Closes the connection for lack of memory; see `MemoryBudget.open`."""
         if self._pipeline.has_forwarded:
             return False
-        self._closing = True
         self._close(connection_log.Reason.MEMORY)
         self._parser.close()
         return True
@@ -278,18 +311,19 @@
     def _close_unless_input(
         self, reason: connection_log.Reason, idle: float, delay: float
     ) -> None:
-        """Closes the connection, or serves the input that has arrived.
-
-        A cancelled task runs on until its next checkpoint. If it was already
-        scheduled, it would read a request, dispatch it, and be cancelled then.
-        """
+        """Closes the connection, or serves the input that has arrived."""
         if self._awaits_input and self._stream.is_idle:
-            self._closing = True
             self._close_idle_time = idle
             self._close_delay = delay
             self._close(reason)
 
     def _close(self, reason: connection_log.Reason) -> None:
+        """Closes the connection; no request starts on it any more.
+
+        A cancelled task that was already scheduled runs on until its next
+        checkpoint, and would start a request that is cancelled then.
+        """
+        self._closing = True
         self._close_reason = self._close_reason or reason
         self._scope.cancel()
 
@@ -307,14 +341,14 @@
             if self._input_error is not None:
                 raise self._input_error
             _count_input(self._memory, self._parser, self._pipeline.last)
-            self._awaits_input = True
-            try:
-                data = await self._stream.receive(self._read_size())
-            finally:
-                self._awaits_input = False
+            data = await self._receive()
             if not data or self._closing:
                 return None
             self._arrived_at = clock.monotonic()
+            if self._arrivals:
+                self._arrivals, self._arrived_at = arrivals.on_read(
+                    self._arrivals, len(data), self._arrived_at
+                )
             if not self._pipeline.is_reading_body:
                 # These bytes belong to a request that may have to wait for
                 # others. Nothing more is read until then.
@@ -325,6 +359,21 @@
                     return None
             self._parse(data)
 
+    async def _receive(self) -> bytes:
+        """Waits for the next bytes; none at the end of the stream."""
+        reads_body = self._pipeline.is_reading_body
+        if reads_body:
+            self._activity = connection_lifetime.ReceivingBody(
+                since=clock.monotonic()
+            )
+        self._awaits_input = True
+        try:
+            return await self._stream.receive(self._read_size())
+        finally:
+            self._awaits_input = False
+            if reads_body:
+                self._activity = connection_lifetime.Serving()
+
     def _read_size(self) -> int:
         """Returns how many bytes may be read at once."""
         if self._pipeline.is_reading_body:
@@ -409,7 +458,7 @@
         self._activity = connection_lifetime.Serving()
         received_at = clock.monotonic()
         if self._pipeline.depth > 1:
-            # The time that a request waits for others counts.
+            # The time that a request waits for others counts, read or unread.
             received_at = self._arrived_at
         if model.find_header(head.headers, "expect") is not None:
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -418,7 +467,17 @@
             on_part=exchange.count_part,
             limit=body_limit,
         )
-        body = await http.read_buffered_part(rest)
+        self._body = rest
+        try:
+            body = await http.read_buffered_part(rest.read)
+        except exceptions.ConnectionFailedError as error:
+            if not rest.stalled:
+                raise
+            raise exceptions.ProtocolError(
+                exceptions.BODY_STALLED, str(error)
+            ) from error
+        if rest.ended:
+            self._body = None
         _count_body(self._memory, self._parser, exchange, body)
         if self._closing:
             # Removed for lack of memory while the body was counted.
@@ -447,6 +506,7 @@
         )
         if not rest.ended:
             await self._discard_rest(rest)
+        self._body = None
         self._end_exchange(exchange, _close_reason_after(complete, closes))
 
     async def _respond(
@@ -556,12 +616,13 @@
             return
         self._pipeline.remove_first()
         self._memory.release(exchange.cost)
+        if not self._awaits_input:
+            self._note_unread(clock.monotonic())
         if self._pipeline.first is None:
             self._activity = self._activity_between_requests()
         if close_reason is not None:
             if close_reason is not connection_log.Reason.ANNOUNCED:
                 self._unanswered = exchange
-            self._closing = True
             self._close(close_reason)
         self._pipeline.notify()
 
@@ -673,6 +734,8 @@
     """Returns why a connection is closed after an error in its input."""
     if error.code == exceptions.MEMORY_SHORT:
         return connection_log.Reason.MEMORY
+    if error.code == exceptions.BODY_STALLED:
+        return connection_log.Reason.BODY_TIMEOUT
     return connection_log.Reason.BAD_INPUT
 
 
@@ -804,14 +867,17 @@
         for connection in connections:
             connection.check_liveness(now, limits, delay)
         cut = slow_readers.choose_cut(
-            slow_readers.Reader(
-                number=number,
-                held=held,
-                # A late loop has sent nothing meanwhile.
-                stalled=connection.stalled_for(now) - delay,
-            )
-            for number, connection in enumerate(connections)
-            if (held := connection.held)
+            (
+                slow_readers.Reader(
+                    number=number,
+                    held=held,
+                    # A late loop has sent nothing meanwhile.
+                    stalled=connection.stalled_for(now) - delay,
+                )
+                for number, connection in enumerate(connections)
+                if (held := connection.held)
+            ),
+            self._budget.answer_limit,
         )
         for number in cut:
             connections[number].close_stalled()
