--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -264,3 +264,28 @@
             with trio.fail_after(1):
                 while membership.summary.value.relative_times != expected:
                     await membership.summary.wait_changed()
+
+
+# Guards against work on all records at each heartbeat: the routing controller
+# groups them anew if the dict is another one.
+async def test_a_reply_that_changes_no_record_keeps_the_dict_of_records():
+    told = [(), (_entry("b"),), (), (_entry("b"),), (), (_entry("c"),)]
+    seen = []
+
+    def answer(message, reply):
+        if not isinstance(message.message, protocol.Heartbeat):
+            return reply
+        seen.append(membership.view.value.records)
+        entries = told[min(len(seen), len(told) - 1)]
+        return dataclasses.replace(reply, entries=entries, complete=False)
+
+    link, membership = _membership(fakes.event_log(), answer)
+    async with fakes.started(link, membership):
+        with trio.fail_after(5):
+            while len(seen) < len(told) + 1:
+                await trio.sleep(0.01)
+    # The second reply told of "b", the sixth of "c".
+    assert [sorted(records) for records in seen[1:6]] == [["b"]] * 4 + [
+        ["b", "c"]
+    ]
+    assert seen[1] is seen[2] is seen[3] is seen[4]
--- a/tests/test_routing_controller.py
+++ b/tests/test_routing_controller.py
@@ -221,3 +221,18 @@
     records = {"y1": view.records["y1"]}
     node.view.publish(dataclasses.replace(view, records=records))
     assert node.choose() == "y1"
+
+
+# Guards against choices by slots that an upstream no longer has: what the
+# directory says of it is kept from one choice to the next.
+def test_slots_that_change_count_from_the_next_choice_on(monkeypatch):
+    node = _Node(monkeypatch, {"x1": "x", "x2": "x"})
+    before = [node.choose() for _ in range(8)]
+    assert {"x1", "x2"} == set(before)
+    records = dict(node.view.value.records)
+    records["x1"] = dataclasses.replace(
+        records["x1"],
+        upstream=dataclasses.replace(records["x1"].upstream, slots=1),
+    )
+    node.view.publish(model.NodeView(records=records))
+    assert [node.choose() for _ in range(4)] == ["x2"] * 4
