Tests: a service that the samples of closed classes overload

Found with 63 real nodes: route_levels divided by the load of a class without trees, and each heartbeat was answered with an error.

--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -103,6 +103,41 @@
     assert set(_levels(merged)) == {"view"}
 
 
+# Guards against a division by the load of a class without trees, which ended
+# the reply to each heartbeat with an error.
+def test_a_service_may_be_overloaded_by_the_samples_of_closed_classes():
+    fleet = demand.Demand(
+        routes=(
+            _run(
+                "view",
+                "wide",
+                runs=10,
+                busy_s=10,
+                calls=[("first", 20), ("second", 10)],
+                roots=(0, 0, 1e6),
+            ),
+            _run("first", "first", runs=10, busy_s=10),
+            _run("second", "second", runs=10, busy_s=10),
+            _run(
+                "other",
+                "wide",
+                runs=10,
+                busy_s=1,
+                calls=[("second", 10)],
+                roots=(0, 0, 10.0),
+            ),
+        ),
+        services=(
+            demand.ServiceSlots(service="first", slots=100),
+            demand.ServiceSlots(service="second", slots=100),
+        ),
+    )
+    assert {name: level.level for name, level in _levels(fleet).items()} == {
+        "view": pytest.approx(2.0, abs=1e-3),
+        "other": pytest.approx(2.0, abs=1e-3),
+    }
+
+
 def test_a_service_is_not_limited_for_demand_that_another_one_keeps_out():
     """Of two overloaded services on one way, the narrower one limits."""
     fleet = demand.Demand(
