--- a/bench/quota.py
+++ b/bench/quota.py
@@ -13,6 +13,7 @@
 
 from sassafrashall import reports
 from sassafrashall.decisions import quota
+from sassafrashall.decisions import token_cache
 
 SECONDS = 60.0  # simulated time of a run
 POLL_INTERVAL = 0.05  # seconds between a node's checks of its token caches
@@ -66,19 +67,19 @@
             self._buckets[owner] = quota.open_bucket(
                 rate, capacity, 0.0, is_new=True
             )
-        self._caches = [quota.TokenCache() for _ in range(NODES)]
+        self._caches = [token_cache.TokenCache() for _ in range(NODES)]
         self._leases = 0
         self.borrows = 0
 
     def admit(self, node: int, now: float) -> bool:
         """Returns whether a request is admitted, at once or after a wait."""
-        cache = quota.record_arrival(self._caches[node], now)
-        self._caches[node], granted = quota.take_token(cache, now)
+        cache = token_cache.record_arrival(self._caches[node], now)
+        self._caches[node], granted = token_cache.take_token(cache, now)
         deadline = now + (MAX_WAIT if self._waits else BORROW_TIME)
         while not granted and now < deadline:
             now += BORROW_TIME
             self._borrow(node, now)
-            self._caches[node], granted = quota.take_token(
+            self._caches[node], granted = token_cache.take_token(
                 self._caches[node], now
             )
             now += 0.01
@@ -87,15 +88,17 @@
     def poll(self, now: float) -> None:
         """Updates demand, prefetches tokens and reports usage on every node."""
         for node in range(NODES):
-            self._caches[node] = quota.update_demand(self._caches[node], now)
-            if quota.prefetch_count(self._caches[node], now):
+            self._caches[node] = token_cache.update_demand(
+                self._caches[node], now
+            )
+            if token_cache.prefetch_count(self._caches[node], now):
                 self._borrow(node, now)
             self._send_reports(node, now)
 
     def _borrow(self, node: int, now: float) -> None:
         self.borrows += 1
         self._send_reports(node, now)
-        wanted = 1 + quota.prefetch_count(self._caches[node], now)
+        wanted = 1 + token_cache.prefetch_count(self._caches[node], now)
         first_owner = node % len(OWNERS)
         for owner in (*OWNERS[first_owner:], *OWNERS[:first_owner]):
             self._leases += 1
@@ -104,19 +107,19 @@
                 self._buckets[owner], lease_id, wanted, now
             )
             if tokens:
-                lease = quota.HeldLease(
+                lease = token_cache.HeldLease(
                     owner=owner,
                     lease_id=lease_id,
                     tokens=tokens,
                     expires_at=now + quota.LEASE_TTL,
                 )
-                self._caches[node] = quota.add_leases(
+                self._caches[node] = token_cache.add_leases(
                     self._caches[node], (lease,)
                 )
                 return
 
     def _send_reports(self, node: int, now: float) -> None:
-        self._caches[node], lease_reports = quota.collect_reports(
+        self._caches[node], lease_reports = token_cache.collect_reports(
             self._caches[node], "x", now
         )
         for report in lease_reports:
--- a/src/sassafrashall/controllers/node_quota.py
+++ b/src/sassafrashall/controllers/node_quota.py
@@ -17,6 +17,7 @@
 from sassafrashall import protocol
 from sassafrashall import task
 from sassafrashall.decisions import quota
+from sassafrashall.decisions import token_cache
 
 TICK_INTERVAL = 0.05  # seconds between checks of the caches
 BORROW_TIMEOUT = 1.0  # seconds
@@ -72,7 +73,7 @@
     """The token cache of one organisation and the requests that wait for it."""
 
     def __init__(self, *, now: float) -> None:
-        self.cache = quota.TokenCache(estimated_at=now)
+        self.cache = token_cache.TokenCache(estimated_at=now)
         self.waiting: collections.deque[_Waiter] = collections.deque()
         self.borrow_in_progress = False
         self.borrow_again_at = 0.0
@@ -134,7 +135,7 @@
         *,
         link: mailbox.Mailbox,
         counters: metrics.Metrics,
-        borrowing_policy: quota.BorrowingPolicy = quota.EAGER,
+        borrowing_policy: token_cache.BorrowingPolicy = token_cache.EAGER,
     ) -> None:
         super().__init__()
         self._borrowing_policy = borrowing_policy
@@ -165,9 +166,9 @@
             self._accounts[message.organisation] = account
         self._ticks_needed.set()
         account.last_request_at = now
-        account.cache = quota.record_arrival(account.cache, now)
+        account.cache = token_cache.record_arrival(account.cache, now)
         if not account.waiting:
-            account.cache, granted = quota.take_token(account.cache, now)
+            account.cache, granted = token_cache.take_token(account.cache, now)
             if granted:
                 reply.put(messages.TokenGranted())
                 return
@@ -186,7 +187,7 @@
         for name, account in self._accounts.items():
             if account.borrow_in_progress or now < account.prefetch_again_at:
                 continue
-            wanted = quota.prefetch_count(
+            wanted = token_cache.prefetch_count(
                 account.cache, now, self._borrowing_policy
             )
             if wanted:
@@ -197,7 +198,7 @@
     def _make_borrow(
         self, name: str, account: _Account, wanted: int, now: float
     ) -> protocol.Borrow:
-        account.cache, reports = quota.collect_reports(
+        account.cache, reports = token_cache.collect_reports(
             account.cache, name, now, self._borrowing_policy
         )
         account.reported_at = now
@@ -235,7 +236,7 @@
         if account.borrow_in_progress or now < account.borrow_again_at:
             return
         waiting = len(account.waiting)
-        wanted = waiting + quota.prefetch_count(
+        wanted = waiting + token_cache.prefetch_count(
             account.cache, now, self._borrowing_policy
         )
         if wanted == 0:
@@ -290,10 +291,10 @@
                 )
             if grants:
                 account.empty_answers = 0
-            account.cache = quota.add_leases(
+            account.cache = token_cache.add_leases(
                 account.cache,
                 tuple(
-                    quota.HeldLease(
+                    token_cache.HeldLease(
                         owner=grant.owner,
                         lease_id=grant.lease_id,
                         tokens=grant.tokens,
@@ -312,7 +313,7 @@
             if waiter.reply.abandoned:
                 account.waiting.popleft()
                 continue
-            account.cache, granted = quota.take_token(account.cache, now)
+            account.cache, granted = token_cache.take_token(account.cache, now)
             if granted:
                 account.waiting.popleft().reply.put(messages.TokenGranted())
                 continue
@@ -335,7 +336,7 @@
                 now - account.cache.estimated_at
                 >= self._borrowing_policy.demand_window
             ):
-                account.cache = quota.update_demand(account.cache, now)
+                account.cache = token_cache.update_demand(account.cache, now)
             self._serve_waiting(name, account, now)
             if not self._borrowing_policy.batched:
                 self._borrow(name, account, now)
@@ -344,7 +345,7 @@
             )
             if not account.borrow_in_progress and now >= report_due_at:
                 account.reported_at = now
-                account.cache, account_reports = quota.collect_reports(
+                account.cache, account_reports = token_cache.collect_reports(
                     account.cache, name, now, self._borrowing_policy
                 )
                 reports.extend(account_reports)
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -36,8 +36,8 @@
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.decisions import cold_rate
 from sassafrashall.decisions import queues
-from sassafrashall.decisions import quota as quota_decisions
 from sassafrashall.decisions import shedding
+from sassafrashall.decisions import token_cache
 from sassafrashall.filters import api_key
 from sassafrashall.filters import chain
 from sassafrashall.filters import deadline
@@ -181,7 +181,7 @@
         self._quota = node_quota.NodeQuota(
             link=self._control_link.mailbox,
             counters=self._metrics,
-            borrowing_policy=quota_decisions.RELAXED,
+            borrowing_policy=token_cache.RELAXED,
         )
 
     def _build_admission(self) -> None:
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -6,6 +6,7 @@
 import random
 
 from sassafrashall.decisions import quota
+from sassafrashall.decisions import token_cache
 
 NAME = "org"
 
@@ -70,7 +71,7 @@
         self.limit_known_from = dict.fromkeys(self.names, 0.0)
         for name in self.names:
             self.open_bucket(name, is_new=True)
-        self.caches = [quota.TokenCache() for _ in range(nodes)]
+        self.caches = [token_cache.TokenCache() for _ in range(nodes)]
         self.isolated_nodes: set[int] = set()
         self.admitted: list[float] = []
         self.refused = 0
@@ -108,12 +109,12 @@
 
     def request(self, node: int) -> bool:
         """Handles a request at a node, which borrows if it has no token."""
-        cache = quota.record_arrival(self.caches[node], self.now)
-        cache, granted = quota.take_token(cache, self.now)
+        cache = token_cache.record_arrival(self.caches[node], self.now)
+        cache, granted = token_cache.take_token(cache, self.now)
         self.caches[node] = cache
         if not granted:
             self.borrow(node)
-            self.caches[node], granted = quota.take_token(
+            self.caches[node], granted = token_cache.take_token(
                 self.caches[node], self.now
             )
         if granted:
@@ -125,7 +126,9 @@
     def borrow(self, node: int, extra: int = 0) -> None:
         asked_at = self.now
         self.send_reports(node)
-        wanted = 1 + quota.prefetch_count(self.caches[node], self.now) + extra
+        wanted = (
+            1 + token_cache.prefetch_count(self.caches[node], self.now) + extra
+        )
         order = [self.home_owner(node)]
         if node not in self.isolated_nodes:
             order += [n for n in self.names if n != order[0]]
@@ -142,17 +145,19 @@
             if self.random.random() < self.loss:
                 return  # The answer with its tokens is lost.
             if tokens:
-                held = quota.HeldLease(
+                held = token_cache.HeldLease(
                     owner=name,
                     lease_id=lease_id,
                     tokens=tokens,
                     expires_at=asked_at + quota.LEASE_TTL,
                 )
-                self.caches[node] = quota.add_leases(self.caches[node], (held,))
+                self.caches[node] = token_cache.add_leases(
+                    self.caches[node], (held,)
+                )
                 return
 
     def send_reports(self, node: int) -> None:
-        self.caches[node], reports = quota.collect_reports(
+        self.caches[node], reports = token_cache.collect_reports(
             self.caches[node], NAME, self.now
         )
         for report in reports:
@@ -187,9 +192,9 @@
         for report in due:
             self.apply_report(report)
         for node in range(len(self.caches)):
-            cache = quota.update_demand(self.caches[node], self.now)
+            cache = token_cache.update_demand(self.caches[node], self.now)
             self.caches[node] = cache
-            if quota.prefetch_count(cache, self.now):
+            if token_cache.prefetch_count(cache, self.now):
                 self.borrow(node)
             self.send_reports(node)
 
--- a/tests/test_node_quota.py
+++ b/tests/test_node_quota.py
@@ -5,7 +5,7 @@
 from sassafrashall import clock
 from sassafrashall import messages
 from sassafrashall.controllers import node_quota
-from sassafrashall.decisions import quota as decisions_quota
+from sassafrashall.decisions import token_cache
 from tests import fakes
 
 
@@ -84,7 +84,7 @@
     quota = node_quota.NodeQuota(
         link=link.mailbox,
         counters=fakes.counters(),
-        borrowing_policy=decisions_quota.RELAXED,
+        borrowing_policy=token_cache.RELAXED,
     )
     async with fakes.started(link, quota):
         for _ in range(300):
@@ -109,7 +109,7 @@
     quota = node_quota.NodeQuota(
         link=link.mailbox,
         counters=fakes.counters(),
-        borrowing_policy=decisions_quota.RELAXED,
+        borrowing_policy=token_cache.RELAXED,
     )
     async with fakes.started(link, quota):
         while await _take_token(quota) == messages.TokenGranted():
@@ -129,7 +129,7 @@
     quota = node_quota.NodeQuota(
         link=link.mailbox,
         counters=fakes.counters(),
-        borrowing_policy=decisions_quota.RELAXED,
+        borrowing_policy=token_cache.RELAXED,
     )
     duration = 2.0
     async with fakes.started(link, quota):
@@ -158,7 +158,7 @@
     quota = node_quota.NodeQuota(
         link=link.mailbox,
         counters=fakes.counters(),
-        borrowing_policy=decisions_quota.RELAXED,
+        borrowing_policy=token_cache.RELAXED,
     )
     refused_after = []
 
@@ -189,7 +189,7 @@
     quota = node_quota.NodeQuota(
         link=link.mailbox,
         counters=fakes.counters(),
-        borrowing_policy=decisions_quota.RELAXED,
+        borrowing_policy=token_cache.RELAXED,
     )
     waits = []
     async with fakes.started(link, quota):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,6 +4,7 @@
 import pytest
 
 from sassafrashall.decisions import quota
+from sassafrashall.decisions import token_cache
 from tests import quota_model
 
 
@@ -111,12 +112,16 @@
 
 def test_an_idle_node_returns_its_tokens():
     model = quota_model.Model(1, rate=10, burst=10, nodes=2)
-    model.caches[0] = quota.add_leases(
+    model.caches[0] = token_cache.add_leases(
         model.caches[0],
-        (quota.HeldLease(owner="o0", lease_id="l", tokens=3, expires_at=9.0),),
+        (
+            token_cache.HeldLease(
+                owner="o0", lease_id="l", tokens=3, expires_at=9.0
+            ),
+        ),
     )
     model.now = 1.0
-    cache, reports = quota.collect_reports(model.caches[0], "org", 1.0)
+    cache, reports = token_cache.collect_reports(model.caches[0], "org", 1.0)
     assert reports[0].returned == 3 and not cache.leases
 
 
@@ -202,17 +207,17 @@
 
 
 def test_a_relaxed_node_borrows_again_only_below_its_low_watermark():
-    policy = quota.RELAXED
+    policy = token_cache.RELAXED
 
     def cache(tokens):
-        lease = quota.HeldLease(
+        lease = token_cache.HeldLease(
             owner="o", lease_id="l", tokens=tokens, expires_at=9.0
         )
-        return quota.TokenCache(leases=(lease,), demand=30.0)
+        return token_cache.TokenCache(leases=(lease,), demand=30.0)
 
     target = 19  # 0.6 s of 30 requests per second, plus one
-    assert quota.prefetch_count(cache(target - 1), 1.0, policy) == 0
-    assert quota.prefetch_count(cache(10), 1.0, policy) == 0
-    assert quota.prefetch_count(cache(9), 1.0, policy) == 10
+    assert token_cache.prefetch_count(cache(target - 1), 1.0, policy) == 0
+    assert token_cache.prefetch_count(cache(10), 1.0, policy) == 0
+    assert token_cache.prefetch_count(cache(9), 1.0, policy) == 10
     # With a low watermark of 1, a node asks again after every used token.
-    assert quota.prefetch_count(cache(2), 1.0, quota.EAGER) == 1
+    assert token_cache.prefetch_count(cache(2), 1.0, token_cache.EAGER) == 1
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -103,18 +103,24 @@
     assert set(_levels(merged)) == {"view"}
 
 
-# Guards against a division by the load of a class without trees, which ended
-# the reply to each heartbeat with an error.
-def test_a_service_may_be_overloaded_by_the_samples_of_closed_classes():
-    fleet = demand.Demand(
+def _two_services_on_one_way(*, first_calls, rate, second_slots, other):
+    """A view calls two services; another route calls one of them.
+
+    Args:
+      first_calls: Calls of ten views to the first service.
+      rate: Views a second, of class 2.
+      second_slots: Slots of the second service; the first one has 100.
+      other: The service that the other route calls.
+    """
+    return demand.Demand(
         routes=(
             _run(
                 "view",
                 "wide",
                 runs=10,
                 busy_s=10,
-                calls=[("first", 20), ("second", 10)],
-                roots=(0, 0, 1e6),
+                calls=[("first", first_calls), ("second", 10)],
+                roots=(0, 0, rate),
             ),
             _run("first", "first", runs=10, busy_s=10),
             _run("second", "second", runs=10, busy_s=10),
@@ -123,15 +129,23 @@
                 "wide",
                 runs=10,
                 busy_s=1,
-                calls=[("second", 10)],
+                calls=[(other, 10)],
                 roots=(0, 0, 10.0),
             ),
         ),
         services=(
             demand.ServiceSlots(service="first", slots=100),
-            demand.ServiceSlots(service="second", slots=100),
+            demand.ServiceSlots(service="second", slots=second_slots),
         ),
     )
+
+
+# Guards against a division by the load of a class without trees, which ended
+# the reply to each heartbeat with an error.
+def test_a_service_may_be_overloaded_by_the_samples_of_closed_classes():
+    fleet = _two_services_on_one_way(
+        first_calls=20, rate=1e6, second_slots=100, other="second"
+    )
     assert {name: level.level for name, level in _levels(fleet).items()} == {
         "view": pytest.approx(2.0, abs=1e-3),
         "other": pytest.approx(2.0, abs=1e-3),
@@ -140,31 +154,8 @@
 
 def test_a_service_is_not_limited_for_demand_that_another_one_keeps_out():
     """Of two overloaded services on one way, the narrower one limits."""
-    fleet = demand.Demand(
-        routes=(
-            _run(
-                "view",
-                "wide",
-                runs=10,
-                busy_s=10,
-                calls=[("first", 10), ("second", 10)],
-                roots=(0, 0, 100.0),
-            ),
-            _run("first", "first", runs=10, busy_s=10),
-            _run("second", "second", runs=10, busy_s=10),
-            _run(
-                "other",
-                "wide",
-                runs=10,
-                busy_s=1,
-                calls=[("first", 10)],
-                roots=(0, 0, 10.0),
-            ),
-        ),
-        services=(
-            demand.ServiceSlots(service="first", slots=100),
-            demand.ServiceSlots(service="second", slots=25),
-        ),
+    fleet = _two_services_on_one_way(
+        first_calls=10, rate=100.0, second_slots=25, other="first"
     )
     levels = _levels(fleet)
     assert levels["view"].level == pytest.approx(2.2)
