Quota: a disk that hangs holds up no owner once old leases have expired

Cause: the owner waited for the write of its limit before it lent, however long it took. Found by reading. The new test fails without the change.

--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -125,6 +125,16 @@
         if wanted < lease_limit.ALL:
             await self._record_limit(wanted)
 
+    def _is_preparing_restart(self, now: float) -> bool:
+        """Returns whether it is not known yet what may be lent at once.
+
+        A slow disk does not hold up an owner once old leases have expired.
+        """
+        return (
+            self._preparing_restart
+            and now < self._share_held_since + quota.OWNER_LEASE_TTL
+        )
+
     async def _record_limit(self, fraction: float) -> None:
         """Writes the limit once all leases beyond it have expired."""
         await trio.sleep(quota.OWNER_LEASE_TTL)
@@ -218,7 +228,7 @@
         organisation_quota = view.state.quota(name)
         if organisation_quota is None or self._share_revision is None:
             return None
-        if self._preparing_restart:
+        if self._is_preparing_restart(now):
             return None
         rate, capacity = self._share_of(name, view)
         # If the organisation was created while this process was running and
@@ -259,8 +269,9 @@
     ) -> tuple[tuple[protocol.LeaseGrant, ...], float]:
         bucket = self._get_bucket(name, now)
         if bucket is None:
-            preparing = self._preparing_restart
-            return (), RESTART_CHECK_INTERVAL if preparing else MAX_WAIT
+            if self._is_preparing_restart(now):
+                return (), RESTART_CHECK_INTERVAL
+            return (), MAX_WAIT
         lease_id = uuid.uuid4().hex[:12]
         limit = quota.lease_limit(bucket.capacity, self._fraction)
         bucket, tokens = quota.grant_lease(bucket, lease_id, wanted, now, limit)
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -211,6 +211,30 @@
         assert await _lent(owner) > 0
 
 
+# Guards against an owner that lends nothing for as long as its disk hangs.
+async def test_a_disk_that_hangs_holds_up_no_owner_after_old_leases_expired(
+    tmp_path, virtual_time, monkeypatch
+):
+    limit = lease_limit.LeaseLimitFile(folder=str(tmp_path))
+    limit.write(0.67)
+    run_sync = trio.to_thread.run_sync
+
+    async def hang_on_writes(function, *args):
+        if function.__name__ == "write":
+            await trio.sleep(100)
+        return await run_sync(function, *args)
+
+    monkeypatch.setattr(trio.to_thread, "run_sync", hang_on_writes)
+    async with _restarted(tmp_path) as owner:
+        await trio.sleep(quota.OWNER_LEASE_TTL - 0.1)
+        assert await _lent(owner) == 0
+        await trio.sleep(1.1)
+        assert await _lent(owner) == 3  # 10 / 3 a second
+        await trio.sleep(30)
+        assert limit.read() == 0.67
+        assert await _lent(owner) == quota.lease_limit(30, 0.67)
+
+
 # Guards against a limit that is exceeded before its file tells so.
 async def test_a_limit_that_cannot_be_written_is_kept(
     tmp_path, virtual_time, monkeypatch
