--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -13,6 +13,7 @@
 from sassafrashall import mailbox
 from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall import organisation_model
 from sassafrashall import protocol
 from sassafrashall import settings
 from sassafrashall.controllers import admission
@@ -360,7 +361,9 @@
     def publish(revision, **changes):
         view.publish(
             model.NodeView(
-                configuration=model.Configuration(revision=revision),
+                configuration=organisation_model.Configuration(
+                    revision=revision
+                ),
                 evacuation_changes={
                     name.replace("_", "-"): at for name, at in changes.items()
                 },
