Quota: an owner that takes over a share waits for unknown leases

Cause: a control that restarted without a share trusted its own limit for a share that it got later, of which another owner had lent. Found by reading.

--- a/src/sassafrashall/controllers/quota_owner.py
+++ b/src/sassafrashall/controllers/quota_owner.py
@@ -116,6 +116,8 @@
                 self._fraction = wanted
                 while clock.monotonic() < end:
                     status = await self._replica.ask(messages.ReadReplica())
+                    if not self._preparing_restart:
+                        break
                     if status.majority_age < MAX_MAJORITY_AGE:
                         self._unknown_fraction = before
                         break
@@ -182,6 +184,7 @@
         if self._replica_id not in view.owners:
             self._share_revision = None
             # Another owner has lent from a share that this one gets later.
+            self._preparing_restart = False
             self._unknown_fraction = None
         elif self._share_revision is None:
             self._share_revision = view.state.revision
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -144,20 +144,27 @@
 
 
 @contextlib.asynccontextmanager
-async def _restarted(tmp_path, fraction=0.67, majority_age=0.0):
-    """Runs an owner that was one before, with an organisation from before."""
+async def _restarted(
+    tmp_path, fraction=0.67, majority_age=0.0, owners=("me", "other", "third")
+):
+    """Runs an owner, with an organisation from before its start."""
     status = dataclasses.replace(_status(), majority_age=majority_age)
     replica = fakes.ScriptedController(lambda message: status)
+    view = _view(created=5, replayed=5, burst=90)
+    published = mailbox.Published(
+        initial=dataclasses.replace(view, owners=owners)
+    )
     owner = quota_owner.QuotaOwner(
         settings=_settings(tmp_path, quota_lease_fraction=fraction),
         replica=replica.mailbox,
-        view=mailbox.Published(
-            initial=_view(created=5, replayed=5, burst=90),
-        ),
+        view=published,
         event_log=fakes.event_log(),
         counters=fakes.counters(),
     )
     async with fakes.started(replica, owner):
+        # What it is an owner of from the start, it was one of before.
+        await trio.testing.wait_all_tasks_blocked()
+        published.publish(view)
         yield owner
 
 
@@ -211,6 +218,18 @@
         assert await _lent(owner) > 0
 
 
+# Guards against trust in a limit that another owner of the share did not keep.
+async def test_an_owner_that_takes_over_a_share_lends_nothing_at_first(
+    tmp_path, virtual_time
+):
+    lease_limit.LeaseLimitFile(folder=str(tmp_path)).write(0.67)
+    async with _restarted(tmp_path, owners=("gone", "other", "third")) as owner:
+        await trio.sleep(quota.LEASE_TTL)
+        assert await _lent(owner) == 0
+        await trio.sleep(quota.OWNER_LEASE_TTL)
+        assert await _lent(owner) > 0
+
+
 # Guards against an owner that lends nothing for as long as its disk hangs.
 async def test_a_disk_that_hangs_holds_up_no_owner_after_old_leases_expired(
     tmp_path, virtual_time, monkeypatch
