--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -141,6 +141,8 @@
 
     monkeypatch.setattr(clock, "monotonic", trio.current_time)
     monkeypatch.setattr(trio.to_thread, "run_sync", run_sync)
+    # The plugin takes the clock from the arguments of the test.
+    return autojump_clock
 
 
 @contextlib.asynccontextmanager
