Controls: the directory tells run times from the demand that it holds

Cause: a second controller folded each heartbeat and each gossip into a copy of the reported demand that the directory already keeps, for a question that operators ask now and then.

Change: the directory answers it. The two tests of the removed controller ask the directory, with the same assertions; one heartbeat costs one update less. Conclusion: behaviour as before.

--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -24,7 +24,6 @@
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
-from sassafrashall.controllers import run_times
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import service_capacity
@@ -96,13 +95,11 @@
             event_log=self._events,
             counters=self._metrics,
         )
-        self._run_times = run_times.RunTimes()
         self._controllers: tuple[task.Controller, ...] = (
             loop_monitor.LoopMonitor(counters=self._metrics),
             self._replica,
             self._founding,
             self._fleet_directory,
-            self._run_times,
             self._quota_owner,
         )
 
@@ -162,11 +159,10 @@
                 exceptions.BAD_REQUEST, "not a message for operators"
             )
         match message:
-            case protocol.Heartbeat() | protocol.Gossip():
-                self._run_times.mailbox.tell(message)
-                return await self._fleet_directory.mailbox.ask(message)
             case (
-                protocol.Ping()
+                protocol.Heartbeat()
+                | protocol.Gossip()
+                | protocol.Ping()
                 | protocol.ConfigurationQuery()
                 | protocol.RecordChanged()
             ):
@@ -233,7 +229,7 @@
 
     async def _read_capacity(self) -> protocol.CapacityReply:
         status = await self._fleet_directory.mailbox.ask(protocol.StatusQuery())
-        run_s = await self._run_times.mailbox.ask(messages.ReadRunTimes())
+        run_s = await self._fleet_directory.mailbox.ask(messages.ReadRunTimes())
         known = service_capacity.add_up(
             (
                 (upstream.service, upstream.slots)
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -30,6 +30,7 @@
 from sassafrashall.decisions import node_directory
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import routing
+from sassafrashall.decisions import service_capacity
 from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
 from sassafrashall.transport import rpc
@@ -181,6 +182,9 @@
                 reply.put(protocol.Ack())
             case protocol.StatusQuery():
                 reply.put(self._status_reply(now))
+            case messages.ReadRunTimes():
+                fleet = demand_decisions.demand_of_fleet(self._demand, now)
+                reply.put(service_capacity.run_times(fleet))
             case protocol.Ping():
                 self._note_alive(
                     message.vm, message.incarnation, message.counter, 0.0, now
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -41,20 +41,22 @@
 )
 
 
-def _heartbeat(vm):
+def _heartbeat(vm, reported=None):
     return protocol.Heartbeat(
         record=fakes.node_record(vm=vm),
         directory_source="",
         directory_version=0,
         withdrawn_count=0,
+        demand=reported,
     )
 
 
 class _Directory:
     """A directory whose time and regular checks the test controls."""
 
-    def __init__(self, *, mailbox, now):
-        self._mailbox = mailbox
+    def __init__(self, *, controller, now):
+        self.controller = controller
+        self._mailbox = controller.mailbox
         self._now = now
 
     def run_for(self, seconds):
@@ -118,7 +120,7 @@
         counters=fakes.counters(),
     )
     async with fakes.started(replica), fakes.started(directory):
-        yield _Directory(mailbox=directory.mailbox, now=now)
+        yield _Directory(controller=directory, now=now)
 
 
 # Guards against a control that was paused taking all nodes for gone, whose
@@ -400,3 +402,51 @@
             assert set(levels) == ({"view"} if is_limited else set())
             assert not levels or levels["view"] < 1.05
         assert not await report(1.0, 3.0)
+
+
+def _alpha_runs(ended, busy_s):
+    route = demand.RouteDemand(
+        route="r", service="alpha", ended=ended, busy_s=busy_s
+    )
+    return demand.Demand(routes=(route,))
+
+
+def _gossip(address, reported):
+    record = protocol.ControlRecord(
+        vm=address,
+        data_centre="x",
+        replica_id=address,
+        rpc_address=address,
+        ops_address=address,
+        role="follower",
+        term=1,
+        applied=1,
+        revision=1,
+        majority_age=0.0,
+        voter=True,
+    )
+    return protocol.Gossip(
+        control=record, entries=(), alive=(), withdrawn=(), demand=reported
+    )
+
+
+async def test_run_times_of_this_and_other_controls_count_once(now):
+    """Guards against run times of the nodes of one control only."""
+    async with _directory(now) as directory:
+        for _ in range(2):
+            await directory.send(_heartbeat("vm-a", _alpha_runs(20.0, 2.0)))
+            await directory.send(_heartbeat("vm-b", None))
+            await directory.send(_gossip("control-b", _alpha_runs(20.0, 6.0)))
+        times = await directory.send(messages.ReadRunTimes())
+    assert times == {"alpha": pytest.approx(0.2)}
+
+
+async def test_run_times_of_nodes_that_are_gone_are_dropped(now):
+    """Guards against the times of a load that ended, and against a leak."""
+    async with _directory(now) as directory:
+        await directory.send(_heartbeat("vm-a", _alpha_runs(20.0, 2.0)))
+        await directory.send(_gossip("control-b", _alpha_runs(20.0, 6.0)))
+        now[0] += demand.CONTROL_TTL
+        await directory.send(_heartbeat("vm-b", None))
+        assert directory.controller._demand == demand.FleetDemand()
+        assert await directory.send(messages.ReadRunTimes()) == {}
