--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -18,9 +18,9 @@
 from sassafrashall import protocol
 from sassafrashall import task
 from sassafrashall.controllers import pending_changes
+from sassafrashall.decisions import applied_state
 from sassafrashall.decisions import consensus
 from sassafrashall.decisions import fleet_commands
-from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import leadership
 from sassafrashall.decisions import replacements
 from sassafrashall.decisions import replication
@@ -122,7 +122,9 @@
         # The state up to which everything that has to be is on disk.
         self._durable_state = self._state
         self._writes_fail = False
-        self._fleet_state = fleet_state.FleetState()
+        # The role as of the performed actions; `_state` may be further on.
+        self._role = replication.Role.FOLLOWER
+        self._applied = applied_state.AppliedState()
         # Whether the log has been bootstrapped.
         self._founded = False
         # Last entry in the log when this process started.
@@ -226,7 +228,7 @@
         actions.extend(self._place_voters())
         await self._perform_actions(actions, replies)
         ready = self._pending.answer_replacements(
-            self._state, self._fleet_state.revision, clock.monotonic()
+            self._state, self._applied.fleet.revision, clock.monotonic()
         )
         if ready is not None:
             await self._perform_actions(
@@ -377,7 +379,6 @@
                     self._apply_entries(entries)
                 case replication.SaveSnapshot(snapshot=snapshot, reset=True):
                     self._load_snapshot(snapshot)
-                    self._replayed_revision = self._fleet_state.revision
                     self._publish_view()
                 case replication.RoleChanged(role=role, term=term):
                     self._on_role_changed(role, term)
@@ -481,54 +482,44 @@
     def _apply_entries(self, entries: tuple[replication.Entry, ...]) -> None:
         for entry in entries:
             self._applied_bytes += len(entry.command)
-            result: Any = fleet_commands.Accepted(
-                revision=self._fleet_state.revision
+            command = (
+                codec.decode(entry.command)
+                if entry.command
+                else fleet_commands.NoOp()
+            )
+            membership_before = self._applied.membership
+            self._applied, result = applied_state.apply_entry(
+                self._applied, entry, command
             )
-            if entry.command:
-                self._fleet_state, result = fleet_state.apply(
-                    self._fleet_state, codec.decode(entry.command)
-                )
             self._pending.answer_proposal(entry, result)
-            if self._state.role is replication.Role.LEADER:
-                self._record_replacement(entry)
+            if self._role is replication.Role.LEADER:
+                self._record_replacement(entry, membership_before)
             if entry.index <= self._replay_index:
-                self._replayed_revision = self._fleet_state.revision
+                self._replayed_revision = self._applied.fleet.revision
         self._publish_view()
-        uncompacted = self._state.commit - self._state.snapshot.index
+        uncompacted = self._applied.index - self._state.snapshot.index
         compaction_due = (
             uncompacted >= COMPACT_AFTER or self._applied_bytes >= COMPACT_SIZE
         )
         if compaction_due and not self._snapshot_in_progress:
             self._snapshot_in_progress = True
             self._applied_bytes = 0
-            index = self._state.commit
-            header = replication.Snapshot(
-                index=index,
-                term=self._state.term_at(index),
-                membership=replication.membership_at(self._state, index),
-            )
-            self._spawn(self._encode_snapshot, header, self._fleet_state)
+            self._spawn(self._take_snapshot, self._applied)
 
-    async def _encode_snapshot(
-        self,
-        header: replication.Snapshot,
-        applied_state: fleet_state.FleetState,
-    ) -> None:
-        body = await trio.to_thread.run_sync(snapshots.encode, applied_state)
-        snapshot = dataclasses.replace(header, state=body)
+    async def _take_snapshot(self, applied: applied_state.AppliedState) -> None:
+        snapshot = await trio.to_thread.run_sync(snapshots.take, applied)
         self.mailbox.tell(_SnapshotEncoded(snapshot=snapshot))
 
     def _load_snapshot(self, snapshot: replication.Snapshot) -> None:
-        if snapshot.state:
-            self._fleet_state = snapshots.decode(snapshot.state)
-            self._replayed_revision = self._fleet_state.revision
+        self._applied = snapshots.restore(snapshot)
+        self._replayed_revision = self._applied.fleet.revision
 
     def _publish_view(self) -> None:
         membership = self._state.membership
         owners = membership.outgoing or membership.voters
         self._view.publish(
             messages.FleetView(
-                state=self._fleet_state,
+                state=self._applied.fleet,
                 owners=tuple(member.replica_id for member in owners),
                 members=membership.all_members(),
                 replayed_revision=self._replayed_revision,
@@ -536,6 +527,7 @@
         )
 
     def _on_role_changed(self, role: replication.Role, term: int) -> None:
+        self._role = role
         self._events.record(f"replica.{role}", detail=f"term {term}")
         logs.get().info(
             "replica role changed", extra={"role": role, "term": term}
@@ -547,12 +539,16 @@
 
     # --- membership ----------------------------------------------------------
 
-    def _record_replacement(self, entry: replication.Entry) -> None:
-        """Records the change of voters that an applied entry finishes."""
-        if entry.membership is None:
-            return
-        before = replication.membership_at(self._state, entry.index - 1)
-        if not before.outgoing:
+    def _record_replacement(
+        self, entry: replication.Entry, before: replication.Membership
+    ) -> None:
+        """Records the change of voters that an applied entry finishes.
+
+        Args:
+          entry: The entry.
+          before: The membership before it.
+        """
+        if entry.membership is None or not before.outgoing:
             return
         old, new = _changed_voters(before.outgoing, before.voters)
         self._events.record("replica.replaced", detail=f"{old} {new}")
@@ -606,6 +602,7 @@
             self._random.random(),
         )
         self._durable_state = self._state
+        self._load_snapshot(snapshot)
         self._events.record("replica.founded", detail=self._state.replica_id)
         self._publish_view()
 
--- a/src/sassafrashall/decisions/replication.py
+++ b/src/sassafrashall/decisions/replication.py
@@ -385,14 +385,6 @@
     return state.snapshot.membership
 
 
-def membership_at(state: State, index: int) -> Membership:
-    """Returns the membership in force at a committed index."""
-    entries = state.slice(
-        state.snapshot.index + 1, index - state.snapshot.index
-    )
-    return latest_membership(dataclasses.replace(state, entries=entries))
-
-
 def replace_voter(
     membership: Membership, old_id: str, new_id: str
 ) -> Membership | None:
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -9,9 +9,11 @@
 
 from sassafrashall import configuration
 from sassafrashall import organisation_model
+from sassafrashall.decisions import applied_state
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
+from sassafrashall.decisions import replication
 from sassafrashall.transport import codec
 
 codec.register(
@@ -47,6 +49,29 @@
     evacuation_changes: tuple[tuple[str, int], ...] = ()
 
 
+def take(applied: applied_state.AppliedState) -> replication.Snapshot:
+    """Returns a snapshot; thread-safe, since the state is immutable."""
+    return replication.Snapshot(
+        index=applied.index,
+        term=applied.term,
+        membership=applied.membership,
+        state=encode(applied.fleet),
+    )
+
+
+def restore(snapshot: replication.Snapshot) -> applied_state.AppliedState:
+    """Returns the state of which `take` made a snapshot."""
+    return applied_state.AppliedState(
+        index=snapshot.index,
+        term=snapshot.term,
+        membership=snapshot.membership,
+        # The snapshot that founds a log has no state.
+        fleet=decode(snapshot.state)
+        if snapshot.state
+        else fleet_state.FleetState(),
+    )
+
+
 def encode(state: fleet_state.FleetState) -> bytes:
     """Encodes the state; thread-safe, since the state is immutable."""
     return msgspec.msgpack.encode(
--- a/tests/raft_simulation.py
+++ b/tests/raft_simulation.py
@@ -257,11 +257,16 @@
         replica = self.replicas[name]
         if replica.state is None or not replica.applied:
             return
-        index = replica.state.commit
+        state, last = replica.state, replica.applied[-1]
+        applied_entries = state.slice(
+            state.snapshot.index + 1, last.index - state.snapshot.index
+        )
         snapshot = replication.Snapshot(
-            index=index,
-            term=replica.state.term_at(index),
-            membership=replication.membership_at(replica.state, index),
+            index=last.index,
+            term=last.term,
+            membership=replication.latest_membership(
+                dataclasses.replace(state, entries=applied_entries)
+            ),
             state=encode(replica.applied),
         )
         self.process_event(name, replication.Compact(snapshot=snapshot))
