Replica: a status tells of applied entries only

A new leader that had just learned that its log is committed said that its leadership was confirmed, while its directory still served the state from before the log was applied; a node that asks in that time takes a proof of freshness for an old configuration. The time is that of one sync to disk, which lasts for seconds if the disk hangs.

Change: the status is that of the last batch whose actions are performed.

--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -119,7 +119,8 @@
         )
         self._pending = pending_changes.PendingChanges()
         self._state = replication.State(replica_id="")
-        # The state up to which everything that has to be is on disk.
+        # The state as of the last batch whose actions have been performed: all
+        # of it is on disk, and its committed entries are applied.
         self._durable_state = self._state
         self._writes_fail = False
         # The role as of the performed actions; `_state` may be further on.
@@ -615,7 +616,12 @@
         )
 
     def _status(self) -> messages.ReplicaStatus:
-        state = self._state
+        """Returns the status as of the entries that have been applied.
+
+        A proof of freshness holds for the applied state only, and `_state` may
+        be further on.
+        """
+        state = self._durable_state
         return messages.ReplicaStatus(
             member=self._own_member(),
             founded=self._founded,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -263,3 +263,51 @@
         accepted = replica.view.value.state.accepted
         assert accepted is not None and accepted.configuration.version == 1
         await replica.close()
+
+
+async def test_a_status_tells_of_no_entry_that_is_not_applied(
+    tmp_path, monkeypatch, followers
+):
+    """Guards against a proof of freshness for a state that is out of date.
+
+    A new leader learns that its log is committed, and is asked for its status
+    before it has synced the rest of that batch and applied the log.
+    """
+    disk = _Disk(monkeypatch)
+    read = fleet_commands.ReadConfiguration()
+    async with trio.open_nursery() as nursery:
+        replica = _new_replica(tmp_path)
+        await replica.start(nursery)
+        await _found(replica)
+        await _wait_until_leader(replica)
+        _submit(replica, _replace_configuration(1))
+        await _wait_until(lambda: replica.view.value.state.accepted is not None)
+        await replica.close()
+
+    answers = []
+
+    async def read_status(replica):
+        status = await replica.mailbox.ask(messages.ReadReplica())
+        answers.append((status, replica.view.value.state))
+
+    followers.hold("b")
+    followers.hold("c")
+    async with trio.open_nursery() as nursery:
+        replica = _new_replica(tmp_path)
+        await replica.start(nursery)
+        # The first entry of the second term follows the two of the first.
+        await followers.wait_until_sent("b", 3)
+        with disk.busy():
+            _submit(replica, read)
+            await trio.testing.wait_all_tasks_blocked()
+            await followers.release("b")
+            nursery.start_soon(read_status, replica)
+            await trio.testing.wait_all_tasks_blocked()
+            _submit(replica, read)
+        await _wait_until(lambda: answers)
+        await replica.close()
+    status, state = answers[0]
+    assert (
+        status.leadership_confirmed_at == float("-inf")
+        or state.accepted is not None
+    )
