Sign-offs: they are in the log, and a node that starts reads them

Seen by callers and upstreams: an upstream whose DELETE had been acknowledged got requests again. One control and its node were killed at the same moment, and a heartbeat of before arrived 3 s late.

Cause: a sign-off lived only in the memory of the node and of the controls. A control that has just started does not have it, and says that there is none; with all controls killed nobody has it. A node without a sign-off to compare with believes a single heartbeat.

Change: the node commits a sign-off before it acknowledges it, for 0.4 s at most. Commits ask further controls if the one in use is late and don't make the node leave it.

Evidence: tests/test_sign_off_fleet.py restarts the node with one control and with all of them.

--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -18,11 +18,13 @@
 from sassafrashall import task
 from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import replication
+from sassafrashall.transport import codec
 from sassafrashall.transport import rpc
 
 ATTEMPT_TIMEOUT = 0.6  # seconds for a call to one control
 RETRY_PAUSE = 0.1  # seconds to wait once all controls have failed
 PROBE_TIMEOUT = 0.5  # seconds
+HEDGE_DELAY = 0.15  # seconds until a further control is asked to commit
 FAILBACK_INTERVAL = 5.0  # seconds between probes of the nearest control
 
 
@@ -106,6 +108,8 @@
                 self._spawn(self._call, message, reply)
             case messages.CallOneControl():
                 self._spawn(self._call_one, message, reply)
+            case messages.CommitCommand():
+                self._spawn(self._commit, message, reply)
             case messages.TellOtherControls(message=told):
                 for address in self._members:
                     if address != self._current:
@@ -217,6 +221,37 @@
                 self._contacts[message.address] = sent_at - age
         reply.put(answer)
 
+    async def _commit(
+        self, message: messages.CommitCommand, reply: mailbox.Reply
+    ) -> None:
+        """Asks the controls, the one in use first, until one has committed."""
+        request = protocol.SubmitCommand(command=codec.encode(message.command))
+        errors: list[exceptions.SassafrashallError] = []
+
+        async def ask(address: str, ended: trio.Event) -> None:
+            try:
+                answer = await self._clients.get(address).call(
+                    request, message.timeout
+                )
+                reply.put(codec.decode(answer.result))
+                nursery.cancel_scope.cancel()
+            except (exceptions.RpcError, exceptions.ProtocolError) as error:
+                errors.append(error)
+            ended.set()
+
+        first = self._addresses.index(self._current)
+        async with trio.open_nursery() as nursery:
+            for address in (
+                *self._addresses[first:],
+                *self._addresses[:first],
+            ):
+                ended = trio.Event()
+                nursery.start_soon(ask, address, ended)
+                with trio.move_on_after(HEDGE_DELAY):
+                    await ended.wait()
+        if not reply.done:
+            reply.fail(errors[-1])
+
     def _address_after(self, address: str) -> str:
         index = self._addresses.index(address)
         return self._addresses[(index + 1) % len(self._addresses)]
--- a/src/sassafrashall/controllers/followed_upstream.py
+++ b/src/sassafrashall/controllers/followed_upstream.py
@@ -38,7 +38,9 @@
             initial=None
         )
         self._cold_heartbeat = cold_heartbeat
-        self._runs = upstream_runs.State()
+        self._runs = upstream_runs.State(sign_offs_known=False)
+        # The latest numbered one.
+        self._announcement: messages.Announce | None = None
 
     @property
     def published(self) -> mailbox.Published[model.Upstream | None]:
@@ -68,6 +70,7 @@
                 runs = upstream_runs.on_unnumbered(self._runs, upstream, now)
             case messages.Announce(upstream=upstream):
                 assert upstream is not None
+                self._announcement = message
                 heartbeat = upstream_runs.Heartbeat(
                     run=upstream_runs.Run(
                         incarnation=message.incarnation,
@@ -92,6 +95,14 @@
             upstream_runs.on_sign_off_restored(self._runs, sign_off)
         )
 
+    def on_sign_offs_known(self, sign_offs: tuple[model.SignOff, ...]) -> None:
+        """Takes in all sign-offs that were acknowledged before this process."""
+        held = self._runs.successor
+        runs = upstream_runs.on_sign_offs_known(self._runs, sign_offs)
+        if held is not None and self._announcement is not None:
+            self._publish_cold(runs, self._announcement, held.heard_at)
+        self._replace_runs(runs)
+
     def _publish_cold(
         self, runs: upstream_runs.State, message: messages.Announce, now: float
     ) -> None:
@@ -134,7 +145,9 @@
             or runs.successor.run != before.successor.run
         ):
             logs.get().info(
-                "heartbeat of an earlier run, or of one that signed off",
+                "heartbeat of an earlier run, or of one that signed off"
+                if runs.sign_offs_known
+                else "heartbeat held back until sign-offs are known",
                 extra={
                     "id": runs.successor.run.incarnation,
                     "started_ms": runs.successor.run.started_ms,
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -22,6 +22,7 @@
 from sassafrashall.controllers import load_meter
 from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import demand as demand_decisions
+from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import known_nodes
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import route_table
@@ -30,8 +31,10 @@
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
-# Seconds that the acknowledgement of a sign-off waits for a control to know it.
+# Seconds that the acknowledgement of a sign-off waits for it to be committed.
 SIGN_OFF_TIMEOUT = 0.4
+COMMIT_TIMEOUT = 1.0  # seconds for a control to commit a command
+COMMIT_RETRY_PAUSE = 0.2  # seconds until a command is sent again
 # Changes of the record that all controls are told, not only the one in use.
 _TOLD_FIELDS = frozenset({"upstream", "signed_off", "leaving"})
 
@@ -52,9 +55,23 @@
     record: model.NodeRecord
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _SignOffCommitted:
+    """A sign-off is in the log."""
+
+    sign_off: model.SignOff
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _SignOffsRead:
+    """The log has told the sign-offs of before this process."""
+
+    sign_offs: tuple[model.SignOff, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _SignOffOverdue:
-    """No control has answered in time that it knows a sign-off.
+    """A sign-off was not committed in time.
 
     Attributes:
       reply: The acknowledgement that waits for it.
@@ -168,23 +185,22 @@
 
     async def _setup(self) -> None:
         self._spawn(self._send_heartbeats)
+        self._spawn(self._read_sign_offs)
 
     def _handle(self, message: Any, reply: mailbox.Reply) -> None:
         match message:
             case messages.Announce():
-                signed_off_before = self._record.signed_off
-                self._upstream.on_announcement(message, clock.monotonic())
-                self._apply_upstream()
-                if self._record.signed_off == signed_off_before:
-                    reply.put(None)
-                else:
-                    self._sign_off_replies.append(reply)
-                    self._spawn(self._limit_wait, reply)
+                self._on_announcement(message, reply)
+            case _SignOffCommitted(sign_off=sign_off):
+                if sign_off == self._record.signed_off:
+                    for waiting in self._sign_off_replies:
+                        waiting.put(None)
+                    self._sign_off_replies.clear()
             case _SignOffOverdue(reply=waiting):
-                waiting.put(None)
-                self._sign_off_replies = [
-                    r for r in self._sign_off_replies if not r.done
-                ]
+                self._on_sign_off_overdue(waiting)
+            case _SignOffsRead(sign_offs=sign_offs):
+                self._upstream.on_sign_offs_known(sign_offs)
+                self._apply_upstream()
             case messages.Leave():
                 self._update_record(leaving=True)
                 self._leave_replies.append(reply)
@@ -208,6 +224,62 @@
             case messages.ConfigurationConfirmed():
                 self._held.confirm(message)
 
+    def _on_announcement(
+        self, message: messages.Announce, reply: mailbox.Reply
+    ) -> None:
+        sign_off_before = self._record.signed_off
+        self._upstream.on_announcement(message, clock.monotonic())
+        self._apply_upstream()
+        sign_off = self._record.signed_off
+        if sign_off is None or sign_off == sign_off_before:
+            reply.put(None)
+            return
+        self._sign_off_replies.append(reply)
+        self._spawn(self._limit_wait, reply)
+        self._spawn(self._commit_sign_off, sign_off)
+
+    def _on_sign_off_overdue(self, waiting: mailbox.Reply) -> None:
+        if not waiting.done:
+            logs.get().warning("sign-off acknowledged before it is committed")
+            self._metrics.count("sign_offs_not_committed_in_time")
+        waiting.put(None)
+        self._sign_off_replies = [
+            r for r in self._sign_off_replies if not r.done
+        ]
+
+    async def _read_sign_offs(self) -> None:
+        """Reads what the process before this one has committed."""
+        command = fleet_commands.ReadSignOffs(vm=self._record.vm)
+        while True:
+            match await self._try_commit(command):
+                case fleet_commands.SignOffs(sign_offs=sign_offs):
+                    self.mailbox.tell(_SignOffsRead(sign_offs=sign_offs))
+                    return
+            await trio.sleep(COMMIT_RETRY_PAUSE)
+
+    async def _commit_sign_off(self, sign_off: model.SignOff) -> None:
+        """Commits a sign-off, unless a later one takes its place before."""
+        command = fleet_commands.RecordSignOff(
+            vm=self._record.vm, sign_off=sign_off
+        )
+        while self._record.signed_off == sign_off:
+            match await self._try_commit(command):
+                case fleet_commands.Accepted():
+                    self.mailbox.tell(_SignOffCommitted(sign_off=sign_off))
+                    return
+            await trio.sleep(COMMIT_RETRY_PAUSE)
+
+    async def _try_commit(
+        self, command: fleet_commands.Command
+    ) -> fleet_commands.Result | None:
+        """Returns the result of a command, or None if it may be lost."""
+        call = messages.CommitCommand(command=command, timeout=COMMIT_TIMEOUT)
+        try:
+            return await self._link.ask(call)
+        except exceptions.SassafrashallError:
+            self._metrics.count("sign_off_commits_failed")
+            return None
+
     def _apply_upstream(self) -> None:
         """Publishes and records what differs from the beliefs before."""
         self._set_upstream(self._upstream.upstream)
@@ -335,7 +407,17 @@
             self._link.tell(messages.ControlsKnown(members=answer.controls))
         if answer.majority_age >= control_choice.MIN_LEAVE_AGE:
             self._spawn(self._leave_stale_control, answer.majority_age)
-        self._acknowledge_departures(message)
+        if (
+            answer.signed_off is not None
+            and message.record.signed_off is None
+            and self._record.signed_off is None
+        ):
+            self._upstream.restore_sign_off(answer.signed_off)
+            self._apply_upstream()
+        if message.record.leaving:
+            for reply in self._leave_replies:
+                reply.put(None)
+            self._leave_replies.clear()
 
     def _publish_summary(
         self,
@@ -365,22 +447,6 @@
             )
         )
 
-    def _acknowledge_departures(self, message: _HeartbeatReplied) -> None:
-        """Answers who waits until a control knows a sign-off or a departure."""
-        told, known = message.record, message.reply.signed_off
-        if told.signed_off is not None:
-            if told.signed_off == self._record.signed_off:
-                for reply in self._sign_off_replies:
-                    reply.put(None)
-                self._sign_off_replies.clear()
-        elif known is not None and not self._record.signed_off:
-            self._upstream.restore_sign_off(known)
-            self._apply_upstream()
-        if told.leaving:
-            for reply in self._leave_replies:
-                reply.put(None)
-            self._leave_replies.clear()
-
     def _on_configuration_read(
         self, message: messages.ConfigurationRead
     ) -> None:
--- a/src/sassafrashall/controllers/replica.py
+++ b/src/sassafrashall/controllers/replica.py
@@ -171,7 +171,7 @@
         return await trio.to_thread.run_sync(self._store.open)
 
     async def _rotate_claims(self) -> None:
-        """Proposes, as leader, to drop the older generation of claims.
+        """Proposes, as leader, to drop old claims and sign-offs.
 
         It does so once per retention period.
         """
--- a/src/sassafrashall/decisions/fleet_commands.py
+++ b/src/sassafrashall/decisions/fleet_commands.py
@@ -7,6 +7,7 @@
 
 from sassafrashall import configuration
 from sassafrashall import exceptions
+from sassafrashall import model
 
 # --- commands ----------------------------------------------------------------
 
@@ -90,10 +91,29 @@
 class RotateClaims:
     """Removes the old generation of claims and begins a new one.
 
-    Sent once in each retention period, it keeps a claim for at least one.
+    Sent once in each retention period, it keeps a claim for at least one. The
+    sign-offs of upstreams are kept likewise.
     """
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RecordSignOff:
+    """Records that a run of the upstream of a VM leaves or has left.
+
+    Sent again, or after a later one, it changes nothing.
+    """
+
+    vm: str
+    sign_off: model.SignOff
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadSignOffs:
+    """Reads the sign-offs of a VM, ordered by the log like a change."""
+
+    vm: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReplaceConfiguration:
     """Replaces the fleet configuration if its version is the expected one.
@@ -149,6 +169,8 @@
     | ClaimRequest
     | ReleaseClaim
     | RotateClaims
+    | RecordSignOff
+    | ReadSignOffs
     | ReplaceConfiguration
     | ReadConfiguration
     | EvacuateDataCentre
@@ -210,6 +232,19 @@
     text: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SignOffs:
+    """The sign-offs of the upstream of a VM, the latest last."""
+
+    sign_offs: tuple[model.SignOff, ...]
+
+
 Result: TypeAlias = (
-    Accepted | Conflict | Rejected | Granted | Taken | CurrentConfiguration
+    Accepted
+    | Conflict
+    | Rejected
+    | Granted
+    | Taken
+    | CurrentConfiguration
+    | SignOffs
 )
--- a/src/sassafrashall/decisions/fleet_state.py
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -14,11 +14,13 @@
 
 from sassafrashall import configuration
 from sassafrashall import exceptions
+from sassafrashall import model
 from sassafrashall import organisation_model
 from sassafrashall.decisions import document_checks
 from sassafrashall.decisions import evacuation
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import templates
+from sassafrashall.decisions import upstream_runs
 
 CHANGES_KEPT = 10_000  # change ids, or document digests, in one generation
 
@@ -60,8 +62,8 @@
 class FleetState:
     """The replicated state as of one log index.
 
-    Claims, change ids and the digests of accepted documents are kept in two
-    generations each, so that old ones can be removed without a scan.
+    Claims, change ids, the digests of accepted documents and sign-offs are kept
+    in two generations each, so that old ones can be removed without a scan.
 
     Attributes:
       revision: The fleet revision, raised by each accepted change.
@@ -76,6 +78,9 @@
       quotas: `Quota` by name for the organisations of the configuration in
         force.
       evacuations: The data centres that are evacuated.
+      sign_offs: By VM, a tuple of the sign-offs of its upstream, the latest
+        last; see `sign_offs_of`.
+      old_sign_offs: The previous generation of `sign_offs`.
     """
 
     revision: int = 0
@@ -89,6 +94,12 @@
     old_documents: _Map = immutables.Map()
     quotas: _Map = immutables.Map()
     evacuations: evacuation.Evacuations = evacuation.Evacuations()
+    sign_offs: _Map = immutables.Map()
+    old_sign_offs: _Map = immutables.Map()
+
+    def sign_offs_of(self, vm: str) -> tuple[model.SignOff, ...]:
+        """Returns the sign-offs of the upstream of a VM, the latest last."""
+        return self.sign_offs.get(vm) or self.old_sign_offs.get(vm, ())
 
     def quota(self, name: str) -> Quota | None:
         """Returns the quota of an organisation, or None if it has none.
@@ -124,12 +135,30 @@
         case fleet_commands.RotateClaims():
             return (
                 dataclasses.replace(
-                    state, claims=immutables.Map(), old_claims=state.claims
+                    state,
+                    claims=immutables.Map(),
+                    old_claims=state.claims,
+                    sign_offs=immutables.Map(),
+                    old_sign_offs=state.sign_offs,
+                ),
+                fleet_commands.Accepted(revision=state.revision),
+            )
+        case fleet_commands.RecordSignOff(vm=vm, sign_off=sign_off):
+            sign_offs = upstream_runs.merge_sign_off(
+                state.sign_offs_of(vm), sign_off
+            )
+            return (
+                dataclasses.replace(
+                    state, sign_offs=state.sign_offs.set(vm, sign_offs)
                 ),
                 fleet_commands.Accepted(revision=state.revision),
             )
         case fleet_commands.ReplaceConfiguration():
             return _replace_document(state, command)
+        case fleet_commands.ReadSignOffs(vm=vm):
+            return state, fleet_commands.SignOffs(
+                sign_offs=state.sign_offs_of(vm)
+            )
         case fleet_commands.ReadConfiguration():
             text = state.accepted.text if state.accepted else b""
             return state, fleet_commands.CurrentConfiguration(text=text)
--- a/src/sassafrashall/decisions/upstream_runs.py
+++ b/src/sassafrashall/decisions/upstream_runs.py
@@ -5,6 +5,9 @@
 of order, or after the next run has begun. An acknowledged sign-off is binding
 for the run that it names.
 
+A node that has just started does not know which runs have signed off. Until a
+control has told it, a single heartbeat, which may be a late one, is held back.
+
 Each event replaces the whole state. Nothing in it is believed for ever: an
 upstream that is silent counts as gone, and a run that can't be ordered by its
 start is believed once it has been heard for long enough.
@@ -68,18 +71,27 @@
     """A run that is not believed yet, since nothing shows that it is later.
 
     Attributes:
-      first_sequence: Number of the first heartbeat.
-      sequence: Number of the latest.
+      heartbeat: The latest heartbeat.
+      first_sequence: Number of the first one.
       since: When the first arrived, in monotonic seconds.
       heard_at: When the latest arrived, in monotonic seconds.
     """
 
-    run: Run
+    heartbeat: Heartbeat
     first_sequence: int
-    sequence: int
     since: float
     heard_at: float
 
+    @property
+    def run(self) -> Run:
+        """The run that may be the next."""
+        return self.heartbeat.run
+
+    @property
+    def sequence(self) -> int:
+        """Number of the latest heartbeat."""
+        return self.heartbeat.sequence
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class State:
@@ -95,6 +107,8 @@
       ended: The sign-offs of earlier runs and of this one, the latest last.
       sign_off: The one that controls are told.
       successor: A run that may be the next.
+      sign_offs_known: Whether all sign-offs that were acknowledged before this
+        process started are known.
     """
 
     upstream: model.Upstream | None = None
@@ -106,6 +120,7 @@
     ended: tuple[model.SignOff, ...] = ()
     sign_off: model.SignOff | None = None
     successor: Successor | None = None
+    sign_offs_known: bool = True
 
 
 def on_unnumbered(
@@ -128,7 +143,9 @@
         return _on_heartbeat_after_sign_off(state, heartbeat, sign_off, now)
     if heartbeat.run == state.run:
         return _on_next_heartbeat(state, heartbeat, now)
-    if _is_later(state, heartbeat.run):
+    # Leaving is believed at once: it lets no request in.
+    is_sure = state.sign_offs_known or heartbeat.draining
+    if is_sure and _is_later(state, heartbeat.run):
         return _begin_run(state, heartbeat, now)
     return _on_unordered_run(state, heartbeat, now)
 
@@ -174,6 +191,50 @@
     return state
 
 
+def on_sign_offs_known(
+    state: State, sign_offs: tuple[model.SignOff, ...]
+) -> State:
+    """Applies all sign-offs of before this process, and what they held back.
+
+    Args:
+      state: The state before.
+      sign_offs: As a control told them, the latest last.
+    """
+    held = state.successor
+    for sign_off in reversed(sign_offs):
+        state = on_sign_off_restored(state, sign_off)
+    state = dataclasses.replace(state, sign_offs_known=True)
+    if held is None:
+        return state
+    state = dataclasses.replace(state, successor=None)
+    return on_heartbeat(state, held.heartbeat, held.heard_at)
+
+
+def merge_sign_off(
+    sign_offs: tuple[model.SignOff, ...], sign_off: model.SignOff
+) -> tuple[model.SignOff, ...]:
+    """Adds a sign-off to those of a VM, in whatever order they come.
+
+    Returns:
+      The same sign-offs if this one or a stronger one is among them; at most
+      MAX_ENDED, without the earliest ones.
+    """
+    known = [
+        s
+        for s in sign_offs
+        if (s.incarnation, s.started_ms)
+        == (sign_off.incarnation, sign_off.started_ms)
+    ]
+    for other in known:
+        # Later runs under an id may sign off with no start known, too.
+        is_later = not sign_off.started_ms and (
+            sign_off.ended_ms > other.ended_ms
+        )
+        if (other.gone or not sign_off.gone) and not is_later:
+            return sign_offs
+    return (*(s for s in sign_offs if s not in known), sign_off)[-MAX_ENDED:]
+
+
 def on_check(state: State, ttl: float, now: float) -> State:
     """Removes an upstream that two checks in a row found silent.
 
@@ -269,19 +330,19 @@
 def _on_unordered_run(state: State, heartbeat: Heartbeat, now: float) -> State:
     """Believes a run that is not later by its start once it has gone on.
 
-    The clock may have been set back before it started, or a late sign-off may
-    have ended it by mistake.
+    The clock may have been set back before it started, a late sign-off may
+    have ended it by mistake, or it may have signed off before this process
+    started.
     """
     successor = state.successor
-    if (
-        successor is None
-        or successor.run != heartbeat.run
-        or now - successor.heard_at > SUCCESSION_GAP
-    ):
+    if successor is not None and now - successor.heard_at > SUCCESSION_GAP:
+        successor = None
+    if successor is None or successor.run != heartbeat.run:
+        if successor is not None and _precedes_held(state, heartbeat.run):
+            return state
         successor = Successor(
-            run=heartbeat.run,
+            heartbeat=heartbeat,
             first_sequence=heartbeat.sequence,
-            sequence=heartbeat.sequence,
             since=now,
             heard_at=now,
         )
@@ -289,13 +350,14 @@
     if heartbeat.sequence <= successor.sequence:
         return state
     successor = dataclasses.replace(
-        successor, sequence=heartbeat.sequence, heard_at=now
+        successor, heartbeat=heartbeat, heard_at=now
     )
     has_signed_off = _find_sign_off(state, heartbeat.run) is not None
     is_new = successor.first_sequence <= MAX_FIRST_SEQUENCE
+    is_orderly = is_new or _is_later(state, heartbeat.run)
     required = (
         SUCCESSION_TIME
-        if is_new and not has_signed_off
+        if is_orderly and not has_signed_off
         else LONG_SUCCESSION_TIME
     )
     if now - successor.since < required:
@@ -310,6 +372,19 @@
     return _begin_run(dataclasses.replace(state, ended=kept), heartbeat, now)
 
 
+def _precedes_held(state: State, run: Run) -> bool:
+    """Returns whether a run started before the one that is held back.
+
+    Its heartbeat is a late one, and must not replace that of the later run.
+    """
+    successor = state.successor
+    return (
+        successor is not None
+        and not state.sign_offs_known
+        and run.started_ms < successor.run.started_ms
+    )
+
+
 def _is_later(state: State, run: Run) -> bool:
     """Returns whether a run started after the latest that is known."""
     if state.run is not None:
@@ -349,23 +424,12 @@
     state: State, sign_off: model.SignOff, is_told: bool
 ) -> State:
     """Adds a sign-off, unless the same or a stronger one is known."""
-    known = [
-        s
-        for s in state.ended
-        if (s.incarnation, s.started_ms)
-        == (sign_off.incarnation, sign_off.started_ms)
-    ]
-    for other in known:
-        # Later runs under an id may sign off with no start known, too.
-        is_later = not sign_off.started_ms and (
-            sign_off.ended_ms > other.ended_ms
-        )
-        if (other.gone or not sign_off.gone) and not is_later:
-            return state
-    ended = (*(s for s in state.ended if s not in known), sign_off)
+    ended = merge_sign_off(state.ended, sign_off)
+    if ended == state.ended:
+        return state
     return dataclasses.replace(
         state,
-        ended=ended[-MAX_ENDED:],
+        ended=ended,
         sign_off=sign_off if is_told else state.sign_off,
         successor=None,
     )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -43,6 +43,23 @@
     timeout: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CommitCommand:
+    """Commits a command, which may be committed several times.
+
+    Answered with its `fleet_commands.Result`, or fails with `RpcError`. If the
+    control in use is late, others are asked as well. The node stays with it:
+    whoever is asked may have to wait for a leader.
+
+    Attributes:
+      command: A command of `fleet_commands`.
+      timeout: Seconds for each control.
+    """
+
+    command: Any
+    timeout: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ChooseControls:
     """Asks for the addresses of the next controls to ask for their revision."""
--- a/src/sassafrashall/transport/snapshots.py
+++ b/src/sassafrashall/transport/snapshots.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sassafrashall import configuration
+from sassafrashall import model
 from sassafrashall import organisation_model
 from sassafrashall.decisions import applied_state
 from sassafrashall.decisions import evacuation
@@ -32,7 +33,9 @@
       quotas: Organisation and its quota.
       evacuated: Data centres that are evacuated.
       evacuation_changes: Data centre and fleet revision of its last change.
-      old_claims, old_changes, old_documents: The previous generation of each.
+      sign_offs: VM and the sign-offs of its upstream.
+      old_claims, old_changes, old_documents, old_sign_offs: The previous
+        generation of each.
     """
 
     revision: int
@@ -47,6 +50,8 @@
     quotas: tuple[tuple[str, fleet_state.Quota], ...] = ()
     evacuated: tuple[str, ...] = ()
     evacuation_changes: tuple[tuple[str, int], ...] = ()
+    sign_offs: tuple[tuple[str, tuple[model.SignOff, ...]], ...] = ()
+    old_sign_offs: tuple[tuple[str, tuple[model.SignOff, ...]], ...] = ()
 
 
 def take(applied: applied_state.AppliedState) -> replication.Snapshot:
@@ -88,6 +93,8 @@
             quotas=tuple(state.quotas.items()),
             evacuated=tuple(sorted(state.evacuations.evacuated)),
             evacuation_changes=tuple(state.evacuations.changed.items()),
+            sign_offs=tuple(state.sign_offs.items()),
+            old_sign_offs=tuple(state.old_sign_offs.items()),
         )
     )
 
@@ -110,6 +117,8 @@
             evacuated=frozenset(body.evacuated),
             changed=immutables.Map(dict(body.evacuation_changes)),
         ),
+        sign_offs=immutables.Map(dict(body.sign_offs)),
+        old_sign_offs=immutables.Map(dict(body.old_sign_offs)),
     )
 
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -2,6 +2,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from sassafrashall import model
 from sassafrashall import organisation_model
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
@@ -206,3 +207,25 @@
     phases=(hypothesis.Phase.generate,),
 )
 TestOperatorsMachine = OperatorsMachine.TestCase
+
+
+def test_sign_offs_are_kept_for_one_rotation_and_in_snapshots():
+    sign_off = model.SignOff(incarnation="i", started_ms=1, gone=True)
+    record = fleet_commands.RecordSignOff(vm="vm", sign_off=sign_off)
+    read = fleet_commands.ReadSignOffs(vm="vm")
+    rotate = fleet_commands.RotateClaims()
+    state = fleet_state.FleetState()
+    for command in (record, rotate):
+        state, _ = fleet_state.apply(state, command)
+        state = snapshots.decode(snapshots.encode(state))
+        _, result = fleet_state.apply(state, read)
+        assert result == fleet_commands.SignOffs(sign_offs=(sign_off,))
+        assert state.revision == 0
+    later = model.SignOff(incarnation="i", started_ms=2, gone=True)
+    again = fleet_commands.RecordSignOff(vm="vm", sign_off=later)
+    state, _ = fleet_state.apply(state, again)
+    assert state.sign_offs_of("vm") == (sign_off, later)
+    for _ in range(2):
+        state, _ = fleet_state.apply(state, rotate)
+    assert not state.sign_offs_of("vm")
+    assert not state.sign_offs and not state.old_sign_offs
--- /dev/null
+++ b/tests/test_sign_off_fleet.py
@@ -0,0 +1,102 @@
+"""Sign-offs of an upstream beside restarts of its node and of controls."""
+
+import contextlib
+
+from bench import routed
+import pytest
+import trio
+
+READY_TIMEOUT = 10.0  # seconds
+WATCHED = 2.0  # seconds in which no request may reach the upstream
+
+
+@contextlib.asynccontextmanager
+async def _running():
+    services = {"vm-a": "alpha", "vm-b": "alpha", "vm-c": "beta"}
+    async with routed.running(
+        routed.document(services=("alpha", "beta")),
+        services=services,
+        controls=3,
+    ) as fleet:
+        yield fleet
+
+
+async def _no_heartbeat():
+    pass
+
+
+async def _announce(upstream, body):
+    response = await routed.send(
+        upstream.announce_to,
+        "PUT",
+        f"/-/instances/{upstream.incarnation}",
+        body=body,
+    )
+    assert response.status == 200
+
+
+async def _restart(fleet, controls):
+    """Stops controls and the node of vm-a, and starts them again."""
+    for index in controls:
+        await fleet.controls[index].close()
+    await fleet.nodes["vm-a"].close()
+    for index in controls:
+        await fleet.start_control(index, fleet.nursery)
+    with trio.fail_after(READY_TIMEOUT):
+        for index in controls:
+            while (await fleet.controls[index].status()).majority_age > 0.5:
+                await trio.sleep(0.02)
+    await fleet.new_node("vm-a").start(fleet.nursery)
+
+
+def _is_followed(fleet):
+    return fleet.nodes["vm-a"].membership.local_upstream.value is not None
+
+
+async def _wait_until_followed(fleet):
+    with trio.fail_after(READY_TIMEOUT):
+        while not _is_followed(fleet):
+            await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize("controls", [(0,), (0, 1, 2)])
+async def test_a_late_heartbeat_brings_no_upstream_back_that_signed_off(
+    controls,
+):
+    """Guards against requests to an upstream that has signed off.
+
+    Its node and controls restart; then a heartbeat arrives that it had sent
+    before it signed off.
+    """
+    async with _running() as fleet:
+        upstream = fleet.upstreams["vm-a"]
+        upstream.announce = _no_heartbeat
+        late_heartbeat = upstream.heartbeat()
+        assert (await upstream.leave()).status == 200
+        await _restart(fleet, controls)
+        await _announce(upstream, late_heartbeat)
+        upstream.requests.clear()
+        with trio.move_on_after(WATCHED):
+            while True:
+                response = await fleet.get(vm="vm-c", host="alpha.example")
+                assert response.status == 200
+                assert not _is_followed(fleet)
+                await trio.sleep(0.02)
+        assert not upstream.requests
+        # The next run of it is followed.
+        upstream.born += 1
+        await _announce(upstream, upstream.heartbeat())
+        await _wait_until_followed(fleet)
+        with trio.fail_after(READY_TIMEOUT):
+            while not upstream.requests:
+                await fleet.get(vm="vm-c", host="alpha.example")
+
+
+async def test_one_heartbeat_suffices_for_an_upstream_that_goes_on():
+    """Guards against restarts of a node that leave its upstream unused."""
+    async with _running() as fleet:
+        upstream = fleet.upstreams["vm-a"]
+        upstream.announce = _no_heartbeat
+        await _restart(fleet, (0, 1, 2))
+        await _announce(upstream, upstream.heartbeat())
+        await _wait_until_followed(fleet)
--- a/tests/test_upstream_runs.py
+++ b/tests/test_upstream_runs.py
@@ -312,3 +312,78 @@
         state = upstream_runs.on_heartbeat(state, beat, float(number))
     assert len(state.ended) == upstream_runs.MAX_ENDED
     assert state.sign_off.started_ms == START + 99
+
+
+def _started_node():
+    """Returns the state of a node to which no control has told sign-offs."""
+    return upstream_runs.State(sign_offs_known=False)
+
+
+def _sign_off(*, name="i-1", started_ms=START, gone=True, ended_ms=0):
+    return model.SignOff(
+        incarnation=name, started_ms=started_ms, gone=gone, ended_ms=ended_ms
+    )
+
+
+def test_one_heartbeat_after_the_start_of_the_node_is_held_back():
+    state = upstream_runs.on_heartbeat(_started_node(), _heartbeat(9), 100.0)
+    assert state.upstream is None
+    known = upstream_runs.on_sign_offs_known(state, ())
+    assert known.upstream is not None and known.heard_at == 100.0
+    left = upstream_runs.on_sign_offs_known(state, (_sign_off(),))
+    assert left.upstream is None
+
+
+def test_a_sign_off_that_is_not_the_latest_is_known_as_well():
+    sign_offs = (_sign_off(), _sign_off(name="i-2", started_ms=START - 1))
+    state = upstream_runs.on_sign_offs_known(_started_node(), sign_offs)
+    state = upstream_runs.on_heartbeat(state, _heartbeat(9), 100.0)
+    assert state.upstream is None
+
+
+# Guards against a data centre that is cut off and leaves upstreams unused whose
+# nodes have restarted, and against a burst of late heartbeats that is believed.
+def test_without_a_control_heartbeats_are_believed_after_a_while():
+    state, now = _started_node(), 100.0
+    for sequence in range(7, 10):
+        state = upstream_runs.on_heartbeat(state, _heartbeat(sequence), now)
+    assert state.upstream is None
+    for sequence in range(10, 15):
+        now += INTERVAL
+        state = upstream_runs.on_heartbeat(state, _heartbeat(sequence), now)
+        is_due = now - 100.0 >= upstream_runs.SUCCESSION_TIME
+        assert (state.upstream is not None) == is_due
+    assert state.upstream is not None
+
+
+def test_a_late_heartbeat_takes_no_place_of_a_later_run_that_is_held_back():
+    state = _started_node()
+    later = _heartbeat(1, name="i-2", started_ms=START + 1)
+    state = upstream_runs.on_heartbeat(state, later, 100.0)
+    state = upstream_runs.on_heartbeat(state, _heartbeat(9), 100.1)
+    state = upstream_runs.on_sign_offs_known(state, (_sign_off(),))
+    assert state.run == later.run and state.upstream is not None
+
+
+def test_leaving_is_believed_without_a_control():
+    state = upstream_runs.on_heartbeat(
+        _started_node(), _heartbeat(9, DRAINING), 100.0
+    )
+    assert state.upstream is not None and state.upstream.state is DRAINING
+    state = upstream_runs.on_heartbeat(state, _heartbeat(10), 100.1)
+    assert state.upstream is not None and state.upstream.state is DRAINING
+
+
+def test_sign_offs_are_merged_in_any_order():
+    told = (
+        _sign_off(gone=False),
+        _sign_off(),
+        _sign_off(name="i-2", started_ms=0, ended_ms=START),
+        _sign_off(name="i-2", started_ms=0, ended_ms=START + 1),
+    )
+    expected = {told[1], told[3]}
+    for order in itertools.permutations(told):
+        merged = ()
+        for sign_off in order:
+            merged = upstream_runs.merge_sign_off(merged, sign_off)
+        assert set(merged) == expected and len(merged) == 2
