Answers: a number outside 100 to 599 is no status

Seen by callers: an upstream that answers with the status 600 or 999 had its answer passed on, by its own node and by another one, with its signature. 000, 099, 0, -01, 00 and 0200 were failures already (502, run state unknown).

Cause: the parser of answers checked the lower end of the range only. A number outside 100 to 599 is no status (RFC 9110, section 15).

Change: the parser, the client of the native interface and the links between nodes check both ends. Such an answer fails the attempt as bytes that are no answer do: the connection ends, the breaker counts it, the caller gets 502 with the run state unknown.

Sound statuses (200 to 599, 102, 204, 304, and the headers of 421, 425, 429 and 503) are held by tests that passed before, too.

--- a/src/sassafrashall/controllers/peer_links.py
+++ b/src/sassafrashall/controllers/peer_links.py
@@ -16,6 +16,7 @@
 from sassafrashall import model
 from sassafrashall import task
 from sassafrashall.transport import frames
+from sassafrashall.transport import http
 from sassafrashall.transport import peer_connection
 
 # Seconds after the deadline of a streamed answer by which the other node, which
@@ -269,6 +270,20 @@
             raise exceptions.ProtocolError(
                 exceptions.BAD_REQUEST, "a second answer to a call"
             )
+        if frame.status not in http.FINAL_STATUSES:
+            # A node of an earlier build passes on what its upstream sent.
+            self._cancel_call(frame.call)
+            call.reply.on_abandon(None)
+            call.reply.put(
+                model.Refuse(
+                    code=exceptions.UPSTREAM_FAILED,
+                    detail=f"the upstream: {frame.status} is no status",
+                    run=model.RunState.UNKNOWN,
+                    level=frame.level,
+                    load=frame.load,
+                )
+            )
+            return
         rest = None
         if frame.more:
             assert self._connection is not None
--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -18,6 +18,9 @@
 # Bytes of a streamed body that one node may send ahead of its reader.
 STREAM_WINDOW = 64 * 1024
 PROGRESS_INTERVAL = 0.25  # seconds between 102 responses to a slow request
+# The defined status codes, interim (1xx) or final (RFC 9110, section 15).
+STATUSES = range(100, 600)
+FINAL_STATUSES = range(200, 600)
 
 _HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/src/sassafrashall/transport/http1.py
+++ b/src/sassafrashall/transport/http1.py
@@ -17,6 +17,7 @@
 from sassafrashall import exceptions
 from sassafrashall import model
 from sassafrashall.decisions import memory_limits
+from sassafrashall.transport import http
 
 _REASONS = {status.value: status.phrase for status in http_status.HTTPStatus}
 _BODILESS_STATUSES = (204, 304)
@@ -506,14 +507,14 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head; skips interim (1xx) responses."""
         status = self._parser.get_status_code()
-        if status < 100:
+        if status not in http.STATUSES:
             self._head_error = exceptions.ProtocolError(
                 exceptions.UPSTREAM_FAILED, f"{status} is no status"
             )
             raise self._head_error
         headers = self._take_headers()
         self._in_head = False
-        self._is_interim = status < 200
+        self._is_interim = status not in http.FINAL_STATUSES
         if self._is_interim:
             self._interim_count += 1
             return
--- a/src/sassafrashall/transport/http_client.py
+++ b/src/sassafrashall/transport/http_client.py
@@ -181,6 +181,8 @@
                     raise h11.RemoteProtocolError("no response")
 
     async def _receive_body(self, head: h11.Response) -> model.Response:
+        if head.status_code not in http.FINAL_STATUSES:
+            raise h11.RemoteProtocolError(f"{head.status_code} is no status")
         body = bytearray()
         while True:
             event = await self._next_event()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import itertools
+import json
 import socket
 import struct
 
@@ -20,6 +21,7 @@
 from sassafrashall import exceptions
 from sassafrashall import messages
 from sassafrashall import model
+from sassafrashall import settings
 from sassafrashall.controllers import upstream_pool
 from sassafrashall.platform import dialect
 from sassafrashall.transport import http
@@ -142,9 +144,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet(upstream=None, *, slots=50, **route):
+async def _fleet(upstream=None, *, slots=50, policy=None, **route):
     """Runs two nodes; the upstream beside `vm-b` is a raw one."""
-    fleet = routed.Fleet(services={"vm-a": "alpha", "vm-b": "beta"})
+    fleet = routed.Fleet(
+        services={"vm-a": "alpha", "vm-b": "beta"}, policy=policy
+    )
     upstream = upstream or _RawUpstream()
     try:
         async with trio.open_nursery() as nursery:
@@ -620,3 +624,97 @@
             assert ran and body == LONG
         case (status, _):
             assert status in (502, 504)
+
+
+# --- answers whose status is none --------------------------------------------
+
+# RFC 9110, section 15, defines 100 to 599.
+ODD_STATUSES = (b"000", b"099", b"0", b"-01", b"00", b"0200", b"600", b"999")
+SOUND_STATUSES = (200, 201, 404, 421, 425, 429, 500, 503, 599)
+
+
+def _with_status(status, headers=b"", body=SHORT):
+    """Returns an answer with that text as its status."""
+    return (
+        b"HTTP/1.1 %s X\r\nrequest-id: " % status
+        + b"%b\r\n"
+        + headers
+        + b"content-length: %d\r\n\r\n" % len(body)
+        + body
+    )
+
+
+async def _ask_raw(fleet, vm):
+    """Returns the bytes of the answer."""
+    address = fleet.callers[vm]
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    received = b""
+    async with stream:
+        await stream.send_all(REQUEST % b"r1")
+        while data := await stream.receive_some(65536):
+            received += data
+    return received
+
+
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("status", ODD_STATUSES)
+async def test_an_answer_without_a_defined_status_is_a_failure(status, vm):
+    """Guards against a caller that takes 000 or 999 for an answer.
+
+    The upstream may have run the request, so that no refusal that promises
+    the opposite may take its place.
+    """
+    headers = b"response-signature: s\r\nretry-after: 1\r\n"
+    async with _fleet() as (fleet, upstream):
+        upstream.answer = _with_status(status, headers)
+        received = await _ask_raw(fleet, vm)
+        assert upstream.requests
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 502 ")
+    assert b"response-signature" not in head.lower()
+    assert json.loads(body)["run"] == "unknown"
+
+
+async def test_answers_without_a_defined_status_trip_the_breaker():
+    """Guards against a worker in trouble that goes on to get requests."""
+    policy = settings.Policy(
+        limit="fixed",
+        routing="least-loaded",
+        retries="arrivals",
+        early_shed="none",
+        breaker="consecutive-failures",
+    )
+    async with _fleet(policy=policy) as (fleet, upstream):
+        upstream.answer = _with_status(b"999")
+        with trio.fail_after(20):
+            while True:
+                received = await _ask_raw(fleet, "vm-b")
+                if received.startswith(b"HTTP/1.1 503 "):
+                    break
+        assert b"retry-after" in received.lower()
+
+
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+async def test_an_answer_with_a_defined_status_is_passed_on(vm):
+    """Guards against a check of statuses that takes a sound one for odd."""
+    headers = b"response-signature: s\r\nretry-after: 1\r\n"
+    async with _fleet() as (fleet, upstream):
+        for status in SOUND_STATUSES:
+            upstream.answer = _with_status(b"%d" % status, headers)
+            received = await _ask_raw(fleet, vm)
+            head, _, body = received.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 %d " % status)
+            assert b"response-signature: s" in head.lower()
+            assert b"retry-after: 1" in head.lower()
+            assert body == SHORT
+
+
+@pytest.mark.parametrize("vm", ["vm-a", "vm-b"])
+@pytest.mark.parametrize("status", [b"204", b"304"])
+async def test_an_answer_without_a_body_is_passed_on(status, vm):
+    async with _fleet() as (fleet, upstream):
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        upstream.answer = interim + _with_status(status, body=b"")
+        received = await _ask_raw(fleet, vm)
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 " + status) and not body
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -244,6 +244,20 @@
         _parse_responses(data + answer)
 
 
+@pytest.mark.parametrize("status", [b"600", b"999", b"0200", b"1000"])
+def test_a_status_above_599_is_rejected(status):
+    data = b"HTTP/1.1 %b None\r\nContent-Length: 2\r\n\r\nok" % status
+    with pytest.raises(exceptions.ProtocolError):
+        _parse_responses(data)
+
+
+@pytest.mark.parametrize("status", [b"200", b"599"])
+def test_the_first_and_the_last_final_status_are_parsed(status):
+    data = b"HTTP/1.1 %b X\r\nContent-Length: 2\r\n\r\nok" % status
+    head, *_ = _parse_responses(data)
+    assert head.status == int(status)
+
+
 # Guards against a response whose fate depends on how its bytes are split.
 @pytest.mark.parametrize("rest", [b"\0", b"more", b"HTTP/1.1 099 A\r\n\r\n"])
 @pytest.mark.parametrize(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -54,6 +54,16 @@
     assert caught.value.maybe_delivered
 
 
+@pytest.mark.parametrize("status", [b"600", b"999"])
+async def test_a_number_that_is_no_status_is_a_failure(nursery, status):
+    reply = b"HTTP/1.1 %b X\r\nContent-Length: 2\r\n\r\nok" % status
+    address, _ = await _start_scripted_peer(nursery, reply)
+    connection = await loopback.connect(address)
+    with pytest.raises(exceptions.ConnectionFailedError) as caught:
+        await connection.exchange(_request())
+    assert caught.value.maybe_delivered
+
+
 async def test_the_body_is_not_sent_to_a_peer_that_does_not_confirm(nursery):
     address, received = await _start_scripted_peer(nursery, b"")
     connection = await loopback.connect(address)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -1,6 +1,7 @@
 """Calls between nodes when the other node or the connection fails."""
 
 import contextlib
+import dataclasses
 import socket
 import time
 
@@ -453,6 +454,30 @@
     assert "unanswered" in closure.message
 
 
+@pytest.mark.parametrize("status", [0, 102, 600, 999])
+@pytest.mark.parametrize("more", [False, True])
+async def test_an_answer_without_a_defined_status_ends_only_its_call(
+    status, more
+):
+    """Guards against a node of an earlier build that passes such a one on."""
+
+    async def serve(stream):
+        async for frame in _frames_from(stream):
+            if isinstance(frame, frames.OpenCall):
+                reply = _answer(frame.call)
+                if frame.call == 1:
+                    reply = dataclasses.replace(reply, status=status, more=more)
+                stream.send_nowait(frames.encode(reply))
+
+    async with _links() as links, _scripted_peer(serve) as address:
+        refused = await links.mailbox.ask(_exchange(address))
+        answered = await links.mailbox.ask(_exchange(address))
+    assert isinstance(refused, model.Refuse)
+    assert refused.code == exceptions.UPSTREAM_FAILED
+    assert refused.run is model.RunState.UNKNOWN
+    assert isinstance(answered, model.Answer)
+
+
 # Guards against the reader of a streamed answer waiting for ever.
 @pytest.mark.parametrize("second", [_refusal(1), _answer(1, more=True)])
 async def test_a_frame_that_contradicts_a_streamed_answer_ends_its_body(second):
