Tests: the operator of full disks ends its change before the next

Cause: in the test. It cancels its operator in the middle of a change that may never have been sent, and lets the next one build on its version. That one is refused with 412 for good.

Change: the operator ends the change in progress, within the same bound, and its time counts for the slowest change as the others do, so that the test is as strict.

--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -42,6 +42,8 @@
         self.version = 1
         self.slowest = 0.0
         self.refused = []
+        self._stopped = False
+        self._ended = trio.Event()
 
     async def change(self):
         before, self.version = self.version, self.version + 1
@@ -68,9 +70,15 @@
         self.slowest = max(self.slowest, trio.current_time() - began)
 
     async def change_regularly(self):
-        while True:
+        while not self._stopped:
             await self.change()
             await trio.sleep(0.1)
+        self._ended.set()
+
+    async def stop(self):
+        """Waits for the change in progress: the next one builds on it."""
+        self._stopped = True
+        await self._ended.wait()
 
 
 async def _version_at(fleet, index):
@@ -101,7 +109,8 @@
                     await trio.sleep(CATCH_UP)
                 await trio.sleep(0.2)
             await trio.sleep(3.0)
-            nursery.cancel_scope.cancel()
+            with trio.fail_after(ACK):
+                await operator.stop()
         with trio.fail_after(ACK):
             await operator.change()
             for index in range(3):
