Sign-offs: nodes that start at the same time share a read

Cause: each node that starts proposed an entry of its own to read its sign-offs, and up to one at each control while there was no leader. A restart of the whole fleet would have made the leader's first work an entry or three of each node.

Change: a control collects the queries that arrive while a read is being committed, and answers them by the next entry. The link asks controls in steps for queries and commits alike.

--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -24,6 +24,7 @@
 from sassafrashall.controllers import loop_monitor
 from sassafrashall.controllers import quota_owner
 from sassafrashall.controllers import replica
+from sassafrashall.controllers import sign_off_reader
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import replication
 from sassafrashall.decisions import service_capacity
@@ -95,12 +96,16 @@
             event_log=self._events,
             counters=self._metrics,
         )
+        self._sign_off_reader = sign_off_reader.SignOffReader(
+            replica=self._replica.mailbox
+        )
         self._controllers: tuple[task.Controller, ...] = (
             loop_monitor.LoopMonitor(counters=self._metrics),
             self._replica,
             self._founding,
             self._fleet_directory,
             self._quota_owner,
+            self._sign_off_reader,
         )
 
     def _build_listeners(self) -> None:
@@ -169,6 +174,8 @@
                 return await self._fleet_directory.mailbox.ask(message)
             case protocol.Borrow() | protocol.BorrowAhead() | protocol.Settle():
                 return await self._quota_owner.mailbox.ask(message)
+            case protocol.SignOffQuery():
+                return await self._sign_off_reader.mailbox.ask(message)
             case protocol.SubmitCommand():
                 return await self._submit_command(message)
             case protocol.StatusQuery():
--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -18,13 +18,12 @@
 from sassafrashall import task
 from sassafrashall.decisions import control_choice
 from sassafrashall.decisions import replication
-from sassafrashall.transport import codec
 from sassafrashall.transport import rpc
 
 ATTEMPT_TIMEOUT = 0.6  # seconds for a call to one control
 RETRY_PAUSE = 0.1  # seconds to wait once all controls have failed
 PROBE_TIMEOUT = 0.5  # seconds
-HEDGE_DELAY = 0.15  # seconds until a further control is asked to commit
+HEDGE_DELAY = 0.15  # seconds until a further control is asked as well
 FAILBACK_INTERVAL = 5.0  # seconds between probes of the nearest control
 
 
@@ -108,8 +107,8 @@
                 self._spawn(self._call, message, reply)
             case messages.CallOneControl():
                 self._spawn(self._call_one, message, reply)
-            case messages.CommitCommand():
-                self._spawn(self._commit, message, reply)
+            case messages.AskControls():
+                self._spawn(self._ask_in_steps, message, reply)
             case messages.TellOtherControls(message=told):
                 for address in self._members:
                     if address != self._current:
@@ -221,21 +220,20 @@
                 self._contacts[message.address] = sent_at - age
         reply.put(answer)
 
-    async def _commit(
-        self, message: messages.CommitCommand, reply: mailbox.Reply
+    async def _ask_in_steps(
+        self, message: messages.AskControls, reply: mailbox.Reply
     ) -> None:
-        """Asks the controls, the one in use first, until one has committed."""
-        request = protocol.SubmitCommand(command=codec.encode(message.command))
-        errors: list[exceptions.SassafrashallError] = []
+        """Asks one control after the other, until one has answered."""
+        errors: list[exceptions.RpcError] = []
 
         async def ask(address: str, ended: trio.Event) -> None:
             try:
                 answer = await self._clients.get(address).call(
-                    request, message.timeout
+                    message.message, message.timeout
                 )
-                reply.put(codec.decode(answer.result))
+                reply.put(answer)
                 nursery.cancel_scope.cancel()
-            except (exceptions.RpcError, exceptions.ProtocolError) as error:
+            except exceptions.RpcError as error:
                 errors.append(error)
             ended.set()
 
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -28,6 +28,7 @@
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
+from sassafrashall.transport import codec
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
@@ -249,10 +250,10 @@
 
     async def _read_sign_offs(self) -> None:
         """Reads what the process before this one has committed."""
-        command = fleet_commands.ReadSignOffs(vm=self._record.vm)
+        query = protocol.SignOffQuery(vm=self._record.vm)
         while True:
-            match await self._try_commit(command):
-                case fleet_commands.SignOffs(sign_offs=sign_offs):
+            match await self._ask_controls(query):
+                case protocol.SignOffReply(sign_offs=sign_offs):
                     self.mailbox.tell(_SignOffsRead(sign_offs=sign_offs))
                     return
             await trio.sleep(COMMIT_RETRY_PAUSE)
@@ -262,18 +263,19 @@
         command = fleet_commands.RecordSignOff(
             vm=self._record.vm, sign_off=sign_off
         )
+        submit = protocol.SubmitCommand(command=codec.encode(command))
         while self._record.signed_off == sign_off:
-            match await self._try_commit(command):
-                case fleet_commands.Accepted():
+            match await self._ask_controls(submit):
+                case protocol.CommandResult():
                     self.mailbox.tell(_SignOffCommitted(sign_off=sign_off))
                     return
             await trio.sleep(COMMIT_RETRY_PAUSE)
 
-    async def _try_commit(
-        self, command: fleet_commands.Command
-    ) -> fleet_commands.Result | None:
-        """Returns the result of a command, or None if it may be lost."""
-        call = messages.CommitCommand(command=command, timeout=COMMIT_TIMEOUT)
+    async def _ask_controls(
+        self, message: protocol.SignOffQuery | protocol.SubmitCommand
+    ) -> protocol.SignOffReply | protocol.CommandResult | None:
+        """Returns the answer, or None if none came in time."""
+        call = messages.AskControls(message=message, timeout=COMMIT_TIMEOUT)
         try:
             return await self._link.ask(call)
         except exceptions.SassafrashallError:
--- a/src/sassafrashall/decisions/fleet_commands.py
+++ b/src/sassafrashall/decisions/fleet_commands.py
@@ -109,9 +109,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReadSignOffs:
-    """Reads the sign-offs of a VM, ordered by the log like a change."""
+    """Reads the sign-offs of VMs, ordered by the log like a change."""
 
-    vm: str
+    vms: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -234,9 +234,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SignOffs:
-    """The sign-offs of the upstream of a VM, the latest last."""
+    """The sign-offs of the upstreams of VMs.
+
+    Attributes:
+      by_vm: For each VM that was asked for, the latest last.
+    """
 
-    sign_offs: tuple[model.SignOff, ...]
+    by_vm: dict[str, tuple[model.SignOff, ...]]
 
 
 Result: TypeAlias = (
--- a/src/sassafrashall/decisions/fleet_state.py
+++ b/src/sassafrashall/decisions/fleet_state.py
@@ -155,9 +155,9 @@
             )
         case fleet_commands.ReplaceConfiguration():
             return _replace_document(state, command)
-        case fleet_commands.ReadSignOffs(vm=vm):
+        case fleet_commands.ReadSignOffs(vms=vms):
             return state, fleet_commands.SignOffs(
-                sign_offs=state.sign_offs_of(vm)
+                by_vm={vm: state.sign_offs_of(vm) for vm in vms}
             )
         case fleet_commands.ReadConfiguration():
             text = state.accepted.text if state.accepted else b""
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -44,19 +44,19 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class CommitCommand:
-    """Commits a command, which may be committed several times.
+class AskControls:
+    """Calls the control in use, and others as well if it is late.
 
-    Answered with its `fleet_commands.Result`, or fails with `RpcError`. If the
-    control in use is late, others are asked as well. The node stays with it:
-    whoever is asked may have to wait for a leader.
+    Answered like CallControl by the first that answers. The node stays with
+    the control in use, whatever the outcome: for a commit, any control may
+    have to wait for a leader.
 
     Attributes:
-      command: A command of `fleet_commands`.
+      message: A message of `protocol` that several controls may handle.
       timeout: Seconds for each control.
     """
 
-    command: Any
+    message: Any
     timeout: float
 
 
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -179,6 +179,24 @@
 # --- commands ----------------------------------------------------------------
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SignOffQuery:
+    """Asks for the sign-offs of the upstream of a VM, when its node starts."""
+
+    vm: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SignOffReply:
+    """All sign-offs that had been committed before the query.
+
+    Attributes:
+      sign_offs: The latest last.
+    """
+
+    sign_offs: tuple[model.SignOff, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SubmitCommand:
     """Commits a command.
@@ -481,6 +499,8 @@
     BorrowAhead,
     BorrowAheadReply,
     Settle,
+    SignOffQuery,
+    SignOffReply,
     SubmitCommand,
     CommandResult,
     Gossip,
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -9,9 +9,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings
 from sassafrashall.controllers import control_link
-from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import replication
-from sassafrashall.transport import codec
 from sassafrashall.transport import rpc
 from tests import fakes
 from tests import loopback
@@ -243,50 +241,44 @@
     )
 
 
-class _FakeLeader(_FakeControl):
-    """A fake control that commits what it is asked to, after a delay."""
+class _SlowControl(_FakeControl):
+    """A fake control that answers queries for sign-offs after a delay."""
 
     def __init__(self, delay):
         super().__init__(0.1)
-        self.delay = delay
+        self._delay = delay
 
     async def handle(self, message, caller):
-        if not isinstance(message, protocol.SubmitCommand):
-            return await super().handle(message, caller)
-        await trio.sleep(self.delay)
-        return protocol.CommandResult(
-            result=codec.encode(fleet_commands.Accepted(revision=7))
-        )
+        if isinstance(message, protocol.SignOffQuery):
+            await trio.sleep(self._delay)
+            return protocol.SignOffReply(sign_offs=())
+        return await super().handle(message, caller)
+
+
+async def _ask(link, timeout):
+    query = protocol.SignOffQuery(vm="vm")
+    return await link.mailbox.ask(
+        messages.AskControls(message=query, timeout=timeout)
+    )
 
 
-async def test_a_commit_that_waits_for_a_leader_leaves_the_control_in_use():
+async def test_a_late_control_is_helped_out_and_stays_in_use():
     """Guards against nodes that change their control during an election."""
     async with (
-        _FakeLeader(30.0).running() as near,
-        _FakeLeader(0.0).running() as far,
+        _SlowControl(30.0).running() as near,
+        _SlowControl(0.0).running() as far,
     ):
+        far.majority_age = 0.2
         link = _link(near.address, far.address)
         async with fakes.started(link):
             with trio.fail_after(2.0):
-                result = await link.mailbox.ask(
-                    messages.CommitCommand(
-                        command=fleet_commands.NoOp(), timeout=30.0
-                    )
-                )
-            assert result == fleet_commands.Accepted(revision=7)
-            far.majority_age = 0.2
-            pong = await link.mailbox.ask(
-                messages.CallControl(message=protocol.Ping(), timeout=3.0)
-            )
-            assert pong.majority_age == near.majority_age
+                answer = await _ask(link, 30.0)
+            assert answer == protocol.SignOffReply(sign_offs=())
+            assert (await _call(link)).majority_age == near.majority_age
 
 
-async def test_a_commit_without_a_control_fails():
+async def test_a_question_to_controls_that_are_gone_fails():
     link = _link(loopback.free_address(), loopback.free_address())
     async with fakes.started(link):
         with trio.fail_after(2.0), pytest.raises(exceptions.RpcError):
-            await link.mailbox.ask(
-                messages.CommitCommand(
-                    command=fleet_commands.NoOp(), timeout=0.5
-                )
-            )
+            await _ask(link, 0.5)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -212,14 +212,14 @@
 def test_sign_offs_are_kept_for_one_rotation_and_in_snapshots():
     sign_off = model.SignOff(incarnation="i", started_ms=1, gone=True)
     record = fleet_commands.RecordSignOff(vm="vm", sign_off=sign_off)
-    read = fleet_commands.ReadSignOffs(vm="vm")
+    read = fleet_commands.ReadSignOffs(vms=("vm", "vm-2"))
     rotate = fleet_commands.RotateClaims()
     state = fleet_state.FleetState()
     for command in (record, rotate):
         state, _ = fleet_state.apply(state, command)
         state = snapshots.decode(snapshots.encode(state))
         _, result = fleet_state.apply(state, read)
-        assert result == fleet_commands.SignOffs(sign_offs=(sign_off,))
+        assert result.by_vm == {"vm": (sign_off,), "vm-2": ()}
         assert state.revision == 0
     later = model.SignOff(incarnation="i", started_ms=2, gone=True)
     again = fleet_commands.RecordSignOff(vm="vm", sign_off=later)
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -15,7 +15,6 @@
 from sassafrashall import protocol
 from sassafrashall.controllers import followed_upstream
 from sassafrashall.controllers import node_membership
-from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import known_nodes
 from sassafrashall.decisions import node_directory
 from sassafrashall.platform import names
@@ -45,8 +44,8 @@
     reply = fakes.heartbeat_reply()
 
     def answer_link(message):
-        if isinstance(message, messages.CommitCommand):
-            return fleet_commands.SignOffs(sign_offs=())
+        if isinstance(message, messages.AskControls):
+            return protocol.SignOffReply(sign_offs=())
         return reply if answer is None else answer(message, reply)
 
     link = fakes.ScriptedController(answer_link)
--- a/tests/test_sign_off.py
+++ b/tests/test_sign_off.py
@@ -11,9 +11,9 @@
 from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall.controllers import node_membership
-from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import node_directory
+from sassafrashall.transport import codec
 from tests import fakes
 
 ADDRESS = model.Address(host="127.0.0.1", port=1)
@@ -65,12 +65,20 @@
         match message:
             case _ if not self.answers:
                 await trio.sleep_forever()
-            case messages.CommitCommand(command=command):
-                if not self.commits:
-                    raise exceptions.RpcError("there is no leader")
-                self.state, result = fleet_state.apply(self.state, command)
-                self.reads += isinstance(command, fleet_commands.ReadSignOffs)
-                return result
+            case messages.AskControls() if not self.commits:
+                raise exceptions.RpcError("there is no leader")
+            case messages.AskControls(message=protocol.SignOffQuery(vm=vm)):
+                self.reads += 1
+                return protocol.SignOffReply(
+                    sign_offs=self.state.sign_offs_of(vm)
+                )
+            case messages.AskControls(
+                message=protocol.SubmitCommand(command=command)
+            ):
+                self.state, result = fleet_state.apply(
+                    self.state, codec.decode(command)
+                )
+                return protocol.CommandResult(result=codec.encode(result))
             case messages.CallControl(
                 message=protocol.Heartbeat(record=record)
             ):
