Sign-offs: one of an earlier run drops no heartbeat that is held back

Cause: adding a sign-off forgets the run that may be the next. A node that has just started holds the first heartbeat of its upstream there; the sign-off of an earlier run, told by a control, dropped it, and the upstream waited for its second heartbeat.

Change: while sign-offs are not known, only the sign-off of that run itself drops it. Failed calls to read or commit sign-offs are logged, once.

Evidence: tests/test_upstream_runs.py -k earlier_run_keeps failed before.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -151,6 +151,8 @@
         self._heartbeat_due = trio.Event()
         self._leave_replies: list[mailbox.Reply] = []
         self._sign_off_replies: list[mailbox.Reply] = []
+        # Whether the last call to read or commit sign-offs failed.
+        self._sign_offs_fail = False
         self._demand_monitor = demand_monitor
         self._summary = mailbox.Published[spillover.Summary](
             initial=spillover.Summary()
@@ -242,7 +244,7 @@
     def _on_sign_off_overdue(self, waiting: mailbox.Reply) -> None:
         if not waiting.done:
             logs.get().warning("sign-off acknowledged before it is committed")
-            self._metrics.count("sign_offs_not_committed_in_time")
+            self._metrics.count("sign_offs_overdue")
         waiting.put(None)
         self._sign_off_replies = [
             r for r in self._sign_off_replies if not r.done
@@ -277,10 +279,18 @@
         """Returns the answer, or None if none came in time."""
         call = messages.AskControls(message=message, timeout=COMMIT_TIMEOUT)
         try:
-            return await self._link.ask(call)
-        except exceptions.SassafrashallError:
-            self._metrics.count("sign_off_commits_failed")
+            answer = await self._link.ask(call)
+        except exceptions.SassafrashallError as error:
+            self._metrics.count("sign_off_calls_failed")
+            if not self._sign_offs_fail:
+                logs.get().warning(
+                    "no control reads or commits sign-offs",
+                    extra={"reason": str(error)},
+                )
+            self._sign_offs_fail = True
             return None
+        self._sign_offs_fail = False
+        return answer
 
     def _apply_upstream(self) -> None:
         """Publishes and records what differs from the beliefs before."""
--- a/src/sassafrashall/decisions/upstream_runs.py
+++ b/src/sassafrashall/decisions/upstream_runs.py
@@ -427,11 +427,18 @@
     ended = merge_sign_off(state.ended, sign_off)
     if ended == state.ended:
         return state
+    successor = state.successor
+    if (
+        successor is None
+        or state.sign_offs_known
+        or _covers(sign_off, successor.run)
+    ):
+        successor = None
     return dataclasses.replace(
         state,
         ended=ended,
         sign_off=sign_off if is_told else state.sign_off,
-        successor=None,
+        successor=successor,
     )
 
 
--- a/tests/test_upstream_runs.py
+++ b/tests/test_upstream_runs.py
@@ -387,3 +387,13 @@
         for sign_off in order:
             merged = upstream_runs.merge_sign_off(merged, sign_off)
         assert set(merged) == expected and len(merged) == 2
+
+
+def test_the_sign_off_of_an_earlier_run_keeps_what_is_held_back():
+    """Guards against a run that waits for its second heartbeat."""
+    state = upstream_runs.on_heartbeat(
+        _started_node(), _heartbeat(1, name="i-2", started_ms=START + 1), 100.0
+    )
+    state = upstream_runs.on_sign_off_restored(state, _sign_off())
+    state = upstream_runs.on_sign_offs_known(state, (_sign_off(),))
+    assert state.upstream is not None and state.run.incarnation == "i-2"
