Sign-offs: a data centre that is cut off goes on serving after restarts

Cause: without contact to a majority no node can have its sign-offs read. A node that restarted in a data centre that was cut off left its upstream unused for 5 s.

Change: there the node believes the control that the process before it used until it ended, which has all that this one told in memory. The acknowledgement of a sign-off waits for that control as well, 0.4 s at most. Reads wait for a leader for 3 s, so that one that is elected meanwhile finds them waiting.

Evidence: tests/test_sign_off.py -k without_a_leader and tests/test_fleet_directory.py -k process_before.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -49,6 +49,9 @@
 MAX_CHECK_DELAY = 0.5
 # Seconds after a later check until nodes lapse again, two heartbeats.
 LATE_CHECK_PAUSE = 1.0
+# Seconds between the last heartbeat of a node's process and the first one of
+# the next, at most, if the node has turned to no other control meanwhile.
+RESTART_TIME = 10.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -107,6 +110,22 @@
     confirmed_revision: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _NodeProcess:
+    """The process of a node that sends its heartbeats to this control.
+
+    Attributes:
+      incarnation: As in its record.
+      heard_at: When its latest heartbeat came, in monotonic seconds.
+      follows_another: Whether the process before it sent its heartbeats here
+        until it ended.
+    """
+
+    incarnation: int
+    heard_at: float
+    follows_another: bool
+
+
 class FleetDirectory(task.Controller):
     """Owns the node directory and the set of withdrawn keys.
 
@@ -136,6 +155,7 @@
         self._gossip_partners: set[model.Address] = set()
         # By VM of the nodes that send their heartbeats to this control.
         self._heartbeat_times: dict[str, float] = {}
+        self._processes: dict[str, _NodeProcess] = {}  # by VM
         self._loads: dict[str, model.NodeLoad | None] = {}
         self._demand = demand_decisions.FleetDemand()
         self._admission_policy = settings.policy.tree_admission_policy()
@@ -298,6 +318,7 @@
         self._metrics.count("heartbeats")
         record = message.record
         self._heartbeat_times[record.vm] = now
+        process = self._processes[record.vm] = self._note_process(record, now)
         self._loads[record.vm] = self._with_relative_time(message)
         self._demand = demand_decisions.on_heartbeat(
             self._demand, record.vm, message.demand, now
@@ -322,12 +343,27 @@
             controls=self._view.value.members,
             route_levels=self._current_route_levels(now),
             signed_off=self._sign_off_before(record),
+            was_in_use=process.follows_another,
             evacuated=tuple(sorted(state.evacuations.evacuated)),
             evacuation_changes=tuple(state.evacuations.changed.items()),
             rooms=self._rooms,
             relative_times=self._tell_relative_times(),
         )
 
+    def _note_process(
+        self, record: model.NodeRecord, now: float
+    ) -> _NodeProcess:
+        known = self._processes.get(record.vm)
+        if known is not None and known.incarnation == record.incarnation:
+            return dataclasses.replace(known, heard_at=now)
+        return _NodeProcess(
+            incarnation=record.incarnation,
+            heard_at=now,
+            follows_another=known is not None
+            and known.incarnation < record.incarnation
+            and now - known.heard_at < RESTART_TIME,
+        )
+
     def _sign_off_before(
         self, record: model.NodeRecord
     ) -> model.SignOff | None:
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -34,7 +34,7 @@
 HEARTBEAT_TIMEOUT = 2.0  # seconds
 # Seconds that the acknowledgement of a sign-off waits for it to be committed.
 SIGN_OFF_TIMEOUT = 0.4
-COMMIT_TIMEOUT = 1.0  # seconds for a control to commit a command
+COMMIT_TIMEOUT = 3.0  # seconds for a control to commit, also without a leader
 COMMIT_RETRY_PAUSE = 0.2  # seconds until a command is sent again
 # Changes of the record that all controls are told, not only the one in use.
 _TOLD_FIELDS = frozenset({"upstream", "signed_off", "leaving"})
@@ -151,6 +151,10 @@
         self._heartbeat_due = trio.Event()
         self._leave_replies: list[mailbox.Reply] = []
         self._sign_off_replies: list[mailbox.Reply] = []
+        # The latest that is in the log, and the latest that the control in use
+        # knows.
+        self._committed_sign_off: model.SignOff | None = None
+        self._told_sign_off: model.SignOff | None = None
         # Whether the last call to read or commit sign-offs failed.
         self._sign_offs_fail = False
         self._demand_monitor = demand_monitor
@@ -195,10 +199,8 @@
             case messages.Announce():
                 self._on_announcement(message, reply)
             case _SignOffCommitted(sign_off=sign_off):
-                if sign_off == self._record.signed_off:
-                    for waiting in self._sign_off_replies:
-                        waiting.put(None)
-                    self._sign_off_replies.clear()
+                self._committed_sign_off = sign_off
+                self._acknowledge_sign_off()
             case _SignOffOverdue(reply=waiting):
                 self._on_sign_off_overdue(waiting)
             case _SignOffsRead(sign_offs=sign_offs):
@@ -241,6 +243,18 @@
         self._spawn(self._limit_wait, reply)
         self._spawn(self._commit_sign_off, sign_off)
 
+    def _acknowledge_sign_off(self) -> None:
+        """Answers who waits for it, once it is known wherever it has to be.
+
+        The log keeps it, and the control in use tells it to the next process of
+        this node if there is no leader then.
+        """
+        sign_off = self._record.signed_off
+        if self._committed_sign_off == self._told_sign_off == sign_off:
+            for reply in self._sign_off_replies:
+                reply.put(None)
+            self._sign_off_replies.clear()
+
     def _on_sign_off_overdue(self, waiting: mailbox.Reply) -> None:
         if not waiting.done:
             logs.get().warning("sign-off acknowledged before it is committed")
@@ -419,13 +433,9 @@
             self._link.tell(messages.ControlsKnown(members=answer.controls))
         if answer.majority_age >= control_choice.MIN_LEAVE_AGE:
             self._spawn(self._leave_stale_control, answer.majority_age)
-        if (
-            answer.signed_off is not None
-            and message.record.signed_off is None
-            and self._record.signed_off is None
-        ):
-            self._upstream.restore_sign_off(answer.signed_off)
-            self._apply_upstream()
+        self._told_sign_off = message.record.signed_off
+        self._acknowledge_sign_off()
+        self._restore_sign_off(message)
         if message.record.leaving:
             for reply in self._leave_replies:
                 reply.put(None)
@@ -459,6 +469,24 @@
             )
         )
 
+    def _restore_sign_off(self, message: _HeartbeatReplied) -> None:
+        """Takes in the sign-off that a control knows of the process before.
+
+        A control that is cut off from the log knows all that matters if that
+        process used it.
+        """
+        answer = message.reply
+        if message.record.signed_off or self._record.signed_off:
+            return
+        known = (answer.signed_off,) if answer.signed_off is not None else ()
+        is_cut_off = answer.majority_age >= control_choice.MIN_LEAVE_AGE
+        if is_cut_off and answer.was_in_use:
+            self._upstream.on_sign_offs_known(known)
+        else:
+            for sign_off in known:
+                self._upstream.restore_sign_off(sign_off)
+        self._apply_upstream()
+
     def _on_configuration_read(
         self, message: messages.ConfigurationRead
     ) -> None:
--- a/src/sassafrashall/decisions/upstream_runs.py
+++ b/src/sassafrashall/decisions/upstream_runs.py
@@ -200,7 +200,7 @@
       state: The state before.
       sign_offs: As a control told them, the latest last.
     """
-    held = state.successor
+    held = None if state.sign_offs_known else state.successor
     for sign_off in reversed(sign_offs):
         state = on_sign_off_restored(state, sign_off)
     state = dataclasses.replace(state, sign_offs_known=True)
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -79,6 +79,8 @@
       route_levels: The routes whose root requests are admitted in part.
       signed_off: The last run of the node's upstream that signed off, if the
         node didn't report one.
+      was_in_use: Whether the process of the node before this one used this
+        control until it ended, so that this control knows what it acknowledged.
       evacuated: The evacuated data centres at `revision`; None from a build
         that doesn't know them.
       evacuation_changes: Data centre and fleet revision of the last change of
@@ -102,6 +104,7 @@
     controls: tuple[replication.Member, ...] = ()
     route_levels: tuple[tree_admission.RouteLevel, ...] = ()
     signed_off: model.SignOff | None = None
+    was_in_use: bool = False
     evacuated: tuple[str, ...] | None = None
     evacuation_changes: tuple[tuple[str, int], ...] = ()
     rooms: tuple[spillover.Room, ...] = ()
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -193,6 +193,33 @@
     assert received[0].control.vm == "vm-c"
 
 
+async def test_a_control_tells_whether_the_process_before_used_it(now):
+    """Guards against a control that missed what that process acknowledged."""
+    async with _directory(now) as directory:
+
+        async def was_in_use(incarnation):
+            reply = await directory.controller.mailbox.ask(
+                protocol.Heartbeat(
+                    record=fakes.node_record(
+                        vm="vm-a", incarnation=incarnation
+                    ),
+                    directory_source="",
+                    directory_version=0,
+                    withdrawn_count=0,
+                )
+            )
+            return reply.was_in_use
+
+        assert not await was_in_use(5)
+        assert not await was_in_use(5)
+        directory.run_for(fleet_directory.RESTART_TIME / 2)
+        assert await was_in_use(6)
+        assert await was_in_use(6)
+        assert not await was_in_use(4)
+        directory.run_for(fleet_directory.RESTART_TIME + 1)
+        assert not await was_in_use(7)
+
+
 # Guards against a control that looks fresh while its replica waits for the
 # disk: the age that it told was that of the last status.
 async def test_the_majority_age_grows_without_a_status(now):
--- a/tests/test_sign_off.py
+++ b/tests/test_sign_off.py
@@ -48,6 +48,7 @@
       answers: Whether it answers at all.
       commits: Whether it commits commands.
       reads: Number of times that sign-offs were read.
+      majority_age: Seconds since it had contact with a majority.
     """
 
     def __init__(self):
@@ -55,11 +56,18 @@
         self.answers = True
         self.commits = True
         self.reads = 0
+        self.majority_age = 0.0
         self.forget_directory()
 
     def forget_directory(self):
         """Restarts its process, which keeps the log."""
         self._directory = node_directory.Directory()
+        self._incarnations = set()
+
+    def cut_off(self):
+        """Takes away its contact with the other controls."""
+        self.commits = False
+        self.majority_age = 5.0
 
     async def handle(self, message):
         match message:
@@ -86,8 +94,11 @@
                     self._directory, record, 0.0, clock.monotonic()
                 )
                 held = self._directory.entries["vm"].record.signed_off
+                self._incarnations.add(record.incarnation)
                 return fakes.heartbeat_reply(
-                    signed_off=None if record.signed_off else held
+                    signed_off=None if record.signed_off else held,
+                    majority_age=self.majority_age,
+                    was_in_use=len(self._incarnations) > 1,
                 )
 
 
@@ -218,6 +229,55 @@
                 await trio.sleep(0.01)
 
 
+@pytest.mark.parametrize("signs_off", [False, True])
+async def test_without_a_leader_the_control_in_use_before_is_believed(
+    signs_off,
+):
+    """Guards against a data centre that is cut off and doesn't go on serving.
+
+    A node restarts there, beside a control that does not.
+    """
+    control = _Control()
+    link = fakes.ScriptedController(control.handle)
+    async with fakes.started(link):
+        with trio.fail_after(3):
+            before = _node(link, 1)
+            async with fakes.started(before):
+                await _wait_until_answered(before)
+                await before.mailbox.ask(_announcement(READY, 4))
+                if signs_off:
+                    await before.mailbox.ask(GONE)
+            control.cut_off()
+            after = _node(link, 2)
+            async with fakes.started(after):
+                await _wait_until_answered(after)
+                await after.mailbox.ask(_announcement(READY, 5))
+                assert _state(after) is (None if signs_off else READY)
+
+
+@pytest.mark.parametrize("restarts", ["control", "contact"])
+async def test_without_a_leader_no_other_control_is_believed(restarts):
+    """Guards against a control that has restarted, or is not cut off."""
+    control = _Control()
+    link = fakes.ScriptedController(control.handle)
+    async with fakes.started(link):
+        with trio.fail_after(3):
+            before = _node(link, 1)
+            async with fakes.started(before):
+                await _wait_until_answered(before)
+                await before.mailbox.ask(_announcement(READY, 4))
+            control.cut_off()
+            if restarts == "control":
+                control.forget_directory()
+            else:
+                control.majority_age = 0.0
+            after = _node(link, 2)
+            async with fakes.started(after):
+                await _wait_until_answered(after)
+                await after.mailbox.ask(_announcement(READY, 5))
+                assert _state(after) is None
+
+
 async def test_a_sign_off_that_was_acknowledged_is_committed_later():
     """Guards against a sign-off that is lost if no leader answers at once."""
     control = _Control()
