Tests: a fake of the controls answers the query for sign-offs

Seven tests of test_odd_entries failed in the first whole run of the tests on the sign-offs in the log: their fake of the link answers every message with the reply to a heartbeat, so that the node never learned that there is no sign-off, and held each heartbeat back. Whoever asks for sign-offs is answered now; what the tests check is as it was. 61 tests of the two modules pass.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,6 +12,7 @@
 from sassafrashall import events
 from sassafrashall import exceptions
 from sassafrashall import mailbox
+from sassafrashall import messages
 from sassafrashall import metrics
 from sassafrashall import model
 from sassafrashall import protocol
@@ -93,6 +94,17 @@
     return protocol.HeartbeatReply(**{**values, **fields})
 
 
+def answer_of_controls(message):
+    """Answers for a link to controls that have no news and know no sign-off."""
+    match message:
+        case messages.AskControls(message=protocol.SignOffQuery()):
+            return protocol.SignOffReply(sign_offs=())
+        case messages.AskControls():
+            return protocol.CommandResult(result=b"")
+        case _:
+            return heartbeat_reply()
+
+
 def ticket(**fields) -> model.Ticket:
     values = {
         "organisation": "org",
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -44,9 +44,9 @@
     reply = fakes.heartbeat_reply()
 
     def answer_link(message):
-        if isinstance(message, messages.AskControls):
-            return protocol.SignOffReply(sign_offs=())
-        return reply if answer is None else answer(message, reply)
+        if answer is None or isinstance(message, messages.AskControls):
+            return fakes.answer_of_controls(message)
+        return answer(message, reply)
 
     link = fakes.ScriptedController(answer_link)
     membership = node_membership.NodeMembership(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies
 import msgspec
 import pytest
+import trio.testing
 
 from sassafrashall import exceptions
 from sassafrashall import mailbox
@@ -237,7 +238,7 @@
 
 @pytest.fixture
 async def announcer():
-    link = fakes.ScriptedController(lambda message: fakes.heartbeat_reply())
+    link = fakes.ScriptedController(fakes.answer_of_controls)
     membership = node_membership.NodeMembership(
         record=fakes.node_record(),
         link=link.mailbox,
@@ -246,6 +247,8 @@
         counters=fakes.counters(),
     )
     async with fakes.started(link, membership):
+        # Until the sign-offs are read, heartbeats are held back.
+        await trio.testing.wait_all_tasks_blocked()
         yield _Announcer(membership)
 
 
