Review: a sign-off that is acknowledged without a leader is lost

Cause: a node acknowledges a sign-off after 0.4 s, though no control has it; its next process believes a late heartbeat. Change: case 15, a script; it takes the place of the case of two spellings of a host.

--- a/review/15/trial.py
+++ b/review/15/trial.py
@@ -1,69 +1,119 @@
-"""Two routes share host and prefix; one writes the host in capital letters."""
+"""A worker signs off while the core restarts; then its node is killed, too."""
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common-3"))
 
 import fleet as fleet_module  # noqa: E402
 
-NODES = ("node-0", "node-1")
-REQUESTS = 10  # on each route
-
-
-def routes(second_host):
-    common = {"path_prefix": "/orders/", "route_type": "idempotent",
-              "timeout": "6000ms", "target_latency": "1500ms", "priority": 1,
-              "max_attempts": 2, "public": False}
-    return {"r-first": {**common, "host": "hulo84.example",
-                        "service": "alpha"},
-            "r-second": {**common, "host": second_host, "service": "beta"}}
+LEAVING, OTHER = "node-0", "node-1"  # nodes beside workers of one service
+ENTRY = "node-2"
+CORE_DOWN = 0.95  # seconds from the kill of the core to its start
+LATE = 3.0  # seconds by which the last heartbeat before the DELETE is late
+SERVES = 14.0  # seconds for which the worker serves after the DELETE
+CONTACT, DRAIN = 3.0, 2.0  # seconds
+START = 1.0  # seconds for the processes to start
+RATE = 20.0  # requests a second
 
 
 async def trial(make, record):
-    """Returns whether the invalid configuration was acknowledged."""
-    fleet = make()
+    """Returns whether requests reached the worker beyond `drain`."""
+    fleet = make(controls=3)
     for vm in fleet.controls:
         fleet.add_control(vm)
-    for vm, service in zip(NODES, ("alpha", "beta")):
+    for vm, service in ((LEAVING, "alpha"), (OTHER, "alpha"), (ENTRY, "beta")):
         fleet.add_node(vm, service)
     for worker in fleet.workers:
         await worker.start()
-    services = ("alpha", "beta")
-    answer = await fleet.configure(fleet_module.configuration(
-        1, services, routes=routes("jepu9.example")))
+    answer = await fleet.configure(
+        fleet_module.configuration(1, ["alpha", "beta"]))
+    assert answer.status == 200, answer
+    await fleet.wait_ready((LEAVING, OTHER, ENTRY))
+    await asyncio.sleep(6.0)
+
+    worker = fleet.workers[0]
+    disrupted = fleet_module.trouble()
+    killed_at = time.monotonic()
+    if disrupted:
+        for vm in fleet.controls:
+            fleet.signal(vm, signal.SIGKILL)
+        for vm in fleet.controls:
+            fleet.processes[vm].wait()
+    # The last heartbeat before the DELETE is under way for a while.
+    worker._beats.cancel()
+    worker.sequence += 1
+    heartbeat = json.dumps({
+        "address": f"127.0.0.1:{worker.port}", "born": worker.born,
+        "info": {"service": "alpha", "version": "v1", "zone": "dc-a",
+                 "slots": worker.slots},
+        "status": {"state": "ready", "sequence": worker.sequence,
+                   "cold_remaining": "0ms"}}).encode()
+    sent_heartbeat_at = time.monotonic()
+    await asyncio.sleep(0.02)
+    answer = await worker.leave()
+    acknowledged_at = time.monotonic()
+    record.write("DELETE answered", answer.status,
+                 f"{acknowledged_at - killed_at:.3f} s after the kill")
     assert answer.status == 200, answer
-    await fleet.wait_ready(NODES)
+    if disrupted:
+        fleet.signal(LEAVING, signal.SIGKILL)
+        fleet.processes[LEAVING].wait()
+        await asyncio.sleep(
+            max(0.0, killed_at + CORE_DOWN - time.monotonic()))
+        for vm in (*fleet.controls, LEAVING):
+            fleet.start(vm)
+    back_at = time.monotonic() + START
 
-    # Without the disruption, the second route keeps a host of its own.
-    second = "HULO84.example" if fleet_module.trouble() else "Jepu9.example"
-    answer = await fleet.configure(fleet_module.configuration(
-        2, services, routes=routes(second)), base=1)
-    acknowledged = answer.status == 200
-    await asyncio.sleep(4.0)
+    async def deliver():
+        await asyncio.sleep(
+            max(0.0, sent_heartbeat_at + LATE - time.monotonic()))
+        answer = await fleet_module.call(
+            worker.node_port, "PUT", f"/-/instances/{worker.id}", heartbeat)
+        record.write("late heartbeat answered", answer.status)
 
-    port = fleet.ports[NODES[0]]["callers"]
-    for host in ("hulo84.example", second):
-        for number in range(REQUESTS):
-            name = f"{host}-{number}"
+    sent, statuses = {}, {}
+
+    async def request(number):
+        name = f"q{number}"
+        sent[name] = time.monotonic()
+        record.write("sent", name)
+        vm = LEAVING if number % 2 else ENTRY
+        port = fleet.ports[vm]["callers"]
+        try:
             answer = await fleet_module.call(
-                port, "GET", "/orders/x",
-                headers=fleet_module.client_headers(name, host=host))
-            record.write("sent", name, "answer", answer.status)
-    ran = {}
-    for worker in fleet.workers:
-        for run in worker.runs:
-            record.write("run", run.request_id, worker.service)
-            key = (run.header("host"), worker.service)
-            ran[key] = ran.get(key, 0) + 1
-    line = f"acknowledged: {acknowledged}; runs by host and service: {ran}"
-    record.write(line)
-    print(line)
+                port, "GET", "/alpha/read/x",
+                headers=fleet_module.client_headers(name), timeout=6.0)
+            result = answer.status
+        except (OSError, EOFError, asyncio.TimeoutError) as error:
+            result = type(error).__name__
+        record.write("answer", name, result)
+        statuses[result] = statuses.get(result, 0) + 1
+
+    tasks = [asyncio.create_task(deliver())]
+    while time.monotonic() < acknowledged_at + SERVES:
+        tasks.append(asyncio.create_task(request(len(tasks))))
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*tasks)
+    from_at = max(back_at + CONTACT, acknowledged_at + DRAIN)
+    late = []
+    for run in worker.runs:
+        record.write("run", run.request_id, f"{run.began_at - killed_at:.3f}")
+        if sent.get(run.request_id, 0.0) > from_at:
+            late.append(sent[run.request_id] - acknowledged_at)
+    line = f"{len(late)} requests reached the worker that had signed off"
+    if late:
+        line += f", sent {min(late):.1f} to {max(late):.1f} s after the answer"
+    record.write(line, statuses)
+    print(line, statuses)
     if fleet.exited():
         raise RuntimeError(f"processes ended: {fleet.exited()}")
-    return fleet_module.trouble() and acknowledged
+    return bool(late)
 
 
 fleet_module.main(trial, HERE)
