Pass a long body on whole after a late refusal, or not at all

Cause: whether another attempt can send the rest of a body was inferred from the code of the refusal. The other node may refuse after its offer was confirmed, which starts the upload: the confirmation crossed the refusal, or the upstream left in between. What the upload had read was lost to the next attempt, and the upload that is being cancelled may read on beside it.

Change: the body tells whether it is whole. ResendableBody keeps what attempts take, up to the window and one read (128 KB, bounded by the memory budget), and gives each attempt a reader of its own. If more was taken, the request is refused as not run.

--- a/src/sassafrashall/decisions/memory_limits.py
+++ b/src/sassafrashall/decisions/memory_limits.py
@@ -23,6 +23,8 @@
 # Share of the bound that is added for small inputs, so that ordinary requests
 # are admitted while expensive ones are refused.
 RESERVED_SHARE = 0.25
+# Share of the bound up to which bytes are held that could be dropped.
+RETAINED_SHARE = 0.75
 # Share of the bound down to which clients are removed, so that the search for
 # them runs once for many removals.
 RELIEF_SHARE = 0.9
@@ -80,6 +82,11 @@
     return held + cost <= limit
 
 
+def may_retain(size: int, held: int, limit: int) -> bool:
+    """Returns whether `size` bytes that could be dropped may be held."""
+    return held + size <= limit * RETAINED_SHARE
+
+
 def rank_removals(holders: Iterable[Holder]) -> tuple[int, ...]:
     """Returns the clients in the order in which they are removed.
 
--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -17,6 +17,8 @@
 from sassafrashall.decisions import routing
 from sassafrashall.filters import chain
 from sassafrashall.filters import dispatch
+from sassafrashall.transport import memory_budget
+from sassafrashall.transport import resendable_body
 
 # Refusals that say that a service has less capacity than it is asked for.
 _CAPACITY_CODES = (
@@ -44,6 +46,7 @@
         event_log: events.EventLog,
         demand_monitor: mailbox.Mailbox,
         spreads_returns: bool = False,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         """Creates the filter.
 
@@ -56,7 +59,12 @@
           demand_monitor: Mailbox of the task that counts rejected calls.
           spreads_returns: Whether each refused request gets its own time to
             return, by the load of the service.
+          budget: Bounds the memory of bodies that are kept for another attempt;
+            None for one of its own.
         """
+        self._retained_bodies = (budget or memory_budget.MemoryBudget()).open(
+            memory_budget.keep
+        )
         self._spreads_returns = spreads_returns
         self._demand_monitor = demand_monitor
         self._node = node
@@ -95,6 +103,25 @@
 
     async def _dispatch(self, call: model.Call) -> model.Outcome:
         self._routing.tell(messages.FirstAttempt(service=call.service))
+        if call.request.rest is None:
+            return await self._make_attempts(call, None)
+        body = resendable_body.ResendableBody(
+            source=call.request.rest, account=self._retained_bodies
+        )
+        try:
+            return await self._make_attempts(call, body)
+        finally:
+            body.close()
+
+    async def _make_attempts(
+        self, call: model.Call, body: resendable_body.ResendableBody | None
+    ) -> model.Outcome:
+        """Makes attempts.
+
+        Args:
+          call: The call.
+          body: The part of its body that is not in the request.
+        """
         attempts = 0
         avoid: frozenset[str] = frozenset()
         may_have_run = False
@@ -112,6 +139,8 @@
                 return dispatch.reconcile_run_state(
                     dispatch.no_upstream_refusal(call), may_have_run
                 )
+            if body is not None:
+                call = _with_rest(call, body.start_attempt())
             outcome = await self._attempt(call, choice)
             if isinstance(outcome, model.Answer):
                 # An upstream's answer is final, whatever its status. If the
@@ -120,7 +149,8 @@
                 return outcome
             avoid |= {choice.vm}
             may_have_run |= outcome.run is not model.RunState.NOT_RUN
-            if _is_body_consumed(call, outcome) or not await self._routing.ask(
+            can_send_again = body is None or body.is_whole
+            if not can_send_again or not await self._routing.ask(
                 messages.MayRetry(call=call, refusal=outcome, attempts=attempts)
             ):
                 return dispatch.reconcile_run_state(outcome, may_have_run)
@@ -247,12 +277,6 @@
             )
 
 
-def _is_body_consumed(call: model.Call, refusal: model.Refuse) -> bool:
-    """Returns whether part of a streamed body may have been sent already.
-
-    Such a body isn't kept, so it can't be sent again.
-    """
-    return (
-        call.request.rest is not None
-        and not retries.refused_before_upstream(refusal)
-    )
+def _with_rest(call: model.Call, rest: model.BodyReader) -> model.Call:
+    """Returns the call with another reader of the rest of its body."""
+    return frozen.replace(call, request=frozen.replace(call.request, rest=rest))
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -314,6 +314,7 @@
                     event_log=self._events,
                     demand_monitor=self._demand_monitor.mailbox,
                     spreads_returns=by_urgency,
+                    budget=self._budget,
                 ),
             ),
         )
--- a/src/sassafrashall/transport/memory_budget.py
+++ b/src/sassafrashall/transport/memory_budget.py
@@ -77,6 +77,18 @@
         self._requests += cost
         self._budget.add(cost)
 
+    def try_retain(self, size: int) -> bool:
+        """Adds bytes that are useful but not needed, until `release`.
+
+        Returns:
+          Whether there is room for them beside what requests may need.
+        """
+        if self._budget is None or not self._budget.has_spare_room(size):
+            return False
+        self._requests += size
+        self._budget.add(size)
+        return True
+
     def release(self, cost: int) -> None:
         """Takes the bytes of a request off."""
         if self._budget is not None:
@@ -167,6 +179,10 @@
             exceptions.MEMORY_SHORT, "no memory is left for such a request"
         )
 
+    def has_spare_room(self, size: int) -> bool:
+        """Returns whether `size` bytes that are not needed may be held."""
+        return memory_limits.may_retain(size, self._held, self._limit)
+
     def _remove_clients(self) -> None:
         now = clock.monotonic()
         if now < self._search_at:
