Sign-offs that are acknowledged without a leader hold after a kill of all

Cause: without a commit for 0.4 s a sign-off was acknowledged from the memory of one process, and the next process of the node took the log for complete. A sign-off sent again while the first was not committed, and one of a run that the node doesn't follow, were acknowledged at once.

Change: each acknowledgement waits for the commit. Without one it is given only if a majority of the controls is certainly without a leader, and refused with 503 otherwise, after 0.9 s. A node that starts believes a heartbeat only once a majority of the controls has had a leader for 5 s, or 5 s after its own start. Two majorities have a control in common, which has started since or noted the time without a leader, so that no kill hides it. The first start of a fleet, and runs younger than the node's process, are believed at once.

Two tests said the opposite and are replaced. A sign-off that no control answers was acknowledged in time; now it is refused in time, and the upstream gets no request as before. One heartbeat sufficed after a restart of the node and all controls, which is the fault; now it has to after a restart of the node and a control that doesn't lead, and an upstream that goes on is followed within 5 s and two heartbeats after a restart of all. `test_without_a_leader...` and the others stay.

--- a/src/sassafrashall/control.py
+++ b/src/sassafrashall/control.py
@@ -88,6 +88,8 @@
             view=self._replica.view,
             event_log=self._events,
             counters=self._metrics,
+            may_found=settings.routed is not None
+            and settings.routed.first_start,
         )
         self._quota_owner = quota_owner.QuotaOwner(
             settings=settings,
--- a/src/sassafrashall/controllers/control_link.py
+++ b/src/sassafrashall/controllers/control_link.py
@@ -13,16 +13,19 @@
 from sassafrashall import logs
 from sassafrashall import mailbox
 from sassafrashall import messages
+from sassafrashall import model
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
 from sassafrashall.decisions import control_choice
+from sassafrashall.decisions import control_survey
 from sassafrashall.decisions import replication
 from sassafrashall.transport import rpc
 
 ATTEMPT_TIMEOUT = 0.6  # seconds for a call to one control
 RETRY_PAUSE = 0.1  # seconds to wait once all controls have failed
 PROBE_TIMEOUT = 0.5  # seconds
+SURVEY_TIMEOUT = 0.2  # seconds for each of the calls to a control
 HEDGE_DELAY = 0.15  # seconds until a further control is asked as well
 FAILBACK_INTERVAL = 5.0  # seconds between probes of the nearest control
 
@@ -74,6 +77,8 @@
         )
         # The members of the replicated log, as far as they are known.
         self._members = self._addresses
+        # The settings may name a part of them.
+        self._members_known = False
         self._current = self._addresses[0]
         self._probing_all = False
         self._probing_nearest = False
@@ -109,6 +114,8 @@
                 self._spawn(self._call_one, message, reply)
             case messages.AskControls():
                 self._spawn(self._ask_in_steps, message, reply)
+            case messages.SurveyControls():
+                self._spawn(self._survey, message, reply)
             case messages.TellOtherControls(message=told):
                 for address in self._members:
                     if address != self._current:
@@ -144,6 +151,7 @@
             a for a in self._addresses if a not in member_addresses
         )
         self._members = self._nearest_first(current_members)
+        self._members_known = True
         self._addresses = self._members + former_addresses
         self._contacts = {
             address: contact
@@ -250,6 +258,23 @@
         if not reply.done:
             reply.fail(errors[-1])
 
+    async def _survey(
+        self, message: messages.SurveyControls, reply: mailbox.Reply
+    ) -> None:
+        """Asks all members at the same time."""
+        if not self._members_known:
+            reply.put(())
+            return
+        answers: list[control_survey.Answer] = []
+
+        async def ask(client: rpc.RpcClient) -> None:
+            answers.append(await _ask_for_contact(client, message.record))
+
+        async with trio.open_nursery() as nursery:
+            for address in self._members:
+                nursery.start_soon(ask, self._clients.get(address))
+        reply.put(tuple(answers))
+
     def _address_after(self, address: str) -> str:
         index = self._addresses.index(address)
         return self._addresses[(index + 1) % len(self._addresses)]
@@ -320,3 +345,25 @@
             if self._current != nearest and not self._probing_nearest:
                 self._probing_nearest = True
                 await self._probe((nearest,), float("-inf"))
+
+
+async def _ask_for_contact(
+    client: rpc.RpcClient, record: model.NodeRecord | None
+) -> control_survey.Answer:
+    """Asks a control for its contact with a majority.
+
+    Args:
+      client: Calls the control.
+      record: The node's record, which it stores before; None if it need not.
+    """
+    try:
+        if record is not None:
+            await client.call(
+                protocol.RecordChanged(record=record), SURVEY_TIMEOUT
+            )
+        pong = await client.call(protocol.Ping(), SURVEY_TIMEOUT)
+    except exceptions.RpcError as error:
+        return control_survey.Answer(is_down=error.refused)
+    return control_survey.Answer(
+        majority_age=pong.majority_age, steady_for=pong.steady_for
+    )
--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -23,6 +23,7 @@
 from sassafrashall import task
 from sassafrashall.decisions import call_trees
 from sassafrashall.decisions import completion
+from sassafrashall.decisions import control_survey
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import fleet_state
@@ -140,8 +141,21 @@
         view: mailbox.Published[messages.FleetView],
         event_log: events.EventLog,
         counters: metrics.Metrics,
+        may_found: bool = False,
     ) -> None:
+        """Sets up an empty directory.
+
+        Args:
+          settings: Of this control.
+          replica: Mailbox of the local replica.
+          view: What the replica has applied.
+          event_log: Records withdrawals and evacuations.
+          counters: The metrics of this process.
+          may_found: Whether an empty data folder means that the fleet starts
+            for the first time.
+        """
         super().__init__()
+        self._may_found = may_found
         self._settings = settings
         self._replica = replica
         self._view = view
@@ -176,6 +190,10 @@
         self._levels_logged_at = float("-inf")
         self._status: messages.ReplicaStatus | None = None
         self._status_at = float("-inf")  # monotonic seconds
+        self._contact = control_survey.started(clock.monotonic())
+        # Whether the process has seen the first start of the fleet, or waits
+        # for it.
+        self._founds = False
         self._observed_state: fleet_state.FleetState | None = None
         # Of the nodes that are silent, in monotonic seconds.
         self._checked_at = float("inf")
@@ -190,6 +208,7 @@
         match message:
             case messages.ReplicaStatus():
                 self._status, self._status_at = message, now
+                self._note_contact(self._majority_age(), now)
                 self._merge_committed_withdrawals()
                 self._expire_entries(now)
                 self._start_gossip()
@@ -235,9 +254,19 @@
             return 1e6
         return self._status.majority_age + clock.monotonic() - self._status_at
 
+    def _note_contact(self, majority_age: float, now: float) -> None:
+        if self._status is not None and not self._status.founded:
+            self._founds = self._may_found
+        self._contact = control_survey.on_age(
+            self._contact, majority_age, founds=self._founds, now=now
+        )
+
     def _pong(self, now: float) -> protocol.Pong:
+        majority_age = self._majority_age()
+        self._note_contact(majority_age, now)
         return protocol.Pong(
-            majority_age=self._majority_age(),
+            majority_age=majority_age,
+            steady_for=control_survey.steady_for(self._contact, now),
             revision=self._view.value.state.revision,
             proof_age=now - self._confirmed_fresh_at(now),
         )
--- a/src/sassafrashall/controllers/followed_upstream.py
+++ b/src/sassafrashall/controllers/followed_upstream.py
@@ -38,7 +38,9 @@
             initial=None
         )
         self._cold_heartbeat = cold_heartbeat
-        self._runs = upstream_runs.State(sign_offs_known=False)
+        self._runs = upstream_runs.State(
+            sign_offs_known=False, process_started_ms=clock.wall_ms()
+        )
         # The latest numbered one.
         self._announcement: messages.Announce | None = None
 
@@ -57,6 +59,33 @@
         """The last run that signed off."""
         return self._runs.sign_off
 
+    @property
+    def sign_offs_known(self) -> bool:
+        """Whether all sign-offs of before this process are known."""
+        return self._runs.sign_offs_known
+
+    def holds(self, sign_off: model.SignOff) -> bool:
+        """Returns whether no later sign-off has taken its place."""
+        return sign_off in self._runs.ended
+
+    def sign_off_in(self, message: messages.Announce) -> model.SignOff | None:
+        """Returns the sign-off in an announcement that was taken in.
+
+        It may be one that was known before. None if the announcement is none.
+        """
+        upstream = message.upstream
+        if upstream is None:
+            return upstream_runs.sign_off_of(self._runs, message.incarnation)
+        if (
+            message.sequence < 0
+            or upstream.state is not model.UpstreamState.DRAINING
+        ):
+            return None
+        run = upstream_runs.Run(
+            incarnation=message.incarnation, started_ms=message.started_ms
+        )
+        return upstream_runs.draining_of(self._runs, run)
+
     def on_announcement(self, message: messages.Announce, now: float) -> None:
         """Takes in an announcement."""
         match message:
@@ -95,10 +124,21 @@
             upstream_runs.on_sign_off_restored(self._runs, sign_off)
         )
 
-    def on_sign_offs_known(self, sign_offs: tuple[model.SignOff, ...]) -> None:
-        """Takes in all sign-offs that were acknowledged before this process."""
+    def on_sign_offs_known(
+        self,
+        sign_offs: tuple[model.SignOff, ...],
+        complete_since: float = float("-inf"),
+    ) -> None:
+        """Takes in all sign-offs that were acknowledged before this process.
+
+        Args:
+          sign_offs: The latest last.
+          complete_since: Monotonic seconds since when all are among them.
+        """
         held = self._runs.successor
-        runs = upstream_runs.on_sign_offs_known(self._runs, sign_offs)
+        runs = upstream_runs.on_sign_offs_known(
+            self._runs, sign_offs, complete_since
+        )
         if held is not None and self._announcement is not None:
             self._publish_cold(runs, self._announcement, held.heard_at)
         self._replace_runs(runs)
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -21,6 +21,7 @@
 from sassafrashall.controllers import held_configuration
 from sassafrashall.controllers import load_meter
 from sassafrashall.decisions import control_choice
+from sassafrashall.decisions import control_survey
 from sassafrashall.decisions import demand as demand_decisions
 from sassafrashall.decisions import fleet_commands
 from sassafrashall.decisions import known_nodes
@@ -28,12 +29,17 @@
 from sassafrashall.decisions import route_table
 from sassafrashall.decisions import spillover
 from sassafrashall.decisions import tree_admission
+from sassafrashall.decisions import upstream_runs
 from sassafrashall.transport import codec
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 HEARTBEAT_TIMEOUT = 2.0  # seconds
-# Seconds that the acknowledgement of a sign-off waits for it to be committed.
+# Seconds that the acknowledgement of a sign-off waits for it to be committed,
+# before the controls are asked whether they have a leader.
 SIGN_OFF_TIMEOUT = 0.4
+# Seconds until a sign-off is refused. An upstream waits for 1 s.
+SIGN_OFF_DEADLINE = 0.9
+SURVEY_PAUSE = 0.1  # seconds until the controls are asked again
 COMMIT_TIMEOUT = 3.0  # seconds for a control to commit, also without a leader
 COMMIT_RETRY_PAUSE = 0.2  # seconds until a command is sent again
 # Changes of the record that all controls are told, not only the one in use.
@@ -65,19 +71,50 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _SignOffsRead:
-    """The log has told the sign-offs of before this process."""
+    """The log has told the sign-offs of before this process.
+
+    Attributes:
+      sign_offs: The latest last.
+      complete_since: Monotonic seconds; those that were acknowledged after that
+        are all in the log.
+    """
 
     sign_offs: tuple[model.SignOff, ...]
+    complete_since: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _SignOffLeaderless:
+    """A majority of the controls can't commit a sign-off.
+
+    Attributes:
+      waiting: The announcement that waits to be acknowledged.
+    """
+
+    waiting: _WaitingSignOff
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _SignOffOverdue:
-    """A sign-off was not committed in time.
+    """A sign-off was neither committed nor refused by the controls in time.
 
     Attributes:
-      reply: The acknowledgement that waits for it.
+      waiting: The announcement that waits to be acknowledged.
     """
 
+    waiting: _WaitingSignOff
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
+class _WaitingSignOff:
+    """An announcement that is to be acknowledged.
+
+    Attributes:
+      sign_off: What it says.
+      reply: Gets the acknowledgement.
+    """
+
+    sign_off: model.SignOff
     reply: mailbox.Reply
 
 
@@ -150,10 +187,11 @@
         self._unlisted: dict[str, float] = {}
         self._heartbeat_due = trio.Event()
         self._leave_replies: list[mailbox.Reply] = []
-        self._sign_off_replies: list[mailbox.Reply] = []
-        # The latest that is in the log, and the latest that the control in use
-        # knows.
-        self._committed_sign_off: model.SignOff | None = None
+        self._waiting_sign_offs: list[_WaitingSignOff] = []
+        # Those in the log, and those that are being committed.
+        self._committed_sign_offs: tuple[model.SignOff, ...] = ()
+        self._submitted_sign_offs: set[model.SignOff] = set()
+        # The latest that the control in use knows.
         self._told_sign_off: model.SignOff | None = None
         # Whether the last call to read or commit sign-offs failed.
         self._sign_offs_fail = False
@@ -199,12 +237,18 @@
             case messages.Announce():
                 self._on_announcement(message, reply)
             case _SignOffCommitted(sign_off=sign_off):
-                self._committed_sign_off = sign_off
-                self._acknowledge_sign_off()
-            case _SignOffOverdue(reply=waiting):
+                self._note_committed(sign_off)
+                self._acknowledge_sign_offs()
+            case _SignOffLeaderless(waiting=waiting):
+                self._on_sign_off_leaderless(waiting)
+            case _SignOffOverdue(waiting=waiting):
                 self._on_sign_off_overdue(waiting)
-            case _SignOffsRead(sign_offs=sign_offs):
-                self._upstream.on_sign_offs_known(sign_offs)
+            case _SignOffsRead():
+                for sign_off in message.sign_offs:
+                    self._note_committed(sign_off)
+                self._upstream.on_sign_offs_known(
+                    message.sign_offs, message.complete_since
+                )
                 self._apply_upstream()
             case messages.Leave():
                 self._update_record(leaving=True)
@@ -232,46 +276,98 @@
     def _on_announcement(
         self, message: messages.Announce, reply: mailbox.Reply
     ) -> None:
-        sign_off_before = self._record.signed_off
         self._upstream.on_announcement(message, clock.monotonic())
         self._apply_upstream()
-        sign_off = self._record.signed_off
-        if sign_off is None or sign_off == sign_off_before:
+        sign_off = self._upstream.sign_off_in(message)
+        if sign_off is None:
             reply.put(None)
             return
-        self._sign_off_replies.append(reply)
-        self._spawn(self._limit_wait, reply)
-        self._spawn(self._commit_sign_off, sign_off)
+        waiting = _WaitingSignOff(sign_off=sign_off, reply=reply)
+        self._waiting_sign_offs.append(waiting)
+        self._acknowledge_sign_offs()
+        if not reply.done:
+            self._spawn(self._limit_wait, waiting)
+            self._start_commit(sign_off)
+
+    def _start_commit(self, sign_off: model.SignOff) -> None:
+        """Commits a sign-off, unless that is under way."""
+        if sign_off not in self._submitted_sign_offs:
+            self._submitted_sign_offs.add(sign_off)
+            self._spawn(self._commit_sign_off, sign_off)
+
+    def _note_committed(self, sign_off: model.SignOff) -> None:
+        self._committed_sign_offs = upstream_runs.merge_sign_off(
+            self._committed_sign_offs, sign_off
+        )
 
-    def _acknowledge_sign_off(self) -> None:
-        """Answers who waits for it, once it is known wherever it has to be.
+    def _acknowledge_sign_offs(self) -> None:
+        """Acknowledges sign-offs that are known wherever they have to be.
 
-        The log keeps it, and the control in use tells it to the next process of
-        this node if there is no leader then.
+        The log keeps them, and the control in use tells the latest to the next
+        process of this node if there is no leader then.
         """
-        sign_off = self._record.signed_off
-        if self._committed_sign_off == self._told_sign_off == sign_off:
-            for reply in self._sign_off_replies:
-                reply.put(None)
-            self._sign_off_replies.clear()
+        waiting_sign_offs, self._waiting_sign_offs = (
+            self._waiting_sign_offs,
+            [],
+        )
+        is_told = self._told_sign_off == self._record.signed_off
+        for waiting in waiting_sign_offs:
+            is_committed = any(
+                upstream_runs.is_covered(waiting.sign_off, by=committed)
+                for committed in self._committed_sign_offs
+            )
+            if is_committed and is_told:
+                waiting.reply.put(None)
+            elif not waiting.reply.done:
+                self._waiting_sign_offs.append(waiting)
 
-    def _on_sign_off_overdue(self, waiting: mailbox.Reply) -> None:
-        if not waiting.done:
+    def _on_sign_off_leaderless(self, waiting: _WaitingSignOff) -> None:
+        """Acknowledges a sign-off that is not committed.
+
+        The next process of this node learns that there was no leader, and holds
+        heartbeats back for as long as one of before may be late.
+        """
+        if not waiting.reply.done:
             logs.get().warning("sign-off acknowledged before it is committed")
-            self._metrics.count("sign_offs_overdue")
-        waiting.put(None)
-        self._sign_off_replies = [
-            r for r in self._sign_off_replies if not r.done
-        ]
+            self._metrics.count("sign_offs_uncommitted")
+        waiting.reply.put(None)
+
+    def _on_sign_off_overdue(self, waiting: _WaitingSignOff) -> None:
+        if not waiting.reply.done:
+            logs.get().warning("sign-off refused: it can't be committed now")
+            self._metrics.count("sign_offs_refused")
+        waiting.reply.fail(
+            exceptions.RpcError("no majority of the controls has answered")
+        )
 
     async def _read_sign_offs(self) -> None:
-        """Reads what the process before this one has committed."""
+        """Reads what the process before this one has committed.
+
+        It may have acknowledged more while there was no leader, until this one
+        started. So the log is complete from when on there has been one.
+        """
+        started_at = clock.monotonic()
+        sign_offs = await self._ask_for_sign_offs()
+        while True:
+            survey = messages.SurveyControls()
+            steady_for = control_survey.steady_time(
+                await self._link.ask(survey)
+            )
+            now = clock.monotonic()
+            complete_since = min(started_at, now - steady_for)
+            if now - complete_since >= upstream_runs.SUCCESSION_TIME:
+                break
+            await trio.sleep(COMMIT_RETRY_PAUSE)
+        self.mailbox.tell(
+            _SignOffsRead(sign_offs=sign_offs, complete_since=complete_since)
+        )
+
+    async def _ask_for_sign_offs(self) -> tuple[model.SignOff, ...]:
         query = protocol.SignOffQuery(vm=self._record.vm)
         while True:
             match await self._ask_controls(query):
                 case protocol.SignOffReply(sign_offs=sign_offs):
-                    self.mailbox.tell(_SignOffsRead(sign_offs=sign_offs))
-                    return
+                    return sign_offs
             await trio.sleep(COMMIT_RETRY_PAUSE)
 
     async def _commit_sign_off(self, sign_off: model.SignOff) -> None:
@@ -280,12 +376,13 @@
             vm=self._record.vm, sign_off=sign_off
         )
         submit = protocol.SubmitCommand(command=codec.encode(command))
-        while self._record.signed_off == sign_off:
+        while self._upstream.holds(sign_off):
             match await self._ask_controls(submit):
                 case protocol.CommandResult():
                     self.mailbox.tell(_SignOffCommitted(sign_off=sign_off))
-                    return
+                    break
             await trio.sleep(COMMIT_RETRY_PAUSE)
+        self._submitted_sign_offs.discard(sign_off)
 
     async def _ask_controls(
         self, message: protocol.SignOffQuery | protocol.SubmitCommand
@@ -313,9 +410,29 @@
         if sign_off != self._record.signed_off:
             self._update_record(signed_off=sign_off)
 
-    async def _limit_wait(self, reply: mailbox.Reply) -> None:
+    async def _limit_wait(self, waiting: _WaitingSignOff) -> None:
+        """Ends the wait for a commit before the upstream gives up."""
+        refuse_at = clock.monotonic() + SIGN_OFF_DEADLINE
         await trio.sleep(SIGN_OFF_TIMEOUT)
-        self.mailbox.tell(_SignOffOverdue(reply=reply))
+        with trio.move_on_after(SIGN_OFF_DEADLINE - SIGN_OFF_TIMEOUT):
+            while not waiting.reply.done and clock.monotonic() < refuse_at:
+                if await self._is_leaderless(waiting.sign_off):
+                    self.mailbox.tell(_SignOffLeaderless(waiting=waiting))
+                    return
+                await trio.sleep(SURVEY_PAUSE)
+        self.mailbox.tell(_SignOffOverdue(waiting=waiting))
+
+    async def _is_leaderless(self, sign_off: model.SignOff) -> bool:
+        """Returns whether no control can commit a sign-off, for certain.
+
+        Controls that run keep it in the node's record. A node that has just
+        started does not know enough to rely on their answers.
+        """
+        record = self._record
+        if record.signed_off != sign_off or not self._upstream.sign_offs_known:
+            return False
+        survey = messages.SurveyControls(record=record)
+        return control_survey.is_leaderless(await self._link.ask(survey))
 
     def _set_upstream(self, upstream: model.Upstream | None) -> None:
         if upstream == self._record.upstream:
@@ -434,7 +551,7 @@
         if answer.majority_age >= control_choice.MIN_LEAVE_AGE:
             self._spawn(self._leave_stale_control, answer.majority_age)
         self._told_sign_off = message.record.signed_off
-        self._acknowledge_sign_off()
+        self._acknowledge_sign_offs()
         self._restore_sign_off(message)
         if message.record.leaving:
             for reply in self._leave_replies:
@@ -485,6 +602,7 @@
         else:
             for sign_off in known:
                 self._upstream.restore_sign_off(sign_off)
+                self._start_commit(sign_off)
         self._apply_upstream()
 
     def _on_configuration_read(
--- a/src/sassafrashall/decisions/upstream_runs.py
+++ b/src/sassafrashall/decisions/upstream_runs.py
@@ -109,6 +109,8 @@
       successor: A run that may be the next.
       sign_offs_known: Whether all sign-offs that were acknowledged before this
         process started are known.
+      process_started_ms: Start of this process in milliseconds of the VM's
+        clock.
     """
 
     upstream: model.Upstream | None = None
@@ -121,6 +123,7 @@
     sign_off: model.SignOff | None = None
     successor: Successor | None = None
     sign_offs_known: bool = True
+    process_started_ms: float = float("inf")
 
 
 def on_unnumbered(
@@ -143,10 +146,17 @@
         return _on_heartbeat_after_sign_off(state, heartbeat, sign_off, now)
     if heartbeat.run == state.run:
         return _on_next_heartbeat(state, heartbeat, now)
-    # Leaving is believed at once: it lets no request in.
-    is_sure = state.sign_offs_known or heartbeat.draining
+    # Leaving is believed at once: it lets no request in. A run that is younger
+    # than this process can't have signed off before.
+    is_sure = (
+        state.sign_offs_known
+        or heartbeat.draining
+        or heartbeat.run.started_ms > state.process_started_ms
+    )
     if is_sure and _is_later(state, heartbeat.run):
         return _begin_run(state, heartbeat, now)
+    if heartbeat.draining:
+        return _note_draining(state, heartbeat, is_told=False)
     return _on_unordered_run(state, heartbeat, now)
 
 
@@ -174,6 +184,25 @@
     return state
 
 
+def sign_off_of(state: State, incarnation: str) -> model.SignOff | None:
+    """Returns the sign-off that `on_sign_off` has applied or found."""
+    is_held = state.run is not None and state.run.incarnation == incarnation
+    started_ms = state.run.started_ms if state.run and is_held else 0
+    for sign_off in reversed(state.ended):
+        if (sign_off.incarnation, sign_off.started_ms, sign_off.gone) == (
+            incarnation,
+            started_ms,
+            True,
+        ):
+            return sign_off
+    return None
+
+
+def draining_of(state: State, run: Run) -> model.SignOff | None:
+    """Returns the sign-off of a run that has said that it is leaving."""
+    return _find_sign_off(state, run)
+
+
 def on_sign_off_restored(state: State, sign_off: model.SignOff) -> State:
     """Applies a sign-off that this node had told before it restarted."""
     state = _add_sign_off(state, sign_off, is_told=state.sign_off is None)
@@ -192,13 +221,18 @@
 
 
 def on_sign_offs_known(
-    state: State, sign_offs: tuple[model.SignOff, ...]
+    state: State,
+    sign_offs: tuple[model.SignOff, ...],
+    complete_since: float = float("-inf"),
 ) -> State:
     """Applies all sign-offs of before this process, and what they held back.
 
     Args:
       state: The state before.
       sign_offs: As a control told them, the latest last.
+      complete_since: Monotonic seconds; each sign-off that was acknowledged
+        after that is among them. A heartbeat that was heard up to
+        `SUCCESSION_TIME` later may be one of before an earlier sign-off.
     """
     held = None if state.sign_offs_known else state.successor
     for sign_off in reversed(sign_offs):
@@ -207,6 +241,8 @@
     if held is None:
         return state
     state = dataclasses.replace(state, successor=None)
+    if held.heard_at < complete_since + SUCCESSION_TIME:
+        return state
     return on_heartbeat(state, held.heartbeat, held.heard_at)
 
 
@@ -293,7 +329,9 @@
     return _note_draining(state, heartbeat)
 
 
-def _note_draining(state: State, heartbeat: Heartbeat) -> State:
+def _note_draining(
+    state: State, heartbeat: Heartbeat, *, is_told: bool = True
+) -> State:
     if not heartbeat.draining:
         return state
     sign_off = model.SignOff(
@@ -301,7 +339,7 @@
         started_ms=heartbeat.run.started_ms,
         gone=False,
     )
-    return _add_sign_off(state, sign_off, is_told=True)
+    return _add_sign_off(state, sign_off, is_told=is_told)
 
 
 def _on_heartbeat_after_sign_off(
@@ -393,6 +431,16 @@
     return all(run.started_ms > s.started_ms for s in state.ended)
 
 
+def is_covered(sign_off: model.SignOff, by: model.SignOff) -> bool:
+    """Returns whether another sign-off says as much about the same run."""
+    return (
+        (sign_off.incarnation, sign_off.started_ms)
+        == (by.incarnation, by.started_ms)
+        and (by.gone or not sign_off.gone)
+        and (bool(sign_off.started_ms) or by.ended_ms >= sign_off.ended_ms)
+    )
+
+
 def _find_sign_off(state: State, run: Run) -> model.SignOff | None:
     """Returns the sign-off of a run; that it is gone before that it leaves.
 
--- a/src/sassafrashall/exceptions.py
+++ b/src/sassafrashall/exceptions.py
@@ -121,6 +121,7 @@
       unresponsive: Whether the peer did not react in time.
       expired: Whether it failed because the request's deadline passed.
       by_caller: Whether it failed because the caller sent no whole request.
+      refused: Whether no process listens at the address.
     """
 
     code = UPSTREAM_FAILED
@@ -133,12 +134,14 @@
         unresponsive: bool = False,
         expired: bool = False,
         by_caller: bool = False,
+        refused: bool = False,
     ) -> None:
         super().__init__(detail)
         self.maybe_delivered = maybe_delivered
         self.unresponsive = unresponsive
         self.expired = expired
         self.by_caller = by_caller
+        self.refused = refused
 
 
 class SendRefusedError(ConnectionFailedError):
@@ -151,10 +154,18 @@
 
 
 class RpcError(SassafrashallError):
-    """A remote procedure call failed or timed out."""
+    """A remote procedure call failed or timed out.
+
+    Attributes:
+      refused: Whether no process listens at the address.
+    """
 
     code = "rpc_failed"
 
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
+
 
 class MailboxClosedError(SassafrashallError):
     """The task that owns the mailbox has ended."""
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -28,6 +28,21 @@
     timeout: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SurveyControls:
+    """Asks all controls for their contact with a majority.
+
+    Answered with a tuple of `control_survey.Answer`, one for each member of the
+    replicated log; empty while the members are not known.
+
+    Attributes:
+      record: The node's record, which each control stores before it tells;
+        None if it need not.
+    """
+
+    record: model.NodeRecord | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallOneControl:
     """Calls a given control once; answered like CallControl.
--- a/src/sassafrashall/platform/node_api.py
+++ b/src/sassafrashall/platform/node_api.py
@@ -86,7 +86,12 @@
                 )
             case _:
                 return json_response(405, {})
-        await self._membership.ask(message)
+        try:
+            await self._membership.ask(message)
+        except exceptions.RpcError as error:
+            return json_response(
+                503, {"error": error.code, "detail": str(error)}
+            )
         return json_response(200, {})
 
     def _check_address(self, message: messages.Announce) -> None:
--- a/src/sassafrashall/protocol.py
+++ b/src/sassafrashall/protocol.py
@@ -320,11 +320,14 @@
       revision: Fleet revision of the state that it has applied; -1 if it
         doesn't tell.
       proof_age: Seconds since `revision` was last proven to be the newest one.
+      steady_for: Seconds for which the process has run and been in contact with
+        a majority. Controls of earlier builds don't tell.
     """
 
     majority_age: float
     revision: int = -1
     proof_age: float = 1e6
+    steady_for: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/transport/rpc.py
+++ b/src/sassafrashall/transport/rpc.py
@@ -324,7 +324,9 @@
             exceptions.ProtocolError,
         ) as error:
             raise exceptions.RpcError(
-                f"{self._address}: unavailable: {error}"
+                f"{self._address}: unavailable: {error}",
+                refused=isinstance(error, exceptions.ConnectionFailedError)
+                and error.refused,
             ) from error
 
     async def _call(self, message: Any, deadline: float) -> Any:
--- a/src/sassafrashall/transport/sockets.py
+++ b/src/sassafrashall/transport/sockets.py
@@ -205,7 +205,9 @@
     except (OSError, OverflowError, ValueError) as error:
         # An address that another process sent may be out of range.
         raise exceptions.ConnectionFailedError(
-            f"cannot connect to {address}: {error}", maybe_delivered=False
+            f"cannot connect to {address}: {error}",
+            maybe_delivered=False,
+            refused=_is_refusal(error.__cause__),
         ) from error
     raise exceptions.ConnectionFailedError(
         f"cannot connect to {address}: no answer",
@@ -214,6 +216,20 @@
     )
 
 
+def _is_refusal(error: BaseException | None) -> bool:
+    """Returns whether every attempt to connect met an address without process.
+
+    Args:
+      error: The cause that `trio.open_tcp_stream` gives: the error of the only
+        attempt, or a group.
+    """
+    match error:
+        case BaseExceptionGroup(exceptions=errors):
+            return all(isinstance(e, ConnectionRefusedError) for e in errors)
+        case _:
+            return isinstance(error, ConnectionRefusedError)
+
+
 async def connect(address: model.Address, *, keepalive: bool = True) -> Stream:
     """Connects to an address.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,6 +19,7 @@
 from sassafrashall import task
 from sassafrashall.controllers import cold_gate as cold_gates
 from sassafrashall.decisions import cold_rate
+from sassafrashall.decisions import control_survey
 from sassafrashall.decisions import fleet_state
 from sassafrashall.decisions import route_table
 from sassafrashall.transport import codec
@@ -101,6 +102,8 @@
             return protocol.SignOffReply(sign_offs=())
         case messages.AskControls():
             return protocol.CommandResult(result=b"")
+        case messages.SurveyControls():
+            return (control_survey.Answer(majority_age=0.0, steady_for=1e6),)
         case _:
             return heartbeat_reply()
 
--- a/tests/test_sign_off_fleet.py
+++ b/tests/test_sign_off_fleet.py
@@ -6,7 +6,10 @@
 import pytest
 import trio
 
+from sassafrashall.decisions import upstream_runs
+
 READY_TIMEOUT = 10.0  # seconds
+HEARTBEAT_INTERVAL = 0.5  # seconds
 WATCHED = 2.0  # seconds in which no request may reach the upstream
 
 
@@ -49,6 +52,16 @@
     await fleet.new_node("vm-a").start(fleet.nursery)
 
 
+async def _find_follower(fleet):
+    """Returns the index of a control that does not lead."""
+    for index, control in enumerate(fleet.controls):
+        status = await control.status()
+        for record in status.controls:
+            if record.vm == status.answered_by and record.role == "follower":
+                return index
+    raise AssertionError("all controls lead")
+
+
 def _is_followed(fleet):
     return fleet.nodes["vm-a"].membership.local_upstream.value is not None
 
@@ -59,6 +72,14 @@
             await trio.sleep(0.02)
 
 
+async def _announce_until_followed(fleet, upstream):
+    with trio.fail_after(READY_TIMEOUT):
+        while not _is_followed(fleet):
+            await _announce(upstream, upstream.heartbeat())
+            with trio.move_on_after(HEARTBEAT_INTERVAL):
+                await _wait_until_followed(fleet)
+
+
 @pytest.mark.parametrize("controls", [(0,), (0, 1, 2)])
 async def test_a_late_heartbeat_brings_no_upstream_back_that_signed_off(
     controls,
@@ -85,8 +106,7 @@
         assert not upstream.requests
         # The next run of it is followed.
         upstream.born += 1
-        await _announce(upstream, upstream.heartbeat())
-        await _wait_until_followed(fleet)
+        await _announce_until_followed(fleet, upstream)
         with trio.fail_after(READY_TIMEOUT):
             while not upstream.requests:
                 await fleet.get(vm="vm-c", host="alpha.example")
@@ -97,6 +117,40 @@
     async with _running() as fleet:
         upstream = fleet.upstreams["vm-a"]
         upstream.announce = _no_heartbeat
-        await _restart(fleet, (0, 1, 2))
+        await _restart(fleet, (await _find_follower(fleet),))
         await _announce(upstream, upstream.heartbeat())
         await _wait_until_followed(fleet)
+
+
+async def test_an_upstream_that_goes_on_is_followed_after_a_restart_of_all():
+    """Guards against a node that goes on doubting its upstream."""
+    async with _running() as fleet:
+        upstream = fleet.upstreams["vm-a"]
+        upstream.announce = _no_heartbeat
+        await _restart(fleet, (0, 1, 2))
+        with trio.fail_after(
+            upstream_runs.SUCCESSION_TIME + 2 * HEARTBEAT_INTERVAL
+        ):
+            await _announce_until_followed(fleet, upstream)
+
+
+# Guards against requests to an upstream whose sign-off was acknowledged while
+# no control could commit it: its node is gone, too, before one can.
+@pytest.mark.parametrize("repeats", [1, 3])
+async def test_a_sign_off_while_all_controls_are_down_holds(repeats):
+    async with _running() as fleet:
+        upstream = fleet.upstreams["vm-a"]
+        upstream.announce = _no_heartbeat
+        late_heartbeat = upstream.heartbeat()
+        for control in fleet.controls:
+            await control.close()
+        for _ in range(repeats):
+            assert (await upstream.leave()).status == 200
+        await _restart(fleet, (0, 1, 2))
+        await _announce(upstream, late_heartbeat)
+        with trio.move_on_after(WATCHED):
+            while not _is_followed(fleet):
+                await trio.sleep(0.02)
+        assert not _is_followed(fleet)
+        upstream.born += 1
+        await _announce_until_followed(fleet, upstream)
