Repeat a request that may have reached an upstream only from the budget

Cause: the node beside the upstream resent for free a request whose reused connection ended within 5 ms without a response, as if the upstream had closed it while idle. One that reads the request and resets looks the same, and the budget is kept at another node, which didn't hear of it.

Change: a request of which a byte was sent is not resent there; the node that took the call repeats it, from its budget. One of which no byte could be sent stays free.

`test_repeatable_request_is_resent_after_a_reset_while_idle` demanded the fault: it closed nothing while idle, but reset after the request was read. In its place: no resend then, a resend if nothing was sent, and connections that end while idle cost nothing. `may_resend` has no user any more; the test of cold upstreams checks what is left of it, the limit on idle time.

--- a/src/sassafrashall/controllers/fleet_directory.py
+++ b/src/sassafrashall/controllers/fleet_directory.py
@@ -21,6 +21,7 @@
 from sassafrashall import protocol
 from sassafrashall import settings as settings_module
 from sassafrashall import task
+from sassafrashall.decisions import call_chains
 from sassafrashall.decisions import call_trees
 from sassafrashall.decisions import completion
 from sassafrashall.decisions import control_survey
@@ -176,6 +177,8 @@
         self._route_levels: tuple[tree_admission.RouteLevel, ...] = ()
         self._levels_computed_at = float("-inf")
         self._rooms: tuple[spillover.Room, ...] = ()
+        # By service.
+        self._chains: dict[str, call_chains.HeldLength] = {}
         # Usual run time in seconds, by route and service.
         self._usual_times: dict[Hashable, float] = {}
         self._relative_times: list[tuple[str, float]] = []  # by VM
@@ -414,6 +417,9 @@
     def _compute_route_levels(self, now: float, elapsed: float) -> None:
         self._demand = demand_decisions.forget_outdated(self._demand, now)
         fleet = demand_decisions.demand_of_fleet(self._demand, now)
+        self._chains = call_chains.hold(
+            self._chains, call_chains.lengths(fleet), now
+        )
         self._rooms = self._compute_rooms(fleet)
         known = demand_decisions.with_held_calls(fleet, self._calls_per_run)
         self._spells = measured_capacity.update_spells(
@@ -507,6 +513,7 @@
                 for name, count in ended.items()
                 if count > call_trees.MIN_RUNS
             },
+            {name: held.length for name, held in self._chains.items()},
         )
 
     def _update_run_times(self, fleet: demand_decisions.Demand) -> None:
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -37,6 +37,7 @@
 SHARES_LOG_INTERVAL = 1.0  # seconds between two log lines on a service
 # Weight below which the run time of a route at an upstream is forgotten.
 MIN_WEIGHT = 0.01
+MAX_CHAIN_POLICIES = 64  # retry policies that are kept
 SMOOTHING = 0.05  # weight of the latest call in means by route
 
 
@@ -148,6 +149,8 @@
         self._shed_policy = policy.shed_policy()
         self._demand = shedding.Demand()
         self._retry_buckets: dict[str, retries.RetryTokenBucket] = {}
+        # By the length of a chain of calls and the number of nodes.
+        self._chain_policies: dict[tuple[int, int], retries.Policy] = {}
         self._latencies: dict[str, routing.LatencyEstimate] = {}
         # By service: when it was computed, and the slowness by VM.
         self._slowness: dict[str, tuple[float, dict[str, float]]] = {}
@@ -202,7 +205,7 @@
                 key = retries.token_bucket_key(self._retry_policy, service)
                 self._retry_buckets[key] = retries.on_first_attempt(
                     self._retry_bucket(key),
-                    self._retry_policy,
+                    self._retry_policy_for(service, now),
                 )
             case messages.MayRetry():
                 reply.put(self._may_retry(message, now))
@@ -982,11 +985,25 @@
         bucket = self._retry_buckets.get(key)
         return bucket or retries.new_token_bucket(self._retry_policy)
 
+    def _retry_policy_for(self, service: str, now: float) -> retries.Policy:
+        rooms = self._summary.value.rooms_of(service, now)
+        chain = max((room.chain for room in rooms.values()), default=0)
+        nodes = len(self._view.value.records)
+        key = (chain, nodes)
+        if key not in self._chain_policies:
+            if len(self._chain_policies) >= MAX_CHAIN_POLICIES:
+                self._chain_policies.clear()
+            self._chain_policies[key] = retries.policy_for_chain(
+                self._retry_policy, chain, nodes
+            )
+        return self._chain_policies[key]
+
     def _may_retry(self, message: messages.MayRetry, now: float) -> bool:
+        policy = self._retry_policy_for(message.call.service, now)
         key = retries.token_bucket_key(self._retry_policy, message.call.service)
         bucket = self._retry_bucket(key)
         allowed = retries.should_retry(
-            self._retry_policy,
+            policy,
             message.call,
             message.refusal,
             message.attempts,
@@ -995,13 +1012,13 @@
         )
         if allowed:
             self._retry_buckets[key] = retries.on_retry(
-                bucket, retries.retry_cost(self._retry_policy, message.refusal)
+                bucket, retries.retry_cost(policy, message.refusal)
             )
             self._metrics.count("retries", service=message.call.service)
         elif retries.reserved_tokens(
-            self._retry_policy, message.call
+            policy, message.call
         ) and retries.should_retry(
-            self._retry_policy,
+            policy,
             frozen.replace(message.call, urgency=None),
             message.refusal,
             message.attempts,
--- a/src/sassafrashall/decisions/retries.py
+++ b/src/sassafrashall/decisions/retries.py
@@ -17,6 +17,11 @@
 RETRY_RATIO = 0.1  # retries per first attempt at one node
 RETRY_BURST = 10.0  # capacity of a node's token bucket
 MIN_RETRY_TIME = 0.005  # minimum seconds left until the deadline
+# Fraction of the tolerated ratio that the services of a chain use together.
+CHAIN_SHARE = 0.9
+# Retries that all nodes together may have saved up for the services of a chain.
+# The platform tolerates 50 in any 10 s beyond the ratio.
+CHAIN_BURST = 40.0
 # Rank of the roots of the least urgent class, among all but the most urgent.
 _LAST_RANK = 2 * (len(model.Priority) - 1) - 1
 
@@ -79,12 +84,15 @@
       unknown_run_cost: Tokens for the retry of a request that may have run.
       max_refusals: A refusal before the upstream is retried as long as no more
         than this number of attempts was made.
+      tolerated_ratio: Retries per request that a service tolerates, those of
+        the services above included.
     """
 
     ratio: float = 0.08
     burst: float = 4.0
     unknown_run_cost: float = 2.5
     max_refusals: int = 3
+    tolerated_ratio: float = 0.2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -119,6 +127,31 @@
     tokens: float = RETRY_BURST
 
 
+def policy_for_chain(policy: Policy, chain: int, nodes: int) -> Policy:
+    """Returns the policy for the calls to one service.
+
+    `ArrivalRetries` is made for long chains of calls. On a shorter one, each
+    service may use more of what the last one tolerates.
+
+    Args:
+      policy: The policy for a chain of any length.
+      chain: Number of services on the longest chain of calls through this one;
+        0 if not known.
+      nodes: Number of nodes, each of which has a token bucket.
+    """
+    if not isinstance(policy, ArrivalRetries) or chain < 1:
+        return policy
+    share = CHAIN_SHARE * policy.tolerated_ratio / chain
+    ratio = max(policy.ratio, share)
+    cost = min(policy.unknown_run_cost, max(1.0, ratio / share))
+    return dataclasses.replace(
+        policy,
+        ratio=ratio,
+        unknown_run_cost=cost,
+        burst=max(cost, CHAIN_BURST / (chain * max(1, nodes))),
+    )
+
+
 def on_first_attempt(
     state: RetryTokenBucket, policy: Policy | None = None
 ) -> RetryTokenBucket:
--- a/src/sassafrashall/decisions/spillover.py
+++ b/src/sassafrashall/decisions/spillover.py
@@ -81,6 +81,8 @@
       load: Requests running or waiting, as a fraction of the slots.
       run_s: Usual run time of the service's requests in the whole fleet, in
         seconds; 0 if not known.
+      chain: Number of services on the longest chain of calls through this one;
+        0 if not known.
     """
 
     service: str
@@ -88,6 +90,7 @@
     slots: int
     load: float
     run_s: float = 0.0
+    chain: int = 0
 
     def wait(self, load: float) -> float:
         """Returns the expected wait for a slot at a load, in seconds.
@@ -146,6 +149,7 @@
 def add_up(
     upstreams: Iterable[tuple[str, str, int, int]],
     run_s: Mapping[str, float],
+    chains: Mapping[str, int] | None = None,
 ) -> tuple[Room, ...]:
     """Returns the rooms of the fleet.
 
@@ -153,7 +157,9 @@
       upstreams: Service, data centre, slots and load of each upstream, the
         load in thousandths of its slots.
       run_s: Usual run time by service.
+      chains: Length of the longest chain of calls by service.
     """
+    chains = chains or {}
     slots: dict[tuple[str, str], int] = {}
     used: dict[tuple[str, str], float] = {}
     for service, data_centre, count, load in upstreams:
@@ -167,6 +173,7 @@
             slots=count,
             load=round(used[key] / max(1, count), 3),
             run_s=round(run_s.get(key[0], 0.0), 4),
+            chain=chains.get(key[0], 0),
         )
         for key, count in slots.items()
     )
--- a/src/sassafrashall/filters/local_upstream.py
+++ b/src/sassafrashall/filters/local_upstream.py
@@ -257,7 +257,6 @@
                 max_idle=messages.NO_IDLE_LIMIT
                 if may_reuse
                 else NON_IDEMPOTENT_MAX_IDLE,
-                may_resend=may_reuse and call.request.rest is None,
                 deadline=call.deadline,
                 on_streamed=slot.release_streamed,
             )
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -598,8 +598,6 @@
         raises `SendRefusedError` if the request must not be sent any more.
       is_answer: Tells the response to this request from others.
       max_idle: Maximum seconds since the last use of a connection.
-      may_resend: Whether to send the request again on a new connection if the
-        upstream closed an idle one before the first byte of a response.
       deadline: Monotonic seconds.
       on_streamed: Called when the upstream's part in a streamed response is
         over: at its end, when it is abandoned, or at the deadline. The argument
@@ -610,7 +608,6 @@
     encode: Callable[[float], Any]
     is_answer: model.ResponseMatcher
     max_idle: float
-    may_resend: bool
     deadline: float
     on_streamed: Callable[[bool], None] | None = None
 
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -151,7 +151,9 @@
         match policy:
             case retry_policies.ArrivalRetries():
                 return dataclasses.replace(
-                    policy, ratio=HOP_RETRY_FRACTION * self.retry_ratio
+                    policy,
+                    ratio=HOP_RETRY_FRACTION * self.retry_ratio,
+                    tolerated_ratio=self.retry_ratio,
                 )
             case _:
                 return policy
--- a/src/sassafrashall/transport/upstream_connection.py
+++ b/src/sassafrashall/transport/upstream_connection.py
@@ -29,10 +29,6 @@
 # Characters of an ID that are kept. Callers choose IDs, which may be as long as
 # a head; one with the same beginning as another is sent on another connection.
 MAX_FAILED_ID = 256
-# Seconds within which the kernel resets a connection that the upstream, on the
-# same VM, had closed before the request was sent. After a later reset the
-# upstream may have read and run the request.
-IDLE_RESET_WINDOW = 0.005
 
 _TIMEOUT = re.compile(r"[0-9]{1,9}")  # seconds in a Keep-Alive header
 
@@ -91,8 +87,8 @@
           stream: The socket.
           address: Where the upstream listens.
           on_idle: Called when another exchange may start.
-          on_resend: Called with an exchange that may be resent, since the
-            upstream had closed the idle connection.
+          on_resend: Called with an exchange of which no byte could be sent,
+            since the upstream had closed the idle connection.
           log: Records why the connection is closed.
           budget: Bounds the memory of the heads of responses; None for one of
             its own.
@@ -111,7 +107,6 @@
         self._nursery: trio.Nursery | None = None
         self._streamed_body: _ResponseBody | None = None
         self._streaming_ended = trio.Event()
-        self._response_started = False
         self._open = True
         self._reusable = True
         # A failed send takes the error of a reset, which then reads as an end.
@@ -119,7 +114,6 @@
         self._exchange_count = 0
         # IDs of the requests that got an error response.
         self._failed_ids: set[str] = set()
-        self._exchange_started_at = 0.0
         self._idle_before_exchange = 0.0
         self._idle_since = clock.monotonic()
         self._expires_at = self._idle_since + DEFAULT_KEEP_ALIVE
@@ -179,8 +173,6 @@
             return
         self._reusable = False
         self._exchange_count += 1
-        self._response_started = False
-        self._exchange_started_at = started_at
         self._idle_before_exchange = started_at - self._idle_since
         self._parser.without_body = request.method == "HEAD"
         exchange = self._exchange = _Exchange(
@@ -232,7 +224,6 @@
         except* exceptions.SassafrashallError as group:
             detail = str(group.exceptions[0])
             reason = connection_log.Reason.BAD_INPUT
-            self._response_started = True
         except* Exception:
             # An exception must not end the requests of other callers.
             logs.get().exception(
@@ -240,31 +231,25 @@
             )
             detail = "a fault inside the system; its log says more"
             reason = connection_log.Reason.HANDLER_FAILED
-            self._response_started = True
         finally:
             self.close(reason)
             self._end_exchange(detail)
             self._parser.close()
 
     def _end_exchange(self, detail: str) -> None:
-        """Resends or fails the exchange in progress as the connection ends."""
+        """Fails the exchange in progress as the connection ends.
+
+        An upstream that has closed an idle connection can't be told from one
+        that reads the request and closes it then. So the request may have run,
+        and only the calling node, which bounds retries, sends it again.
+        """
         exchange, self._exchange = self._exchange, None
         if exchange is None or exchange.reply.abandoned:
             return
         exchange.reply.on_abandon(None)
-        # The upstream had closed the idle connection and read nothing.
-        closed_while_idle = (
-            self._exchange_count > 1
-            and not self._response_started
-            and clock.monotonic() - self._exchange_started_at
-            < IDLE_RESET_WINDOW
+        exchange.reply.fail(
+            exceptions.ConnectionFailedError(detail, maybe_delivered=True)
         )
-        if closed_while_idle and exchange.message.may_resend:
-            self._on_resend(exchange.message, exchange.reply)
-        else:
-            exchange.reply.fail(
-                exceptions.ConnectionFailedError(detail, maybe_delivered=True)
-            )
 
     async def _read(self) -> None:
         while True:
@@ -276,7 +261,6 @@
                 return
             size = len(data)
             if data:
-                self._response_started = True
                 self._parser.feed(data)
             elif not self._send_failed:
                 self._parser.feed_eof()
