Follow an upstream at its second heartbeat after a restart of all processes

After a kill of all processes each upstream waited 5.0 to 6.5 s, since a single heartbeat may be one of before. Callers were refused meanwhile.

Change: while a heartbeat is held back, its response names a second address, a random port that only this process has told. A heartbeat which arrives there was sent after the process started, so that its run has not signed off before; the response then names the usual address again. Upstreams that stay with the usual address wait as before.

Evidence: test_an_upstream_that_sends_where_it_is_asked_to_is_followed_soon.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import json
 import tempfile
 
@@ -276,6 +277,12 @@
         )
         self.new_node(vm)
 
+    def set_heartbeat_ports(self, vm, ports):
+        """Sets the ports between which the next node of a VM picks one."""
+        node = self._node_settings[vm]
+        routed = dataclasses.replace(node.routed, heartbeat_ports=ports)
+        self._node_settings[vm] = dataclasses.replace(node, routed=routed)
+
     def new_node(self, vm):
         """Creates the node of a VM; one before it has to be closed."""
         self.nodes[vm] = routed_node.RoutedNode(
--- a/src/sassafrashall/controllers/followed_upstream.py
+++ b/src/sassafrashall/controllers/followed_upstream.py
@@ -64,6 +64,13 @@
         """Whether all sign-offs of before this process are known."""
         return self._runs.sign_offs_known
 
+    @property
+    def is_held_back(self) -> bool:
+        """Whether a heartbeat waits until it is certain to be no late one."""
+        return (
+            not self._runs.sign_offs_known and self._runs.successor is not None
+        )
+
     def holds(self, sign_off: model.SignOff) -> bool:
         """Returns whether no later sign-off has taken its place."""
         return sign_off in self._runs.ended
@@ -107,6 +114,7 @@
                     ),
                     sequence=message.sequence,
                     upstream=upstream,
+                    is_fresh=message.is_fresh,
                 )
                 runs = upstream_runs.on_heartbeat(self._runs, heartbeat, now)
                 self._publish_cold(runs, message, now)
--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -280,7 +280,8 @@
         self._apply_upstream()
         sign_off = self._upstream.sign_off_in(message)
         if sign_off is None:
-            reply.put(None)
+            is_held_back = self._upstream.is_held_back
+            reply.put(messages.Announced(is_held_back=is_held_back))
             return
         waiting = _WaitingSignOff(sign_off=sign_off, reply=reply)
         self._waiting_sign_offs.append(waiting)
@@ -317,7 +318,7 @@
                 for committed in self._committed_sign_offs
             )
             if is_committed and is_told:
-                waiting.reply.put(None)
+                waiting.reply.put(messages.Announced(is_held_back=False))
             elif not waiting.reply.done:
                 self._waiting_sign_offs.append(waiting)
 
@@ -330,7 +331,7 @@
         if not waiting.reply.done:
             logs.get().warning("sign-off acknowledged before it is committed")
             self._metrics.count("sign_offs_uncommitted")
-        waiting.reply.put(None)
+        waiting.reply.put(messages.Announced(is_held_back=False))
 
     def _on_sign_off_overdue(self, waiting: _WaitingSignOff) -> None:
         if not waiting.reply.done:
--- a/src/sassafrashall/decisions/upstream_runs.py
+++ b/src/sassafrashall/decisions/upstream_runs.py
@@ -54,11 +54,13 @@
 
     Attributes:
       sequence: Its number; numbers rise within a run.
+      is_fresh: Whether it was certainly sent after this process started.
     """
 
     run: Run
     sequence: int
     upstream: model.Upstream
+    is_fresh: bool = False
 
     @property
     def draining(self) -> bool:
@@ -147,10 +149,11 @@
     if heartbeat.run == state.run:
         return _on_next_heartbeat(state, heartbeat, now)
     # Leaving is believed at once: it lets no request in. A run that is younger
-    # than this process can't have signed off before.
+    # than this process, or goes on after its start, has not signed off before.
     is_sure = (
         state.sign_offs_known
         or heartbeat.draining
+        or heartbeat.is_fresh
         or heartbeat.run.started_ms > state.process_started_ms
     )
     if is_sure and _is_later(state, heartbeat.run):
--- a/src/sassafrashall/messages.py
+++ b/src/sassafrashall/messages.py
@@ -162,6 +162,8 @@
         are not numbered.
       cold_remaining_s: Seconds for which the upstream stays cold; None if the
         announcement does not tell.
+      is_fresh: Whether it was sent to an address that only this process of the
+        node has told, so that it was sent after the start of this process.
     """
 
     upstream: model.Upstream | None
@@ -169,6 +171,19 @@
     started_ms: int = 0
     sequence: int = -1
     cold_remaining_s: float | None = None
+    is_fresh: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announced:
+    """Answers Announce.
+
+    Attributes:
+      is_held_back: Whether it may have been sent before this process of the
+        node started, and counts only if a fresh one follows.
+    """
+
+    is_held_back: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashall/platform/names.py
+++ b/src/sassafrashall/platform/names.py
@@ -16,6 +16,9 @@
 # Milliseconds for which an upstream stays cold, in a health response.
 COLD_REMAINING = "cold-remaining"
 
+# Where an upstream is to send its next heartbeats, in the response to one.
+HEARTBEAT_ADDRESS = "heartbeat_uri"
+
 READINESS_PATH = "/-/readiness"
 CONFIGURATION_PATH = "/-/configuration"
 EVACUATION_PATH = "/-/evacuation/"
--- a/src/sassafrashall/platform/node_api.py
+++ b/src/sassafrashall/platform/node_api.py
@@ -45,15 +45,47 @@
 
 
 class Announcements:
-    """Receives the heartbeats of the upstream on this VM."""
+    """Receives the heartbeats of the upstream on this VM.
+
+    A heartbeat that may be a late one is answered with another address, which
+    only this process tells. The next one that arrives there is certainly sent
+    after this process started, and is answered with the usual address.
+    """
 
     def __init__(
-        self, *, membership: mailbox.Mailbox, upstream: model.Address
+        self,
+        *,
+        membership: mailbox.Mailbox,
+        upstream: model.Address,
+        address: model.Address,
     ) -> None:
+        """Creates the handler.
+
+        Args:
+          membership: Mailbox of the task that follows the upstream.
+          upstream: Address of the upstream.
+          address: Where heartbeats usually arrive.
+        """
         self._membership = membership
         self._upstream = upstream
+        self._address = address
+        self._fresh_address: model.Address | None = None
+
+    def tell_fresh_address(self, address: model.Address) -> None:
+        """Sets the address that only this process tells."""
+        self._fresh_address = address
 
     async def handle(self, raw: http.RawRequest) -> model.Response:
+        """Serves what arrives at the usual address."""
+        return await self._handle(raw, is_fresh=False)
+
+    async def handle_fresh(self, raw: http.RawRequest) -> model.Response:
+        """Serves what arrives at the address that only this process tells."""
+        return await self._handle(raw, is_fresh=True)
+
+    async def _handle(
+        self, raw: http.RawRequest, *, is_fresh: bool
+    ) -> model.Response:
         """Serves a heartbeat (PUT) or the upstream's sign-off (DELETE)."""
         path = raw.target.partition("?")[0]
         incarnation = urllib.parse.unquote(
@@ -71,7 +103,7 @@
         match raw.method:
             case "PUT":
                 try:
-                    message = decode(raw.body, incarnation)
+                    message = decode(raw.body, incarnation, is_fresh=is_fresh)
                     self._check_address(message)
                     _check_start(message)
                 except exceptions.FindingsError as error:
@@ -87,11 +119,19 @@
             case _:
                 return json_response(405, {})
         try:
-            await self._membership.ask(message)
+            announced = await self._membership.ask(message)
         except exceptions.RpcError as error:
             return json_response(
                 503, {"error": error.code, "detail": str(error)}
             )
+        if announced.is_held_back and self._fresh_address is not None:
+            return json_response(
+                200, {names.HEARTBEAT_ADDRESS: str(self._fresh_address)}
+            )
+        if is_fresh:
+            return json_response(
+                200, {names.HEARTBEAT_ADDRESS: str(self._address)}
+            )
         return json_response(200, {})
 
     def _check_address(self, message: messages.Announce) -> None:
@@ -119,9 +159,16 @@
         raise exceptions.FindingsError((finding,))
 
 
-def decode(body: bytes, incarnation: str) -> messages.Announce:
+def decode(
+    body: bytes, incarnation: str, *, is_fresh: bool = False
+) -> messages.Announce:
     """Returns the announcement in the body of a heartbeat.
 
+    Args:
+      body: The body.
+      incarnation: Id of the run that sent it.
+      is_fresh: See `messages.Announce`.
+
     Raises:
       FindingsError: With every fault of the body.
     """
@@ -164,6 +211,7 @@
         started_ms=reader.read_integer(document, "born", "", 0),
         sequence=reader.read_integer(status, "sequence", "status."),
         cold_remaining_s=_read_cold_remaining(status),
+        is_fresh=is_fresh,
     )
     if reader.findings:
         raise exceptions.FindingsError(reader.findings)
--- a/src/sassafrashall/routed_node.py
+++ b/src/sassafrashall/routed_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import secrets
 import time
 
@@ -383,21 +384,13 @@
             refresh_gauges=self._refresh_metrics,
         )
         readiness = node_api.Readiness(is_ready=self._is_ready)
-        announcements = node_api.Announcements(
-            membership=self._membership.mailbox, upstream=self._routed.upstream
+        announcements = self._announcements = node_api.Announcements(
+            membership=self._membership.mailbox,
+            upstream=self._routed.upstream,
+            address=listen.announcements,
         )
         return tuple(
-            http_server.Server(
-                address=address,
-                handler=handler,
-                source=model.Source.CALLER,
-                log=connection_log.ConnectionLog(
-                    place=place, counters=self._metrics
-                ),
-                connection_limit=LOCAL_CONNECTION_LIMIT,
-                budget=self._budget,
-                body_limit=HEARTBEAT_LIMIT,
-            )
+            self._new_http_server(place, address, handler)
             for place, address, handler in (
                 ("readiness", listen.readiness, readiness.handle),
                 ("announcements", listen.announcements, announcements.handle),
@@ -405,6 +398,43 @@
             )
         )
 
+    def _new_http_server(
+        self, place: str, address: model.Address, handler: http_server.Handler
+    ) -> http_server.Server:
+        return http_server.Server(
+            address=address,
+            handler=handler,
+            source=model.Source.CALLER,
+            log=connection_log.ConnectionLog(
+                place=place, counters=self._metrics
+            ),
+            connection_limit=LOCAL_CONNECTION_LIMIT,
+            budget=self._budget,
+            body_limit=HEARTBEAT_LIMIT,
+        )
+
+    async def _start_fresh_listener(self, nursery: trio.Nursery) -> None:
+        """Listens where no other process of this VM has told to send to.
+
+        The process before this one has used it by chance at most.
+        """
+        listen = self._settings.listen
+        assert listen.announcements is not None
+        first, last = self._routed.heartbeat_ports
+        ports = range(first + 1, last)
+        for port in random.sample(ports, len(ports)):
+            address = model.Address(host=listen.announcements.host, port=port)
+            server = self._new_http_server(
+                "announcements", address, self._announcements.handle_fresh
+            )
+            try:
+                await server.start(nursery)
+            except OSError:
+                continue  # Another process has the port.
+            self._http_servers += (server,)
+            self._announcements.tell_fresh_address(address)
+            return
+
     def _is_ready(self) -> bool:
         return not self._leaving and self._membership.table.value is not None
 
@@ -458,6 +488,7 @@
         await self._peers.start(nursery)
         for server in self._http_servers:
             await server.start(nursery)
+        await self._start_fresh_listener(nursery)
         await self._callers.start(nursery)
         self._events.record("process.started")
         logs.get().info("node started", extra={"vm": self._settings.vm})
--- a/src/sassafrashall/settings.py
+++ b/src/sassafrashall/settings.py
@@ -118,6 +118,9 @@
       regions: Region by data centre.
       pipeline_depth: Idempotent requests of one caller's connection that run at
         the same time.
+      heartbeat_ports: A node that has just started picks a port of this VM
+        between the two, where only it asks its upstream to send heartbeats;
+        none if they are the same.
     """
 
     service: str = ""
@@ -136,6 +139,7 @@
     losses: voter_placement.Losses = voter_placement.Losses()
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
     pipeline_depth: int = 1
+    heartbeat_ports: tuple[int, int] = (0, 0)
 
     def voter_requirements(self) -> voter_placement.Requirements:
         """Returns the losses that the controls have to tolerate."""
--- a/tests/test_node_membership.py
+++ b/tests/test_node_membership.py
@@ -93,7 +93,7 @@
     event_log = fakes.event_log()
     link, membership = _membership(event_log)
     handler = node_api.Announcements(
-        membership=membership.mailbox, upstream=UPSTREAM
+        membership=membership.mailbox, upstream=UPSTREAM, address=UPSTREAM
     )
     async with (
         fakes.started(link, membership),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -203,7 +203,7 @@
     def __init__(self, membership):
         self._membership = membership
         self._handler = node_api.Announcements(
-            membership=membership.mailbox, upstream=ADDRESS
+            membership=membership.mailbox, upstream=ADDRESS, address=ADDRESS
         )
 
     async def announce(self, state, sequence, *, name="i-1", **fields):
--- a/tests/test_sign_off_fleet.py
+++ b/tests/test_sign_off_fleet.py
@@ -1,12 +1,15 @@
 """Sign-offs of an upstream beside restarts of its node and of controls."""
 
 import contextlib
+import json
 
 from bench import routed
 import pytest
 import trio
 
 from sassafrashall.decisions import upstream_runs
+from sassafrashall.platform import names
+from tests import loopback
 
 READY_TIMEOUT = 10.0  # seconds
 HEARTBEAT_INTERVAL = 0.5  # seconds
@@ -28,14 +31,16 @@
     pass
 
 
-async def _announce(upstream, body):
+async def _announce(upstream, body, address=None):
+    """Sends a heartbeat and returns the address that the response names."""
     response = await routed.send(
-        upstream.announce_to,
+        address or upstream.announce_to,
         "PUT",
         f"/-/instances/{upstream.incarnation}",
         body=body,
     )
     assert response.status == 200
+    return json.loads(response.body).get(names.HEARTBEAT_ADDRESS)
 
 
 async def _restart(fleet, controls):
@@ -134,6 +139,27 @@
             await _announce_until_followed(fleet, upstream)
 
 
+async def test_an_upstream_that_sends_where_it_is_asked_to_is_followed_soon():
+    """Guards against upstreams that wait for 5 s after a restart of all.
+
+    A heartbeat of before the restart can't arrive at an address that only the
+    new process tells.
+    """
+    async with _running() as fleet:
+        upstream = fleet.upstreams["vm-a"]
+        upstream.announce = _no_heartbeat
+        fresh = loopback.free_address()
+        fleet.set_heartbeat_ports("vm-a", (fresh.port - 1, fresh.port + 1))
+        await _restart(fleet, (0, 1, 2))
+        told = await _announce(upstream, upstream.heartbeat())
+        assert told == str(fresh)
+        assert not _is_followed(fleet)
+        told = await _announce(upstream, upstream.heartbeat(), fresh)
+        assert _is_followed(fleet)
+        assert told == str(upstream.announce_to)
+        assert await _announce(upstream, upstream.heartbeat()) is None
+
+
 # Guards against requests to an upstream whose sign-off was acknowledged while
 # no control could commit it: its node is gone, too, before one can.
 @pytest.mark.parametrize("repeats", [1, 3])
