Routing: limit the doublings of an ejection time

Cause: the exponent of an ejection time grew with each failed attempt, and after some 1,000 in a row the product was too large for a float. The error ended requests as 500 and left the upstream shut out.

Change: the number of doublings is limited, at the 16 s that were the limit before.

Result: test_an_upstream_that_fails_all_the_time_is_ejected_for_16_s_at_most failed with OverflowError before and passes.

--- a/src/sassafrashall/decisions/routing.py
+++ b/src/sassafrashall/decisions/routing.py
@@ -13,7 +13,7 @@
 ERROR_RATE_TO_EJECT = 0.5  # fraction of answers that are errors
 ERROR_RATE_ABOVE_PEERS = 0.3  # minimum excess over the mean of its peers
 EJECTION_TIME = 1.0  # seconds; doubled with each consecutive ejection
-MAX_EJECTION_TIME = 16.0  # seconds
+MAX_DOUBLINGS = 4  # 16 seconds
 RAMP_TIME = 3.0  # seconds until a new upstream gets its full share
 RAMP_START = 0.25  # fraction of its share that a new upstream gets first
 LOAD_SCALE = 1000  # loads are sent as integers, in units of 1/LOAD_SCALE
@@ -206,7 +206,8 @@
 
 
 def _eject(health: Health, now: float) -> Health:
-    ejection_time = min(MAX_EJECTION_TIME, EJECTION_TIME * 2**health.ejections)
+    doublings = min(health.ejections, MAX_DOUBLINGS)
+    ejection_time = EJECTION_TIME * 2**doublings
     return frozen.replace(
         health,
         ejections=health.ejections + 1,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -165,3 +165,14 @@
     assert _least_loaded(own, near) == "near"
     unequal = dataclasses.replace(own, slowness=2.0)
     assert _least_loaded(unequal, near) == "own"
+
+
+# Guards against an upstream that stays shut out, and requests that end as 500:
+# after 1,000 failures in a row the ejection time was too large for a float.
+def test_an_upstream_that_fails_all_the_time_is_ejected_for_16_s_at_most():
+    health, now = routing.Health(), 0.0
+    for _ in range(3000):
+        health = routing.on_failure(health, now)
+        assert health.ejected_until <= now + 16.0
+        now += 1.0
+    assert health.ejected_until == now - 1.0 + 16.0
