Routing: work out the policy of retries four times a second

Cause: the policy of a service's retries was looked up in the loads of all services for each attempt. Change: it is reused for 0.25 s, like the comparison of upstreams. The wait for a commit has one time limit in place of two that say the same. Result: test_sign_off.py, test_routing_controller.py, test_retries.py and test_failing_upstreams.py pass.

--- a/src/sassafrashall/controllers/node_membership.py
+++ b/src/sassafrashall/controllers/node_membership.py
@@ -413,10 +413,9 @@
 
     async def _limit_wait(self, waiting: _WaitingSignOff) -> None:
         """Ends the wait for a commit before the upstream gives up."""
-        refuse_at = clock.monotonic() + SIGN_OFF_DEADLINE
         await trio.sleep(SIGN_OFF_TIMEOUT)
         with trio.move_on_after(SIGN_OFF_DEADLINE - SIGN_OFF_TIMEOUT):
-            while not waiting.reply.done and clock.monotonic() < refuse_at:
+            while not waiting.reply.done:
                 if await self._is_leaderless(waiting.sign_off):
                     self.mailbox.tell(_SignOffLeaderless(waiting=waiting))
                     return
--- a/src/sassafrashall/controllers/routing.py
+++ b/src/sassafrashall/controllers/routing.py
@@ -30,14 +30,14 @@
 # Seconds for which computed slowness is reused. Slowness shows over many
 # answers, so that it need not be computed for each of them.
 SLOWNESS_TTL = 0.1
-# Seconds for which a comparison of the upstreams of a service is reused.
+# Seconds for which a comparison of the upstreams of a service is reused, and
+# the policy of its retries.
 COMPARISON_TTL = 0.25
 # Mean load assumed for a service without a recent report.
 UNKNOWN_LOAD = 0.5
 SHARES_LOG_INTERVAL = 1.0  # seconds between two log lines on a service
 # Weight below which the run time of a route at an upstream is forgotten.
 MIN_WEIGHT = 0.01
-MAX_CHAIN_POLICIES = 64  # retry policies that are kept
 SMOOTHING = 0.05  # weight of the latest call in means by route
 
 
@@ -149,8 +149,8 @@
         self._shed_policy = policy.shed_policy()
         self._demand = shedding.Demand()
         self._retry_buckets: dict[str, retries.RetryTokenBucket] = {}
-        # By the length of a chain of calls and the number of nodes.
-        self._chain_policies: dict[tuple[int, int], retries.Policy] = {}
+        # By service: when it was worked out, and the policy.
+        self._retry_policies: dict[str, tuple[float, retries.Policy]] = {}
         self._latencies: dict[str, routing.LatencyEstimate] = {}
         # By service: when it was computed, and the slowness by VM.
         self._slowness: dict[str, tuple[float, dict[str, float]]] = {}
@@ -986,17 +986,18 @@
         return bucket or retries.new_token_bucket(self._retry_policy)
 
     def _retry_policy_for(self, service: str, now: float) -> retries.Policy:
-        rooms = self._summary.value.rooms_of(service, now)
-        chain = max((room.chain for room in rooms.values()), default=0)
-        nodes = len(self._view.value.records)
-        key = (chain, nodes)
-        if key not in self._chain_policies:
-            if len(self._chain_policies) >= MAX_CHAIN_POLICIES:
-                self._chain_policies.clear()
-            self._chain_policies[key] = retries.policy_for_chain(
-                self._retry_policy, chain, nodes
+        made_at, policy = self._retry_policies.get(
+            service, (float("-inf"), self._retry_policy)
+        )
+        if now - made_at >= COMPARISON_TTL:
+            rooms = self._summary.value.rooms_of(service, now)
+            policy = retries.policy_for_chain(
+                self._retry_policy,
+                max((room.chain for room in rooms.values()), default=0),
+                len(self._view.value.records),
             )
-        return self._chain_policies[key]
+            self._retry_policies[service] = (now, policy)
+        return policy
 
     def _may_retry(self, message: messages.MayRetry, now: float) -> bool:
         policy = self._retry_policy_for(message.call.service, now)
