Sign-offs: acknowledge none uncommitted while a control is silent

Cause: a sign-off was acknowledged uncommitted if a majority of the controls was down, whatever the others did. One that is silent has not stored the sign-off, and the next process of the node believes it without the log if the process before has used it.

Change: each control has to be down or to have stored the node's record.

Result: test_control_survey.py, whose pattern of two controls down and a silent one said the opposite, and test_sign_off.py pass.

--- a/src/sassafrashall/decisions/control_survey.py
+++ b/src/sassafrashall/decisions/control_survey.py
@@ -24,7 +24,7 @@
     Attributes:
       is_down: Whether no process listens at its address.
       majority_age: Seconds since its last contact with a majority; None if it
-        did not answer.
+        did not answer. One that answers has stored the node's record.
       steady_for: Seconds for which it has run and been in contact with a
         majority; 0 if it did not answer.
     """
@@ -33,6 +33,11 @@
     majority_age: float | None = None
     steady_for: float = 0.0
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it may run, but did not answer."""
+        return self.majority_age is None and not self.is_down
+
     @property
     def is_leaderless(self) -> bool:
         """Whether it certainly has no leader."""
@@ -44,9 +49,14 @@
 def is_leaderless(answers: Sequence[Answer]) -> bool:
     """Returns whether a majority of the controls is without a leader.
 
+    None of the others may be silent: the next process of the node may take its
+    word for all sign-offs, if the process before has used it.
+
     Args:
       answers: One for each control.
     """
+    if any(answer.is_silent for answer in answers):
+        return False
     leaderless = sum(answer.is_leaderless for answer in answers)
     return leaderless > len(answers) / 2
 
--- a/tests/test_control_survey.py
+++ b/tests/test_control_survey.py
@@ -20,7 +20,9 @@
     ("answers", "expected"),
     [
         ((DOWN, DOWN, DOWN), True),
-        ((DOWN, DOWN, SILENT), True),
+        # It may be the one that the next process of the node believes.
+        ((DOWN, DOWN, SILENT), False),
+        ((DOWN, DOWN, _running(0.1)), True),
         ((DOWN, _running(0.6), _running(0.1)), True),
         ((_running(5.0), SILENT, SILENT), False),
         ((DOWN, _running(0.1), _running(0.1)), False),
