Redirect a heartbeat that may be a late one, so that its upstream is followed at once

Cause: after a kill of all processes an upstream was followed at its second heartbeat, 1.5 s after the first one.

Change: the first heartbeat that is held back is redirected (307) to the address that only this process has told. It counts there once 1 s has passed since the process listens, after which every sender of before has given up; the redirect waits for that. An upstream that follows none is told the address in later responses.

Result: test_an_upstream_that_sends_where_it_is_asked_to_is_followed_soon in both forms and test_a_redirected_heartbeat_counts_once_those_before_are_given_up pass.

--- a/src/sassafrashall/platform/node_api.py
+++ b/src/sassafrashall/platform/node_api.py
@@ -8,6 +8,9 @@
 from typing import Any
 import urllib.parse
 
+import trio
+
+from sassafrashall import clock
 from sassafrashall import exceptions
 from sassafrashall import logs
 from sassafrashall import mailbox
@@ -27,6 +30,9 @@
 SLOTS_LIMIT = 100_000  # slots of one upstream
 # An upstream's incarnation and service are sent on in headers.
 _HEADER_TEXT = re.compile(r"[!-~]{1,256}")
+# Seconds after which an upstream gives up a heartbeat.
+HEARTBEAT_TIMEOUT = 1.0
+MAX_REDIRECT_DELAY = 0.7  # seconds of it, the rest is for the second request
 # Seconds by which the clock may be stepped back while an upstream starts.
 MAX_CLOCK_STEP = 60.0
 
@@ -47,9 +53,11 @@
 class Announcements:
     """Receives the heartbeats of the upstream on this VM.
 
-    A heartbeat that may be a late one is answered with another address, which
-    only this process tells. The next one that arrives there is certainly sent
-    after this process started, and is answered with the usual address.
+    A heartbeat that may be a late one is redirected to another address, which
+    only this process tells. If that is followed once every heartbeat of before
+    this process has been given up, the run goes on. Upstreams that don't follow
+    it are told the address for their next heartbeats. What arrives there is
+    answered with the usual address.
     """
 
     def __init__(
@@ -70,10 +78,13 @@
         self._upstream = upstream
         self._address = address
         self._fresh_address: model.Address | None = None
+        self._fresh_since = float("inf")  # monotonic seconds
+        self._has_redirected = False
 
     def tell_fresh_address(self, address: model.Address) -> None:
         """Sets the address that only this process tells."""
         self._fresh_address = address
+        self._fresh_since = clock.monotonic() + HEARTBEAT_TIMEOUT
 
     async def handle(self, raw: http.RawRequest) -> model.Response:
         """Serves what arrives at the usual address."""
@@ -103,7 +114,12 @@
         match raw.method:
             case "PUT":
                 try:
-                    message = decode(raw.body, incarnation, is_fresh=is_fresh)
+                    message = decode(
+                        raw.body,
+                        incarnation,
+                        is_fresh=is_fresh
+                        and clock.monotonic() >= self._fresh_since,
+                    )
                     self._check_address(message)
                     _check_start(message)
                 except exceptions.FindingsError as error:
@@ -125,15 +141,27 @@
                 503, {"error": error.code, "detail": str(error)}
             )
         if announced.is_held_back and self._fresh_address is not None:
-            return json_response(
-                200, {names.HEARTBEAT_ADDRESS: str(self._fresh_address)}
-            )
+            return await self._answer_held_back(raw.target, self._fresh_address)
         if is_fresh:
             return json_response(
                 200, {names.HEARTBEAT_ADDRESS: str(self._address)}
             )
         return json_response(200, {})
 
+    async def _answer_held_back(
+        self, target: str, address: model.Address
+    ) -> model.Response:
+        wait = max(0.0, self._fresh_since - clock.monotonic())
+        if self._has_redirected or wait > MAX_REDIRECT_DELAY:
+            return json_response(200, {names.HEARTBEAT_ADDRESS: str(address)})
+        self._has_redirected = True
+        await trio.sleep(wait)
+        return model.Response(
+            status=307,
+            headers=(("location", f"http://{address}{target}"),),
+            body=b"",
+        )
+
     def _check_address(self, message: messages.Announce) -> None:
         assert message.upstream is not None
         if message.upstream.address != self._upstream:
--- a/tests/test_sign_off_fleet.py
+++ b/tests/test_sign_off_fleet.py
@@ -2,13 +2,19 @@
 
 import contextlib
 import json
+import urllib.parse
 
 from bench import routed
 import pytest
 import trio
 
+from sassafrashall import messages
+from sassafrashall import model
 from sassafrashall.decisions import upstream_runs
 from sassafrashall.platform import names
+from sassafrashall.platform import node_api
+from sassafrashall.transport import http
+from tests import fakes
 from tests import loopback
 
 READY_TIMEOUT = 10.0  # seconds
@@ -39,6 +45,9 @@
         f"/-/instances/{upstream.incarnation}",
         body=body,
     )
+    if response.status == 307:
+        location = model.find_header(response.headers, "location")
+        return urllib.parse.urlsplit(location).netloc
     assert response.status == 200
     return json.loads(response.body).get(names.HEARTBEAT_ADDRESS)
 
@@ -139,11 +148,15 @@
             await _announce_until_followed(fleet, upstream)
 
 
-async def test_an_upstream_that_sends_where_it_is_asked_to_is_followed_soon():
+@pytest.mark.parametrize("follows", [True, False])
+async def test_an_upstream_that_sends_where_it_is_asked_to_is_followed_soon(
+    follows,
+):
     """Guards against upstreams that wait for 5 s after a restart of all.
 
     A heartbeat of before the restart can't arrive at an address that only the
-    new process tells.
+    new process tells. It is told by a redirect, and to an upstream that follows
+    none in the response to its next heartbeat.
     """
     async with _running() as fleet:
         upstream = fleet.upstreams["vm-a"]
@@ -151,15 +164,55 @@
         fresh = loopback.free_address()
         fleet.set_heartbeat_ports("vm-a", (fresh.port - 1, fresh.port + 1))
         await _restart(fleet, (0, 1, 2))
-        told = await _announce(upstream, upstream.heartbeat())
-        assert told == str(fresh)
+        await trio.sleep(node_api.HEARTBEAT_TIMEOUT)
+        first = upstream.heartbeat()
+        assert await _announce(upstream, first) == str(fresh)
+        if not follows:
+            first = upstream.heartbeat()
+            assert await _announce(upstream, first) == str(fresh)
         assert not _is_followed(fleet)
-        told = await _announce(upstream, upstream.heartbeat(), fresh)
+        told = await _announce(upstream, first, fresh)
         assert _is_followed(fleet)
         assert told == str(upstream.announce_to)
         assert await _announce(upstream, upstream.heartbeat()) is None
 
 
+# Guards against a heartbeat of before the restart of a node that is redirected
+# and taken for one of after it: its sender may wait for up to a second.
+async def test_a_redirected_heartbeat_counts_once_those_before_are_given_up():
+    fresh = []
+
+    def answer(message):
+        fresh.append(message.is_fresh)
+        return messages.Announced(is_held_back=True)
+
+    membership = fakes.ScriptedController(answer)
+    address = loopback.free_address()
+    upstream = routed.Upstream(
+        service="s", address=address, announce_to=address
+    )
+    handler = node_api.Announcements(
+        membership=membership.mailbox, upstream=address, address=address
+    )
+    raw = http.RawRequest(
+        method="PUT",
+        target=f"{names.INSTANCES_PATH}i-1",
+        headers=(),
+        body=upstream.heartbeat(),
+        source=model.Source.CALLER,
+        received_at=0.0,
+    )
+    async with fakes.started(membership):
+        handler.tell_fresh_address(loopback.free_address())
+        early = await handler.handle(raw)
+        await handler.handle_fresh(raw)
+        await trio.sleep(node_api.HEARTBEAT_TIMEOUT)
+        late = await handler.handle(raw)
+        await handler.handle_fresh(raw)
+    assert (early.status, late.status) == (200, 307)
+    assert fresh == [False, False, False, True]
+
+
 # Guards against requests to an upstream whose sign-off was acknowledged while
 # no control could commit it: its node is gone, too, before one can.
 @pytest.mark.parametrize("repeats", [1, 3])
