Tests: the fake controls of the configuration watch commit sign-offs

Cause: test_a_sign_off_is_told_to_all_controls announces a sign-off beside fake controls that answer no commit, and relied on its acknowledgement after 0.4 s. It is refused since sign-offs without a leader have to hold; the test failed with that in a run of all tests (1 failed, 2064 passed).

Change: the fake answers commits and surveys as a control in calm does. What the test checks stays.

Result: test_configuration_watch.py passes.

--- a/tests/test_configuration_watch.py
+++ b/tests/test_configuration_watch.py
@@ -42,6 +42,8 @@
                 return fakes.heartbeat_reply(revision=self.revisions["own"])
             case messages.CallOneControl(address=address, timeout=timeout):
                 return await self._answer_one(address, message.message, timeout)
+            case messages.AskControls() | messages.SurveyControls():
+                return fakes.answer_of_controls(message)
         return None
 
     async def _answer_one(self, address, message, timeout):
