Start the next attempt at a long body before it is chosen

Cause: whether a body is whole was asked before the retry was allowed and its upstream chosen, and relied on afterwards. The upload of the refused attempt may receive a part in between that is too much to be kept; the next attempt then failed an assertion, and the request ended as a fault inside the system.

Change: the reader of the next attempt begins as soon as the body is found whole, and has all that was taken, whatever comes after.

Found by reading.

--- a/src/sassafrashall/filters/routed_dispatch.py
+++ b/src/sassafrashall/filters/routed_dispatch.py
@@ -125,6 +125,8 @@
         attempts = 0
         avoid: frozenset[str] = frozenset()
         may_have_run = False
+        if body is not None:
+            call = _with_rest(call, body.start_attempt())
         while True:
             attempts += 1
             choice = await self._routing.ask(
@@ -139,8 +141,6 @@
                 return dispatch.reconcile_run_state(
                     dispatch.no_upstream_refusal(call), may_have_run
                 )
-            if body is not None:
-                call = _with_rest(call, body.start_attempt())
             outcome = await self._attempt(call, choice)
             if isinstance(outcome, model.Answer):
                 # An upstream's answer is final, whatever its status. If the
@@ -149,8 +149,13 @@
                 return outcome
             avoid |= {choice.vm}
             may_have_run |= outcome.run is not model.RunState.NOT_RUN
-            can_send_again = body is None or body.is_whole
-            if not can_send_again or not await self._routing.ask(
+            if body is not None:
+                if not body.is_whole:
+                    return dispatch.reconcile_run_state(outcome, may_have_run)
+                # Started now: the upload that is being cancelled may receive a
+                # part that is too much to be kept for an attempt after this.
+                call = _with_rest(call, body.start_attempt())
+            if not await self._routing.ask(
                 messages.MayRetry(call=call, refusal=outcome, attempts=attempts)
             ):
                 return dispatch.reconcile_run_state(outcome, may_have_run)
--- a/tests/test_resendable_body.py
+++ b/tests/test_resendable_body.py
@@ -208,10 +208,10 @@
         nursery.cancel_scope.cancel()
 
 
-async def _dispatch(addresses, source, idempotent):
+async def _dispatch(addresses, source, idempotent, decision_time=0.0):
     """Dispatches a call whose attempts go to these addresses in turn."""
 
-    def choose(message):
+    async def choose(message):
         match message:
             case messages.ChooseUpstream(avoid=avoid):
                 vm = f"vm-{len(avoid)}"
@@ -219,6 +219,7 @@
                     vm=vm, address=addresses[len(avoid)]
                 )
             case messages.MayRetry(attempts=attempts):
+                await trio.sleep(decision_time)
                 return attempts < len(addresses)
 
     routing = fakes.ScriptedController(choose)
@@ -281,3 +282,25 @@
     assert isinstance(outcome, model.Refuse)
     assert outcome.run is model.RunState.NOT_RUN
     assert not bodies
+
+
+# Guards against a request that ends as a fault inside the system: the upload of
+# a refused attempt may still receive a part while the next one is chosen.
+async def test_a_part_that_comes_too_late_to_be_kept_ends_no_call(monkeypatch):
+    monkeypatch.setattr(resendable_body, "RETAINED_LIMIT", PART)
+    source = _Source(count=4, pause=0.02)
+    read = source.read
+
+    async def read_uncancelled():
+        with trio.CancelScope(shield=True):
+            return await read()
+
+    source.read = read_uncancelled
+    bodies = {}
+    async with _peers(
+        lambda stream: _refuse_late(stream, exceptions.PEER_UNREACHABLE),
+        lambda stream: _run(stream, bodies),
+    ) as addresses:
+        outcome = await _dispatch(addresses, source, True, decision_time=0.2)
+    assert isinstance(outcome, model.Answer)
+    assert list(bodies.values()) == [b"start" + b"".join(source.parts)]
