--- a/src/sassafrashall/controllers/followed_upstream.py
+++ b/src/sassafrashall/controllers/followed_upstream.py
@@ -91,7 +91,7 @@
         run = upstream_runs.Run(
             incarnation=message.incarnation, started_ms=message.started_ms
         )
-        return upstream_runs.draining_of(self._runs, run)
+        return upstream_runs.find_sign_off(self._runs, run)
 
     def on_announcement(self, message: messages.Announce, now: float) -> None:
         """Takes in an announcement."""
--- a/src/sassafrashall/decisions/upstream_runs.py
+++ b/src/sassafrashall/decisions/upstream_runs.py
@@ -143,7 +143,7 @@
       heartbeat: May be late, or of an earlier run.
       now: Monotonic seconds.
     """
-    sign_off = _find_sign_off(state, heartbeat.run)
+    sign_off = find_sign_off(state, heartbeat.run)
     if sign_off is not None:
         return _on_heartbeat_after_sign_off(state, heartbeat, sign_off, now)
     if heartbeat.run == state.run:
@@ -177,7 +177,7 @@
     is_held = state.run is not None and state.run.incarnation == incarnation
     sign_off = model.SignOff(
         incarnation=incarnation,
-        started_ms=state.run.started_ms if state.run and is_held else 0,
+        started_ms=_known_start(state, incarnation),
         gone=True,
         ended_ms=now_ms,
     )
@@ -189,23 +189,14 @@
 
 def sign_off_of(state: State, incarnation: str) -> model.SignOff | None:
     """Returns the sign-off that `on_sign_off` has applied or found."""
-    is_held = state.run is not None and state.run.incarnation == incarnation
-    started_ms = state.run.started_ms if state.run and is_held else 0
+    wanted = (incarnation, _known_start(state, incarnation), True)
     for sign_off in reversed(state.ended):
-        if (sign_off.incarnation, sign_off.started_ms, sign_off.gone) == (
-            incarnation,
-            started_ms,
-            True,
-        ):
+        found = (sign_off.incarnation, sign_off.started_ms, sign_off.gone)
+        if found == wanted:
             return sign_off
     return None
 
 
-def draining_of(state: State, run: Run) -> model.SignOff | None:
-    """Returns the sign-off of a run that has said that it is leaving."""
-    return _find_sign_off(state, run)
-
-
 def on_sign_off_restored(state: State, sign_off: model.SignOff) -> State:
     """Applies a sign-off that this node had told before it restarted."""
     state = _add_sign_off(state, sign_off, is_told=state.sign_off is None)
@@ -393,7 +384,7 @@
     successor = dataclasses.replace(
         successor, heartbeat=heartbeat, heard_at=now
     )
-    has_signed_off = _find_sign_off(state, heartbeat.run) is not None
+    has_signed_off = find_sign_off(state, heartbeat.run) is not None
     is_new = successor.first_sequence <= MAX_FIRST_SEQUENCE
     is_orderly = is_new or _is_later(state, heartbeat.run)
     required = (
@@ -434,6 +425,13 @@
     return all(run.started_ms > s.started_ms for s in state.ended)
 
 
+def _known_start(state: State, incarnation: str) -> int:
+    """Returns the start of the run that is held, 0 if that has another id."""
+    if state.run is None or state.run.incarnation != incarnation:
+        return 0
+    return state.run.started_ms
+
+
 def is_covered(sign_off: model.SignOff, by: model.SignOff) -> bool:
     """Returns whether another sign-off says as much about the same run."""
     return (
@@ -444,7 +442,7 @@
     )
 
 
-def _find_sign_off(state: State, run: Run) -> model.SignOff | None:
+def find_sign_off(state: State, run: Run) -> model.SignOff | None:
     """Returns the sign-off of a run; that it is gone before that it leaves.
 
     The run that is held has been heard after each sign-off of unknown start.
--- a/src/sassafrashall/transport/http.py
+++ b/src/sassafrashall/transport/http.py
@@ -13,7 +13,7 @@
 from sassafrashall import model
 
 RECEIVE_SIZE = 64 * 1024  # bytes of one read from a socket, at most
-# Bytes. A longer body is streamed and can't be resent.
+# Bytes. A longer body is streamed.
 BUFFERED_BODY_LIMIT = 64 * 1024
 # Bytes of a streamed body that one node may send ahead of its reader.
 STREAM_WINDOW = 64 * 1024
