Soak: stand-in upstreams follow redirects of their heartbeats

Cause: after a kill of all processes the stand-ins followed neither the redirect nor the address that a response names, unlike what the protocol says of callers.

Change: a heartbeat follows two redirects, and goes to the address that the last response named until one fails there. Late heartbeats follow none, as their sender has given up. Nodes of plans with parts have ports for redirected heartbeats, as deployed.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -71,6 +71,25 @@
 
     The second value is the body of the answer.
     """
+    response, answer = await send(
+        address, method, target, headers=headers, body=body
+    )
+    return (response.status_code if response else 0), answer
+
+
+async def send(
+    address: model.Address,
+    method: str,
+    target: str,
+    *,
+    headers: tuple[tuple[str, str], ...] = (),
+    body: bytes = b"",
+) -> tuple[h11.Response | None, bytes]:
+    """Sends a request on a new connection.
+
+    Returns:
+      The head of the answer, None if it failed, and its body.
+    """
     protocol = h11.Connection(h11.CLIENT)
     if "host" not in dict(headers):
         headers = (("host", str(address)), *headers)
@@ -85,8 +104,9 @@
             await stream.send_all(_encode(protocol, request, body))
             response, answer = await receive_message(stream, protocol)
     except (*_BROKEN, h11.RemoteProtocolError):
-        return 0, b""
-    return (response.status_code if response else 0), answer
+        return None, b""
+    assert not isinstance(response, h11.Request)
+    return response, answer
 
 
 async def is_ready(address: model.Address) -> bool:
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -139,6 +139,7 @@
         service: str,
         upstream: model.Address,
         pipeline_depth: int = 1,
+        heartbeat_ports: tuple[int, int] | None = None,
     ) -> None:
         """Writes the settings of a node."""
         bounds = soak_model.Bounds()
@@ -154,12 +155,17 @@
                 "strict_withdrawal": True,
                 "withdrawal": f"{bounds.revoke}s",
                 "grace": f"{bounds.grace}s",
-                # Earlier builds don't know this setting.
+                # Earlier builds don't know these two settings.
                 **(
                     {"pipeline_depth": pipeline_depth}
                     if pipeline_depth > 1
                     else {}
                 ),
+                **(
+                    {"heartbeat_ports": list(heartbeat_ports)}
+                    if heartbeat_ports
+                    else {}
+                ),
                 **(PARTS_ROUTED if self._parts else {}),
             },
         )
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -31,6 +31,9 @@
 NARROW_SERVICE = operators.SERVICES[1]  # of the nodes with odd numbers
 EVACUATION_TIMEOUT = 30.0  # seconds until the last evacuation has ended
 START_TIMEOUT = 30.0  # seconds until every node is ready
+# Below the ports of outgoing connections and of `bench_fleet.free_addresses`.
+FIRST_HEARTBEAT_PORT = 20_000
+HEARTBEAT_PORTS = 16  # of each node
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,6 +52,12 @@
     lateness: tuple[model.Lateness, ...] = ()
 
 
+def _heartbeat_ports(index: int) -> tuple[int, int]:
+    """Returns the first and last port of the range of a node."""
+    first = FIRST_HEARTBEAT_PORT + index * HEARTBEAT_PORTS
+    return first, first + HEARTBEAT_PORTS - 1
+
+
 class Soak:
     """Owns the parts of one soak."""
 
@@ -150,6 +159,9 @@
                 ],
                 service=service,
                 upstream=shown,
+                heartbeat_ports=(
+                    _heartbeat_ports(index) if plan.parts else None
+                ),
             )
         self._operator = operators.Operator(
             plan=plan,
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -19,6 +19,7 @@
 from bench.soak import model as soak_model
 from bench.soak import proxy
 from sassafrashall import model
+from sassafrashall import settings
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 SLOTS = 50
@@ -29,6 +30,8 @@
 SERVE_ON = 1.0  # seconds past the drain bound for which one that left serves
 SIGN_OFF_TIMEOUT = 4.0  # seconds after which it leaves unacknowledged
 REPEAT_DELAY = 0.02  # seconds from an answer to its repetition
+HEARTBEAT_TIMEOUT = 1.0  # seconds
+MAX_REDIRECTS = 2
 
 
 class Upstream:
@@ -52,6 +55,8 @@
         self._address = address
         self._announced = announced
         self._announce_to = announce_to
+        # Where the last answer asked for heartbeats, until one fails there.
+        self._told_address: model.Address | None = None
         self._random = random.Random(f"{seed} {vm}")
         self._report = report
         self._slots = slots
@@ -67,6 +72,10 @@
         self._state: str | None = "ready"
         self._is_leaving = False
 
+    @property
+    def _path(self) -> str:
+        return f"/-/instances/{self._incarnation}"
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Binds the address, then serves and announces in `nursery`."""
         listeners = await trio.open_tcp_listeners(
@@ -140,6 +149,7 @@
         if self._state is not None:
             body = self._heartbeat()
             await trio.sleep(seconds)
+            # It is given up long before, so that no redirect is followed.
             await self._send("PUT", body)
 
     async def _announce_periodically(self) -> None:
@@ -150,11 +160,35 @@
 
     async def _send_heartbeat(self) -> int:
         cold_until = self._cold_until
-        status = await self._send("PUT", self._heartbeat())
+        status = 0
+        with trio.move_on_after(HEARTBEAT_TIMEOUT):
+            status = await self._send_redirected(self._heartbeat())
         if status == 200 and cold_until == self._cold_until:
             self._told_at = min(self._told_at, time.monotonic())
         return status
 
+    async def _send_redirected(self, body: bytes) -> int:
+        """Sends a heartbeat where the node asks for it; returns the status."""
+        told, self._told_address = self._told_address, None
+        address = told or self._announce_to
+        for _ in range(1 + MAX_REDIRECTS):
+            response, answer = await callers.send(
+                address, "PUT", self._path, body=body
+            )
+            if response is None or response.status_code != 307:
+                break
+            location = dict(response.headers)[b"location"].decode()
+            address = settings.parse_address(
+                urllib.parse.urlsplit(location).netloc
+            )
+        if response is None or response.status_code != 200:
+            return response.status_code if response else 0
+        if named := json.loads(answer).get("heartbeat_uri"):
+            self._told_address = settings.parse_address(named)
+        else:
+            self._told_address = told
+        return 200
+
     async def _send_sign_off(self) -> int:
         return await self._send("DELETE", b"")
 
@@ -180,12 +214,9 @@
     async def _send(self, method: str, body: bytes) -> int:
         """Sends a heartbeat or sign-off; returns the status, 0 if it failed."""
         status = 0
-        with trio.move_on_after(1.0):
+        with trio.move_on_after(HEARTBEAT_TIMEOUT):
             status, _ = await callers.send_once(
-                self._announce_to,
-                method,
-                f"/-/instances/{self._incarnation}",
-                body=body,
+                self._announce_to, method, self._path, body=body
             )
         return status
 
