Tests: the silent callers that are kept aren't joined by a second long answer

Cause: test_silent_callers_are_cut_once_too_much_is_held[100-5] failed once in a run of all tests beside a load of 11: six of six silent callers were cut in place of five. With 16.8 MB for answers, one silent caller of 16 MB is kept. The test then had another caller take 16 MB and expected both to get all; if that caller needs longer than until the next check, the silent one is cut, as it has to be. Shown by a caller that takes eight pieces with 0.1 s between them: both cases fail in the same way.

Change: while silent callers are kept, the other one is served a short answer; once they have taken theirs, another gets a long one. None is cut meanwhile, which was not checked before.

--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -17,6 +17,7 @@
 from tests import loopback
 
 BODY = b"a" * 16_000_000
+SHORT_BODY = b"a" * 1000
 
 
 def _reader(number, held, stalled):
@@ -63,7 +64,8 @@
 @contextlib.asynccontextmanager
 async def _serving(log, memory_mb):
     async def handle(raw):
-        return model.Response(status=200, headers=(), body=BODY)
+        body = BODY if raw.target == "/" else SHORT_BODY
+        return model.Response(status=200, headers=(), body=body)
 
     address = loopback.free_address()
     server = stream_server.Server(
@@ -80,17 +82,19 @@
         nursery.cancel_scope.cancel()
 
 
-async def _ask(address):
+async def _ask(address, target="/"):
     stream = await trio.open_tcp_stream(address.host, address.port)
-    await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    await stream.send_all(
+        b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % target.encode()
+    )
     return stream
 
 
-async def _is_cut(stream):
+async def _is_cut(stream, body=BODY):
     """Returns whether the connection ends before the end of the body."""
     size = 0
     with contextlib.suppress(trio.BrokenResourceError):
-        while size < len(BODY):
+        while size < len(body):
             data = await stream.receive_some(1 << 20)
             if not data:
                 return True
@@ -117,8 +121,12 @@
             cut = reasons.count(connection_log.Reason.STALLED)
             assert least_cut <= cut < 6
             # Another caller is served, and those that were kept still get all.
-            other = await _ask(address)
-            assert not await _is_cut(other)
+            # A long answer would be too much beside them, until it is taken.
+            other = await _ask(address, "/short")
+            assert not await _is_cut(other, SHORT_BODY)
             results = [await _is_cut(stream) for stream in silent]
             # The first to stall are the first to be cut.
             assert results == [True] * cut + [False] * (6 - cut)
+            assert not await _is_cut(await _ask(address))
+            reasons = [closure.reason for closure in log.closures]
+            assert reasons.count(connection_log.Reason.STALLED) == cut
