--- a/bench/soak/delays.py
+++ b/bench/soak/delays.py
@@ -13,8 +13,6 @@
 # Passes of the event loop until a stand-in has read what a node sent to it on a
 # new connection through its proxy.
 PASSES = 10
-
-
 LIMIT = 0.04  # seconds that the passes of one measurement may take
 
 
@@ -25,7 +23,7 @@
     into two measurements at most, so that twice the measured time is reported.
 
     Args:
-      report: Called with each delay of more than twice the limit.
+      report: Called with each delay that is above `2 * LIMIT`.
     """
     while True:
         due = time.monotonic() + INTERVAL
