Tests: what a stand-in node of the soak's tests does

Cause: its docstring said that it keeps paths; it counts heartbeats. Change: the docstring. Result: format and lint pass, and the tests of the file.

--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -68,7 +68,7 @@
 
 
 class _Node:
-    """Answers heartbeats in a fixed way and keeps the paths it was sent."""
+    """Answers heartbeats in a fixed way and counts them."""
 
     def __init__(self, *, address, status=200, location=None, body=b"{}"):
         self._address = address
